--- a/src/leadhollow/state/election.py
+++ b/src/leadhollow/state/election.py
@@ -5,12 +5,16 @@
 import asyncio
 import random
 
+from result import Ok, Result
+
+from leadhollow.failure import Failure
 from leadhollow.observe.logs import get_logger
-from leadhollow.state.leadership import Leadership
+from leadhollow.state.leadership import DISK_STALL_S, Leadership
 from leadhollow.state.log_store import Vote
 from leadhollow.state.replica_state import CALL_TIMEOUT_MS, ReplicaRole, ReplicaState, now_s
 from leadhollow.state.rules import quorum_size
-from leadhollow.wire.generated.ttypes import StateProbe, VoteRequest
+from leadhollow.wire.connection import Connection
+from leadhollow.wire.generated.ttypes import Done, StandNow, StateProbe, VoteRequest
 
 LONGEST_TIMEOUT_FACTOR = 1.8
 
@@ -41,9 +45,11 @@
         fresh
             Whether our disk was empty when we started.
         """
-        if fresh:
-            await self._join_or_begin()
         state = self._state
+        if fresh and state.named:
+            await self._join_or_begin()
+        elif fresh:
+            await state.save_vote(Vote(term=0, voted_for="", voter=True))
         while True:
             factor = self._random.uniform(1.0, LONGEST_TIMEOUT_FACTOR)
             timeout_s = state.election_timeout_s * factor
@@ -51,10 +57,28 @@
             if state.role is ReplicaRole.LEADER:
                 self._leadership.check(timeout_s)
                 continue
-            if now_s() - state.heard_s < timeout_s or state.failed or not state.vote.voter:
+            if state.failed:
+                await state.recover()
+                continue
+            if now_s() - state.heard_s < timeout_s or not self._may_stand():
                 continue
             await self._stand()
 
+    async def on_stand_now(
+        self, request: StandNow, connection: Connection
+    ) -> Result[Done, Failure]:
+        """Stand at once, because the leader is about to stop."""
+        state = self._state
+        if request.term == state.term and request.leader == state.leader_vm and self._may_stand():
+            log.info("standing on the leader's word", replica=state.vm, leader=request.leader)
+            await self._stand(transfer=True)
+        return Ok(Done())
+
+    def _may_stand(self) -> bool:
+        state = self._state
+        healthy = not state.failed and state.disk.busy_s < DISK_STALL_S
+        return healthy and state.is_voter and state.vote.voter
+
     async def _join_or_begin(self) -> None:
         """Find out whether all replicas are new, or ours alone lost its disk."""
         state = self._state
@@ -82,37 +106,46 @@
                 log.info("all replicas are new, state begins")
                 await state.save_vote(Vote(term=1, voted_for="", voter=True))
 
-    async def _stand(self) -> None:
+    async def _stand(self, *, transfer: bool = False) -> None:
         state = self._state
-        if not await self._gather_votes(state.term + 1, pre_vote=True):
+        if not transfer and not await self._gather_votes(state.term + 1, pre_vote=True):
             state.heard_s = now_s()
             return
         async with state.append_lock:
-            if state.leader_heard_lately() or state.role is ReplicaRole.LEADER:
+            heard = state.leader_heard_lately() and not transfer
+            if heard or state.role is ReplicaRole.LEADER:
                 return
             term = state.term + 1
             if not await state.save_vote(Vote(term=term, voted_for=state.vm, voter=True)):
                 return
             state.role = ReplicaRole.CANDIDATE
             state.leader_vm = ""
-        won = await self._gather_votes(term, pre_vote=False)
+        won = await self._gather_votes(term, pre_vote=False, transfer=transfer)
         if won and state.term == term and state.role is ReplicaRole.CANDIDATE:
             self._leadership.begin()
         else:
             state.heard_s = now_s()
 
-    async def _gather_votes(self, term: int, *, pre_vote: bool) -> bool:
+    async def _gather_votes(self, term: int, *, pre_vote: bool, transfer: bool = False) -> bool:
         state = self._state
         store = state.store
-        request = VoteRequest(term, state.vm, store.last_index, store.last_term, pre_vote)
-        needed = quorum_size(len(state.replicas)) - 1
+        needed = quorum_size(len(state.voters.current)) - 1
         if needed == 0:
             return True
         timeout_ms = state.timing.election_timeout_ms
-        calls = [
-            asyncio.ensure_future(state.peers.call(peer.address, request, timeout_ms=timeout_ms))
-            for peer in state.others
-        ]
+        calls = []
+        for peer in state.others:
+            request = VoteRequest(
+                term,
+                state.vm,
+                store.last_index,
+                store.last_term,
+                pre_vote,
+                transfer or None,
+                peer.replica,
+            )
+            asked = state.peers.call(peer.address, request, timeout_ms=timeout_ms)
+            calls.append(asyncio.ensure_future(asked))
         granted = 0
         try:
             for call in asyncio.as_completed(calls):
--- a/src/leadhollow/state/following.py
+++ b/src/leadhollow/state/following.py
@@ -54,6 +54,8 @@
         self, request: VoteRequest, connection: Connection
     ) -> Result[VoteReply, Failure]:
         state = self._state
+        if self._meant_for_another(request.voter):
+            return Err(Failure(code=Code.REPLICA_OTHER))
         if state.failed or state.store.vote is None:
             return Ok(VoteReply(state.term, False))
         async with state.append_lock:
@@ -67,9 +69,15 @@
             state.heard_s = now_s()
             return Ok(VoteReply(request.term, True))
 
+    def _meant_for_another(self, replica: str | None) -> bool:
+        """Tell whether a request was meant for the disk that this address had before."""
+        return bool(replica) and replica != self._state.vm
+
     def _may_grant(self, request: VoteRequest) -> bool:
         state = self._state
-        if state.role is ReplicaRole.LEADER:
+        if request.transfer:
+            leader_heard = False  # the leader itself asked this candidate to stand
+        elif state.role is ReplicaRole.LEADER:
             leader_heard = self._leadership.lease_valid()
         else:
             leader_heard = state.leader_heard_lately()
@@ -92,6 +100,8 @@
         self, request: AppendRequest, connection: Connection
     ) -> Result[AppendReply, Failure]:
         state = self._state
+        if self._meant_for_another(request.replica):
+            return Err(Failure(code=Code.REPLICA_OTHER))
         if state.failed:
             return Err(Failure(code=Code.DISK_FAILED))
         async with state.append_lock:
@@ -116,17 +126,24 @@
         self, request: SnapshotRequest, connection: Connection
     ) -> Result[AppendReply, Failure]:
         state = self._state
+        if self._meant_for_another(request.replica):
+            return Err(Failure(code=Code.REPLICA_OTHER))
         async with state.append_lock:
             if state.failed or not await self._accept_leader(request.term, request.leader):
                 return Ok(AppendReply(state.term, False, 0))
             if request.last_index > state.applied_index:
                 snapshot = Snapshot(
-                    last_index=request.last_index, last_term=request.last_term, data=request.data
+                    last_index=request.last_index,
+                    last_term=request.last_term,
+                    data=request.data,
+                    voters=request.voters or b"",
                 )
                 saved = await state.disk.run(lambda: state.store.save_snapshot(snapshot))
                 if saved.is_err():
                     return Err(state.fail(saved.unwrap_err()))
                 state.machine.restore(request.data)
+                state.note_snapshot(snapshot)
+                state.note_entries(state.store.entries)
                 state.commit_index = max(state.commit_index, request.last_index)
                 state.applied_index = request.last_index
             return Ok(AppendReply(state.term, True, request.last_index))
@@ -163,6 +180,7 @@
             if cut.is_err():
                 self._state.fail(cut.unwrap_err())
                 return False
+            self._state.note_cut(index)
         missing = [entry for entry in offered if entry.index > store.last_index]
         if not missing:
             return True
@@ -170,6 +188,7 @@
         if written.is_err():
             self._state.fail(written.unwrap_err())
             return False
+        self._state.note_entries(missing)
         return True
 
     async def _maybe_become_voter(self, leader_commit: int, matched: int) -> None:
--- /dev/null
+++ b/src/leadhollow/state/gateway.py
@@ -0,0 +1,155 @@
+"""Reaches the leader from any replica: proposals, and reads that a majority confirmed."""
+
+from __future__ import annotations
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from leadhollow.codes import Code
+from leadhollow.failure import Failure
+from leadhollow.state.commands import AnyAnswer, Command, decode_answer, decode_command, encode
+from leadhollow.state.replica import Applied, Replica, ReplicaRole
+from leadhollow.wire.connection import Connection
+from leadhollow.wire.generated.ttypes import (
+    ProposeReply,
+    ProposeRequest,
+    ReadIndexReply,
+    ReadIndexRequest,
+)
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.peers import PeerPool
+
+RETRY_PAUSE_S = 0.03
+ROUND_TIMEOUT_S = 0.5
+APPLY_POLL_S = 0.005
+
+
+class LeaderGateway:
+    """Proposes and reads through whichever replica leads now."""
+
+    __slots__ = ("_peers", "_replica")
+
+    def __init__(self, *, replica: Replica, peers: PeerPool, handlers: HandlerTable) -> None:
+        self._replica = replica
+        self._peers = peers
+        handlers.on_call(ProposeRequest, self._on_propose)
+        handlers.on_call(ReadIndexRequest, self._on_read_index)
+
+    async def propose(self, command: Command, *, timeout_s: float) -> Result[AnyAnswer, Failure]:
+        """Have a command committed, whoever leads.
+
+        The command must be safe to repeat: it may be written more than once.
+
+        Errors
+        ------
+        EDIT_UNKNOWN
+            It may have been written, and may yet be committed.
+        NO_MAJORITY
+            Nothing was written.
+        """
+        deadline_s = _now_s() + timeout_s
+        may_be_written = False
+        while True:
+            left_s = deadline_s - _now_s()
+            if left_s <= 0:
+                code = Code.EDIT_UNKNOWN if may_be_written else Code.NO_MAJORITY
+                return Err(Failure(code=code))
+            answered = await self._propose_once(command, left_s)
+            if answered.is_ok():
+                return answered
+            failure = answered.unwrap_err()
+            if failure.code in (Code.PEER_LOST, Code.PEER_TIMEOUT, Code.EDIT_UNKNOWN):
+                may_be_written = True
+            elif failure.code not in (Code.NOT_LEADER, Code.NO_MAJORITY, Code.DISK_FAILED):
+                return answered
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def confirm(self, *, timeout_s: float) -> Result[None, Failure]:
+        """Make sure that this replica has applied all that was acknowledged before the call.
+
+        Errors
+        ------
+        READ_UNCONFIRMED
+            No leader with a majority answered in time, or we lag too far behind it.
+        """
+        deadline_s = _now_s() + timeout_s
+        while _now_s() < deadline_s:
+            index = await self._read_index(deadline_s - _now_s())
+            if index is None:
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            while self._replica.applied_index < index:
+                if _now_s() >= deadline_s:
+                    return Err(Failure(code=Code.READ_UNCONFIRMED))
+                await asyncio.sleep(APPLY_POLL_S)
+            return Ok(None)
+        return Err(Failure(code=Code.READ_UNCONFIRMED))
+
+    async def _propose_once(self, command: Command, left_s: float) -> Result[AnyAnswer, Failure]:
+        if self._replica.role is ReplicaRole.LEADER:
+            applied = await self._propose_here(command, left_s)
+            return Ok(applied.unwrap().answer) if applied.is_ok() else Err(applied.unwrap_err())
+        leader = self._leader_address()
+        if leader is None:
+            return Err(Failure(code=Code.NO_MAJORITY, detail="no leader is known"))
+        connected = await self._peers.connection(leader)
+        if connected.is_err():
+            return Err(Failure(code=Code.NO_MAJORITY, detail=str(connected.unwrap_err())))
+        request = ProposeRequest(encode(command))
+        reply = await connected.unwrap().call(request, timeout_ms=left_s * 1000)
+        if reply.is_err():
+            return Err(reply.unwrap_err())
+        return decode_answer(reply.unwrap().answer)
+
+    async def _propose_here(self, command: Command, left_s: float) -> Result[Applied, Failure]:
+        try:
+            async with asyncio.timeout(left_s):
+                return await self._replica.propose(command)
+        except TimeoutError:
+            return Err(Failure(code=Code.EDIT_UNKNOWN, detail="no majority answered in time"))
+
+    async def _read_index(self, left_s: float) -> int | None:
+        timeout_s = min(left_s, ROUND_TIMEOUT_S)
+        if self._replica.role is ReplicaRole.LEADER:
+            confirmed = await self._replica.leadership.confirm_round(timeout_s)
+            return confirmed.unwrap() if confirmed.is_ok() else None
+        leader = self._leader_address()
+        if leader is None:
+            return None
+        request = ReadIndexRequest(self._replica.vm)
+        reply = await self._peers.call(leader, request, timeout_ms=timeout_s * 1000)
+        return int(reply.unwrap().index) if reply.is_ok() else None
+
+    def _leader_address(self) -> str | None:
+        for voter in self._replica.voters.voters:
+            if voter.replica == self._replica.leader_vm:
+                return voter.address
+        return None
+
+    async def _on_propose(
+        self, request: ProposeRequest, connection: Connection
+    ) -> Result[ProposeReply, Failure]:
+        decoded = decode_command(request.command or b"")
+        if decoded.is_err():
+            return Err(decoded.unwrap_err())
+        applied = await self._replica.propose(decoded.unwrap())
+        if applied.is_err():
+            return Err(applied.unwrap_err())
+        done = applied.unwrap()
+        return Ok(ProposeReply(0, "", encode(done.answer), done.index, self._replica.vm))
+
+    async def _on_read_index(
+        self, request: ReadIndexRequest, connection: Connection
+    ) -> Result[ReadIndexReply, Failure]:
+        confirmed = await self._replica.leadership.confirm_round(ROUND_TIMEOUT_S)
+        if confirmed.is_err():
+            return Err(confirmed.unwrap_err())
+        return Ok(ReadIndexReply(confirmed.unwrap()))
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["LeaderGateway"]
--- a/src/leadhollow/state/leadership.py
+++ b/src/leadhollow/state/leadership.py
@@ -4,12 +4,11 @@
 
 import asyncio
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.observe.logs import get_logger
-from leadhollow.settings.model import PeerSettings
 from leadhollow.state.commands import Command, TermStart, encode
 from leadhollow.state.log_store import Entry
 from leadhollow.state.replica_state import (
@@ -22,14 +21,18 @@
     spawn,
 )
 from leadhollow.state.rules import committed_index, majority_index, quorum_size
+from leadhollow.state.voters import ChangeVoters, Voter
 from leadhollow.wire.generated.ttypes import (
     AppendReply,
     AppendRequest,
     LogEntry,
     SnapshotRequest,
+    StandNow,
 )
 
 ENTRIES_PER_APPEND = 256
+LEARNER_FORGOTTEN_S = 10.0  # a learner that asks no more is not replicated to
+DISK_STALL_S = 0.4  # far above any sync seen (0.5 ms, 12 ms on a slow disk)
 
 log = get_logger("state")
 
@@ -42,16 +45,36 @@
         self.done = done
 
 
+class Follower:
+    """What a leader knows of another replica.
+
+    Parameters
+    ----------
+    next_index
+        First entry to send.
+    """
+
+    __slots__ = ("acknowledged_s", "asked_s", "match", "next_index", "peer", "task")
+
+    def __init__(self, *, peer: Voter, next_index: int) -> None:
+        self.peer = peer
+        self.next_index = next_index
+        self.match = 0
+        self.acknowledged_s = 0.0  # when the last request was sent that it answered
+        self.asked_s = 0.0  # when it last asked to learn
+        self.task: asyncio.Task[None] | None = None
+
+
 class Leadership:
     """The leader's part of a replica; idle while another one leads."""
 
     __slots__ = (
-        "_acknowledged_s",
-        "_match",
-        "_next",
+        "_followers",
         "_proposals",
+        "_round_waiters",
         "_state",
         "_tasks",
+        "_transferring",
         "_wake_followers",
         "_wake_writer",
         "since_s",
@@ -59,32 +82,36 @@
 
     def __init__(self, *, state: ReplicaState) -> None:
         self._state = state
-        self._match: dict[str, int] = {}
-        self._next: dict[str, int] = {}
-        self._acknowledged_s: dict[str, float] = {}
+        self._followers: dict[str, Follower] = {}
         self._proposals: list[_Proposal] = []
+        self._round_waiters: list[tuple[float, asyncio.Future[bool]]] = []
         self._wake_writer = asyncio.Event()
         self._wake_followers = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
+        self._transferring = False
         self.since_s = 0.0
         state.on_step_down(self.end)
+        state.on_voters_changed(self.match_followers)
 
     def lease_valid(self) -> bool:
         """Tell whether we lead and no other replica can have been elected yet."""
         state = self._state
-        if state.role is not ReplicaRole.LEADER:
+        if state.role is not ReplicaRole.LEADER or self._transferring:
             return False
-        times = [*self._acknowledged_s.values(), now_s()]
-        times += [0.0] * (len(state.replicas) - len(times))
-        times.sort(reverse=True)
-        oldest_of_majority_s = times[quorum_size(len(state.replicas)) - 1]
-        return now_s() < oldest_of_majority_s + state.election_timeout_s
+        return now_s() < self._majority_acknowledged_s() + state.election_timeout_s
 
     def check(self, timeout_s: float) -> None:
-        """Step down where no majority has answered for long."""
-        if not self.lease_valid() and now_s() > self.since_s + timeout_s:
-            log.warning("leader steps down, no majority answers", term=self._state.term)
-            self._state.become_follower("")
+        """Step down where no majority has answered for long, or our own disk hangs."""
+        state = self._state
+        if state.disk.busy_s > DISK_STALL_S:
+            log.warning("leader steps down, its disk hangs", busy_s=round(state.disk.busy_s, 3))
+            state.become_follower("")
+        elif not state.is_voter and state.commit_index >= state.voters.current.index:
+            log.info("leader steps down, it votes no more", term=state.term)
+            state.become_follower("")
+        elif not self.lease_valid() and now_s() > self.since_s + timeout_s:
+            log.warning("leader steps down, no majority answers", term=state.term)
+            state.become_follower("")
 
     async def propose(self, command: Command) -> Result[Applied, Failure]:
         """Put a command into the log and wait until it is applied.
@@ -96,10 +123,80 @@
         EDIT_UNKNOWN
             We lost the lead before the entry was committed; it may still be.
         """
-        if self._state.role is not ReplicaRole.LEADER or self._state.failed:
+        if self._state.role is not ReplicaRole.LEADER or self._state.failed or self._transferring:
             return Err(Failure(code=Code.NOT_LEADER))
         return await self._enqueue(command)
 
+    async def confirm_round(self, timeout_s: float) -> Result[int, Failure]:
+        """Make sure that we still lead by a round trip to a majority that begins now.
+
+        Returns
+        -------
+        Result
+            The commit index that covers everything acknowledged before the call.
+
+        Errors
+        ------
+        NOT_LEADER
+            We do not lead, or have not committed an entry of our own term yet.
+        NO_MAJORITY
+            No majority answered in time.
+        """
+        state = self._state
+        if state.role is not ReplicaRole.LEADER or self._transferring:
+            return Err(Failure(code=Code.NOT_LEADER))
+        index = state.commit_index
+        if state.store.term_at(index) != state.term:
+            return Err(Failure(code=Code.NOT_LEADER, detail="the term has not begun yet"))
+        asked_s = now_s()
+        confirmed: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._round_waiters.append((asked_s, confirmed))
+        self._answer_rounds()
+        self._wake_all_followers()
+        try:
+            async with asyncio.timeout(timeout_s):
+                leads = await confirmed
+        except TimeoutError:
+            return Err(Failure(code=Code.NO_MAJORITY))
+        return Ok(index) if leads else Err(Failure(code=Code.NOT_LEADER))
+
+    def learn(self, peer: Voter) -> None:
+        """Replicate to a replica that is no voter (yet) for as long as it keeps asking."""
+        if self._state.role is not ReplicaRole.LEADER or peer.replica == self._state.vm:
+            return
+        follower = self._followers.get(peer.replica)
+        if follower is None:
+            log.info("learner found", replica=peer.replica, address=peer.address)
+            follower = self._add_follower(peer)
+        follower.asked_s = now_s()
+
+    def followers(self) -> list[Follower]:
+        """Give what is known of the other replicas."""
+        return list(self._followers.values())
+
+    def silence_s(self, replica: str) -> float:
+        """Tell for how long a replica has not answered; at most as long as we lead."""
+        follower = self._followers.get(replica)
+        heard_s = 0.0 if follower is None else follower.acknowledged_s
+        return now_s() - max(heard_s, self.since_s)
+
+    async def hand_over(self, timeout_s: float) -> bool:
+        """Let a caught-up voter lead in our place; True once somebody else leads."""
+        state = self._state
+        if state.role is not ReplicaRole.LEADER:
+            return True
+        self._transferring = True
+        deadline_s = now_s() + timeout_s
+        term = state.term
+        while now_s() < deadline_s and state.role is ReplicaRole.LEADER:
+            heir = self._heir()
+            if heir is not None:
+                request = StandNow(term, state.vm)
+                await state.peers.call(heir.address, request, timeout_ms=timeout_s * 1000)
+            await asyncio.sleep(state.timing.heartbeat_ms / 4000)
+        self._transferring = False
+        return state.role is not ReplicaRole.LEADER
+
     def begin(self) -> None:
         """Lead the current term."""
         state = self._state
@@ -108,30 +205,36 @@
         state.role = ReplicaRole.LEADER
         state.leader_vm = state.vm
         self.since_s = now_s()
-        self._match = {peer.vm: 0 for peer in state.others}
-        self._next = {peer.vm: last_index + 1 for peer in state.others}
-        self._acknowledged_s = {}
+        self._transferring = False
+        self._followers = {}
         self._proposals = []
         self._wake_writer = asyncio.Event()
         self._wake_followers = asyncio.Event()
         self._enqueue(TermStart())
+        if not state.named and state.voters.current.index == 0:
+            self._enqueue(ChangeVoters(voters=state.voters.current.voters))
         spawn(self._tasks, self._write_proposals(state.term))
-        for peer in state.others:
-            spawn(self._tasks, self._replicate(peer, state.term))
+        self.match_followers()
 
     def end(self) -> None:
         """Stop leading; proposals that were not committed are answered as such."""
         current = asyncio.current_task()
-        for task in self._tasks:
-            if task is not current:
+        followers = [follower.task for follower in self._followers.values()]
+        for task in [*self._tasks, *followers]:
+            if task is not None and task is not current:
                 task.cancel()
         self._tasks = []
+        self._followers = {}
         for proposal in self._proposals:
             answer_proposal(proposal.done, Err(Failure(code=Code.NOT_LEADER)))
         self._proposals = []
         for done in self._state.waiting.values():
             answer_proposal(done, Err(Failure(code=Code.EDIT_UNKNOWN)))
         self._state.waiting = {}
+        for _, confirmed in self._round_waiters:
+            if not confirmed.done():
+                confirmed.set_result(False)
+        self._round_waiters = []
 
     def _enqueue(self, command: Command) -> asyncio.Future[Result[Applied, Failure]]:
         done: asyncio.Future[Result[Applied, Failure]] = asyncio.get_running_loop().create_future()
@@ -142,6 +245,35 @@
     def _leads(self, term: int) -> bool:
         return self._state.role is ReplicaRole.LEADER and self._state.term == term
 
+    def _heir(self) -> Voter | None:
+        for voter in self._state.others:
+            follower = self._followers.get(voter.replica)
+            if follower is not None and follower.match == self._state.store.last_index:
+                return voter
+        return None
+
+    def match_followers(self) -> None:
+        """Replicate to each voter, and end with replicas that are neither voter nor learner."""
+        if self._state.role is not ReplicaRole.LEADER:
+            return
+        for voter in self._state.others:
+            if voter.replica not in self._followers:
+                self._add_follower(voter)
+        for replica, follower in list(self._followers.items()):
+            asks = now_s() - follower.asked_s < LEARNER_FORGOTTEN_S
+            if replica not in self._state.voters.current and not asks:
+                del self._followers[replica]
+                if follower.task is not None:
+                    follower.task.cancel()
+
+    def _add_follower(self, peer: Voter) -> Follower:
+        follower = Follower(peer=peer, next_index=self._state.store.last_index + 1)
+        self._followers[peer.replica] = follower
+        running: list[asyncio.Task[None]] = []
+        spawn(running, self._replicate(follower, self._state.term))
+        follower.task = running[0]
+        return follower
+
     async def _write_proposals(self, term: int) -> None:
         """Group commit: all proposals that wait are synced together."""
         state = self._state
@@ -158,6 +290,7 @@
                 if written.is_err():
                     state.fail(written.unwrap_err())
                     return
+                state.note_entries(entries)
             if self._proposals:
                 self._wake_writer.set()
             self._wake_all_followers()
@@ -177,21 +310,22 @@
         self._wake_followers.set()
         self._wake_followers = asyncio.Event()
 
-    async def _replicate(self, peer: PeerSettings, term: int) -> None:
+    async def _replicate(self, follower: Follower, term: int) -> None:
         """Keep one follower up to date; the one task of that peer."""
         while self._leads(term):
             wake = self._wake_followers
             sent_s = now_s()
-            reply = await self._send(peer, term)
+            reply = await self._send(follower, term)
             if not self._leads(term):
                 return
             if reply is not None:
                 if reply.term > term:
                     await self._state.learn_term(reply.term)
                     return
-                self._acknowledged_s[peer.vm] = sent_s
-                self._note_match(peer.vm, reply, term)
-                if self._next[peer.vm] <= self._state.store.last_index:
+                follower.acknowledged_s = sent_s
+                self._answer_rounds()
+                self._note_match(follower, reply, term)
+                if follower.next_index <= self._state.store.last_index:
                     continue
             try:
                 async with asyncio.timeout(self._state.timing.heartbeat_ms / 1000):
@@ -199,15 +333,21 @@
             except TimeoutError:
                 continue
 
-    async def _send(self, peer: PeerSettings, term: int) -> AppendReply | None:
+    async def _send(self, follower: Follower, term: int) -> AppendReply | None:
         state = self._state
-        next_index = self._next[peer.vm]
+        next_index = follower.next_index
         previous_term = state.store.term_at(next_index - 1)
         request: SnapshotRequest | AppendRequest
         if previous_term is None:
             snapshot = state.store.snapshot
             request = SnapshotRequest(
-                term, state.vm, snapshot.last_index, snapshot.last_term, snapshot.data
+                term,
+                state.vm,
+                snapshot.last_index,
+                snapshot.last_term,
+                snapshot.data,
+                snapshot.voters,
+                follower.peer.replica,
             )
         else:
             entries = [
@@ -215,22 +355,57 @@
                 for entry in state.store.entries_from(next_index, limit=ENTRIES_PER_APPEND)
             ]
             request = AppendRequest(
-                term, state.vm, next_index - 1, previous_term, entries, state.commit_index
+                term,
+                state.vm,
+                next_index - 1,
+                previous_term,
+                entries,
+                state.commit_index,
+                follower.peer.replica,
             )
-        reply = await state.peers.call(peer.address, request, timeout_ms=CALL_TIMEOUT_MS)
+        address = follower.peer.address
+        reply = await state.peers.call(address, request, timeout_ms=CALL_TIMEOUT_MS)
         return reply.unwrap() if reply.is_ok() else None
 
-    def _note_match(self, vm: str, reply: AppendReply, term: int) -> None:
+    def _note_match(self, follower: Follower, reply: AppendReply, term: int) -> None:
         if not reply.success:
-            self._next[vm] = max(min(self._next[vm] - 1, reply.match_index + 1), 1)
+            follower.next_index = max(min(follower.next_index - 1, reply.match_index + 1), 1)
             return
-        self._match[vm] = max(self._match[vm], reply.match_index)
-        self._next[vm] = self._match[vm] + 1
+        follower.match = max(follower.match, reply.match_index)
+        follower.next_index = follower.match + 1
         self._advance_commit(term)
 
+    def _majority_acknowledged_s(self) -> float:
+        """Give the time since which a majority of the voters is known to follow us."""
+        state = self._state
+        times = [now_s()] if state.is_voter else []
+        for voter in state.others:
+            follower = self._followers.get(voter.replica)
+            times.append(0.0 if follower is None else follower.acknowledged_s)
+        times.sort(reverse=True)
+        needed = quorum_size(len(state.voters.current))
+        return times[needed - 1] if len(times) >= needed else 0.0
+
+    def _answer_rounds(self) -> None:
+        if not self._round_waiters:
+            return
+        confirmed_s = self._majority_acknowledged_s()
+        waiting = []
+        for asked_s, confirmed in self._round_waiters:
+            if confirmed.done():
+                continue
+            if confirmed_s >= asked_s:
+                confirmed.set_result(True)
+            else:
+                waiting.append((asked_s, confirmed))
+        self._round_waiters = waiting
+
     def _advance_commit(self, term: int) -> None:
         state = self._state
-        matches = [*self._match.values(), state.store.last_index]
+        matches = [state.store.last_index] if state.is_voter else []
+        for voter in state.others:
+            follower = self._followers.get(voter.replica)
+            matches.append(0 if follower is None else follower.match)
         index = committed_index(
             match_indexes=matches,
             current_commit=state.commit_index,
@@ -242,4 +417,4 @@
             self._wake_all_followers()  # followers learn the commit without waiting a heartbeat
 
 
-__all__ = ["Leadership"]
+__all__ = ["Follower", "Leadership"]
--- a/src/leadhollow/state/log_store.py
+++ b/src/leadhollow/state/log_store.py
@@ -59,9 +59,13 @@
     last_index: int
     last_term: int
     data: bytes
+    voters: bytes = (
+        b""  # the voter set in force at the entry, encoded; empty where it never changes
+    )
 
 
 _entry_decoder = msgspec.msgpack.Decoder(Entry)
+_batch_decoder = msgspec.msgpack.Decoder(list[Entry])
 
 
 class _Image:
@@ -175,6 +179,7 @@
         """
         try:
             self._folder.mkdir(parents=True, exist_ok=True)
+            sync_folder(self._folder.parent)
         except OSError as error:
             return Err(Failure(code=Code.DISK_FAILED, detail=str(error)))
         for name in (VOTE_FILE, SNAPSHOT_FILE):
@@ -184,26 +189,22 @@
         return self._load_entries()
 
     def append(self, entries: Sequence[Entry]) -> Result[None, Failure]:
-        """Write entries after the last one and sync them together."""
+        """Write entries after the last one and sync them together.
+
+        One write is one record: after a loss of power any part of what was not synced may be
+        missing, so a whole record after a damaged one proves damage to what was synced.
+        """
         if self._file is None:
             return Err(Failure(code=Code.DISK_FAILED, detail="the log is not open"))
-        offset = self._file.tell()
-        parts = []
-        offsets = []
-        for entry in entries:
-            record = pack_record(msgspec.msgpack.encode(entry))
-            offsets.append(offset)
-            offset += len(record)
-            parts.append(record)
         start = self._file.tell()
         try:
-            self._file.write(b"".join(parts))
+            self._file.write(pack_record(msgspec.msgpack.encode(list(entries))))
             self._file.flush()
             os.fsync(self._file.fileno())
         except OSError as error:
             self._undo_write(start)
             return Err(Failure(code=Code.DISK_FAILED, detail=str(error)))
-        self._image.offsets.extend(offsets)
+        self._image.offsets.extend([start] * len(entries))
         self._image.entries.extend(entries)
         return Ok(None)
 
@@ -213,6 +214,8 @@
         position = index - self.first_index
         if self._file is None or not 0 <= position < len(image.entries):
             return Ok(None)
+        if position and image.offsets[position - 1] == image.offsets[position]:
+            return self._rewrite(image.entries[:position], image.snapshot)  # within one record
         try:
             self._file.truncate(image.offsets[position])
             self._file.seek(image.offsets[position])
@@ -241,6 +244,13 @@
             kept = []
         return self._rewrite(kept, snapshot)
 
+    def recover(self) -> Result[None, Failure]:
+        """Write the log anew from memory, after the disk refused a write or a sync.
+
+        What was not synced then is in no state to build on: the kernel may have dropped it.
+        """
+        return self._rewrite(list(self._image.entries), self._image.snapshot)
+
     def close(self) -> None:
         """Close the log's file."""
         if self._file is not None:
@@ -292,17 +302,20 @@
 
     def _take_loaded(self, payload: bytes, offset: int) -> Result[None, Failure]:
         try:
-            entry = _entry_decoder.decode(payload)
+            entries = _decode_record(payload)
         except msgspec.MsgspecError as error:
             detail = f"{LOG_FILE}: record at offset {offset}: {error}"
             return Err(Failure(code=Code.LOG_DAMAGED, detail=detail))
-        if entry.index <= self.snapshot.last_index:
-            return Ok(None)  # a crash came between the snapshot and the shorter log
-        if entry.index != self.last_index + 1:
-            detail = f"{LOG_FILE}: entry {entry.index} after {self.last_index} at offset {offset}"
-            return Err(Failure(code=Code.LOG_DAMAGED, detail=detail))
-        self._image.offsets.append(offset)
-        self._image.entries.append(entry)
+        for entry in entries:
+            if entry.index <= self.snapshot.last_index:
+                continue  # a crash came between the snapshot and the shorter log
+            if entry.index != self.last_index + 1:
+                detail = (
+                    f"{LOG_FILE}: entry {entry.index} after {self.last_index} at offset {offset}"
+                )
+                return Err(Failure(code=Code.LOG_DAMAGED, detail=detail))
+            self._image.offsets.append(offset)
+            self._image.entries.append(entry)
         return Ok(None)
 
     def _open_at(self, offset: int) -> Result[None, Failure]:
@@ -318,17 +331,13 @@
     def _rewrite(self, kept: list[Entry], snapshot: Snapshot) -> Result[None, Failure]:
         path = self._folder / LOG_FILE
         temporary = path.with_name(path.name + ".new")
-        offsets = []
-        parts = [FILE_MAGIC]
-        offset = len(FILE_MAGIC)
-        for entry in kept:
-            record = pack_record(msgspec.msgpack.encode(entry))
-            offsets.append(offset)
-            offset += len(record)
-            parts.append(record)
+        content = FILE_MAGIC
+        offsets = [len(FILE_MAGIC)] * len(kept)
+        if kept:
+            content += pack_record(msgspec.msgpack.encode(kept))
         try:
             with temporary.open("wb") as file:
-                file.write(b"".join(parts))
+                file.write(content)
                 file.flush()
                 os.fsync(file.fileno())
             self.close()
@@ -337,17 +346,25 @@
         except OSError as error:
             return Err(Failure(code=Code.DISK_FAILED, detail=str(error)))
         self._image = _Image(snapshot=snapshot, entries=kept, offsets=offsets)
-        return self._open_at(offset)
+        return self._open_at(len(content))
 
     def _undo_write(self, offset: int) -> None:
         if self._file is None:
             return
+        file, self._file = self._file, None  # closed until recovered: a sync failed, or a write
         try:
-            self._file.seek(offset)
-            self._file.truncate(offset)
+            file.truncate(offset)
+            file.close()
         except OSError as error:
             log.error("the log could not be cut back after a failed write", error=str(error))
-            self._file = None
+
+
+def _decode_record(payload: bytes) -> list[Entry]:
+    """Decode the entries of one write; earlier releases wrote each entry as a record."""
+    try:
+        return _batch_decoder.decode(payload)
+    except msgspec.ValidationError:
+        return [_entry_decoder.decode(payload)]
 
 
 __all__ = ["Entry", "LogStore", "Snapshot", "Vote"]
--- a/src/leadhollow/state/machine.py
+++ b/src/leadhollow/state/machine.py
@@ -15,10 +15,13 @@
     Claim,
     ClaimAnswer,
     Command,
+    DescribeVersion,
     EditRows,
     ExpireClaims,
     FinishClaim,
+    NameVersion,
     PublishVersion,
+    ReplaceRouteTable,
     RowEdit,
     SetDrain,
     TakeLease,
@@ -38,7 +41,9 @@
     row_key,
     version_key,
 )
+from leadhollow.state.route_tables import RouteTables
 from leadhollow.state.row_rules import check_row
+from leadhollow.state.weights_versions import describe_version, name_version
 
 OPERATIONS_KEPT = 10_000
 HISTORY_KEPT = 10_000
@@ -68,15 +73,17 @@
     operations: dict[str, _Operation]
     history: list[HistoryEntry]
     claims: dict[str, ClaimRecord]
+    route_table_source: bytes = b""
 
 
 class StateMachine:
     """Table, versions, leases and claims, changed only by commands in log order."""
 
-    __slots__ = ("_claims", "_history", "_operations", "catalog")
+    __slots__ = ("_claims", "_history", "_operations", "catalog", "route_tables")
 
     def __init__(self) -> None:
         self.catalog = Catalog()
+        self.route_tables = RouteTables()
         self._operations: dict[str, _Operation] = {}
         self._history: list[HistoryEntry] = []
         self._claims: dict[str, ClaimRecord] = {}
@@ -104,6 +111,12 @@
                 self._finish_claim(command)
             case ExpireClaims():
                 self._expire_claims(command.through_index)
+            case ReplaceRouteTable():
+                items = self.route_tables.replace(command, self.catalog, revision=index)
+            case NameVersion():
+                items = name_version(command, self.catalog, revision=index)
+            case DescribeVersion():
+                items = describe_version(command, self.catalog, revision=index)
             case _:
                 pass
         self.catalog.apply(items, revision=index)
@@ -136,6 +149,7 @@
             operations=self._operations,
             history=self._history,
             claims=self._claims,
+            route_table_source=self.route_tables.source,
         )
         return msgspec.msgpack.encode(body)
 
@@ -151,6 +165,7 @@
         self._operations = body.operations
         self._history = body.history
         self._claims = body.claims
+        self.route_tables.source = body.route_table_source
         self.catalog.apply(body.items, revision=body.revision)
 
     def _apply_operation(
--- a/src/leadhollow/state/records.py
+++ b/src/leadhollow/state/records.py
@@ -6,6 +6,15 @@
 
 import msgspec
 
+from leadhollow.routing.model import (
+    CallerLimits,
+    Organisation,
+    Route,
+    ServiceRecord,
+    TableNumber,
+)
+from leadhollow.weights.named import NamedVersion
+
 
 class Policy(Enum):
     """What a model's distribution saves first."""
@@ -86,7 +95,18 @@
     operator: str
 
 
-CatalogValue = StoredRow | VersionRecord | LeaseRecord | DrainRecord
+CatalogValue = (
+    StoredRow
+    | VersionRecord
+    | LeaseRecord
+    | DrainRecord
+    | Route
+    | ServiceRecord
+    | Organisation
+    | CallerLimits
+    | TableNumber
+    | NamedVersion
+)
 
 
 class CatalogItem(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leadhollow/state/replica.py
+++ b/src/leadhollow/state/replica.py
@@ -23,6 +23,8 @@
     now_s,
     spawn,
 )
+from leadhollow.state.voters import Voter, VoterBook, VoterSet, encode_voters
+from leadhollow.wire.generated.ttypes import StandNow
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 
@@ -35,9 +37,11 @@
     Parameters
     ----------
     vm
-        Our own name among the replicas.
+        Our own name among the replicas: the identity of our disk where voters change.
     replicas
-        All replicas, ours included.
+        All replicas, ours included, where the settings name them and voters never change.
+    voters
+        The first voters where the log changes them; empty for a replica that begins as learner.
     timing
         Heartbeat, election and snapshot settings.
     store
@@ -54,13 +58,25 @@
         self,
         *,
         vm: str,
-        replicas: tuple[PeerSettings, ...],
         timing: StateSettings,
         store: LogStore,
         peers: PeerPool,
         seed: int,
+        replicas: tuple[PeerSettings, ...] = (),
+        voters: tuple[Voter, ...] = (),
     ) -> None:
-        state = ReplicaState(vm=vm, replicas=replicas, timing=timing, store=store, peers=peers)
+        named = tuple(
+            Voter(replica=peer.vm, address=peer.address, failure_domain=peer.failure_domain)
+            for peer in replicas
+        )
+        state = ReplicaState(
+            vm=vm,
+            voters=VoterBook(initial=named or voters),
+            named=bool(named),
+            timing=timing,
+            store=store,
+            peers=peers,
+        )
         self._state = state
         self._leadership = Leadership(state=state)
         self._following = Following(state=state, leadership=self._leadership)
@@ -117,9 +133,30 @@
         """Loop time at which we became leader."""
         return self._leadership.since_s
 
+    @property
+    def voters(self) -> VoterSet:
+        """The voter set in force."""
+        return self._state.voters.current
+
+    @property
+    def leadership(self) -> Leadership:
+        """What we know of the others while we lead."""
+        return self._leadership
+
+    @property
+    def commit_index(self) -> int:
+        """Index up to which the log is known to be committed."""
+        return self._state.commit_index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry that is synced here."""
+        return self._state.store.last_index
+
     def register(self, handlers: HandlerTable) -> None:
         """Answer the other replicas."""
         self._following.register(handlers)
+        handlers.on_call(StandNow, self._election.on_stand_now)
 
     async def start(self) -> Result[None, Failure]:
         """Read the disk and join the other replicas."""
@@ -130,6 +167,8 @@
         if state.store.snapshot.last_index:
             state.machine.restore(state.store.snapshot.data)
             state.commit_index = state.applied_index = state.store.snapshot.last_index
+            state.note_snapshot(state.store.snapshot)
+        state.note_entries(state.store.entries)
         state.heard_s = state.leader_heard_s = now_s()
         spawn(self._tasks, self._election.watch(fresh=state.store.blank))
         spawn(self._tasks, self._apply_committed())
@@ -165,7 +204,7 @@
                     break  # a snapshot replaced what stood here
                 self._apply(entry)
             applied = state.applied_index - state.store.snapshot.last_index
-            if applied >= state.timing.snapshot_entries:
+            if applied >= state.timing.snapshot_entries and not state.failed:
                 await self._take_snapshot()
 
     def _apply(self, entry: Entry) -> None:
@@ -188,11 +227,13 @@
                 last_index=index,
                 last_term=state.store.term_at(index) or 0,
                 data=state.machine.snapshot(),
+                voters=b"" if state.named else encode_voters(state.voters.at(index).voters),
             )
             saved = await state.disk.run(lambda: state.store.save_snapshot(snapshot))
             if saved.is_err():
                 state.fail(saved.unwrap_err())
                 return
+            state.voters.forget_before(index)
         log.info("snapshot taken", index=index, size_bytes=len(snapshot.data))
 
 
--- a/src/leadhollow/state/replica_state.py
+++ b/src/leadhollow/state/replica_state.py
@@ -10,11 +10,12 @@
 
 from leadhollow.failure import Failure
 from leadhollow.observe.logs import get_logger
-from leadhollow.settings.model import PeerSettings, StateSettings
+from leadhollow.settings.model import StateSettings
 from leadhollow.state.commands import AnyAnswer
 from leadhollow.state.disk_thread import DiskThread
-from leadhollow.state.log_store import LogStore, Vote
+from leadhollow.state.log_store import Entry, LogStore, Snapshot, Vote
 from leadhollow.state.machine import StateMachine
+from leadhollow.state.voters import Voter, VoterBook, decode_voters
 from leadhollow.wire.peers import PeerPool
 
 CALL_TIMEOUT_MS = 1_000
@@ -49,13 +50,17 @@
     Parameters
     ----------
     vm
-        Our own name among the replicas.
-    replicas
-        All replicas, ours included.
+        Our own name among the replicas: the identity of our disk where voters change.
+    voters
+        The voter sets of the log.
+    named
+        Whether the settings name all replicas, so that the set never changes; a replica that
+        lost its disk then keeps its name, and may not vote until it has caught up.
     """
 
     __slots__ = (
         "_step_down",
+        "_voters_changed",
         "append_lock",
         "applied_index",
         "commit_index",
@@ -65,13 +70,13 @@
         "leader_heard_s",
         "leader_vm",
         "machine",
-        "others",
+        "named",
         "peers",
-        "replicas",
         "role",
         "store",
         "timing",
         "vm",
+        "voters",
         "waiting",
         "wake_apply",
     )
@@ -80,14 +85,15 @@
         self,
         *,
         vm: str,
-        replicas: tuple[PeerSettings, ...],
+        voters: VoterBook,
+        named: bool,
         timing: StateSettings,
         store: LogStore,
         peers: PeerPool,
     ) -> None:
         self.vm = vm
-        self.replicas = replicas
-        self.others = [peer for peer in replicas if peer.vm != vm]
+        self.voters = voters
+        self.named = named
         self.timing = timing
         self.store = store
         self.peers = peers
@@ -104,6 +110,7 @@
         self.waiting: dict[int, asyncio.Future[Result[Applied, Failure]]] = {}
         self.wake_apply = asyncio.Event()
         self._step_down: Callable[[], None] = _nothing
+        self._voters_changed: Callable[[], None] = _nothing
 
     @property
     def vote(self) -> Vote:
@@ -120,10 +127,50 @@
         """Shortest time without a leader after which a replica stands for election."""
         return self.timing.election_timeout_ms / 1000
 
+    @property
+    def others(self) -> list[Voter]:
+        """All voters but ourselves."""
+        return self.voters.current.others(self.vm)
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether we are in the voter set in force."""
+        return self.vm in self.voters.current
+
     def on_step_down(self, work: Callable[[], None]) -> None:
         """Call a function when we stop leading."""
         self._step_down = work
 
+    def on_voters_changed(self, work: Callable[[], None]) -> None:
+        """Call a function when the voter set in force changes."""
+        self._voters_changed = work
+
+    def note_entries(self, entries: list[Entry]) -> None:
+        """Take over the voter sets of entries that the log took."""
+        if self.voters.note(entries):
+            self._tell_voters()
+
+    def note_cut(self, index: int) -> None:
+        """Drop the voter sets of entries that were cut off the log."""
+        if self.voters.cut_from(index):
+            self._tell_voters()
+
+    def note_snapshot(self, snapshot: Snapshot) -> None:
+        """Begin with the voter set of a snapshot."""
+        if snapshot.voters:
+            self.voters.restart(index=snapshot.last_index, voters=decode_voters(snapshot.voters))
+            self._tell_voters()
+
+    def _tell_voters(self) -> None:
+        current = self.voters.current
+        log.info(
+            "voters changed",
+            replica=self.vm,
+            index=current.index,
+            voters=[f"{voter.replica}@{voter.address}" for voter in current.voters],
+        )
+        self._voters_changed()
+
     def become_follower(self, leader: str) -> None:
         """Stop leading or standing; the leader's name is empty while it is not known."""
         if self.role is ReplicaRole.LEADER:
@@ -156,12 +203,24 @@
                 await self.save_vote(Vote(term=term, voted_for="", voter=self.vote.voter))
 
     def fail(self, failure: Failure) -> Failure:
-        """Leave the group of replicas: a disk that failed once is not trusted again."""
-        log.error("replica stops taking part", failure=str(failure))
+        """Take no part until the whole log could be written anew; see :meth:`recover`."""
+        log.error("replica stops taking part", replica=self.vm, failure=str(failure))
         self.failed = True
         self.become_follower("")
         return failure
 
+    async def recover(self) -> None:
+        """Try to write the log and the vote anew, and take part again where that succeeds."""
+        async with self.append_lock:
+            written = await self.disk.run(self.store.recover)
+            if written.is_ok():
+                written = await self.disk.run(lambda: self.store.save_vote(self.vote))
+            if written.is_err():
+                return
+            self.failed = False
+            self.heard_s = now_s()
+        log.warning("replica takes part again", replica=self.vm, last_index=self.store.last_index)
+
 
 def answer_proposal(
     done: asyncio.Future[Result[Applied, Failure]] | None, result: Result[Applied, Failure]
--- /dev/null
+++ b/src/leadhollow/state/roster.py
@@ -0,0 +1,88 @@
+"""Keeps the voter set whole: a leader takes learners in and drops voters that are gone."""
+
+from __future__ import annotations
+
+import asyncio
+
+from leadhollow.kernel.task_service import TaskService
+from leadhollow.observe.logs import get_logger, log_decision
+from leadhollow.state.replica import Replica
+from leadhollow.state.roster_rules import ReplicaStanding, next_voters
+from leadhollow.state.voters import ChangeVoters
+
+CHECK_INTERVAL_S = 0.2
+GONE_AFTER_S = 1.5
+"""Longer than an election and a restart; a voter is only given up where another is ready."""
+
+CHANGE_TIMEOUT_S = 2.0
+
+log = get_logger("roster")
+
+
+class RosterKeeper(TaskService):
+    """Proposes changes of the voter set while this replica leads.
+
+    Parameters
+    ----------
+    wanted
+        Voters that the log should have.
+    """
+
+    __slots__ = ("_replica", "_wanted")
+
+    def __init__(self, *, replica: Replica, wanted: int) -> None:
+        self._replica = replica
+        self._wanted = wanted
+        super().__init__()
+
+    async def _work(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self._replica.leadership.match_followers()
+            if self._replica.ready() and self._settled():
+                await self._change_if_needed()
+
+    def _settled(self) -> bool:
+        """Tell whether the last change is committed; there is never more than one on its way."""
+        return self._replica.commit_index >= self._replica.voters.index
+
+    async def _change_if_needed(self) -> None:
+        replica = self._replica
+        current = replica.voters
+        standings = self._standings()
+        voters = next_voters(current, standings, wanted=self._wanted, gone_after_s=GONE_AFTER_S)
+        if voters is None:
+            return
+        log_decision(
+            "voter set",
+            before=[voter.replica for voter in current.voters],
+            after=[voter.replica for voter in voters],
+            silent={
+                standing.peer.replica: round(standing.silence_s, 2)
+                for standing in standings
+                if standing.silence_s >= GONE_AFTER_S
+            },
+        )
+        try:
+            async with asyncio.timeout(CHANGE_TIMEOUT_S):
+                changed = await replica.propose(ChangeVoters(voters=voters))
+        except TimeoutError:
+            log.warning("voter change not committed yet", wanted=len(voters))
+            return
+        if changed.is_err():
+            log.warning("voter change failed", failure=str(changed.unwrap_err()))
+
+    def _standings(self) -> list[ReplicaStanding]:
+        replica = self._replica
+        leadership = replica.leadership
+        return [
+            ReplicaStanding(
+                peer=follower.peer,
+                caught_up=follower.match >= replica.commit_index,
+                silence_s=leadership.silence_s(follower.peer.replica),
+            )
+            for follower in leadership.followers()
+        ]
+
+
+__all__ = ["RosterKeeper"]
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -8,11 +8,16 @@
 
 // Replicated log.
 struct LogEntry { 1: i64 index; 2: i64 term; 3: binary command }
-struct VoteRequest { 1: i64 term; 2: string candidate; 3: i64 last_index; 4: i64 last_term; 5: bool pre_vote }
+struct VoteRequest { 1: i64 term; 2: string candidate; 3: i64 last_index; 4: i64 last_term; 5: bool pre_vote; 6: optional bool transfer; 7: optional string voter }
 struct VoteReply { 1: i64 term; 2: bool granted }
-struct AppendRequest { 1: i64 term; 2: string leader; 3: i64 previous_index; 4: i64 previous_term; 5: list<LogEntry> entries; 6: i64 commit_index }
+struct AppendRequest { 1: i64 term; 2: string leader; 3: i64 previous_index; 4: i64 previous_term; 5: list<LogEntry> entries; 6: i64 commit_index; 7: optional string replica }
 struct AppendReply { 1: i64 term; 2: bool success; 3: i64 match_index }
-struct SnapshotRequest { 1: i64 term; 2: string leader; 3: i64 last_index; 4: i64 last_term; 5: binary data }
+struct SnapshotRequest { 1: i64 term; 2: string leader; 3: i64 last_index; 4: i64 last_term; 5: binary data; 6: optional binary voters; 7: optional string replica }
+struct StandNow { 1: i64 term; 2: string leader }
+struct JoinRequest { 1: string replica; 2: string address; 3: string failure_domain }
+struct JoinReply { 1: string leader_address; 2: list<string> addresses; 3: bool voter }
+struct ReadIndexRequest { 1: string replica }
+struct ReadIndexReply { 1: i64 index }
 struct StateProbe { 1: string vm }
 struct StateProbeReply { 1: bool blank; 2: i64 term; 3: string leader; 4: i64 last_index }
 struct LeaseRenewal { 1: string name; 2: string holder; 3: i64 fence }
@@ -36,6 +41,23 @@
 struct ViewWatch { 1: string vm }
 struct ViewUpdate { 1: bool snapshot; 2: list<MemberView> members; 3: list<string> removed; 4: list<DomainSummary> summaries; 5: list<i32> load_handles; 6: list<i32> load_in_flight }
 
+// Control feed: catalog, backend servers that announce themselves, their loads.
+struct ServedModel { 1: string model; 2: i64 version; 3: i32 first_layer; 4: i32 end_layer }
+struct InstanceRecord { 1: string instance; 2: string service_name; 3: string address; 4: string failure_domain; 5: i64 sequence; 6: i32 state; 7: i32 slots; 8: list<ServedModel> models; 9: i32 heard_age_ms; 10: i32 cold_ms }
+struct LoadRecord { 1: string address; 2: i32 active; 3: i32 queued; 4: i64 kv_used; 5: i64 kv_total; 6: i32 pace_permille; 7: list<ServedModel> models; 8: bool switching; 9: i32 age_ms; 10: i64 staged_version; 11: i32 staged_pieces }
+struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision }
+struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole }
+struct FeedProbe { 1: string vm }
+struct FeedProbeReply { 1: i32 confirmed_age_ms; 2: i64 revision; 3: list<string> replicas }
+struct RegistryPush { 1: string address; 2: list<InstanceRecord> instances; 3: list<LoadRecord> loads; 4: i32 entries; 5: bool whole }
+struct LoadReport { 1: list<LoadRecord> loads }
+
+// Pieces between stagers.
+struct PieceWatch { 1: string model; 2: i64 version; 3: string address; 4: string failure_domain }
+struct PieceNews { 1: binary held; 2: list<i32> added }
+struct PieceRequest { 1: string model; 2: i64 version; 3: i32 index }
+struct PieceReply { 1: binary data }
+
 // Placement and share of capacity.
 struct Order { 1: i64 fence; 2: string holder; 3: string model; 4: string version; 5: string root; 6: bool activate; 7: i64 size_bytes; 8: string origin_url; 9: i64 revision; 10: bool hedge }
 struct GroupDemand { 1: string group; 2: i32 waiting; 3: i32 running; 4: i64 tokens_used }
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -60,6 +60,21 @@
     65: ttypes.HaveUpdate,
     66: ttypes.ChunkRequest,
     67: ttypes.ChunkReply,
+    70: ttypes.StandNow,
+    71: ttypes.JoinRequest,
+    72: ttypes.JoinReply,
+    73: ttypes.ReadIndexRequest,
+    74: ttypes.ReadIndexReply,
+    80: ttypes.FeedWatch,
+    81: ttypes.FeedUpdate,
+    82: ttypes.FeedProbe,
+    83: ttypes.FeedProbeReply,
+    84: ttypes.RegistryPush,
+    85: ttypes.LoadReport,
+    90: ttypes.PieceWatch,
+    91: ttypes.PieceNews,
+    92: ttypes.PieceRequest,
+    93: ttypes.PieceReply,
 }
 """Numbers are never reused; a new body takes a new one."""
 
--- a/tests/state/test_log_store.py
+++ b/tests/state/test_log_store.py
@@ -4,12 +4,19 @@
 
 import os
 
+import msgspec
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
 from leadhollow.codes import Code
-from leadhollow.state.files import RECORD_HEAD, read_file, replace_file
+from leadhollow.state.files import (
+    FILE_MAGIC,
+    RECORD_HEAD,
+    pack_record,
+    read_file,
+    replace_file,
+)
 from leadhollow.state.log_store import LOG_FILE, Entry, LogStore, Snapshot, Vote
 
 
@@ -52,6 +59,35 @@
             (4, 2),
         ]
 
+    def test_after_a_cut_within_one_write_keeps_what_was_before(self, store, tmp_path):
+        store.append(entries(1, 5))
+        assert store.truncate_from(4).is_ok()
+        again = reopen(store, tmp_path)
+        assert again.entries == entries(1, 3)
+
+    def test_entries_of_an_earlier_release_are_read(self, store, tmp_path):
+        store.close()
+        records = [pack_record(msgspec.msgpack.encode(entry)) for entry in entries(1, 3)]
+        (tmp_path / LOG_FILE).write_bytes(FILE_MAGIC + b"".join(records))
+        again = LogStore(folder=tmp_path)
+        assert again.open().is_ok()
+        assert again.entries == entries(1, 3)
+
+    def test_a_refused_write_is_made_good_later(self, store, tmp_path, monkeypatch):
+        store.append(entries(1, 2))
+
+        def refuse(descriptor: int) -> None:
+            raise OSError(28, "No space left on device")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(os, "fsync", refuse)
+            assert store.append(entries(3, 4)).unwrap_err().code is Code.DISK_FAILED
+            assert store.recover().is_err()
+        assert store.last_index == 2
+        assert store.recover().is_ok()
+        assert store.append(entries(3, 4)).is_ok()
+        assert reopen(store, tmp_path).entries == entries(1, 4)
+
     def test_a_blank_disk_is_told_apart(self, store):
         assert store.blank
         store.save_vote(Vote(term=1))
@@ -103,7 +139,8 @@
 
 class TestDamage:
     def test_a_torn_tail_is_cut(self, store, tmp_path):
-        store.append(entries(1, 5))
+        store.append(entries(1, 4))
+        store.append(entries(5, 5))
         store.close()
         path = tmp_path / LOG_FILE
         path.write_bytes(path.read_bytes()[:-3])
@@ -111,8 +148,26 @@
         assert again.open().is_ok()
         assert again.last_index == 4
 
+    @pytest.mark.parametrize("missing", ["first", "middle", "last"])
+    def test_any_part_of_a_write_that_was_not_synced_may_be_missing(self, store, tmp_path, missing):
+        """After a loss of power a part in the middle may be gone while later parts are there."""
+        store.append(entries(1, 2))
+        path = tmp_path / LOG_FILE
+        synced = path.stat().st_size
+        store.append(entries(3, 9))
+        store.close()
+        data = bytearray(path.read_bytes())
+        third = (len(data) - synced) // 3
+        start = synced + {"first": 0, "middle": third, "last": 2 * third}[missing]
+        data[start : start + third] = bytes(third)
+        path.write_bytes(data)
+        again = LogStore(folder=tmp_path)
+        assert again.open().is_ok()
+        assert again.entries == entries(1, 2)
+
     def test_a_flipped_byte_in_the_middle_refuses_to_start(self, store, tmp_path):
-        store.append(entries(1, 5))
+        store.append(entries(1, 2))
+        store.append(entries(3, 5))
         store.close()
         path = tmp_path / LOG_FILE
         data = bytearray(path.read_bytes())
