Send pieces one after the other, and ask for a few at a time

Cause: pieces in parallel filled the links of the stagers' VMs, over which engines answer too: half of the streams came late while weights travelled (events over 120 ms after their engine made them). Change: a sender gives its paced link to one piece after the other; a receiver has at most four on their way; pieces that only one stager of a domain brings in wait for it; a stager begins without waiting for its engine.

--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -12,7 +12,8 @@
 from leadhollow.staging.engine_client import LocalEngine
 from leadhollow.staging.installer import Installer
 from leadhollow.staging.load_reports import EngineWatch
-from leadhollow.staging.piece_fetch import OriginSource, PieceFetch
+from leadhollow.staging.origin_source import OriginSource
+from leadhollow.staging.piece_fetch import PieceFetch
 from leadhollow.staging.piece_server import PieceServer
 from leadhollow.staging.pieces import PieceStore, StagedVersion
 from leadhollow.staging.sharing import Stager
@@ -21,6 +22,8 @@
     from leadhollow.kernel.service import Service
     from leadhollow.node.process import NodeProcess
 
+BYTES_PER_MBIT = 1e6 / 8
+
 
 def register_stager(process: NodeProcess) -> None:
     """Register everything that a stager runs."""
@@ -102,11 +105,18 @@
             store=store,
             models=models,
             start_fetch=start_fetch,
+            first_start=settings.first_start,
         )
 
-    kernel.register(
-        "pieces", lambda: PieceServer(store=store, handlers=process.handlers), needs=("wire",)
-    )
+    def make_pieces() -> Service:
+        return PieceServer(
+            store=store,
+            handlers=process.handlers,
+            link_bytes_per_s=settings.link_mbit_per_s * BYTES_PER_MBIT,
+            failure_domain=settings.failure_domain,
+        )
+
+    kernel.register("pieces", make_pieces, needs=("wire",))
     kernel.register("feed", make_feed, needs=("wire",))
     kernel.register("engine-watch", make_watch, needs=("feed",))
     kernel.register("installer", make_installer, needs=("engine-watch", "pieces"))
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -19,6 +19,8 @@
 STEP_S = 0.05
 NOTICE_S = 0.1  # entries hear of the switch before the order is given
 ORDER_AGAIN_S = 0.5
+FIRST_PATIENCE_S = 4.0  # an engine takes a second or two to answer after its start
+LATER_PATIENCE_S = 0.25  # one that runs answers at once, one that starts has an empty stage
 LOAD_PATIENCE_S = 10.0  # requests in progress end first, then the weights load
 
 log = get_logger("installer")
@@ -33,15 +35,19 @@
         Gives the models that the engine may run.
     start_fetch
         Makes the fetch of a version.
+    first_start
+        Whether engine and process start together, so that the engine holds weights it came with.
     """
 
     __slots__ = (
+        "_began_s",
         "_catalog",
         "_engine",
         "_fetch",
         "_fetch_task",
         "_models",
         "_read_back",
+        "_stage_patience_s",
         "_staged",
         "_staged_of",
         "_start_fetch",
@@ -58,6 +64,7 @@
         store: PieceStore,
         models: Callable[[], list[str]],
         start_fetch: Callable[[StagedVersion], PieceFetch],
+        first_start: bool,
     ) -> None:
         self._catalog = catalog
         self._engine = engine
@@ -67,7 +74,9 @@
         self._start_fetch = start_fetch
         self._fetch: PieceFetch | None = None
         self._fetch_task: asyncio.Task[None] | None = None
-        self._read_back: set[tuple[str, int]] = set()
+        self._read_back = False
+        self._began_s = asyncio.get_running_loop().time()
+        self._stage_patience_s = FIRST_PATIENCE_S if first_start else LATER_PATIENCE_S
         self._staged: set[int] = set()
         self._staged_of: StagedVersion | None = None
         watch.staged = self._progress
@@ -90,17 +99,20 @@
         """Do the next step towards the wanted version of a model."""
         report = self._watch.report
         known = versions_of(self._catalog, model)
-        if report is None or not known:
+        if not known or (report is None and self._may_hold_stage()):
             return
-        for version in known:
-            await self._read_stage(version, report)
-        wanted = known[0]
-        staged = self._store.open(wanted)
+        if report is not None and not self._read_back:
+            for version in known:
+                await self._read_stage(version)
+        staged = self._store.open(known[0])
         if staged is None:
             return
         if not staged.complete:
             self._ensure_fetch(staged)
-            await self._stage_new(staged)
+            if report is not None:
+                await self._stage_new(staged)
+            return
+        if report is None:
             return
         if _holds(report, staged):
             return
@@ -108,15 +120,19 @@
             return
         await self._install(staged)
 
-    async def _read_stage(self, version: NamedVersion, report: EngineReport) -> None:
-        """Take over what the engine's stage holds already, once for each version."""
-        key = (version.model, version.number)
-        if key in self._read_back or version.manifest is None:
-            return
-        self._read_back.add(key)
+    def _may_hold_stage(self) -> bool:
+        """Tell whether the engine, once it answers, may turn out to hold pieces already."""
+        age_s = asyncio.get_running_loop().time() - self._began_s
+        return not self._read_back and age_s < self._stage_patience_s
+
+    async def _read_stage(self, version: NamedVersion) -> None:
+        """Take over what the engine's stage held when this process began."""
         staged = self._store.open(version)
+        if staged is None:
+            return
+        self._read_back = True
         listed = await self._engine.held(version.model)
-        if staged is None or listed.is_err():
+        if listed.is_err():
             return
         for index in listed.unwrap():
             if index in staged.held or not 0 <= index < staged.held.count:
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -1,88 +1,75 @@
-"""Brings one version to this VM: from neighbours, and each piece only once from afar."""
+"""Brings one version to this VM: from neighbours, and each piece only once from afar.
+
+A few pieces are on their way at any time, from several senders, so that our link is full and no
+sender's link stands idle; what does not come is ordered from another one that holds it.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 
-from leadhollow.http1.fetch import HttpCaller
 from leadhollow.observe.logs import get_logger
-from leadhollow.settings.address import Address
+from leadhollow.staging.origin_source import OriginSource
 from leadhollow.staging.pieces import StagedVersion
 from leadhollow.staging.sharing import Stager, importer, origin_reader
 from leadhollow.weights.bitmap import Bitmap
-from leadhollow.weights.origin_dialect import OriginDialect
-from leadhollow.wire.generated.ttypes import PieceNews, PieceRequest, PieceWatch
+from leadhollow.wire.connection import Connection
+from leadhollow.wire.generated.ttypes import PieceDelivery, PieceNews, PieceOrder, PieceWatch
 from leadhollow.wire.peers import PeerPool
 
-WORKERS = 3  # keeps the link full while an answer is on its way
-PER_SOURCE = 2
-REQUEST_TIMEOUT_MS = 2_500  # four pieces at once over a squeezed link
-ORIGIN_TIMEOUT_S = 4.0
-IDLE_S = 0.1
-FOLLOW_INTERVAL_S = 0.3
+ORIGIN_READERS = 2  # one answer on its way while the next is asked for
+PLAN_INTERVAL_S = 0.1
 WATCH_AGAIN_S = 0.3
-IMPORT_ANYWAY_S = 1.0  # without progress for this long, do what another one should have done
-ORIGIN_ANYWAY_S = 2.0
+MEET_S = 0.5  # time to reach the other stagers before the first order
+STALLED_AFTER_S = 2.0  # a source that sends nothing of what was ordered is left alone
+AVOIDED_S = 1.5  # for this long
+IMPORT_ANYWAY_S = 3.0  # for a piece that another one should bring in, and did not
+ORIGIN_ANYWAY_S = 4.0  # for a piece that nobody holds although another one should have read it
+PER_SOURCE = 2
+WINDOW = 4
+"""Pieces on their way: enough to keep our link full while senders are busy with others, and no
+more, because the requests for the engine come over the same link."""
+
 FAILED_PAUSE_S = 0.2
 
 log = get_logger("fetch")
 
 
-class OriginSource:
-    """Where pieces come from in the first place.
-
-    Parameters
-    ----------
-    address
-        Gives the origin's address, None while it is not known.
-    """
-
-    __slots__ = ("_address", "_dialect", "_http", "bytes_read")
-
-    def __init__(self, *, address: Callable[[], Address | None], dialect: OriginDialect) -> None:
-        self._address = address
-        self._dialect = dialect
-        self._http = HttpCaller()
-        self.bytes_read = 0
-
-    async def piece(self, model: str, number: int, index: int) -> bytes | None:
-        """Read one piece; None where it did not come."""
-        address = self._address()
-        if address is None:
-            return None
-        target = self._dialect.piece_target(model, number, index)
-        answered = await self._http.fetch("GET", address, target, timeout_s=ORIGIN_TIMEOUT_S)
-        if answered.is_err():
-            log.warning("piece not read", index=index, failure=str(answered.unwrap_err()))
-            return None
-        answer = answered.unwrap()
-        self.bytes_read += len(answer.body)
-        if answer.status != 200:
-            log.warning("piece refused", index=index, status=answer.status)
-            return None
-        return answer.body
-
-
 class _Source:
-    """What another stager holds."""
+    """Another stager: what it holds and what is ordered there."""
 
-    __slots__ = ("busy", "held", "stager", "task")
+    __slots__ = (
+        "avoided_until_s",
+        "connected",
+        "held",
+        "ordered",
+        "progress_s",
+        "receiving",
+        "stager",
+        "tasks",
+        "tried",
+    )
 
     def __init__(self, *, stager: Stager, count: int) -> None:
         self.stager = stager
         self.held = Bitmap(count=count)
-        self.busy = 0
-        self.task: asyncio.Task[None] | None = None
-
+        self.ordered: set[int] = set()
+        self.connected = False
+        self.tried = False
+        self.progress_s = 0.0
+        self.avoided_until_s = 0.0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.receiving: set[asyncio.Task[None]] = set()
 
-class _Job:
-    __slots__ = ("index", "source")
+    def usable(self, now_s: float) -> bool:
+        """Tell whether it can be asked."""
+        return self.connected and now_s >= self.avoided_until_s
 
-    def __init__(self, *, index: int, source: _Source | None) -> None:
-        self.index = index
-        self.source = source
+    def stalled(self, now_s: float) -> bool:
+        """Tell whether it owes us pieces and has sent nothing for long."""
+        return bool(self.ordered) and now_s - self.progress_s > STALLED_AFTER_S
 
 
 class PieceFetch:
@@ -97,15 +84,17 @@
     """
 
     __slots__ = (
-        "_in_flight",
+        "_from_origin",
+        "_ordered",
         "_origin",
         "_others",
         "_own",
         "_peers",
-        "_progress_s",
         "_random",
         "_sources",
+        "_started_s",
         "_wake",
+        "_wanted_since_s",
         "version",
     )
 
@@ -126,53 +115,145 @@
         self._peers = peers
         self._random = random.Random(seed)
         self._sources: dict[str, _Source] = {}
-        self._in_flight: set[int] = set()
-        self._progress_s = 0.0
+        self._ordered: dict[int, _Source | None] = {}  # pieces on their way; None: the origin
+        self._wanted_since_s: dict[int, float] = {}
+        self._from_origin: asyncio.Queue[int] = asyncio.Queue()
         self._wake = asyncio.Event()
+        self._started_s = 0.0
 
     async def run(self) -> None:
         """Fetch until every piece is here."""
         loop = asyncio.get_running_loop()
-        started_s = self._progress_s = loop.time()
-        self._follow_stagers()
-        tasks = [loop.create_task(self._work()) for _ in range(WORKERS)]
-        tasks.append(loop.create_task(self._keep_following()))
+        self._started_s = loop.time()
+        tasks = [loop.create_task(self._read_origin()) for _ in range(ORIGIN_READERS)]
+        tasks.append(loop.create_task(self._keep_planning()))
         try:
             while not self.version.complete:
                 await self.version.changed()
         finally:
+            for source in self._sources.values():
+                tasks += source.tasks
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-            for source in self._sources.values():
-                if source.task is not None:
-                    source.task.cancel()
         log.info(
             "version complete",
             model=self.version.model,
             number=self.version.number,
-            seconds=round(loop.time() - started_s, 2),
+            seconds=round(loop.time() - self._started_s, 2),
             origin_bytes=self._origin.bytes_read,
         )
 
-    async def _keep_following(self) -> None:
+    async def _keep_planning(self) -> None:
         while True:
-            await asyncio.sleep(FOLLOW_INTERVAL_S)
+            self._wake.clear()
             self._follow_stagers()
+            if self._knows_others():
+                self._plan()
+            try:
+                async with asyncio.timeout(PLAN_INTERVAL_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
 
     def _follow_stagers(self) -> None:
         """Watch each stager that is there, and forget those that are not."""
         present = {stager.address: stager for stager in self._others()}
         for address in list(self._sources):
             if address not in present:
-                source = self._sources.pop(address)
-                if source.task is not None:
-                    source.task.cancel()
+                self._lose(self._sources.pop(address))
         for address, stager in present.items():
             if address not in self._sources:
                 source = _Source(stager=stager, count=self.version.held.count)
                 self._sources[address] = source
-                source.task = asyncio.get_running_loop().create_task(self._watch(source))
+                self._spawn(source, self._watch(source))
+
+    def _knows_others(self) -> bool:
+        """Tell whether it is known who takes part; the origin must not be asked by everybody."""
+        if asyncio.get_running_loop().time() - self._started_s > MEET_S:
+            return True
+        return bool(self._sources) and all(source.tried for source in self._sources.values())
+
+    def _plan(self) -> None:
+        """Order missing pieces that somebody holds, the rarest first, as far as our link goes."""
+        now_s = asyncio.get_running_loop().time()
+        self._leave_stalled(now_s)
+        missing = [index for index in self.version.held.missing() if index not in self._ordered]
+        self._random.shuffle(missing)
+        missing.sort(key=self._rarity)
+        room = WINDOW - len(self._ordered)
+        for index in missing:
+            if room <= 0:
+                return
+            source = self._choose(index, now_s)
+            if source is not None:
+                room -= 1
+                self._order(index, source, now_s)
+                self._spawn_receive(source, [index])
+
+    def _rarity(self, index: int) -> int:
+        return sum(1 for source in self._sources.values() if index in source.held)
+
+    def _leave_stalled(self, now_s: float) -> None:
+        for source in self._sources.values():
+            if source.stalled(now_s):
+                log.warning("source stalled", source=source.stager.address)
+                source.avoided_until_s = now_s + AVOIDED_S
+                for task in source.receiving:
+                    task.cancel()
+                self._give_back(source, list(source.ordered))
+
+    def _order(self, index: int, source: _Source, now_s: float) -> None:
+        self._ordered[index] = source
+        if not source.ordered:
+            source.progress_s = now_s
+        source.ordered.add(index)
+
+    def _choose(self, index: int, now_s: float) -> _Source | None:
+        """Choose whom to ask for a piece now; None where it has to wait, or the origin is asked."""
+        inside = self._holders(index, now_s, inside=True)
+        if inside:
+            return self._freest(inside)
+        since_s = self._wanted_since_s.setdefault(index, now_s)
+        if not self._brings(index, now_s) and now_s - since_s < IMPORT_ANYWAY_S:
+            return None
+        outside = self._holders(index, now_s, inside=False)
+        if outside:
+            return self._freest(outside)
+        if self._reads(index, now_s) or now_s - since_s >= ORIGIN_ANYWAY_S:
+            self._ordered[index] = None
+            self._from_origin.put_nowait(index)
+        return None
+
+    def _brings(self, index: int, now_s: float) -> bool:
+        """Tell whether we are to bring a piece into our failure domain."""
+        domain = self._own.failure_domain
+        return importer(index, self.version.number, domain, self._present(now_s)) == self._own
+
+    def _reads(self, index: int, now_s: float) -> bool:
+        """Tell whether we are to read a piece from the origin."""
+        return origin_reader(index, self.version.number, self._present(now_s)) == self._own
+
+    def _present(self, now_s: float) -> list[Stager]:
+        usable = [source.stager for source in self._sources.values() if source.usable(now_s)]
+        return [self._own, *usable]
+
+    def _freest(self, sources: list[_Source]) -> _Source | None:
+        free = [source for source in sources if len(source.ordered) < PER_SOURCE]
+        return min(free, key=self._busy) if free else None
+
+    def _holders(self, index: int, now_s: float, *, inside: bool) -> list[_Source]:
+        own_domain = self._own.failure_domain
+        return [
+            source
+            for source in self._sources.values()
+            if source.usable(now_s)
+            and index in source.held
+            and (source.stager.failure_domain == own_domain) == inside
+        ]
+
+    def _busy(self, source: _Source) -> tuple[int, float]:
+        return len(source.ordered), self._random.random()
 
     async def _watch(self, source: _Source) -> None:
         """Follow what another stager holds for as long as it takes part."""
@@ -183,6 +264,7 @@
         while not source.held.complete:
             connected = await self._peers.connection(source.stager.address)
             if connected.is_ok():
+                self._set_connected(source, True)
                 stream = connected.unwrap().stream(request)
                 while (received := await stream.next()).is_ok():
                     news: PieceNews | None = received.unwrap()
@@ -192,119 +274,92 @@
                         Bitmap.from_bytes(news.held or b"", count=version.held.count).indexes()
                     )
                     source.held.add_all(news.added or ())
-                    self._wake_workers()
-            await asyncio.sleep(WATCH_AGAIN_S)
-
-    async def _work(self) -> None:
-        while True:
-            job = self._next_job()
-            if job is None:
-                await self._wait()
-                continue
-            self._in_flight.add(job.index)
-            try:
-                taken = await self._download(job)
-            finally:
-                self._in_flight.discard(job.index)
-            if taken:
-                self._progress_s = asyncio.get_running_loop().time()
-                self._wake_workers()
+                    self._wake.set()
+                if connected.unwrap().closed.is_set():
+                    self._set_connected(source, False)
             else:
-                await asyncio.sleep(FAILED_PAUSE_S)
+                self._set_connected(source, False)
+            await asyncio.sleep(WATCH_AGAIN_S)
 
-    async def _download(self, job: _Job) -> bool:
+    async def _receive(self, source: _Source, indexes: list[int]) -> None:
+        """Take the pieces of one order as they come."""
         version = self.version
-        if job.source is None:
-            data = await self._origin.piece(version.model, version.number, job.index)
-        else:
-            data = await self._ask(job.source, job.index)
-        if data is None:
-            return False
-        if not version.take(job.index, data):
-            where = "origin" if job.source is None else job.source.stager.address
-            log.warning("piece spoilt", index=job.index, source=where)
-            return False
-        return True
-
-    async def _ask(self, source: _Source, index: int) -> bytes | None:
-        request = PieceRequest(self.version.model, self.version.number, index)
-        source.busy += 1
+        connected = await self._peers.connection(source.stager.address)
+        if connected.is_err():
+            self._set_connected(source, False)
+            self._give_back(source, indexes)
+            return
+        connection: Connection = connected.unwrap()
+        order = PieceOrder(version.model, version.number, indexes, self._own.failure_domain)
+        stream = connection.stream(order)
         try:
-            reply = await self._peers.call(
-                source.stager.address, request, timeout_ms=REQUEST_TIMEOUT_MS
-            )
+            while True:
+                received = await stream.next()
+                if received.is_err():
+                    self._set_connected(source, False)
+                    return
+                delivery: PieceDelivery | None = received.unwrap()
+                if delivery is None:
+                    return
+                self._take(source, int(delivery.index or 0), delivery.data or b"")
         finally:
-            source.busy -= 1
-        if reply.is_err():
-            source.held.discard_all([index])  # the watch tells if it is there after all
-            return None
-        data: bytes = reply.unwrap().data or b""
-        return data
+            stream.cancel()
+            self._give_back(source, indexes)
+
+    def _take(self, source: _Source, index: int, data: bytes) -> None:
+        source.ordered.discard(index)
+        source.progress_s = asyncio.get_running_loop().time()
+        if self.version.take(index, data):
+            self._ordered.pop(index, None)
+            self._wake.set()
+            return
+        log.warning("piece spoilt", index=index, source=source.stager.address)
+        source.held.discard_all([index])
+        self._ordered.pop(index, None)
+        self._wake.set()
 
-    def _next_job(self) -> _Job | None:
-        """Choose what to fetch next: what others wait for, then what is rarest nearby."""
-        missing = [index for index in self.version.held.missing() if index not in self._in_flight]
-        if not missing:
-            return None
-        self._random.shuffle(missing)
-        stalled_s = asyncio.get_running_loop().time() - self._progress_s
-        stagers = [self._own, *(source.stager for source in self._sources.values())]
-        nearby: list[tuple[int, int]] = []
-        for index in missing:
-            holders = self._holders(index, inside=True)
-            if holders:
-                nearby.append((len(holders), index))
-                continue
-            job = self._import(index, stagers, stalled_s)
-            if job is not None:
-                return job
-        for _, index in sorted(nearby):
-            source = self._free_source(self._holders(index, inside=True))
-            if source is not None:
-                return _Job(index=index, source=source)
-        return None
+    def _give_back(self, source: _Source, indexes: list[int]) -> None:
+        """Let pieces that did not come be ordered anew."""
+        for index in indexes:
+            source.ordered.discard(index)
+            if self._ordered.get(index) is source:
+                del self._ordered[index]
+        self._wake.set()
 
-    def _import(self, index: int, stagers: list[Stager], stalled_s: float) -> _Job | None:
-        """Bring a piece in from outside, where that is ours to do or nobody else does it."""
-        number = self.version.number
-        own_domain = self._own.failure_domain
-        ours = importer(index, number, own_domain, stagers) == self._own
-        if not ours and stalled_s < IMPORT_ANYWAY_S:
-            return None
-        outside = self._holders(index, inside=False)
-        source = self._free_source(outside)
-        if source is not None:
-            return _Job(index=index, source=source)
-        reads = origin_reader(index, number, stagers) == self._own
-        if not outside and (reads or stalled_s >= ORIGIN_ANYWAY_S):
-            return _Job(index=index, source=None)
-        return None
+    def _lose(self, source: _Source) -> None:
+        for task in source.tasks:
+            task.cancel()
+        self._give_back(source, list(source.ordered))
 
-    def _holders(self, index: int, *, inside: bool) -> list[_Source]:
-        own_domain = self._own.failure_domain
-        return [
-            source
-            for source in self._sources.values()
-            if index in source.held and (source.stager.failure_domain == own_domain) == inside
-        ]
+    def _set_connected(self, source: _Source, connected: bool) -> None:
+        if source.connected is not connected or not source.tried:
+            source.tried = True
+            source.connected = connected
+            self._wake.set()
 
-    def _free_source(self, sources: list[_Source]) -> _Source | None:
-        free = [source for source in sources if source.busy < PER_SOURCE]
-        if not free:
-            return None
-        return min(free, key=lambda source: (source.busy, self._random.random()))
+    async def _read_origin(self) -> None:
+        version = self.version
+        while True:
+            index = await self._from_origin.get()
+            while index not in version.held:
+                data = await self._origin.piece(version.model, version.number, index)
+                if data is not None and version.take(index, data):
+                    break
+                if data is not None:
+                    log.warning("piece spoilt", index=index, source="origin")
+                await asyncio.sleep(FAILED_PAUSE_S)
+            self._ordered.pop(index, None)
 
-    async def _wait(self) -> None:
-        wake = self._wake
-        try:
-            async with asyncio.timeout(IDLE_S):
-                await wake.wait()
-        except TimeoutError:
-            return
+    def _spawn_receive(self, source: _Source, indexes: list[int]) -> None:
+        task = self._spawn(source, self._receive(source, indexes))
+        source.receiving.add(task)
+        task.add_done_callback(source.receiving.discard)
 
-    def _wake_workers(self) -> None:
-        self._wake.set()
-        self._wake = asyncio.Event()
+    def _spawn(self, source: _Source, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        source.tasks.add(task)
+        task.add_done_callback(source.tasks.discard)
+        return task
 
 
-__all__ = ["OriginSource", "PieceFetch"]
+__all__ = ["PieceFetch"]
--- a/src/leadhollow/staging/pieces.py
+++ b/src/leadhollow/staging/pieces.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from leadhollow.weights.bitmap import Bitmap
 from leadhollow.weights.named import NamedVersion, PieceManifest
@@ -13,9 +14,12 @@
 class StagedVersion:
     """One version of one model, whole or in part."""
 
-    __slots__ = ("_changed", "_pieces", "held", "manifest", "model", "number")
+    __slots__ = ("_changed", "_notify", "_pieces", "held", "manifest", "model", "number")
 
-    def __init__(self, *, model: str, number: int, manifest: PieceManifest) -> None:
+    def __init__(
+        self, *, model: str, number: int, manifest: PieceManifest, notify: Callable[[], None]
+    ) -> None:
+        self._notify = notify
         self.model = model
         self.number = number
         self.manifest = manifest
@@ -38,6 +42,7 @@
         self.held.add(index)
         self._changed.set()
         self._changed = asyncio.Event()
+        self._notify()
         return True
 
     def piece(self, index: int) -> bytes | None:
@@ -52,10 +57,15 @@
 class PieceStore:
     """Versions that this process holds."""
 
-    __slots__ = ("_versions",)
+    __slots__ = ("_listeners", "_versions")
 
     def __init__(self) -> None:
         self._versions: dict[tuple[str, int], StagedVersion] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_piece(self, listener: Callable[[], None]) -> None:
+        """Call a function with each piece that is taken."""
+        self._listeners.append(listener)
 
     def find(self, model: str, number: int) -> StagedVersion | None:
         """Find a version."""
@@ -67,7 +77,10 @@
         if found is not None or version.manifest is None:
             return found
         opened = StagedVersion(
-            model=version.model, number=version.number, manifest=version.manifest
+            model=version.model,
+            number=version.number,
+            manifest=version.manifest,
+            notify=self._notify,
         )
         self._versions[(version.model, version.number)] = opened
         self._forget(version.model)
@@ -78,6 +91,10 @@
         found = [version for (name, _), version in self._versions.items() if name == model]
         return sorted(found, key=lambda version: -version.number)
 
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
     def _forget(self, model: str) -> None:
         for old in self.versions(model)[VERSIONS_KEPT:]:
             del self._versions[(old.model, old.number)]
--- a/src/leadhollow/wire/connection.py
+++ b/src/leadhollow/wire/connection.py
@@ -75,6 +75,11 @@
             self._handlers.traffic.sent(type(frame.body), len(encoded))
             self._writer.write(encoded)
 
+    @property
+    def backlog_bytes(self) -> int:
+        """Bytes that were written and that the socket has not taken yet."""
+        return 0 if self.closed.is_set() else self._writer.transport.get_write_buffer_size()
+
     async def drain(self) -> None:
         """Wait until the socket takes more."""
         if self.closed.is_set():
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -73,8 +73,8 @@
     85: ttypes.LoadReport,
     90: ttypes.PieceWatch,
     91: ttypes.PieceNews,
-    92: ttypes.PieceRequest,
-    93: ttypes.PieceReply,
+    92: ttypes.PieceOrder,
+    93: ttypes.PieceDelivery,
 }
 """Numbers are never reused; a new body takes a new one."""
 
--- a/src/leadhollow/wire/streams.py
+++ b/src/leadhollow/wire/streams.py
@@ -69,9 +69,13 @@
         self.connection = connection
         self._call_id = call_id
 
+    def write(self, body: Body) -> None:
+        """Send one item without waiting for a peer that reads slowly."""
+        self.connection.write(Frame(kind=FrameKind.ITEM, call_id=self._call_id, body=body))
+
     async def send(self, body: Body) -> None:
         """Send one item; waits while the peer reads slowly."""
-        self.connection.write(Frame(kind=FrameKind.ITEM, call_id=self._call_id, body=body))
+        self.write(body)
         await self.connection.drain()
 
 
--- a/src/leadhollow/wire/traffic.py
+++ b/src/leadhollow/wire/traffic.py
@@ -4,9 +4,17 @@
 
 from typing import Any
 
-from leadhollow.wire.generated.ttypes import ChunkReply, ChunkRequest, Dispatch, Output
-
-DATA_BODIES: frozenset[type[Any]] = frozenset({Dispatch, Output, ChunkRequest, ChunkReply})
+from leadhollow.wire.generated.ttypes import (
+    ChunkReply,
+    ChunkRequest,
+    Dispatch,
+    Output,
+    PieceDelivery,
+)
+
+DATA_BODIES: frozenset[type[Any]] = frozenset(
+    {Dispatch, Output, ChunkRequest, ChunkReply, PieceDelivery}
+)
 
 
 class WireTraffic:
