Deal pieces out in turn, read the origin one at a time, and bring in first what others wait for

Cause: rendezvous hashing gave some stagers 60% more than others; ten stagers with two reads each got their first piece after 0.54 s; pieces that a failure domain lacked waited behind those it had. Change: readers and importers take turns, one read of the origin each, imports first, orders paced to our own link.

--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -34,6 +34,7 @@
         message = "a stager needs its engine"
         raise ValueError(message)
     store = PieceStore()
+    link_bytes_per_s = settings.link_mbit_per_s * BYTES_PER_MBIT
     own = Stager(address=settings.wire_address, failure_domain=settings.failure_domain)
     engine = LocalEngine(
         address=Address.parse(engine_settings.address).unwrap(),
@@ -80,6 +81,7 @@
             others=others,
             origin=origin,
             peers=process.peers,
+            link_bytes_per_s=link_bytes_per_s,
             seed=process.seed,
         )
 
@@ -112,7 +114,7 @@
         return PieceServer(
             store=store,
             handlers=process.handlers,
-            link_bytes_per_s=settings.link_mbit_per_s * BYTES_PER_MBIT,
+            link_bytes_per_s=link_bytes_per_s,
             failure_domain=settings.failure_domain,
         )
 
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -13,14 +13,15 @@
 from leadhollow.observe.logs import get_logger
 from leadhollow.staging.origin_source import OriginSource
 from leadhollow.staging.pieces import StagedVersion
-from leadhollow.staging.sharing import Stager, importer, origin_reader
+from leadhollow.staging.sharing import Sharing, Stager
 from leadhollow.weights.bitmap import Bitmap
+from leadhollow.weights.pacing import Pacer
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import PieceDelivery, PieceNews, PieceOrder, PieceWatch
 from leadhollow.wire.peers import PeerPool
 
-ORIGIN_READERS = 2  # one answer on its way while the next is asked for
-PLAN_INTERVAL_S = 0.1
+ORIGIN_READERS = 1  # all stagers read at once; more would only make each piece come later
+PLAN_INTERVAL_S = 0.02
 WATCH_AGAIN_S = 0.3
 MEET_S = 0.5  # time to reach the other stagers before the first order
 STALLED_AFTER_S = 2.0  # a source that sends nothing of what was ordered is left alone
@@ -28,6 +29,7 @@
 IMPORT_ANYWAY_S = 3.0  # for a piece that another one should bring in, and did not
 ORIGIN_ANYWAY_S = 4.0  # for a piece that nobody holds although another one should have read it
 PER_SOURCE = 2
+DOWNLOAD_SHARE = 0.95  # of our link; the rest is for the engine's requests
 WINDOW = 4
 """Pieces on their way: enough to keep our link full while senders are busy with others, and no
 more, because the requests for the engine come over the same link."""
@@ -84,6 +86,7 @@
     """
 
     __slots__ = (
+        "_download",
         "_from_origin",
         "_ordered",
         "_origin",
@@ -106,6 +109,7 @@
         others: Callable[[], list[Stager]],
         origin: OriginSource,
         peers: PeerPool,
+        link_bytes_per_s: float,
         seed: int,
     ) -> None:
         self.version = version
@@ -113,6 +117,7 @@
         self._others = others
         self._origin = origin
         self._peers = peers
+        self._download = Pacer(rate_bytes_per_s=lambda: link_bytes_per_s * DOWNLOAD_SHARE)
         self._random = random.Random(seed)
         self._sources: dict[str, _Source] = {}
         self._ordered: dict[int, _Source | None] = {}  # pieces on their way; None: the origin
@@ -175,24 +180,30 @@
         return bool(self._sources) and all(source.tried for source in self._sources.values())
 
     def _plan(self) -> None:
-        """Order missing pieces that somebody holds, the rarest first, as far as our link goes."""
+        """Order missing pieces that somebody holds, as far as our link goes."""
         now_s = asyncio.get_running_loop().time()
         self._leave_stalled(now_s)
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
         self._random.shuffle(missing)
-        missing.sort(key=self._rarity)
-        room = WINDOW - len(self._ordered)
+        missing.sort(key=self._is_near)  # what we are to bring in goes first: others wait for it
+        room = WINDOW - sum(1 for source in self._ordered.values() if source is not None)
+        sharing = self._share(now_s)
         for index in missing:
-            if room <= 0:
+            if room <= 0 or not self._download.ready():
                 return
-            source = self._choose(index, now_s)
+            source = self._choose(index, now_s, sharing)
             if source is not None:
                 room -= 1
+                self._download.spend(self.version.manifest.chunk_bytes)
                 self._order(index, source, now_s)
                 self._spawn_receive(source, [index])
 
-    def _rarity(self, index: int) -> int:
-        return sum(1 for source in self._sources.values() if index in source.held)
+    def _is_near(self, index: int) -> bool:
+        own_domain = self._own.failure_domain
+        return any(
+            source.stager.failure_domain == own_domain and index in source.held
+            for source in self._sources.values()
+        )
 
     def _leave_stalled(self, now_s: float) -> None:
         for source in self._sources.values():
@@ -209,34 +220,26 @@
             source.progress_s = now_s
         source.ordered.add(index)
 
-    def _choose(self, index: int, now_s: float) -> _Source | None:
+    def _choose(self, index: int, now_s: float, sharing: Sharing) -> _Source | None:
         """Choose whom to ask for a piece now; None where it has to wait, or the origin is asked."""
         inside = self._holders(index, now_s, inside=True)
         if inside:
             return self._freest(inside)
         since_s = self._wanted_since_s.setdefault(index, now_s)
-        if not self._brings(index, now_s) and now_s - since_s < IMPORT_ANYWAY_S:
+        ours = sharing.importer(index, self._own.failure_domain) == self._own
+        if not ours and now_s - since_s < IMPORT_ANYWAY_S:
             return None
         outside = self._holders(index, now_s, inside=False)
         if outside:
             return self._freest(outside)
-        if self._reads(index, now_s) or now_s - since_s >= ORIGIN_ANYWAY_S:
+        if sharing.origin_reader(index) == self._own or now_s - since_s >= ORIGIN_ANYWAY_S:
             self._ordered[index] = None
             self._from_origin.put_nowait(index)
         return None
 
-    def _brings(self, index: int, now_s: float) -> bool:
-        """Tell whether we are to bring a piece into our failure domain."""
-        domain = self._own.failure_domain
-        return importer(index, self.version.number, domain, self._present(now_s)) == self._own
-
-    def _reads(self, index: int, now_s: float) -> bool:
-        """Tell whether we are to read a piece from the origin."""
-        return origin_reader(index, self.version.number, self._present(now_s)) == self._own
-
-    def _present(self, now_s: float) -> list[Stager]:
+    def _share(self, now_s: float) -> Sharing:
         usable = [source.stager for source in self._sources.values() if source.usable(now_s)]
-        return [self._own, *usable]
+        return Sharing(number=self.version.number, stagers=[self._own, *usable])
 
     def _freest(self, sources: list[_Source]) -> _Source | None:
         free = [source for source in sources if len(source.ordered) < PER_SOURCE]
--- a/src/leadhollow/staging/sharing.py
+++ b/src/leadhollow/staging/sharing.py
@@ -1,8 +1,9 @@
 """Who brings which piece where, agreed without a message.
 
 Each piece has one stager that reads it from the origin, and in every other failure domain one that
-brings it in from outside; the rest of the domain takes it from there. All come to the same answer
-by rendezvous hashing, so a piece leaves the origin once and enters each failure domain once.
+brings it in from outside; the rest of the domain takes it from there. All who know of the same
+stagers come to the same answer, so a piece leaves the origin once and enters each domain once.
+Pieces are dealt out in turn, because chance would give some stagers half as much again as others.
 """
 
 from __future__ import annotations
@@ -33,24 +34,37 @@
         return hash(self.address)
 
 
-def origin_reader(index: int, number: int, stagers: Sequence[Stager]) -> Stager | None:
-    """Give the stager that reads a piece from the origin."""
-    return max(stagers, key=lambda stager: _rank(index, number, stager), default=None)
+class Sharing:
+    """Tasks of one version among the stagers that are known.
 
+    Parameters
+    ----------
+    number
+        Version; each deals the tasks out in another order.
+    """
+
+    __slots__ = ("_by_domain", "_order")
+
+    def __init__(self, *, number: int, stagers: Sequence[Stager]) -> None:
+        def rank(stager: Stager) -> int:
+            return zlib.crc32(f"{number}/{stager.address}".encode())
 
-def importer(
-    index: int, number: int, failure_domain: str, stagers: Sequence[Stager]
-) -> Stager | None:
-    """Give the stager that brings a piece into a failure domain."""
-    reader = origin_reader(index, number, stagers)
-    if reader is not None and reader.failure_domain == failure_domain:
-        return reader
-    inside = [stager for stager in stagers if stager.failure_domain == failure_domain]
-    return origin_reader(index, number, inside)
+        self._order = sorted(stagers, key=rank)
+        self._by_domain: dict[str, list[Stager]] = {}
+        for stager in self._order:
+            self._by_domain.setdefault(stager.failure_domain, []).append(stager)
 
+    def origin_reader(self, index: int) -> Stager:
+        """Give the stager that reads a piece from the origin."""
+        return self._order[index % len(self._order)]
 
-def _rank(index: int, number: int, stager: Stager) -> int:
-    return zlib.crc32(f"{number}/{index}/{stager.address}".encode())
+    def importer(self, index: int, failure_domain: str) -> Stager:
+        """Give the stager that brings a piece into a failure domain."""
+        reader = self.origin_reader(index)
+        if reader.failure_domain == failure_domain:
+            return reader
+        inside = self._by_domain[failure_domain]
+        return inside[index % len(inside)]
 
 
-__all__ = ["Stager", "importer", "origin_reader"]
+__all__ = ["Sharing", "Stager"]
--- a/src/leadhollow/weights/pacing.py
+++ b/src/leadhollow/weights/pacing.py
@@ -24,6 +24,17 @@
         self._free_at_s = 0.0
         self.bytes_taken = 0
 
+    def ready(self) -> bool:
+        """Tell whether bytes could be taken now without waiting."""
+        return asyncio.get_running_loop().time() >= self._free_at_s
+
+    def spend(self, size_bytes: int) -> None:
+        """Take bytes without waiting; those that come next wait for them."""
+        now_s = asyncio.get_running_loop().time()
+        start_s = max(self._free_at_s, now_s - BURST_S)
+        self._free_at_s = start_s + size_bytes / self._rate_bytes_per_s()
+        self.bytes_taken += size_bytes
+
     async def take(self, size_bytes: int) -> None:
         """Wait until the link has carried all bytes before these, and then these."""
         loop = asyncio.get_running_loop()
