Change engines in two halves, and let most requests finish first

Cause: all engines changed weights at the same time, each waiting for its longest request. Change: half of the engines change first; each gets no new requests for 0.6 s, then loads, and what still runs goes on elsewhere. Entries send to older weights until 0.7 s before the bound, and assume that others place as they do when they place more than usual.

--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -22,7 +22,7 @@
 from leadhollow.wire.streams import StreamSink
 
 HEARTBEAT_S = 0.25
-LOAD_PAUSE_S = {NodeRole.ENTRY: 0.06, NodeRole.STAGER: 0.25}  # loads within it travel together
+LOAD_PAUSE_S = {NodeRole.ENTRY: 0.06, NodeRole.STAGER: 0.1}  # loads within it travel together
 STAGER_PREFIXES = ("weights/", "service/")
 """What a stager needs of the catalog; its link is slow."""
 
--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -133,12 +133,21 @@
                 return held.version
         return None
 
-    def demand(self, model: EngineModel, now_s: float) -> EngineDemand:
-        """Estimate what the engine has to do."""
+    def demand(self, model: EngineModel, now_s: float, unseen: float) -> EngineDemand:
+        """Estimate what the engine has to do.
+
+        Parameters
+        ----------
+        unseen
+            Requests that other entries are thought to have sent there a second, and that the
+            report does not count yet.
+        """
         report = self.fresh_report(now_s)
-        others = 0 if report is None else report.others
+        others = 0.0 if report is None else float(report.others)
+        new_others = 0.0 if report is None else unseen * (now_s - report.made_s)
         unread = sum(call.prompt_tokens for call in self.calls if call.reading)
-        unread_others = others * READING_SHARE * model.spec.usual_prompt_tokens
+        unread_others = (others * READING_SHARE + new_others) * model.spec.usual_prompt_tokens
+        others += new_others
         pace = 1.0
         if report is not None and report.record.pace_permille:
             pace = max(1.0, report.record.pace_permille / PACE_UNIT)
--- a/src/leadhollow/forward/engine_model.py
+++ b/src/leadhollow/forward/engine_model.py
@@ -29,7 +29,7 @@
     __slots__ = ("context_tokens", "pace", "requests", "unread_tokens")
 
     def __init__(
-        self, *, requests: int, unread_tokens: float, context_tokens: float, pace: float = 1.0
+        self, *, requests: float, unread_tokens: float, context_tokens: float, pace: float = 1.0
     ) -> None:
         self.requests = requests
         self.unread_tokens = unread_tokens
@@ -51,7 +51,7 @@
         pairs_million = tokens * tokens / 2 / 1e6
         return 1000 * tokens / spec.read_tokens_per_s + spec.pair_ms_per_million * pairs_million
 
-    def pass_ms(self, requests: int, context_tokens: float) -> float:
+    def pass_ms(self, requests: float, context_tokens: float) -> float:
         """Time of one pass without reading."""
         spec = self.spec
         running = min(requests, spec.slots)
@@ -74,7 +74,7 @@
     def first_event_ms(self, demand: EngineDemand, prompt_tokens: float) -> float:
         """Time until the first event of a request that arrives now."""
         spec = self.spec
-        waiting = max(0, demand.requests - spec.slots + 1)
+        waiting = max(0.0, demand.requests - spec.slots + 1)
         usual_ms = self.request_ms(spec.usual_prompt_tokens, spec.usual_answer_tokens)
         running = min(demand.requests, spec.slots - 1) + 1
         pass_ms = self.pass_ms(running, demand.context_tokens)
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -8,6 +8,8 @@
 
 import asyncio
 import random
+from collections import deque
+from collections.abc import Callable
 
 from result import Err, Ok, Result
 
@@ -17,7 +19,7 @@
 from leadhollow.forward.engine_model import EngineModel
 from leadhollow.forward.versions import VersionPolicy
 from leadhollow.observe.logs import get_logger, log_decision
-from leadhollow.routing.model import ServiceRecord
+from leadhollow.routing.model import EngineSpec, ServiceRecord
 
 DECIDE_SHARE = 0.2
 """Part of the objective after which a request is placed or refused; users allow a quarter."""
@@ -29,6 +31,8 @@
 SHORTEST_RETRY_S = 0.6
 LONGEST_RETRY_S = 1.8
 PUMP_INTERVAL_S = 0.02
+USUAL_WINDOW_S = 3.0
+RATE_WINDOW_S = 0.3  # long enough to count a few requests, short enough to see a rush
 
 log = get_logger("engine-queue")
 
@@ -48,11 +52,15 @@
         Whether it was refused or begun before, so that being late is better than being refused.
     excluded
         Incarnations that must not be tried again.
+    last_attempt
+        Whether it may run nowhere else after this, so that an engine which is about to change its
+        weights should not get it.
     """
 
     __slots__ = (
         "decide_s",
         "excluded",
+        "last_attempt",
         "model",
         "on_time_s",
         "organisation",
@@ -76,6 +84,7 @@
         organisation: str,
         request_id: str,
         excluded: set[str],
+        last_attempt: bool,
     ) -> None:
         self.service = service
         self.model = model
@@ -87,6 +96,7 @@
         self.organisation = organisation
         self.request_id = request_id
         self.excluded = excluded
+        self.last_attempt = last_attempt
 
 
 class Placement:
@@ -114,7 +124,7 @@
 class _Option:
     __slots__ = ("first_ms", "requests", "server", "version")
 
-    def __init__(self, *, server: Server, first_ms: float, requests: int, version: int) -> None:
+    def __init__(self, *, server: Server, first_ms: float, requests: float, version: int) -> None:
         self.server = server
         self.first_ms = first_ms
         self.requests = requests
@@ -128,23 +138,35 @@
     ----------
     failure_domain
         Ours; engines elsewhere cost a way and its price.
+    entries
+        Gives the number of live entries of the whole system.
     """
 
     __slots__ = (
         "_board",
+        "_entries",
         "_failure_domain",
         "_models",
+        "_placed_s",
         "_random",
         "_versions",
         "_waiters",
     )
 
     def __init__(
-        self, *, board: ServerBoard, versions: VersionPolicy, failure_domain: str, seed: int
+        self,
+        *,
+        board: ServerBoard,
+        versions: VersionPolicy,
+        failure_domain: str,
+        entries: Callable[[], int],
+        seed: int,
     ) -> None:
         self._board = board
         self._versions = versions
         self._failure_domain = failure_domain
+        self._entries = entries
+        self._placed_s: deque[float] = deque()
         self._random = random.Random(seed)
         self._models: dict[str, EngineModel] = {}
         self._waiters: list[_Waiter] = []
@@ -234,16 +256,12 @@
         if model is None or model.spec is not spec:
             model = EngineModel(spec=spec)
             self._models[wish.service.name] = model
-        oldest = self._versions.oldest_allowed(wish.model)
+        eligible = self._eligible(wish, spec, now_s)
+        unseen = self._unseen_rate(now_s) / max(1, len(eligible))
         best: _Option | None = None
         best_rank = float("inf")
-        for server in self._board.servers(wish.service.name):
-            if server.instance.instance in wish.excluded or not server.health.usable(now_s):
-                continue
-            version = server.whole_version(wish.model, spec.layers, now_s)
-            if version is None or version < oldest or server.switching(now_s):
-                continue
-            demand = server.demand(model, now_s)
+        for server, version in eligible:
+            demand = server.demand(model, now_s, unseen)
             first_ms = model.first_event_ms(demand, wish.prompt_tokens)
             rank = first_ms + self._random.uniform(0, SPREAD_MS)
             if server.instance.failure_domain != self._failure_domain:
@@ -255,6 +273,34 @@
                 )
         return best
 
+    def _eligible(
+        self, wish: EngineWish, spec: EngineSpec, now_s: float
+    ) -> list[tuple[Server, int]]:
+        """Give the engines that may get a request, each with the version that it holds."""
+        oldest = self._versions.oldest_allowed(wish.model)
+        found = []
+        for server in self._board.servers(wish.service.name):
+            if server.instance.instance in wish.excluded or not server.health.usable(now_s):
+                continue
+            version = server.whole_version(wish.model, spec.layers, now_s)
+            if version is None or version < oldest or server.switching(now_s):
+                continue
+            found.append((server, version))
+        newest = self._versions.newest(wish.model)
+        settled = [(server, version) for server, version in found if version >= newest]
+        return settled if wish.last_attempt and settled else found
+
+    def _unseen_rate(self, now_s: float) -> float:
+        """Estimate how many more requests than usual other entries place a second, from our own.
+
+        Usual ones need no estimate: as many end in the time that a report is old.
+        """
+        while self._placed_s and self._placed_s[0] < now_s - USUAL_WINDOW_S:
+            self._placed_s.popleft()
+        recent = sum(1 for placed_s in self._placed_s if placed_s >= now_s - RATE_WINDOW_S)
+        excess = recent / RATE_WINDOW_S - 2 * len(self._placed_s) / USUAL_WINDOW_S
+        return max(0.0, excess) * max(0, self._entries() - 1)
+
     def _take(self, wish: EngineWish, option: _Option, now_s: float, *, on_time: bool) -> Placement:
         call = OwnCall(
             prompt_tokens=wish.prompt_tokens,
@@ -263,6 +309,7 @@
             predicted_ms=option.first_ms,
         )
         option.server.add(call)
+        self._placed_s.append(now_s)
         option.server.health.note_start(now_s)
         report = option.server.fresh_report(now_s)
         log_decision(
@@ -271,7 +318,7 @@
             instance=option.server.instance.instance,
             domain=option.server.instance.failure_domain,
             predicted_ms=round(option.first_ms),
-            in_flight=option.requests,
+            in_flight=round(option.requests, 1),
             own=option.server.own,
             report_age_ms=None if report is None else round((now_s - report.made_s) * 1000),
             on_time=on_time,
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -100,7 +100,10 @@
         "_call",
         "_excluded",
         "_failure",
+        "_first_event_s",
         "_forwarder",
+        "_last_event_s",
+        "_longest_pause_s",
         "_service",
         "last_id",
     )
@@ -114,6 +117,9 @@
         self._excluded: set[str] = set()
         self._failure = Failure(code=Code.NO_CAPACITY)
         self._begun = False
+        self._first_event_s = 0.0
+        self._last_event_s = 0.0
+        self._longest_pause_s = 0.0
         self.last_id = call.facts.last_event_id
 
     async def run(self) -> None:
@@ -183,6 +189,7 @@
             organisation="" if call.organisation is None else call.organisation.name,
             request_id=call.request_id,
             excluded=self._excluded,
+            last_attempt=call.attempts + 1 >= call.route.attempts,
         )
 
     def _came_back(self) -> bool:
@@ -300,8 +307,15 @@
                 self._note_first_event(placement)
             self._begin_reply(exchange)
             await call.reply.write(b"".join(event.data for event in events))
+            self._note_pause()
             wait_until_s = asyncio.get_running_loop().time() + self._stall_s()
 
+    def _note_pause(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if self._last_event_s:
+            self._longest_pause_s = max(self._longest_pause_s, now_s - self._last_event_s)
+        self._last_event_s = now_s
+
     def _in_order(self, events: list[Event]) -> bool:
         """Check that events follow on each other without a gap or a repeat."""
         for event in events:
@@ -387,6 +401,7 @@
 
     def _note_first_event(self, placement: Placement) -> None:
         now_s = asyncio.get_running_loop().time()
+        self._first_event_s = self._first_event_s or now_s
         log.info(
             "first event",
             request=self._call.request_id,
@@ -403,6 +418,8 @@
             request=self._call.request_id,
             instance=placement.server.instance.instance,
             after_ms=round((now_s - self._call.received_s) * 1000),
+            first_ms=round((self._first_event_s - self._call.received_s) * 1000),
+            longest_pause_ms=round(self._longest_pause_s * 1000),
             last_event_id=self.last_id,
             attempts=self._call.attempts,
         )
--- a/src/leadhollow/forward/versions.py
+++ b/src/leadhollow/forward/versions.py
@@ -10,7 +10,7 @@
 from leadhollow.state.weights_versions import versions_of
 from leadhollow.weights.named import NamedVersion
 
-MARGIN_S = 1.2
+MARGIN_S = 0.7
 """Sending to older weights ends this long before the bound: a request may wait at the engine."""
 
 
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -50,6 +50,7 @@
             board=self.board,
             versions=versions,
             failure_domain=settings.failure_domain,
+            entries=lambda: feed.entries,
             seed=process.seed,
         )
         ending = Ending(dialect=dialect)
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -10,6 +10,7 @@
 from leadhollow.routing.model import ServiceRecord
 from leadhollow.settings.address import Address
 from leadhollow.staging.engine_client import LocalEngine
+from leadhollow.staging.engine_loads import EngineLoads
 from leadhollow.staging.installer import Installer
 from leadhollow.staging.load_reports import EngineWatch
 from leadhollow.staging.origin_source import OriginSource
@@ -100,6 +101,13 @@
         )
 
     def make_installer() -> Service:
+        loads = EngineLoads(feed=feed())
+
+        def is_turn(staged: StagedVersion, announced: bool) -> bool:
+            engines = feed().table.of_service(engine_settings.service)
+            addresses = {instance.address for instance in engines}
+            return loads.is_turn(engine_settings.address, staged, addresses, announced=announced)
+
         return Installer(
             catalog=feed().catalog,
             engine=engine,
@@ -108,6 +116,8 @@
             models=models,
             start_fetch=start_fetch,
             first_start=settings.first_start,
+            version_s=settings.bounds.version_ms / 1000,
+            turn=is_turn,
         )
 
     def make_pieces() -> Service:
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -17,10 +17,15 @@
 from leadhollow.weights.named import NamedVersion
 
 STEP_S = 0.05
-NOTICE_S = 0.1  # entries hear of the switch before the order is given
+NOTICE_S = 0.15  # entries hear of the switch before the order is given
 ORDER_AGAIN_S = 0.5
 FIRST_PATIENCE_S = 4.0  # an engine takes a second or two to answer after its start
 LATER_PATIENCE_S = 0.25  # one that runs answers at once, one that starts has an empty stage
+LAST_CALL_S = 0.6  # before the bound everybody changes, whatever the others do
+FINISH_S = 0.6
+"""Time that requests in progress get before an engine loads: most end in it, the few long ones are
+taken over by other engines; waiting for the longest would keep the engine idle for two seconds."""
+
 LOAD_PATIENCE_S = 10.0  # requests in progress end first, then the weights load
 
 log = get_logger("installer")
@@ -35,6 +40,11 @@
         Gives the models that the engine may run.
     start_fetch
         Makes the fetch of a version.
+    version_s
+        Time from the naming of a version until no request may begin on an older one.
+    turn
+        Tells whether it is our engine's turn to change, and whether it still is once the others
+        have been told that it changes.
     first_start
         Whether engine and process start together, so that the engine holds weights it came with.
     """
@@ -46,12 +56,15 @@
         "_fetch",
         "_fetch_task",
         "_models",
+        "_named",
         "_read_back",
         "_stage_patience_s",
         "_staged",
         "_staged_of",
         "_start_fetch",
         "_store",
+        "_turn",
+        "_version_s",
         "_watch",
     )
 
@@ -65,6 +78,8 @@
         models: Callable[[], list[str]],
         start_fetch: Callable[[StagedVersion], PieceFetch],
         first_start: bool,
+        version_s: float,
+        turn: Callable[[StagedVersion, bool], bool],
     ) -> None:
         self._catalog = catalog
         self._engine = engine
@@ -75,6 +90,9 @@
         self._fetch: PieceFetch | None = None
         self._fetch_task: asyncio.Task[None] | None = None
         self._read_back = False
+        self._named: dict[int, float] = {}
+        self._version_s = version_s
+        self._turn = turn
         self._began_s = asyncio.get_running_loop().time()
         self._stage_patience_s = FIRST_PATIENCE_S if first_start else LATER_PATIENCE_S
         self._staged: set[int] = set()
@@ -104,6 +122,7 @@
         if report is not None and not self._read_back:
             for version in known:
                 await self._read_stage(version)
+        self._named.setdefault(known[0].number, asyncio.get_running_loop().time())
         staged = self._store.open(known[0])
         if staged is None:
             return
@@ -111,15 +130,27 @@
             self._ensure_fetch(staged)
             if report is not None:
                 await self._stage_new(staged)
+            if staged.complete:
+                await self._watch.tell()  # whose turn it is depends on who is complete
+                await asyncio.sleep(NOTICE_S)
             return
         if report is None:
             return
         if _holds(report, staged):
             return
-        if report.busy:
+        if report.busy or not self._is_our_turn(staged, report, announced=False):
             return
         await self._install(staged)
 
+    def _is_our_turn(self, staged: StagedVersion, report: EngineReport, *, announced: bool) -> bool:
+        """Tell whether the engine may change now, without taking too many away at once."""
+        if not report.served:
+            return True  # it answers nothing as it is
+        bound_s = self._named[staged.number] + self._version_s
+        if asyncio.get_running_loop().time() > bound_s - LAST_CALL_S:
+            return True
+        return self._turn(staged, announced)
+
     def _may_hold_stage(self) -> bool:
         """Tell whether the engine, once it answers, may turn out to hold pieces already."""
         age_s = asyncio.get_running_loop().time() - self._began_s
@@ -182,6 +213,9 @@
         try:
             await asyncio.sleep(NOTICE_S)
             report = await self._watch.refresh()
+            if report is None or not self._is_our_turn(staged, report, announced=True):
+                return  # another one announced at the same time, and comes first
+            report = await self._let_finish()
             if report is None or report.busy or _holds(report, staged):
                 return
             await self._order(staged, report)
@@ -189,6 +223,17 @@
             self._watch.switching = False
             await self._watch.tell()
 
+    async def _let_finish(self) -> EngineReport | None:
+        """Give requests in progress a little time; what still runs then goes on elsewhere."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + FINISH_S
+        while loop.time() < until_s:
+            report = await self._watch.refresh()
+            if report is None or report.active + report.queued == 0:
+                return report
+            await asyncio.sleep(STEP_S)
+        return self._watch.report
+
     async def _verify_stage(self, staged: StagedVersion) -> bool:
         """Read every staged piece back, and lay those again that turned bad.
 
@@ -214,7 +259,7 @@
         order = LoadOrder(
             model=staged.model,
             version=staged.number,
-            preempt=False,
+            preempt=True,
             expected_sequence=report.sequence,
         )
         log_decision(
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -14,6 +14,7 @@
 from leadhollow.staging.origin_source import OriginSource
 from leadhollow.staging.pieces import StagedVersion
 from leadhollow.staging.sharing import Sharing, Stager
+from leadhollow.staging.turns import turn_of
 from leadhollow.weights.bitmap import Bitmap
 from leadhollow.weights.pacing import Pacer
 from leadhollow.wire.connection import Connection
@@ -29,6 +30,7 @@
 IMPORT_ANYWAY_S = 3.0  # for a piece that another one should bring in, and did not
 ORIGIN_ANYWAY_S = 4.0  # for a piece that nobody holds although another one should have read it
 PER_SOURCE = 2
+EARLY_TURNS = 3  # stagers whose engines change first get their pieces first
 DOWNLOAD_SHARE = 0.95  # of our link; the rest is for the engine's requests
 WINDOW = 4
 """Pieces on their way: enough to keep our link full while senders are busy with others, and no
@@ -293,7 +295,13 @@
             self._give_back(source, indexes)
             return
         connection: Connection = connected.unwrap()
-        order = PieceOrder(version.model, version.number, indexes, self._own.failure_domain)
+        order = PieceOrder(
+            version.model,
+            version.number,
+            indexes,
+            self._own.failure_domain,
+            self._turn(),
+        )
         stream = connection.stream(order)
         try:
             while True:
@@ -321,6 +329,14 @@
         self._ordered.pop(index, None)
         self._wake.set()
 
+    def _turn(self) -> int:
+        """Give our place among those that change first; all later ones share the last place."""
+        number = self.version.number
+        own = turn_of(self._own.address, number)
+        stagers = [source.stager for source in self._sources.values()]
+        before = sum(1 for stager in stagers if turn_of(stager.address, number) < own)
+        return min(before, EARLY_TURNS)
+
     def _give_back(self, source: _Source, indexes: list[int]) -> None:
         """Let pieces that did not come be ordered anew."""
         for index in indexes:
--- a/src/leadhollow/staging/piece_server.py
+++ b/src/leadhollow/staging/piece_server.py
@@ -28,16 +28,24 @@
 class _Order:
     """Pieces that one stager wants from us, in the order in which they were asked for."""
 
-    __slots__ = ("done", "far", "model", "number", "sink", "wanted")
+    __slots__ = ("done", "far", "model", "number", "sink", "turn", "wanted")
 
     def __init__(
-        self, *, model: str, number: int, wanted: list[int], sink: StreamSink, far: bool
+        self,
+        *,
+        model: str,
+        number: int,
+        wanted: list[int],
+        sink: StreamSink,
+        far: bool,
+        turn: int,
     ) -> None:
         self.model = model
         self.number = number
         self.wanted = wanted
         self.sink = sink
         self.far = far
+        self.turn = turn
         self.done = asyncio.Event()
 
 
@@ -53,6 +61,7 @@
         Speed of this VM's link.
     failure_domain
         Ours; stagers of others are served first, because each piece enters a domain only once.
+        Then go those whose engine changes first, so that not all have to change at once.
     """
 
     __slots__ = ("_failure_domain", "_orders", "_pacer", "_store", "_wake", "bytes_sent")
@@ -94,14 +103,14 @@
 
     def _next(self) -> tuple[_Order, int, bytes] | None:
         """Choose the next piece that is here and whose receiver takes it."""
-        for far in (True, False):
-            for position, order in enumerate(self._orders):
-                if order.far is not far or order.sink.connection.backlog_bytes > BACKLOG_BYTES:
-                    continue
-                found = self._available(order)
-                if found is not None:
-                    self._orders.append(self._orders.pop(position))  # receivers take turns
-                    return order, *found
+        for order in sorted(self._orders, key=lambda order: (not order.far, order.turn)):
+            if order.sink.connection.backlog_bytes > BACKLOG_BYTES:
+                continue
+            found = self._available(order)
+            if found is not None:
+                self._orders.remove(order)
+                self._orders.append(order)  # receivers of one kind take turns
+                return order, *found
         return None
 
     def _available(self, order: _Order) -> tuple[int, bytes] | None:
@@ -131,6 +140,7 @@
             wanted=list(request.indexes or ()),
             sink=sink,
             far=request.failure_domain != self._failure_domain,
+            turn=int(request.turn or 0),
         )
         self._orders.append(order)
         self._wake.set()
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -55,7 +55,7 @@
 // Pieces between stagers.
 struct PieceWatch { 1: string model; 2: i64 version; 3: string address; 4: string failure_domain }
 struct PieceNews { 1: binary held; 2: list<i32> added }
-struct PieceOrder { 1: string model; 2: i64 version; 3: list<i32> indexes; 4: string failure_domain }
+struct PieceOrder { 1: string model; 2: i64 version; 3: list<i32> indexes; 4: string failure_domain; 5: i64 turn }
 struct PieceDelivery { 1: i32 index; 2: binary data }
 
 // Placement and share of capacity.
