Take back what has not begun near the bound, see resets at the end of answers, refuse after the notice

Cause: requests waited at engines with older weights until after the bound; a reset came as an end of the stream with the error left on the socket, so a cut answer without a length looked whole; a stopping entry took requests on kept connections until its end and cut them. Change: such a request is broken off a quarter second before the bound and sent on fresh connections; the socket's error is read at the end; after the balancer's notice new requests get 503.

--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -27,6 +27,7 @@
 ARRIVAL_MARGIN_S = 0.02  # way of the first event to the caller, and what the model leaves out
 FAR_PENALTY_MS = 12.0  # a server of another failure domain must answer this much sooner
 SPREAD_MS = 6.0  # random part, so that entries with the same view do not all choose the same
+SAFE_FACTOR = 1.5  # of the predicted time must be left where the weights are about to be too old
 LATE_QUEUE = 2  # requests beyond its batch that an engine gets where they are late anyway
 SHORTEST_RETRY_S = 0.6
 LONGEST_RETRY_S = 1.8
@@ -100,13 +101,26 @@
 
 
 class Placement:
-    """A place at an engine that a request has taken."""
+    """A place at an engine that a request has taken.
 
-    __slots__ = ("call", "required_version", "server", "version")
+    Parameters
+    ----------
+    begin_by_s
+        Loop time by which the first event must have come; later the weights are too old.
+    """
+
+    __slots__ = ("begin_by_s", "call", "required_version", "server", "version")
 
     def __init__(
-        self, *, server: Server, call: OwnCall, version: int, required_version: int
+        self,
+        *,
+        server: Server,
+        call: OwnCall,
+        version: int,
+        required_version: int,
+        begin_by_s: float,
     ) -> None:
+        self.begin_by_s = begin_by_s
         self.server = server
         self.call = call
         self.version = version
@@ -240,6 +254,9 @@
         slots = option.server.instance.slots
         on_time = now_s + option.first_ms / 1000 <= wish.on_time_s - ARRIVAL_MARGIN_S
         has_room = option.requests < slots
+        begin_by_s = self._versions.begin_by_s(wish.model, option.version)
+        if now_s + SAFE_FACTOR * option.first_ms / 1000 > begin_by_s:
+            return None
         if wish.returning:
             takes = on_time or option.requests < slots + LATE_QUEUE
         else:
@@ -329,6 +346,7 @@
             call=call,
             version=option.version,
             required_version=self._versions.oldest_allowed(wish.model),
+            begin_by_s=self._versions.begin_by_s(wish.model, option.version),
         )
 
 
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -236,6 +236,8 @@
             request=call.request_id,
             instance=server.instance.instance,
             status=exchange.status,
+            framing=exchange.answer.head.framing.value,
+            size_bytes=len(answer.data),
             after_ms=round((asyncio.get_running_loop().time() - call.received_s) * 1000),
         )
         return Ok(answer)
--- a/src/leadhollow/forward/service.py
+++ b/src/leadhollow/forward/service.py
@@ -41,6 +41,7 @@
 
     __slots__ = (
         "_chooser",
+        "_closed",
         "_dialect",
         "_plain",
         "_routes",
@@ -69,6 +70,7 @@
         self._stop_grace_s = stop_grace_s
         self._server = HttpServer(address=address, handler=self._handle, limits=self._limits)
         self.stopping = False
+        self._closed = False
         super().__init__()
 
     async def start(self) -> Result[None, Failure]:
@@ -82,6 +84,8 @@
         self.stopping = True
         self._server.announce_close()
         await asyncio.sleep(BALANCER_NOTICE_S)
+        self._closed = True
+        self._server.stop_accepting()
         await self._server.wait_idle(began_s + self._stop_grace_s - STOP_MARGIN_S)
 
     async def stop(self) -> None:
@@ -98,6 +102,10 @@
         )
 
     async def _handle(self, request: IncomingRequest, reply: ReplyWriter) -> None:
+        if self._closed:
+            failure = Failure(code=Code.STOPPING)
+            await self._refuse(request, reply, failure)
+            return
         checked = await self._check(request, reply)
         if checked.is_err():
             await self._refuse(request, reply, checked.unwrap_err())
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -214,7 +214,7 @@
                     body=call.body,
                     attempt_id=call.request_id,
                     dispatch=dispatch,
-                    fresh=not call.route.repeatable,
+                    fresh=not call.route.repeatable or placement.begin_by_s < float("inf"),
                 )
         except TimeoutError:
             if not limit.expired():
@@ -238,7 +238,7 @@
             FIRST_EVENT_FACTOR * placement.call.predicted_ms / 1000,
             SHORTEST_STALL_S,
         )
-        return now_s + patience_s
+        return min(now_s + patience_s, placement.begin_by_s)
 
     async def _take_answer(
         self, placement: Placement, exchange: Exchange, first_by_s: float
--- a/src/leadhollow/forward/versions.py
+++ b/src/leadhollow/forward/versions.py
@@ -10,6 +10,7 @@
 from leadhollow.state.weights_versions import versions_of
 from leadhollow.weights.named import NamedVersion
 
+BEGIN_MARGIN_S = 0.25  # a request that has not begun this long before the bound is taken back
 MARGIN_S = 0.7
 """Sending to older weights ends this long before the bound: a request may wait at the engine."""
 
@@ -42,6 +43,15 @@
                 return number
         return 0
 
+    def begin_by_s(self, model: str, version: int) -> float:
+        """Give the loop time by which a request on a version must have begun."""
+        bound_s = float("inf")
+        for number in self._named.get(model, ()):
+            named_s = self._named_s.get((model, number))
+            if number > version and named_s is not None:
+                bound_s = min(bound_s, named_s + self._bounds.version_ms / 1000)
+        return bound_s - BEGIN_MARGIN_S
+
     def newest(self, model: str) -> int:
         """Give the newest version that was named, 0 where there is none."""
         return next(iter(self._named.get(model, ())), 0)
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections import deque
 from http import HTTPStatus
@@ -55,7 +56,6 @@
         "_answer",
         "_answers",
         "_drained",
-        "_eof",
         "_fields",
         "_lost",
         "_method",
@@ -77,7 +77,6 @@
         self._answer: Answer | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._lost: Failure | None = None
-        self._eof = False
         self._fields = Headers()
         self._reason = b""
         self._method = b"GET"
@@ -112,9 +111,16 @@
             self.close()
 
     def eof_received(self) -> bool:
-        """Note an orderly end."""
-        self._eof = True
+        """Note an end, and whether it is an orderly one.
+
+        A reset may be told as an end of the stream with the error left on the socket.
+        """
         self.usable = False
+        error = self._socket_error()
+        if error:
+            detail = f"the connection broke: {os.strerror(error)}"
+            self._break(Failure(code=Code.BACKEND_LOST, detail=detail))
+            return False
         answer = self._answer
         if answer is not None and answer.head.framing is Framing.UNTIL_CLOSE:
             answer.body.finish()
@@ -237,6 +243,14 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _socket_error(self) -> int:
+        if self._transport is None:
+            return 0
+        opened = self._transport.get_extra_info("socket")
+        if opened is None:
+            return 0
+        return int(opened.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     def _break(self, failure: Failure) -> None:
         if self._lost is None:
             self._lost = failure
--- a/src/leadhollow/http1/server.py
+++ b/src/leadhollow/http1/server.py
@@ -71,6 +71,13 @@
         """Tell each caller with its next answer that the connection ends."""
         self._closing = True
 
+    def stop_accepting(self) -> None:
+        """Close the listener and the connections on which nothing happens."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
     async def wait_idle(self, deadline_s: float) -> bool:
         """Wait until no request is in progress.
 
@@ -88,10 +95,7 @@
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
-        if self._server is not None:
-            self._server.close()
-        for connection in list(self._connections):
-            connection.close_if_idle()
+        self.stop_accepting()
         await asyncio.sleep(0)
         for connection in list(self._connections):
             connection.cut()
