Reset abandoned requests, slow pieces down on slow links, remember late engines

Cause: a request that its entry had given up arrived at the engine 3.4 s later over a squeezed link and ran on old weights: closing had left its bytes on their way; pieces filled the squeezed link. Change: an abandoned connection is reset; a stager times probes to its control replica and asks for fewer pieces where they are slow; an entry adds to its prediction how late an engine was lately.

--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -13,6 +13,8 @@
 
 COUNTS_KEPT = 64
 REPORT_VALID_S = 3.0
+LATE_WEIGHT = 0.25  # of the newest first event in the running mean
+LATE_HALF_LIFE_S = 2.0
 PACE_UNIT = 1000  # reports give the pace in thousandths
 
 log = get_logger("board")
@@ -65,7 +67,7 @@
         What it last announced.
     """
 
-    __slots__ = ("_counts", "calls", "health", "instance", "report")
+    __slots__ = ("_counts", "_late_ms", "_late_s", "calls", "health", "instance", "report")
 
     def __init__(self, *, instance: Instance) -> None:
         self.instance = instance
@@ -73,6 +75,8 @@
         self.report: Report | None = None
         self.health = Health()
         self._counts: deque[tuple[float, int]] = deque(maxlen=COUNTS_KEPT)
+        self._late_ms = 0.0
+        self._late_s = 0.0
 
     @property
     def own(self) -> int:
@@ -89,6 +93,19 @@
         self.calls.discard(call)
         self._counts.append((now_s, len(self.calls)))
 
+    def note_first_event(self, late_ms: float, now_s: float) -> None:
+        """Note how much later than predicted a first event came; negative where sooner."""
+        self._late_ms = self.late_ms(now_s) * (1 - LATE_WEIGHT) + late_ms * LATE_WEIGHT
+        self._late_s = now_s
+
+    def late_ms(self, now_s: float) -> float:
+        """Give how much later than predicted first events come here lately.
+
+        What was seen fades, so that a server is tried again.
+        """
+        fade: float = 0.5 ** ((now_s - self._late_s) / LATE_HALF_LIFE_S)
+        return self._late_ms * fade
+
     def own_at(self, moment_s: float) -> int:
         """Give the requests of this entry that ran there at an earlier moment."""
         count = 0
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -280,6 +280,7 @@
         for server, version in eligible:
             demand = server.demand(model, now_s, unseen)
             first_ms = model.first_event_ms(demand, wish.prompt_tokens)
+            first_ms += max(0.0, server.late_ms(now_s))
             rank = first_ms + self._random.uniform(0, SPREAD_MS)
             if server.instance.failure_domain != self._failure_domain:
                 rank += FAR_PENALTY_MS
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -357,7 +357,11 @@
             self._call.attempts += 1
         self._failure = failure
         self._excluded.add(placement.server.instance.instance)
-        placement.server.health.note_failure(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        placement.server.health.note_failure(now_s)
+        if placement.call.reading:
+            late_ms = (now_s - placement.call.placed_s) * 1000 - placement.call.predicted_ms
+            placement.server.note_first_event(max(0.0, late_ms), now_s)
         log.warning(
             "stream broken",
             request=self._call.request_id,
@@ -402,6 +406,8 @@
     def _note_first_event(self, placement: Placement) -> None:
         now_s = asyncio.get_running_loop().time()
         self._first_event_s = self._first_event_s or now_s
+        took_ms = (now_s - placement.call.placed_s) * 1000
+        placement.server.note_first_event(took_ms - placement.call.predicted_ms, now_s)
         log.info(
             "first event",
             request=self._call.request_id,
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import os
 import socket
+import struct
 from collections import deque
 from http import HTTPStatus
 from typing import cast
@@ -28,6 +29,8 @@
 UNACKNOWLEDGED_LIMIT_MS = 3_000
 """A peer that acknowledges no byte for this long is gone; without it a cut link hangs."""
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time: the kernel sends a reset
+
 log = get_logger("http")
 
 
@@ -238,10 +241,18 @@
             self.close()
 
     def close(self) -> None:
-        """End the connection at once: the peer sees that nobody waits any more."""
+        """End the connection at once: the peer sees that nobody waits any more.
+
+        With a request outstanding the connection is reset, so that bytes which are still on their
+        way are dropped and not worked on later.
+        """
         self.usable = False
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        opened = self._transport.get_extra_info("socket")
+        if self._outstanding and opened is not None and not self._transport.is_closing():
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._transport.abort()
 
     def _socket_error(self) -> int:
         if self._transport is None:
--- a/src/leadhollow/http1/reply.py
+++ b/src/leadhollow/http1/reply.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from http import HTTPStatus
 
 from leadhollow.http1.headers import Headers
@@ -13,6 +15,8 @@
     encode_chunk,
 )
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time: the kernel sends a reset
+
 
 class ReplyWriter:
     """One answer on one connection; each method is called at most as its name says.
@@ -28,6 +32,7 @@
     __slots__ = (
         "_chunked",
         "_drained",
+        "_ends_with_connection",
         "_left",
         "_request",
         "_transport",
@@ -51,6 +56,7 @@
         self._drained = drained
         self._chunked = False
         self._left: int | None = None
+        self._ends_with_connection = False
         self.close_after = close_after
         self.started = False
         self.finished = False
@@ -87,6 +93,7 @@
         if not bodyless and content_length is None:
             if self._request.http_1_0:
                 self.close_after = True
+                self._ends_with_connection = True
             else:
                 self._chunked = True
                 lines.append(b"Transfer-Encoding: chunked\r\n")
@@ -121,6 +128,9 @@
     def abort(self) -> None:
         """Break the connection, so that what was sent cannot look complete."""
         self.close_after = True
+        opened = self._transport.get_extra_info("socket")
+        if self.started and self._ends_with_connection and opened is not None:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
     async def send(self, status: int, headers: Headers, body: bytes = b"") -> None:
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -12,6 +12,7 @@
 from leadhollow.staging.engine_client import LocalEngine
 from leadhollow.staging.engine_loads import EngineLoads
 from leadhollow.staging.installer import Installer
+from leadhollow.staging.link_gauge import LinkGauge
 from leadhollow.staging.load_reports import EngineWatch
 from leadhollow.staging.origin_source import OriginSource
 from leadhollow.staging.piece_fetch import PieceFetch
@@ -35,7 +36,6 @@
         message = "a stager needs its engine"
         raise ValueError(message)
     store = PieceStore()
-    link_bytes_per_s = settings.link_mbit_per_s * BYTES_PER_MBIT
     own = Stager(address=settings.wire_address, failure_domain=settings.failure_domain)
     engine = LocalEngine(
         address=Address.parse(engine_settings.address).unwrap(),
@@ -75,6 +75,12 @@
 
     origin = OriginSource(address=origin_address, dialect=process.dialects.origin)
 
+    def link_share() -> float:
+        return kernel.get("link-gauge", LinkGauge).share
+
+    def link_bytes_per_s() -> float:
+        return settings.link_mbit_per_s * BYTES_PER_MBIT * link_share()
+
     def start_fetch(version: StagedVersion) -> PieceFetch:
         return PieceFetch(
             version=version,
@@ -83,6 +89,7 @@
             origin=origin,
             peers=process.peers,
             link_bytes_per_s=link_bytes_per_s,
+            link_share=link_share,
             seed=process.seed,
         )
 
@@ -128,7 +135,11 @@
             failure_domain=settings.failure_domain,
         )
 
-    kernel.register("pieces", make_pieces, needs=("wire",))
+    def make_gauge() -> Service:
+        return LinkGauge(feed=feed(), peers=process.peers, vm=settings.vm)
+
+    kernel.register("link-gauge", make_gauge, needs=("feed",))
+    kernel.register("pieces", make_pieces, needs=("wire", "link-gauge"))
     kernel.register("feed", make_feed, needs=("wire",))
     kernel.register("engine-watch", make_watch, needs=("feed",))
     kernel.register("installer", make_installer, needs=("engine-watch", "pieces"))
--- /dev/null
+++ b/src/leadhollow/staging/link_gauge.py
@@ -0,0 +1,65 @@
+"""Notices by delay that this VM's link carries less than it should, and slows pieces down."""
+
+from __future__ import annotations
+
+import asyncio
+
+from leadhollow.kernel.task_service import TaskService
+from leadhollow.membership.control_feed import ControlFeed
+from leadhollow.observe.logs import get_logger
+from leadhollow.wire.generated.ttypes import FeedProbe
+from leadhollow.wire.peers import PeerPool
+
+INTERVAL_S = 0.2
+TIMEOUT_MS = 1_000
+SLOW_S = 0.35  # a few pieces in front of the probe in both directions explain less
+FAST_S = 0.2
+SHRINK = 0.6
+GROW = 0.05
+LEAST = 0.1
+
+log = get_logger("link")
+
+
+class LinkGauge(TaskService):
+    """Sends small probes to the control replica that is followed, and times the answers.
+
+    Attributes
+    ----------
+    share
+        Part of the link's declared speed that pieces may use now.
+    """
+
+    __slots__ = ("_feed", "_peers", "_vm", "share")
+
+    def __init__(self, *, feed: ControlFeed, peers: PeerPool, vm: str) -> None:
+        self._feed = feed
+        self._peers = peers
+        self._vm = vm
+        self.share = 1.0
+        super().__init__()
+
+    async def _work(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(INTERVAL_S)
+            if not self._feed.source:
+                continue
+            asked_s = loop.time()
+            answered = await self._peers.call(
+                self._feed.source, FeedProbe(self._vm), timeout_ms=TIMEOUT_MS
+            )
+            self.note(loop.time() - asked_s, lost=answered.is_err())
+
+    def note(self, delay_s: float, *, lost: bool) -> None:
+        """Take one probe's delay."""
+        before = self.share
+        if lost or delay_s > SLOW_S:
+            self.share = max(LEAST, self.share * SHRINK)
+        elif delay_s < FAST_S:
+            self.share = min(1.0, self.share + GROW)
+        if before == 1.0 and self.share < 1.0:
+            log.warning("link is slow", delay_ms=round(delay_s * 1000), lost=lost)
+
+
+__all__ = ["LinkGauge"]
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -85,11 +85,16 @@
         This stager.
     others
         Gives the other stagers that may take part.
+    link_bytes_per_s
+        Gives what this VM's link carries now.
+    link_share
+        Gives what part that is of what it should carry; fewer pieces are asked for at a time then.
     """
 
     __slots__ = (
         "_download",
         "_from_origin",
+        "_link_share",
         "_ordered",
         "_origin",
         "_others",
@@ -111,15 +116,17 @@
         others: Callable[[], list[Stager]],
         origin: OriginSource,
         peers: PeerPool,
-        link_bytes_per_s: float,
+        link_bytes_per_s: Callable[[], float],
+        link_share: Callable[[], float],
         seed: int,
     ) -> None:
+        self._link_share = link_share
         self.version = version
         self._own = own
         self._others = others
         self._origin = origin
         self._peers = peers
-        self._download = Pacer(rate_bytes_per_s=lambda: link_bytes_per_s * DOWNLOAD_SHARE)
+        self._download = Pacer(rate_bytes_per_s=lambda: link_bytes_per_s() * DOWNLOAD_SHARE)
         self._random = random.Random(seed)
         self._sources: dict[str, _Source] = {}
         self._ordered: dict[int, _Source | None] = {}  # pieces on their way; None: the origin
@@ -188,7 +195,9 @@
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
         self._random.shuffle(missing)
         missing.sort(key=self._is_near)  # what we are to bring in goes first: others wait for it
-        room = WINDOW - sum(1 for source in self._ordered.values() if source is not None)
+        room = max(1, round(WINDOW * self._link_share())) - sum(
+            1 for source in self._ordered.values() if source is not None
+        )
         sharing = self._share(now_s)
         for index in missing:
             if room <= 0 or not self._download.ready():
--- a/src/leadhollow/staging/piece_server.py
+++ b/src/leadhollow/staging/piece_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from result import Ok, Result
 
@@ -58,7 +59,7 @@
     Parameters
     ----------
     link_bytes_per_s
-        Speed of this VM's link.
+        Gives what this VM's link carries now.
     failure_domain
         Ours; stagers of others are served first, because each piece enters a domain only once.
         Then go those whose engine changes first, so that not all have to change at once.
@@ -71,13 +72,13 @@
         *,
         store: PieceStore,
         handlers: HandlerTable,
-        link_bytes_per_s: float,
+        link_bytes_per_s: Callable[[], float],
         failure_domain: str,
     ) -> None:
         self._store = store
         self._failure_domain = failure_domain
         self._orders: list[_Order] = []
-        self._pacer = Pacer(rate_bytes_per_s=lambda: link_bytes_per_s * LINK_SHARE)
+        self._pacer = Pacer(rate_bytes_per_s=lambda: link_bytes_per_s() * LINK_SHARE)
         self._wake = asyncio.Event()
         self.bytes_sent = 0
         super().__init__()
