Ask a slow link for less, and send near the bound only where the path is free

Cause: over a squeezed link requests took over a second to the engine and began after the bound; the stager there lost its control replica for six seconds, since probes gave up after 0.4 s. Change: the window of pieces halves when they take long; servers that do not report are thought slower; near the bound only servers that are heard of get requests, on connections that open in 80 ms.

--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -12,7 +12,7 @@
 from leadhollow.wire.generated.ttypes import LoadRecord
 
 COUNTS_KEPT = 64
-REPORT_VALID_S = 3.0
+REPORT_VALID_S = 1.5
 LATE_WEIGHT = 0.25  # of the newest first event in the running mean
 LATE_HALF_LIFE_S = 2.0
 PACE_UNIT = 1000  # reports give the pace in thousandths
--- a/src/leadhollow/forward/dialect.py
+++ b/src/leadhollow/forward/dialect.py
@@ -87,9 +87,15 @@
         Event after which the stream goes on; None from the beginning.
     urgency
         0 goes first, 9 last; None leaves the usual place.
+
+    Attributes
+    ----------
+    connect_s
+        Time until there was a connection.
     """
 
     __slots__ = (
+        "connect_s",
         "deadline_ms",
         "instance",
         "last_event_id",
@@ -114,6 +120,7 @@
         self.version = version
         self.last_event_id = last_event_id
         self.urgency = urgency
+        self.connect_s = 0.0
 
 
 class AnswerFacts:
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -27,7 +27,10 @@
 ARRIVAL_MARGIN_S = 0.02  # way of the first event to the caller, and what the model leaves out
 FAR_PENALTY_MS = 12.0  # a server of another failure domain must answer this much sooner
 SPREAD_MS = 6.0  # random part, so that entries with the same view do not all choose the same
-SAFE_FACTOR = 1.5  # of the predicted time must be left where the weights are about to be too old
+SURE_S = 2.5  # before weights become too old, only servers that are heard of get requests for them
+RECENT_S = 0.8  # their reports come ten times a second where their link is as it should be
+SAFE_S = 0.35  # time in which a request begins at a server that is not overloaded
+UNHEARD_MS = 250.0  # a server that does not report is thought this much slower than one that does
 LATE_QUEUE = 2  # requests beyond its batch that an engine gets where they are late anyway
 SHORTEST_RETRY_S = 0.6
 LONGEST_RETRY_S = 1.8
@@ -254,9 +257,6 @@
         slots = option.server.instance.slots
         on_time = now_s + option.first_ms / 1000 <= wish.on_time_s - ARRIVAL_MARGIN_S
         has_room = option.requests < slots
-        begin_by_s = self._versions.begin_by_s(wish.model, option.version)
-        if now_s + SAFE_FACTOR * option.first_ms / 1000 > begin_by_s:
-            return None
         if wish.returning:
             takes = on_time or option.requests < slots + LATE_QUEUE
         else:
@@ -274,6 +274,7 @@
             model = EngineModel(spec=spec)
             self._models[wish.service.name] = model
         eligible = self._eligible(wish, spec, now_s)
+        heard = any(server.fresh_report(now_s) is not None for server, _ in eligible)
         unseen = self._unseen_rate(now_s) / max(1, len(eligible))
         best: _Option | None = None
         best_rank = float("inf")
@@ -281,6 +282,8 @@
             demand = server.demand(model, now_s, unseen)
             first_ms = model.first_event_ms(demand, wish.prompt_tokens)
             first_ms += max(0.0, server.late_ms(now_s))
+            if heard and server.fresh_report(now_s) is None:
+                first_ms += UNHEARD_MS
             rank = first_ms + self._random.uniform(0, SPREAD_MS)
             if server.instance.failure_domain != self._failure_domain:
                 rank += FAR_PENALTY_MS
@@ -303,11 +306,21 @@
             version = server.whole_version(wish.model, spec.layers, now_s)
             if version is None or version < oldest or server.switching(now_s):
                 continue
+            if not self._begins_in_time(wish.model, server, version, now_s):
+                continue
             found.append((server, version))
         newest = self._versions.newest(wish.model)
         settled = [(server, version) for server, version in found if version >= newest]
         return settled if wish.last_attempt and settled else found
 
+    def _begins_in_time(self, model: str, server: Server, version: int, now_s: float) -> bool:
+        """Tell whether a request will surely begin before the server's weights are too old."""
+        left_s = self._versions.begin_by_s(model, version) - now_s
+        if left_s > SURE_S:
+            return True
+        report = server.fresh_report(now_s)
+        return left_s > SAFE_S and report is not None and now_s - report.made_s < RECENT_S
+
     def _unseen_rate(self, now_s: float) -> float:
         """Estimate how many more requests than usual other entries place a second, from our own.
 
--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -9,7 +9,7 @@
 
 from leadhollow.failure import Failure
 from leadhollow.forward.dialect import AnswerFacts, CallDialect, Dispatch
-from leadhollow.forward.pool import ConnectionPool
+from leadhollow.forward.pool import CONNECT_TIMEOUT_S, ConnectionPool
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.client_connection import Answer, ClientConnection
 from leadhollow.http1.messages import Framing, RequestHead
@@ -118,12 +118,15 @@
         attempt_id: str,
         dispatch: Dispatch,
         fresh: bool,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> Result[Exchange, AttemptFailure]:
         """Send a request and wait for the head of its answer.
 
         Cancelling this breaks the connection.
         """
-        acquired = await self._pool.acquire(address, fresh=fresh)
+        began_s = asyncio.get_running_loop().time()
+        acquired = await self._pool.acquire(address, fresh=fresh, timeout_s=connect_timeout_s)
+        dispatch.connect_s = asyncio.get_running_loop().time() - began_s
         if acquired.is_err():
             failure = acquired.unwrap_err()
             return Err(AttemptFailure(end=AttemptEnd.NOT_SENT, failure=failure))
--- a/src/leadhollow/forward/pool.py
+++ b/src/leadhollow/forward/pool.py
@@ -29,7 +29,9 @@
         self.reused = 0
         super().__init__()
 
-    async def acquire(self, address: str, *, fresh: bool) -> Result[ClientConnection, Failure]:
+    async def acquire(
+        self, address: str, *, fresh: bool, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Result[ClientConnection, Failure]:
         """Give a connection for one exchange.
 
         Parameters
@@ -37,6 +39,8 @@
         fresh
             Whether it must be a new one: a request that may run once only must not be lost in a
             connection that the other side is just closing.
+        timeout_s
+            Time in which a new one must open.
 
         Errors
         ------
@@ -52,7 +56,7 @@
         if parsed.is_err():
             return Err(parsed.unwrap_err())
         self.opened += 1
-        return await open_connection(parsed.unwrap(), timeout_s=CONNECT_TIMEOUT_S)
+        return await open_connection(parsed.unwrap(), timeout_s=timeout_s)
 
     def release(self, address: str, connection: ClientConnection) -> None:
         """Take a connection back after a whole exchange."""
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -15,10 +15,13 @@
 from leadhollow.forward.engine_queue import DECIDE_SHARE, EngineQueue, EngineWish, Placement
 from leadhollow.forward.events import Event, EventSplitter
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
+from leadhollow.forward.pool import CONNECT_TIMEOUT_S
 from leadhollow.http1.messages import Framing
 from leadhollow.observe.logs import get_logger
 from leadhollow.routing.model import ServiceRecord
 
+NEAR_BOUND_S = 3.0  # before weights become too old, a request must not be held up on its way
+QUICK_CONNECT_S = 0.08  # many times the way between failure domains: the path is free
 MOST_SENDS = 6  # refusals in the servers' own words included
 STALL_FACTOR = 2.0  # of the pause that a route calls on time; then the stream is taken for dead
 SHORTEST_STALL_S = 0.8
@@ -206,6 +209,7 @@
             last_event_id=self.last_id,
         )
         first_by_s = self._first_event_by(placement)
+        near_bound = placement.begin_by_s - asyncio.get_running_loop().time() < NEAR_BOUND_S
         try:
             async with asyncio.timeout_at(first_by_s) as limit:
                 began = await self._forwarder.exchanger.begin(
@@ -214,12 +218,14 @@
                     body=call.body,
                     attempt_id=call.request_id,
                     dispatch=dispatch,
-                    fresh=not call.route.repeatable or placement.begin_by_s < float("inf"),
+                    fresh=not call.route.repeatable or near_bound,
+                    connect_timeout_s=QUICK_CONNECT_S if near_bound else CONNECT_TIMEOUT_S,
                 )
         except TimeoutError:
             if not limit.expired():
                 raise
-            self._lost(placement, Failure(code=Code.BACKEND_LOST, detail="no answer in time"))
+            detail = f"no answer in time, connected after {dispatch.connect_s:.3f} s"
+            self._lost(placement, Failure(code=Code.BACKEND_LOST, detail=detail))
             return False
         if began.is_err():
             self._note_failure(placement, began.unwrap_err())
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -10,15 +10,17 @@
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.instances import Instance, InstanceTable
 from leadhollow.observe.logs import get_logger
-from leadhollow.settings.node import NodeSettings
+from leadhollow.settings.node import NodeRole, NodeSettings
 from leadhollow.state.catalog import Catalog, decode_item
 from leadhollow.wire.generated.ttypes import FeedProbe, FeedUpdate, FeedWatch, LoadRecord
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.streams import CallStream
 
-SILENCE_MS = 900  # a feed says something each 250 ms
+SILENCE_MS = {NodeRole.ENTRY: 900, NodeRole.STAGER: 2_500}
+"""A feed says something each 250 ms; that of a stager shares its link with pieces."""
+
 UNCONFIRMED_MS = 900  # a replica asks its leader each 200 ms
-PROBE_TIMEOUT_MS = 400
+PROBE_TIMEOUT_MS = 1_000
 PROBE_INTERVAL_S = 0.4
 BETTER_PAUSE_S = 0.05  # time that a replica nearer by gets after another one answered
 HOME_INTERVAL_S = 3.0  # how often a feed of another failure domain looks for one of its own
@@ -168,7 +170,7 @@
         home_s = loop.time() + HOME_INTERVAL_S
         taken = False
         while True:
-            received = await stream.next(timeout_ms=SILENCE_MS)
+            received = await stream.next(timeout_ms=SILENCE_MS[self._settings.role])
             if received.is_err():
                 log.warning("control replica lost", address=address, failure=received.unwrap_err())
                 return taken
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -30,6 +30,9 @@
 IMPORT_ANYWAY_S = 3.0  # for a piece that another one should bring in, and did not
 ORIGIN_ANYWAY_S = 4.0  # for a piece that nobody holds although another one should have read it
 PER_SOURCE = 2
+SLOW_PIECE_S = 0.7  # from order to arrival; with a full window it is a quarter second
+QUICK_PIECE_S = 0.4
+WINDOW_STEP = 0.25
 EARLY_TURNS = 3  # stagers whose engines change first get their pieces first
 DOWNLOAD_SHARE = 0.95  # of our link; the rest is for the engine's requests
 WINDOW = 4
@@ -92,10 +95,12 @@
     """
 
     __slots__ = (
+        "_arrived_s",
         "_download",
         "_from_origin",
         "_link_share",
         "_ordered",
+        "_ordered_s",
         "_origin",
         "_others",
         "_own",
@@ -105,6 +110,7 @@
         "_started_s",
         "_wake",
         "_wanted_since_s",
+        "_window",
         "version",
     )
 
@@ -130,7 +136,10 @@
         self._random = random.Random(seed)
         self._sources: dict[str, _Source] = {}
         self._ordered: dict[int, _Source | None] = {}  # pieces on their way; None: the origin
+        self._ordered_s: dict[int, float] = {}
         self._wanted_since_s: dict[int, float] = {}
+        self._arrived_s = 0.0
+        self._window = float(WINDOW)
         self._from_origin: asyncio.Queue[int] = asyncio.Queue()
         self._wake = asyncio.Event()
         self._started_s = 0.0
@@ -195,7 +204,7 @@
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
         self._random.shuffle(missing)
         missing.sort(key=self._is_near)  # what we are to bring in goes first: others wait for it
-        room = max(1, round(WINDOW * self._link_share())) - sum(
+        room = max(1, round(self._window * self._link_share())) - sum(
             1 for source in self._ordered.values() if source is not None
         )
         sharing = self._share(now_s)
@@ -217,6 +226,8 @@
         )
 
     def _leave_stalled(self, now_s: float) -> None:
+        if now_s - self._arrived_s > STALLED_AFTER_S / 2:
+            return  # nothing comes from anybody: it is our own link
         for source in self._sources.values():
             if source.stalled(now_s):
                 log.warning("source stalled", source=source.stager.address)
@@ -227,6 +238,7 @@
 
     def _order(self, index: int, source: _Source, now_s: float) -> None:
         self._ordered[index] = source
+        self._ordered_s[index] = now_s
         if not source.ordered:
             source.progress_s = now_s
         source.ordered.add(index)
@@ -328,7 +340,8 @@
 
     def _take(self, source: _Source, index: int, data: bytes) -> None:
         source.ordered.discard(index)
-        source.progress_s = asyncio.get_running_loop().time()
+        source.progress_s = self._arrived_s = asyncio.get_running_loop().time()
+        self._adapt_window(self._arrived_s - self._ordered_s.pop(index, self._arrived_s))
         if self.version.take(index, data):
             self._ordered.pop(index, None)
             self._wake.set()
@@ -338,6 +351,13 @@
         self._ordered.pop(index, None)
         self._wake.set()
 
+    def _adapt_window(self, took_s: float) -> None:
+        """Ask for fewer pieces at a time while they take long, as over a narrowed link."""
+        if took_s > SLOW_PIECE_S:
+            self._window = max(1.0, self._window / 2)
+        elif took_s < QUICK_PIECE_S:
+            self._window = min(float(WINDOW), self._window + WINDOW_STEP)
+
     def _turn(self) -> int:
         """Give our place among those that change first; all later ones share the last place."""
         number = self.version.number
