--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -204,9 +204,7 @@
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
         self._random.shuffle(missing)
         missing.sort(key=self._is_near)  # what we are to bring in goes first: others wait for it
-        room = max(1, round(self._window * self._link_share())) - sum(
-            1 for source in self._ordered.values() if source is not None
-        )
+        room = self._room()
         sharing = self._share(now_s)
         for index in missing:
             if room <= 0 or not self._download.ready():
@@ -218,6 +216,13 @@
                 self._order(index, source, now_s)
                 self._spawn_receive(source, [index])
 
+    def _room(self) -> int:
+        """Tell how many more pieces may be ordered from other stagers now."""
+        window = max(1, round(self._window * self._link_share()))
+        if window < WINDOW:  # the link is slow: what the origin sends comes over it too
+            return window - len(self._ordered)
+        return window - sum(1 for source in self._ordered.values() if source is not None)
+
     def _is_near(self, index: int) -> bool:
         own_domain = self._own.failure_domain
         return any(
@@ -255,7 +260,8 @@
         outside = self._holders(index, now_s, inside=False)
         if outside:
             return self._freest(outside)
-        if sharing.origin_reader(index) == self._own or now_s - since_s >= ORIGIN_ANYWAY_S:
+        reads = sharing.origin_reader(index) == self._own or now_s - since_s >= ORIGIN_ANYWAY_S
+        if reads and self._room() > 0:
             self._ordered[index] = None
             self._from_origin.put_nowait(index)
         return None
--- a/src/leadhollow/staging/piece_server.py
+++ b/src/leadhollow/staging/piece_server.py
@@ -16,7 +16,7 @@
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.streams import StreamSink
 
-NEWS_PAUSE_S = 0.02  # pieces that come within it are told together
+NEWS_PAUSE_S = 0.04  # pieces that come within it are told together
 WAIT_VERSION_S = 0.1
 LINK_SHARE = 0.93
 """Part of the link for pieces: the engine's answers leave over the same one, and must not queue."""
