Test the new parts, and let a replaced voter that returns find its place

Cause: tests of voters that come and go (new) showed a replaced voter that came back with its old disk asking nobody for the log, because its own log still calls it a voter.

--- a/src/leadhollow/forward/service.py
+++ b/src/leadhollow/forward/service.py
@@ -26,8 +26,8 @@
 
 STOP_MARGIN_S = 0.7  # of the grace: time to close and to exit before SIGKILL
 BALANCER_NOTICE_S = 2.8
-"""Two missed looks of the balancer, a second apart, and some more. What is taken later might not end
-within the grace that a stop gets."""
+"""Two missed looks of the balancer, a second apart, and some more. What is taken later might not
+end within the grace that a stop gets."""
 
 log = get_logger("callers")
 
--- a/src/leadhollow/platform/control.py
+++ b/src/leadhollow/platform/control.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
@@ -26,6 +28,7 @@
 VERSION_PATH = "/-/version-put"
 INSTANCES_PATH = "/-/instances/"
 STATES = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
+MOST_SLOTS = 100_000  # an engine that claims more does not mean what it says
 LAST_LAYER = 1 << 20  # stands for all layers where an engine names none
 
 
@@ -52,7 +55,7 @@
     zone: str
     state: str
     sequence: int
-    slots: int = 1
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)] = 1
     cold_remaining_ms: float = 0.0
     models: tuple[HeldModel, ...] = ()
     layers: tuple[HeldLayers, ...] | HeldLayers | None = None
--- a/src/leadhollow/state/joining.py
+++ b/src/leadhollow/state/joining.py
@@ -20,12 +20,13 @@
 
 ASK_INTERVAL_S = 0.4
 ASK_TIMEOUT_MS = 800
+UNHEARD_S = 1.0  # a voter hears from its leader several times in it
 
 log = get_logger("joining")
 
 
 class Joining(TaskService):
-    """Asks for a place among the replicas for as long as ours is not a voter.
+    """Asks for a place among the replicas for as long as ours gets nothing of the log.
 
     Parameters
     ----------
@@ -56,9 +57,15 @@
     async def _work(self) -> None:
         while True:
             await asyncio.sleep(ASK_INTERVAL_S * random.uniform(0.5, 1.0))
-            if self._own.replica not in self._replica.voters:
+            if self._needs_place():
                 await self._ask()
 
+    def _needs_place(self) -> bool:
+        """Tell whether nobody sends us the log: we vote no more, perhaps without knowing it."""
+        if self._own.replica not in self._replica.voters:
+            return True
+        return self._replica.leader_silence_s > UNHEARD_S
+
     async def _ask(self) -> None:
         request = JoinRequest(self._own.replica, self._own.address, self._own.failure_domain)
         leaders: list[str] = []
--- a/src/leadhollow/state/replica.py
+++ b/src/leadhollow/state/replica.py
@@ -143,6 +143,13 @@
         """What we know of the others while we lead."""
         return self._leadership
 
+    @property
+    def leader_silence_s(self) -> float:
+        """How long no leader has been heard; 0 while we lead."""
+        if self._state.role is ReplicaRole.LEADER:
+            return 0.0
+        return now_s() - self._state.leader_heard_s
+
     @property
     def commit_index(self) -> int:
         """Index up to which the log is known to be committed."""
--- /dev/null
+++ b/tests/forward/test_parts.py
@@ -0,0 +1,204 @@
+"""Small parts of the forwarding: budget, health, events, targets, the model of an engine."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from leadhollow.forward.budget import RATIO_USED, SLACK_USED, RetryBudget
+from leadhollow.forward.engine_model import EngineDemand, EngineModel
+from leadhollow.forward.events import EventSplitter
+from leadhollow.forward.health import FAILURES_TO_EJECT, FIRST_EJECTION_S, Health
+from leadhollow.routing.model import EngineSpec
+from leadhollow.settings.node import Bounds
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 1_000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def budget(clock: Clock, *, entries: int = 4) -> RetryBudget:
+    bounds = Bounds(retry_ratio=0.2, retry_slack=100.0, retry_window_s=10.0)
+    return RetryBudget(bounds=bounds, entries=lambda: entries, clock=clock)
+
+
+class TestRetryBudget:
+    def test_of_all_entries_together_stays_below_the_slack(self):
+        clock = Clock()
+        taken = 0
+        for _ in range(4):
+            part = budget(clock, entries=4)
+            while part.take("s"):
+                taken += 1
+        assert taken <= 100.0
+        assert taken >= 100.0 * SLACK_USED - 4
+
+    def test_grows_with_requests(self):
+        clock = Clock()
+        part = budget(clock)
+        before = part.left("s")
+        for _ in range(100):
+            part.note_request("s")
+        assert part.left("s") == pytest.approx(before + 100 * 0.2 * RATIO_USED)
+
+    def test_is_kept_for_each_service(self):
+        part = budget(Clock())
+        while part.take("a"):
+            pass
+        assert part.take("b")
+
+    def test_comes_back_as_the_window_slides(self):
+        clock = Clock()
+        part = budget(clock)
+        while part.take("s"):
+            pass
+        clock.now_s += 9.9
+        assert not part.take("s")
+        clock.now_s += 0.2
+        assert part.take("s")
+
+    @given(st.lists(st.tuples(st.floats(0, 3), st.booleans()), max_size=200))
+    def test_no_window_holds_more_than_is_allowed(self, steps):
+        clock = Clock()
+        part = budget(clock, entries=1)
+        requests, repeats = [], []
+        for pause_s, repeat in steps:
+            clock.now_s += pause_s
+            if repeat and part.take("s"):
+                repeats.append(clock.now_s)
+            elif not repeat:
+                part.note_request("s")
+                requests.append(clock.now_s)
+            inside = [moment for moment in repeats if moment > clock.now_s - 10]
+            asked = [moment for moment in requests if moment > clock.now_s - 10]
+            assert len(inside) <= 100 + 0.2 * len(asked)
+
+
+class TestHealth:
+    def test_a_single_failure_changes_nothing(self):
+        health = Health()
+        assert not health.note_failure(1.0)
+        assert health.usable(1.0)
+
+    def test_failures_in_a_row_eject_for_a_while(self):
+        health = Health()
+        for _ in range(FAILURES_TO_EJECT):
+            health.note_failure(1.0)
+        assert not health.usable(1.0)
+        assert health.usable(1.0 + FIRST_EJECTION_S)
+
+    def test_a_success_between_starts_anew(self):
+        health = Health()
+        for _ in range(FAILURES_TO_EJECT - 1):
+            health.note_failure(1.0)
+        health.note_success()
+        health.note_failure(1.0)
+        assert health.usable(1.0)
+
+    def test_comes_back_with_one_request_at_a_time(self):
+        health = Health()
+        health.note_failure(1.0, weight=FAILURES_TO_EJECT)
+        later = 1.0 + FIRST_EJECTION_S
+        assert health.usable(later)
+        health.note_start(later)
+        assert not health.usable(later)
+        health.note_success()
+        assert health.usable(later)
+
+    def test_each_failed_return_takes_longer(self):
+        health = Health()
+        health.note_failure(0.0, weight=FAILURES_TO_EJECT)
+        now_s = FIRST_EJECTION_S
+        health.note_start(now_s)
+        health.note_failure(now_s)
+        assert not health.usable(now_s + FIRST_EJECTION_S)
+        assert health.usable(now_s + 2 * FIRST_EJECTION_S)
+
+    def test_a_caller_that_leaves_frees_the_trial(self):
+        health = Health()
+        health.note_failure(0.0, weight=FAILURES_TO_EJECT)
+        health.note_start(1.0)
+        health.note_neutral()
+        assert health.usable(1.0)
+
+
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nx-versions: 2\nid: 3\ndata: c\n\n"
+
+
+class TestEvents:
+    @given(st.lists(st.integers(1, 9), max_size=60))
+    def test_are_the_same_however_they_are_cut(self, cuts):
+        splitter = EventSplitter()
+        rest = EVENTS
+        found = []
+        for size in [*cuts, len(EVENTS)]:
+            found += splitter.feed(rest[:size])
+            rest = rest[size:]
+        assert b"".join(event.data for event in found) == EVENTS
+        assert [event.event_id for event in found] == [1, 2, 3]
+        assert splitter.rest == b""
+
+    def test_half_an_event_is_kept_back(self):
+        splitter = EventSplitter()
+        assert splitter.feed(b"id: 1\ndata: a\n") == []
+        assert splitter.rest == b"id: 1\ndata: a\n"
+
+    def test_carriage_returns_are_understood(self):
+        (event,) = EventSplitter().feed(b"id: 7\r\ndata: a\r\n\r\n")
+        assert event.event_id == 7
+
+    def test_without_a_number_have_none(self):
+        (event,) = EventSplitter().feed(b"data: a\n\n")
+        assert event.event_id is None
+
+
+SPEC = EngineSpec(
+    slots=16,
+    stride_steps=5,
+    step_ms=9.27,
+    sequence_ms=0.0232,
+    context_ms_per_k=0.0322,
+    read_tokens_per_s=20_700.0,
+    pair_ms_per_million=1.18,
+    usual_prompt_tokens=979.0,
+    usual_answer_tokens=92.0,
+)
+
+
+def first_ms(*, requests: float = 0, unread: float = 0, prompt: int = 1_000, pace: float = 1.0):
+    model = EngineModel(spec=SPEC)
+    demand = EngineDemand(
+        requests=requests,
+        unread_tokens=unread,
+        context_tokens=model.usual_context_tokens(min(requests, 16)),
+        pace=pace,
+    )
+    return model.first_event_ms(demand, prompt)
+
+
+class TestEngineModel:
+    def test_an_idle_engine_reads_and_makes_one_pass(self):
+        assert first_ms() == pytest.approx(1000 / 20.7 + 5 * 9.27, rel=0.05)
+
+    @pytest.mark.parametrize(
+        ("less", "more"),
+        [
+            ({}, {"requests": 8}),
+            ({"requests": 8}, {"requests": 16}),
+            ({"requests": 15}, {"requests": 18}),
+            ({}, {"unread": 2_000}),
+            ({"prompt": 500}, {"prompt": 3_000}),
+            ({"requests": 4}, {"requests": 4, "pace": 2.0}),
+        ],
+    )
+    def test_more_to_do_takes_longer(self, less, more):
+        assert first_ms(**less) < first_ms(**more)
+
+    def test_a_full_batch_makes_the_next_one_wait_for_a_place(self):
+        usual = EngineModel(spec=SPEC).request_ms(979, 92)
+        assert first_ms(requests=16) - first_ms(requests=15) == pytest.approx(usual, rel=0.2)
--- /dev/null
+++ b/tests/http1/test_server.py
@@ -0,0 +1,229 @@
+"""What callers send, and what they get back."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+
+import pytest
+
+from leadhollow.http1.headers import Headers
+from leadhollow.http1.reply import ReplyWriter
+from leadhollow.http1.server import HttpServer
+from leadhollow.http1.server_connection import HttpLimits, IncomingRequest
+from leadhollow.settings.address import Address
+from tests.raw_http import RawCaller
+from tests.support import eventually
+
+
+class Recorder:
+    """Answers each request with its own method, target and body."""
+
+    def __init__(self) -> None:
+        self.requests: list[tuple[bytes, bytes, bytes]] = []
+        self.cancelled = 0
+
+    async def handle(self, request: IncomingRequest, reply: ReplyWriter) -> None:
+        body = b""
+        while data := (await request.body.read()).unwrap_or(b""):
+            body += data
+        self.requests.append((request.head.method, request.head.target, body))
+        await reply.send(200, Headers(items=[(b"X-Seen", request.head.target)]), body)
+
+
+@pytest.fixture
+async def recorder():
+    return Recorder()
+
+
+@pytest.fixture
+async def server(recorder):
+    limits = HttpLimits(
+        header_bytes=1024, body_bytes=10_000, header_timeout_ms=200, idle_timeout_ms=5_000
+    )
+    made = HttpServer(
+        address=Address(host="127.0.0.1", port=0), handler=recorder.handle, limits=lambda: limits
+    )
+    assert (await made.start()).is_ok()
+    yield made
+    await made.stop()
+
+
+class TestRequests:
+    async def test_with_a_length_are_read(self, server, recorder):
+        caller = await RawCaller.connect(server.address)
+        await caller.send(b"POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")
+        head, body = await caller.read_answer()
+        assert head.startswith(b"HTTP/1.1 200 OK")
+        assert body == b"abc"
+        assert recorder.requests == [(b"POST", b"/a?b=c", b"abc")]
+
+    async def test_in_chunks_are_read(self, server, recorder):
+        caller = await RawCaller.connect(server.address)
+        await caller.send(b"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n")
+        await caller.send(b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+        assert (await caller.read_answer())[1] == b"abc"
+
+    async def test_one_after_the_other_share_a_connection(self, server, recorder):
+        caller = await RawCaller.connect(server.address)
+        for number in range(3):
+            await caller.send(b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % number)
+            await caller.read_answer()
+        assert [target for _, target, _ in recorder.requests] == [b"/0", b"/1", b"/2"]
+
+    async def test_that_come_together_are_answered_in_order(self, server, recorder):
+        caller = await RawCaller.connect(server.address)
+        await caller.send(b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\nGET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        first, _ = await caller.read_answer()
+        second, _ = await caller.read_answer()
+        assert b"X-Seen: /0" in first
+        assert b"X-Seen: /1" in second
+
+    async def test_that_expect_a_go_ahead_get_it(self, server, recorder):
+        caller = await RawCaller.connect(server.address)
+        await caller.send(
+            b"POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        )
+        assert (await caller.read_until(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+        await caller.send(b"ok")
+        assert (await caller.read_answer())[1] == b"ok"
+
+
+class TestBadRequests:
+    @pytest.mark.parametrize(
+        ("sent", "status"),
+        [
+            (b"nothing\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nHost : x\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400),
+            (
+                b"POST / HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n",
+                400,
+            ),
+            (b"GET / HTTP/1.1\r\nX-Long: " + b"a" * 2_000 + b"\r\n\r\n", 431),
+            (b"GET / HTTP/1.1\r\nX-Slow: ", 408),
+        ],
+    )
+    async def test_are_refused_and_the_connection_ends(self, server, recorder, sent, status):
+        caller = await RawCaller.connect(server.address)
+        await caller.send(sent)
+        answer = await caller.read_to_end()
+        assert answer.startswith(b"HTTP/1.1 %d " % status)
+        assert answer.count(b"HTTP/1.1") == 1
+        assert [target for _, target, _ in recorder.requests if target == b"/smuggled"] == []
+
+
+class TestLeavingCallers:
+    @pytest.mark.parametrize("leave", ["close", "reset"])
+    async def test_cancel_their_request(self, leave):
+        started = asyncio.Event()
+        cancelled = asyncio.Event()
+
+        async def handle(request: IncomingRequest, reply: ReplyWriter) -> None:
+            started.set()
+            try:
+                await asyncio.sleep(60)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+
+        server = HttpServer(address=Address(host="127.0.0.1", port=0), handler=handle)
+        await server.start()
+        caller = await RawCaller.connect(server.address)
+        await caller.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await started.wait()
+        getattr(caller, leave)()
+        async with asyncio.timeout(10):
+            await cancelled.wait()
+        await server.stop()
+
+
+async def serve_answer(write):
+    """Serve one request with a function that writes the answer; give all bytes of the caller."""
+
+    async def handle(request: IncomingRequest, reply: ReplyWriter) -> None:
+        await write(reply)
+
+    server = HttpServer(address=Address(host="127.0.0.1", port=0), handler=handle)
+    await server.start()
+    caller = await RawCaller.connect(server.address)
+    await caller.send(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    try:
+        return await caller.read_to_end()
+    finally:
+        await server.stop()
+
+
+class TestAnswers:
+    async def test_of_unknown_length_are_chunked(self):
+        async def write(reply: ReplyWriter) -> None:
+            reply.start(200, Headers())
+            await reply.write(b"ab")
+            await reply.write(b"c")
+            reply.finish()
+
+        answer = await serve_answer(write)
+        assert answer.endswith(b"\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
+
+    async def test_that_break_off_cannot_look_complete(self):
+        async def write(reply: ReplyWriter) -> None:
+            reply.start(200, Headers())
+            await reply.write(b"ab")
+            reply.abort()
+
+        assert b"0\r\n\r\n" not in await serve_answer(write)
+
+    async def test_shorter_than_declared_cannot_look_complete(self):
+        async def write(reply: ReplyWriter) -> None:
+            reply.start(200, Headers(), content_length=5)
+            await reply.write(b"ab")
+            reply.finish()
+
+        answer = await serve_answer(write)
+        assert answer.endswith(b"ab")
+        assert b"Content-Length: 5" in answer
+
+    async def test_to_http_1_0_end_with_the_connection(self):
+        async def handle(request: IncomingRequest, reply: ReplyWriter) -> None:
+            reply.start(200, Headers())
+            await reply.write(b"abc")
+            reply.finish()
+
+        server = HttpServer(address=Address(host="127.0.0.1", port=0), handler=handle)
+        await server.start()
+        caller = await RawCaller.connect(server.address)
+        await caller.send(b"GET / HTTP/1.0\r\n\r\n")
+        answer = await caller.read_to_end()
+        assert answer.endswith(b"\r\n\r\nabc")
+        assert b"chunked" not in answer
+        await server.stop()
+
+    async def test_of_a_handler_that_fails_are_an_error(self):
+        async def write(reply: ReplyWriter) -> None:
+            raise RuntimeError
+
+        assert (await serve_answer(write)).startswith(b"HTTP/1.1 %d" % HTTPStatus.BAD_GATEWAY)
+
+
+class TestEnd:
+    async def test_tells_callers_that_the_connection_ends(self, server, recorder):
+        caller = await RawCaller.connect(server.address)
+        await caller.send(b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        head, _ = await caller.read_answer()
+        assert b"Connection: close" not in head
+        server.announce_close()
+        await caller.send(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        head, _ = await caller.read_answer()
+        assert b"Connection: close" in head
+        assert await caller.read_to_end() == b""
+
+    async def test_closes_idle_connections_and_takes_no_new_ones(self, server, recorder):
+        caller = await RawCaller.connect(server.address)
+        await caller.send(b"GET /0 HTTP/1.1\r\nHost: x\r\n\r\n")
+        await caller.read_answer()
+        await eventually(lambda: server.busy_count == 0)
+        server.stop_accepting()
+        assert await caller.read_to_end() == b""
+        with pytest.raises(OSError):
+            await RawCaller.connect(server.address)
--- /dev/null
+++ b/tests/membership/test_instances.py
@@ -0,0 +1,143 @@
+"""Announcements in any order: late ones, repeated ones, and those of incarnations that left."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from leadhollow.membership.instances import (
+    Instance,
+    InstanceState,
+    InstanceTable,
+    ServedVersion,
+)
+
+READY, DRAINING, GONE = InstanceState.READY, InstanceState.DRAINING, InstanceState.GONE
+
+
+def said(
+    instance: str = "i-1",
+    *,
+    sequence: int = 1,
+    state: InstanceState = READY,
+    address: str = "10.0.0.1:80",
+    heard_s: float = 100.0,
+    version: int = 1,
+) -> Instance:
+    served = ServedVersion(model="m", version=version, first_layer=0, end_layer=16)
+    return Instance(
+        instance=instance,
+        service="s",
+        address=address,
+        failure_domain="d",
+        sequence=sequence,
+        state=state,
+        slots=16,
+        served=(served,),
+        heard_s=heard_s,
+    )
+
+
+@pytest.fixture
+def table():
+    return InstanceTable(forget_after_s=10.0)
+
+
+class TestOrder:
+    def test_a_late_call_changes_nothing(self, table):
+        table.take(said(sequence=2, version=2))
+        assert not table.take(said(sequence=1, version=1))
+        assert table.get("i-1").served[0].version == 2
+
+    def test_the_same_again_is_no_news(self, table):
+        assert table.take(said(sequence=1))
+        assert not table.take(said(sequence=2))
+        assert table.get("i-1").sequence == 2
+
+    def test_a_sign_of_life_counts_also_when_it_is_no_news(self, table):
+        table.take(said(sequence=3, heard_s=100.0))
+        table.take(said(sequence=1, heard_s=105.0))
+        assert table.get("i-1").heard_s == 105.0
+
+    def test_who_leaves_does_not_come_back(self, table):
+        table.take(said(sequence=2, state=DRAINING))
+        assert not table.take(said(sequence=3, state=READY))
+        assert table.get("i-1").state is DRAINING
+
+    @given(st.permutations(range(5)))
+    def test_any_order_ends_the_same(self, order):
+        calls = [
+            said(sequence=1),
+            said(sequence=2, version=2),
+            said(sequence=3, version=3),
+            said(sequence=4, version=3, state=DRAINING),
+            said(sequence=4, version=3, state=DRAINING),
+        ]
+        table = InstanceTable(forget_after_s=10.0)
+        for place in order:
+            table.take(calls[place])
+        found = table.get("i-1")
+        assert (found.state, found.served[0].version, found.sequence) == (DRAINING, 3, 4)
+
+
+class TestLeaving:
+    async def test_is_final(self, table):
+        table.take(said(sequence=1))
+        assert table.leave("i-1").address == "10.0.0.1:80"
+        assert not table.take(said(sequence=9))
+        assert table.instances() == []
+
+    async def test_may_come_before_any_announcement(self, table):
+        assert table.leave("i-1") is not None
+        assert not table.take(said(sequence=1))
+
+    async def test_twice_is_no_news(self, table):
+        table.take(said())
+        assert table.leave("i-1") is not None
+        assert table.leave("i-1") is None
+
+    async def test_told_by_another_replica_counts(self, table):
+        table.take(said())
+        assert table.take(said(state=GONE))
+        assert table.get("i-1") is None
+
+
+class TestAddresses:
+    def test_used_again_belong_to_the_newer_incarnation(self, table):
+        table.take(said("i-1", heard_s=100.0))
+        table.take(said("i-2", heard_s=110.0))
+        assert table.at_address("10.0.0.1:80").instance == "i-2"
+        assert table.get("i-1") is None
+
+    def test_are_not_taken_back_by_an_older_one(self, table):
+        table.take(said("i-2", heard_s=110.0))
+        assert not table.take(said("i-1", heard_s=100.0))
+        assert table.at_address("10.0.0.1:80").instance == "i-2"
+
+
+class TestSilence:
+    def test_drops_an_incarnation_that_may_come_back(self, table):
+        table.take(said(heard_s=100.0))
+        assert [found.instance for found in table.forget_silent(111.0)] == ["i-1"]
+        assert table.instances() == []
+        assert table.take(said(sequence=2, heard_s=112.0))
+
+
+class TestMessages:
+    def test_carry_ages_in_place_of_times(self):
+        record = said(heard_s=100.0).record(103.0)
+        assert record.heard_age_ms == 3_000
+        elsewhere = Instance.from_record(record, 50.0)
+        assert elsewhere.heard_s == 47.0
+        assert elsewhere.says_the_same(said())
+
+    def test_listeners_hear_each_piece_of_news_once(self, table):
+        heard = []
+        table.on_change(lambda instance: heard.append(instance.state))
+        for sequence, state in itertools.product((1, 2), (READY, READY)):
+            table.take(said(sequence=sequence, state=state))
+        table.take(said(sequence=3, state=DRAINING))
+        assert heard == [READY, DRAINING]
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,88 @@
+"""The adapter is the only place that knows the platform, and it decides nothing."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parents[2] / "src" / "leadhollow"
+ADAPTER = PACKAGE / "platform"
+ENTRY = PACKAGE / "run.py"  # one command of the command line starts the adapter
+
+WIRE_NAMES = (
+    "x-attempt-id",
+    "x-deadline-ms",
+    "x-expect-instance",
+    "x-expect-version",
+    "x-instance-id",
+    "x-length-hint",
+    "x-model",
+    "x-not-executed",
+    "x-prompt-prefix",
+    "x-request-priority",
+    "x-response-signature",
+    "x-tenant",
+    "x-token-usage",
+    "x-weight-versions",
+    "pathprefix",
+    "apikeys",
+    "timeoutms",
+    "targetlatencyms",
+    "gaptargetms",
+    "maxattempts",
+    "heartbeataddress",
+    "coldremainingms",
+    "startmode",
+    "pieceindex",
+    "chunkbytes",
+    "kvused",
+    "/-/",
+    "leadhollow_node_file",
+)
+
+DECIDING_MODULES = {"asyncio", "random", "time", "threading"}
+
+
+def modules(folder: Path) -> list[Path]:
+    return [path for path in sorted(folder.rglob("*.py")) if "generated" not in path.parts]
+
+
+def outside() -> list[Path]:
+    return [path for path in modules(PACKAGE) if ADAPTER not in path.parents]
+
+
+def imported(path: Path) -> set[str]:
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+    return found
+
+
+class TestOutside:
+    @pytest.mark.parametrize("path", outside(), ids=lambda path: str(path.relative_to(PACKAGE)))
+    def test_no_module_knows_the_adapter_or_its_names(self, path):
+        names = {name for name in imported(path) if name.startswith("leadhollow.platform")}
+        assert not names or path == ENTRY
+        text = path.read_text(encoding="utf-8").lower()
+        assert [name for name in WIRE_NAMES if name in text] == []
+
+
+class TestInside:
+    @pytest.mark.parametrize("path", modules(ADAPTER), ids=lambda path: path.name)
+    def test_nothing_waits_or_tries_again(self, path):
+        assert imported(path) & DECIDING_MODULES == set()
+        tree = ast.parse(path.read_text(encoding="utf-8"))
+        assert not any(
+            isinstance(node, ast.While | ast.Await | ast.AsyncFunctionDef)
+            for node in ast.walk(tree)
+        )
+
+    def test_it_is_small(self):
+        lines = sum(len(path.read_text(encoding="utf-8").splitlines()) for path in modules(ADAPTER))
+        product = sum(len(path.read_text(encoding="utf-8").splitlines()) for path in outside())
+        assert lines < product / 20
--- /dev/null
+++ b/tests/platform/test_messages.py
@@ -0,0 +1,366 @@
+"""The platform's messages in the product's own terms."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from leadhollow.codes import Code
+from leadhollow.control.calls import Announce, Depart, NameWeights, PutTable, ReadTable
+from leadhollow.failure import Failure
+from leadhollow.forward.dialect import Dispatch
+from leadhollow.http1.headers import Headers
+from leadhollow.http1.messages import Framing, RequestHead, ResponseHead
+from leadhollow.membership.instances import InstanceState
+from leadhollow.platform.callers import PlatformCalls
+from leadhollow.platform.control import PlatformControl
+from leadhollow.platform.documents import read_configuration
+from leadhollow.platform.engines import PlatformEngine
+from leadhollow.platform.origin import PlatformOrigin
+from leadhollow.routing.model import CallKind
+from leadhollow.staging.engine_dialect import LoadOrder
+
+
+def head(method: str = "POST", target: str = "/a/b", **fields: str) -> RequestHead:
+    items = [(name.replace("_", "-").encode(), value.encode()) for name, value in fields.items()]
+    return RequestHead(method=method.encode(), target=target.encode(), headers=Headers(items=items))
+
+
+class TestCalls:
+    def test_are_read(self):
+        facts = (
+            PlatformCalls()
+            .read_call(
+                head(
+                    X_Attempt_Id="abc",
+                    X_Deadline_Ms="6077",
+                    X_Model="m",
+                    X_Token_Usage="1460,80",
+                    X_Length_Hint="33.5",
+                    X_Prompt_Prefix="5c:800,91:410",
+                    Last_Event_Id="12",
+                    Authorization="Bearer secret",
+                )
+            )
+            .unwrap()
+        )
+        assert facts.attempt_id == "abc"
+        assert facts.deadline_ms == 6077.0
+        assert facts.model == "m"
+        assert (facts.prompt_tokens, facts.output_tokens) == (1460, 80)
+        assert facts.output_hint_tokens == 33.5
+        assert facts.prefix_ids == ("5c", "91")
+        assert facts.last_event_id == 12
+        assert facts.key == "secret"
+
+    def test_without_any_field_are_plain(self):
+        facts = PlatformCalls().read_call(head()).unwrap()
+        assert (facts.deadline_ms, facts.key, facts.model, facts.last_event_id) == (
+            None,
+            "",
+            "",
+            None,
+        )
+
+    @pytest.mark.parametrize(
+        "fields",
+        [{"X_Deadline_Ms": "soon"}, {"X_Token_Usage": "many,few"}, {"Last_Event_Id": "first"}],
+    )
+    def test_that_cannot_be_understood_are_refused(self, fields):
+        failure = PlatformCalls().read_call(head(**fields)).unwrap_err()
+        assert failure.code is Code.REQUEST_MALFORMED
+
+
+class TestDispatch:
+    def test_says_what_is_ours_to_say_and_keeps_the_rest(self):
+        sent = head(
+            Host="h.example",
+            X_Attempt_Id="abc",
+            X_Model="m",
+            X_Tenant="forged",
+            X_Expect_Instance="forged",
+            X_Request_Priority="0",
+            Authorization="Bearer secret",
+            Connection="keep-alive, X-Hop",
+            X_Hop="one",
+            Content_Length="3",
+        )
+        fields = PlatformCalls().dispatched(
+            sent,
+            Dispatch(
+                deadline_ms=1500.7,
+                instance="i-1",
+                organisation="group",
+                version=3,
+                last_event_id=12,
+            ),
+        )
+        assert fields.get_all(b"x-tenant") == [b"group"]
+        assert fields.get_all(b"x-expect-instance") == [b"i-1"]
+        assert fields.get_all(b"x-deadline-ms") == [b"1500"]
+        assert fields.get_all(b"x-expect-version") == [b"3"]
+        assert fields.get_all(b"last-event-id") == [b"12"]
+        assert fields.get(b"x-attempt-id") == b"abc"
+        assert fields.get(b"host") == b"h.example"
+        for dropped in (b"authorization", b"x-hop", b"connection", b"x-request-priority"):
+            assert fields.get(dropped) is None
+
+    def test_without_a_group_names_none(self):
+        dispatch = Dispatch(deadline_ms=1.0, instance="i-1", organisation=None)
+        fields = PlatformCalls().dispatched(head(X_Tenant="forged"), dispatch)
+        assert fields.get(b"x-tenant") is None
+
+
+class TestAnswers:
+    def test_are_read(self):
+        headers = Headers(
+            items=[
+                (b"X-Attempt-Id", b"abc"),
+                (b"X-Response-Signature", b"s"),
+                (b"X-Instance-Id", b"i-2"),
+            ]
+        )
+        answer = ResponseHead(status=200, reason=b"OK", headers=headers, framing=Framing.LENGTH)
+        facts = PlatformCalls().read_answer(answer)
+        assert (facts.attempt_id, facts.signed, facts.not_executed, facts.instance) == (
+            "abc",
+            True,
+            False,
+            "i-2",
+        )
+
+    def test_that_were_not_executed_say_so(self):
+        headers = Headers(items=[(b"X-Not-Executed", b"1")])
+        answer = ResponseHead(status=503, reason=b"", headers=headers, framing=Framing.LENGTH)
+        assert PlatformCalls().read_answer(answer).not_executed
+
+
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "pathPrefix": "/a/",
+    "type": "streaming",
+    "timeoutMs": 6000,
+    "targetLatencyMs": 405,
+    "priority": 1,
+    "service": "engines",
+    "maxAttempts": 2,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "gapTargetMs": 400,
+    "someday": 1,
+}
+ENGINE = {
+    "slots": 16,
+    "kvCapacity": 317000,
+    "stride": 5,
+    "models": [{"name": "m", "pace": 1.0, "loadS": 4.0, "warmS": 0.3}],
+    "step_ms": 9.27,
+    "read_per_s": 20700.0,
+    "usual": {"prompt": 979, "answer": 92},
+    "layers": 16,
+    "chunks": 96,
+    "chunkBytes": 24576,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {"name": "engines", "healthPath": "/health", "maxConnections": 264, "engine": ENGINE},
+        {"name": "origin", "origin": "172.20.0.3:8006", "zone": "z", "maxConnections": 48},
+    ],
+    "limits": {
+        "maxHeaderBytes": 100,
+        "maxBodyBytes": 200,
+        "headerTimeoutMs": 3,
+        "idleTimeoutMs": 4,
+    },
+    "tenants": [{"name": "g", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def configuration(**changes) -> bytes:
+    return json.dumps({**CONFIGURATION, **changes}).encode()
+
+
+def with_route(**changes) -> bytes:
+    return configuration(routes=[{**ROUTE, **changes}])
+
+
+class TestConfigurations:
+    def test_are_read(self):
+        table = read_configuration(configuration()).unwrap()
+        (route,) = table.routes
+        assert table.number == 7
+        assert route.kind is CallKind.STREAM
+        assert (route.path_prefix, route.timeout_ms, route.objective_ms) == ("/a/", 6000, 405)
+        assert (route.attempts, route.resumable, route.pause_objective_ms) == (2, True, 400)
+        assert [(target.service, target.weight) for target in route.targets] == [("engines", 1.0)]
+        engine, origin = table.services
+        assert engine.engine.load_s == {"m": 0.3}
+        assert (engine.engine.layers, engine.engine.chunks) == (16, 96)
+        assert origin.origin == "172.20.0.3:8006"
+        assert (table.limits.header_bytes, table.limits.idle_timeout_ms) == (100, 4)
+        assert table.keyed
+        assert len(table.organisations[0].key_sha256s) == 2
+
+    def test_with_a_split_keep_its_weights(self):
+        split = [{"service": "engines", "weight": 90}, {"service": "origin", "weight": 10}]
+        (route,) = read_configuration(with_route(backends=split)).unwrap().routes
+        assert [target.weight for target in route.targets] == [90.0, 10.0]
+
+    def test_without_tenants_ask_for_no_key(self):
+        without = {key: value for key, value in CONFIGURATION.items() if key != "tenants"}
+        assert not read_configuration(json.dumps(without).encode()).unwrap().keyed
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            configuration()[:-20],
+            b"[]",
+            configuration(version="seven"),
+            json.dumps({"version": 1}).encode(),
+            with_route(type="carrier-pigeon"),
+            with_route(timeoutMs="long"),
+        ],
+    )
+    def test_that_cannot_be_read_in_full_are_refused(self, body):
+        assert read_configuration(body).unwrap_err().code is Code.TABLE_UNREADABLE
+
+
+def call(method: str, target: str, body: bytes = b""):
+    return PlatformControl().read_call(head(method, target), body, 100.0)
+
+
+BEAT = {
+    "service": "s",
+    "address": "10.0.0.9:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 16,
+    "state": "ready",
+    "coldRemainingMs": 500,
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "layers": [{"from": 0, "target": 16, "version": 1}],
+    "sequence": 4,
+}
+
+
+class TestControlCalls:
+    def test_are_read(self):
+        assert isinstance(call("GET", "/-/config").unwrap(), ReadTable)
+        put = call("PUT", "/-/config", configuration()).unwrap()
+        assert isinstance(put, PutTable)
+        assert put.source == configuration()
+        named = call("POST", "/-/version-put", b'{"model":"m","version":2}').unwrap()
+        assert isinstance(named, NameWeights)
+        assert (named.model, named.number) == ("m", 2)
+        gone = call("DELETE", "/-/instances/i-1").unwrap()
+        assert isinstance(gone, Depart)
+        assert gone.instance == "i-1"
+
+    def test_announcements_are_read(self):
+        beat = call("PUT", "/-/instances/i-1", json.dumps(BEAT).encode()).unwrap()
+        assert isinstance(beat, Announce)
+        said = beat.instance
+        assert (said.instance, said.address, said.failure_domain) == ("i-1", "10.0.0.9:80", "z")
+        assert (said.sequence, said.state, said.cold_until_s) == (4, InstanceState.READY, 100.5)
+        assert [served.key() for served in said.served] == [("m", 1, 0, 16)]
+
+    @pytest.mark.parametrize(
+        ("method", "target", "body", "code"),
+        [
+            ("GET", "/-/nothing", b"", Code.SERVICE_UNKNOWN),
+            ("PUT", "/-/config", b"{", Code.TABLE_UNREADABLE),
+            ("PUT", "/-/config", with_route(service="nobody"), Code.TABLE_INVALID),
+            ("PUT", "/-/config", with_route(timeoutMs=0), Code.TABLE_INVALID),
+            ("POST", "/-/version-put", b"{}", Code.VERSION_MALFORMED),
+            ("PUT", "/-/instances/i-1", b"no", Code.REQUEST_MALFORMED),
+            (
+                "PUT",
+                "/-/instances/i-1",
+                json.dumps({**BEAT, "state": "asleep"}).encode(),
+                Code.REQUEST_MALFORMED,
+            ),
+            (
+                "PUT",
+                "/-/instances/i-1",
+                json.dumps({**BEAT, "slots": -5}).encode(),
+                Code.REQUEST_MALFORMED,
+            ),
+        ],
+    )
+    def test_that_are_wrong_get_a_number(self, method, target, body, code):
+        assert call(method, target, body).unwrap_err().code is code
+
+    @pytest.mark.parametrize(
+        ("code", "status"),
+        [
+            (Code.TABLE_INVALID, 400),
+            (Code.TABLE_UNREADABLE, 400),
+            (Code.NO_MAJORITY, 503),
+            (Code.EDIT_UNKNOWN, 503),
+            (Code.READ_UNCONFIRMED, 503),
+        ],
+    )
+    def test_that_fail_get_a_status_that_says_whether_to_ask_again(self, code, status):
+        assert PlatformControl().refused(Failure(code=code)).status == status
+
+
+class TestEngines:
+    def test_reports_are_read(self):
+        body = {
+            "stage": "both",
+            "models": [{"name": "m", "version": 2, "adapters": []}],
+            "layers": {"from": 0, "target": 16, "version": 2},
+            "busy": True,
+            "sequence": 2,
+            "queued": 1,
+            "active": 12,
+            "kvUsed": 41000,
+            "kvTotal": 90000,
+            "pace": 1.5,
+        }
+        report = PlatformEngine().read_report(json.dumps(body).encode()).unwrap()
+        assert (report.busy, report.sequence, report.queued, report.active) == (True, 2, 1, 12)
+        assert report.pace == 1.5
+        assert [served.key() for served in report.served] == [("m", 2, 0, 16)]
+
+    def test_without_layers_a_model_is_whole(self):
+        report = PlatformEngine().read_report(b'{"models":[{"name":"m","version":1}]}').unwrap()
+        assert report.served[0].end_layer > 1_000
+
+    def test_without_models_nothing_is_served(self):
+        assert PlatformEngine().read_report(b'{"models":[],"layers":[]}').unwrap().served == ()
+
+    def test_what_is_no_report_gets_a_number(self):
+        assert PlatformEngine().read_report(b"no").unwrap_err().code is Code.ENGINE_FAILED
+
+    def test_orders_are_written(self):
+        order = LoadOrder(model="m", version=2, preempt=True, expected_sequence=3)
+        assert json.loads(PlatformEngine().write_order(order)) == {
+            "op": "start",
+            "model": "m",
+            "version": 2,
+            "startMode": "preempt",
+            "precondition": 3,
+        }
+
+
+class TestOrigin:
+    def test_manifests_are_read(self):
+        digests = ["00" * 32, "ff" * 32]
+        body = {"model": "m", "version": 2, "chunkBytes": 9, "layers": 4, "digests": digests}
+        described = PlatformOrigin().read_manifest(json.dumps(body).encode()).unwrap()
+        assert (described.model, described.number) == ("m", 2)
+        assert described.manifest.piece_count == 2
+        assert described.manifest.algorithm == "sha256"
+
+    @pytest.mark.parametrize("digests", [["zz"], ["00"]])
+    def test_spoilt_manifests_get_a_number(self, digests):
+        body = {"model": "m", "version": 2, "chunkBytes": 9, "digests": digests}
+        failure = PlatformOrigin().read_manifest(json.dumps(body).encode()).unwrap_err()
+        assert failure.code is Code.MANIFEST_INVALID
--- /dev/null
+++ b/tests/state/seeded_group.py
@@ -0,0 +1,152 @@
+"""Control replicas found from seeds, on loopback, that can be stopped, wiped, replaced and cut."""
+
+from __future__ import annotations
+
+import shutil
+from pathlib import Path
+
+from leadhollow.control.replica_service import STATE_FOLDER, ReplicaService
+from leadhollow.settings.address import Address
+from leadhollow.settings.model import StateSettings
+from leadhollow.settings.node import NodeRole, NodeSettings
+from leadhollow.state.commands import NameVersion
+from leadhollow.state.log_store import LogStore
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.peers import PeerPool
+from leadhollow.wire.server import WireServer
+from tests.support import TOKEN, eventually
+
+PORTS = (7_400, 7_409)
+MODEL = "model"
+
+
+class SeededNode:
+    """One replica; all have the same port, so each has an address of 127.0.0.0/8 of its own."""
+
+    def __init__(self, group: SeededGroup, host: str, *, first_start: bool) -> None:
+        self.host = host
+        self.folder = group.folder / host
+        self.settings = NodeSettings(
+            vm=host,
+            region="r",
+            failure_domain=f"domain-{host}",
+            role=NodeRole.CONTROL,
+            host=host,
+            ports=(group.port, group.port + 9),
+            seeds=tuple(f"{seed}:1" for seed in group.told_seeds),
+            first_start=first_start,
+            data_folder=str(self.folder),
+            state=StateSettings(heartbeat_ms=40, election_timeout_ms=200, snapshot_entries=32),
+        )
+        self.handlers = HandlerTable()
+        self.peers = PeerPool(vm=host, failure_domain="d", token=TOKEN, handlers=self.handlers)
+        address = Address.parse(self.settings.wire_address).unwrap()
+        self.server = WireServer(address=address, token=TOKEN, handlers=self.handlers)
+        self.service = ReplicaService(
+            settings=self.settings, peers=self.peers, handlers=self.handlers
+        )
+
+    @property
+    def replica(self):
+        return self.service.replica
+
+    async def start(self) -> None:
+        assert (await self.server.start()).is_ok()
+        assert (await self.service.start()).is_ok()
+
+    async def stop(self) -> None:
+        await self.peers.stop()
+        await self.service.stop()
+        await self.server.stop()
+
+
+class SeededGroup:
+    """Three seeds, and whatever joins them."""
+
+    def __init__(self, *, folder: Path, port: int) -> None:
+        self.folder = folder
+        self.port = port
+        self.seeds = [f"127.0.0.{number}" for number in (11, 12, 13)]
+        self.told_seeds = list(self.seeds)  # what settings name; it may change later
+        self.nodes: dict[str, SeededNode] = {}
+        self._number = 0
+
+    async def start_all(self) -> None:
+        for host in self.seeds:
+            await self.start(host, first_start=True)
+
+    async def start(self, host: str, *, first_start: bool = False) -> SeededNode:
+        node = SeededNode(self, host, first_start=first_start)
+        self.nodes[host] = node
+        await node.start()
+        return node
+
+    async def stop(self, host: str) -> None:
+        await self.nodes.pop(host).stop()
+
+    async def stop_all(self) -> None:
+        for host in list(self.nodes):
+            await self.stop(host)
+
+    def wipe(self, host: str) -> None:
+        shutil.rmtree(self.folder / host)
+
+    def cut(self, *hosts: str) -> None:
+        """Cut some replicas off from all others, both ways."""
+        for name, node in self.nodes.items():
+            apart = {
+                other.settings.wire_address
+                for other_name, other in self.nodes.items()
+                if (other_name in hosts) != (name in hosts)
+            }
+            node.peers.cut(apart)
+
+    def heal(self) -> None:
+        for node in self.nodes.values():
+            node.peers.cut(set())
+
+    def leader(self) -> SeededNode | None:
+        ready = [node for node in self.nodes.values() if node.replica.ready()]
+        return max(ready, key=lambda node: node.replica.term, default=None)
+
+    async def wait_leader(self) -> SeededNode:
+        return await eventually(self.leader, "a leader")
+
+    async def wait_voters(self, *hosts: str) -> None:
+        """Wait until exactly these hosts vote, as the leader sees it."""
+        wanted = sorted(f"{host}:{self.port}" for host in hosts)
+
+        def settled() -> bool:
+            leader = self.leader()
+            if leader is None or leader.replica.commit_index < leader.replica.voters.index:
+                return False
+            found = sorted(voter.address for voter in leader.replica.voters.voters)
+            identities = {node.replica.vm for node in self.nodes.values() if node.host in hosts}
+            return found == wanted and identities == {
+                voter.replica for voter in leader.replica.voters.voters
+            }
+
+        await eventually(settled, f"voters {hosts}")
+
+    async def accept(self) -> int:
+        """Have one more version named; gives its number once it is acknowledged."""
+        self._number += 1
+        while True:
+            leader = await self.wait_leader()
+            command = NameVersion(model=MODEL, number=self._number)
+            done = await leader.service.gateway.propose(command, timeout_s=2.0)
+            if done.is_ok():
+                return self._number
+
+    def newest(self, host: str) -> int:
+        """Give the newest version that a replica has applied."""
+        catalog = self.nodes[host].replica.machine.catalog
+        numbers = [
+            int(key.rpartition("/")[2])
+            for key, item in catalog.items().items()
+            if key.startswith(f"weights/{MODEL}/") and item.value is not None
+        ]
+        return max(numbers, default=0)
+
+    def store_of(self, host: str) -> LogStore:
+        return LogStore(folder=self.folder / host / STATE_FOLDER)
