Leave the pieces of others to them after the origin was away

Cause: after an outage of the origin of 4 s every stager put all missing pieces on its own queue there and never looked at other stagers again for them; each read the whole copy (7.4 copies left the origin) and the outage of all engines lasted 20 s longer than the origin's.

Change: two pieces at a time are on order at the origin, what did not come is planned anew from anybody, and the time after which others' pieces are read does not run while the origin does not answer. Choice of the source is a module of its own, tested without a network. A lost probe counts as a slow link only where the last one that arrived was slow.

--- a/src/leadhollow/staging/link_gauge.py
+++ b/src/leadhollow/staging/link_gauge.py
@@ -30,12 +30,13 @@
         Part of the link's declared speed that pieces may use now.
     """
 
-    __slots__ = ("_feed", "_peers", "_vm", "share")
+    __slots__ = ("_feed", "_last_delay_s", "_peers", "_vm", "share")
 
     def __init__(self, *, feed: ControlFeed, peers: PeerPool, vm: str) -> None:
         self._feed = feed
         self._peers = peers
         self._vm = vm
+        self._last_delay_s = 0.0
         self.share = 1.0
         super().__init__()
 
@@ -52,12 +53,19 @@
             self.note(loop.time() - asked_s, lost=answered.is_err())
 
     def note(self, delay_s: float, *, lost: bool) -> None:
-        """Take one probe's delay."""
+        """Take one probe's delay.
+
+        A lost probe says nothing of our link where the one before was quick: the control replica
+        may be gone.
+        """
         before = self.share
-        if lost or delay_s > SLOW_S:
+        slow = self._last_delay_s > FAST_S if lost else delay_s > SLOW_S
+        if slow:
             self.share = max(LEAST, self.share * SHRINK)
-        elif delay_s < FAST_S:
+        elif lost or delay_s < FAST_S:
             self.share = min(1.0, self.share + GROW)
+        if not lost:
+            self._last_delay_s = delay_s
         if before == 1.0 and self.share < 1.0:
             log.warning("link is slow", delay_ms=round(delay_s * 1000), lost=lost)
 
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable, Coroutine
 
 from leadhollow.observe.logs import get_logger
+from leadhollow.staging.choice import Origin, SourceChoice
 from leadhollow.staging.origin_source import OriginSource
+from leadhollow.staging.piece_source import STALLED_AFTER_S, PieceSource
 from leadhollow.staging.pieces import StagedVersion
-from leadhollow.staging.sharing import Sharing, Stager
+from leadhollow.staging.sharing import Stager
 from leadhollow.staging.turns import turn_of
 from leadhollow.weights.bitmap import Bitmap
 from leadhollow.weights.pacing import Pacer
@@ -25,11 +26,7 @@
 PLAN_INTERVAL_S = 0.02
 WATCH_AGAIN_S = 0.3
 MEET_S = 0.5  # time to reach the other stagers before the first order
-STALLED_AFTER_S = 2.0  # a source that sends nothing of what was ordered is left alone
-AVOIDED_S = 1.5  # for this long
-IMPORT_ANYWAY_S = 3.0  # for a piece that another one should bring in, and did not
-ORIGIN_ANYWAY_S = 4.0  # for a piece that nobody holds although another one should have read it
-PER_SOURCE = 2
+FROM_ORIGIN = 2  # pieces on order there: one on its way, one to follow it at once
 SLOW_PIECE_S = 0.7  # from order to arrival; with a full window it is a quarter second
 QUICK_PIECE_S = 0.4
 WINDOW_STEP = 0.25
@@ -39,46 +36,12 @@
 """Pieces on their way: enough to keep our link full while senders are busy with others, and no
 more, because the requests for the engine come over the same link."""
 
+REPORT_INTERVAL_S = 1.0
 FAILED_PAUSE_S = 0.2
 
 log = get_logger("fetch")
 
 
-class _Source:
-    """Another stager: what it holds and what is ordered there."""
-
-    __slots__ = (
-        "avoided_until_s",
-        "connected",
-        "held",
-        "ordered",
-        "progress_s",
-        "receiving",
-        "stager",
-        "tasks",
-        "tried",
-    )
-
-    def __init__(self, *, stager: Stager, count: int) -> None:
-        self.stager = stager
-        self.held = Bitmap(count=count)
-        self.ordered: set[int] = set()
-        self.connected = False
-        self.tried = False
-        self.progress_s = 0.0
-        self.avoided_until_s = 0.0
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.receiving: set[asyncio.Task[None]] = set()
-
-    def usable(self, now_s: float) -> bool:
-        """Tell whether it can be asked."""
-        return self.connected and now_s >= self.avoided_until_s
-
-    def stalled(self, now_s: float) -> bool:
-        """Tell whether it owes us pieces and has sent nothing for long."""
-        return bool(self.ordered) and now_s - self.progress_s > STALLED_AFTER_S
-
-
 class PieceFetch:
     """One version on its way.
 
@@ -96,6 +59,7 @@
 
     __slots__ = (
         "_arrived_s",
+        "_choice",
         "_download",
         "_from_origin",
         "_link_share",
@@ -105,11 +69,9 @@
         "_others",
         "_own",
         "_peers",
-        "_random",
         "_sources",
         "_started_s",
         "_wake",
-        "_wanted_since_s",
         "_window",
         "version",
     )
@@ -133,11 +95,10 @@
         self._origin = origin
         self._peers = peers
         self._download = Pacer(rate_bytes_per_s=lambda: link_bytes_per_s() * DOWNLOAD_SHARE)
-        self._random = random.Random(seed)
-        self._sources: dict[str, _Source] = {}
-        self._ordered: dict[int, _Source | None] = {}  # pieces on their way; None: the origin
+        self._choice = SourceChoice(own=own, number=version.number, seed=seed)
+        self._sources: dict[str, PieceSource] = {}
+        self._ordered: dict[int, PieceSource | None] = {}  # pieces on their way; None: the origin
         self._ordered_s: dict[int, float] = {}
-        self._wanted_since_s: dict[int, float] = {}
         self._arrived_s = 0.0
         self._window = float(WINDOW)
         self._from_origin: asyncio.Queue[int] = asyncio.Queue()
@@ -150,6 +111,7 @@
         self._started_s = loop.time()
         tasks = [loop.create_task(self._read_origin()) for _ in range(ORIGIN_READERS)]
         tasks.append(loop.create_task(self._keep_planning()))
+        tasks.append(loop.create_task(self._keep_reporting()))
         try:
             while not self.version.complete:
                 await self.version.changed()
@@ -167,6 +129,22 @@
             origin_bytes=self._origin.bytes_read,
         )
 
+    async def _keep_reporting(self) -> None:
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            log.info(
+                "fetch progress",
+                model=self.version.model,
+                number=self.version.number,
+                held=self.version.held.held,
+                pieces=self.version.held.count,
+                on_order=len(self._ordered),
+                from_origin=self._on_order_at_origin(),
+                sources=sum(1 for source in self._sources.values() if source.connected),
+                window=round(self._window, 2),
+                link_share=round(self._link_share(), 2),
+            )
+
     async def _keep_planning(self) -> None:
         while True:
             self._wake.clear()
@@ -187,7 +165,7 @@
                 self._lose(self._sources.pop(address))
         for address, stager in present.items():
             if address not in self._sources:
-                source = _Source(stager=stager, count=self.version.held.count)
+                source = PieceSource(stager=stager, count=self.version.held.count)
                 self._sources[address] = source
                 self._spawn(source, self._watch(source))
 
@@ -201,34 +179,45 @@
         """Order missing pieces that somebody holds, as far as our link goes."""
         now_s = asyncio.get_running_loop().time()
         self._leave_stalled(now_s)
+        if not self._stager_room() and not self._origin_room():
+            return
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
-        self._random.shuffle(missing)
-        missing.sort(key=self._is_near)  # what we are to bring in goes first: others wait for it
-        room = self._room()
-        sharing = self._share(now_s)
-        for index in missing:
-            if room <= 0 or not self._download.ready():
-                return
-            source = self._choose(index, now_s, sharing)
-            if source is not None:
-                room -= 1
-                self._download.spend(self.version.manifest.chunk_bytes)
-                self._order(index, source, now_s)
-                self._spawn_receive(source, [index])
-
-    def _room(self) -> int:
-        """Tell how many more pieces may be ordered from other stagers now."""
-        window = max(1, round(self._window * self._link_share()))
+        self._choice.look(self._sources.values(), number=self.version.number, now_s=now_s)
+        for index in self._choice.in_order(missing):
+            source = self._choice.source(index, now_s)
+            if isinstance(source, PieceSource):
+                self._order_from_stager(index, source, now_s)
+            elif source is Origin.ORIGIN:
+                self._order_from_origin(index)
+
+    def _order_from_stager(self, index: int, source: PieceSource, now_s: float) -> None:
+        if not self._stager_room():
+            return
+        self._download.spend(self.version.manifest.chunk_bytes)
+        self._order(index, source, now_s)
+        self._spawn_receive(source, [index])
+
+    def _order_from_origin(self, index: int) -> None:
+        if self._origin_room():
+            self._ordered[index] = None
+            self._from_origin.put_nowait(index)
+
+    def _stager_room(self) -> bool:
+        """Tell whether another piece may be ordered from a stager now."""
+        window = self._current_window()
         if window < WINDOW:  # the link is slow: what the origin sends comes over it too
-            return window - len(self._ordered)
-        return window - sum(1 for source in self._ordered.values() if source is not None)
-
-    def _is_near(self, index: int) -> bool:
-        own_domain = self._own.failure_domain
-        return any(
-            source.stager.failure_domain == own_domain and index in source.held
-            for source in self._sources.values()
-        )
+            return len(self._ordered) < window and self._download.ready()
+        return len(self._ordered) - self._on_order_at_origin() < window and self._download.ready()
+
+    def _origin_room(self) -> bool:
+        """Tell whether another piece may be ordered from the origin now."""
+        return self._on_order_at_origin() < FROM_ORIGIN
+
+    def _current_window(self) -> int:
+        return max(1, round(self._window * self._link_share()))
+
+    def _on_order_at_origin(self) -> int:
+        return sum(1 for source in self._ordered.values() if source is None)
 
     def _leave_stalled(self, now_s: float) -> None:
         if now_s - self._arrived_s > STALLED_AFTER_S / 2:
@@ -236,58 +225,17 @@
         for source in self._sources.values():
             if source.stalled(now_s):
                 log.warning("source stalled", source=source.stager.address)
-                source.avoided_until_s = now_s + AVOIDED_S
-                for task in source.receiving:
-                    task.cancel()
+                source.avoid(now_s)
                 self._give_back(source, list(source.ordered))
 
-    def _order(self, index: int, source: _Source, now_s: float) -> None:
+    def _order(self, index: int, source: PieceSource, now_s: float) -> None:
         self._ordered[index] = source
         self._ordered_s[index] = now_s
         if not source.ordered:
             source.progress_s = now_s
         source.ordered.add(index)
 
-    def _choose(self, index: int, now_s: float, sharing: Sharing) -> _Source | None:
-        """Choose whom to ask for a piece now; None where it has to wait, or the origin is asked."""
-        inside = self._holders(index, now_s, inside=True)
-        if inside:
-            return self._freest(inside)
-        since_s = self._wanted_since_s.setdefault(index, now_s)
-        ours = sharing.importer(index, self._own.failure_domain) == self._own
-        if not ours and now_s - since_s < IMPORT_ANYWAY_S:
-            return None
-        outside = self._holders(index, now_s, inside=False)
-        if outside:
-            return self._freest(outside)
-        reads = sharing.origin_reader(index) == self._own or now_s - since_s >= ORIGIN_ANYWAY_S
-        if reads and self._room() > 0:
-            self._ordered[index] = None
-            self._from_origin.put_nowait(index)
-        return None
-
-    def _share(self, now_s: float) -> Sharing:
-        usable = [source.stager for source in self._sources.values() if source.usable(now_s)]
-        return Sharing(number=self.version.number, stagers=[self._own, *usable])
-
-    def _freest(self, sources: list[_Source]) -> _Source | None:
-        free = [source for source in sources if len(source.ordered) < PER_SOURCE]
-        return min(free, key=self._busy) if free else None
-
-    def _holders(self, index: int, now_s: float, *, inside: bool) -> list[_Source]:
-        own_domain = self._own.failure_domain
-        return [
-            source
-            for source in self._sources.values()
-            if source.usable(now_s)
-            and index in source.held
-            and (source.stager.failure_domain == own_domain) == inside
-        ]
-
-    def _busy(self, source: _Source) -> tuple[int, float]:
-        return len(source.ordered), self._random.random()
-
-    async def _watch(self, source: _Source) -> None:
+    async def _watch(self, source: PieceSource) -> None:
         """Follow what another stager holds for as long as it takes part."""
         version = self.version
         request = PieceWatch(
@@ -313,7 +261,7 @@
                 self._set_connected(source, False)
             await asyncio.sleep(WATCH_AGAIN_S)
 
-    async def _receive(self, source: _Source, indexes: list[int]) -> None:
+    async def _receive(self, source: PieceSource, indexes: list[int]) -> None:
         """Take the pieces of one order as they come."""
         version = self.version
         connected = await self._peers.connection(source.stager.address)
@@ -344,7 +292,7 @@
             stream.cancel()
             self._give_back(source, indexes)
 
-    def _take(self, source: _Source, index: int, data: bytes) -> None:
+    def _take(self, source: PieceSource, index: int, data: bytes) -> None:
         source.ordered.discard(index)
         source.progress_s = self._arrived_s = asyncio.get_running_loop().time()
         self._adapt_window(self._arrived_s - self._ordered_s.pop(index, self._arrived_s))
@@ -372,7 +320,7 @@
         before = sum(1 for stager in stagers if turn_of(stager.address, number) < own)
         return min(before, EARLY_TURNS)
 
-    def _give_back(self, source: _Source, indexes: list[int]) -> None:
+    def _give_back(self, source: PieceSource, indexes: list[int]) -> None:
         """Let pieces that did not come be ordered anew."""
         for index in indexes:
             source.ordered.discard(index)
@@ -380,36 +328,41 @@
                 del self._ordered[index]
         self._wake.set()
 
-    def _lose(self, source: _Source) -> None:
+    def _lose(self, source: PieceSource) -> None:
         for task in source.tasks:
             task.cancel()
         self._give_back(source, list(source.ordered))
 
-    def _set_connected(self, source: _Source, connected: bool) -> None:
+    def _set_connected(self, source: PieceSource, connected: bool) -> None:
         if source.connected is not connected or not source.tried:
             source.tried = True
             source.connected = connected
             self._wake.set()
 
     async def _read_origin(self) -> None:
+        """Read one piece after another; what did not come is planned anew, from anybody."""
         version = self.version
         while True:
             index = await self._from_origin.get()
-            while index not in version.held:
+            if index not in version.held:
                 data = await self._origin.piece(version.model, version.number, index)
-                if data is not None and version.take(index, data):
-                    break
-                if data is not None:
+                if data is None:
+                    self._choice.origin_failed(asyncio.get_running_loop().time())
+                    await asyncio.sleep(FAILED_PAUSE_S)
+                elif not version.take(index, data):
                     log.warning("piece spoilt", index=index, source="origin")
-                await asyncio.sleep(FAILED_PAUSE_S)
+                    await asyncio.sleep(FAILED_PAUSE_S)
             self._ordered.pop(index, None)
+            self._wake.set()
 
-    def _spawn_receive(self, source: _Source, indexes: list[int]) -> None:
+    def _spawn_receive(self, source: PieceSource, indexes: list[int]) -> None:
         task = self._spawn(source, self._receive(source, indexes))
         source.receiving.add(task)
         task.add_done_callback(source.receiving.discard)
 
-    def _spawn(self, source: _Source, work: Coroutine[object, object, None]) -> asyncio.Task[None]:
+    def _spawn(
+        self, source: PieceSource, work: Coroutine[object, object, None]
+    ) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         source.tasks.add(task)
         task.add_done_callback(source.tasks.discard)
--- a/src/leadhollow/weights/bitmap.py
+++ b/src/leadhollow/weights/bitmap.py
@@ -67,6 +67,10 @@
         """Give the bits, chunk 0 in the lowest bit of the first byte."""
         return bytes(self._bits)
 
+    def mask(self) -> int:
+        """Give the chunks that are held as the bits of a number."""
+        return int.from_bytes(self._bits, "little")
+
     def __contains__(self, index: int) -> bool:
         return bool(self._bits[index >> 3] & (1 << (index & 7)))
 
--- /dev/null
+++ b/tests/staging/test_choice.py
@@ -0,0 +1,94 @@
+"""Tests of whom a stager asks for a piece."""
+
+from __future__ import annotations
+
+import pytest
+
+from leadhollow.staging.choice import (
+    IMPORT_ANYWAY_S,
+    ORIGIN_ANYWAY_S,
+    PER_SOURCE,
+    Origin,
+    SourceChoice,
+)
+from leadhollow.staging.piece_source import PieceSource
+from leadhollow.staging.sharing import Sharing, Stager
+
+PIECES = 24
+OWN = Stager(address="127.0.0.1:1", failure_domain="a")
+NEIGHBOUR = Stager(address="127.0.0.1:2", failure_domain="a")
+FAR = Stager(address="127.0.0.1:3", failure_domain="b")
+
+
+def a_source(stager: Stager, *held: int) -> PieceSource:
+    source = PieceSource(stager=stager, count=PIECES)
+    source.connected = source.tried = True
+    source.held.add_all(held)
+    return source
+
+
+def a_choice(*sources: PieceSource) -> SourceChoice:
+    choice = SourceChoice(own=OWN, number=1, seed=1)
+    choice.look(sources, number=1, now_s=0.0)
+    return choice
+
+
+def read_by(stager: Stager) -> int:
+    sharing = Sharing(number=1, stagers=[OWN, NEIGHBOUR, FAR])
+    return next(index for index in range(PIECES) if sharing.origin_reader(index) == stager)
+
+
+class TestSourceChoice:
+    def test_takes_from_a_neighbour_what_it_holds(self):
+        neighbour, far = a_source(NEIGHBOUR, 5), a_source(FAR, 5)
+        assert a_choice(neighbour, far).source(5, 0.0) is neighbour
+
+    def test_asks_nobody_who_owes_enough(self):
+        neighbour = a_source(NEIGHBOUR, 5, 6)
+        neighbour.ordered.update(range(10, 10 + PER_SOURCE))
+        assert a_choice(neighbour, a_source(FAR, 5)).source(5, 0.0) is None
+
+    def test_reads_its_own_pieces_from_the_origin(self):
+        choice = a_choice(a_source(NEIGHBOUR), a_source(FAR))
+        assert choice.source(read_by(OWN), 0.0) is Origin.ORIGIN
+        assert choice.source(read_by(NEIGHBOUR), 0.0) is None
+
+    def test_brings_in_what_another_one_should_have_brought(self):
+        sharing = Sharing(number=1, stagers=[OWN, NEIGHBOUR, FAR])
+        index = next(
+            index
+            for index in range(PIECES)
+            if sharing.origin_reader(index) == FAR and sharing.importer(index, "a") == NEIGHBOUR
+        )
+        far = a_source(FAR, index)
+        choice = a_choice(a_source(NEIGHBOUR), far)
+        assert choice.source(index, 0.0) is None
+        assert choice.source(index, IMPORT_ANYWAY_S) is far
+
+    def test_reads_what_another_one_should_have_read(self):
+        choice = a_choice(a_source(NEIGHBOUR), a_source(FAR))
+        index = read_by(NEIGHBOUR)
+        assert choice.source(index, 0.0) is None
+        assert choice.source(index, ORIGIN_ANYWAY_S) is Origin.ORIGIN
+
+    @pytest.mark.parametrize("outage_s", [1.0, 6.0, 60.0])
+    def test_leaves_the_pieces_of_others_to_them_after_the_origin_was_away(self, outage_s):
+        choice = a_choice(a_source(NEIGHBOUR), a_source(FAR))
+        index = read_by(NEIGHBOUR)
+        choice.source(index, 0.0)
+        choice.origin_failed(outage_s)
+        assert choice.source(index, outage_s + 0.9 * ORIGIN_ANYWAY_S) is None
+        assert choice.source(index, outage_s + ORIGIN_ANYWAY_S) is Origin.ORIGIN
+
+    def test_does_the_tasks_of_those_that_are_gone(self):
+        index = read_by(NEIGHBOUR)
+        choice = SourceChoice(own=OWN, number=1, seed=1)
+        choice.look([], number=1, now_s=0.0)
+        assert choice.source(index, 0.0) is Origin.ORIGIN
+
+    def test_asks_first_for_what_neighbours_wait_for(self):
+        held = [index for index in range(PIECES) if index % 2]
+        order = a_choice(a_source(NEIGHBOUR, *held), a_source(FAR)).in_order(list(range(PIECES)))
+        assert sorted(order) == list(range(PIECES))
+        assert set(order[PIECES // 2 :]) == set(held)
+        assert Sharing(number=1, stagers=[OWN, NEIGHBOUR, FAR]).origin_reader(order[0]) == OWN
