Keep requests away from engines behind a slow path

Change: the window belongs to the stager, not to a version; over a slow link what the origin sends counts too. Stagers measure the delay of small messages and report it with the load; entries add it to what they expect of an engine, and near the bound leave an engine alone by four times its delay.

--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -15,6 +15,7 @@
 REPORT_VALID_S = 1.5
 LATE_WEIGHT = 0.25  # of the newest first event in the running mean
 LATE_HALF_LIFE_S = 2.0
+USUAL_PATH_MS = 60  # between failure domains, with some pieces of weights in front
 PACE_UNIT = 1000  # reports give the pace in thousandths
 
 log = get_logger("board")
@@ -136,6 +137,13 @@
         report = self.fresh_report(now_s)
         return report is not None and bool(report.record.switching)
 
+    def path_delay_ms(self, now_s: float) -> float:
+        """Give how much longer than usual small messages take to the server's VM and back."""
+        report = self.fresh_report(now_s)
+        if report is None or (report.record.path_delay_ms or 0) < USUAL_PATH_MS:
+            return 0.0
+        return float(report.record.path_delay_ms or 0)
+
     def served(self, now_s: float) -> tuple[ServedVersion, ...]:
         """Give the weights it holds, as the newer of report and announcement says."""
         report = self.fresh_report(now_s)
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -28,6 +28,7 @@
 FAR_PENALTY_MS = 12.0  # a server of another failure domain must answer this much sooner
 SPREAD_MS = 6.0  # random part, so that entries with the same view do not all choose the same
 SURE_S = 2.5  # before weights become too old, only servers that are heard of get requests for them
+PATH_FACTOR = 4  # a path that was slow may be this much slower when the request takes it
 RECENT_S = 0.8  # their reports come ten times a second where their link is as it should be
 SAFE_S = 0.35  # time in which a request begins at a server that is not overloaded
 UNHEARD_MS = 250.0  # a server that does not report is thought this much slower than one that does
@@ -281,7 +282,7 @@
         for server, version in eligible:
             demand = server.demand(model, now_s, unseen)
             first_ms = model.first_event_ms(demand, wish.prompt_tokens)
-            first_ms += max(0.0, server.late_ms(now_s))
+            first_ms += max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
             if heard and server.fresh_report(now_s) is None:
                 first_ms += UNHEARD_MS
             rank = first_ms + self._random.uniform(0, SPREAD_MS)
@@ -316,6 +317,7 @@
     def _begins_in_time(self, model: str, server: Server, version: int, now_s: float) -> bool:
         """Tell whether a request will surely begin before the server's weights are too old."""
         left_s = self._versions.begin_by_s(model, version) - now_s
+        left_s -= PATH_FACTOR * server.path_delay_ms(now_s) / 1000
         if left_s > SURE_S:
             return True
         report = server.fresh_report(now_s)
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -19,6 +19,7 @@
 from leadhollow.staging.piece_server import PieceServer
 from leadhollow.staging.pieces import PieceStore, StagedVersion
 from leadhollow.staging.sharing import Stager
+from leadhollow.staging.window import PieceWindow
 
 if TYPE_CHECKING:
     from leadhollow.kernel.service import Service
@@ -81,6 +82,8 @@
     def link_bytes_per_s() -> float:
         return settings.link_mbit_per_s * BYTES_PER_MBIT * link_share()
 
+    window = PieceWindow(link_share=link_share)
+
     def start_fetch(version: StagedVersion) -> PieceFetch:
         return PieceFetch(
             version=version,
@@ -89,7 +92,7 @@
             origin=origin,
             peers=process.peers,
             link_bytes_per_s=link_bytes_per_s,
-            link_share=link_share,
+            window=window,
             seed=process.seed,
         )
 
@@ -104,7 +107,11 @@
 
     def make_watch() -> Service:
         return EngineWatch(
-            address=engine_settings.address, engine=engine, feed=feed(), peers=process.peers
+            address=engine_settings.address,
+            engine=engine,
+            feed=feed(),
+            peers=process.peers,
+            path_delay_s=kernel.get("link-gauge", LinkGauge).delay_s,
         )
 
     def make_installer() -> Service:
@@ -141,7 +148,7 @@
     kernel.register("link-gauge", make_gauge, needs=("feed",))
     kernel.register("pieces", make_pieces, needs=("wire", "link-gauge"))
     kernel.register("feed", make_feed, needs=("wire",))
-    kernel.register("engine-watch", make_watch, needs=("feed",))
+    kernel.register("engine-watch", make_watch, needs=("feed", "link-gauge"))
     kernel.register("installer", make_installer, needs=("engine-watch", "pieces"))
 
 
--- a/src/leadhollow/staging/link_gauge.py
+++ b/src/leadhollow/staging/link_gauge.py
@@ -21,6 +21,15 @@
 log = get_logger("link")
 
 
+class _Probe:
+    __slots__ = ("asked_s", "source", "took_s")
+
+    def __init__(self, *, source: str, asked_s: float) -> None:
+        self.source = source
+        self.asked_s = asked_s
+        self.took_s: float | None = None  # while it is on its way
+
+
 class LinkGauge(TaskService):
     """Sends small probes to the control replica that is followed, and times the answers.
 
@@ -30,12 +39,13 @@
         Part of the link's declared speed that pieces may use now.
     """
 
-    __slots__ = ("_feed", "_last_delay_s", "_peers", "_vm", "share")
+    __slots__ = ("_feed", "_last_delay_s", "_peers", "_probe", "_vm", "share")
 
     def __init__(self, *, feed: ControlFeed, peers: PeerPool, vm: str) -> None:
         self._feed = feed
         self._peers = peers
         self._vm = vm
+        self._probe: _Probe | None = None
         self._last_delay_s = 0.0
         self.share = 1.0
         super().__init__()
@@ -44,13 +54,27 @@
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(INTERVAL_S)
-            if not self._feed.source:
+            source = self._feed.source
+            if not source:
                 continue
             asked_s = loop.time()
-            answered = await self._peers.call(
-                self._feed.source, FeedProbe(self._vm), timeout_ms=TIMEOUT_MS
-            )
-            self.note(loop.time() - asked_s, lost=answered.is_err())
+            self._probe = _Probe(source=source, asked_s=asked_s)
+            answered = await self._peers.call(source, FeedProbe(self._vm), timeout_ms=TIMEOUT_MS)
+            self._probe.took_s = loop.time() - asked_s
+            self.note(self._probe.took_s, lost=answered.is_err())
+
+    def delay_s(self) -> float:
+        """Give what small messages take to this VM and back now, as far as is known.
+
+        A probe on its way counts for as long as it has been, a lost one for its whole time, unless
+        another control replica is followed since: then it was not the link.
+        """
+        probe = self._probe
+        if probe is None or probe.source != self._feed.source:
+            return self._last_delay_s
+        if probe.took_s is not None:
+            return probe.took_s
+        return max(self._last_delay_s, asyncio.get_running_loop().time() - probe.asked_s)
 
     def note(self, delay_s: float, *, lost: bool) -> None:
         """Take one probe's delay.
--- a/src/leadhollow/staging/load_reports.py
+++ b/src/leadhollow/staging/load_reports.py
@@ -17,6 +17,7 @@
 REPEAT_S = 0.5  # an unchanged load is told again after this
 LOST_PAUSE_S = 0.2
 PACE_UNIT = 1000
+SLOW_PATH_S = 0.1  # a path that is slower than this is told with each report
 
 log = get_logger("load")
 
@@ -24,6 +25,11 @@
 class EngineWatch(TaskService):
     """Newest report of the engine.
 
+    Parameters
+    ----------
+    path_delay_s
+        Gives how long small messages lately took to this VM and back.
+
     Attributes
     ----------
     report
@@ -37,6 +43,7 @@
         "_engine",
         "_feed",
         "_listeners",
+        "_path_delay_s",
         "_peers",
         "_sent",
         "_sent_s",
@@ -46,12 +53,19 @@
     )
 
     def __init__(
-        self, *, address: str, engine: LocalEngine, feed: ControlFeed, peers: PeerPool
+        self,
+        *,
+        address: str,
+        engine: LocalEngine,
+        feed: ControlFeed,
+        peers: PeerPool,
+        path_delay_s: Callable[[], float],
     ) -> None:
         self._address = address
         self._engine = engine
         self._feed = feed
         self._peers = peers
+        self._path_delay_s = path_delay_s
         self._sent: tuple[object, ...] = ()
         self._sent_s = 0.0
         self._listeners: list[Callable[[], None]] = []
@@ -101,6 +115,7 @@
             0,
             staged_version,
             staged_pieces,
+            int(self._path_delay_s() * 1000),
         )
         connected.unwrap().oneway(LoadReport([record]))
         self._sent_s = asyncio.get_running_loop().time()
@@ -118,6 +133,7 @@
                 self.switching,
                 tuple(found.key() for found in report.served),
                 round(report.pace, 2),
+                self._path_delay_s() > SLOW_PATH_S,
             )
             now_s = asyncio.get_running_loop().time()
             if said != self._sent or now_s - self._sent_s > REPEAT_S:
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -16,6 +16,7 @@
 from leadhollow.staging.pieces import StagedVersion
 from leadhollow.staging.sharing import Stager
 from leadhollow.staging.turns import turn_of
+from leadhollow.staging.window import PieceWindow
 from leadhollow.weights.bitmap import Bitmap
 from leadhollow.weights.pacing import Pacer
 from leadhollow.wire.connection import Connection
@@ -26,16 +27,8 @@
 PLAN_INTERVAL_S = 0.02
 WATCH_AGAIN_S = 0.3
 MEET_S = 0.5  # time to reach the other stagers before the first order
-FROM_ORIGIN = 2  # pieces on order there: one on its way, one to follow it at once
-SLOW_PIECE_S = 0.7  # from order to arrival; with a full window it is a quarter second
-QUICK_PIECE_S = 0.4
-WINDOW_STEP = 0.25
 EARLY_TURNS = 3  # stagers whose engines change first get their pieces first
 DOWNLOAD_SHARE = 0.95  # of our link; the rest is for the engine's requests
-WINDOW = 4
-"""Pieces on their way: enough to keep our link full while senders are busy with others, and no
-more, because the requests for the engine come over the same link."""
-
 REPORT_INTERVAL_S = 1.0
 FAILED_PAUSE_S = 0.2
 
@@ -53,8 +46,8 @@
         Gives the other stagers that may take part.
     link_bytes_per_s
         Gives what this VM's link carries now.
-    link_share
-        Gives what part that is of what it should carry; fewer pieces are asked for at a time then.
+    window
+        How many pieces may be on their way here at a time, of whatever version.
     """
 
     __slots__ = (
@@ -62,7 +55,6 @@
         "_choice",
         "_download",
         "_from_origin",
-        "_link_share",
         "_ordered",
         "_ordered_s",
         "_origin",
@@ -85,10 +77,9 @@
         origin: OriginSource,
         peers: PeerPool,
         link_bytes_per_s: Callable[[], float],
-        link_share: Callable[[], float],
+        window: PieceWindow,
         seed: int,
     ) -> None:
-        self._link_share = link_share
         self.version = version
         self._own = own
         self._others = others
@@ -100,7 +91,7 @@
         self._ordered: dict[int, PieceSource | None] = {}  # pieces on their way; None: the origin
         self._ordered_s: dict[int, float] = {}
         self._arrived_s = 0.0
-        self._window = float(WINDOW)
+        self._window = window
         self._from_origin: asyncio.Queue[int] = asyncio.Queue()
         self._wake = asyncio.Event()
         self._started_s = 0.0
@@ -141,8 +132,7 @@
                 on_order=len(self._ordered),
                 from_origin=self._on_order_at_origin(),
                 sources=sum(1 for source in self._sources.values() if source.connected),
-                window=round(self._window, 2),
-                link_share=round(self._link_share(), 2),
+                window=self._window.size,
             )
 
     async def _keep_planning(self) -> None:
@@ -204,17 +194,17 @@
 
     def _stager_room(self) -> bool:
         """Tell whether another piece may be ordered from a stager now."""
-        window = self._current_window()
-        if window < WINDOW:  # the link is slow: what the origin sends comes over it too
-            return len(self._ordered) < window and self._download.ready()
-        return len(self._ordered) - self._on_order_at_origin() < window and self._download.ready()
+        at_origin = self._on_order_at_origin()
+        from_stagers = len(self._ordered) - at_origin
+        return self._download.ready() and self._window.stager_room(
+            from_stagers=from_stagers, from_origin=at_origin
+        )
 
     def _origin_room(self) -> bool:
         """Tell whether another piece may be ordered from the origin now."""
-        return self._on_order_at_origin() < FROM_ORIGIN
-
-    def _current_window(self) -> int:
-        return max(1, round(self._window * self._link_share()))
+        at_origin = self._on_order_at_origin()
+        from_stagers = len(self._ordered) - at_origin
+        return self._window.origin_room(from_stagers=from_stagers, from_origin=at_origin)
 
     def _on_order_at_origin(self) -> int:
         return sum(1 for source in self._ordered.values() if source is None)
@@ -295,7 +285,7 @@
     def _take(self, source: PieceSource, index: int, data: bytes) -> None:
         source.ordered.discard(index)
         source.progress_s = self._arrived_s = asyncio.get_running_loop().time()
-        self._adapt_window(self._arrived_s - self._ordered_s.pop(index, self._arrived_s))
+        self._window.note(self._arrived_s - self._ordered_s.pop(index, self._arrived_s))
         if self.version.take(index, data):
             self._ordered.pop(index, None)
             self._wake.set()
@@ -305,13 +295,6 @@
         self._ordered.pop(index, None)
         self._wake.set()
 
-    def _adapt_window(self, took_s: float) -> None:
-        """Ask for fewer pieces at a time while they take long, as over a narrowed link."""
-        if took_s > SLOW_PIECE_S:
-            self._window = max(1.0, self._window / 2)
-        elif took_s < QUICK_PIECE_S:
-            self._window = min(float(WINDOW), self._window + WINDOW_STEP)
-
     def _turn(self) -> int:
         """Give our place among those that change first; all later ones share the last place."""
         number = self.version.number
--- /dev/null
+++ b/src/leadhollow/staging/window.py
@@ -0,0 +1,64 @@
+"""How many pieces may be on their way to this VM at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+WINDOW = 4
+"""Pieces on their way: enough to keep our link full while senders are busy with others, and no
+more, because the requests for the engine come over the same link."""
+
+FROM_ORIGIN = 2  # of them, further ones from the origin: one on its way, one to follow it at once
+SLOW_PIECE_S = 0.7  # from order to arrival; with a full window it is a quarter second
+QUICK_PIECE_S = 0.4
+STEP = 0.25
+
+
+class PieceWindow:
+    """Shrinks while pieces take long, as over a narrowed link, whatever version they are of.
+
+    Parameters
+    ----------
+    link_share
+        Gives what part of its declared speed this VM's link is thought to carry.
+    """
+
+    __slots__ = ("_link_share", "_size")
+
+    def __init__(self, *, link_share: Callable[[], float]) -> None:
+        self._link_share = link_share
+        self._size = float(WINDOW)
+
+    @property
+    def size(self) -> int:
+        """Pieces that may be on order; at least one."""
+        return max(1, round(self._size * self._link_share()))
+
+    @property
+    def narrowed(self) -> bool:
+        """Whether the link is thought to be slow; what the origin sends then counts too."""
+        return self.size < WINDOW
+
+    def note(self, took_s: float) -> None:
+        """Take the time from an order to the piece."""
+        if took_s > SLOW_PIECE_S:
+            self._size = max(1.0, self._size / 2)
+        elif took_s < QUICK_PIECE_S:
+            self._size = min(float(WINDOW), self._size + STEP)
+
+    def stager_room(self, *, from_stagers: int, from_origin: int) -> bool:
+        """Tell whether another stager may be asked for one more piece."""
+        return from_stagers + (from_origin if self.narrowed else 0) < self.size
+
+    def origin_room(self, *, from_stagers: int, from_origin: int) -> bool:
+        """Tell whether the origin may be asked for one more piece.
+
+        Over a slow link one piece at a time, whether stagers owe us more or not: they may have
+        nothing that we need.
+        """
+        if not self.narrowed:
+            return from_origin < FROM_ORIGIN
+        return from_origin == 0 and from_stagers <= self.size
+
+
+__all__ = ["FROM_ORIGIN", "QUICK_PIECE_S", "SLOW_PIECE_S", "WINDOW", "PieceWindow"]
--- /dev/null
+++ b/tests/forward/test_engine_queue.py
@@ -0,0 +1,253 @@
+"""Tests of where a request for an engine goes, and when it is refused."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from leadhollow.codes import Code
+from leadhollow.forward.board import Server, ServerBoard
+from leadhollow.forward.engine_queue import EngineQueue, EngineWish, Placement
+from leadhollow.membership.instances import Instance, InstanceState, InstanceTable, ServedVersion
+from leadhollow.routing.model import EngineSpec, ServiceRecord
+from leadhollow.wire.generated.ttypes import LoadRecord
+
+SPEC = EngineSpec(
+    slots=4,
+    stride_steps=5,
+    step_ms=10.0,
+    read_tokens_per_s=20_000.0,
+    usual_prompt_tokens=1_000.0,
+    usual_answer_tokens=100.0,
+    layers=16,
+)
+SERVICE = ServiceRecord(name="models", engine=SPEC)
+LONG_S = 60.0
+
+
+class Weights:
+    """Says which weights may be used; the newest version by default without a limit."""
+
+    def __init__(self, *, newest: int = 1, oldest: int = 0, left_s: float = float("inf")) -> None:
+        self.number = newest
+        self.oldest = oldest
+        self.left_s = left_s
+
+    def oldest_allowed(self, model: str) -> int:
+        return self.oldest
+
+    def newest(self, model: str) -> int:
+        return self.number
+
+    def begin_by_s(self, model: str, version: int) -> float:
+        if version >= self.number:
+            return float("inf")
+        return asyncio.get_running_loop().time() + self.left_s
+
+
+class Group:
+    """A queue with some engines, all in the entry's failure domain unless said otherwise."""
+
+    def __init__(self, weights: Weights | None = None) -> None:
+        loop = asyncio.get_running_loop()
+        self.table = InstanceTable(forget_after_s=LONG_S)
+        self.board = ServerBoard(table=self.table, clock=loop.time)
+        self.queue = EngineQueue(
+            board=self.board,
+            versions=weights or Weights(),
+            failure_domain="a",
+            entries=lambda: 1,
+            seed=1,
+        )
+        self._sequence = 0
+
+    def engine(self, name: str, *, version: int = 1, domain: str = "a", **load: int) -> Server:
+        self._sequence += 1
+        address = f"127.0.0.1:{9000 + len(name) + ord(name[-1])}"
+        self.table.take(
+            Instance(
+                instance=name,
+                service="models",
+                address=address,
+                failure_domain=domain,
+                sequence=self._sequence,
+                state=InstanceState.READY,
+                slots=SPEC.slots,
+                served=(
+                    ServedVersion(model="m", version=version, first_layer=0, end_layer=SPEC.layers),
+                ),
+                heard_s=asyncio.get_running_loop().time(),
+            )
+        )
+        server = self.board.server(name)
+        assert server is not None
+        if load:
+            self.report(server, **load)
+        return server
+
+    def report(self, server: Server, *, age_s: float = 0.0, **load: int) -> None:
+        record = LoadRecord(address=server.instance.address, **load)
+        self.board.take_load(record, asyncio.get_running_loop().time() - age_s)
+
+
+def a_wish(*, on_time_s: float = 1.0, decide_s: float = 0.05, **changes: object) -> EngineWish:
+    now_s = asyncio.get_running_loop().time()
+    values: dict[str, object] = {
+        "service": SERVICE,
+        "model": "m",
+        "prompt_tokens": 1_000,
+        "output_tokens": 100.0,
+        "on_time_s": now_s + on_time_s,
+        "decide_s": now_s + decide_s,
+        "returning": False,
+        "organisation": "",
+        "request_id": "r",
+        "excluded": set(),
+        "last_attempt": False,
+    }
+    return EngineWish(**(values | changes))
+
+
+def in_loop(work: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(asyncio.wait_for(work(), 10))
+
+
+async def placed(group: Group, wish: EngineWish | None = None) -> Placement:
+    found = await group.queue.place(wish or a_wish())
+    assert found.is_ok(), found
+    return found.unwrap()
+
+
+class TestChoice:
+    def test_the_engine_with_less_to_do_gets_the_request(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("busy", active=3, queued=0)
+            free = group.engine("free", active=0, queued=0)
+            assert (await placed(group)).server is free
+
+        in_loop(work)
+
+    def test_an_engine_of_our_own_domain_goes_first(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("far", domain="b", active=0, queued=0)
+            near = group.engine("near", active=0, queued=0)
+            assert (await placed(group)).server is near
+
+        in_loop(work)
+
+    def test_an_engine_behind_a_slow_path_goes_last(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("slow", active=0, queued=0, path_delay_ms=700)
+            busy = group.engine("busy", active=3, queued=0, path_delay_ms=5)
+            assert (await placed(group)).server is busy
+
+        in_loop(work)
+
+    def test_excluded_switching_and_partial_engines_get_nothing(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("tried", active=0, queued=0)
+            group.engine("switching", active=0, queued=0, switching=True)
+            part = group.engine("part", active=0, queued=0)
+            half = ServedVersion(model="m", version=1, first_layer=0, end_layer=8).record()
+            group.report(part, active=0, queued=0, models=[half])
+            found = await group.queue.place(a_wish(excluded={"tried"}))
+            assert found.unwrap_err().code is Code.NO_CAPACITY
+
+        in_loop(work)
+
+
+class TestRefusal:
+    def test_a_request_that_would_be_late_waits_and_is_refused(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("full", active=4, queued=6)
+            found = await group.queue.place(a_wish(on_time_s=0.2))
+            assert found.unwrap_err().code is Code.NO_CAPACITY
+            assert group.queue.waiting == 0
+
+        in_loop(work)
+
+    def test_a_request_that_waits_gets_the_place_that_becomes_free(self):
+        async def work() -> None:
+            group = Group()
+            server = group.engine("full", active=4, queued=6)
+            waiting = asyncio.create_task(group.queue.place(a_wish(on_time_s=0.3, decide_s=2.0)))
+            await asyncio.sleep(0.01)
+            assert group.queue.waiting == 1
+            group.report(server, active=0, queued=0)
+            assert (await waiting).unwrap().server is server
+
+        in_loop(work)
+
+    def test_an_engine_with_room_takes_it_late_rather_than_not_at_all(self):
+        async def work() -> None:
+            group = Group()
+            server = group.engine("slow", active=1, queued=0, pace_permille=9_000)
+            assert (await placed(group, a_wish(on_time_s=0.2))).server is server
+
+        in_loop(work)
+
+    def test_returning_requests_go_before_new_ones(self):
+        async def work() -> None:
+            group = Group()
+            server = group.engine("full", active=4, queued=9)
+            queue = group.queue
+            new = asyncio.create_task(queue.place(a_wish(on_time_s=0.3, decide_s=0.5)))
+            await asyncio.sleep(0.01)
+            back = asyncio.create_task(
+                queue.place(a_wish(on_time_s=0.3, decide_s=0.5, returning=True))
+            )
+            await asyncio.sleep(0.01)
+            group.report(server, active=3, queued=0)
+            assert (await back).is_ok()
+            assert not new.done()
+            await new
+
+        in_loop(work)
+
+
+class TestWeights:
+    def test_too_old_ones_get_nothing(self):
+        async def work() -> None:
+            group = Group(Weights(newest=2, oldest=2))
+            group.engine("old", version=1, active=0, queued=0)
+            new = group.engine("new", version=2, active=3, queued=0)
+            assert (await placed(group)).server is new
+
+        in_loop(work)
+
+    @pytest.mark.parametrize("path_delay_ms", [5, 400])
+    def test_near_the_bound_only_engines_behind_a_quick_path_get_requests_for_old_ones(
+        self, path_delay_ms
+    ):
+        async def work() -> None:
+            group = Group(Weights(newest=2, left_s=1.5))
+            group.engine("old", version=1, active=0, queued=0, path_delay_ms=path_delay_ms)
+            found = await group.queue.place(a_wish())
+            assert found.is_ok() is (path_delay_ms == 5)
+
+        in_loop(work)
+
+    def test_near_the_bound_an_engine_that_was_not_heard_of_lately_gets_nothing(self):
+        async def work() -> None:
+            group = Group(Weights(newest=2, left_s=1.5))
+            server = group.engine("old", version=1)
+            group.report(server, age_s=1.0, active=0, queued=0)
+            assert (await group.queue.place(a_wish())).is_err()
+
+        in_loop(work)
+
+    def test_a_request_that_may_run_once_more_only_goes_to_the_newest(self):
+        async def work() -> None:
+            group = Group(Weights(newest=2, left_s=7.0))
+            group.engine("old", version=1, active=0, queued=0)
+            new = group.engine("new", version=2, active=3, queued=0)
+            assert (await placed(group, a_wish(last_attempt=True))).server is new
+
+        in_loop(work)
--- a/tests/staging/test_parts.py
+++ b/tests/staging/test_parts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from collections import Counter
 
@@ -160,3 +161,36 @@
         for _ in range(40):
             gauge.note(0.01, lost=False)
         assert gauge.share == 1.0
+
+    def test_a_probe_on_its_way_tells_of_the_delay_before_it_arrives(self):
+        async def run() -> tuple[float, float]:
+            feed, peers = FollowedFeed(), SlowPeers()
+            gauge = LinkGauge(feed=feed, peers=peers, vm="v")
+            await gauge.start()
+            await asyncio.wait_for(peers.asked.wait(), 2)
+            await asyncio.sleep(0.05)
+            waiting_s = gauge.delay_s()
+            feed.source = "127.0.0.1:2"
+            elsewhere_s = gauge.delay_s()
+            await gauge.stop()
+            return waiting_s, elsewhere_s
+
+        waiting_s, elsewhere_s = asyncio.run(run())
+        assert waiting_s >= 0.04
+        assert elsewhere_s == 0.0
+
+
+class FollowedFeed:
+    def __init__(self) -> None:
+        self.source = "127.0.0.1:1"
+
+
+class SlowPeers:
+    """Answers nothing."""
+
+    def __init__(self) -> None:
+        self.asked = asyncio.Event()
+
+    async def call(self, address, body, *, timeout_ms):
+        self.asked.set()
+        await asyncio.sleep(3600)
--- /dev/null
+++ b/tests/staging/test_window.py
@@ -0,0 +1,51 @@
+"""Tests of how many pieces are asked for at a time."""
+
+from __future__ import annotations
+
+import pytest
+
+from leadhollow.staging.window import FROM_ORIGIN, QUICK_PIECE_S, SLOW_PIECE_S, WINDOW, PieceWindow
+
+
+def a_window(share: float = 1.0) -> PieceWindow:
+    return PieceWindow(link_share=lambda: share)
+
+
+class TestPieceWindow:
+    def test_starts_wide(self):
+        window = a_window()
+        assert window.size == WINDOW
+        assert not window.narrowed
+
+    def test_pieces_that_take_long_narrow_it_for_the_next_version_too(self):
+        window = a_window()
+        for _ in range(4):
+            window.note(2 * SLOW_PIECE_S)
+        assert window.size == 1
+        assert window.narrowed
+
+    def test_quick_pieces_widen_it_step_by_step(self):
+        window = a_window()
+        for _ in range(4):
+            window.note(2 * SLOW_PIECE_S)
+        window.note(QUICK_PIECE_S / 2)
+        assert window.size < WINDOW
+        for _ in range(4 * WINDOW):
+            window.note(QUICK_PIECE_S / 2)
+        assert window.size == WINDOW
+
+    @pytest.mark.parametrize("share", [0.1, 0.5])
+    def test_a_slow_link_gets_fewer(self, share):
+        assert a_window(share).size == max(1, round(WINDOW * share))
+
+    def test_the_origin_does_not_count_while_the_link_is_free(self):
+        window = a_window()
+        assert window.stager_room(from_stagers=WINDOW - 1, from_origin=FROM_ORIGIN)
+        assert window.origin_room(from_stagers=WINDOW, from_origin=FROM_ORIGIN - 1)
+        assert not window.origin_room(from_stagers=0, from_origin=FROM_ORIGIN)
+
+    def test_over_a_slow_link_all_pieces_count_and_the_origin_still_gets_its_turn(self):
+        window = a_window(0.25)
+        assert not window.stager_room(from_stagers=0, from_origin=1)
+        assert window.origin_room(from_stagers=1, from_origin=0)
+        assert not window.origin_room(from_stagers=1, from_origin=1)
