--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -62,10 +62,27 @@
     raise AssertionError(process.stderr.read())
 
 
+def open_files(pid: int) -> list[str]:
+    """List what the descriptors of a process stand for, without those it closes meanwhile."""
+    targets = []
+    for entry in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            targets.append(str(entry.readlink()))
+        except FileNotFoundError:
+            continue  # closed since it was listed; a ring is kept as long as its loop
+    return targets
+
+
+class TestOpenFiles:
+    def test_passes_over_a_descriptor_that_is_closed_meanwhile(self, tmp_path, monkeypatch):
+        (tmp_path / "kept").symlink_to("target")
+        monkeypatch.setattr(Path, "iterdir", lambda _: [tmp_path / "gone", tmp_path / "kept"])
+        assert open_files(1) == ["target"]
+
+
 class TestDaemon:
     def test_holds_no_io_uring(self, daemon):
-        folder = Path(f"/proc/{daemon.pid}/fd")
-        targets = [str(entry.readlink()) for entry in folder.iterdir()]
+        targets = open_files(daemon.pid)
         assert targets
         assert "anon_inode:[io_uring]" not in targets
 
