Tell all entries at once what each has at an engine

Cause: an entry knew of the requests of others only from the engine's report, a tenth of a second old and later while weights travel. Ruled out: the model itself; without load its median error is 4 ms.

Change: an entry tells its control replica what it has at each engine (requests, unread prompt tokens) within 4 ms of a change; replicas tell each other sums and tell each entry the sum without its own part, each 20 ms or as 2 KB/s allow. It is soft state: told whole each half second, dropped after 1.6 s. A report counts only for requests that nobody told of. Plain services are chosen by it too. The guess at unseen requests is gone.

--- /dev/null
+++ b/src/leadhollow/control/engine_uses.py
@@ -0,0 +1,196 @@
+"""What all entries have at each engine, summed up for every one of them.
+
+An entry tells its control replica each change at once. Replicas tell each other sums only, so
+what travels grows with the engines of the domain and not with entries times requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from leadhollow.kernel.task_service import TaskService
+from leadhollow.membership.uses import Use, decode_uses, encode_uses
+from leadhollow.observe.logs import get_logger
+from leadhollow.wire.connection import Connection
+from leadhollow.wire.generated.ttypes import UseReport, UseTotals
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.peers import PeerPool
+
+RELAY_PAUSE_S = 0.01  # changes within it travel to the other replicas together
+REFRESH_S = 0.5  # replicas tell everything again this often
+VALID_S = 1.6  # three refreshes; after it what was told counts no more
+
+log = get_logger("uses")
+
+
+class _Teller:
+    """What one entry, or one other replica, last told."""
+
+    __slots__ = ("heard_s", "uses")
+
+    def __init__(self) -> None:
+        self.uses: dict[str, Use] = {}
+        self.heard_s = 0.0
+
+    def take(self, told: dict[str, Use], *, whole: bool, now_s: float) -> set[str]:
+        """Take what was told; gives the engines whose use changed."""
+        self.heard_s = now_s
+        before = self.uses if whole else {address: self.uses.get(address) for address in told}
+        after = told if whole else self.uses | told
+        self.uses = {address: use for address, use in after.items() if not use.nothing}
+        touched = set(before) | set(told)
+        return {address for address in touched if before.get(address) != self.uses.get(address)}
+
+
+class EngineUses(TaskService):
+    """Sums of what entries have at engines.
+
+    Parameters
+    ----------
+    own_address
+        Where other replicas reach us.
+    replicas
+        Gives the addresses of all replicas.
+    """
+
+    __slots__ = (
+        "_dirty",
+        "_entries",
+        "_listeners",
+        "_own_address",
+        "_peers",
+        "_replicas",
+        "_tellers",
+        "_wake",
+    )
+
+    def __init__(
+        self,
+        *,
+        own_address: str,
+        replicas: Callable[[], list[str]],
+        peers: PeerPool,
+        handlers: HandlerTable,
+    ) -> None:
+        self._own_address = own_address
+        self._replicas = replicas
+        self._peers = peers
+        self._entries: dict[str, _Teller] = {}
+        self._tellers: dict[str, _Teller] = {}
+        self._dirty: set[str] = set()
+        self._listeners: list[Callable[[set[str], str], None]] = []
+        self._wake = asyncio.Event()
+        super().__init__()
+        handlers.on_oneway(UseReport, self._on_report)
+        handlers.on_oneway(UseTotals, self._on_totals)
+
+    def on_change(self, listener: Callable[[set[str], str], None]) -> None:
+        """Call a function with the engines whose use changed, and the entry that told so."""
+        self._listeners.append(listener)
+
+    def engines(self) -> set[str]:
+        """Give the engines at which any entry has something."""
+        tellers = [*self._entries.values(), *self._tellers.values()]
+        return {address for teller in tellers for address in teller.uses}
+
+    def total(self, address: str, *, without: str = "") -> Use:
+        """Sum up what entries have at an engine, one of them left out."""
+        found = [teller.uses.get(address) for vm, teller in self._entries.items() if vm != without]
+        found += [teller.uses.get(address) for teller in self._tellers.values()]
+        return _sum(use for use in found if use is not None)
+
+    def forget(self, vm: str) -> None:
+        """Drop what an entry told: it follows another replica now, or has ended."""
+        teller = self._entries.pop(vm, None)
+        if teller is None:
+            return
+        changed = set(teller.uses)
+        self._dirty |= changed
+        self._wake.set()
+        self._tell(changed, vm)
+
+    def forget_silent(self, now_s: float) -> None:
+        """Drop what was told too long ago."""
+        for tellers in (self._entries, self._tellers):
+            for name, teller in list(tellers.items()):
+                if now_s - teller.heard_s > VALID_S:
+                    del tellers[name]
+                    self._tell(set(teller.uses), "")
+
+    async def _work(self) -> None:
+        loop = asyncio.get_running_loop()
+        refresh_s = loop.time()
+        while True:
+            try:
+                async with asyncio.timeout(max(0.0, refresh_s - loop.time())):
+                    await self._wake.wait()
+                await asyncio.sleep(RELAY_PAUSE_S)
+            except TimeoutError:
+                self.forget_silent(loop.time())
+            self._wake.clear()
+            whole = loop.time() >= refresh_s
+            if whole:
+                refresh_s = loop.time() + REFRESH_S
+            await self._relay(whole=whole)
+
+    async def _relay(self, *, whole: bool) -> None:
+        """Tell the other replicas the sums over the entries that report here."""
+        dirty, self._dirty = self._dirty, set()
+        if whole:
+            dirty = {address for teller in self._entries.values() for address in teller.uses}
+        if not dirty and not whole:
+            return
+        engines, uses = encode_uses({address: self._here(address) for address in sorted(dirty)})
+        totals = UseTotals(self._own_address, engines, uses, whole)
+        for address in self._replicas():
+            if address == self._own_address:
+                continue
+            connected = await self._peers.connection(address)
+            if connected.is_ok():
+                connected.unwrap().oneway(totals)
+
+    def _here(self, address: str) -> Use:
+        found = (teller.uses.get(address) for teller in self._entries.values())
+        return _sum(use for use in found if use is not None)
+
+    def _on_report(self, report: UseReport, connection: Connection) -> None:
+        if connection.hello is None:
+            return
+        vm = connection.hello.vm
+        teller = self._entries.setdefault(vm, _Teller())
+        changed = self._take(teller, report)
+        self._dirty |= changed
+        if changed:
+            self._wake.set()
+        self._tell(changed, vm)
+
+    def _on_totals(self, totals: UseTotals, connection: Connection) -> None:
+        teller = self._tellers.setdefault(totals.address, _Teller())
+        self._tell(self._take(teller, totals), "")
+
+    def _take(self, teller: _Teller, told: UseReport | UseTotals) -> set[str]:
+        decoded = decode_uses(told.engines, told.uses)
+        if decoded.is_err():
+            log.warning("uses not understood", failure=str(decoded.unwrap_err()))
+            return set()
+        now_s = asyncio.get_running_loop().time()
+        return teller.take(decoded.unwrap(), whole=bool(told.whole), now_s=now_s)
+
+    def _tell(self, changed: set[str], vm: str) -> None:
+        if not changed:
+            return
+        for listener in self._listeners:
+            listener(changed, vm)
+
+
+def _sum(uses: Iterable[Use]) -> Use:
+    requests = 0
+    unread = 0
+    for use in uses:
+        requests += use.requests
+        unread += use.unread_tokens
+    return Use(requests=requests, unread_tokens=unread)
+
+
+__all__ = ["EngineUses"]
--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -9,6 +9,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.control.confirmation import Confirmation
+from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.registry import Load, Registry
 from leadhollow.failure import Failure
 from leadhollow.membership.instances import Instance
@@ -17,12 +18,23 @@
 from leadhollow.state.catalog import Catalog, encode_item
 from leadhollow.state.records import CatalogItem
 from leadhollow.wire.connection import Connection
-from leadhollow.wire.generated.ttypes import FeedProbe, FeedProbeReply, FeedUpdate, FeedWatch
+from leadhollow.wire.generated.ttypes import (
+    EngineUse,
+    FeedProbe,
+    FeedProbeReply,
+    FeedUpdate,
+    FeedWatch,
+)
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.streams import StreamSink
 
 HEARTBEAT_S = 0.25
 LOAD_PAUSE_S = {NodeRole.ENTRY: 0.06, NodeRole.STAGER: 0.1}  # loads within it travel together
+USE_PAUSE_S = 0.02
+"""Uses within it travel together; an entry's view of what others placed is about half as old."""
+
+USE_BYTES_PER_S = 2_000.0  # half of what control may send to a daemon
+USE_BYTES = 8  # one engine's use in an update
 STAGER_PREFIXES = ("weights/", "service/")
 """What a stager needs of the catalog; its link is slow."""
 
@@ -32,16 +44,43 @@
 class _Subscriber:
     """What one watcher has not been told yet."""
 
-    __slots__ = ("instances", "loads", "role", "sent_replicas", "sent_revision", "wake")
-
-    def __init__(self, *, role: NodeRole, sent_revision: int) -> None:
+    __slots__ = (
+        "engines",
+        "instances",
+        "loads",
+        "role",
+        "sent_replicas",
+        "sent_revision",
+        "uses",
+        "vm",
+        "wake",
+    )
+
+    def __init__(self, *, vm: str, role: NodeRole, sent_revision: int) -> None:
+        self.vm = vm
         self.role = role
+        self.engines: dict[str, int] = {}  # numbers that stand for addresses on this feed
+        self.uses: set[str] = set()  # engines whose use changed
         self.sent_revision = sent_revision
         self.instances: dict[str, Instance] = {}
         self.loads: dict[str, Load] = {}
         self.sent_replicas: list[str] = []
         self.wake = asyncio.Event()
 
+    def number(self, address: str) -> tuple[int, bool]:
+        """Give the number of an engine, and whether the watcher has not been told it yet."""
+        found = self.engines.get(address)
+        if found is not None:
+            return found, False
+        self.engines[address] = len(self.engines)
+        return self.engines[address], True
+
+    def pause_s(self) -> float:
+        """Give how long changes are gathered before they are told."""
+        if not self.uses:
+            return LOAD_PAUSE_S[self.role]
+        return max(USE_PAUSE_S, len(self.uses) * USE_BYTES / USE_BYTES_PER_S)
+
     def wants(self, item: CatalogItem) -> bool:
         """Tell whether an item concerns this watcher."""
         return self.role is NodeRole.ENTRY or item.key.startswith(STAGER_PREFIXES)
@@ -56,24 +95,27 @@
         Gives address and failure domain of all replicas, separated by a blank.
     """
 
-    __slots__ = ("_catalog", "_confirmation", "_registry", "_replicas", "_subscribers")
+    __slots__ = ("_catalog", "_confirmation", "_registry", "_replicas", "_subscribers", "_uses")
 
     def __init__(
         self,
         *,
         catalog: Catalog,
         registry: Registry,
+        uses: EngineUses,
         confirmation: Confirmation,
         replicas: Callable[[], list[str]],
         handlers: HandlerTable,
     ) -> None:
         self._catalog = catalog
         self._registry = registry
+        self._uses = uses
         self._confirmation = confirmation
         self._replicas = replicas
         self._subscribers: set[_Subscriber] = set()
         catalog.on_change(self._on_catalog)
         registry.on_change(self._on_registry)
+        uses.on_change(self._on_uses)
         handlers.on_stream(FeedWatch, self._on_watch)
         handlers.on_call(FeedProbe, self._on_probe)
 
@@ -97,7 +139,9 @@
         role = _role(request.role)
         if role is None:
             return Err(Failure(code=Code.PEER_REFUSED, detail=f"unknown role {request.role!r}"))
-        subscriber = _Subscriber(role=role, sent_revision=int(request.from_revision or 0))
+        subscriber = _Subscriber(
+            vm=request.vm, role=role, sent_revision=int(request.from_revision or 0)
+        )
         self._subscribers.add(subscriber)
         log.info("watcher found", vm=request.vm, role=request.role)
         self._count_entries()
@@ -108,6 +152,7 @@
                 await sink.send(self._delta(subscriber))
         finally:
             self._subscribers.discard(subscriber)
+            self._uses.forget(request.vm)
             self._count_entries()
             log.info("watcher lost", vm=request.vm, role=request.role)
 
@@ -118,13 +163,15 @@
         except TimeoutError:
             return
         if not subscriber.instances and subscriber.sent_revision >= self._catalog.revision:
-            await asyncio.sleep(LOAD_PAUSE_S[subscriber.role])
+            await asyncio.sleep(subscriber.pause_s())
 
     def _whole(self, subscriber: _Subscriber) -> FeedUpdate:
         table = self._registry.table
         known = [*table.instances(), *table.departed()]
         subscriber.instances = {found.instance: found for found in known}
         subscriber.loads = {load.record.address: load for load in self._registry.loads()}
+        if subscriber.role is NodeRole.ENTRY:
+            subscriber.uses = self._uses.engines()
         update = self._delta(subscriber)
         update.whole = True
         return update
@@ -144,6 +191,7 @@
         loads = [load.message(now_s) for load in subscriber.loads.values()]
         subscriber.instances = {}
         subscriber.loads = {}
+        engines, uses = self._news_of_uses(subscriber)
         confirmed_ms = self._confirmation.age_ms() if self._registry.settled() else -1
         return FeedUpdate(
             self._catalog.revision,
@@ -154,8 +202,23 @@
             news,
             self._registry.entries(),
             False,
+            engines,
+            uses,
         )
 
+    def _news_of_uses(self, subscriber: _Subscriber) -> tuple[list[str], list[EngineUse]]:
+        """Give what other entries have at engines, where that changed."""
+        changed, subscriber.uses = subscriber.uses, set()
+        engines: list[str] = []
+        uses: list[EngineUse] = []
+        for address in changed:
+            number, new = subscriber.number(address)
+            if new:
+                engines.append(address)
+            use = self._uses.total(address, without=subscriber.vm)
+            uses.append(EngineUse(number, use.requests, use.unread_tokens))
+        return engines, uses
+
     def _on_catalog(self, items: list[CatalogItem]) -> None:
         for subscriber in self._subscribers:
             if any(subscriber.wants(item) for item in items):
@@ -169,6 +232,12 @@
                 subscriber.loads[load.record.address] = load
             subscriber.wake.set()
 
+    def _on_uses(self, engines: set[str], vm: str) -> None:
+        for subscriber in self._subscribers:
+            if subscriber.role is NodeRole.ENTRY and subscriber.vm != vm:
+                subscriber.uses |= engines
+                subscriber.wake.set()
+
     def _count_entries(self) -> None:
         self._registry.entries_here = sum(
             1 for subscriber in self._subscribers if subscriber.role is NodeRole.ENTRY
--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -8,6 +8,7 @@
 from leadhollow.forward.engine_model import READING_SHARE, EngineDemand, EngineModel
 from leadhollow.forward.health import Health
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable, ServedVersion
+from leadhollow.membership.uses import Use
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.generated.ttypes import LoadRecord
 
@@ -16,6 +17,9 @@
 LATE_WEIGHT = 0.25  # of the newest first event in the running mean
 LATE_HALF_LIFE_S = 2.0
 USUAL_PATH_MS = 60  # between failure domains, with some pieces of weights in front
+FEED_VALID_S = 0.6  # a control replica says something each quarter second
+UNEXPLAINED_LEAST = 3  # fewer requests than this that nobody told of are a matter of moments
+NO_USE = Use(requests=0, unread_tokens=0)
 PACE_UNIT = 1000  # reports give the pace in thousandths
 
 log = get_logger("board")
@@ -43,14 +47,25 @@
 
 
 class Report:
-    """Last report of an engine's load, and how many of our own it counted."""
+    """Last report of an engine's load, and how much of it was known here then.
 
-    __slots__ = ("made_s", "own_then", "record")
+    Parameters
+    ----------
+    own_then
+        Requests of this entry that ran there.
+    told_then
+        Requests that other entries had told of.
+    """
 
-    def __init__(self, *, record: LoadRecord, made_s: float, own_then: int) -> None:
+    __slots__ = ("made_s", "own_then", "record", "told_then")
+
+    def __init__(
+        self, *, record: LoadRecord, made_s: float, own_then: int, told_then: int = 0
+    ) -> None:
         self.record = record
         self.made_s = made_s
         self.own_then = own_then
+        self.told_then = told_then
 
     @property
     def others(self) -> int:
@@ -58,6 +73,34 @@
         found = int(self.record.active or 0) + int(self.record.queued or 0)
         return max(0, found - self.own_then)
 
+    @property
+    def unexplained(self) -> int:
+        """Requests that no entry in touch told of: of one that is cut off, or has ended."""
+        found = self.others - self.told_then
+        return found if found >= UNEXPLAINED_LEAST else 0
+
+
+class _Counts:
+    """A count and what it lately was."""
+
+    __slots__ = ("_changes",)
+
+    def __init__(self) -> None:
+        self._changes: deque[tuple[float, int]] = deque(maxlen=COUNTS_KEPT)
+
+    def note(self, count: int, now_s: float) -> None:
+        """Take the count from now on."""
+        self._changes.append((now_s, count))
+
+    def at(self, moment_s: float) -> int:
+        """Give the count at an earlier moment."""
+        count = 0
+        for changed_s, found in self._changes:
+            if changed_s > moment_s:
+                break
+            count = found
+        return count
+
 
 class Server:
     """One backend server.
@@ -66,16 +109,34 @@
     ----------
     instance
         What it last announced.
+    on_use
+        Called where what this entry has there changed.
     """
 
-    __slots__ = ("_counts", "_late_ms", "_late_s", "calls", "health", "instance", "report")
+    __slots__ = (
+        "_late_ms",
+        "_late_s",
+        "_on_use",
+        "_own_counts",
+        "_told",
+        "_told_counts",
+        "calls",
+        "health",
+        "instance",
+        "report",
+    )
 
-    def __init__(self, *, instance: Instance) -> None:
+    def __init__(
+        self, *, instance: Instance, on_use: Callable[[str], None] = lambda address: None
+    ) -> None:
         self.instance = instance
         self.calls: set[OwnCall] = set()
         self.report: Report | None = None
         self.health = Health()
-        self._counts: deque[tuple[float, int]] = deque(maxlen=COUNTS_KEPT)
+        self._on_use = on_use
+        self._told = NO_USE
+        self._own_counts = _Counts()
+        self._told_counts = _Counts()
         self._late_ms = 0.0
         self._late_s = 0.0
 
@@ -87,12 +148,29 @@
     def add(self, call: OwnCall) -> None:
         """Note a request that goes there."""
         self.calls.add(call)
-        self._counts.append((call.placed_s, len(self.calls)))
+        self._own_counts.note(len(self.calls), call.placed_s)
+        self._on_use(self.instance.address)
 
     def remove(self, call: OwnCall, now_s: float) -> None:
         """Note that a request ended."""
         self.calls.discard(call)
-        self._counts.append((now_s, len(self.calls)))
+        self._own_counts.note(len(self.calls), now_s)
+        self._on_use(self.instance.address)
+
+    def begun(self, call: OwnCall) -> None:
+        """Note the first event of a request: its prompt is read."""
+        call.reading = False
+        self._on_use(self.instance.address)
+
+    def use(self) -> Use:
+        """Give what this entry has there."""
+        unread = sum(call.prompt_tokens for call in self.calls if call.reading)
+        return Use(requests=len(self.calls), unread_tokens=unread)
+
+    def take_told(self, use: Use, now_s: float) -> None:
+        """Take what other entries have there."""
+        self._told = use
+        self._told_counts.note(use.requests, now_s)
 
     def note_first_event(self, late_ms: float, now_s: float) -> None:
         """Note how much later than predicted a first event came; negative where sooner."""
@@ -107,19 +185,15 @@
         fade: float = 0.5 ** ((now_s - self._late_s) / LATE_HALF_LIFE_S)
         return self._late_ms * fade
 
-    def own_at(self, moment_s: float) -> int:
-        """Give the requests of this entry that ran there at an earlier moment."""
-        count = 0
-        for changed_s, found in self._counts:
-            if changed_s > moment_s:
-                break
-            count = found
-        return count
-
     def take_report(self, record: LoadRecord, made_s: float) -> None:
         """Take a report of load, unless a newer one is known."""
         if self.report is None or made_s >= self.report.made_s:
-            self.report = Report(record=record, made_s=made_s, own_then=self.own_at(made_s))
+            self.report = Report(
+                record=record,
+                made_s=made_s,
+                own_then=self._own_counts.at(made_s),
+                told_then=self._told_counts.at(made_s),
+            )
 
     def fresh_report(self, now_s: float) -> Report | None:
         """Give the last report, None where it is too old to go by."""
@@ -127,11 +201,6 @@
             return None
         return self.report
 
-    def in_flight(self, now_s: float) -> int:
-        """Estimate the requests of all entries that are there now."""
-        report = self.fresh_report(now_s)
-        return self.own + (0 if report is None else report.others)
-
     def switching(self, now_s: float) -> bool:
         """Tell whether the engine is about to change its weights."""
         report = self.fresh_report(now_s)
@@ -158,28 +227,41 @@
                 return held.version
         return None
 
-    def demand(self, model: EngineModel, now_s: float, unseen: float) -> EngineDemand:
+    def others(self, now_s: float, *, told: bool) -> int:
+        """Give the requests of other entries there.
+
+        Parameters
+        ----------
+        told
+            Whether a control replica passes on what other entries tell.
+        """
+        report = self.fresh_report(now_s)
+        if told:
+            return self._told.requests + (0 if report is None else report.unexplained)
+        return 0 if report is None else report.others
+
+    def demand(self, model: EngineModel, now_s: float, *, told: bool) -> EngineDemand:
         """Estimate what the engine has to do.
 
         Parameters
         ----------
-        unseen
-            Requests that other entries are thought to have sent there a second, and that the
-            report does not count yet.
+        told
+            Whether a control replica passes on what other entries tell.
         """
         report = self.fresh_report(now_s)
-        others = 0.0 if report is None else float(report.others)
-        new_others = 0.0 if report is None else unseen * (now_s - report.made_s)
-        unread = sum(call.prompt_tokens for call in self.calls if call.reading)
-        unread_others = (others * READING_SHARE + new_others) * model.spec.usual_prompt_tokens
-        others += new_others
+        others = self.others(now_s, told=told)
+        unread = float(self.use().unread_tokens)
+        if told:
+            unread += self._told.unread_tokens
+        else:
+            unread += others * READING_SHARE * model.spec.usual_prompt_tokens
         pace = 1.0
         if report is not None and report.record.pace_permille:
             pace = max(1.0, report.record.pace_permille / PACE_UNIT)
         requests = self.own + others
         return EngineDemand(
             requests=requests,
-            unread_tokens=unread + unread_others,
+            unread_tokens=unread,
             context_tokens=model.usual_context_tokens(min(requests, model.spec.slots)),
             pace=pace,
         )
@@ -194,7 +276,16 @@
         Backend servers as they announced themselves; its changes are followed.
     """
 
-    __slots__ = ("_by_address", "_clock", "_listeners", "_servers", "_table")
+    __slots__ = (
+        "_by_address",
+        "_clock",
+        "_listeners",
+        "_servers",
+        "_table",
+        "_told",
+        "_told_s",
+        "_use_listeners",
+    )
 
     def __init__(self, *, table: InstanceTable, clock: Callable[[], float]) -> None:
         self._table = table
@@ -202,6 +293,9 @@
         self._servers: dict[str, Server] = {}
         self._by_address: dict[str, Server] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._use_listeners: list[Callable[[str], None]] = []
+        self._told: dict[str, Use] = {}
+        self._told_s = float("-inf")
         table.on_change(self._on_instance)
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -227,6 +321,37 @@
             server.take_report(record, made_s)
             self.changed()
 
+    def on_use(self, listener: Callable[[str], None]) -> None:
+        """Call a function with the address of an engine at which this entry's use changed."""
+        self._use_listeners.append(listener)
+
+    def take_told(self, uses: dict[str, Use], whole: bool) -> None:
+        """Take what other entries have at engines; called with each update, also an empty one."""
+        now_s = self._clock()
+        self._told_s = now_s
+        if whole:
+            uses = dict.fromkeys(self._told, NO_USE) | uses
+        self._told |= uses
+        for address, use in uses.items():
+            server = self._by_address.get(address)
+            if server is not None:
+                server.take_told(use, now_s)
+        if uses:
+            self.changed()
+
+    def hears_others(self) -> bool:
+        """Tell whether a control replica passes on what other entries tell."""
+        return self._clock() - self._told_s < FEED_VALID_S
+
+    def uses(self) -> dict[str, Use]:
+        """Give what this entry has at engines, by address."""
+        return {address: server.use() for address, server in self._by_address.items()}
+
+    def use(self, address: str) -> Use:
+        """Give what this entry has at one engine."""
+        server = self._by_address.get(address)
+        return NO_USE if server is None else server.use()
+
     def wrong_instance(self, instance: str) -> None:
         """Note that another incarnation runs at the address of this one."""
         log.warning("another backend server has the address", instance=instance)
@@ -249,7 +374,8 @@
         else:
             server = self._servers.get(instance.instance)
             if server is None:
-                server = Server(instance=instance)
+                server = Server(instance=instance, on_use=self._tell_use)
+                server.take_told(self._told.get(instance.address, NO_USE), self._clock())
                 self._servers[instance.instance] = server
                 log.info(
                     "backend server found",
@@ -264,6 +390,10 @@
             self._by_address[instance.address] = server
         self.changed()
 
+    def _tell_use(self, address: str) -> None:
+        for listener in self._use_listeners:
+            listener(address)
+
     def _drop(self, instance: str) -> None:
         server = self._servers.pop(instance, None)
         if server is None:
@@ -273,4 +403,4 @@
             del self._by_address[server.instance.address]
 
 
-__all__ = ["OwnCall", "Report", "Server", "ServerBoard"]
+__all__ = ["NO_USE", "OwnCall", "Report", "Server", "ServerBoard"]
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -8,15 +8,13 @@
 
 import asyncio
 import random
-from collections import deque
-from collections.abc import Callable
 
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.forward.board import OwnCall, Server, ServerBoard
-from leadhollow.forward.engine_model import EngineModel
+from leadhollow.forward.engine_model import EngineDemand, EngineModel
 from leadhollow.forward.versions import VersionPolicy
 from leadhollow.observe.logs import get_logger, log_decision
 from leadhollow.routing.model import EngineSpec, ServiceRecord
@@ -36,8 +34,6 @@
 SHORTEST_RETRY_S = 0.6
 LONGEST_RETRY_S = 1.8
 PUMP_INTERVAL_S = 0.02
-USUAL_WINDOW_S = 3.0
-RATE_WINDOW_S = 0.3  # long enough to count a few requests, short enough to see a rush
 
 log = get_logger("engine-queue")
 
@@ -140,12 +136,14 @@
 
 
 class _Option:
-    __slots__ = ("first_ms", "requests", "server", "version")
+    __slots__ = ("demand", "first_ms", "server", "version")
 
-    def __init__(self, *, server: Server, first_ms: float, requests: float, version: int) -> None:
+    def __init__(
+        self, *, server: Server, first_ms: float, demand: EngineDemand, version: int
+    ) -> None:
         self.server = server
         self.first_ms = first_ms
-        self.requests = requests
+        self.demand = demand
         self.version = version
 
 
@@ -156,16 +154,12 @@
     ----------
     failure_domain
         Ours; engines elsewhere cost a way and its price.
-    entries
-        Gives the number of live entries of the whole system.
     """
 
     __slots__ = (
         "_board",
-        "_entries",
         "_failure_domain",
         "_models",
-        "_placed_s",
         "_random",
         "_versions",
         "_waiters",
@@ -177,14 +171,11 @@
         board: ServerBoard,
         versions: VersionPolicy,
         failure_domain: str,
-        entries: Callable[[], int],
         seed: int,
     ) -> None:
         self._board = board
         self._versions = versions
         self._failure_domain = failure_domain
-        self._entries = entries
-        self._placed_s: deque[float] = deque()
         self._random = random.Random(seed)
         self._models: dict[str, EngineModel] = {}
         self._waiters: list[_Waiter] = []
@@ -257,9 +248,9 @@
             return None
         slots = option.server.instance.slots
         on_time = now_s + option.first_ms / 1000 <= wish.on_time_s - ARRIVAL_MARGIN_S
-        has_room = option.requests < slots
+        has_room = option.demand.requests < slots
         if wish.returning:
-            takes = on_time or option.requests < slots + LATE_QUEUE
+            takes = on_time or option.demand.requests < slots + LATE_QUEUE
         else:
             takes = on_time or (late and has_room)
         if not takes:
@@ -276,11 +267,11 @@
             self._models[wish.service.name] = model
         eligible = self._eligible(wish, spec, now_s)
         heard = any(server.fresh_report(now_s) is not None for server, _ in eligible)
-        unseen = self._unseen_rate(now_s) / max(1, len(eligible))
+        told = self._board.hears_others()
         best: _Option | None = None
         best_rank = float("inf")
         for server, version in eligible:
-            demand = server.demand(model, now_s, unseen)
+            demand = server.demand(model, now_s, told=told)
             first_ms = model.first_event_ms(demand, wish.prompt_tokens)
             first_ms += max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
             if heard and server.fresh_report(now_s) is None:
@@ -290,9 +281,7 @@
                 rank += FAR_PENALTY_MS
             if rank < best_rank:
                 best_rank = rank
-                best = _Option(
-                    server=server, first_ms=first_ms, requests=demand.requests, version=version
-                )
+                best = _Option(server=server, first_ms=first_ms, demand=demand, version=version)
         return best
 
     def _eligible(
@@ -323,17 +312,6 @@
         report = server.fresh_report(now_s)
         return left_s > SAFE_S and report is not None and now_s - report.made_s < RECENT_S
 
-    def _unseen_rate(self, now_s: float) -> float:
-        """Estimate how many more requests than usual other entries place a second, from our own.
-
-        Usual ones need no estimate: as many end in the time that a report is old.
-        """
-        while self._placed_s and self._placed_s[0] < now_s - USUAL_WINDOW_S:
-            self._placed_s.popleft()
-        recent = sum(1 for placed_s in self._placed_s if placed_s >= now_s - RATE_WINDOW_S)
-        excess = recent / RATE_WINDOW_S - 2 * len(self._placed_s) / USUAL_WINDOW_S
-        return max(0.0, excess) * max(0, self._entries() - 1)
-
     def _take(self, wish: EngineWish, option: _Option, now_s: float, *, on_time: bool) -> Placement:
         call = OwnCall(
             prompt_tokens=wish.prompt_tokens,
@@ -342,7 +320,6 @@
             predicted_ms=option.first_ms,
         )
         option.server.add(call)
-        self._placed_s.append(now_s)
         option.server.health.note_start(now_s)
         report = option.server.fresh_report(now_s)
         log_decision(
@@ -351,7 +328,9 @@
             instance=option.server.instance.instance,
             domain=option.server.instance.failure_domain,
             predicted_ms=round(option.first_ms),
-            in_flight=round(option.requests, 1),
+            in_flight=round(option.demand.requests, 1),
+            unread_tokens=round(option.demand.unread_tokens),
+            prompt_tokens=wish.prompt_tokens,
             own=option.server.own,
             report_age_ms=None if report is None else round((now_s - report.made_s) * 1000),
             on_time=on_time,
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -151,7 +151,8 @@
             if server.instance.instance not in excluded
         ]
         healthy = [server for server in found if server.health.usable(now_s)]
-        ranked = sorted(healthy or found, key=self._rank)
+        told = self._board.hears_others()
+        ranked = sorted(healthy or found, key=lambda server: self._rank(server, now_s, told=told))
         if not ranked:
             return None
         chosen = ranked[0]
@@ -166,9 +167,10 @@
         )
         return chosen
 
-    def _rank(self, server: Server) -> float:
+    def _rank(self, server: Server, now_s: float, *, told: bool) -> float:
         far = server.instance.failure_domain != self._failure_domain
-        load = server.own / max(1, server.instance.slots)
+        running = server.own + server.others(now_s, told=told)
+        load = running / max(1, server.instance.slots)
         return load + (FAR_PENALTY if far else 0.0) + self._random.uniform(0, 0.2)
 
     async def _attempt(
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -309,7 +309,7 @@
                 order = Failure(code=Code.ENGINE_FAILED, detail="events are out of order")
                 return self._broken(placement, order)
             if placement.call.reading:
-                placement.call.reading = False
+                placement.server.begun(placement.call)
                 self._note_first_event(placement)
             self._begin_reply(exchange)
             await call.reply.write(b"".join(event.data for event in events))
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -9,6 +9,7 @@
 
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.instances import Instance, InstanceTable
+from leadhollow.membership.uses import Use, decode_uses
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeRole, NodeSettings
 from leadhollow.state.catalog import Catalog, decode_item
@@ -28,6 +29,7 @@
 LONGEST_PAUSE_S = 1.0
 
 LoadListener = Callable[[LoadRecord, float], None]
+UseListener = Callable[[dict[str, Use], bool], None]
 
 log = get_logger("feed")
 
@@ -50,10 +52,12 @@
     __slots__ = (
         "_current",
         "_domains",
+        "_engines",
         "_load_listeners",
         "_peers",
         "_seeds",
         "_settings",
+        "_use_listeners",
         "catalog",
         "confirmed_s",
         "entries",
@@ -68,6 +72,8 @@
         self._domains: dict[str, str] = {}
         self._current = ""
         self._load_listeners: list[LoadListener] = []
+        self._use_listeners: list[UseListener] = []
+        self._engines: list[str] = []  # addresses by their numbers on the feed that is followed
         self.catalog = Catalog()
         self.table = table
         self.ready = asyncio.Event()
@@ -84,6 +90,13 @@
         """Call a function with each report of load and the loop time it was made at."""
         self._load_listeners.append(listener)
 
+    def on_uses(self, listener: UseListener) -> None:
+        """Call a function with each update of what other entries have at engines.
+
+        It gets the uses by address, and whether these are all that there are.
+        """
+        self._use_listeners.append(listener)
+
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for replicas at other seeds from now on; known ones are kept."""
         self._seeds = seeds
@@ -220,6 +233,7 @@
         for load in update.loads or ():
             for listener in self._load_listeners:
                 listener(load, now_s - (load.age_ms or 0) / 1000)
+        self._take_uses(update)
         self._take_replicas(update.replicas)
         self.entries = max(1, int(update.entries or 0))
         if self._confirmed(update):
@@ -229,6 +243,17 @@
                 self.ready.set()
         return True
 
+    def _take_uses(self, update: FeedUpdate) -> None:
+        if update.whole:
+            self._engines = []
+        self._engines += update.engines or ()
+        decoded = decode_uses(self._engines, update.uses)
+        if decoded.is_err():
+            log.error("uses not understood", failure=str(decoded.unwrap_err()))
+            return
+        for listener in self._use_listeners:
+            listener(decoded.unwrap(), bool(update.whole))
+
     def _take_replicas(self, replicas: list[str] | None) -> None:
         if replicas is None:
             return
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from leadhollow.control.confirmation import Confirmation
+from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.control.manifests import ManifestReader
 from leadhollow.control.operators import ControlListener
@@ -43,10 +44,19 @@
             forget_after_s=FORGET_AFTER_S,
         )
 
+    def make_uses() -> Service:
+        return EngineUses(
+            own_address=settings.wire_address,
+            replicas=replica().addresses,
+            peers=process.peers,
+            handlers=process.handlers,
+        )
+
     def make_feed() -> Service:
         return FeedServer(
             catalog=replica().replica.machine.catalog,
             registry=kernel.get("registry", Registry),
+            uses=kernel.get("uses", EngineUses),
             confirmation=kernel.get("confirmation", Confirmation),
             replicas=replica().places,
             handlers=process.handlers,
@@ -71,7 +81,8 @@
     kernel.register("replica", make_replica, needs=("wire",))
     kernel.register("confirmation", make_confirmation, needs=("replica",))
     kernel.register("registry", make_registry, needs=("replica",))
-    kernel.register("feed", make_feed, needs=("confirmation", "registry"))
+    kernel.register("uses", make_uses, needs=("replica",))
+    kernel.register("feed", make_feed, needs=("confirmation", "registry", "uses"))
     kernel.register("manifests", make_manifests, needs=("replica",))
     kernel.register("operators", make_operators, needs=("registry",))
 
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -16,6 +16,7 @@
 from leadhollow.forward.service import CallerListener
 from leadhollow.forward.stream_call import StreamForwarder
 from leadhollow.forward.targets import TargetChooser
+from leadhollow.forward.use_reporter import UseReporter
 from leadhollow.forward.versions import VersionPolicy
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.control_feed import ControlFeed
@@ -44,13 +45,13 @@
         self.routes = RouteIndex(catalog=feed.catalog)
         self.board = ServerBoard(table=feed.table, clock=clock)
         feed.on_load(self.board.take_load)
+        feed.on_uses(self.board.take_told)
         self.budget = RetryBudget(bounds=settings.bounds, entries=lambda: feed.entries, clock=clock)
         versions = VersionPolicy(catalog=feed.catalog, bounds=settings.bounds, clock=clock)
         self.queue = EngineQueue(
             board=self.board,
             versions=versions,
             failure_domain=settings.failure_domain,
-            entries=lambda: feed.entries,
             seed=process.seed,
         )
         ending = Ending(dialect=dialect)
@@ -108,6 +109,11 @@
             pool=kernel.get("pool", ConnectionPool),
         )
 
+    def make_reporter() -> Service:
+        feed = kernel.get("feed", ControlFeed)
+        board = kernel.get("dispatching", Dispatching).board
+        return UseReporter(board=board, feed=feed, peers=process.peers)
+
     def make_callers() -> Service:
         shared = kernel.get("dispatching", Dispatching)
         return CallerListener(
@@ -140,6 +146,7 @@
     kernel.register("feed", make_feed, needs=("wire",))
     kernel.register("pool", ConnectionPool, needs=("wire",))
     kernel.register("dispatching", make_dispatching, needs=("feed", "pool"))
+    kernel.register("use-reporter", make_reporter, needs=("dispatching",))
     kernel.register("callers", make_callers, needs=("dispatching",))
     kernel.register("readiness", make_readiness, needs=("callers",))
 
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -45,8 +45,13 @@
 struct ServedModel { 1: string model; 2: i64 version; 3: i32 first_layer; 4: i32 end_layer }
 struct InstanceRecord { 1: string instance; 2: string service_name; 3: string address; 4: string failure_domain; 5: i64 sequence; 6: i32 state; 7: i32 slots; 8: list<ServedModel> models; 9: i32 heard_age_ms; 10: i32 cold_ms }
 struct LoadRecord { 1: string address; 2: i32 active; 3: i32 queued; 4: i64 kv_used; 5: i64 kv_total; 6: i32 pace_permille; 7: list<ServedModel> models; 8: bool switching; 9: i32 age_ms; 10: i64 staged_version; 11: i32 staged_pieces; 12: i32 path_delay_ms }
+// What entries have at an engine, told at once so that they do not choose the same one unseen. The
+// engine is a place in the list of addresses of the message; a feed goes on counting from update to update.
+struct EngineUse { 1: i32 engine; 2: i32 requests; 3: i32 unread_tokens }
+struct UseReport { 1: list<string> engines; 2: list<EngineUse> uses; 3: bool whole }
+struct UseTotals { 1: string address; 2: list<string> engines; 3: list<EngineUse> uses; 4: bool whole }
 struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision }
-struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole }
+struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses }
 struct FeedProbe { 1: string vm }
 struct FeedProbeReply { 1: i32 confirmed_age_ms; 2: i64 revision; 3: list<string> replicas }
 struct RegistryPush { 1: string address; 2: list<InstanceRecord> instances; 3: list<LoadRecord> loads; 4: i32 entries; 5: bool whole }
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -71,6 +71,8 @@
     83: ttypes.FeedProbeReply,
     84: ttypes.RegistryPush,
     85: ttypes.LoadReport,
+    86: ttypes.UseReport,
+    87: ttypes.UseTotals,
     90: ttypes.PieceWatch,
     91: ttypes.PieceNews,
     92: ttypes.PieceOrder,
--- /dev/null
+++ b/tests/control/test_engine_uses.py
@@ -0,0 +1,159 @@
+"""Tests of what entries have at engines: summed up at replicas, without the one that asks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from leadhollow.codes import Code
+from leadhollow.control.engine_uses import VALID_S, EngineUses
+from leadhollow.membership.uses import Use, decode_uses, encode_uses
+from leadhollow.settings.address import Address
+from leadhollow.settings.deployment import Listener, LoopbackAddresses
+from leadhollow.wire.generated.ttypes import EngineUse, UseReport, UseTotals
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.peers import PeerPool
+from leadhollow.wire.server import WireServer
+from tests.support import TOKEN, eventually
+
+FIRST = "10.0.0.1:80"
+SECOND = "10.0.0.2:80"
+
+
+class Node:
+    """A replica on loopback with nothing but its uses."""
+
+    def __init__(self, address: str, replicas: list[str]) -> None:
+        self.address = address
+        self.handlers = HandlerTable()
+        self.peers = PeerPool(vm=address, failure_domain="d", token=TOKEN, handlers=self.handlers)
+        self.server = WireServer(
+            address=Address.parse(address).unwrap(), token=TOKEN, handlers=self.handlers
+        )
+        self.uses = EngineUses(
+            own_address=address,
+            replicas=lambda: replicas,
+            peers=self.peers,
+            handlers=self.handlers,
+        )
+
+    async def start(self) -> None:
+        assert (await self.server.start()).is_ok()
+        await self.uses.start()
+
+    async def stop(self) -> None:
+        await self.uses.stop()
+        await self.peers.stop()
+        await self.server.stop()
+
+
+def with_nodes(work: Callable[[Node, Node], Awaitable[None]]) -> None:
+    async def run() -> None:
+        take = LoopbackAddresses()
+        addresses = [take(vm, Listener.WIRE) for vm in ("one", "two")]
+        nodes = [Node(address, addresses) for address in addresses]
+        for node in nodes:
+            await node.start()
+        try:
+            await work(*nodes)
+        finally:
+            for node in nodes:
+                await node.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
+async def tell(node: Node, vm: str, uses: dict[str, Use], *, whole: bool = False) -> PeerPool:
+    """Report as an entry does."""
+    peers = PeerPool(vm=vm, failure_domain="d", token=TOKEN, handlers=HandlerTable())
+    connection = (await peers.connection(node.address)).unwrap()
+    connection.oneway(UseReport(*encode_uses(uses), whole))
+    return peers
+
+
+def use(requests: int, unread_tokens: int = 0) -> Use:
+    return Use(requests=requests, unread_tokens=unread_tokens)
+
+
+class TestEngineUses:
+    def test_sums_entries_at_both_replicas_and_leaves_the_asker_out(self):
+        async def work(one: Node, two: Node) -> None:
+            peers = [
+                await tell(one, "entry-1", {FIRST: use(2, 500)}),
+                await tell(one, "entry-2", {FIRST: use(3), SECOND: use(1, 70)}),
+                await tell(two, "entry-3", {FIRST: use(4, 20)}),
+            ]
+            await eventually(lambda: one.uses.total(FIRST) == use(9, 520))
+            await eventually(lambda: two.uses.total(FIRST) == use(9, 520))
+            assert one.uses.total(FIRST, without="entry-1") == use(7, 20)
+            assert two.uses.total(SECOND, without="entry-3") == use(1, 70)
+            assert one.uses.engines() == {FIRST, SECOND}
+            for pool in peers:
+                await pool.stop()
+
+        with_nodes(work)
+
+    def test_a_whole_report_takes_back_what_it_does_not_name(self):
+        async def work(one: Node, two: Node) -> None:
+            peers = await tell(one, "entry-1", {FIRST: use(2), SECOND: use(1)})
+            await eventually(lambda: two.uses.total(SECOND) == use(1))
+            again = await tell(one, "entry-1", {FIRST: use(1)}, whole=True)
+            await eventually(lambda: two.uses.total(SECOND) == use(0))
+            assert two.uses.total(FIRST) == use(1)
+            await peers.stop()
+            await again.stop()
+
+        with_nodes(work)
+
+    def test_an_entry_that_left_the_feed_counts_no_more_anywhere(self):
+        async def work(one: Node, two: Node) -> None:
+            peers = await tell(one, "entry-1", {FIRST: use(2)})
+            await eventually(lambda: two.uses.total(FIRST) == use(2))
+            one.uses.forget("entry-1")
+            assert one.uses.total(FIRST) == use(0)
+            await eventually(lambda: two.uses.total(FIRST) == use(0))
+            await peers.stop()
+
+        with_nodes(work)
+
+    def test_what_was_told_too_long_ago_counts_no_more(self):
+        async def work(one: Node, two: Node) -> None:
+            peers = await tell(one, "entry-1", {FIRST: use(2)})
+            await eventually(lambda: one.uses.total(FIRST) == use(2))
+            changes: list[set[str]] = []
+            one.uses.on_change(lambda engines, vm: changes.append(engines))
+            one.uses.forget_silent(asyncio.get_running_loop().time() + VALID_S + 0.1)
+            assert one.uses.total(FIRST) == use(0)
+            assert {FIRST} in changes
+            await peers.stop()
+
+        with_nodes(work)
+
+    def test_what_cannot_be_understood_changes_nothing(self):
+        async def work(one: Node, two: Node) -> None:
+            peers = await tell(one, "entry-1", {FIRST: use(2)})
+            await eventually(lambda: one.uses.total(FIRST) == use(2))
+            connection = (await peers.connection(one.address)).unwrap()
+            connection.oneway(UseReport([FIRST], [EngineUse(7, 1, 0)], True))
+            connection.oneway(UseTotals("elsewhere", [FIRST], [EngineUse(0, -4, 0)], False))
+            connection.oneway(UseReport([SECOND], [EngineUse(0, 1, 0)], False))
+            await eventually(lambda: one.uses.total(SECOND) == use(1))
+            assert one.uses.total(FIRST) == use(2)
+            await peers.stop()
+
+        with_nodes(work)
+
+
+class TestUseRecords:
+    def test_come_back_as_they_were(self):
+        uses = {FIRST: use(2, 500), SECOND: use(0)}
+        assert decode_uses(*encode_uses(uses)).unwrap() == uses
+
+    @pytest.mark.parametrize(
+        "record",
+        [EngineUse(1, 1, 1), EngineUse(-1, 1, 1), EngineUse(0, -1, 0), EngineUse(0, 0, -1)],
+    )
+    def test_that_cannot_be_are_refused(self, record):
+        assert decode_uses([FIRST], [record]).unwrap_err().code is Code.FRAME_MALFORMED
--- a/tests/forward/test_engine_queue.py
+++ b/tests/forward/test_engine_queue.py
@@ -8,9 +8,10 @@
 import pytest
 
 from leadhollow.codes import Code
-from leadhollow.forward.board import Server, ServerBoard
+from leadhollow.forward.board import NO_USE, Server, ServerBoard
 from leadhollow.forward.engine_queue import EngineQueue, EngineWish, Placement
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable, ServedVersion
+from leadhollow.membership.uses import Use
 from leadhollow.routing.model import EngineSpec, ServiceRecord
 from leadhollow.wire.generated.ttypes import LoadRecord
 
@@ -58,7 +59,6 @@
             board=self.board,
             versions=weights or Weights(),
             failure_domain="a",
-            entries=lambda: 1,
             seed=1,
         )
         self._sequence = 0
@@ -162,6 +162,70 @@
         in_loop(work)
 
 
+class TestOtherEntries:
+    def test_what_they_placed_counts_before_the_engine_reports_it(self):
+        async def work() -> None:
+            group = Group()
+            chosen = group.engine("chosen", active=0, queued=0)
+            other = group.engine("other", active=1, queued=0)
+            told = Use(requests=3, unread_tokens=4_000)
+            group.board.take_told({chosen.instance.address: told}, False)
+            assert (await placed(group)).server is other
+
+        in_loop(work)
+
+    def test_what_ended_there_counts_no_more_although_the_engine_reported_it(self):
+        async def work() -> None:
+            group = Group()
+            freed = group.engine("freed")
+            full = Use(requests=4, unread_tokens=0)
+            group.board.take_told({freed.instance.address: full}, True)
+            other = group.engine("other", active=0, queued=0)
+            told = {other.instance.address: Use(requests=2, unread_tokens=0)}
+            await asyncio.sleep(0.05)
+            group.report(freed, age_s=0.02, active=4, queued=0)
+            group.board.take_told(told, True)
+            assert (await placed(group)).server is freed
+
+        in_loop(work)
+
+    def test_requests_that_nobody_told_of_are_counted_from_the_report(self):
+        async def work() -> None:
+            group = Group()
+            group.board.take_told({}, True)
+            group.engine("used", active=4, queued=2)
+            free = group.engine("free", active=1, queued=0)
+            assert (await placed(group)).server is free
+
+        in_loop(work)
+
+    def test_without_a_control_replica_the_reports_count(self):
+        async def work() -> None:
+            group = Group()
+            busy = group.engine("busy", active=3, queued=0)
+            assert not group.board.hears_others()
+            assert busy.others(asyncio.get_running_loop().time(), told=False) == 3
+
+        in_loop(work)
+
+    def test_own_use_is_told_at_each_change(self):
+        async def work() -> None:
+            group = Group()
+            server = group.engine("only", active=0, queued=0)
+            told: list[Use] = []
+            group.board.on_use(lambda address: told.append(group.board.use(address)))
+            placement = await placed(group)
+            server.begun(placement.call)
+            group.queue.release(placement)
+            assert told == [
+                Use(requests=1, unread_tokens=1_000),
+                Use(requests=1, unread_tokens=0),
+                NO_USE,
+            ]
+
+        in_loop(work)
+
+
 class TestRefusal:
     def test_a_request_that_would_be_late_waits_and_is_refused(self):
         async def work() -> None:
