Ask for pieces slice by slice, so that no request waits behind them

Cause: senders pushed whole pieces of 24 KiB, 54 ms of a link of 3.65 Mbit/s each; four senders and the origin together sent up to six of them to one VM, and each of its requests queued behind them. Ruled out: the processor (2.6 in 100 of a core), the pace of senders.

Change: a receiver asks for 6 KiB at a time, each of another piece, five at once; a sender sends one slice after the other at 0.86 of its link, those across domains first, and drops what was waited for too long. The window goes by the time on the way without the wait at the sender. Half a piece that came is kept for the next source, slow sources are asked less. A stager says at once that it holds nothing yet, so that nobody reads the origin for want of an answer.

--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -111,8 +111,9 @@
         free = [source for source in sources if len(source.ordered) < PER_SOURCE]
         return min(free, key=self._busy) if free else None
 
-    def _busy(self, source: PieceSource) -> tuple[int, float]:
-        return len(source.ordered), self._random.random()
+    def _busy(self, source: PieceSource) -> float:
+        """Guess when a source would answer; of equal ones chance decides."""
+        return (1 + len(source.ordered)) * source.slice_s * self._random.uniform(0.7, 1.3)
 
 
 __all__ = ["Origin", "SourceChoice"]
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -1,7 +1,9 @@
 """Brings one version to this VM: from neighbours, and each piece only once from afar.
 
-A few pieces are on their way at any time, from several senders, so that our link is full and no
-sender's link stands idle; what does not come is ordered from another one that holds it.
+A few slices of pieces are on their way at any time, each from another sender, so that our link is
+full and no sender's link stands idle. What does not come is asked of another one that holds it.
+Slices are asked for one by one: sent unasked, those of several senders would queue at our link,
+and every request for the engine on this VM behind them.
 """
 
 from __future__ import annotations
@@ -9,18 +11,19 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 
+from leadhollow.codes import Code
+from leadhollow.failure import Failure
 from leadhollow.observe.logs import get_logger
 from leadhollow.staging.choice import Origin, SourceChoice
 from leadhollow.staging.origin_source import OriginSource
-from leadhollow.staging.piece_source import STALLED_AFTER_S, PieceSource
+from leadhollow.staging.piece_source import PieceSource
 from leadhollow.staging.pieces import StagedVersion
 from leadhollow.staging.sharing import Stager
 from leadhollow.staging.turns import turn_of
 from leadhollow.staging.window import PieceWindow
 from leadhollow.weights.bitmap import Bitmap
 from leadhollow.weights.pacing import Pacer
-from leadhollow.wire.connection import Connection
-from leadhollow.wire.generated.ttypes import PieceDelivery, PieceNews, PieceOrder, PieceWatch
+from leadhollow.wire.generated.ttypes import PieceNews, PieceWatch, SliceReply, SliceRequest
 from leadhollow.wire.peers import PeerPool
 
 ORIGIN_READERS = 1  # all stagers read at once; more would only make each piece come later
@@ -29,6 +32,13 @@
 MEET_S = 0.5  # time to reach the other stagers before the first order
 EARLY_TURNS = 3  # stagers whose engines change first get their pieces first
 DOWNLOAD_SHARE = 0.95  # of our link; the rest is for the engine's requests
+BURST_S = 0.03  # idle time of our link that may be made up for
+SLICE_BYTES = 6_144
+"""Asked for at a time: an engine's request or answer waits behind one on a slow link for a
+hundredth of a second, and four of them make a piece."""
+
+PATIENCE_MS = 1_200  # a sender that is asked by everybody takes a few tenths of a second
+TRAVEL_MS = 800  # what a slice may take on its way besides
 REPORT_INTERVAL_S = 1.0
 FAILED_PAUSE_S = 0.2
 
@@ -56,10 +66,10 @@
         "_download",
         "_from_origin",
         "_ordered",
-        "_ordered_s",
         "_origin",
         "_others",
         "_own",
+        "_parts",
         "_peers",
         "_sources",
         "_started_s",
@@ -85,11 +95,13 @@
         self._others = others
         self._origin = origin
         self._peers = peers
-        self._download = Pacer(rate_bytes_per_s=lambda: link_bytes_per_s() * DOWNLOAD_SHARE)
+        self._download = Pacer(
+            rate_bytes_per_s=lambda: link_bytes_per_s() * DOWNLOAD_SHARE, burst_s=BURST_S
+        )
         self._choice = SourceChoice(own=own, number=version.number, seed=seed)
         self._sources: dict[str, PieceSource] = {}
         self._ordered: dict[int, PieceSource | None] = {}  # pieces on their way; None: the origin
-        self._ordered_s: dict[int, float] = {}
+        self._parts: dict[int, list[bytes]] = {}  # slices of pieces that are not whole yet
         self._arrived_s = 0.0
         self._window = window
         self._from_origin: asyncio.Queue[int] = asyncio.Queue()
@@ -168,7 +180,6 @@
     def _plan(self) -> None:
         """Order missing pieces that somebody holds, as far as our link goes."""
         now_s = asyncio.get_running_loop().time()
-        self._leave_stalled(now_s)
         if not self._stager_room() and not self._origin_room():
             return
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
@@ -176,16 +187,16 @@
         for index in self._choice.in_order(missing):
             source = self._choice.source(index, now_s)
             if isinstance(source, PieceSource):
-                self._order_from_stager(index, source, now_s)
+                self._order_from_stager(index, source)
             elif source is Origin.ORIGIN:
                 self._order_from_origin(index)
 
-    def _order_from_stager(self, index: int, source: PieceSource, now_s: float) -> None:
+    def _order_from_stager(self, index: int, source: PieceSource) -> None:
         if not self._stager_room():
             return
-        self._download.spend(self.version.manifest.chunk_bytes)
-        self._order(index, source, now_s)
-        self._spawn_receive(source, [index])
+        self._ordered[index] = source
+        source.ordered.add(index)
+        self._spawn(source, self._receive(source, index))
 
     def _order_from_origin(self, index: int) -> None:
         if self._origin_room():
@@ -196,9 +207,7 @@
         """Tell whether another piece may be ordered from a stager now."""
         at_origin = self._on_order_at_origin()
         from_stagers = len(self._ordered) - at_origin
-        return self._download.ready() and self._window.stager_room(
-            from_stagers=from_stagers, from_origin=at_origin
-        )
+        return self._window.stager_room(from_stagers=from_stagers, from_origin=at_origin)
 
     def _origin_room(self) -> bool:
         """Tell whether another piece may be ordered from the origin now."""
@@ -209,22 +218,6 @@
     def _on_order_at_origin(self) -> int:
         return sum(1 for source in self._ordered.values() if source is None)
 
-    def _leave_stalled(self, now_s: float) -> None:
-        if now_s - self._arrived_s > STALLED_AFTER_S / 2:
-            return  # nothing comes from anybody: it is our own link
-        for source in self._sources.values():
-            if source.stalled(now_s):
-                log.warning("source stalled", source=source.stager.address)
-                source.avoid(now_s)
-                self._give_back(source, list(source.ordered))
-
-    def _order(self, index: int, source: PieceSource, now_s: float) -> None:
-        self._ordered[index] = source
-        self._ordered_s[index] = now_s
-        if not source.ordered:
-            source.progress_s = now_s
-        source.ordered.add(index)
-
     async def _watch(self, source: PieceSource) -> None:
         """Follow what another stager holds for as long as it takes part."""
         version = self.version
@@ -234,7 +227,7 @@
         while not source.held.complete:
             connected = await self._peers.connection(source.stager.address)
             if connected.is_ok():
-                self._set_connected(source, True)
+                source.connected = True
                 stream = connected.unwrap().stream(request)
                 while (received := await stream.next()).is_ok():
                     news: PieceNews | None = received.unwrap()
@@ -244,48 +237,75 @@
                         Bitmap.from_bytes(news.held or b"", count=version.held.count).indexes()
                     )
                     source.held.add_all(news.added or ())
+                    source.tried = True
                     self._wake.set()
                 if connected.unwrap().closed.is_set():
-                    self._set_connected(source, False)
+                    self._set_lost(source)
             else:
-                self._set_connected(source, False)
+                self._set_lost(source)
             await asyncio.sleep(WATCH_AGAIN_S)
 
-    async def _receive(self, source: PieceSource, indexes: list[int]) -> None:
-        """Take the pieces of one order as they come."""
-        version = self.version
+    async def _receive(self, source: PieceSource, index: int) -> None:
+        """Take one piece, slice after slice; what came of it is kept for the next source."""
+        try:
+            while not self._has_all(index):
+                if not await self._receive_slice(source, index):
+                    return
+            self._take(source, index, b"".join(self._parts.pop(index)))
+        finally:
+            self._give_back(source, index)
+
+    def _has_all(self, index: int) -> bool:
+        size = sum(map(len, self._parts.get(index, ())))
+        return size >= self.version.manifest.chunk_bytes
+
+    async def _receive_slice(self, source: PieceSource, index: int) -> bool:
+        """Ask a source for the next slice of a piece; False where it did not come."""
         connected = await self._peers.connection(source.stager.address)
         if connected.is_err():
-            self._set_connected(source, False)
-            self._give_back(source, indexes)
-            return
-        connection: Connection = connected.unwrap()
-        order = PieceOrder(
+            self._set_lost(source)
+            return False
+        await self._download.free()
+        self._download.spend(SLICE_BYTES)
+        version = self.version
+        offset = sum(map(len, self._parts.get(index, ())))
+        request = SliceRequest(
             version.model,
             version.number,
-            indexes,
+            index,
+            offset,
+            SLICE_BYTES,
             self._own.failure_domain,
             self._turn(),
+            PATIENCE_MS,
         )
-        stream = connection.stream(order)
-        try:
-            while True:
-                received = await stream.next()
-                if received.is_err():
-                    self._set_connected(source, False)
-                    return
-                delivery: PieceDelivery | None = received.unwrap()
-                if delivery is None:
-                    return
-                self._take(source, int(delivery.index or 0), delivery.data or b"")
-        finally:
-            stream.cancel()
-            self._give_back(source, indexes)
+        loop = asyncio.get_running_loop()
+        asked_s = loop.time()
+        answered = await connected.unwrap().call(request, timeout_ms=PATIENCE_MS + TRAVEL_MS)
+        now_s = loop.time()
+        if answered.is_err():
+            self._note_failed(source, index, answered.unwrap_err(), now_s)
+            return False
+        reply: SliceReply = answered.unwrap()
+        self._window.note(now_s - asked_s - (reply.waited_ms or 0) / 1000)
+        source.note_slice(now_s - asked_s)
+        self._arrived_s = now_s
+        self._parts.setdefault(index, []).append(reply.data or b"")
+        return True
+
+    def _note_failed(self, source: PieceSource, index: int, failure: Failure, now_s: float) -> None:
+        log.info("slice not read", piece=index, source=source.stager.address, failure=str(failure))
+        if failure.code is Code.PEER_LOST:
+            self._set_lost(source)
+        elif failure.code is Code.CHUNK_UNKNOWN:
+            source.held.discard_all([index])
+        elif now_s - self._arrived_s < PATIENCE_MS / 1000:
+            source.avoid(now_s)  # others do answer, so it is not our own link
+        else:
+            self._window.note(PATIENCE_MS / 1000)
 
     def _take(self, source: PieceSource, index: int, data: bytes) -> None:
         source.ordered.discard(index)
-        source.progress_s = self._arrived_s = asyncio.get_running_loop().time()
-        self._window.note(self._arrived_s - self._ordered_s.pop(index, self._arrived_s))
         if self.version.take(index, data):
             self._ordered.pop(index, None)
             self._wake.set()
@@ -303,24 +323,23 @@
         before = sum(1 for stager in stagers if turn_of(stager.address, number) < own)
         return min(before, EARLY_TURNS)
 
-    def _give_back(self, source: PieceSource, indexes: list[int]) -> None:
-        """Let pieces that did not come be ordered anew."""
-        for index in indexes:
-            source.ordered.discard(index)
-            if self._ordered.get(index) is source:
-                del self._ordered[index]
+    def _give_back(self, source: PieceSource, index: int) -> None:
+        """Let a piece that did not come be ordered anew."""
+        source.ordered.discard(index)
+        if self._ordered.get(index) is source:
+            del self._ordered[index]
         self._wake.set()
 
     def _lose(self, source: PieceSource) -> None:
         for task in source.tasks:
             task.cancel()
-        self._give_back(source, list(source.ordered))
+        for index in list(source.ordered):
+            self._give_back(source, index)
 
-    def _set_connected(self, source: PieceSource, connected: bool) -> None:
-        if source.connected is not connected or not source.tried:
-            source.tried = True
-            source.connected = connected
-            self._wake.set()
+    def _set_lost(self, source: PieceSource) -> None:
+        source.tried = True
+        source.connected = False
+        self._wake.set()
 
     async def _read_origin(self) -> None:
         """Read one piece after another; what did not come is planned anew, from anybody."""
@@ -338,18 +357,10 @@
             self._ordered.pop(index, None)
             self._wake.set()
 
-    def _spawn_receive(self, source: PieceSource, indexes: list[int]) -> None:
-        task = self._spawn(source, self._receive(source, indexes))
-        source.receiving.add(task)
-        task.add_done_callback(source.receiving.discard)
-
-    def _spawn(
-        self, source: PieceSource, work: Coroutine[object, object, None]
-    ) -> asyncio.Task[None]:
+    def _spawn(self, source: PieceSource, work: Coroutine[object, object, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         source.tasks.add(task)
         task.add_done_callback(source.tasks.discard)
-        return task
 
 
 __all__ = ["PieceFetch"]
--- a/src/leadhollow/staging/piece_server.py
+++ b/src/leadhollow/staging/piece_server.py
@@ -1,60 +1,78 @@
-"""Sends pieces to other stagers, one at a time, and tells them which ones are here."""
+"""Sends slices of pieces to other stagers, and tells them which pieces are here."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
+from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.staging.pieces import PieceStore
 from leadhollow.weights.bitmap import Bitmap
 from leadhollow.weights.pacing import Pacer
-from leadhollow.wire.generated.ttypes import PieceDelivery, PieceNews, PieceOrder, PieceWatch
+from leadhollow.wire.connection import Connection
+from leadhollow.wire.generated.ttypes import PieceNews, PieceWatch, SliceReply, SliceRequest
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.streams import StreamSink
 
 NEWS_PAUSE_S = 0.04  # pieces that come within it are told together
 WAIT_VERSION_S = 0.1
-LINK_SHARE = 0.93
-"""Part of the link for pieces: the engine's answers leave over the same one, and must not queue."""
+LINK_SHARE = 0.86
+"""Part of the link for pieces: the engine's answers leave over the same one, a tenth of it where
+the engine is busy, and must not queue."""
 
-FRAME_SHARE = 1.03  # bytes on the wire for each byte of a piece
-BACKLOG_BYTES = 8 * 1024  # a watcher that takes no more gets its next piece later
+BURST_S = 0.015  # a slice's time on a slow link
+FRAME_SHARE = 1.03  # bytes on the wire for each byte of a slice
+BACKLOG_BYTES = 8 * 1024  # a receiver that takes no more gets its next slice later
 BLOCKED_POLL_S = 0.01
+LONGEST_PATIENCE_MS = 10_000
 
 
-class _Order:
-    """Pieces that one stager wants from us, in the order in which they were asked for."""
+class _Want:
+    """A slice that another stager waits for.
 
-    __slots__ = ("done", "far", "model", "number", "sink", "turn", "wanted")
+    Parameters
+    ----------
+    give_up_s
+        Loop time after which the other stager does not wait for it any more.
+    """
+
+    __slots__ = ("answer", "asked_s", "connection", "data", "far", "give_up_s", "number", "turn")
 
     def __init__(
         self,
         *,
-        model: str,
-        number: int,
-        wanted: list[int],
-        sink: StreamSink,
+        data: bytes,
         far: bool,
         turn: int,
+        number: int,
+        asked_s: float,
+        give_up_s: float,
+        connection: Connection,
+        answer: asyncio.Future[int],
     ) -> None:
-        self.model = model
-        self.number = number
-        self.wanted = wanted
-        self.sink = sink
+        self.data = data
         self.far = far
         self.turn = turn
-        self.done = asyncio.Event()
+        self.number = number
+        self.asked_s = asked_s
+        self.give_up_s = give_up_s
+        self.connection = connection
+        self.answer = answer
+
+    def rank(self) -> tuple[bool, int, int]:
+        """Give its place: what must cross domains first, then by turn, then as asked."""
+        return not self.far, self.turn, self.number
 
 
 class PieceServer(TaskService):
     """Answers other stagers.
 
-    The whole link is given to one piece after the other: sent side by side they would all arrive
-    late, and whatever else leaves this VM would wait behind them.
+    Slices leave one after the other at the pace of the link, so that whatever else leaves this VM
+    waits for one of them at most.
 
     Parameters
     ----------
@@ -65,7 +83,7 @@
         Then go those whose engine changes first, so that not all have to change at once.
     """
 
-    __slots__ = ("_failure_domain", "_orders", "_pacer", "_store", "_wake", "bytes_sent")
+    __slots__ = ("_asked", "_failure_domain", "_pacer", "_store", "_wake", "_wants", "bytes_sent")
 
     def __init__(
         self,
@@ -77,84 +95,90 @@
     ) -> None:
         self._store = store
         self._failure_domain = failure_domain
-        self._orders: list[_Order] = []
-        self._pacer = Pacer(rate_bytes_per_s=lambda: link_bytes_per_s() * LINK_SHARE)
+        self._wants: list[_Want] = []
+        self._asked = 0
+        self._pacer = Pacer(
+            rate_bytes_per_s=lambda: link_bytes_per_s() * LINK_SHARE, burst_s=BURST_S
+        )
         self._wake = asyncio.Event()
         self.bytes_sent = 0
         super().__init__()
-        store.on_piece(self._wake.set)
         handlers.on_stream(PieceWatch, self._on_watch)
-        handlers.on_stream(PieceOrder, self._on_order)
+        handlers.on_call(SliceRequest, self._on_slice)
 
     async def _work(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
             self._wake.clear()
-            chosen = self._next()
-            if chosen is None:
+            await self._pacer.free()
+            want = self._next(loop.time())
+            if want is None:
                 await self._wait()
                 continue
-            order, index, data = chosen
-            order.wanted.remove(index)
-            size = int(len(data) * FRAME_SHARE)
-            await self._pacer.take(size)
-            order.sink.write(PieceDelivery(index, data))
+            self._wants.remove(want)
+            size = int(len(want.data) * FRAME_SHARE)
+            self._pacer.spend(size)
             self.bytes_sent += size
-            if not order.wanted:
-                order.done.set()
+            want.answer.set_result(int((loop.time() - want.asked_s) * 1000))
 
-    def _next(self) -> tuple[_Order, int, bytes] | None:
-        """Choose the next piece that is here and whose receiver takes it."""
-        for order in sorted(self._orders, key=lambda order: (not order.far, order.turn)):
-            if order.sink.connection.backlog_bytes > BACKLOG_BYTES:
-                continue
-            found = self._available(order)
-            if found is not None:
-                self._orders.remove(order)
-                self._orders.append(order)  # receivers of one kind take turns
-                return order, *found
-        return None
-
-    def _available(self, order: _Order) -> tuple[int, bytes] | None:
-        version = self._store.find(order.model, order.number)
-        if version is None:
-            return None
-        for index in order.wanted:
-            data = version.piece(index)
-            if data is not None:
-                return index, data
-        return None
+    def _next(self, now_s: float) -> _Want | None:
+        """Choose the slice that leaves next, of those whose receivers take it."""
+        for want in self._wants:
+            if now_s > want.give_up_s and not want.answer.done():
+                want.answer.cancel()
+        self._wants = [want for want in self._wants if not want.answer.done()]
+        ready = [want for want in self._wants if want.connection.backlog_bytes <= BACKLOG_BYTES]
+        return min(ready, key=_Want.rank) if ready else None
 
     async def _wait(self) -> None:
-        """Wait for a piece or an order; a receiver whose socket is full is looked at again."""
-        blocked = any(order.wanted for order in self._orders)
+        """Wait for a request; a receiver whose socket is full is looked at again."""
         try:
-            async with asyncio.timeout(BLOCKED_POLL_S if blocked else None):
+            async with asyncio.timeout(BLOCKED_POLL_S if self._wants else None):
                 await self._wake.wait()
         except TimeoutError:
             return
 
-    async def _on_order(self, request: PieceOrder, sink: StreamSink) -> Result[None, Failure]:
-        """Send pieces as they are here; the stream ends once all were sent."""
-        order = _Order(
-            model=request.model,
-            number=int(request.version or 0),
-            wanted=list(request.indexes or ()),
-            sink=sink,
+    async def _on_slice(
+        self, request: SliceRequest, connection: Connection
+    ) -> Result[SliceReply, Failure]:
+        """Send part of a piece when it is its turn."""
+        version = self._store.find(request.model, int(request.version or 0))
+        piece = None if version is None else version.piece(int(request.piece or 0))
+        offset = int(request.offset or 0)
+        size = int(request.size_bytes or 0)
+        if piece is None or not 0 <= offset < len(piece) or size <= 0:
+            return Err(Failure(code=Code.CHUNK_UNKNOWN, detail=f"piece {request.piece}"))
+        loop = asyncio.get_running_loop()
+        patience_ms = min(int(request.patience_ms or LONGEST_PATIENCE_MS), LONGEST_PATIENCE_MS)
+        data = piece[offset : offset + size]
+        answer: asyncio.Future[int] = loop.create_future()
+        self._asked += 1
+        want = _Want(
+            data=data,
             far=request.failure_domain != self._failure_domain,
             turn=int(request.turn or 0),
+            number=self._asked,
+            asked_s=loop.time(),
+            give_up_s=loop.time() + patience_ms / 1000,
+            connection=connection,
+            answer=answer,
         )
-        self._orders.append(order)
+        self._wants.append(want)
         self._wake.set()
         try:
-            if order.wanted:
-                await order.done.wait()
-        finally:
-            self._orders.remove(order)
-        return Ok(None)
+            await asyncio.wait([answer])
+        except asyncio.CancelledError:
+            answer.cancel()  # the connection ended; the slice does not leave
+            raise
+        if answer.cancelled():
+            return Err(Failure(code=Code.PEER_TIMEOUT, detail="too many others wait for slices"))
+        return Ok(SliceReply(data, answer.result()))
 
     async def _on_watch(self, request: PieceWatch, sink: StreamSink) -> Result[None, Failure]:
         """Send what is held, then each piece as it comes."""
         version = self._store.find(request.model, request.version)
+        if version is None:
+            await sink.send(PieceNews(b"", []))  # so that nobody waits for us to begin
         while version is None:
             await asyncio.sleep(WAIT_VERSION_S)
             version = self._store.find(request.model, request.version)
@@ -171,4 +195,4 @@
         return Ok(None)
 
 
-__all__ = ["PieceServer"]
+__all__ = ["LINK_SHARE", "PieceServer"]
--- a/src/leadhollow/staging/piece_source.py
+++ b/src/leadhollow/staging/piece_source.py
@@ -7,8 +7,9 @@
 from leadhollow.staging.sharing import Stager
 from leadhollow.weights.bitmap import Bitmap
 
-STALLED_AFTER_S = 2.0  # a source that sends nothing of what was ordered is left alone
-AVOIDED_S = 1.5  # for this long
+AVOIDED_S = 1.5  # how long a source that did not answer is left alone
+USUAL_SLICE_S = 0.05  # assumed of a source that has sent nothing yet
+SLICE_WEIGHT = 0.3  # of the newest slice in the running mean
 
 
 class PieceSource:
@@ -18,6 +19,13 @@
     ----------
     count
         Pieces of the version.
+
+    Attributes
+    ----------
+    tried
+        Whether it told what it holds, or could not be reached.
+    slice_s
+        Mean time from a request to its slice lately.
     """
 
     __slots__ = (
@@ -25,8 +33,7 @@
         "connected",
         "held",
         "ordered",
-        "progress_s",
-        "receiving",
+        "slice_s",
         "stager",
         "tasks",
         "tried",
@@ -38,24 +45,21 @@
         self.ordered: set[int] = set()
         self.connected = False
         self.tried = False
-        self.progress_s = 0.0
+        self.slice_s = USUAL_SLICE_S
         self.avoided_until_s = 0.0
         self.tasks: set[asyncio.Task[None]] = set()
-        self.receiving: set[asyncio.Task[None]] = set()
 
     def usable(self, now_s: float) -> bool:
         """Tell whether it can be asked."""
         return self.connected and now_s >= self.avoided_until_s
 
-    def stalled(self, now_s: float) -> bool:
-        """Tell whether it owes us pieces and has sent nothing for long."""
-        return bool(self.ordered) and now_s - self.progress_s > STALLED_AFTER_S
+    def note_slice(self, took_s: float) -> None:
+        """Take the time from a request to its slice."""
+        self.slice_s += SLICE_WEIGHT * (took_s - self.slice_s)
 
     def avoid(self, now_s: float) -> None:
-        """Ask it for nothing for a while, and wait no longer for what was ordered."""
+        """Ask it for nothing for a while."""
         self.avoided_until_s = now_s + AVOIDED_S
-        for task in self.receiving:
-            task.cancel()
 
 
 __all__ = ["PieceSource"]
--- a/src/leadhollow/staging/window.py
+++ b/src/leadhollow/staging/window.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable
 
-WINDOW = 4
-"""Pieces on their way: enough to keep our link full while senders are busy with others, and no
-more, because the requests for the engine come over the same link."""
+WINDOW = 5
+"""Slices on their way, each of another piece: enough to keep our link full while senders are busy
+with others, and no more, because the requests for the engine come over the same link."""
 
 FROM_ORIGIN = 2  # of them, further ones from the origin: one on its way, one to follow it at once
-SLOW_PIECE_S = 0.7  # from order to arrival; with a full window it is a quarter second
-QUICK_PIECE_S = 0.4
+SLOW_SLICE_S = 0.25  # on its way; with a full window and pieces of the origin it is a tenth
+QUICK_SLICE_S = 0.12
 STEP = 0.25
 
 
@@ -31,7 +31,7 @@
 
     @property
     def size(self) -> int:
-        """Pieces that may be on order; at least one."""
+        """Pieces of which a slice may be on its way; at least one."""
         return max(1, round(self._size * self._link_share()))
 
     @property
@@ -40,10 +40,10 @@
         return self.size < WINDOW
 
     def note(self, took_s: float) -> None:
-        """Take the time from an order to the piece."""
-        if took_s > SLOW_PIECE_S:
+        """Take the time that a slice was on its way, without its wait at the sender."""
+        if took_s > SLOW_SLICE_S:
             self._size = max(1.0, self._size / 2)
-        elif took_s < QUICK_PIECE_S:
+        elif took_s < QUICK_SLICE_S:
             self._size = min(float(WINDOW), self._size + STEP)
 
     def stager_room(self, *, from_stagers: int, from_origin: int) -> bool:
@@ -61,4 +61,4 @@
         return from_origin == 0 and from_stagers <= self.size
 
 
-__all__ = ["FROM_ORIGIN", "QUICK_PIECE_S", "SLOW_PIECE_S", "WINDOW", "PieceWindow"]
+__all__ = ["FROM_ORIGIN", "QUICK_SLICE_S", "SLOW_SLICE_S", "WINDOW", "PieceWindow"]
--- a/src/leadhollow/weights/pacing.py
+++ b/src/leadhollow/weights/pacing.py
@@ -15,12 +15,15 @@
     ----------
     rate_bytes_per_s
         Called at each take, so that the rate can follow live traffic.
+    burst_s
+        Idle time that may be made up for; it bounds what queues at the link at once.
     """
 
-    __slots__ = ("_free_at_s", "_rate_bytes_per_s", "bytes_taken")
+    __slots__ = ("_burst_s", "_free_at_s", "_rate_bytes_per_s", "bytes_taken")
 
-    def __init__(self, *, rate_bytes_per_s: Callable[[], float]) -> None:
+    def __init__(self, *, rate_bytes_per_s: Callable[[], float], burst_s: float = BURST_S) -> None:
         self._rate_bytes_per_s = rate_bytes_per_s
+        self._burst_s = burst_s
         self._free_at_s = 0.0
         self.bytes_taken = 0
 
@@ -31,15 +34,21 @@
     def spend(self, size_bytes: int) -> None:
         """Take bytes without waiting; those that come next wait for them."""
         now_s = asyncio.get_running_loop().time()
-        start_s = max(self._free_at_s, now_s - BURST_S)
+        start_s = max(self._free_at_s, now_s - self._burst_s)
         self._free_at_s = start_s + size_bytes / self._rate_bytes_per_s()
         self.bytes_taken += size_bytes
 
+    async def free(self) -> None:
+        """Wait until the link has carried everything that was taken."""
+        loop = asyncio.get_running_loop()
+        while (wait_s := self._free_at_s - loop.time()) > 0:  # noqa: ASYNC110 others take meanwhile
+            await asyncio.sleep(wait_s)
+
     async def take(self, size_bytes: int) -> None:
         """Wait until the link has carried all bytes before these, and then these."""
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        start_s = max(self._free_at_s, now_s - BURST_S)
+        start_s = max(self._free_at_s, now_s - self._burst_s)
         self._free_at_s = start_s + size_bytes / self._rate_bytes_per_s()
         self.bytes_taken += size_bytes
         wait_s = self._free_at_s - now_s
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -60,8 +60,8 @@
 // Pieces between stagers.
 struct PieceWatch { 1: string model; 2: i64 version; 3: string address; 4: string failure_domain }
 struct PieceNews { 1: binary held; 2: list<i32> added }
-struct PieceOrder { 1: string model; 2: i64 version; 3: list<i32> indexes; 4: string failure_domain; 5: i64 turn }
-struct PieceDelivery { 1: i32 index; 2: binary data }
+struct SliceRequest { 1: string model; 2: i64 version; 3: i32 piece; 4: i32 offset; 5: i32 size_bytes; 6: string failure_domain; 7: i32 turn; 8: i32 patience_ms }
+struct SliceReply { 1: binary data; 2: i32 waited_ms }
 
 // Placement and share of capacity.
 struct Order { 1: i64 fence; 2: string holder; 3: string model; 4: string version; 5: string root; 6: bool activate; 7: i64 size_bytes; 8: string origin_url; 9: i64 revision; 10: bool hedge }
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -75,8 +75,8 @@
     87: ttypes.UseTotals,
     90: ttypes.PieceWatch,
     91: ttypes.PieceNews,
-    92: ttypes.PieceOrder,
-    93: ttypes.PieceDelivery,
+    94: ttypes.SliceRequest,
+    95: ttypes.SliceReply,
 }
 """Numbers are never reused; a new body takes a new one."""
 
--- a/src/leadhollow/wire/traffic.py
+++ b/src/leadhollow/wire/traffic.py
@@ -9,11 +9,11 @@
     ChunkRequest,
     Dispatch,
     Output,
-    PieceDelivery,
+    SliceReply,
 )
 
 DATA_BODIES: frozenset[type[Any]] = frozenset(
-    {Dispatch, Output, ChunkRequest, ChunkReply, PieceDelivery}
+    {Dispatch, Output, ChunkRequest, ChunkReply, SliceReply}
 )
 
 
--- a/tests/staging/test_window.py
+++ b/tests/staging/test_window.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leadhollow.staging.window import FROM_ORIGIN, QUICK_PIECE_S, SLOW_PIECE_S, WINDOW, PieceWindow
+from leadhollow.staging.window import FROM_ORIGIN, QUICK_SLICE_S, SLOW_SLICE_S, WINDOW, PieceWindow
 
 
 def a_window(share: float = 1.0) -> PieceWindow:
@@ -17,21 +17,21 @@
         assert window.size == WINDOW
         assert not window.narrowed
 
-    def test_pieces_that_take_long_narrow_it_for_the_next_version_too(self):
+    def test_slices_that_take_long_narrow_it_for_the_next_version_too(self):
         window = a_window()
         for _ in range(4):
-            window.note(2 * SLOW_PIECE_S)
+            window.note(2 * SLOW_SLICE_S)
         assert window.size == 1
         assert window.narrowed
 
-    def test_quick_pieces_widen_it_step_by_step(self):
+    def test_quick_slices_widen_it_step_by_step(self):
         window = a_window()
         for _ in range(4):
-            window.note(2 * SLOW_PIECE_S)
-        window.note(QUICK_PIECE_S / 2)
+            window.note(2 * SLOW_SLICE_S)
+        window.note(QUICK_SLICE_S / 2)
         assert window.size < WINDOW
         for _ in range(4 * WINDOW):
-            window.note(QUICK_PIECE_S / 2)
+            window.note(QUICK_SLICE_S / 2)
         assert window.size == WINDOW
 
     @pytest.mark.parametrize("share", [0.1, 0.5])
