Under pressure take only what will be on time, alike for every kind and size

Change: an entry notes what share of new requests it refuses (half-life 1 s). With it rises a margin before the objective, up to 80 ms, and the objective that counts falls to the shortest of the service. Admission goes by a request of usual size. A place given in the very turn in which a wait ends is used or given back; it had stayed taken for ever.

--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -16,6 +16,7 @@
 from leadhollow.failure import Failure
 from leadhollow.forward.board import OwnCall, Server, ServerBoard
 from leadhollow.forward.engine_model import EngineDemand, EngineModel
+from leadhollow.forward.pressure import Pressure
 from leadhollow.forward.versions import VersionPolicy
 from leadhollow.observe.logs import get_logger, log_decision
 from leadhollow.routing.model import EngineSpec, ServiceRecord
@@ -36,6 +37,9 @@
 LATE_TOLERANCE_S = 0.05
 """A request predicted this much too late still comes in time in one case of three."""
 
+SURE_MARGIN_S = 0.08
+"""Predicted this much before its objective a request is on time in four cases of five."""
+
 SHORTEST_RETRY_S = 0.6
 LONGEST_RETRY_S = 1.8
 PUMP_INTERVAL_S = 0.02
@@ -66,6 +70,8 @@
     ----------
     service
         Service whose engines may answer.
+    objective_s
+        Time that its kind of request has for the first event.
     on_time_s
         Loop time until which its first event is on time.
     decide_s
@@ -84,6 +90,7 @@
         "excluded",
         "last_attempt",
         "model",
+        "objective_s",
         "on_time_s",
         "organisation",
         "output_tokens",
@@ -100,6 +107,7 @@
         model: str,
         prompt_tokens: int,
         output_tokens: float,
+        objective_s: float,
         on_time_s: float,
         decide_s: float,
         standing: Standing,
@@ -112,6 +120,7 @@
         self.model = model
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
+        self.objective_s = objective_s
         self.on_time_s = on_time_s
         self.decide_s = decide_s
         self.standing = standing
@@ -157,13 +166,31 @@
 
 
 class _Option:
-    __slots__ = ("demand", "first_ms", "server", "version")
+    """An engine that a request could go to.
+
+    Parameters
+    ----------
+    first_ms
+        Predicted time until its first event.
+    usual_ms
+        The same for a request of usual size: admission goes by it, because by its own size a large
+        one would be refused again and again.
+    """
+
+    __slots__ = ("demand", "first_ms", "server", "usual_ms", "version")
 
     def __init__(
-        self, *, server: Server, first_ms: float, demand: EngineDemand, version: int
+        self,
+        *,
+        server: Server,
+        first_ms: float,
+        usual_ms: float,
+        demand: EngineDemand,
+        version: int,
     ) -> None:
         self.server = server
         self.first_ms = first_ms
+        self.usual_ms = usual_ms
         self.demand = demand
         self.version = version
 
@@ -181,6 +208,7 @@
         "_board",
         "_failure_domain",
         "_models",
+        "_pressure",
         "_random",
         "_versions",
         "_waiters",
@@ -199,6 +227,7 @@
         self._failure_domain = failure_domain
         self._random = random.Random(seed)
         self._models: dict[str, EngineModel] = {}
+        self._pressure: dict[str, Pressure] = {}
         self._waiters: list[_Waiter] = []
         board.on_change(self.pump)
 
@@ -215,25 +244,34 @@
         NO_CAPACITY
             No engine can answer in time; nothing was sent.
         """
-        loop = asyncio.get_running_loop()
+        placed = await self._place(wish)
+        if wish.standing is Standing.NEW:
+            now_s = asyncio.get_running_loop().time()
+            self._pressure_of(wish.service).note(refused=placed is None, now_s=now_s)
+        return Err(Failure(code=Code.NO_CAPACITY)) if placed is None else Ok(placed)
+
+    async def _place(self, wish: EngineWish) -> Placement | None:
         if not any(waiter.wish.standing < wish.standing for waiter in self._waiters):
             placed = self._try(wish)
             if placed is not None:
-                return Ok(placed)
-        waiter = _Waiter(wish=wish, future=loop.create_future())
+                return placed
+        future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(wish=wish, future=future)
         self._insert(waiter)
         try:
             async with asyncio.timeout_at(wish.decide_s):
-                return Ok(await waiter.future)
+                return await future
         except TimeoutError:
-            pass
+            if _given(future):
+                return future.result()  # in the same turn of the loop as the end of the wait
+        except asyncio.CancelledError:
+            if _given(future):
+                self.release(future.result())
+            raise
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
-        placed = self._try(wish, late=True)
-        if placed is not None:
-            return Ok(placed)
-        return Err(Failure(code=Code.NO_CAPACITY))
+        return self._try(wish, late=True)
 
     def retry_after_s(self) -> float:
         """Give the time after which a refused request should come back."""
@@ -265,10 +303,17 @@
         option = self._best(wish, now_s)
         if option is None:
             return None
-        margin_s = wish.on_time_s - now_s - option.first_ms / 1000
-        if not _takes(wish.standing, option, margin_s, last_moment=late):
+        pressure = self._pressure_of(wish.service)
+        level = pressure.level(now_s)
+        shortest_s = pressure.shortest_objective_s(wish.objective_s, now_s)
+        margin_s = wish.on_time_s - now_s - option.usual_ms / 1000
+        margin_s -= level * (SURE_MARGIN_S + wish.objective_s - shortest_s)
+        if not _takes(wish.standing, option, margin_s, level=level, last_moment=late):
             return None
-        return self._take(wish, option, now_s, on_time=margin_s >= 0)
+        return self._take(wish, option, now_s, pressure=level)
+
+    def _pressure_of(self, service: ServiceRecord) -> Pressure:
+        return self._pressure.setdefault(service.name, Pressure())
 
     def _best(self, wish: EngineWish, now_s: float) -> _Option | None:
         spec = wish.service.engine
@@ -286,15 +331,23 @@
         for server, version in eligible:
             demand = server.demand(model, now_s, told=told)
             first_ms = model.first_event_ms(demand, wish.prompt_tokens)
-            first_ms += max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
+            delay_ms = max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
             if heard and server.fresh_report(now_s) is None:
-                first_ms += UNHEARD_MS
+                delay_ms += UNHEARD_MS
+            first_ms += delay_ms
             rank = first_ms + self._random.uniform(0, SPREAD_MS)
             if server.instance.failure_domain != self._failure_domain:
                 rank += FAR_PENALTY_MS
             if rank < best_rank:
                 best_rank = rank
-                best = _Option(server=server, first_ms=first_ms, demand=demand, version=version)
+                usual_ms = model.first_event_ms(demand, spec.usual_prompt_tokens) + delay_ms
+                best = _Option(
+                    server=server,
+                    first_ms=first_ms,
+                    usual_ms=min(first_ms, usual_ms),
+                    demand=demand,
+                    version=version,
+                )
         return best
 
     def _eligible(
@@ -325,7 +378,9 @@
         report = server.fresh_report(now_s)
         return left_s > SAFE_S and report is not None and now_s - report.made_s < RECENT_S
 
-    def _take(self, wish: EngineWish, option: _Option, now_s: float, *, on_time: bool) -> Placement:
+    def _take(
+        self, wish: EngineWish, option: _Option, now_s: float, *, pressure: float
+    ) -> Placement:
         call = OwnCall(
             prompt_tokens=wish.prompt_tokens,
             output_tokens=wish.output_tokens,
@@ -346,7 +401,8 @@
             prompt_tokens=wish.prompt_tokens,
             own=option.server.own,
             report_age_ms=None if report is None else round((now_s - report.made_s) * 1000),
-            on_time=on_time,
+            on_time=now_s + option.first_ms / 1000 <= wish.on_time_s,
+            pressure=round(pressure, 2),
             version=option.version,
         )
         return Placement(
@@ -358,13 +414,21 @@
         )
 
 
-def _takes(standing: Standing, option: _Option, margin_s: float, *, last_moment: bool) -> bool:
+def _given(future: asyncio.Future[Placement]) -> bool:
+    return future.done() and not future.cancelled()
+
+
+def _takes(
+    standing: Standing, option: _Option, margin_s: float, *, level: float, last_moment: bool
+) -> bool:
     """Tell whether an engine takes a request now.
 
     Parameters
     ----------
     margin_s
         Time between its first event, as predicted, and its objective.
+    level
+        Pressure on the engines; where somebody has to be refused, nobody is taken that may be late.
     last_moment
         Whether it is refused otherwise.
     """
@@ -376,7 +440,7 @@
         case Standing.RESUMED:
             return on_time or free > -LATE_QUEUE
         case Standing.NEW:
-            return on_time or (last_moment and (idle or margin_s > -LATE_TOLERANCE_S))
+            return on_time or (last_moment and (idle or margin_s > -LATE_TOLERANCE_S * (1 - level)))
         case Standing.CAME_BACK:
             return (on_time and free > KEPT_FREE) or (last_moment and idle)
 
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -195,6 +195,7 @@
             model=call.facts.model,
             prompt_tokens=call.facts.prompt_tokens,
             output_tokens=_expected_output(call),
+            objective_s=objective_s,
             on_time_s=call.objective_s if not self._begun else now_s + objective_s,
             decide_s=min(decide_s, call.deadline_s),
             standing=standing,
--- a/tests/forward/test_engine_queue.py
+++ b/tests/forward/test_engine_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -10,6 +11,7 @@
 from leadhollow.codes import Code
 from leadhollow.forward.board import NO_USE, Server, ServerBoard
 from leadhollow.forward.engine_queue import EngineQueue, EngineWish, Placement, Standing
+from leadhollow.forward.pressure import Pressure
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable, ServedVersion
 from leadhollow.membership.uses import Use
 from leadhollow.routing.model import EngineSpec, ServiceRecord
@@ -99,6 +101,7 @@
         "model": "m",
         "prompt_tokens": 1_000,
         "output_tokens": 100.0,
+        "objective_s": on_time_s,
         "on_time_s": now_s + on_time_s,
         "decide_s": now_s + decide_s,
         "standing": Standing.NEW,
@@ -313,6 +316,88 @@
         in_loop(work)
 
 
+class TestLeaving:
+    def test_a_place_that_was_given_as_the_caller_left_is_given_back(self):
+        async def work() -> None:
+            group = Group()
+            server = group.engine("full", active=4, queued=9)
+            waiting = asyncio.create_task(group.queue.place(a_wish(decide_s=5.0)))
+            await asyncio.sleep(0.01)
+            group.report(server, active=0, queued=0)  # the place is given in this turn
+            waiting.cancel()
+            await asyncio.wait([waiting])
+            assert waiting.cancelled()
+            assert server.own == 0
+
+        in_loop(work)
+
+    def test_a_place_that_was_given_as_the_wait_ended_is_used(self):
+        async def work() -> None:
+            loop = asyncio.get_running_loop()
+            group = Group()
+            server = group.engine("full", active=4, queued=9)
+            end_s = loop.time() + 0.05
+            loop.call_at(end_s - 0.0005, lambda: time.sleep(0.002))  # both timers are due then
+            loop.call_at(end_s - 0.0001, lambda: group.report(server, active=0, queued=0))
+            found = await group.queue.place(a_wish(decide_s=0.05))
+            assert found.is_ok()
+            assert server.own == 1
+
+        in_loop(work)
+
+
+class TestPressure:
+    def test_rises_with_refusals_and_fades(self):
+        pressure = Pressure()
+        assert pressure.level(0.0) == 0.0
+        for _ in range(20):
+            pressure.note(refused=True, now_s=1.0)
+        assert pressure.level(1.0) == 1.0
+        for moment in range(2, 9):
+            pressure.note(refused=False, now_s=float(moment))
+        assert pressure.level(9.0) < 0.5
+
+    def test_a_single_refusal_says_little(self):
+        pressure = Pressure()
+        pressure.note(refused=True, now_s=1.0)
+        pressure.note(refused=False, now_s=1.0)
+        assert pressure.level(1.0) < 1.0 + 1e-9
+        pressure.note(refused=False, now_s=1.0)
+        for _ in range(17):
+            pressure.note(refused=False, now_s=1.0)
+        assert pressure.level(1.0) <= 0.25 + 1e-9
+
+    def test_knows_the_shortest_objective_of_what_comes(self):
+        pressure = Pressure()
+        assert pressure.shortest_objective_s(0.5, 0.0) == 0.5
+        assert pressure.shortest_objective_s(0.4, 0.1) == 0.4
+        assert pressure.shortest_objective_s(0.5, 0.2) == 0.4
+        assert pressure.shortest_objective_s(0.5, 9.0) == 0.5
+
+    def test_where_somebody_is_refused_anyway_nobody_is_taken_that_may_be_late(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("used", active=3, queued=0)
+            calm = await group.queue.place(a_wish(on_time_s=0.25))
+            group.queue.release(calm.unwrap())
+            for _ in range(12):
+                refused = await group.queue.place(a_wish(on_time_s=0.01, decide_s=0.0))
+                assert refused.is_err()
+            pressed = await group.queue.place(a_wish(on_time_s=0.25, decide_s=0.0))
+            assert pressed.unwrap_err().code is Code.NO_CAPACITY
+
+        in_loop(work)
+
+    def test_a_large_request_is_taken_like_a_usual_one(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("used", active=3, queued=0)
+            large = a_wish(on_time_s=0.25, prompt_tokens=4_000, decide_s=0.0)
+            assert (await group.queue.place(large)).is_ok()
+
+        in_loop(work)
+
+
 class TestWeights:
     def test_too_old_ones_get_nothing(self):
         async def work() -> None:
