Let stagers step in one after the other for one that is slow or hangs

A stager that was frozen held back pieces of its neighbours for 2 s at a time. Ruled out: the pace of the others, 16 to 18 of at most 18.6 pieces a second.

Change: who has read its own part reads, 0.6 s a place in the order later, what is left of the others; who is next in a domain brings in what is held elsewhere after 0.8 s a place. A source that owes a slice for 0.7 s is not asked for more; it keeps its tasks, since dealt out anew everything would be read twice.

--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -9,8 +9,14 @@
 from leadhollow.staging.piece_source import PieceSource
 from leadhollow.staging.sharing import Sharing, Stager
 
-IMPORT_ANYWAY_S = 3.0  # for a piece that another one should bring in, and did not
-ORIGIN_ANYWAY_S = 4.0  # for a piece that nobody holds although another one should have read it
+IMPORT_STEP_S = 0.8
+"""Time in which one stager should bring in a piece that is held elsewhere; it asks for those first.
+Then it is the next one's turn."""
+
+ORIGIN_STEP_S = 0.6
+"""Time by which one stager may be later than another in reading its part from the origin, which
+serves all alike; then the next one reads what is left."""
+
 PER_SOURCE = 2  # pieces ordered from one stager at a time; it serves others too
 
 
@@ -24,9 +30,10 @@
     """Chooses for the pieces of one version.
 
     A piece crosses into a failure domain once, and leaves the origin once, as long as those whose
-    task that is do it. Others wait for them, and step in after a time. While the origin does not
-    answer us that time does not run: the others cannot read it either, and whoever stepped in
-    would read the same pieces again once it answers.
+    task that is do it. Others step in one after the other: a stager on a slow link, or one that
+    hangs, would keep everybody waiting. Whoever steps in at the origin has read its own part: the
+    others must have come as far. While the origin does not answer us no time runs, because it
+    answers the others no more than us.
 
     Parameters
     ----------
@@ -36,12 +43,12 @@
 
     __slots__ = (
         "_near",
+        "_outside_since_s",
         "_own",
         "_random",
         "_sharing",
         "_sources",
         "_step_in_from_s",
-        "_wanted_since_s",
     )
 
     def __init__(self, *, own: Stager, number: int, seed: int) -> None:
@@ -50,8 +57,8 @@
         self._random = random.Random(seed)
         self._sharing = Sharing(number=number, stagers=[own])
         self._sources: list[PieceSource] = []
-        self._step_in_from_s = 0.0
-        self._wanted_since_s: dict[int, float] = {}
+        self._step_in_from_s: float | None = None  # while our own part is not read
+        self._outside_since_s: dict[int, float] = {}
 
     def look(self, sources: Collection[PieceSource], *, number: int, now_s: float) -> None:
         """Take note of who can be asked now."""
@@ -61,18 +68,23 @@
         for source in self._sources:
             if source.stager.failure_domain == own_domain:
                 self._near |= source.held.mask()
-        stagers = [self._own, *(source.stager for source in self._sources)]
+        # one that only hangs keeps its tasks: dealt out anew, all would be read twice
+        stagers = [self._own, *(source.stager for source in sources if source.connected)]
         self._sharing = Sharing(number=number, stagers=stagers)
 
     def origin_failed(self, now_s: float) -> None:
         """Take note that the origin does not answer."""
-        self._step_in_from_s = now_s
+        self._step_in_from_s = None
 
-    def in_order(self, missing: list[int]) -> list[int]:
+    def in_order(self, missing: list[int], now_s: float) -> list[int]:
         """Give the pieces in the order in which they should be asked for.
 
         Those we are to bring in come first, because neighbours wait for them.
         """
+        if any(self._reads(index) for index in missing):
+            self._step_in_from_s = None
+        elif self._step_in_from_s is None:
+            self._step_in_from_s = now_s
         shuffled = list(missing)
         self._random.shuffle(shuffled)
         return sorted(shuffled, key=self._rank)
@@ -81,15 +93,22 @@
         """Choose whom to ask for a piece now; None where it has to wait."""
         if self._near >> index & 1:
             return self._freest(self._holders(index, inside=True))
-        since_s = self._wanted_since_s.setdefault(index, now_s)
-        importer = self._sharing.importer(index, self._own.failure_domain)
-        if importer != self._own and now_s - since_s < IMPORT_ANYWAY_S:
-            return None
         outside = self._holders(index, inside=False)
         if outside:
-            return self._freest(outside)
-        steps_in = now_s - max(since_s, self._step_in_from_s) >= ORIGIN_ANYWAY_S
-        return Origin.ORIGIN if steps_in or self._reads(index) else None
+            return self._freest(outside) if self._imports(index, now_s) else None
+        return Origin.ORIGIN if self._reads(index) or self._steps_in(index, now_s) else None
+
+    def _imports(self, index: int, now_s: float) -> bool:
+        """Tell whether it is our turn to bring in a piece that is held elsewhere."""
+        since_s = self._outside_since_s.setdefault(index, now_s)
+        return now_s - since_s >= IMPORT_STEP_S * self._sharing.importer_place(index, self._own)
+
+    def _steps_in(self, index: int, now_s: float) -> bool:
+        """Tell whether it is our turn to read a piece that others should have read."""
+        if self._step_in_from_s is None:
+            return False
+        place = self._sharing.reader_place(index, self._own)
+        return now_s - self._step_in_from_s >= ORIGIN_STEP_S * place
 
     def _rank(self, index: int) -> int:
         if self._near >> index & 1:
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -184,7 +184,7 @@
             return
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
         self._choice.look(self._sources.values(), number=self.version.number, now_s=now_s)
-        for index in self._choice.in_order(missing):
+        for index in self._choice.in_order(missing, now_s):
             source = self._choice.source(index, now_s)
             if isinstance(source, PieceSource):
                 self._order_from_stager(index, source)
@@ -195,7 +195,7 @@
         if not self._stager_room():
             return
         self._ordered[index] = source
-        source.ordered.add(index)
+        source.order(index, asyncio.get_running_loop().time())
         self._spawn(source, self._receive(source, index))
 
     def _order_from_origin(self, index: int) -> None:
@@ -288,7 +288,7 @@
             return False
         reply: SliceReply = answered.unwrap()
         self._window.note(now_s - asked_s - (reply.waited_ms or 0) / 1000)
-        source.note_slice(now_s - asked_s)
+        source.note_slice(now_s - asked_s, now_s)
         self._arrived_s = now_s
         self._parts.setdefault(index, []).append(reply.data or b"")
         return True
--- a/src/leadhollow/staging/piece_source.py
+++ b/src/leadhollow/staging/piece_source.py
@@ -8,6 +8,7 @@
 from leadhollow.weights.bitmap import Bitmap
 
 AVOIDED_S = 1.5  # how long a source that did not answer is left alone
+HANGS_AFTER_S = 0.7  # a source that owes us slices and sent none for so long is asked for no more
 USUAL_SLICE_S = 0.05  # assumed of a source that has sent nothing yet
 SLICE_WEIGHT = 0.3  # of the newest slice in the running mean
 
@@ -33,6 +34,7 @@
         "connected",
         "held",
         "ordered",
+        "progress_s",
         "slice_s",
         "stager",
         "tasks",
@@ -45,16 +47,25 @@
         self.ordered: set[int] = set()
         self.connected = False
         self.tried = False
+        self.progress_s = 0.0
         self.slice_s = USUAL_SLICE_S
         self.avoided_until_s = 0.0
         self.tasks: set[asyncio.Task[None]] = set()
 
     def usable(self, now_s: float) -> bool:
         """Tell whether it can be asked."""
-        return self.connected and now_s >= self.avoided_until_s
+        hangs = bool(self.ordered) and now_s - self.progress_s > HANGS_AFTER_S
+        return self.connected and now_s >= self.avoided_until_s and not hangs
 
-    def note_slice(self, took_s: float) -> None:
+    def order(self, index: int, now_s: float) -> None:
+        """Note a piece that is asked for there."""
+        if not self.ordered:
+            self.progress_s = now_s
+        self.ordered.add(index)
+
+    def note_slice(self, took_s: float, now_s: float) -> None:
         """Take the time from a request to its slice."""
+        self.progress_s = now_s
         self.slice_s += SLICE_WEIGHT * (took_s - self.slice_s)
 
     def avoid(self, now_s: float) -> None:
--- a/src/leadhollow/staging/sharing.py
+++ b/src/leadhollow/staging/sharing.py
@@ -58,6 +58,16 @@
         """Give the stager that reads a piece from the origin."""
         return self._order[index % len(self._order)]
 
+    def reader_place(self, index: int, stager: Stager) -> int:
+        """Give how many others come before a stager in reading a piece from the origin."""
+        return (self._order.index(stager) - index) % len(self._order)
+
+    def importer_place(self, index: int, stager: Stager) -> int:
+        """Give how many others of its domain come before a stager in bringing a piece in."""
+        inside = self._by_domain[stager.failure_domain]
+        first = inside.index(self.importer(index, stager.failure_domain))
+        return (inside.index(stager) - first) % len(inside)
+
     def importer(self, index: int, failure_domain: str) -> Stager:
         """Give the stager that brings a piece into a failure domain."""
         reader = self.origin_reader(index)
--- a/tests/staging/test_choice.py
+++ b/tests/staging/test_choice.py
@@ -5,13 +5,13 @@
 import pytest
 
 from leadhollow.staging.choice import (
-    IMPORT_ANYWAY_S,
-    ORIGIN_ANYWAY_S,
+    IMPORT_STEP_S,
+    ORIGIN_STEP_S,
     PER_SOURCE,
     Origin,
     SourceChoice,
 )
-from leadhollow.staging.piece_source import PieceSource
+from leadhollow.staging.piece_source import HANGS_AFTER_S, PieceSource
 from leadhollow.staging.sharing import Sharing, Stager
 
 PIECES = 24
@@ -63,22 +63,47 @@
         far = a_source(FAR, index)
         choice = a_choice(a_source(NEIGHBOUR), far)
         assert choice.source(index, 0.0) is None
-        assert choice.source(index, IMPORT_ANYWAY_S) is far
+        assert choice.source(index, IMPORT_STEP_S) is far
 
-    def test_reads_what_another_one_should_have_read(self):
+    def test_reads_what_another_one_should_have_read_once_its_own_part_is_read(self):
         choice = a_choice(a_source(NEIGHBOUR), a_source(FAR))
         index = read_by(NEIGHBOUR)
-        assert choice.source(index, 0.0) is None
-        assert choice.source(index, ORIGIN_ANYWAY_S) is Origin.ORIGIN
+        choice.in_order([index, read_by(OWN)], 0.0)
+        assert choice.source(index, 60.0) is None
+        choice.in_order([index], 60.0)
+        assert choice.source(index, 60.0) is None
+        assert choice.source(index, 60.0 + 2 * ORIGIN_STEP_S) is Origin.ORIGIN
+
+    def test_one_after_the_other_steps_in(self):
+        stagers = [OWN, NEIGHBOUR, FAR]
+        sharing = Sharing(number=1, stagers=stagers)
+        for index in range(PIECES):
+            places = {sharing.reader_place(index, stager) for stager in stagers}
+            assert places == {0, 1, 2}
+            assert sharing.reader_place(index, sharing.origin_reader(index)) == 0
+            inside = {sharing.importer_place(index, stager) for stager in (OWN, NEIGHBOUR)}
+            assert inside == {0, 1}
+            assert sharing.importer_place(index, sharing.importer(index, "a")) == 0
+
+    def test_asks_no_source_that_owes_us_something_and_hangs(self):
+        neighbour, far = a_source(NEIGHBOUR, 5), a_source(FAR, 5)
+        neighbour.order(7, 0.0)
+        choice = SourceChoice(own=OWN, number=1, seed=1)
+        choice.look([neighbour, far], number=1, now_s=HANGS_AFTER_S + 0.1)
+        choice.source(5, HANGS_AFTER_S + 0.1)
+        assert choice.source(5, HANGS_AFTER_S + IMPORT_STEP_S + 0.2) is far
+        neighbour.note_slice(1.0, HANGS_AFTER_S + 0.1)
+        assert neighbour.usable(HANGS_AFTER_S + 0.2)
 
     @pytest.mark.parametrize("outage_s", [1.0, 6.0, 60.0])
     def test_leaves_the_pieces_of_others_to_them_after_the_origin_was_away(self, outage_s):
         choice = a_choice(a_source(NEIGHBOUR), a_source(FAR))
         index = read_by(NEIGHBOUR)
-        choice.source(index, 0.0)
+        choice.in_order([index], 0.0)
         choice.origin_failed(outage_s)
-        assert choice.source(index, outage_s + 0.9 * ORIGIN_ANYWAY_S) is None
-        assert choice.source(index, outage_s + ORIGIN_ANYWAY_S) is Origin.ORIGIN
+        choice.in_order([index], outage_s)
+        assert choice.source(index, outage_s + 0.9 * ORIGIN_STEP_S) is None
+        assert choice.source(index, outage_s + 2 * ORIGIN_STEP_S) is Origin.ORIGIN
 
     def test_does_the_tasks_of_those_that_are_gone(self):
         index = read_by(NEIGHBOUR)
@@ -88,7 +113,9 @@
 
     def test_asks_first_for_what_neighbours_wait_for(self):
         held = [index for index in range(PIECES) if index % 2]
-        order = a_choice(a_source(NEIGHBOUR, *held), a_source(FAR)).in_order(list(range(PIECES)))
+        order = a_choice(a_source(NEIGHBOUR, *held), a_source(FAR)).in_order(
+            list(range(PIECES)), 0.0
+        )
         assert sorted(order) == list(range(PIECES))
         assert set(order[PIECES // 2 :]) == set(held)
         assert Sharing(number=1, stagers=[OWN, NEIGHBOUR, FAR]).origin_reader(order[0]) == OWN
