Ask an engine for the weights it holds, and tell the story of one request

A request was refused by four engines in 0.37 s that could all run it. Change: what is asked for is the version that the engine is thought to hold. `leadhollow explain REQUEST-ID LOGFILE...` puts the lines of one request together with those of the engines chosen for it, from logs of several processes whose clocks disagree.

--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -13,6 +13,7 @@
     BenchRequestsCommand,
 )
 from leadhollow.cli.demo_command import DemoCommand
+from leadhollow.cli.explain_command import ExplainCommand
 from leadhollow.cli.model_commands import ModelPublishCommand, ModelRolloutCommand
 from leadhollow.cli.output import print_failure
 from leadhollow.cli.run_command import CheckCommand, RunCommand
@@ -49,6 +50,7 @@
     ModelRolloutCommand,
     DrainCommand,
     ErrorsCommand,
+    ExplainCommand,
     StateVerifyCommand,
     StateBackupCommand,
     StateRestoreCommand,
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -135,11 +135,15 @@
 
     Parameters
     ----------
+    version
+        Weights that the engine is thought to hold.
+    expected_version
+        Weights that the engine must hold, or else refuse; None while any will do.
     begin_by_s
         Loop time by which the first event must have come; later the weights are too old.
     """
 
-    __slots__ = ("begin_by_s", "call", "required_version", "server", "version")
+    __slots__ = ("begin_by_s", "call", "expected_version", "server", "version")
 
     def __init__(
         self,
@@ -147,14 +151,14 @@
         server: Server,
         call: OwnCall,
         version: int,
-        required_version: int,
+        expected_version: int | None,
         begin_by_s: float,
     ) -> None:
         self.begin_by_s = begin_by_s
         self.server = server
         self.call = call
         self.version = version
-        self.required_version = required_version
+        self.expected_version = expected_version
 
 
 class _Waiter:
@@ -409,7 +413,7 @@
             server=option.server,
             call=call,
             version=option.version,
-            required_version=self._versions.oldest_allowed(wish.model),
+            expected_version=option.version if self._versions.oldest_allowed(wish.model) else None,
             begin_by_s=self._versions.begin_by_s(wish.model, option.version),
         )
 
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -215,7 +215,7 @@
         instance = placement.server.instance
         dispatch = call.dispatch(
             instance=instance.instance,
-            version=placement.required_version or None,
+            version=placement.expected_version,
             last_event_id=self.last_id,
         )
         first_by_s = self._first_event_by(placement)
@@ -416,7 +416,7 @@
             request=self._call.request_id,
             instance=instance,
             status=exchange.status,
-            expected_version=placement.required_version,
+            expected_version=placement.expected_version,
         )
 
     def _note_first_event(self, placement: Placement) -> None:
--- /dev/null
+++ b/tests/explain/test_story.py
@@ -0,0 +1,97 @@
+"""Tests of the story of a request: found in several logs, ordered over clocks that disagree."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from cleo.testers.application_tester import ApplicationTester
+
+from leadhollow.cli.application import build_application
+from leadhollow.explain.records import LogRecord, read_records
+from leadhollow.explain.story import tell_story
+
+AHEAD_S = 40.0  # of the control replica's clock
+
+
+def line(time_s: float, component: str, message: str, **fields: object) -> str:
+    head = {"time_s": time_s, "level": "info", "component": component, "message": message}
+    return json.dumps(head | fields)
+
+
+ENTRY = [
+    line(100.0, "board", "backend server found", instance="i-1"),
+    line(100.1, "board", "backend server found", instance="i-2"),
+    line(105.0, "decision", "engine chosen", request="r1", instance="i-1"),
+    line(105.1, "decision", "engine chosen", request="r2", instance="i-2"),
+    line(105.9, "stream", "stream broken", request="r1", instance="i-1"),
+]
+CONTROL = [
+    line(100.0 + AHEAD_S, "registry", "backend server changed", instance="i-1", state="ready"),
+    line(100.1 + AHEAD_S, "registry", "backend server changed", instance="i-2", state="ready"),
+    line(104.0 + AHEAD_S, "registry", "backend server changed", instance="i-1", state="draining"),
+    line(105.5 + AHEAD_S, "registry", "backend server changed", instance="i-2", state="draining"),
+    line(190.0 + AHEAD_S, "registry", "backend server changed", instance="i-1", state="gone"),
+]
+
+
+def records() -> list[LogRecord]:
+    return [*read_records("entry.log", ENTRY), *read_records("control.log", CONTROL)]
+
+
+class TestReadRecords:
+    @pytest.mark.parametrize(
+        "text", ["", "plain words", "{not json", "[1]", '{"message": "no time"}', "{}"]
+    )
+    def test_passes_over_what_is_no_record(self, text):
+        assert list(read_records("f", [text])) == []
+
+    def test_takes_the_process_from_the_collector_s_prefix(self):
+        found = list(read_records("f", ["  12.5 entry-1 " + ENTRY[0], ENTRY[1]]))
+        assert [record.source for record in found] == ["entry-1", "f"]
+
+
+class TestStory:
+    def test_tells_what_was_learnt_of_the_chosen_engine_and_nothing_of_others(self):
+        story = tell_story("r1", records())
+        told = [(line.record.message, line.record.fields.get("state")) for line in story]
+        assert told == [
+            ("backend server changed", "ready"),
+            ("backend server changed", "draining"),
+            ("engine chosen", None),
+            ("stream broken", None),
+        ]
+
+    def test_orders_by_the_clock_of_the_entry(self):
+        story = tell_story("r1", records())
+        assert [round(line.after_s, 3) for line in story] == [-5.0, -1.0, 0.0, 0.9]
+
+    def test_is_empty_for_an_unknown_request(self):
+        assert tell_story("r9", records()) == []
+
+
+class TestExplainCommand:
+    def run(self, tmp_path, words: str) -> tuple[int, str]:
+        (tmp_path / "entry.log").write_text("\n".join(ENTRY))
+        (tmp_path / "control.log").write_text("\n".join(CONTROL))
+        tester = ApplicationTester(build_application())
+        return tester.execute(f"explain {words}".replace("DIR", str(tmp_path))), ""
+
+    def test_prints_the_story(self, tmp_path, capsys):
+        code, _ = self.run(tmp_path, "r1 DIR/entry.log DIR/control.log")
+        printed = capsys.readouterr().out.splitlines()
+        assert code == 0
+        assert len(printed) == 4
+        assert "state=draining" in printed[1]
+
+    def test_prints_json_lines(self, tmp_path, capsys):
+        code, _ = self.run(tmp_path, "--json r1 DIR/entry.log DIR/control.log")
+        printed = [json.loads(text) for text in capsys.readouterr().out.splitlines()]
+        assert code == 0
+        assert printed[-1]["message"] == "stream broken"
+
+    @pytest.mark.parametrize("words", ["r9 DIR/entry.log", "r1 DIR/absent.log"])
+    def test_says_what_is_wrong(self, tmp_path, capsys, words):
+        code, _ = self.run(tmp_path, words)
+        assert code != 0
+        assert capsys.readouterr().err
--- a/tests/forward/test_engine_queue.py
+++ b/tests/forward/test_engine_queue.py
@@ -429,6 +429,22 @@
 
         in_loop(work)
 
+    def test_an_engine_is_asked_for_the_weights_it_holds_once_old_ones_are_too_old(self):
+        async def work() -> None:
+            group = Group(Weights(newest=3, oldest=2))
+            group.engine("newest", version=3, active=0, queued=0)
+            assert (await placed(group)).expected_version == 3
+
+        in_loop(work)
+
+    def test_any_weights_will_do_while_none_are_too_old(self):
+        async def work() -> None:
+            group = Group(Weights(newest=3, oldest=0))
+            group.engine("old", version=1, active=0, queued=0)
+            assert (await placed(group)).expected_version is None
+
+        in_loop(work)
+
     def test_a_request_that_may_run_once_more_only_goes_to_the_newest(self):
         async def work() -> None:
             group = Group(Weights(newest=2, left_s=7.0))
