--- a/src/leadhollow/run.py
+++ b/src/leadhollow/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -16,6 +17,8 @@
     """
     arguments = sys.argv[1:]
     if arguments == ["platform"]:
+        # it may come at any moment, and ends a process that has no handler for it yet
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         from leadhollow.platform.serve import serve as serve_platform
 
         raise SystemExit(serve_platform())
--- /dev/null
+++ b/tests/soak/backend.py
@@ -0,0 +1,263 @@
+"""Stand-ins of backend servers, a model engine and a plain service; what they ran is recorded."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+
+import aiohttp
+from aiohttp import web
+
+from tests.soak.ledger import Ledger, Run
+from tests.soak.proxy import Proxy
+from tests.soak.weights import LAYERS, MODEL, PIECES, piece
+
+BEAT_S = 0.4
+LOAD_S = 0.2
+WORK_S = 0.03
+EVENT_S = 0.02
+DRAIN_S = 2.0
+
+
+def event(request: str, number: int) -> bytes:
+    """Give one event of a stream."""
+    return f"id: {number}\ndata: {request}/{number}\n\n".encode()
+
+
+class Backend:
+    """One address at which incarnations of a backend server follow each other.
+
+    Parameters
+    ----------
+    model
+        Whether it runs a model.
+    controls
+        Gives the addresses that take announcements.
+
+    Attributes
+    ----------
+    mute
+        Whether it takes requests and answers none.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        zone: str,
+        proxy: Proxy,
+        slots: int,
+        model: bool,
+        ledger: Ledger,
+        controls: Callable[[], list[str]],
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.proxy = proxy
+        self.slots = slots
+        self.model = model
+        self.version = 1 if model else 0
+        self.staged: dict[int, bytes] = {}
+        self.mute = False
+        self.state = "ready"
+        self.drained_s: float | None = None
+        self._ledger = ledger
+        self._controls = controls
+        self._incarnation = 0
+        self._sequence = 0
+        self._orders = 0
+        self._busy = False
+        self._running: set[asyncio.Task[object]] = set()
+        self._semaphore = asyncio.Semaphore(slots)
+        self._runner: web.AppRunner | None = None
+        self._beating: asyncio.Task[None] | None = None
+        self._loading: asyncio.Task[None] | None = None
+        if model:
+            self.staged = {index: piece(1, index) for index in range(PIECES)}
+
+    @property
+    def instance(self) -> str:
+        """Name of this incarnation."""
+        return f"i-{self.name}-{self._incarnation}"
+
+    async def start(self) -> None:
+        """Begin a new incarnation."""
+        self._incarnation += 1
+        self._sequence = self._orders = 0
+        self.state, self.drained_s, self.mute, self._busy = "ready", None, False, False
+        self._semaphore = asyncio.Semaphore(self.slots)
+        app = web.Application()
+        app.router.add_get("/-/report", self._report)
+        app.router.add_post("/-/order", self._order)
+        app.router.add_put(f"/-/stage-put/{MODEL}", self._stage_put)
+        app.router.add_get(f"/-/stage-get/{MODEL}", self._stage_get)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self.proxy.host, self.proxy.target_port).start()
+        self._beating = asyncio.create_task(self._beat())
+
+    async def stop(self) -> None:
+        """End at once, as a crash does; what is staged stays."""
+        for task in (self._beating, self._loading, *self._running):
+            if task is not None:
+                task.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        self._runner = None
+        if self.model:
+            self.version = 0
+
+    async def leave(self) -> None:
+        """Drain as announced, then go."""
+        self.state = "draining"
+        await asyncio.sleep(DRAIN_S + 1.5)
+        await self._tell("DELETE")
+        await self.stop()
+
+    async def _beat(self) -> None:
+        while True:
+            acknowledged = await self._tell("PUT")
+            if acknowledged and self.state == "draining" and self.drained_s is None:
+                self.drained_s = self._ledger.now_s()
+            await asyncio.sleep(BEAT_S)
+
+    async def _tell(self, method: str) -> bool:
+        self._sequence += 1
+        document = {
+            "service": self.service,
+            "address": self.proxy.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "sequence": self._sequence,
+            **self._held(),
+        }
+        controls = self._controls()
+        random.shuffle(controls)
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for control in controls:
+                url = f"http://{control}/-/instances/{self.instance}"
+                try:
+                    async with session.request(method, url, json=document) as answer:
+                        if answer.status == 200:
+                            return True
+                except (aiohttp.ClientError, TimeoutError, OSError):
+                    continue
+        return False
+
+    def _held(self) -> dict[str, object]:
+        if not self.version:
+            return {"models": [], "layers": []}
+        layers = {"from": 0, "target": LAYERS, "version": self.version}
+        return {"models": [{"name": MODEL, "version": self.version}], "layers": [layers]}
+
+    async def _report(self, request: web.Request) -> web.Response:
+        active = len(self._running)
+        return web.json_response(
+            {
+                **self._held(),
+                "busy": self._busy,
+                "sequence": self._orders,
+                "queued": max(0, active - self.slots),
+                "active": min(active, self.slots),
+            }
+        )
+
+    async def _stage_put(self, request: web.Request) -> web.Response:
+        self.staged[int(request.query["pieceIndex"])] = await request.read()
+        return web.Response(status=200)
+
+    async def _stage_get(self, request: web.Request) -> web.Response:
+        if "pieceIndex" not in request.query:
+            return web.json_response({"held": sorted(self.staged)})
+        data = self.staged.get(int(request.query["pieceIndex"]))
+        return web.Response(status=404) if data is None else web.Response(body=data)
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if self._busy or order["precondition"] != self._orders:
+            return web.Response(status=409)
+        self._orders += 1
+        self._busy = True
+        self._loading = asyncio.create_task(self._load(int(order["version"]), dict(self.staged)))
+        return web.Response(status=202)
+
+    async def _load(self, version: int, staged: dict[int, bytes]) -> None:
+        for task in list(self._running):
+            task.cancel()
+        self.version = 0
+        await asyncio.sleep(LOAD_S)
+        wrong = [index for index in range(PIECES) if staged.get(index) != piece(version, index)]
+        if wrong:
+            self._ledger.break_rule(f"WHOLE {self.instance}: version {version}, pieces {wrong}")
+        self.version = version
+        self._busy = False
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        attempt = request.headers.get("X-Attempt-Id", "")
+        refused = {"X-Not-Executed": "1", "X-Instance-Id": self.instance, "X-Attempt-Id": attempt}
+        if request.headers.get("X-Expect-Instance") != self.instance:
+            return web.Response(status=421, headers=refused)
+        self._judge_draining(attempt)
+        expected = request.headers.get("X-Expect-Version")
+        if self.model and (not self.version or self._busy):
+            return web.Response(status=503, headers=refused)
+        if expected is not None and int(expected) != self.version:
+            return web.Response(status=421, headers=refused)
+        if len(self._running) >= 2 * self.slots:
+            return web.Response(status=503, headers=refused)
+        body = await request.read()
+        task = asyncio.current_task()
+        assert task is not None
+        self._running.add(task)
+        try:
+            async with self._semaphore:
+                while self.mute:
+                    await asyncio.sleep(0.05)
+                return await self._run(request, attempt, body)
+        finally:
+            self._running.discard(task)
+
+    def _judge_draining(self, attempt: str) -> None:
+        now_s = self._ledger.now_s()
+        if self.drained_s is None or not self._ledger.calm(now_s):
+            return
+        if now_s - self.drained_s > DRAIN_S:
+            self._ledger.break_rule(f"DRAIN {attempt}: sent to {self.instance}")
+
+    async def _run(self, request: web.Request, attempt: str, body: bytes) -> web.StreamResponse:
+        now_s = self._ledger.now_s()
+        run = Run(
+            request=attempt,
+            instance=self.instance,
+            service=self.service,
+            version=self.version,
+            began_s=now_s,
+        )
+        self._ledger.runs[attempt].append(run)
+        signature = f"{attempt}/{self.instance}"
+        headers = {"X-Attempt-Id": attempt, "X-Response-Signature": signature}
+        if not self.model:
+            await asyncio.sleep(WORK_S)
+            return web.Response(body=signature.encode(), headers=headers)
+        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        with contextlib.suppress(ConnectionError):  # the caller left
+            await response.prepare(request)
+        last = int(request.headers.get("Last-Event-Id", "0"))
+        for number in range(last + 1, int(request.match_info["path"].rpartition("/")[2]) + 1):
+            await asyncio.sleep(EVENT_S)
+            with contextlib.suppress(ConnectionError):
+                await response.write(event(attempt, number))
+        with contextlib.suppress(ConnectionError):
+            await response.write_eof()
+        return response
+
+
+__all__ = ["DRAIN_S", "Backend", "event"]
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,162 @@
+"""What really happened, as the stand-ins saw it, judged against what callers were told."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+from enum import Enum
+
+PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
+IN_FORCE_S = 2.0  # bound of a configuration and of a draining engine
+VERSION_S = 8.0  # bound of a version
+CONTACT_S = 3.0  # undisturbed time after which bounds hold
+
+
+class Kind(Enum):
+    """What may be repeated."""
+
+    ORDER = "order"  # at most once
+    LOOKUP = "lookup"
+    STREAM = "stream"
+
+
+class Run:
+    """A request that an engine or service began to work on."""
+
+    __slots__ = ("began_s", "instance", "request", "service", "version")
+
+    def __init__(
+        self, *, request: str, instance: str, service: str, version: int, began_s: float
+    ) -> None:
+        self.request = request
+        self.instance = instance
+        self.service = service
+        self.version = version
+        self.began_s = began_s
+
+
+class Told:
+    """What a caller was told."""
+
+    __slots__ = ("body", "entry", "kind", "request", "sent_s", "signature", "status", "wanted")
+
+    def __init__(
+        self, *, request: str, kind: Kind, entry: str, sent_s: float, wanted: bytes = b""
+    ) -> None:
+        self.request = request
+        self.kind = kind
+        self.entry = entry
+        self.sent_s = sent_s
+        self.wanted = wanted  # the whole body of a stream
+        self.status = 0  # no answer
+        self.body = b""
+        self.signature = ""
+
+
+class Table:
+    """A configuration that was sent."""
+
+    __slots__ = ("acknowledged_s", "body", "lookup_service", "number")
+
+    def __init__(self, *, number: int, body: bytes, lookup_service: str) -> None:
+        self.number = number
+        self.body = body
+        self.lookup_service = lookup_service
+        self.acknowledged_s: float | None = None
+
+
+class Ledger:
+    """Everything that was seen in one run."""
+
+    __slots__ = ("disturbances", "named", "runs", "tables", "told", "violations")
+
+    def __init__(self) -> None:
+        self.runs: dict[str, list[Run]] = defaultdict(list)
+        self.told: list[Told] = []
+        self.tables: list[Table] = []
+        self.named: dict[int, float] = {}  # acknowledgement of each version
+        self.disturbances: list[float] = []
+        self.violations: list[str] = []
+
+    def now_s(self) -> float:
+        """Give the time that all entries of the ledger go by."""
+        return time.monotonic()
+
+    def disturb(self) -> None:
+        """Note that a fault begins or ends now."""
+        self.disturbances.append(self.now_s())
+
+    def calm(self, moment_s: float) -> bool:
+        """Tell whether nothing was disturbed in the contact time before a moment, or just after."""
+        return not any(
+            moment_s - CONTACT_S < disturbed_s < moment_s + 0.1 for disturbed_s in self.disturbances
+        )
+
+    def break_rule(self, text: str) -> None:
+        """Note a broken promise."""
+        self.violations.append(text)
+
+    def acknowledged(self, before_s: float) -> int:
+        """Give the newest configuration that was acknowledged before a moment."""
+        return max(
+            (
+                table.number
+                for table in self.tables
+                if table.acknowledged_s is not None and table.acknowledged_s < before_s
+            ),
+            default=0,
+        )
+
+    def judge(self) -> list[str]:
+        """Give every broken promise."""
+        found = list(self.violations)
+        for told in self.told:
+            found += self._judge_request(told)
+        for runs in self.runs.values():
+            for run in runs:
+                found += self._judge_version(run)
+        return found
+
+    def _judge_request(self, told: Told) -> list[str]:
+        runs = self.runs.get(told.request, [])
+        found = []
+        if told.kind is Kind.ORDER and len(runs) > 1:
+            found.append(f"TWICE {told.request}: {[run.instance for run in runs]}")
+        if told.status in PROMISED_NOT_RUN and runs:
+            found.append(f"REFUSED {told.request}: told {told.status}, ran at {runs[0].instance}")
+        if told.status == 200:
+            found += self._judge_success(told, runs)
+        if told.kind is Kind.LOOKUP:
+            found += self._judge_route(told, runs)
+        return found
+
+    def _judge_success(self, told: Told, runs: list[Run]) -> list[str]:
+        instances = {run.instance for run in runs}
+        if not any(told.signature == f"{told.request}/{name}" for name in instances):
+            return [f"MIXED {told.request}: signature {told.signature!r}, ran at {instances}"]
+        wanted = told.wanted or told.signature.encode()
+        if told.body != wanted:
+            return [f"MIXED {told.request}: body {told.body[-60:]!r}, wanted {wanted[-60:]!r}"]
+        return []
+
+    def _judge_route(self, told: Told, runs: list[Run]) -> list[str]:
+        if not self.calm(told.sent_s):
+            return []
+        oldest = self.acknowledged(told.sent_s - IN_FORCE_S)
+        allowed = {table.lookup_service for table in self.tables if table.number >= oldest}
+        return [
+            f"CONFIG {told.request}: ran at {run.service}, table {oldest} or newer allows {allowed}"
+            for run in runs
+            if run.service not in allowed
+        ]
+
+    def _judge_version(self, run: Run) -> list[str]:
+        if not run.version or not self.calm(run.began_s):
+            return []
+        due = [n for n, named_s in self.named.items() if run.began_s - named_s > VERSION_S]
+        if not due or run.version >= max(due):
+            return []
+        return [f"VERSION {run.request}: began on {run.version}, {max(due)} was due"]
+
+
+__all__ = ["CONTACT_S", "IN_FORCE_S", "PROMISED_NOT_RUN", "Kind", "Ledger", "Run", "Table", "Told"]
--- /dev/null
+++ b/tests/soak/programs.py
@@ -0,0 +1,104 @@
+"""The real programs, each a process with an address of its own, and what can befall them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import shutil
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.support import PATIENCE_S
+
+UNLIMITED = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+
+
+class Program:
+    """One process of the system on a VM of its own.
+
+    Parameters
+    ----------
+    settings
+        What its settings file says.
+    folder
+        Where settings, log and disk lie.
+    """
+
+    def __init__(self, *, settings: dict[str, object], folder: Path) -> None:
+        self.settings = settings
+        self.vm = str(settings["vm"])
+        self.folder = folder / self.vm
+        self.log = self.folder / "log"
+        self._process: subprocess.Popen[bytes] | None = None
+        self._log_bytes = 0
+
+    @property
+    def begun(self) -> bool:
+        """Whether this start has logged something: before that Python itself is starting."""
+        return self.log.exists() and self.log.stat().st_size > self._log_bytes
+
+    @property
+    def running(self) -> bool:
+        """Whether the process lives."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process with its settings as they are now."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        file = self.folder / "settings.json"
+        file.write_text(json.dumps(self.settings))
+        environment = {
+            **os.environ,
+            "LEADHOLLOW_NODE_FILE": str(file),
+            "UV_USE_IO_URING": "0",
+        }
+        self._log_bytes = self.log.stat().st_size if self.log.exists() else 0
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "leadhollow", "platform"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self.settings["first_start"] = False
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal, if the process lives."""
+        if self.running and self._process is not None:
+            self._process.send_signal(number)
+
+    async def end(self, number: signal.Signals = signal.SIGKILL) -> bool:
+        """End the process; tells whether it ended in time by itself."""
+        process = self._process
+        if process is None:
+            return True
+        self.send(number)
+        if number is signal.SIGKILL:
+            self.send(signal.SIGCONT)
+        for _ in range(int(PATIENCE_S / 0.02)):
+            if process.poll() is not None:
+                return True
+            await asyncio.sleep(0.02)
+        process.kill()
+        return False
+
+    def wipe(self) -> None:
+        """Lose the disk; the process must be down."""
+        folder = self.settings.get("data_folder")
+        if folder:
+            shutil.rmtree(str(folder), ignore_errors=True)
+            Path(str(folder)).mkdir(parents=True)
+
+    def fill_disk(self, full: bool) -> None:
+        """Let every write to a file fail, or no more; the log of the process stops too."""
+        if not self.running or self._process is None:
+            return
+        limits = (0, resource.RLIM_INFINITY) if full else UNLIMITED
+        resource.prlimit(self._process.pid, resource.RLIMIT_FSIZE, limits)
+
+
+__all__ = ["Program"]
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,106 @@
+"""One run of the soak: load, a few faults by the seed's choice, recovery, judgement."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+from tests.soak.faults import FAULTS, Fault
+from tests.soak.traffic import Callers, Operator
+from tests.soak.world import World
+
+CALM_S = 1.0
+GAP_S = (0.2, 1.5)
+RECOVERY_S = 12.0
+PROBES = 8  # requests of each kind by which recovery is judged
+SERVED_SHARE = 0.9
+
+
+class Verdict:
+    """What one run showed."""
+
+    __slots__ = ("asked", "faults", "seed", "served", "violations")
+
+    def __init__(
+        self, *, seed: int, faults: list[str], asked: int, served: int, violations: list[str]
+    ) -> None:
+        self.seed = seed
+        self.faults = faults
+        self.asked = asked
+        self.served = served
+        self.violations = violations
+
+
+async def soak(*, seed: int, folder: Path, faults: int) -> Verdict:
+    """Play one seed."""
+    world = World(seed=seed, folder=folder)
+    operator = Operator(world=world)
+    callers = Callers(world=world)
+    chosen: list[Fault] = [world.random.choice(FAULTS) for _ in range(faults)]
+    ledger = world.ledger
+    try:
+        await world.start()
+        if not await operator.change() or not await world.ready():
+            ledger.break_rule("START the deployment did not become ready")
+        else:
+            await _play(world, operator, callers, chosen)
+    finally:
+        await world.stop()
+    served = sum(told.status == 200 for told in ledger.told)
+    return Verdict(
+        seed=seed,
+        faults=[fault.__name__ for fault in chosen],
+        asked=len(ledger.told),
+        served=served,
+        violations=ledger.judge(),
+    )
+
+
+async def _play(world: World, operator: Operator, callers: Callers, chosen: list[Fault]) -> None:
+    ledger = world.ledger
+    background = [
+        asyncio.create_task(callers.run()),
+        asyncio.create_task(operator.keep_reading()),
+    ]
+    try:
+        await asyncio.sleep(CALM_S)
+        for fault in chosen:
+            ledger.disturb()
+            await fault(world, operator)
+            ledger.disturb()
+            await asyncio.sleep(world.random.uniform(*GAP_S))
+        if not await operator.change(patience_s=RECOVERY_S):
+            ledger.break_rule("RECOVER no edit is acknowledged")
+        await _recover(world, callers)
+    finally:
+        for task in background:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+    for program in world.programs:
+        if not program.running:
+            ledger.break_rule(f"ENDED {program.vm} ended by itself")
+    newest = ledger.acknowledged(ledger.now_s())
+    if not await _read_back(operator, newest):
+        ledger.break_rule(f"LOST configuration {newest} cannot be read back")
+
+
+async def _recover(world: World, callers: Callers) -> None:
+    deadline_s = world.ledger.now_s() + RECOVERY_S
+    while await callers.served_share(PROBES) < SERVED_SHARE:
+        if world.ledger.now_s() > deadline_s:
+            world.ledger.break_rule("RECOVER too few requests are served")
+            return
+        await asyncio.sleep(0.2)
+
+
+async def _read_back(operator: Operator, newest: int) -> bool:
+    for _ in range(20):
+        if await operator.read() >= newest:
+            return True
+        await asyncio.sleep(0.2)
+    return False
+
+
+__all__ = ["Verdict", "soak"]
--- /dev/null
+++ b/tests/soak/test_judge.py
@@ -0,0 +1,115 @@
+"""Tests of the judge: each promise is planted broken once, and kept once."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.soak.ledger import CONTACT_S, IN_FORCE_S, VERSION_S, Kind, Ledger, Run, Table, Told
+
+START_S = 100.0
+
+
+def ran(ledger: Ledger, request: str, **changes: object) -> None:
+    values = {"instance": "i-1", "service": "left", "version": 0, "began_s": START_S} | changes
+    ledger.runs[request].append(Run(request=request, **values))
+
+
+def told(ledger: Ledger, request: str, kind: Kind, status: int, **changes: object) -> Told:
+    answer = Told(request=request, kind=kind, entry="e", sent_s=START_S)
+    answer.status = status
+    answer.signature = f"{request}/i-1" if status == 200 else ""
+    answer.body = answer.signature.encode()
+    for name, value in changes.items():
+        setattr(answer, name, value)
+    ledger.told.append(answer)
+    return answer
+
+
+def rules(ledger: Ledger) -> list[str]:
+    return [violation.partition(" ")[0] for violation in ledger.judge()]
+
+
+class TestAnswers:
+    def test_a_whole_own_answer_is_well(self):
+        ledger = Ledger()
+        ran(ledger, "r")
+        told(ledger, "r", Kind.ORDER, 200)
+        assert rules(ledger) == []
+
+    def test_an_order_that_ran_twice(self):
+        ledger = Ledger()
+        ran(ledger, "r")
+        ran(ledger, "r", instance="i-2")
+        told(ledger, "r", Kind.ORDER, 0)
+        assert rules(ledger) == ["TWICE"]
+
+    def test_a_lookup_may_run_twice(self):
+        ledger = Ledger()
+        ran(ledger, "r")
+        ran(ledger, "r", instance="i-2")
+        told(ledger, "r", Kind.STREAM, 200)
+        assert rules(ledger) == []
+
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_not_run_although_it_was(self, status):
+        ledger = Ledger()
+        ran(ledger, "r")
+        told(ledger, "r", Kind.STREAM, status)
+        assert rules(ledger) == ["REFUSED"]
+
+    @pytest.mark.parametrize("status", [0, 502, 504])
+    def test_what_promises_nothing_may_have_run(self, status):
+        ledger = Ledger()
+        ran(ledger, "r")
+        told(ledger, "r", Kind.ORDER, status)
+        assert rules(ledger) == []
+
+    @pytest.mark.parametrize(
+        "changes",
+        [{"body": b""}, {"body": b"half"}, {"signature": "other/i-1"}, {"signature": "r/i-9"}],
+    )
+    def test_an_answer_that_is_not_its_own(self, changes):
+        ledger = Ledger()
+        ran(ledger, "r")
+        told(ledger, "r", Kind.ORDER, 200, **changes)
+        assert rules(ledger) == ["MIXED"]
+
+    def test_a_stream_that_lacks_its_end(self):
+        ledger = Ledger()
+        ran(ledger, "r")
+        told(ledger, "r", Kind.STREAM, 200, wanted=b"id: 1\n\nid: 2\n\n", body=b"id: 1\n\n")
+        assert rules(ledger) == ["MIXED"]
+
+
+class TestBounds:
+    def lookup(self, ledger: Ledger, *, sent_s: float) -> None:
+        for number, service in ((1, "left"), (2, "right")):
+            table = Table(number=number, body=b"", lookup_service=service)
+            table.acknowledged_s = START_S
+            ledger.tables.append(table)
+        ran(ledger, "r", service="left", began_s=sent_s)
+        told(ledger, "r", Kind.LOOKUP, 0, sent_s=sent_s)
+
+    def test_an_old_route_after_the_bound(self):
+        ledger = Ledger()
+        self.lookup(ledger, sent_s=START_S + IN_FORCE_S + 0.1)
+        assert rules(ledger) == ["CONFIG"]
+
+    def test_an_old_route_before_the_bound_is_well(self):
+        ledger = Ledger()
+        self.lookup(ledger, sent_s=START_S + IN_FORCE_S - 0.1)
+        assert rules(ledger) == []
+
+    def test_nothing_is_held_to_a_bound_shortly_after_a_fault(self):
+        ledger = Ledger()
+        sent_s = START_S + 60.0
+        ledger.disturbances.append(sent_s - CONTACT_S / 2)
+        self.lookup(ledger, sent_s=sent_s)
+        assert rules(ledger) == []
+
+    @pytest.mark.parametrize(("late_s", "broken"), [(-0.1, []), (0.1, ["VERSION"])])
+    def test_weights_that_are_too_old(self, late_s, broken):
+        ledger = Ledger()
+        ledger.named[2] = START_S
+        ran(ledger, "r", version=1, began_s=START_S + VERSION_S + late_s)
+        assert rules(ledger) == broken
