One base for services that pass soft state on, and a module each for server and wish

Change: kernel/gathering_service; forward/server holds one backend server as an entry sees it, forward/wish what a request asks for. No behaviour changes but one: the registry forgets the silent with each refresh, not only where nothing changed before it.

--- a/src/leadhollow/control/engine_uses.py
+++ b/src/leadhollow/control/engine_uses.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from leadhollow.kernel.task_service import TaskService
+from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.uses import Use, decode_uses, encode_uses
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
@@ -43,7 +43,7 @@
         return {address for address in touched if before.get(address) != self.uses.get(address)}
 
 
-class EngineUses(TaskService):
+class EngineUses(GatheringService):
     """Sums of what entries have at engines.
 
     Parameters
@@ -62,7 +62,6 @@
         "_peers",
         "_replicas",
         "_tellers",
-        "_wake",
     )
 
     def __init__(
@@ -80,8 +79,7 @@
         self._tellers: dict[str, _Teller] = {}
         self._dirty: set[str] = set()
         self._listeners: list[Callable[[set[str], str], None]] = []
-        self._wake = asyncio.Event()
-        super().__init__()
+        super().__init__(gather_s=RELAY_PAUSE_S, refresh_s=REFRESH_S)
         handlers.on_oneway(UseReport, self._on_report)
         handlers.on_oneway(UseTotals, self._on_totals)
 
@@ -107,8 +105,8 @@
             return
         changed = set(teller.uses)
         self._dirty |= changed
-        self._wake.set()
-        self._tell(changed, vm)
+        self.note_change()
+        self._tell_here(changed, vm)
 
     def forget_silent(self, now_s: float) -> None:
         """Drop what was told too long ago."""
@@ -116,26 +114,12 @@
             for name, teller in list(tellers.items()):
                 if now_s - teller.heard_s > VALID_S:
                     del tellers[name]
-                    self._tell(set(teller.uses), "")
-
-    async def _work(self) -> None:
-        loop = asyncio.get_running_loop()
-        refresh_s = loop.time()
-        while True:
-            try:
-                async with asyncio.timeout(max(0.0, refresh_s - loop.time())):
-                    await self._wake.wait()
-                await asyncio.sleep(RELAY_PAUSE_S)
-            except TimeoutError:
-                self.forget_silent(loop.time())
-            self._wake.clear()
-            whole = loop.time() >= refresh_s
-            if whole:
-                refresh_s = loop.time() + REFRESH_S
-            await self._relay(whole=whole)
-
-    async def _relay(self, *, whole: bool) -> None:
+                    self._tell_here(set(teller.uses), "")
+
+    async def _tell(self, *, whole: bool) -> None:
         """Tell the other replicas the sums over the entries that report here."""
+        if whole:
+            self.forget_silent(asyncio.get_running_loop().time())
         dirty, self._dirty = self._dirty, set()
         if whole:
             dirty = {address for teller in self._entries.values() for address in teller.uses}
@@ -162,12 +146,12 @@
         changed = self._take(teller, report)
         self._dirty |= changed
         if changed:
-            self._wake.set()
-        self._tell(changed, vm)
+            self.note_change()
+        self._tell_here(changed, vm)
 
     def _on_totals(self, totals: UseTotals, connection: Connection) -> None:
         teller = self._tellers.setdefault(totals.address, _Teller())
-        self._tell(self._take(teller, totals), "")
+        self._tell_here(self._take(teller, totals), "")
 
     def _take(self, teller: _Teller, told: UseReport | UseTotals) -> set[str]:
         decoded = decode_uses(told.engines, told.uses)
@@ -177,7 +161,7 @@
         now_s = asyncio.get_running_loop().time()
         return teller.take(decoded.unwrap(), whole=bool(told.whole), now_s=now_s)
 
-    def _tell(self, changed: set[str], vm: str) -> None:
+    def _tell_here(self, changed: set[str], vm: str) -> None:
         if not changed:
             return
         for listener in self._listeners:
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable
 
-from leadhollow.kernel.task_service import TaskService
+from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
@@ -45,7 +45,7 @@
 ChangeListener = Callable[[list[Instance], list[Load]], None]
 
 
-class Registry(TaskService):
+class Registry(GatheringService):
     """Soft state of one control replica.
 
     Parameters
@@ -69,7 +69,6 @@
         "_peers",
         "_replicas",
         "_started_s",
-        "_wake",
         "entries_here",
         "table",
     )
@@ -92,11 +91,10 @@
         self._heard_here_s: dict[str, float] = {}
         self._entries_elsewhere: dict[str, tuple[int, float]] = {}
         self._listeners: list[ChangeListener] = []
-        self._wake = asyncio.Event()
-        self._started_s = 0.0
+        self._started_s = _now_s()
         self.entries_here = 0
         self.table = InstanceTable(forget_after_s=forget_after_s)
-        super().__init__()
+        super().__init__(gather_s=FLOOD_PAUSE_S, refresh_s=REFRESH_S)
         handlers.on_oneway(RegistryPush, self._on_push)
         handlers.on_oneway(LoadReport, self._on_load_report)
 
@@ -134,24 +132,10 @@
         """Tell whether every backend server had the time to be heard since we started."""
         return _now_s() - self._started_s > REFRESH_S + FLOOD_PAUSE_S
 
-    async def _work(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._started_s = loop.time()
-        refresh_s = loop.time()
-        while True:
-            try:
-                async with asyncio.timeout(max(0.0, refresh_s - loop.time())):
-                    await self._wake.wait()
-                await asyncio.sleep(FLOOD_PAUSE_S)
-            except TimeoutError:
-                self._forget()
-            self._wake.clear()
-            whole = loop.time() >= refresh_s
-            if whole:
-                refresh_s = loop.time() + REFRESH_S
-            await self._flood(whole=whole)
-
-    async def _flood(self, *, whole: bool) -> None:
+    async def _tell(self, *, whole: bool) -> None:
+        """Tell the other replicas what changed here, or everything that was heard here."""
+        if whole:
+            self._forget()
         now_s = _now_s()
         dirty, self._dirty = self._dirty, {}
         dirty_loads, self._dirty_loads = self._dirty_loads, set()
@@ -204,7 +188,7 @@
             for record in push.loads or ()
             if (load := self._take_load(record, own=False)) is not None
         ]
-        self._tell(changed, loads)
+        self._tell_here(changed, loads)
 
     def _on_load_report(self, report: LoadReport, connection: Connection) -> None:
         loads = []
@@ -213,8 +197,8 @@
             if load is not None:
                 loads.append(load)
                 self._dirty_loads.add(record.address)
-        self._wake.set()
-        self._tell([], loads)
+        self.note_change()
+        self._tell_here([], loads)
 
     def _take_load(self, record: LoadRecord, *, own: bool) -> Load | None:
         heard_s = _now_s() - (record.age_ms or 0) / 1000
@@ -236,10 +220,10 @@
             served=[served.key() for served in instance.served],
         )
         self._dirty[instance.instance] = instance
-        self._wake.set()
-        self._tell([instance], [])
+        self.note_change()
+        self._tell_here([instance], [])
 
-    def _tell(self, instances: list[Instance], loads: list[Load]) -> None:
+    def _tell_here(self, instances: list[Instance], loads: list[Load]) -> None:
         if not instances and not loads:
             return
         for listener in self._listeners:
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -10,11 +10,12 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.forward.board import OwnCall, Server, ServerBoard
+from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.budget import RetryBudget
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.ending import Ending
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
+from leadhollow.forward.server import OwnCall, Server
 from leadhollow.http1.messages import ResponseHead
 from leadhollow.observe.logs import get_logger, log_decision
 
--- /dev/null
+++ b/src/leadhollow/forward/server.py
@@ -0,0 +1,266 @@
+"""One backend server as an entry sees it: what runs there, what others tell and report."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from leadhollow.forward.engine_model import READING_SHARE, EngineDemand, EngineModel
+from leadhollow.forward.health import Health
+from leadhollow.membership.instances import Instance, ServedVersion
+from leadhollow.membership.uses import Use
+from leadhollow.wire.generated.ttypes import LoadRecord
+
+COUNTS_KEPT = 64
+REPORT_VALID_S = 1.5
+LATE_WEIGHT = 0.25  # of the newest first event in the running mean
+LATE_HALF_LIFE_S = 2.0
+USUAL_PATH_MS = 60  # between failure domains, with some pieces of weights in front
+UNEXPLAINED_LEAST = 3  # fewer requests than this that nobody told of are a matter of moments
+NO_USE = Use(requests=0, unread_tokens=0)
+PACE_UNIT = 1000  # reports give the pace in thousandths
+
+
+class OwnCall:
+    """A request of this entry that runs at a backend server.
+
+    Attributes
+    ----------
+    reading
+        Whether no event has come yet, so that its prompt may still be read.
+    """
+
+    __slots__ = ("output_tokens", "placed_s", "predicted_ms", "prompt_tokens", "reading")
+
+    def __init__(
+        self, *, prompt_tokens: int, output_tokens: float, placed_s: float, predicted_ms: float
+    ) -> None:
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.placed_s = placed_s
+        self.predicted_ms = predicted_ms
+        self.reading = True
+
+
+class Report:
+    """Last report of an engine's load, and how much of it was known here then.
+
+    Parameters
+    ----------
+    own_then
+        Requests of this entry that ran there.
+    told_then
+        Requests that other entries had told of.
+    """
+
+    __slots__ = ("made_s", "own_then", "record", "told_then")
+
+    def __init__(
+        self, *, record: LoadRecord, made_s: float, own_then: int, told_then: int = 0
+    ) -> None:
+        self.record = record
+        self.made_s = made_s
+        self.own_then = own_then
+        self.told_then = told_then
+
+    @property
+    def others(self) -> int:
+        """Requests of other entries at the time of the report."""
+        found = int(self.record.active or 0) + int(self.record.queued or 0)
+        return max(0, found - self.own_then)
+
+    @property
+    def unexplained(self) -> int:
+        """Requests that no entry in touch told of: of one that is cut off, or has ended."""
+        found = self.others - self.told_then
+        return found if found >= UNEXPLAINED_LEAST else 0
+
+
+class _Counts:
+    """A count and what it lately was."""
+
+    __slots__ = ("_changes",)
+
+    def __init__(self) -> None:
+        self._changes: deque[tuple[float, int]] = deque(maxlen=COUNTS_KEPT)
+
+    def note(self, count: int, now_s: float) -> None:
+        """Take the count from now on."""
+        self._changes.append((now_s, count))
+
+    def at(self, moment_s: float) -> int:
+        """Give the count at an earlier moment."""
+        count = 0
+        for changed_s, found in self._changes:
+            if changed_s > moment_s:
+                break
+            count = found
+        return count
+
+
+class Server:
+    """One backend server.
+
+    Parameters
+    ----------
+    instance
+        What it last announced.
+    on_use
+        Called where what this entry has there changed.
+    """
+
+    __slots__ = (
+        "_late_ms",
+        "_late_s",
+        "_on_use",
+        "_own_counts",
+        "_told",
+        "_told_counts",
+        "calls",
+        "health",
+        "instance",
+        "report",
+    )
+
+    def __init__(
+        self, *, instance: Instance, on_use: Callable[[str], None] = lambda address: None
+    ) -> None:
+        self.instance = instance
+        self.calls: set[OwnCall] = set()
+        self.report: Report | None = None
+        self.health = Health()
+        self._on_use = on_use
+        self._told = NO_USE
+        self._own_counts = _Counts()
+        self._told_counts = _Counts()
+        self._late_ms = 0.0
+        self._late_s = 0.0
+
+    @property
+    def own(self) -> int:
+        """Requests of this entry that run there."""
+        return len(self.calls)
+
+    def add(self, call: OwnCall) -> None:
+        """Note a request that goes there."""
+        self.calls.add(call)
+        self._own_counts.note(len(self.calls), call.placed_s)
+        self._on_use(self.instance.address)
+
+    def remove(self, call: OwnCall, now_s: float) -> None:
+        """Note that a request ended."""
+        self.calls.discard(call)
+        self._own_counts.note(len(self.calls), now_s)
+        self._on_use(self.instance.address)
+
+    def begun(self, call: OwnCall) -> None:
+        """Note the first event of a request: its prompt is read."""
+        call.reading = False
+        self._on_use(self.instance.address)
+
+    def use(self) -> Use:
+        """Give what this entry has there."""
+        unread = sum(call.prompt_tokens for call in self.calls if call.reading)
+        return Use(requests=len(self.calls), unread_tokens=unread)
+
+    def take_told(self, use: Use, now_s: float) -> None:
+        """Take what other entries have there."""
+        self._told = use
+        self._told_counts.note(use.requests, now_s)
+
+    def note_first_event(self, late_ms: float, now_s: float) -> None:
+        """Note how much later than predicted a first event came; negative where sooner."""
+        self._late_ms = self.late_ms(now_s) * (1 - LATE_WEIGHT) + late_ms * LATE_WEIGHT
+        self._late_s = now_s
+
+    def late_ms(self, now_s: float) -> float:
+        """Give how much later than predicted first events come here lately.
+
+        What was seen fades, so that a server is tried again.
+        """
+        fade: float = 0.5 ** ((now_s - self._late_s) / LATE_HALF_LIFE_S)
+        return self._late_ms * fade
+
+    def take_report(self, record: LoadRecord, made_s: float) -> None:
+        """Take a report of load, unless a newer one is known."""
+        if self.report is None or made_s >= self.report.made_s:
+            self.report = Report(
+                record=record,
+                made_s=made_s,
+                own_then=self._own_counts.at(made_s),
+                told_then=self._told_counts.at(made_s),
+            )
+
+    def fresh_report(self, now_s: float) -> Report | None:
+        """Give the last report, None where it is too old to go by."""
+        if self.report is None or now_s - self.report.made_s > REPORT_VALID_S:
+            return None
+        return self.report
+
+    def switching(self, now_s: float) -> bool:
+        """Tell whether the engine is about to change its weights."""
+        report = self.fresh_report(now_s)
+        return report is not None and bool(report.record.switching)
+
+    def path_delay_ms(self, now_s: float) -> float:
+        """Give how much longer than usual small messages take to the server's VM and back."""
+        report = self.fresh_report(now_s)
+        if report is None or (report.record.path_delay_ms or 0) < USUAL_PATH_MS:
+            return 0.0
+        return float(report.record.path_delay_ms or 0)
+
+    def served(self, now_s: float) -> tuple[ServedVersion, ...]:
+        """Give the weights it holds, as the newer of report and announcement says."""
+        report = self.fresh_report(now_s)
+        if report is not None and report.record.models is not None:
+            return tuple(ServedVersion.from_record(found) for found in report.record.models)
+        return self.instance.served
+
+    def whole_version(self, model: str, layers: int, now_s: float) -> int | None:
+        """Give the version of a model that the engine holds with all its layers."""
+        for held in self.served(now_s):
+            if held.model == model and held.first_layer == 0 and held.end_layer >= layers:
+                return held.version
+        return None
+
+    def others(self, now_s: float, *, told: bool) -> int:
+        """Give the requests of other entries there.
+
+        Parameters
+        ----------
+        told
+            Whether a control replica passes on what other entries tell.
+        """
+        report = self.fresh_report(now_s)
+        if told:
+            return self._told.requests + (0 if report is None else report.unexplained)
+        return 0 if report is None else report.others
+
+    def demand(self, model: EngineModel, now_s: float, *, told: bool) -> EngineDemand:
+        """Estimate what the engine has to do.
+
+        Parameters
+        ----------
+        told
+            Whether a control replica passes on what other entries tell.
+        """
+        report = self.fresh_report(now_s)
+        others = self.others(now_s, told=told)
+        unread = float(self.use().unread_tokens)
+        if told:
+            unread += self._told.unread_tokens
+        else:
+            unread += others * READING_SHARE * model.spec.usual_prompt_tokens
+        pace = 1.0
+        if report is not None and report.record.pace_permille:
+            pace = max(1.0, report.record.pace_permille / PACE_UNIT)
+        requests = self.own + others
+        return EngineDemand(
+            requests=requests,
+            unread_tokens=unread,
+            context_tokens=model.usual_context_tokens(min(requests, model.spec.slots)),
+            pace=pace,
+        )
+
+
+__all__ = ["NO_USE", "OwnCall", "Report", "Server"]
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -12,16 +12,11 @@
 from leadhollow.forward.budget import RetryBudget
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.ending import Ending
-from leadhollow.forward.engine_queue import (
-    DECIDE_SHARE,
-    EngineQueue,
-    EngineWish,
-    Placement,
-    Standing,
-)
+from leadhollow.forward.engine_queue import DECIDE_SHARE, EngineQueue
 from leadhollow.forward.events import Event, EventSplitter
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S
+from leadhollow.forward.wish import EngineWish, Placement, Standing
 from leadhollow.http1.messages import Framing
 from leadhollow.observe.logs import get_logger
 from leadhollow.routing.model import ServiceRecord
--- /dev/null
+++ b/src/leadhollow/forward/wish.py
@@ -0,0 +1,125 @@
+"""What a request asks of an engine, and the place that it gets."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+from leadhollow.forward.server import OwnCall, Server
+from leadhollow.routing.model import ServiceRecord
+
+
+class Standing(IntEnum):
+    """Who goes before whom while requests wait.
+
+    New requests go before those that came back: served on time a new one is worth more, and one
+    that is refused for the sake of another that came back comes back itself, so that after a short
+    outage everybody would be late for as long as there is little to spare.
+    """
+
+    RESUMED = 0
+    """It was begun, or sent, before: nothing is lost yet if it goes on at once."""
+
+    NEW = 1
+    CAME_BACK = 2
+    """Its caller was refused before, here or at another entry."""
+
+
+class EngineWish:
+    """What a request asks of an engine.
+
+    Parameters
+    ----------
+    service
+        Service whose engines may answer.
+    objective_s
+        Time that its kind of request has for the first event.
+    on_time_s
+        Loop time until which its first event is on time.
+    decide_s
+        Loop time at which it is placed late or refused.
+    standing
+        Who goes before whom.
+    excluded
+        Incarnations that must not be tried again.
+    last_attempt
+        Whether it may run nowhere else after this, so that an engine which is about to change its
+        weights should not get it.
+    """
+
+    __slots__ = (
+        "decide_s",
+        "excluded",
+        "last_attempt",
+        "model",
+        "objective_s",
+        "on_time_s",
+        "organisation",
+        "output_tokens",
+        "prompt_tokens",
+        "request_id",
+        "service",
+        "standing",
+    )
+
+    def __init__(
+        self,
+        *,
+        service: ServiceRecord,
+        model: str,
+        prompt_tokens: int,
+        output_tokens: float,
+        objective_s: float,
+        on_time_s: float,
+        decide_s: float,
+        standing: Standing,
+        organisation: str,
+        request_id: str,
+        excluded: set[str],
+        last_attempt: bool,
+    ) -> None:
+        self.service = service
+        self.model = model
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.objective_s = objective_s
+        self.on_time_s = on_time_s
+        self.decide_s = decide_s
+        self.standing = standing
+        self.organisation = organisation
+        self.request_id = request_id
+        self.excluded = excluded
+        self.last_attempt = last_attempt
+
+
+class Placement:
+    """A place at an engine that a request has taken.
+
+    Parameters
+    ----------
+    version
+        Weights that the engine is thought to hold.
+    expected_version
+        Weights that the engine must hold, or else refuse; None while any will do.
+    begin_by_s
+        Loop time by which the first event must have come; later the weights are too old.
+    """
+
+    __slots__ = ("begin_by_s", "call", "expected_version", "server", "version")
+
+    def __init__(
+        self,
+        *,
+        server: Server,
+        call: OwnCall,
+        version: int,
+        expected_version: int | None,
+        begin_by_s: float,
+    ) -> None:
+        self.begin_by_s = begin_by_s
+        self.server = server
+        self.call = call
+        self.version = version
+        self.expected_version = expected_version
+
+
+__all__ = ["EngineWish", "Placement", "Standing"]
--- /dev/null
+++ b/src/leadhollow/kernel/gathering_service.py
@@ -0,0 +1,54 @@
+"""A service that tells changes soon, several at a time, and everything now and then."""
+
+from __future__ import annotations
+
+import asyncio
+
+from leadhollow.kernel.task_service import TaskService
+
+
+class GatheringService(TaskService):
+    """Base of services that pass soft state on.
+
+    Parameters
+    ----------
+    gather_s
+        Changes within it are told together.
+    refresh_s
+        Everything is told again this often, because what was told may have been lost.
+    """
+
+    __slots__ = ("_gather_s", "_refresh_s", "_wake")
+
+    def __init__(self, *, gather_s: float, refresh_s: float) -> None:
+        self._gather_s = gather_s
+        self._refresh_s = refresh_s
+        self._wake = asyncio.Event()
+        super().__init__()
+
+    def note_change(self) -> None:
+        """Let what changed be told soon."""
+        self._wake.set()
+
+    async def _work(self) -> None:
+        loop = asyncio.get_running_loop()
+        refresh_s = loop.time()
+        while True:
+            try:
+                async with asyncio.timeout(max(0.0, refresh_s - loop.time())):
+                    await self._wake.wait()
+                await asyncio.sleep(self._gather_s)
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            whole = loop.time() >= refresh_s
+            if whole:
+                refresh_s = loop.time() + self._refresh_s
+            await self._tell(whole=whole)
+
+    async def _tell(self, *, whole: bool) -> None:
+        """Tell what changed, or everything."""
+        raise NotImplementedError
+
+
+__all__ = ["GatheringService"]
--- a/tests/forward/test_engine_queue.py
+++ b/tests/forward/test_engine_queue.py
@@ -9,9 +9,11 @@
 import pytest
 
 from leadhollow.codes import Code
-from leadhollow.forward.board import NO_USE, Server, ServerBoard
-from leadhollow.forward.engine_queue import EngineQueue, EngineWish, Placement, Standing
+from leadhollow.forward.board import ServerBoard
+from leadhollow.forward.engine_queue import EngineQueue
 from leadhollow.forward.pressure import Pressure
+from leadhollow.forward.server import NO_USE, Server
+from leadhollow.forward.wish import EngineWish, Placement, Standing
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable, ServedVersion
 from leadhollow.membership.uses import Use
 from leadhollow.routing.model import EngineSpec, ServiceRecord
