End connections that go silent, and let no unreachable replica delay the others

Connections between our processes had no limit for that; a follower, a feed or a stager behind one waited for the system's own time-out of minutes, and a new connection was never dialled because the old one stood. And a replica told the others of engines and uses only once the dial to each had ended: with one replica cut off, a draining engine's word waited up to the dial's time-out.

--- a/src/leadhollow/control/engine_uses.py
+++ b/src/leadhollow/control/engine_uses.py
@@ -128,11 +128,8 @@
         engines, uses = encode_uses({address: self._here(address) for address in sorted(dirty)})
         totals = UseTotals(self._own_address, engines, uses, whole)
         for address in self._replicas():
-            if address == self._own_address:
-                continue
-            connected = await self._peers.connection(address)
-            if connected.is_ok():
-                connected.unwrap().oneway(totals)
+            if address != self._own_address:
+                self._peers.post(address, totals)
 
     def _here(self, address: str) -> Use:
         found = (teller.uses.get(address) for teller in self._entries.values())
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -154,13 +154,9 @@
             self.entries_here,
             whole,
         )
-        others = [address for address in self._replicas() if address != self._own_address]
-        await asyncio.gather(*(self._send(address, push) for address in others))
-
-    async def _send(self, address: str, push: RegistryPush) -> None:
-        connected = await self._peers.connection(address)
-        if connected.is_ok():
-            connected.unwrap().oneway(push)
+        for address in self._replicas():
+            if address != self._own_address:
+                self._peers.post(address, push)
 
     def _own_instances(self, now_s: float) -> list[Instance]:
         """Give the backend servers that were heard here lately."""
--- a/src/leadhollow/wire/connection.py
+++ b/src/leadhollow/wire/connection.py
@@ -14,6 +14,7 @@
 from leadhollow.wire.codec import LENGTH, MAXIMUM_FRAME_BYTES, Frame, decode_frame, encode_frame
 from leadhollow.wire.generated.ttypes import Hello
 from leadhollow.wire.handlers import CallHandler, HandlerTable, StreamHandler
+from leadhollow.wire.liveness import end_when_silent
 from leadhollow.wire.messages import Body, FrameKind
 from leadhollow.wire.streams import CallStream, StreamSink
 
@@ -66,6 +67,7 @@
         self._next_call_id = 1
         self.hello = hello
         self.closed = asyncio.Event()
+        end_when_silent(writer)
         self.peer_name = str(writer.get_extra_info("peername"))
 
     def write(self, frame: Frame) -> None:
--- a/src/leadhollow/wire/peers.py
+++ b/src/leadhollow/wire/peers.py
@@ -87,6 +87,24 @@
             return Err(connected.unwrap_err())
         return await connected.unwrap().call(body, timeout_ms=timeout_ms)
 
+    def post(self, address: str, body: Body) -> None:
+        """Send one body that gets no answer, without waiting for a peer that must be dialled.
+
+        It is dropped where the peer cannot be reached.
+        """
+        existing = self._connections.get(address)
+        if existing is not None and not existing.closed.is_set():
+            existing.oneway(body)
+            return
+        task = asyncio.get_running_loop().create_task(self._post_dialled(address, body))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _post_dialled(self, address: str, body: Body) -> None:
+        connected = await self.connection(address)
+        if connected.is_ok():
+            connected.unwrap().oneway(body)
+
     async def stop(self) -> None:
         """Close every connection."""
         self._closed = True
--- /dev/null
+++ b/tests/wire/test_peers.py
@@ -0,0 +1,89 @@
+"""Tests of connections to peers: one that hangs holds nobody else up."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from result import Err
+
+from leadhollow.codes import Code
+from leadhollow.failure import Failure
+from leadhollow.settings.address import Address
+from leadhollow.settings.deployment import Listener, LoopbackAddresses
+from leadhollow.wire.generated.ttypes import UseReport
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.liveness import PROBE_AFTER_S, UNACKNOWLEDGED_LIMIT_MS
+from leadhollow.wire.peers import PeerPool
+from leadhollow.wire.server import WireServer
+from tests.support import TOKEN, eventually
+
+HANGING = "127.0.0.1:1"
+
+
+class TestLiveness:
+    def test_the_kernel_watches_both_ends_of_a_connection(self):
+        async def work() -> None:
+            address = LoopbackAddresses()("peer", Listener.WIRE)
+            server = WireServer(
+                address=Address.parse(address).unwrap(), token=TOKEN, handlers=HandlerTable()
+            )
+            assert (await server.start()).is_ok()
+            pool = PeerPool(vm="v", failure_domain="d", token=TOKEN, handlers=HandlerTable())
+            dialled = (await pool.connection(address)).unwrap()
+            (accepted,) = server._connections
+            for connection in (dialled, accepted):
+                opened = connection._writer.get_extra_info("socket")
+                limit = opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+                idle = opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE)
+                assert (limit, idle) == (UNACKNOWLEDGED_LIMIT_MS, PROBE_AFTER_S)
+                assert opened.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            await pool.stop()
+            await server.stop()
+
+        asyncio.run(asyncio.wait_for(work(), 30))
+
+
+class TestPost:
+    def test_reaches_a_peer_while_the_dial_to_another_one_hangs(self, monkeypatch):
+        async def work() -> None:
+            address = LoopbackAddresses()("peer", Listener.WIRE)
+            handlers = HandlerTable()
+            received: list[UseReport] = []
+            handlers.on_oneway(UseReport, lambda body, connection: received.append(body))
+            server = WireServer(
+                address=Address.parse(address).unwrap(), token=TOKEN, handlers=handlers
+            )
+            assert (await server.start()).is_ok()
+            pool = PeerPool(vm="v", failure_domain="d", token=TOKEN, handlers=HandlerTable())
+            released = asyncio.Event()
+            dial = pool._dial
+
+            async def hang_once(target: str):
+                if target != HANGING:
+                    return await dial(target)
+                await released.wait()
+                return Err(Failure(code=Code.PEER_LOST))
+
+            monkeypatch.setattr(PeerPool, "_dial", lambda self, target: hang_once(target))
+            for _ in range(3):
+                pool.post(HANGING, UseReport([], [], False))
+                pool.post(address, UseReport([], [], True))
+            await eventually(lambda: len(received) == 3)
+            assert not released.is_set()
+            released.set()
+            await eventually(lambda: not pool._locks[HANGING].locked())
+            await pool.stop()
+            await server.stop()
+
+        asyncio.run(asyncio.wait_for(work(), 30))
+
+    def test_drops_what_nobody_can_take(self):
+        async def work() -> None:
+            pool = PeerPool(vm="v", failure_domain="d", token=TOKEN, handlers=HandlerTable())
+            pool.cut({HANGING})
+            pool.post(HANGING, UseReport([], [], False))
+            await eventually(lambda: HANGING in pool._failed_until_s)
+            await pool.stop()
+
+        asyncio.run(asyncio.wait_for(work(), 30))
