Order engines that serve nothing at once, and lay no piece twice

Cause: an engine that has restarted was ordered 0.2 s after its stage had been read back: every piece was laid again though it lay there, and entries got 0.15 s notice twice of an engine that they could not use anyway. The installer looked for named versions ten times a second only. Change: notice only where requests may go to the engine; pieces that were read back count as laid; a version that is named or described wakes the installer.

--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -65,6 +65,7 @@
         "_store",
         "_turn",
         "_version_s",
+        "_wake",
         "_watch",
     )
 
@@ -97,7 +98,9 @@
         self._stage_patience_s = FIRST_PATIENCE_S if first_start else LATER_PATIENCE_S
         self._staged: set[int] = set()
         self._staged_of: StagedVersion | None = None
+        self._wake = asyncio.Event()
         watch.staged = self._progress
+        catalog.on_change(lambda _: self._wake.set())
         super().__init__()
 
     async def stop(self) -> None:
@@ -109,10 +112,19 @@
 
     async def _work(self) -> None:
         while True:
-            await asyncio.sleep(STEP_S)
+            await self._pause()
             for model in self._models():
                 await self._advance(model)
 
+    async def _pause(self) -> None:
+        """Wait for the next step, which comes at once where a version was named or described."""
+        try:
+            async with asyncio.timeout(STEP_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+        self._wake.clear()
+
     async def _advance(self, model: str) -> None:
         """Do the next step towards the wanted version of a model."""
         report = self._watch.report
@@ -132,7 +144,8 @@
                 await self._stage_new(staged)
             if staged.complete:
                 await self._watch.tell()  # whose turn it is depends on who is complete
-                await asyncio.sleep(NOTICE_S)
+                if self._is_in_use(staged, report):
+                    await asyncio.sleep(NOTICE_S)
             return
         if report is None:
             return
@@ -144,12 +157,14 @@
 
     def _is_our_turn(self, staged: StagedVersion, report: EngineReport, *, announced: bool) -> bool:
         """Tell whether the engine may change now, without taking too many away at once."""
-        if not report.served:
-            return True  # it answers nothing as it is
+        return not self._is_in_use(staged, report) or self._turn(staged, announced)
+
+    def _is_in_use(self, staged: StagedVersion, report: EngineReport | None) -> bool:
+        """Tell whether requests may go to the engine with the weights that it holds."""
+        if report is None or not report.served:
+            return False
         bound_s = self._named[staged.number] + self._version_s
-        if asyncio.get_running_loop().time() > bound_s - LAST_CALL_S:
-            return True
-        return self._turn(staged, announced)
+        return asyncio.get_running_loop().time() < bound_s - LAST_CALL_S
 
     def _may_hold_stage(self) -> bool:
         """Tell whether the engine, once it answers, may turn out to hold pieces already."""
@@ -169,8 +184,8 @@
             if index in staged.held or not 0 <= index < staged.held.count:
                 continue
             read = await self._engine.get(version.model, index)
-            if read.is_ok():
-                staged.take(index, read.unwrap())
+            if read.is_ok() and staged.take(index, read.unwrap()):
+                self._note_staged(staged, index)
         log.info(
             "stage read",
             model=version.model,
@@ -191,18 +206,25 @@
 
     async def _stage_new(self, staged: StagedVersion) -> None:
         """Lay pieces into the stage as they come."""
-        if self._staged_of is not staged:
-            self._staged_of = staged
-            self._staged = set()
         for index in list(staged.held.indexes()):
             piece = staged.piece(index)
-            if index in self._staged or piece is None:
+            if self._lies_staged(staged, index) or piece is None:
                 continue
             put = await self._engine.put(staged.model, index, piece)
             if put.is_err():
                 log.warning("piece not staged", index=index, failure=str(put.unwrap_err()))
                 return
-            self._staged.add(index)
+            self._note_staged(staged, index)
+
+    def _note_staged(self, staged: StagedVersion, index: int) -> None:
+        """Remember that a piece lies in the stage, which holds one version of a model."""
+        if self._staged_of is not staged:
+            self._staged_of = staged
+            self._staged = set()
+        self._staged.add(index)
+
+    def _lies_staged(self, staged: StagedVersion, index: int) -> bool:
+        return self._staged_of is staged and index in self._staged
 
     async def _install(self, staged: StagedVersion) -> None:
         await self._stage_new(staged)
@@ -211,7 +233,8 @@
         self._watch.switching = True
         await self._watch.tell()
         try:
-            await asyncio.sleep(NOTICE_S)
+            if self._is_in_use(staged, self._watch.report):
+                await asyncio.sleep(NOTICE_S)
             report = await self._watch.refresh()
             if report is None or not self._is_our_turn(staged, report, announced=True):
                 return  # another one announced at the same time, and comes first
--- /dev/null
+++ b/src/leadhollow/staging/patience.py
@@ -0,0 +1,78 @@
+"""How long the others wait for a stager whose task a piece is, before the next one steps in.
+
+With much to do one stager may be far behind another and still do its part soon; with little left
+to do it is late much sooner, and everybody waits for the last pieces of a version.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+LONGEST_IMPORT_S = 0.8
+"""Time in which one stager should bring in a piece that is held elsewhere; it asks for those first.
+Then it is the next one's turn."""
+
+LONGEST_READ_S = 0.6
+"""Time by which one stager may be later than another in reading its part from the origin, which
+serves all alike; then the next one reads what is left."""
+
+TELL_S = 0.15  # news of a piece travel for 0.04 s and more; a request for it is on its way as long
+SLACK = 2.0  # links carry requests too, and the origin serves several at once
+
+
+class TaskPatience:
+    """Waiting times of one version.
+
+    Parameters
+    ----------
+    piece_bytes
+        Size of its pieces.
+    origin_bytes_per_s
+        Gives the speed of the origin's link, 0 where it is not known.
+    link_bytes_per_s
+        Gives the speed of a stager's link.
+    """
+
+    __slots__ = ("_link_bytes_per_s", "_origin_bytes_per_s", "_piece_bytes")
+
+    def __init__(
+        self,
+        *,
+        piece_bytes: int,
+        origin_bytes_per_s: Callable[[], float],
+        link_bytes_per_s: Callable[[], float],
+    ) -> None:
+        self._piece_bytes = piece_bytes
+        self._origin_bytes_per_s = origin_bytes_per_s
+        self._link_bytes_per_s = link_bytes_per_s
+
+    def read_s(self, unread: int) -> float:
+        """Give the patience with a reader at the origin.
+
+        Parameters
+        ----------
+        unread
+            Pieces that no stager holds yet.
+        """
+        speed = self._origin_bytes_per_s()
+        if speed <= 0:
+            return LONGEST_READ_S
+        needed_s = unread * self._piece_bytes / speed
+        return min(LONGEST_READ_S, TELL_S + SLACK * needed_s)
+
+    def import_s(self, outside: int, importers: int) -> float:
+        """Give the patience with one that brings pieces into a failure domain.
+
+        Parameters
+        ----------
+        outside
+            Pieces that are held outside the domain only.
+        importers
+            Stagers of the domain, among whom the pieces are dealt out.
+        """
+        each = -(-outside // max(1, importers))
+        needed_s = each * self._piece_bytes / self._link_bytes_per_s()
+        return min(LONGEST_IMPORT_S, TELL_S + SLACK * needed_s)
+
+
+__all__ = ["LONGEST_IMPORT_S", "LONGEST_READ_S", "TaskPatience"]
