Tell refused callers when to come back by the cause

Cause: a caller may come back once. Change: one table of return times by cause: overloaded, nobody serves, not ready, stopping, no server; spread over a range each, so that callers do not come back together.

--- /dev/null
+++ b/src/leadhollow/forward/comeback.py
@@ -0,0 +1,46 @@
+"""When a caller that was refused should come back.
+
+Its one later attempt is worth most where it meets an engine that is free, so callers are spread over
+the time in which that becomes likely. Callers wait a third of what time they have at most.
+"""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+
+
+class Refusal(Enum):
+    """Why nothing was done for a request."""
+
+    OVERLOADED = "overloaded"
+    """Engines serve, and others were before it: some of their requests must end first."""
+
+    NOBODY_SERVES = "nobody serves"
+    """No engine may take it now. Engines that load new weights or start are back in 1 to 2 s."""
+
+    NOT_READY = "not ready"
+    """This entry has just started and knows no route table; after a loss of power none does."""
+
+    STOPPING = "stopping"
+    """This entry is leaving; another one takes the request at once."""
+
+    NO_SERVER = "no server"
+    """No server of a plain service took it; their requests take a tenth of a second."""
+
+    def after_s(self, source: random.Random) -> float:
+        """Choose the time in seconds after which to try again."""
+        return source.uniform(*RANGES_S[self])
+
+
+RANGES_S = {
+    Refusal.OVERLOADED: (0.6, 1.8),
+    Refusal.NOBODY_SERVES: (1.2, 2.0),
+    Refusal.NOT_READY: (1.2, 2.0),
+    Refusal.STOPPING: (0.1, 0.3),
+    Refusal.NO_SERVER: (0.4, 1.0),
+}
+"""Shortest and longest time of each, from what the causes take on played days."""
+
+
+__all__ = ["Refusal"]
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -14,6 +14,7 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.forward.board import ServerBoard
+from leadhollow.forward.comeback import Refusal
 from leadhollow.forward.engine_model import EngineDemand, EngineModel
 from leadhollow.forward.pressure import Pressure
 from leadhollow.forward.server import OwnCall, Server
@@ -41,8 +42,6 @@
 SURE_MARGIN_S = 0.08
 """Predicted this much before its objective a request is on time in four cases of five."""
 
-SHORTEST_RETRY_S = 0.6
-LONGEST_RETRY_S = 1.8
 PUMP_INTERVAL_S = 0.02
 
 log = get_logger("engine-queue")
@@ -164,9 +163,11 @@
                 self._waiters.remove(waiter)
         return self._try(wish, late=True)
 
-    def retry_after_s(self) -> float:
+    def retry_after_s(self, wish: EngineWish) -> float:
         """Give the time after which a refused request should come back."""
-        return self._random.uniform(SHORTEST_RETRY_S, LONGEST_RETRY_S)
+        served = self._best(wish, asyncio.get_running_loop().time()) is not None
+        refusal = Refusal.OVERLOADED if served else Refusal.NOBODY_SERVES
+        return refusal.after_s(self._random)
 
     def release(self, placement: Placement) -> None:
         """Give a place back."""
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -13,6 +13,7 @@
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.budget import RetryBudget
 from leadhollow.forward.call import ForwardedCall
+from leadhollow.forward.comeback import Refusal
 from leadhollow.forward.ending import Ending
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
 from leadhollow.forward.server import OwnCall, Server
@@ -22,7 +23,6 @@
 HELD_BYTES = 256 * 1024  # answers up to it are taken whole before they are passed on
 HEDGE_SHARE = 0.6  # of the objective; then another server may answer a repeatable request sooner
 MOST_SENDS = 6
-RETRY_AFTER_S = 0.4  # a plain call takes a tenth of it
 REFUSED_CONNECTION_WEIGHT = 3
 FAR_PENALTY = 0.5  # a server of another failure domain counts as if it had this much more to do
 
@@ -111,7 +111,8 @@
         elif call.attempts:
             await self._ending.unknown(call, failure)
         else:
-            await self._ending.not_run(call, failure, retry_after_s=RETRY_AFTER_S)
+            retry_after_s = Refusal.NO_SERVER.after_s(self._random)
+            await self._ending.not_run(call, failure, retry_after_s=retry_after_s)
 
     def _may_try(self, call: ForwardedCall) -> bool:
         if call.sends >= MOST_SENDS or call.attempts >= call.route.attempts:
--- a/src/leadhollow/forward/service.py
+++ b/src/leadhollow/forward/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from http import HTTPStatus
 
 from result import Err, Ok, Result
@@ -10,6 +11,7 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
+from leadhollow.forward.comeback import Refusal
 from leadhollow.forward.dialect import CallDialect, CallFacts
 from leadhollow.forward.plain_call import PlainForwarder
 from leadhollow.forward.request_body import RequestBody
@@ -39,6 +41,8 @@
     ----------
     stop_grace_s
         Time from the request to stop until the process is killed.
+    seed
+        Seed of the times after which refused callers should come back.
     """
 
     __slots__ = (
@@ -46,6 +50,7 @@
         "_closed",
         "_dialect",
         "_plain",
+        "_random",
         "_routes",
         "_server",
         "_stop_grace_s",
@@ -63,6 +68,7 @@
         plain: PlainForwarder,
         streams: StreamForwarder,
         stop_grace_s: float,
+        seed: int,
     ) -> None:
         self._dialect = dialect
         self._routes = routes
@@ -70,6 +76,7 @@
         self._plain = plain
         self._streams = streams
         self._stop_grace_s = stop_grace_s
+        self._random = random.Random(seed)
         self._server = HttpServer(address=address, handler=self._handle, limits=self._limits)
         self.stopping = False
         self._closed = False
@@ -174,7 +181,10 @@
             code=int(failure.code),
             table=self._routes.number,
         )
-        retry_after_s = 0.5 if status == HTTPStatus.SERVICE_UNAVAILABLE else None
+        retry_after_s: float | None = None
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            refusal = Refusal.STOPPING if self._closed else Refusal.NOT_READY
+            retry_after_s = refusal.after_s(self._random)
         headers = self._dialect.refusal(failure, retry_after_s)
         body = f"{int(failure.code)} {failure.code.title}\n".encode()
         await reply.send(status, headers, body)
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -170,7 +170,7 @@
     async def _give_up(self) -> None:
         call = self._call
         if call.attempts == 0:
-            retry_after_s = self._forwarder.queue.retry_after_s()
+            retry_after_s = self._forwarder.queue.retry_after_s(self._wish())
             await self._forwarder.ending.not_run(call, self._failure, retry_after_s=retry_after_s)
         else:
             await self._forwarder.ending.unknown(call, self._failure)
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -124,6 +124,7 @@
             plain=shared.plain,
             streams=shared.streams,
             stop_grace_s=settings.bounds.stop_grace_s,
+            seed=process.seed,
         )
 
     def make_readiness() -> Service:
--- /dev/null
+++ b/tests/forward/test_comeback.py
@@ -0,0 +1,41 @@
+"""When refused callers are told to come back."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from leadhollow.forward.comeback import RANGES_S, Refusal
+from tests.forward.test_engine_queue import Group, a_wish, in_loop
+
+SAMPLES = 200
+
+
+class TestRefusal:
+    @pytest.mark.parametrize("refusal", list(Refusal))
+    def test_spreads_callers_over_its_whole_range(self, refusal):
+        source = random.Random(1)
+        times_s = [refusal.after_s(source) for _ in range(SAMPLES)]
+        shortest_s, longest_s = RANGES_S[refusal]
+        assert shortest_s <= min(times_s) < shortest_s + 0.1 * (longest_s - shortest_s)
+        assert longest_s - 0.1 * (longest_s - shortest_s) < max(times_s) <= longest_s
+
+
+class TestEngineQueue:
+    def test_sends_nobody_back_to_engines_that_still_load(self):
+        async def work() -> None:
+            group = Group()
+            times_s = [group.queue.retry_after_s(a_wish()) for _ in range(SAMPLES)]
+            assert min(times_s) >= RANGES_S[Refusal.NOBODY_SERVES][0]
+
+        in_loop(work)
+
+    def test_lets_callers_return_sooner_where_engines_serve(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("e1")
+            times_s = [group.queue.retry_after_s(a_wish()) for _ in range(SAMPLES)]
+            assert min(times_s) < RANGES_S[Refusal.NOBODY_SERVES][0]
+
+        in_loop(work)
