Wait for a stager no longer than what is left to do takes

A stager on a narrowed link that owed nothing but a piece of the silent origin asked no neighbour for anything (14 pieces for 3 s). And whoever steps in for another waited 0.6 and 0.8 s a place, measured for a whole version. Change: patience with a reader and an importer follows from the pieces that are left and the links' speeds, up to the old bounds; a silent origin takes nothing of the window; after a failure the origin is asked again in 0.2 s and its orders are free for neighbours meanwhile. What remains is the origin's own absence and 5.2 s of a VM's link for a whole version.

--- a/src/leadhollow/forward/comeback.py
+++ b/src/leadhollow/forward/comeback.py
@@ -1,7 +1,7 @@
 """When a caller that was refused should come back.
 
-Its one later attempt is worth most where it meets an engine that is free, so callers are spread over
-the time in which that becomes likely. Callers wait a third of what time they have at most.
+Its one later attempt is worth most where it meets an engine that is free, so callers are spread
+over the time in which that becomes likely. Callers wait a third of their time at most.
 """
 
 from __future__ import annotations
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -74,6 +74,10 @@
                     return parsed.unwrap()
         return None
 
+    def origin_bytes_per_s() -> float:
+        speeds = [found.origin_link_mbit_per_s for found in services() if found.origin is not None]
+        return max(speeds, default=0.0) * BYTES_PER_MBIT
+
     origin = OriginSource(address=origin_address, dialect=process.dialects.origin)
 
     def link_share() -> float:
@@ -92,6 +96,7 @@
             origin=origin,
             peers=process.peers,
             link_bytes_per_s=link_bytes_per_s,
+            origin_bytes_per_s=origin_bytes_per_s,
             window=window,
             seed=process.seed,
         )
--- a/src/leadhollow/platform/documents.py
+++ b/src/leadhollow/platform/documents.py
@@ -101,7 +101,7 @@
     health_path: str = ""
     max_connections: int = 100
     origin: str | None = None
-    zone: str = ""
+    link_mbps: float = 0.0
     engine: EngineDocument | None = None
 
 
@@ -198,7 +198,7 @@
         connections=found.max_connections,
         health_path=found.health_path,
         origin=found.origin,
-        origin_domain=found.zone if found.origin is not None else "",
+        origin_link_mbit_per_s=found.link_mbps if found.origin is not None else 0.0,
         engine=None if found.engine is None else _engine(found.engine),
     )
 
--- a/src/leadhollow/routing/model.py
+++ b/src/leadhollow/routing/model.py
@@ -122,13 +122,15 @@
         Most connections that one backend server accepts from all callers together.
     origin
         Address of an origin of weights; None for a service that answers requests.
+    origin_link_mbit_per_s
+        Speed of the origin's link, 0 where it is not known.
     """
 
     name: str
     connections: int = 100
     health_path: str = ""
     origin: str | None = None
-    origin_domain: str = ""
+    origin_link_mbit_per_s: float = 0.0
     engine: EngineSpec | None = None
 
 
--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -6,16 +6,11 @@
 import random
 from collections.abc import Collection
 
+from leadhollow.staging.patience import LONGEST_IMPORT_S, LONGEST_READ_S, TaskPatience
 from leadhollow.staging.piece_source import PieceSource
 from leadhollow.staging.sharing import Sharing, Stager
 
-IMPORT_STEP_S = 0.8
-"""Time in which one stager should bring in a piece that is held elsewhere; it asks for those first.
-Then it is the next one's turn."""
-
-ORIGIN_STEP_S = 0.6
-"""Time by which one stager may be later than another in reading its part from the origin, which
-serves all alike; then the next one reads what is left."""
+AWAY_S = 0.2  # an origin that did not answer is asked again after it
 
 PER_SOURCE = 2  # pieces ordered from one stager at a time; it serves others too
 
@@ -42,18 +37,28 @@
     """
 
     __slots__ = (
+        "_away_until_s",
+        "_far",
+        "_import_s",
         "_near",
         "_outside_since_s",
         "_own",
+        "_patience",
         "_random",
+        "_read_s",
         "_sharing",
         "_sources",
         "_step_in_from_s",
     )
 
-    def __init__(self, *, own: Stager, number: int, seed: int) -> None:
+    def __init__(self, *, own: Stager, number: int, seed: int, patience: TaskPatience) -> None:
         self._own = own
+        self._patience = patience
+        self._away_until_s = 0.0
         self._near = 0  # bits of the pieces that neighbours hold
+        self._far = 0  # and of those that others hold
+        self._read_s = LONGEST_READ_S
+        self._import_s = LONGEST_IMPORT_S
         self._random = random.Random(seed)
         self._sharing = Sharing(number=number, stagers=[own])
         self._sources: list[PieceSource] = []
@@ -64,10 +69,12 @@
         """Take note of who can be asked now."""
         self._sources = [source for source in sources if source.usable(now_s)]
         own_domain = self._own.failure_domain
-        self._near = 0
+        self._near = self._far = 0
         for source in self._sources:
             if source.stager.failure_domain == own_domain:
                 self._near |= source.held.mask()
+            else:
+                self._far |= source.held.mask()
         # one that only hangs keeps its tasks: dealt out anew, all would be read twice
         stagers = [self._own, *(source.stager for source in sources if source.connected)]
         self._sharing = Sharing(number=number, stagers=stagers)
@@ -75,12 +82,14 @@
     def origin_failed(self, now_s: float) -> None:
         """Take note that the origin does not answer."""
         self._step_in_from_s = None
+        self._away_until_s = now_s + AWAY_S
 
     def in_order(self, missing: list[int], now_s: float) -> list[int]:
         """Give the pieces in the order in which they should be asked for.
 
         Those we are to bring in come first, because neighbours wait for them.
         """
+        self._be_patient(missing)
         if any(self._reads(index) for index in missing):
             self._step_in_from_s = None
         elif self._step_in_from_s is None:
@@ -96,19 +105,30 @@
         outside = self._holders(index, inside=False)
         if outside:
             return self._freest(outside) if self._imports(index, now_s) else None
+        if now_s < self._away_until_s:
+            return None
         return Origin.ORIGIN if self._reads(index) or self._steps_in(index, now_s) else None
 
+    def _be_patient(self, missing: list[int]) -> None:
+        """Work out how long others are waited for, by what is left for them to do."""
+        held = self._near | self._far
+        unread = sum(1 for index in missing if not held >> index & 1)
+        outside = sum(1 for index in missing if (self._far & ~self._near) >> index & 1)
+        importers = self._sharing.importers(self._own.failure_domain)
+        self._read_s = self._patience.read_s(unread)
+        self._import_s = self._patience.import_s(outside, importers)
+
     def _imports(self, index: int, now_s: float) -> bool:
         """Tell whether it is our turn to bring in a piece that is held elsewhere."""
         since_s = self._outside_since_s.setdefault(index, now_s)
-        return now_s - since_s >= IMPORT_STEP_S * self._sharing.importer_place(index, self._own)
+        return now_s - since_s >= self._import_s * self._sharing.importer_place(index, self._own)
 
     def _steps_in(self, index: int, now_s: float) -> bool:
         """Tell whether it is our turn to read a piece that others should have read."""
         if self._step_in_from_s is None:
             return False
         place = self._sharing.reader_place(index, self._own)
-        return now_s - self._step_in_from_s >= ORIGIN_STEP_S * place
+        return now_s - self._step_in_from_s >= self._read_s * place
 
     def _rank(self, index: int) -> int:
         if self._near >> index & 1:
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -16,6 +16,7 @@
 from leadhollow.observe.logs import get_logger
 from leadhollow.staging.choice import Origin, SourceChoice
 from leadhollow.staging.origin_source import OriginSource
+from leadhollow.staging.patience import TaskPatience
 from leadhollow.staging.piece_source import PieceSource
 from leadhollow.staging.pieces import StagedVersion
 from leadhollow.staging.sharing import Stager
@@ -41,6 +42,7 @@
 TRAVEL_MS = 800  # what a slice may take on its way besides
 REPORT_INTERVAL_S = 1.0
 FAILED_PAUSE_S = 0.2
+ORIGIN_SILENT_S = 1.0  # an origin that owes us a piece for so long takes nothing of our link
 
 log = get_logger("fetch")
 
@@ -56,6 +58,8 @@
         Gives the other stagers that may take part.
     link_bytes_per_s
         Gives what this VM's link carries now.
+    origin_bytes_per_s
+        Gives the speed of the origin's link, 0 where it is not known.
     window
         How many pieces may be on their way here at a time, of whatever version.
     """
@@ -67,6 +71,7 @@
         "_from_origin",
         "_ordered",
         "_origin",
+        "_origin_progress_s",
         "_others",
         "_own",
         "_parts",
@@ -87,6 +92,7 @@
         origin: OriginSource,
         peers: PeerPool,
         link_bytes_per_s: Callable[[], float],
+        origin_bytes_per_s: Callable[[], float],
         window: PieceWindow,
         seed: int,
     ) -> None:
@@ -98,7 +104,13 @@
         self._download = Pacer(
             rate_bytes_per_s=lambda: link_bytes_per_s() * DOWNLOAD_SHARE, burst_s=BURST_S
         )
-        self._choice = SourceChoice(own=own, number=version.number, seed=seed)
+        patience = TaskPatience(
+            piece_bytes=version.manifest.chunk_bytes,
+            origin_bytes_per_s=origin_bytes_per_s,
+            link_bytes_per_s=link_bytes_per_s,
+        )
+        self._choice = SourceChoice(own=own, number=version.number, seed=seed, patience=patience)
+        self._origin_progress_s = 0.0
         self._sources: dict[str, PieceSource] = {}
         self._ordered: dict[int, PieceSource | None] = {}  # pieces on their way; None: the origin
         self._parts: dict[int, list[bytes]] = {}  # slices of pieces that are not whole yet
@@ -200,6 +212,8 @@
 
     def _order_from_origin(self, index: int) -> None:
         if self._origin_room():
+            if not self._on_order_at_origin():
+                self._origin_progress_s = asyncio.get_running_loop().time()
             self._ordered[index] = None
             self._from_origin.put_nowait(index)
 
@@ -207,7 +221,9 @@
         """Tell whether another piece may be ordered from a stager now."""
         at_origin = self._on_order_at_origin()
         from_stagers = len(self._ordered) - at_origin
-        return self._window.stager_room(from_stagers=from_stagers, from_origin=at_origin)
+        silent_s = asyncio.get_running_loop().time() - self._origin_progress_s
+        coming = at_origin if silent_s < ORIGIN_SILENT_S else 0
+        return self._window.stager_room(from_stagers=from_stagers, from_origin=coming)
 
     def _origin_room(self) -> bool:
         """Tell whether another piece may be ordered from the origin now."""
@@ -348,15 +364,22 @@
             index = await self._from_origin.get()
             if index not in version.held:
                 data = await self._origin.piece(version.model, version.number, index)
+                now_s = asyncio.get_running_loop().time()
+                self._origin_progress_s = now_s
                 if data is None:
-                    self._choice.origin_failed(asyncio.get_running_loop().time())
-                    await asyncio.sleep(FAILED_PAUSE_S)
+                    self._choice.origin_failed(now_s)
+                    self._drop_orders_at_origin()
                 elif not version.take(index, data):
                     log.warning("piece spoilt", index=index, source="origin")
                     await asyncio.sleep(FAILED_PAUSE_S)
             self._ordered.pop(index, None)
             self._wake.set()
 
+    def _drop_orders_at_origin(self) -> None:
+        """Let what the origin would not send now be asked of stagers that come to hold it."""
+        while not self._from_origin.empty():
+            self._ordered.pop(self._from_origin.get_nowait(), None)
+
     def _spawn(self, source: PieceSource, work: Coroutine[object, object, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         source.tasks.add(task)
--- a/src/leadhollow/staging/sharing.py
+++ b/src/leadhollow/staging/sharing.py
@@ -68,6 +68,10 @@
         first = inside.index(self.importer(index, stager.failure_domain))
         return (inside.index(stager) - first) % len(inside)
 
+    def importers(self, failure_domain: str) -> int:
+        """Count the stagers of a failure domain."""
+        return len(self._by_domain[failure_domain])
+
     def importer(self, index: int, failure_domain: str) -> Stager:
         """Give the stager that brings a piece into a failure domain."""
         reader = self.origin_reader(index)
--- a/tests/staging/test_choice.py
+++ b/tests/staging/test_choice.py
@@ -4,13 +4,8 @@
 
 import pytest
 
-from leadhollow.staging.choice import (
-    IMPORT_STEP_S,
-    ORIGIN_STEP_S,
-    PER_SOURCE,
-    Origin,
-    SourceChoice,
-)
+from leadhollow.staging.choice import AWAY_S, PER_SOURCE, Origin, SourceChoice
+from leadhollow.staging.patience import LONGEST_IMPORT_S, LONGEST_READ_S, TaskPatience
 from leadhollow.staging.piece_source import HANGS_AFTER_S, PieceSource
 from leadhollow.staging.sharing import Sharing, Stager
 
@@ -19,6 +14,9 @@
 NEIGHBOUR = Stager(address="127.0.0.1:2", failure_domain="a")
 FAR = Stager(address="127.0.0.1:3", failure_domain="b")
 
+SLOW = TaskPatience(piece_bytes=1_000, origin_bytes_per_s=lambda: 1.0, link_bytes_per_s=lambda: 1.0)
+"""Links on which even one piece takes longer than anybody is waited for."""
+
 
 def a_source(stager: Stager, *held: int) -> PieceSource:
     source = PieceSource(stager=stager, count=PIECES)
@@ -28,7 +26,7 @@
 
 
 def a_choice(*sources: PieceSource) -> SourceChoice:
-    choice = SourceChoice(own=OWN, number=1, seed=1)
+    choice = SourceChoice(own=OWN, number=1, seed=1, patience=SLOW)
     choice.look(sources, number=1, now_s=0.0)
     return choice
 
@@ -63,7 +61,7 @@
         far = a_source(FAR, index)
         choice = a_choice(a_source(NEIGHBOUR), far)
         assert choice.source(index, 0.0) is None
-        assert choice.source(index, IMPORT_STEP_S) is far
+        assert choice.source(index, LONGEST_IMPORT_S) is far
 
     def test_reads_what_another_one_should_have_read_once_its_own_part_is_read(self):
         choice = a_choice(a_source(NEIGHBOUR), a_source(FAR))
@@ -72,7 +70,7 @@
         assert choice.source(index, 60.0) is None
         choice.in_order([index], 60.0)
         assert choice.source(index, 60.0) is None
-        assert choice.source(index, 60.0 + 2 * ORIGIN_STEP_S) is Origin.ORIGIN
+        assert choice.source(index, 60.0 + 2 * LONGEST_READ_S) is Origin.ORIGIN
 
     def test_one_after_the_other_steps_in(self):
         stagers = [OWN, NEIGHBOUR, FAR]
@@ -88,10 +86,10 @@
     def test_asks_no_source_that_owes_us_something_and_hangs(self):
         neighbour, far = a_source(NEIGHBOUR, 5), a_source(FAR, 5)
         neighbour.order(7, 0.0)
-        choice = SourceChoice(own=OWN, number=1, seed=1)
+        choice = SourceChoice(own=OWN, number=1, seed=1, patience=SLOW)
         choice.look([neighbour, far], number=1, now_s=HANGS_AFTER_S + 0.1)
         choice.source(5, HANGS_AFTER_S + 0.1)
-        assert choice.source(5, HANGS_AFTER_S + IMPORT_STEP_S + 0.2) is far
+        assert choice.source(5, HANGS_AFTER_S + LONGEST_IMPORT_S + 0.2) is far
         neighbour.note_slice(1.0, HANGS_AFTER_S + 0.1)
         assert neighbour.usable(HANGS_AFTER_S + 0.2)
 
@@ -102,12 +100,12 @@
         choice.in_order([index], 0.0)
         choice.origin_failed(outage_s)
         choice.in_order([index], outage_s)
-        assert choice.source(index, outage_s + 0.9 * ORIGIN_STEP_S) is None
-        assert choice.source(index, outage_s + 2 * ORIGIN_STEP_S) is Origin.ORIGIN
+        assert choice.source(index, outage_s + 0.9 * LONGEST_READ_S) is None
+        assert choice.source(index, outage_s + 2 * LONGEST_READ_S) is Origin.ORIGIN
 
     def test_does_the_tasks_of_those_that_are_gone(self):
         index = read_by(NEIGHBOUR)
-        choice = SourceChoice(own=OWN, number=1, seed=1)
+        choice = SourceChoice(own=OWN, number=1, seed=1, patience=SLOW)
         choice.look([], number=1, now_s=0.0)
         assert choice.source(index, 0.0) is Origin.ORIGIN
 
@@ -119,3 +117,45 @@
         assert sorted(order) == list(range(PIECES))
         assert set(order[PIECES // 2 :]) == set(held)
         assert Sharing(number=1, stagers=[OWN, NEIGHBOUR, FAR]).origin_reader(order[0]) == OWN
+
+    def test_asks_an_origin_that_did_not_answer_again_after_a_pause(self):
+        choice = a_choice(a_source(NEIGHBOUR), a_source(FAR))
+        choice.origin_failed(1.0)
+        assert choice.source(read_by(OWN), 1.0 + AWAY_S / 2) is None
+        assert choice.source(read_by(OWN), 1.0 + AWAY_S) is Origin.ORIGIN
+
+    def test_waits_for_others_no_longer_than_what_is_left_takes(self):
+        quick = TaskPatience(
+            piece_bytes=1_000, origin_bytes_per_s=lambda: 1e5, link_bytes_per_s=lambda: 1e5
+        )
+        choice = SourceChoice(own=OWN, number=1, seed=1, patience=quick)
+        choice.look([a_source(NEIGHBOUR), a_source(FAR)], number=1, now_s=0.0)
+        index = read_by(NEIGHBOUR)
+        choice.in_order([index], 0.0)
+        assert choice.source(index, 0.1) is None
+        assert choice.source(index, 2 * quick.read_s(1)) is Origin.ORIGIN
+        assert 2 * quick.read_s(1) < LONGEST_READ_S
+
+
+class TestTaskPatience:
+    PATIENCE = TaskPatience(
+        piece_bytes=24_576,
+        origin_bytes_per_s=lambda: 912_500.0,
+        link_bytes_per_s=lambda: 456_250.0,
+    )
+
+    def test_grows_with_what_is_left_up_to_a_bound(self):
+        reads = [self.PATIENCE.read_s(unread) for unread in (1, 3, 9, 96)]
+        imports = [self.PATIENCE.import_s(outside, 3) for outside in (1, 6, 30, 96)]
+        assert reads == sorted(reads)
+        assert imports == sorted(imports)
+        assert reads[-1] == LONGEST_READ_S
+        assert imports[-1] == LONGEST_IMPORT_S
+        assert reads[0] < LONGEST_READ_S / 2
+        assert imports[0] < LONGEST_IMPORT_S / 2
+
+    def test_is_the_longest_where_the_origin_does_not_say_its_speed(self):
+        unknown = TaskPatience(
+            piece_bytes=24_576, origin_bytes_per_s=lambda: 0.0, link_bytes_per_s=lambda: 1.0
+        )
+        assert unknown.read_s(1) == LONGEST_READ_S
--- a/tests/staging/test_exchange.py
+++ b/tests/staging/test_exchange.py
@@ -49,6 +49,15 @@
         return None
 
 
+class HangingOrigin(NoOrigin):
+    """An origin that takes requests and never answers."""
+
+    async def piece(self, model: str, number: int, index: int) -> bytes | None:
+        self.asked.append(index)
+        await asyncio.Event().wait()
+        return None
+
+
 class Node:
     """One stager; its link carries what is said."""
 
@@ -80,7 +89,7 @@
         for index in indexes:
             assert self.staged().take(index, PIECES[index])
 
-    def fetch(self, *others: Node) -> PieceFetch:
+    def fetch(self, *others: Node, link_share: float = 1.0) -> PieceFetch:
         return PieceFetch(
             version=self.staged(),
             own=self.stager,
@@ -88,7 +97,8 @@
             origin=self.origin,
             peers=self.peers,
             link_bytes_per_s=lambda: self.bytes_per_s,
-            window=PieceWindow(link_share=lambda: 1.0),
+            origin_bytes_per_s=lambda: 1e8,
+            window=PieceWindow(link_share=lambda: link_share),
             seed=1,
         )
 
@@ -151,6 +161,18 @@
 
         with_nodes(work, count=3, bytes_per_s=100_000)
 
+    def test_over_a_slow_link_waits_for_no_origin_that_is_silent(self):
+        async def work(one: Node, slow: Node) -> None:
+            slow.origin = HangingOrigin()
+            fetch = asyncio.create_task(slow.fetch(one, link_share=0.1).run())
+            await eventually(lambda: slow.origin.asked)
+            one.hold(*range(8))
+            await eventually(lambda: slow.staged().held.held >= 7)
+            fetch.cancel()
+            await asyncio.gather(fetch, return_exceptions=True)
+
+        with_nodes(work, count=2)
+
     def test_a_spoilt_piece_is_taken_from_elsewhere(self):
         async def work(bad: Node, good: Node, empty: Node) -> None:
             bad.hold(*range(8))
