Look for control replicas more often while nothing is known

Cause: after a loss of power stagers and entries found the replicas 0.5 s after these were elected: the pause between attempts had grown to 1 s while the replicas started. Change: up to 0.25 s until the first confirmed view, each pause spread; a replica that a majority confirms again tells its watchers at once.

--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -116,6 +116,7 @@
         catalog.on_change(self._on_catalog)
         registry.on_change(self._on_registry)
         uses.on_change(self._on_uses)
+        confirmation.on_found(self._wake_all)
         handlers.on_stream(FeedWatch, self._on_watch)
         handlers.on_call(FeedProbe, self._on_probe)
 
@@ -238,6 +239,11 @@
                 subscriber.uses |= engines
                 subscriber.wake.set()
 
+    def _wake_all(self) -> None:
+        """Tell every watcher at once that a majority confirms what it was told."""
+        for subscriber in self._subscribers:
+            subscriber.wake.set()
+
     def _count_entries(self) -> None:
         self._registry.entries_here = sum(
             1 for subscriber in self._subscribers if subscriber.role is NodeRole.ENTRY
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -27,6 +28,11 @@
 HOME_INTERVAL_S = 3.0  # how often a feed of another failure domain looks for one of its own
 RECONNECT_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
+LONGEST_FIRST_PAUSE_S = 0.25
+"""Of a process that knows nothing yet, and can serve nobody: after a loss of power it is up before
+the control replicas are."""
+
+PAUSE_SPREAD = 0.3  # part of a pause by which those of processes that start together differ
 
 LoadListener = Callable[[LoadRecord, float], None]
 UseListener = Callable[[dict[str, Use], bool], None]
@@ -55,6 +61,7 @@
         "_engines",
         "_load_listeners",
         "_peers",
+        "_random",
         "_seeds",
         "_settings",
         "_use_listeners",
@@ -71,6 +78,7 @@
         self._seeds = settings.seed_wire_addresses
         self._domains: dict[str, str] = {}
         self._current = ""
+        self._random = random.Random(settings.vm)
         self._load_listeners: list[LoadListener] = []
         self._use_listeners: list[UseListener] = []
         self._engines: list[str] = []  # addresses by their numbers on the feed that is followed
@@ -102,14 +110,24 @@
         self._seeds = seeds
 
     async def _work(self) -> None:
-        pause_s = RECONNECT_PAUSE_S
+        failed = 0
         while True:
             address = await self._choose()
-            if address is not None and await self._follow(address):
-                pause_s = RECONNECT_PAUSE_S
-            else:
-                pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
-            await asyncio.sleep(pause_s)
+            followed = address is not None and await self._follow(address)
+            failed = 0 if followed else failed + 1
+            await asyncio.sleep(self.pause_s(failed))
+
+    def pause_s(self, failed: int) -> float:
+        """Give the time until replicas are looked for again.
+
+        Parameters
+        ----------
+        failed
+            Attempts in a row that found none.
+        """
+        longest_s = LONGEST_PAUSE_S if self.ready.is_set() else LONGEST_FIRST_PAUSE_S
+        pause_s = min(RECONNECT_PAUSE_S * 2.0**failed, longest_s)
+        return pause_s * self._random.uniform(1 - PAUSE_SPREAD, 1)
 
     def _candidates(self) -> list[str]:
         """Give all known replicas, those of the own failure domain first."""
