--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -35,6 +35,11 @@
 UNHEARD_MS = 250.0  # a server that does not report is thought this much slower than one that does
 LATE_QUEUE = 2  # requests beyond its batch that an engine gets rather than that they are lost
 KEPT_FREE = 2  # places of its batch that an engine keeps for new requests
+MOST_HELD = 64  # requests that an entry holds beyond their decision
+CALM = 0.25
+"""Pressure below which an engine takes a request that will be late though it is not idle: of new
+requests hardly one is refused, so none is refused for it."""
+
 IDLE_SHARE = 0.5  # of its places; an engine with so many free takes a request that will be late
 LATE_TOLERANCE_S = 0.05
 """A request predicted this much too late still comes in time in one case of three."""
@@ -97,6 +102,7 @@
     __slots__ = (
         "_board",
         "_failure_domain",
+        "_held",
         "_models",
         "_pressure",
         "_random",
@@ -119,12 +125,13 @@
         self._models: dict[str, EngineModel] = {}
         self._pressure: dict[str, Pressure] = {}
         self._waiters: list[_Waiter] = []
+        self._held: list[_Waiter] = []  # will be late, and are placed where room is left over
         board.on_change(self.pump)
 
     @property
     def waiting(self) -> int:
-        """Requests that wait."""
-        return len(self._waiters)
+        """Requests that wait, those that are held included."""
+        return len(self._waiters) + len(self._held)
 
     async def place(self, wish: EngineWish) -> Result[Placement, Failure]:
         """Find a place for a request, or refuse it in time.
@@ -145,23 +152,33 @@
             placed = self._try(wish)
             if placed is not None:
                 return placed
+        placed = await self._wait(self._waiters, wish, until_s=wish.decide_s)
+        if placed is None:
+            placed = self._try(wish, late=True)
+        if placed is None and wish.hold_s > wish.decide_s and len(self._held) < MOST_HELD:
+            placed = await self._wait(self._held, wish, until_s=wish.hold_s)
+        return placed
+
+    async def _wait(
+        self, waiters: list[_Waiter], wish: EngineWish, *, until_s: float
+    ) -> Placement | None:
+        """Wait among others for a place; None where none came in time."""
         future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
         waiter = _Waiter(wish=wish, future=future)
-        self._insert(waiter)
+        _insert(waiters, waiter)
         try:
-            async with asyncio.timeout_at(wish.decide_s):
+            async with asyncio.timeout_at(until_s):
                 return await future
         except TimeoutError:
-            if _given(future):
-                return future.result()  # in the same turn of the loop as the end of the wait
+            # it may have been given in the same turn of the loop as the end of the wait
+            return future.result() if _given(future) else None
         except asyncio.CancelledError:
             if _given(future):
                 self.release(future.result())
             raise
         finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
-        return self._try(wish, late=True)
+            if waiter in waiters:
+                waiters.remove(waiter)
 
     def retry_after_s(self, wish: EngineWish) -> float:
         """Give the time after which a refused request should come back."""
@@ -184,11 +201,19 @@
                 waiter.future.set_result(placed)
                 self._waiters.remove(waiter)
 
-    def _insert(self, waiter: _Waiter) -> None:
-        """Queue behind those of the same standing."""
-        standing = waiter.wish.standing
-        position = sum(1 for found in self._waiters if found.wish.standing <= standing)
-        self._waiters.insert(position, waiter)
+    def pump_held(self) -> None:
+        """Place those that are held, one after the other while there is room left over.
+
+        Called now and then, and ended at the first that finds no room: they differ little.
+        """
+        for waiter in list(self._held):
+            if waiter.future.done():
+                continue
+            placed = None if self._waiters else self._try(waiter.wish, late=True)
+            if placed is None:
+                return
+            waiter.future.set_result(placed)
+            self._held.remove(waiter)
 
     def _try(self, wish: EngineWish, *, late: bool = False) -> Placement | None:
         now_s = asyncio.get_running_loop().time()
@@ -306,6 +331,13 @@
         )
 
 
+def _insert(waiters: list[_Waiter], waiter: _Waiter) -> None:
+    """Queue behind those of the same standing."""
+    standing = waiter.wish.standing
+    position = sum(1 for found in waiters if found.wish.standing <= standing)
+    waiters.insert(position, waiter)
+
+
 def _given(future: asyncio.Future[Placement]) -> bool:
     return future.done() and not future.cancelled()
 
@@ -334,7 +366,8 @@
         case Standing.NEW:
             return on_time or (last_moment and (idle or margin_s > -LATE_TOLERANCE_S * (1 - level)))
         case Standing.CAME_BACK:
-            return (on_time and free > KEPT_FREE) or (last_moment and idle)
+            spare = idle or (free > KEPT_FREE and level < CALM)
+            return (on_time and free > KEPT_FREE) or (last_moment and spare)
 
 
 __all__ = ["DECIDE_SHARE", "PUMP_INTERVAL_S", "EngineQueue"]
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -27,7 +27,14 @@
 STALL_FACTOR = 2.0  # of the pause that a route calls on time; then the stream is taken for dead
 SHORTEST_STALL_S = 0.8
 FIRST_EVENT_FACTOR = 2.5  # of the predicted time, and at least the objective
-RESUME_WAIT_S = 0.3  # how long a broken stream may look for an engine without being late for it
+RESUME_WAIT_S = 1.2
+"""How long a broken stream looks for an engine. Callers give a stream up after a pause of 2 s and
+more; its engine was silent for a part of that already."""
+
+HOLD_SHARE = 0.3
+"""Of the time that is left to a caller that does not come again: so long its request is kept for
+room that is left over. Later than that its answer would hardly be whole in time."""
+
 REFUSED_CONNECTION_WEIGHT = 3
 
 log = get_logger("stream")
@@ -185,6 +192,10 @@
         else:
             standing = Standing.CAME_BACK if self._came_back() else Standing.NEW
         decide_s = call.received_s + objective_s * DECIDE_SHARE if first else now_s + RESUME_WAIT_S
+        decide_s = min(decide_s, call.deadline_s)
+        hold_s = decide_s
+        if standing is Standing.CAME_BACK:
+            hold_s += HOLD_SHARE * (call.deadline_s - decide_s)
         return EngineWish(
             service=self._service,
             model=call.facts.model,
@@ -192,7 +203,8 @@
             output_tokens=_expected_output(call),
             objective_s=objective_s,
             on_time_s=call.objective_s if not self._begun else now_s + objective_s,
-            decide_s=min(decide_s, call.deadline_s),
+            decide_s=decide_s,
+            hold_s=hold_s,
             standing=standing,
             organisation="" if call.organisation is None else call.organisation.name,
             request_id=call.request_id,
--- a/src/leadhollow/forward/wish.py
+++ b/src/leadhollow/forward/wish.py
@@ -37,6 +37,9 @@
         Loop time until which its first event is on time.
     decide_s
         Loop time at which it is placed late or refused.
+    hold_s
+        Loop time until which one whose caller will not come again is kept for room that is left
+        over, late as it will be; not before ``decide_s``.
     standing
         Who goes before whom.
     excluded
@@ -49,6 +52,7 @@
     __slots__ = (
         "decide_s",
         "excluded",
+        "hold_s",
         "last_attempt",
         "model",
         "objective_s",
@@ -71,6 +75,7 @@
         objective_s: float,
         on_time_s: float,
         decide_s: float,
+        hold_s: float,
         standing: Standing,
         organisation: str,
         request_id: str,
@@ -84,6 +89,7 @@
         self.objective_s = objective_s
         self.on_time_s = on_time_s
         self.decide_s = decide_s
+        self.hold_s = hold_s
         self.standing = standing
         self.organisation = organisation
         self.request_id = request_id
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -83,6 +83,7 @@
             turn += 1
             if self.queue.waiting:
                 self.queue.pump()
+                self.queue.pump_held()
             if turn % TIDY_TURNS == 0:
                 self.table.forget_silent(asyncio.get_running_loop().time())
                 self.board.tidy()
--- a/tests/forward/test_engine_queue.py
+++ b/tests/forward/test_engine_queue.py
@@ -10,7 +10,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.forward.board import ServerBoard
-from leadhollow.forward.engine_queue import EngineQueue
+from leadhollow.forward.engine_queue import MOST_HELD, EngineQueue
 from leadhollow.forward.pressure import Pressure
 from leadhollow.forward.server import NO_USE, Server
 from leadhollow.forward.wish import EngineWish, Placement, Standing
@@ -106,6 +106,7 @@
         "objective_s": on_time_s,
         "on_time_s": now_s + on_time_s,
         "decide_s": now_s + decide_s,
+        "hold_s": now_s + decide_s,
         "standing": Standing.NEW,
         "organisation": "",
         "request_id": "r",
@@ -115,6 +116,12 @@
     return EngineWish(**(values | changes))
 
 
+def a_last_wish() -> EngineWish:
+    """Make the wish of a caller that was refused before and will not come again."""
+    now_s = asyncio.get_running_loop().time()
+    return a_wish(on_time_s=0.01, decide_s=0.01, hold_s=now_s + 0.4, standing=Standing.CAME_BACK)
+
+
 def in_loop(work: Callable[[], Awaitable[None]]) -> None:
     asyncio.run(asyncio.wait_for(work(), 10))
 
@@ -318,6 +325,67 @@
         in_loop(work)
 
 
+class TestHolding:
+    def test_a_caller_that_does_not_come_again_waits_for_room_that_is_left_over(self):
+        async def work() -> None:
+            group = Group()
+            server = group.engine("full", active=4, queued=9)
+            holding = asyncio.create_task(group.queue.place(a_last_wish()))
+            await asyncio.sleep(0.05)
+            assert group.queue.waiting == 1
+            group.queue.pump_held()
+            assert not holding.done()
+            group.report(server, active=0, queued=0)
+            group.queue.pump_held()
+            assert (await holding).unwrap().server is server
+
+        in_loop(work)
+
+    def test_new_requests_go_before_it(self):
+        async def work() -> None:
+            group = Group()
+            server = group.engine("full", active=4, queued=9)
+            holding = asyncio.create_task(group.queue.place(a_last_wish()))
+            await asyncio.sleep(0.05)
+            new = asyncio.create_task(group.queue.place(a_wish(on_time_s=0.1, decide_s=5.0)))
+            await asyncio.sleep(0.01)
+            group.report(server, active=2, queued=0, pace_permille=9_000)
+            group.queue.pump_held()
+            assert not holding.done()
+            new.cancel()
+            await asyncio.wait([new])
+            group.queue.pump_held()
+            holding.cancel()
+            await asyncio.wait([holding])
+            assert group.queue.waiting == 0
+
+        in_loop(work)
+
+    def test_it_is_refused_at_the_end_of_its_time(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("full", active=4, queued=9)
+            found = await group.queue.place(a_last_wish())
+            assert found.unwrap_err().code is Code.NO_CAPACITY
+            assert group.queue.waiting == 0
+
+        in_loop(work)
+
+    def test_only_so_many_are_held(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("full", active=4, queued=9)
+            holding = [
+                asyncio.create_task(group.queue.place(a_last_wish())) for _ in range(MOST_HELD + 3)
+            ]
+            await asyncio.sleep(0.1)
+            assert group.queue.waiting == MOST_HELD
+            assert sum(1 for task in holding if task.done()) == 3
+            await asyncio.gather(*holding)
+
+        in_loop(work)
+
+
 class TestLeaving:
     def test_a_place_that_was_given_as_the_caller_left_is_given_back(self):
         async def work() -> None:
