Find out by connections, not by requests, when a server can be reached again

Change: a server to which no connection opens is tried by connections each 0.25 s; no request goes there until one opens, and the next request uses it.

--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -58,6 +58,10 @@
             if server.instance.service == service and server.instance.state is InstanceState.READY
         ]
 
+    def all_servers(self) -> list[Server]:
+        """Give the backend servers of all services."""
+        return list(self._servers.values())
+
     def server(self, instance: str) -> Server | None:
         """Find a backend server."""
         return self._servers.get(instance)
--- a/src/leadhollow/forward/health.py
+++ b/src/leadhollow/forward/health.py
@@ -13,9 +13,21 @@
 
     A server that failed several requests in a row gets none for a while, then one at a time until
     one succeeds. One link's failure is no proof of death, so nothing is ever given up for good.
+
+    Attributes
+    ----------
+    unreachable
+        Whether it is out of use because no connection to it could be opened.
     """
 
-    __slots__ = ("_ejected_until_s", "_ejection_s", "_failures", "_last_failure_s", "_probing")
+    __slots__ = (
+        "_ejected_until_s",
+        "_ejection_s",
+        "_failures",
+        "_last_failure_s",
+        "_probing",
+        "unreachable",
+    )
 
     def __init__(self) -> None:
         self._failures = 0
@@ -23,6 +35,7 @@
         self._ejection_s = FIRST_EJECTION_S
         self._last_failure_s = 0.0
         self._probing = False
+        self.unreachable = False
 
     def usable(self, now_s: float) -> bool:
         """Tell whether requests may go there."""
@@ -45,6 +58,21 @@
         self._ejected_until_s = 0.0
         self._ejection_s = FIRST_EJECTION_S
         self._probing = False
+        self.unreachable = False
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Note that no connection could be opened."""
+        self.note_failure(now_s, weight=FAILURES_TO_EJECT)
+        self.unreachable = True
+
+    def note_still_unreachable(self, now_s: float) -> None:
+        """Note that a connection was tried again in vain, so that no request need try it."""
+        self._ejected_until_s = max(self._ejected_until_s, now_s + FIRST_EJECTION_S)
+
+    def note_reachable(self, now_s: float) -> None:
+        """Note that a connection could be opened again: a request may try it at once."""
+        self.unreachable = False
+        self._ejected_until_s = min(self._ejected_until_s, now_s)
 
     def note_failure(self, now_s: float, *, weight: int = 1) -> bool:
         """Note a failure; True where it is out of use from now on.
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -23,7 +23,6 @@
 HELD_BYTES = 256 * 1024  # answers up to it are taken whole before they are passed on
 HEDGE_SHARE = 0.6  # of the objective; then another server may answer a repeatable request sooner
 MOST_SENDS = 6
-REFUSED_CONNECTION_WEIGHT = 3
 FAR_PENALTY = 0.5  # a server of another failure domain counts as if it had this much more to do
 
 log = get_logger("plain")
@@ -261,11 +260,12 @@
 
     def _note_failure(self, call: ForwardedCall, server: Server, failed: AttemptFailure) -> None:
         now_s = asyncio.get_running_loop().time()
-        weight = 1
         if not failed.may_have_run:
             call.attempts -= 1
-            weight = REFUSED_CONNECTION_WEIGHT
-        server.health.note_failure(now_s, weight=weight)
+        if failed.end is AttemptEnd.NOT_SENT:
+            server.health.note_unreachable(now_s)
+        else:
+            server.health.note_failure(now_s)
         log.warning(
             "attempt failed",
             request=call.request_id,
--- a/src/leadhollow/forward/pool.py
+++ b/src/leadhollow/forward/pool.py
@@ -58,6 +58,13 @@
         self.opened += 1
         return await open_connection(parsed.unwrap(), timeout_s=timeout_s)
 
+    async def prepare(self, address: str, *, timeout_s: float = CONNECT_TIMEOUT_S) -> bool:
+        """Open a connection and keep it for the next request; tells whether there is one."""
+        opened = await self.acquire(address, fresh=True, timeout_s=timeout_s)
+        if opened.is_ok():
+            self.release(address, opened.unwrap())
+        return opened.is_ok()
+
     def release(self, address: str, connection: ClientConnection) -> None:
         """Take a connection back after a whole exchange."""
         connection.end_exchange()
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -35,7 +35,6 @@
 """Of the time that is left to a caller that does not come again: so long its request is kept for
 room that is left over. Later than that its answer would hardly be whole in time."""
 
-REFUSED_CONNECTION_WEIGHT = 3
 
 log = get_logger("stream")
 
@@ -402,7 +401,7 @@
         self._excluded.add(placement.server.instance.instance)
         now_s = asyncio.get_running_loop().time()
         if failed.end is AttemptEnd.NOT_SENT:
-            placement.server.health.note_failure(now_s, weight=REFUSED_CONNECTION_WEIGHT)
+            placement.server.health.note_unreachable(now_s)
         log.warning(
             "attempt not sent",
             request=self._call.request_id,
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -10,6 +10,7 @@
 from leadhollow.forward.ending import Ending
 from leadhollow.forward.engine_queue import PUMP_INTERVAL_S, EngineQueue
 from leadhollow.forward.exchange import Exchanger
+from leadhollow.forward.path_probes import PathProber
 from leadhollow.forward.plain_call import PlainForwarder
 from leadhollow.forward.pool import ConnectionPool
 from leadhollow.forward.readiness import ReadinessListener
@@ -115,6 +116,10 @@
         board = kernel.get("dispatching", Dispatching).board
         return UseReporter(board=board, feed=feed, peers=process.peers)
 
+    def make_prober() -> Service:
+        board = kernel.get("dispatching", Dispatching).board
+        return PathProber(board=board, pool=kernel.get("pool", ConnectionPool))
+
     def make_callers() -> Service:
         shared = kernel.get("dispatching", Dispatching)
         return CallerListener(
@@ -148,6 +153,7 @@
     kernel.register("feed", make_feed, needs=("wire",))
     kernel.register("pool", ConnectionPool, needs=("wire",))
     kernel.register("dispatching", make_dispatching, needs=("feed", "pool"))
+    kernel.register("path-prober", make_prober, needs=("dispatching",))
     kernel.register("use-reporter", make_reporter, needs=("dispatching",))
     kernel.register("callers", make_callers, needs=("dispatching",))
     kernel.register("readiness", make_readiness, needs=("callers",))
--- a/tests/forward/test_parts.py
+++ b/tests/forward/test_parts.py
@@ -133,6 +133,33 @@
         assert health.usable(1.0)
 
 
+class TestReachability:
+    def test_a_server_that_cannot_be_reached_gets_no_request_while_connections_fail(self):
+        health = Health()
+        health.note_unreachable(1.0)
+        for tenth in range(10, 100):
+            health.note_still_unreachable(tenth / 10)
+            assert not health.usable(tenth / 10 + 0.1)
+
+    def test_one_request_tries_it_as_soon_as_a_connection_opens(self):
+        health = Health()
+        for _ in range(4):
+            health.note_unreachable(1.0)
+        health.note_reachable(1.5)
+        assert health.usable(1.5)
+        health.note_start(1.5)
+        assert not health.usable(1.5)
+        health.note_success()
+        assert health.usable(1.5)
+        assert not health.unreachable
+
+    def test_a_server_that_fails_requests_is_not_called_unreachable(self):
+        health = Health()
+        for _ in range(FAILURES_TO_EJECT):
+            health.note_failure(1.0)
+        assert not health.unreachable
+
+
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nx-versions: 2\nid: 3\ndata: c\n\n"
 
 
--- /dev/null
+++ b/tests/forward/test_path_probes.py
@@ -0,0 +1,58 @@
+"""Servers that nobody could connect to come back when something listens there again."""
+
+from __future__ import annotations
+
+import asyncio
+
+from leadhollow.forward.board import ServerBoard
+from leadhollow.forward.path_probes import PathProber
+from leadhollow.forward.pool import ConnectionPool
+from leadhollow.membership.instances import Instance, InstanceState, InstanceTable
+from leadhollow.settings.deployment import Listener, LoopbackAddresses
+from tests.support import eventually
+
+OUTAGE_S = 1.0
+
+
+def an_instance(address: str) -> Instance:
+    return Instance(
+        instance="i-1",
+        service="models",
+        address=address,
+        failure_domain="a",
+        sequence=1,
+        state=InstanceState.READY,
+        slots=4,
+        served=(),
+        heard_s=asyncio.get_running_loop().time(),
+    )
+
+
+class TestPathProber:
+    def test_lets_a_request_try_as_soon_as_a_connection_opens(self):
+        async def work() -> None:
+            loop = asyncio.get_running_loop()
+            address = LoopbackAddresses()("one", Listener.WIRE)
+            table = InstanceTable(forget_after_s=60.0)
+            board = ServerBoard(table=table, clock=loop.time)
+            table.take(an_instance(address))
+            server = board.server("i-1")
+            assert server is not None
+            pool = ConnectionPool()
+            prober = PathProber(board=board, pool=pool)
+            await prober.start()
+            server.health.note_unreachable(loop.time())
+            await asyncio.sleep(OUTAGE_S)
+            assert not server.health.usable(loop.time())
+            host, _, port = address.partition(":")
+            listener = await asyncio.start_server(lambda *_: None, host, int(port))
+            await eventually(lambda: server.health.usable(loop.time()), "the way back")
+            kept = await pool.acquire(address, fresh=False)
+            assert kept.is_ok()
+            assert pool.reused == 1
+            kept.unwrap().close()
+            await prober.stop()
+            await pool.stop()
+            listener.close()
+
+        asyncio.run(work())
