Count a version's bound from its naming also where a process starts later

Change: control replicas that are up to date note when a version was named and tell its age, to each other and to their watchers, by steady clocks only; the longest age counts.

--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -13,6 +13,7 @@
 from leadhollow.control.registry import Load, Registry
 from leadhollow.failure import Failure
 from leadhollow.membership.instances import Instance
+from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeRole
 from leadhollow.state.catalog import Catalog, encode_item
@@ -49,6 +50,7 @@
         "instances",
         "loads",
         "role",
+        "sent_naming_times",
         "sent_replicas",
         "sent_revision",
         "uses",
@@ -65,6 +67,7 @@
         self.instances: dict[str, Instance] = {}
         self.loads: dict[str, Load] = {}
         self.sent_replicas: list[str] = []
+        self.sent_naming_times = 0
         self.wake = asyncio.Event()
 
     def number(self, address: str) -> tuple[int, bool]:
@@ -93,9 +96,19 @@
     ----------
     replicas
         Gives address and failure domain of all replicas, separated by a blank.
+    naming_times
+        When versions were named.
     """
 
-    __slots__ = ("_catalog", "_confirmation", "_registry", "_replicas", "_subscribers", "_uses")
+    __slots__ = (
+        "_catalog",
+        "_confirmation",
+        "_naming_times",
+        "_registry",
+        "_replicas",
+        "_subscribers",
+        "_uses",
+    )
 
     def __init__(
         self,
@@ -106,12 +119,14 @@
         confirmation: Confirmation,
         replicas: Callable[[], list[str]],
         handlers: HandlerTable,
+        naming_times: NamingTimes,
     ) -> None:
         self._catalog = catalog
         self._registry = registry
         self._uses = uses
         self._confirmation = confirmation
         self._replicas = replicas
+        self._naming_times = naming_times
         self._subscribers: set[_Subscriber] = set()
         catalog.on_change(self._on_catalog)
         registry.on_change(self._on_registry)
@@ -194,6 +209,10 @@
         subscriber.loads = {}
         engines, uses = self._news_of_uses(subscriber)
         confirmed_ms = self._confirmation.age_ms() if self._registry.settled() else -1
+        named = None
+        if subscriber.sent_naming_times != self._naming_times.changes:
+            subscriber.sent_naming_times = self._naming_times.changes
+            named = self._naming_times.ages()
         return FeedUpdate(
             self._catalog.revision,
             items,
@@ -205,6 +224,7 @@
             False,
             engines,
             uses,
+            named,
         )
 
     def _news_of_uses(self, subscriber: _Subscriber) -> tuple[list[str], list[EngineUse]]:
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -11,6 +11,7 @@
 
 from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable
+from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import LoadRecord, LoadReport, RegistryPush
@@ -60,6 +61,8 @@
         Gives the addresses of all replicas.
     forget_after_s
         Silence after which a backend server is dropped.
+    naming_times
+        When versions were named; replicas learn it from each other.
     """
 
     __slots__ = (
@@ -69,6 +72,7 @@
         "_heard_here_s",
         "_listeners",
         "_loads",
+        "_naming_times",
         "_own_address",
         "_peers",
         "_replicas",
@@ -85,6 +89,7 @@
         peers: PeerPool,
         handlers: HandlerTable,
         forget_after_s: float,
+        naming_times: NamingTimes,
     ) -> None:
         self._own_address = own_address
         self._replicas = replicas
@@ -96,6 +101,7 @@
         self._entries_elsewhere: dict[str, tuple[int, float]] = {}
         self._listeners: list[ChangeListener] = []
         self._started_s = _now_s()
+        self._naming_times = naming_times
         self.entries_here = 0
         self.table = InstanceTable(forget_after_s=forget_after_s)
         super().__init__(gather_s=FLOOD_PAUSE_S, refresh_s=REFRESH_S)
@@ -157,6 +163,7 @@
             loads,
             self.entries_here,
             whole,
+            self._naming_times.ages() if whole else None,
         )
         for address in self._replicas():
             if address != self._own_address:
@@ -175,6 +182,7 @@
     def _on_push(self, push: RegistryPush, connection: Connection) -> None:
         now_s = _now_s()
         self._entries_elsewhere[push.address] = (int(push.entries or 0), now_s)
+        self._naming_times.learn(push.named or ())
         changed = []
         for record in push.instances or ():
             heard = Instance.from_record(record, now_s)
--- a/src/leadhollow/forward/versions.py
+++ b/src/leadhollow/forward/versions.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.settings.node import Bounds
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem
@@ -16,29 +17,38 @@
 
 
 class VersionPolicy:
-    """Remembers when each version was named, and which are too old.
+    """Tells by when each version was named which are too old.
 
     Parameters
     ----------
+    times
+        When versions were named.
     clock
         Gives the loop time.
     """
 
-    __slots__ = ("_bounds", "_catalog", "_clock", "_named", "_named_s")
+    __slots__ = ("_bounds", "_catalog", "_clock", "_named", "_times")
 
-    def __init__(self, *, catalog: Catalog, bounds: Bounds, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        catalog: Catalog,
+        times: NamingTimes,
+        bounds: Bounds,
+        clock: Callable[[], float],
+    ) -> None:
         self._catalog = catalog
+        self._times = times
         self._bounds = bounds
         self._clock = clock
         self._named: dict[str, list[int]] = {}  # numbers of each model, the newest first
-        self._named_s: dict[tuple[str, int], float] = {}
         catalog.on_change(self._on_change)
 
     def oldest_allowed(self, model: str) -> int:
         """Give the lowest version that a request sent now may begin on."""
         limit_s = self._bounds.version_ms / 1000 - MARGIN_S
         for number in self._named.get(model, ()):
-            named_s = self._named_s.get((model, number))
+            named_s = self._times.named_s(model, number)
             if named_s is None or self._clock() - named_s >= limit_s:
                 return number
         return 0
@@ -47,7 +57,7 @@
         """Give the loop time by which a request on a version must have begun."""
         bound_s = float("inf")
         for number in self._named.get(model, ()):
-            named_s = self._named_s.get((model, number))
+            named_s = self._times.named_s(model, number)
             if number > version and named_s is not None:
                 bound_s = min(bound_s, named_s + self._bounds.version_ms / 1000)
         return bound_s - BEGIN_MARGIN_S
@@ -59,8 +69,6 @@
     def _on_change(self, items: list[CatalogItem]) -> None:
         for item in items:
             if isinstance(item.value, NamedVersion) and item.value.named:
-                key = (item.value.model, item.value.number)
-                self._named_s.setdefault(key, self._clock())
                 held = versions_of(self._catalog, item.value.model)
                 self._named[item.value.model] = [found.number for found in held if found.named]
 
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -10,10 +10,13 @@
 
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.instances import Instance, InstanceTable
+from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.membership.uses import Use, decode_uses
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeRole, NodeSettings
 from leadhollow.state.catalog import Catalog, decode_item
+from leadhollow.state.records import CatalogItem
+from leadhollow.weights.named import NamedVersion
 from leadhollow.wire.generated.ttypes import FeedProbe, FeedUpdate, FeedWatch, LoadRecord
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.streams import CallStream
@@ -51,6 +54,8 @@
         Backend servers; a silent feed or a restarted replica removes none.
     ready
         Set once a replica that a majority confirmed has told everything.
+    naming_times
+        When versions were named: now for those that are news, else as the replicas know.
     entries
         Live entries of the whole system, as last told.
     """
@@ -68,6 +73,7 @@
         "catalog",
         "confirmed_s",
         "entries",
+        "naming_times",
         "ready",
         "table",
     )
@@ -83,6 +89,8 @@
         self._use_listeners: list[UseListener] = []
         self._engines: list[str] = []  # addresses by their numbers on the feed that is followed
         self.catalog = Catalog()
+        self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
+        self.catalog.on_change(self._note_named)
         self.table = table
         self.ready = asyncio.Event()
         self.entries = 1
@@ -245,6 +253,7 @@
         except msgspec.MsgspecError as error:
             log.error("catalog update not understood", error=str(error))
             return False
+        self.naming_times.learn(update.named or ())
         self.catalog.apply(items, revision=update.revision or 0)
         for record in update.instances or ():
             self.table.take(Instance.from_record(record, now_s))
@@ -261,6 +270,11 @@
                 self.ready.set()
         return True
 
+    def _note_named(self, items: list[CatalogItem]) -> None:
+        for item in items:
+            if isinstance(item.value, NamedVersion) and item.value.named:
+                self.naming_times.note(item.value.model, item.value.number)
+
     def _take_uses(self, update: FeedUpdate) -> None:
         if update.whole:
             self._engines = []
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -11,6 +11,7 @@
 from leadhollow.control.operators import ControlListener
 from leadhollow.control.registry import Registry
 from leadhollow.control.replica_service import ReplicaService
+from leadhollow.control.version_ages import VersionAges
 from leadhollow.node.process import FORGET_AFTER_S
 from leadhollow.settings.address import Address
 
@@ -35,6 +36,12 @@
     def make_confirmation() -> Service:
         return Confirmation(gateway=replica().gateway)
 
+    def make_ages() -> Service:
+        return VersionAges(
+            catalog=replica().replica.machine.catalog,
+            confirmation=kernel.get("confirmation", Confirmation),
+        )
+
     def make_registry() -> Service:
         return Registry(
             own_address=settings.wire_address,
@@ -42,6 +49,7 @@
             peers=process.peers,
             handlers=process.handlers,
             forget_after_s=FORGET_AFTER_S,
+            naming_times=kernel.get("version-ages", VersionAges).times,
         )
 
     def make_uses() -> Service:
@@ -60,6 +68,7 @@
             confirmation=kernel.get("confirmation", Confirmation),
             replicas=replica().places,
             handlers=process.handlers,
+            naming_times=kernel.get("version-ages", VersionAges).times,
         )
 
     def make_manifests() -> Service:
@@ -80,7 +89,8 @@
 
     kernel.register("replica", make_replica, needs=("wire",))
     kernel.register("confirmation", make_confirmation, needs=("replica",))
-    kernel.register("registry", make_registry, needs=("replica",))
+    kernel.register("version-ages", make_ages, needs=("confirmation",))
+    kernel.register("registry", make_registry, needs=("version-ages",))
     kernel.register("uses", make_uses, needs=("replica",))
     kernel.register("feed", make_feed, needs=("confirmation", "registry", "uses"))
     kernel.register("manifests", make_manifests, needs=("replica",))
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -48,7 +48,12 @@
         feed.on_load(self.board.take_load)
         feed.on_uses(self.board.take_told)
         self.budget = RetryBudget(bounds=settings.bounds, entries=lambda: feed.entries, clock=clock)
-        versions = VersionPolicy(catalog=feed.catalog, bounds=settings.bounds, clock=clock)
+        versions = VersionPolicy(
+            catalog=feed.catalog,
+            times=feed.naming_times,
+            bounds=settings.bounds,
+            clock=clock,
+        )
         self.queue = EngineQueue(
             board=self.board,
             versions=versions,
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -135,6 +135,7 @@
             models=models,
             start_fetch=start_fetch,
             first_start=settings.first_start,
+            times=feed().naming_times,
             version_s=settings.bounds.version_ms / 1000,
             turn=is_turn,
         )
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from leadhollow.kernel.task_service import TaskService
+from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.observe.logs import get_logger, log_decision
 from leadhollow.staging.engine_client import LocalEngine
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
@@ -40,6 +41,8 @@
         Gives the models that the engine may run.
     start_fetch
         Makes the fetch of a version.
+    times
+        When versions were named.
     version_s
         Time from the naming of a version until no request may begin on an older one.
     turn
@@ -56,13 +59,13 @@
         "_fetch",
         "_fetch_task",
         "_models",
-        "_named",
         "_read_back",
         "_stage_patience_s",
         "_staged",
         "_staged_of",
         "_start_fetch",
         "_store",
+        "_times",
         "_turn",
         "_version_s",
         "_wake",
@@ -79,6 +82,7 @@
         models: Callable[[], list[str]],
         start_fetch: Callable[[StagedVersion], PieceFetch],
         first_start: bool,
+        times: NamingTimes,
         version_s: float,
         turn: Callable[[StagedVersion, bool], bool],
     ) -> None:
@@ -91,7 +95,7 @@
         self._fetch: PieceFetch | None = None
         self._fetch_task: asyncio.Task[None] | None = None
         self._read_back = False
-        self._named: dict[int, float] = {}
+        self._times = times
         self._version_s = version_s
         self._turn = turn
         self._began_s = asyncio.get_running_loop().time()
@@ -134,7 +138,6 @@
         if report is not None and not self._read_back:
             for version in known:
                 await self._read_stage(version)
-        self._named.setdefault(known[0].number, asyncio.get_running_loop().time())
         staged = self._store.open(known[0])
         if staged is None:
             return
@@ -163,7 +166,10 @@
         """Tell whether requests may go to the engine with the weights that it holds."""
         if report is None or not report.served:
             return False
-        bound_s = self._named[staged.number] + self._version_s
+        named_s = self._times.named_s(staged.model, staged.number)
+        if named_s is None:
+            return True  # engines brought it with them, so nobody is behind
+        bound_s = named_s + self._version_s
         return asyncio.get_running_loop().time() < bound_s - LAST_CALL_S
 
     def _may_hold_stage(self) -> bool:
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -8,6 +8,7 @@
 from result import Ok
 
 from leadhollow.membership.instances import ServedVersion
+from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
 from leadhollow.staging.installer import NOTICE_S, Installer
 from leadhollow.staging.pieces import PieceStore, StagedVersion
@@ -121,6 +122,7 @@
             models=lambda: ["m"],
             start_fetch=self._start_fetch,
             first_start=False,
+            times=NamingTimes(clock=asyncio.get_running_loop().time),
             version_s=BOUND_S,
             turn=lambda staged, announced: True,
         )
