Hold only where room is likely: engines serve, and few new requests are refused

Change: nobody is held from half the full pressure on, or while no engine serves; a broken stream looks for 0.3 s again.

--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -40,6 +40,10 @@
 """Pressure below which an engine takes a request that will be late though it is not idle: of new
 requests hardly one is refused, so none is refused for it."""
 
+HOPELESS = 0.5
+"""Pressure from which nobody is held: few of those that were got room in time on played days, and
+a caller that waits in vain would rather have heard at once."""
+
 IDLE_SHARE = 0.5  # of its places; an engine with so many free takes a request that will be late
 LATE_TOLERANCE_S = 0.05
 """A request predicted this much too late still comes in time in one case of three."""
@@ -155,10 +159,19 @@
         placed = await self._wait(self._waiters, wish, until_s=wish.decide_s)
         if placed is None:
             placed = self._try(wish, late=True)
-        if placed is None and wish.hold_s > wish.decide_s and len(self._held) < MOST_HELD:
+        if placed is None and self._holds(wish):
             placed = await self._wait(self._held, wish, until_s=wish.hold_s)
         return placed
 
+    def _holds(self, wish: EngineWish) -> bool:
+        """Tell whether a request that came back is likely to get room that is left over."""
+        now_s = asyncio.get_running_loop().time()
+        if wish.hold_s <= now_s or len(self._held) >= MOST_HELD:
+            return False
+        if self._pressure_of(wish.service).level(now_s) >= HOPELESS:
+            return False
+        return self._best(wish, now_s) is not None
+
     async def _wait(
         self, waiters: list[_Waiter], wish: EngineWish, *, until_s: float
     ) -> Placement | None:
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -27,9 +27,7 @@
 STALL_FACTOR = 2.0  # of the pause that a route calls on time; then the stream is taken for dead
 SHORTEST_STALL_S = 0.8
 FIRST_EVENT_FACTOR = 2.5  # of the predicted time, and at least the objective
-RESUME_WAIT_S = 1.2
-"""How long a broken stream looks for an engine. Callers give a stream up after a pause of 2 s and
-more; its engine was silent for a part of that already."""
+RESUME_WAIT_S = 0.3  # how long a broken stream may look for an engine without being late for it
 
 HOLD_SHARE = 0.3
 """Of the time that is left to a caller that does not come again: so long its request is kept for
--- a/tests/forward/test_engine_queue.py
+++ b/tests/forward/test_engine_queue.py
@@ -371,6 +371,28 @@
 
         in_loop(work)
 
+    def test_nobody_is_held_while_new_requests_are_refused(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("full", active=4, queued=9)
+            for _ in range(12):
+                await group.queue.place(a_wish(on_time_s=0.01, decide_s=0.0))
+            await group.queue.place(a_last_wish())
+            holding = asyncio.create_task(group.queue.place(a_last_wish()))
+            await asyncio.sleep(0.1)
+            assert holding.done()
+
+        in_loop(work)
+
+    def test_nobody_is_held_where_no_engine_serves(self):
+        async def work() -> None:
+            group = Group()
+            holding = asyncio.create_task(group.queue.place(a_last_wish()))
+            await asyncio.sleep(0.1)
+            assert holding.done()
+
+        in_loop(work)
+
     def test_only_so_many_are_held(self):
         async def work() -> None:
             group = Group()
