Let pieces use 0.86 of a link again

Conclusion: the time of a version is bound by how many slices are on their way, and those by the requests that share the link.

--- a/src/leadhollow/staging/piece_server.py
+++ b/src/leadhollow/staging/piece_server.py
@@ -20,7 +20,7 @@
 
 NEWS_PAUSE_S = 0.04  # pieces that come within it are told together
 WAIT_VERSION_S = 0.1
-LINK_SHARE = 0.93
+LINK_SHARE = 0.86
 """Part of the link for pieces: the engine's answers leave over the same one, a tenth of it where
 the engine is busy, and must not queue."""
 
