Report loads twice a second, and tell stagers only what concerns weights

Cause: a control replica costs fourteen times its limit at full size: each engine reported ten times a second, and each report went to every entry and every stager.

--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -246,10 +246,14 @@
                 subscriber.wake.set()
 
     def _on_registry(self, instances: list[Instance], loads: list[Load]) -> None:
+        standings = [load for load in loads if load.news]
         for subscriber in self._subscribers:
+            wanted = loads if subscriber.role is NodeRole.ENTRY else standings
+            if not instances and not wanted:
+                continue
             for instance in instances:
                 subscriber.instances[instance.instance] = instance
-            for load in loads:
+            for load in wanted:
                 subscriber.loads[load.record.address] = load
             subscriber.wake.set()
 
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -32,14 +32,33 @@
 
 
 class Load:
-    """The last report of an engine's load."""
+    """The last report of an engine's load.
 
-    __slots__ = ("heard_s", "own", "record")
+    Attributes
+    ----------
+    news
+        Whether it says something else of the engine's weights than the report before it; the
+        stagers need no other reports.
+    """
+
+    __slots__ = ("heard_s", "news", "own", "record")
 
-    def __init__(self, *, record: LoadRecord, heard_s: float, own: bool) -> None:
+    def __init__(
+        self, *, record: LoadRecord, heard_s: float, own: bool, previous: Load | None
+    ) -> None:
         self.record = record
         self.heard_s = heard_s
         self.own = own
+        self.news = previous is None or previous.standing() != self.standing()
+
+    def standing(self) -> tuple[object, ...]:
+        """Give what the report says of the engine's weights."""
+        record = self.record
+        held = tuple(
+            (found.model, found.version, found.first_layer, found.end_layer)
+            for found in record.models or ()
+        )
+        return held, bool(record.switching), record.staged_version, record.staged_pieces
 
     def message(self, now_s: float) -> LoadRecord:
         """Give the record with its age now."""
@@ -213,7 +232,7 @@
         known = self._loads.get(record.address)
         if known is not None and known.heard_s >= heard_s:
             return None
-        load = Load(record=record, heard_s=heard_s, own=own)
+        load = Load(record=record, heard_s=heard_s, own=own, previous=known)
         self._loads[record.address] = load
         return load
 
--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -6,6 +6,7 @@
 
 from leadhollow.forward.server import NO_USE, Server
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable
+from leadhollow.membership.reporting import VALID_INTERVALS, report_interval_s
 from leadhollow.membership.uses import Use
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.generated.ttypes import LoadRecord
@@ -126,7 +127,11 @@
         else:
             server = self._servers.get(instance.instance)
             if server is None:
-                server = Server(instance=instance, on_use=self._tell_use)
+                server = Server(
+                    instance=instance,
+                    on_use=self._tell_use,
+                    report_valid_s=self._report_valid_s,
+                )
                 server.take_told(self._told.get(instance.address, NO_USE), self._clock())
                 self._servers[instance.instance] = server
                 log.info(
@@ -142,6 +147,9 @@
             self._by_address[instance.address] = server
         self.changed()
 
+    def _report_valid_s(self) -> float:
+        return VALID_INTERVALS * report_interval_s(len(self._servers))
+
     def _tell_use(self, address: str) -> None:
         for listener in self._use_listeners:
             listener(address)
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -30,7 +30,7 @@
 SPREAD_MS = 6.0  # random part, so that entries with the same view do not all choose the same
 SURE_S = 2.5  # before weights become too old, only servers that are heard of get requests for them
 PATH_FACTOR = 4  # a path that was slow may be this much slower when the request takes it
-RECENT_S = 0.8  # their reports come ten times a second where their link is as it should be
+RECENT_SHARE = 0.6  # of the time for which reports count; they come three times in it
 SAFE_S = 0.35  # time in which a request begins at a server that is not overloaded
 UNHEARD_MS = 250.0  # a server that does not report is thought this much slower than one that does
 LATE_QUEUE = 2  # requests beyond its batch that an engine gets rather than that they are lost
@@ -306,7 +306,8 @@
         if left_s > SURE_S:
             return True
         report = server.fresh_report(now_s)
-        return left_s > SAFE_S and report is not None and now_s - report.made_s < RECENT_S
+        recent_s = RECENT_SHARE * server.report_valid_s()
+        return left_s > SAFE_S and report is not None and now_s - report.made_s < recent_s
 
     def _take(
         self, wish: EngineWish, option: _Option, now_s: float, *, pressure: float
--- a/src/leadhollow/forward/server.py
+++ b/src/leadhollow/forward/server.py
@@ -8,11 +8,12 @@
 from leadhollow.forward.engine_model import READING_SHARE, EngineDemand, EngineModel
 from leadhollow.forward.health import Health
 from leadhollow.membership.instances import Instance, ServedVersion
+from leadhollow.membership.reporting import SHORTEST_INTERVAL_S, VALID_INTERVALS
 from leadhollow.membership.uses import Use
 from leadhollow.wire.generated.ttypes import LoadRecord
 
 COUNTS_KEPT = 64
-REPORT_VALID_S = 1.5
+REPORT_VALID_S = VALID_INTERVALS * SHORTEST_INTERVAL_S  # in a domain of few engines
 LATE_WEIGHT = 0.25  # of the newest first event in the running mean
 LATE_HALF_LIFE_S = 2.0
 USUAL_PATH_MS = 60  # between failure domains, with some pieces of weights in front
@@ -107,6 +108,8 @@
         What it last announced.
     on_use
         Called where what this entry has there changed.
+    report_valid_s
+        Gives the age from which its report is too old to go by.
     """
 
     __slots__ = (
@@ -120,16 +123,22 @@
         "health",
         "instance",
         "report",
+        "report_valid_s",
     )
 
     def __init__(
-        self, *, instance: Instance, on_use: Callable[[str], None] = lambda address: None
+        self,
+        *,
+        instance: Instance,
+        on_use: Callable[[str], None] = lambda address: None,
+        report_valid_s: Callable[[], float] = lambda: REPORT_VALID_S,
     ) -> None:
         self.instance = instance
         self.calls: set[OwnCall] = set()
         self.report: Report | None = None
         self.health = Health()
         self._on_use = on_use
+        self.report_valid_s = report_valid_s
         self._told = NO_USE
         self._own_counts = _Counts()
         self._told_counts = _Counts()
@@ -193,7 +202,7 @@
 
     def fresh_report(self, now_s: float) -> Report | None:
         """Give the last report, None where it is too old to go by."""
-        if self.report is None or now_s - self.report.made_s > REPORT_VALID_S:
+        if self.report is None or now_s - self.report.made_s > self.report_valid_s():
             return None
         return self.report
 
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -6,6 +6,7 @@
 
 from leadhollow.membership.control_feed import ControlFeed
 from leadhollow.membership.instances import InstanceTable
+from leadhollow.membership.reporting import report_interval_s
 from leadhollow.node.process import FEED_FORGET_AFTER_S
 from leadhollow.routing.model import ServiceRecord
 from leadhollow.settings.address import Address
@@ -110,6 +111,9 @@
         process.seed_users.append(made.use_seeds)
         return made
 
+    def interval_s() -> float:
+        return report_interval_s(len(feed().table.of_service(engine_settings.service)))
+
     def make_watch() -> Service:
         return EngineWatch(
             address=engine_settings.address,
@@ -117,6 +121,7 @@
             feed=feed(),
             peers=process.peers,
             path_delay_s=kernel.get("link-gauge", LinkGauge).delay_s,
+            interval_s=interval_s,
         )
 
     def make_installer() -> Service:
--- a/src/leadhollow/staging/engine_loads.py
+++ b/src/leadhollow/staging/engine_loads.py
@@ -9,7 +9,9 @@
 from leadhollow.staging.turns import EngineStanding, may_switch
 from leadhollow.wire.generated.ttypes import LoadRecord
 
-VALID_S = 2.0  # engines report at least each half second
+SWITCH_VALID_S = 3.0
+"""Longer than any change of weights takes; an engine that said so before was lost in it. Everything
+else that an engine said of its standing holds until it says something else, or is gone."""
 
 
 class EngineLoads:
@@ -38,9 +40,9 @@
         """
         now_s = asyncio.get_running_loop().time()
         standings = [
-            _standing(record, staged)
+            _standing(record, staged, recent=now_s - self._heard_s[address] < SWITCH_VALID_S)
             for address, record in self._records.items()
-            if address in addresses and address != own and now_s - self._heard_s[address] < VALID_S
+            if address in addresses and address != own
         ]
         standings.append(EngineStanding(address=own, complete=True, switching=False, done=False))
         return may_switch(own, staged.number, standings, announced=announced)
@@ -51,7 +53,7 @@
             self._heard_s[record.address] = made_s
 
 
-def _standing(record: LoadRecord, staged: StagedVersion) -> EngineStanding:
+def _standing(record: LoadRecord, staged: StagedVersion, *, recent: bool) -> EngineStanding:
     done = any(
         served.model == staged.model
         and served.version >= staged.number
@@ -64,7 +66,7 @@
     return EngineStanding(
         address=record.address,
         complete=complete,
-        switching=bool(record.switching) and not done,
+        switching=bool(record.switching) and recent and not done,
         done=done,
     )
 
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -328,7 +328,8 @@
                 return
 
     def _progress(self) -> tuple[int, int]:
-        if self._fetch is None:
+        """Give the version that lies complete beside the engine, and its number of pieces."""
+        if self._fetch is None or not self._fetch.version.complete:
             return 0, 0
         version = self._fetch.version
         return version.number, version.held.held
--- a/src/leadhollow/staging/load_reports.py
+++ b/src/leadhollow/staging/load_reports.py
@@ -14,7 +14,6 @@
 from leadhollow.wire.peers import PeerPool
 
 INTERVAL_S = 0.1
-REPEAT_S = 0.5  # an unchanged load is told again after this
 LOST_PAUSE_S = 0.2
 PACE_UNIT = 1000
 SLOW_PATH_S = 0.1  # a path that is slower than this is told with each report
@@ -29,6 +28,8 @@
     ----------
     path_delay_s
         Gives how long small messages lately took to this VM and back.
+    interval_s
+        Gives the time after which a load is told again though its standing is the same.
 
     Attributes
     ----------
@@ -42,6 +43,7 @@
         "_address",
         "_engine",
         "_feed",
+        "_interval_s",
         "_listeners",
         "_path_delay_s",
         "_peers",
@@ -60,12 +62,14 @@
         feed: ControlFeed,
         peers: PeerPool,
         path_delay_s: Callable[[], float],
+        interval_s: Callable[[], float],
     ) -> None:
         self._address = address
         self._engine = engine
         self._feed = feed
         self._peers = peers
         self._path_delay_s = path_delay_s
+        self._interval_s = interval_s
         self._sent: tuple[object, ...] = ()
         self._sent_s = 0.0
         self._listeners: list[Callable[[], None]] = []
@@ -127,16 +131,15 @@
                 await asyncio.sleep(LOST_PAUSE_S)
                 continue
             said = (
-                report.active,
-                report.queued,
                 report.busy,
                 self.switching,
+                self.staged(),
                 tuple(found.key() for found in report.served),
-                round(report.pace, 2),
+                round(report.pace, 1),
                 self._path_delay_s() > SLOW_PATH_S,
             )
             now_s = asyncio.get_running_loop().time()
-            if said != self._sent or now_s - self._sent_s > REPEAT_S:
+            if said != self._sent or now_s - self._sent_s > self._interval_s():
                 self._sent = said
                 await self.tell()
             await asyncio.sleep(INTERVAL_S)
