Break streams off together again

Change: taken back. Conclusion: what makes the change of weights dear is that half of the engines are away for a second.

--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -20,7 +20,6 @@
 from leadhollow.staging.piece_server import PieceServer
 from leadhollow.staging.pieces import PieceStore, StagedVersion
 from leadhollow.staging.sharing import Stager
-from leadhollow.staging.turns import place_in_part
 from leadhollow.staging.window import PieceWindow
 
 if TYPE_CHECKING:
@@ -133,11 +132,6 @@
             addresses = {instance.address for instance in engines}
             return loads.is_turn(engine_settings.address, staged, addresses, announced=announced)
 
-        def place(staged: StagedVersion) -> int:
-            engines = feed().table.of_service(engine_settings.service)
-            addresses = {instance.address for instance in engines}
-            return place_in_part(engine_settings.address, staged.number, addresses)
-
         return Installer(
             catalog=feed().catalog,
             engine=engine,
@@ -149,7 +143,6 @@
             times=feed().naming_times,
             version_s=settings.bounds.version_ms / 1000,
             turn=is_turn,
-            place=place,
         )
 
     def make_pieces() -> Service:
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -27,11 +27,6 @@
 """Time that requests in progress get before an engine loads: most end in it, the few long ones are
 taken over by other engines; waiting for the longest would keep the engine idle for two seconds."""
 
-STAGGER_S = 0.1
-"""Engines that change together break off what is left one after the other: its streams go on at the
-others, which need about this long to read the prompts of one engine's, and a pause in a stream that
-takes longer than its caller's objective makes it late."""
-
 LOAD_PATIENCE_S = 10.0  # requests in progress end first, then the weights load
 
 log = get_logger("installer")
@@ -53,8 +48,6 @@
     turn
         Tells whether it is our engine's turn to change, and whether it still is once the others
         have been told that it changes.
-    place
-        Gives how many of the engines that change together with ours come before it.
     first_start
         Whether engine and process start together, so that the engine holds weights it came with.
     """
@@ -66,7 +59,6 @@
         "_fetch",
         "_fetch_task",
         "_models",
-        "_place",
         "_read_back",
         "_stage_patience_s",
         "_staged",
@@ -93,7 +85,6 @@
         times: NamingTimes,
         version_s: float,
         turn: Callable[[StagedVersion, bool], bool],
-        place: Callable[[StagedVersion], int],
     ) -> None:
         self._catalog = catalog
         self._engine = engine
@@ -107,7 +98,6 @@
         self._times = times
         self._version_s = version_s
         self._turn = turn
-        self._place = place
         self._began_s = asyncio.get_running_loop().time()
         self._stage_patience_s = FIRST_PATIENCE_S if first_start else LATER_PATIENCE_S
         self._staged: set[int] = set()
@@ -254,7 +244,7 @@
             report = await self._watch.refresh()
             if report is None or not self._is_our_turn(staged, report, announced=True):
                 return  # another one announced at the same time, and comes first
-            report = await self._let_finish(FINISH_S + STAGGER_S * self._place(staged))
+            report = await self._let_finish()
             if report is None or report.busy or _holds(report, staged):
                 return
             await self._order(staged, report)
@@ -262,10 +252,10 @@
             self._watch.switching = False
             await self._watch.tell()
 
-    async def _let_finish(self, time_s: float) -> EngineReport | None:
+    async def _let_finish(self) -> EngineReport | None:
         """Give requests in progress a little time; what still runs then goes on elsewhere."""
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + time_s
+        until_s = loop.time() + FINISH_S
         while loop.time() < until_s:
             report = await self._watch.refresh()
             if report is None or report.active + report.queued == 0:
--- a/src/leadhollow/staging/turns.py
+++ b/src/leadhollow/staging/turns.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 
 
 class EngineStanding:
@@ -43,21 +43,6 @@
     return zlib.crc32(f"{number}/{host.partition(':')[0]}".encode())
 
 
-def place_in_part(own: str, number: int, addresses: Collection[str]) -> int:
-    """Give how many engines of the same part come before ours in the order.
-
-    Parameters
-    ----------
-    own
-        Address of our own engine.
-    addresses
-        All engines of the service, ours included.
-    """
-    own_turn = turn_of(own, number)
-    before = sum(1 for address in addresses if turn_of(address, number) < own_turn)
-    return before % max(1, (len(addresses) + 1) // 2)
-
-
 def may_switch(
     own: str, number: int, standings: Sequence[EngineStanding], *, announced: bool
 ) -> bool:
@@ -92,4 +77,4 @@
     return ahead < max(1, len(standings) // 2, done)
 
 
-__all__ = ["EngineStanding", "may_switch", "place_in_part", "turn_of"]
+__all__ = ["EngineStanding", "may_switch", "turn_of"]
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -125,7 +125,6 @@
             times=NamingTimes(clock=asyncio.get_running_loop().time),
             version_s=BOUND_S,
             turn=lambda staged, announced: True,
-            place=lambda staged: 0,
         )
 
     def _start_fetch(self, version: StagedVersion) -> FakeFetch:
--- a/tests/staging/test_parts.py
+++ b/tests/staging/test_parts.py
@@ -13,7 +13,7 @@
 from leadhollow.staging.link_gauge import LEAST, LinkGauge
 from leadhollow.staging.pieces import PieceStore
 from leadhollow.staging.sharing import Sharing, Stager
-from leadhollow.staging.turns import EngineStanding, may_switch, place_in_part, turn_of
+from leadhollow.staging.turns import EngineStanding, may_switch, turn_of
 from leadhollow.weights.named import NamedVersion, PieceManifest
 
 PIECES = [bytes([number]) * 64 for number in range(12)]
@@ -111,13 +111,6 @@
         in_order = sorted((one.address for one in found), key=lambda one: turn_of(one, 2))
         assert sorted(going) == sorted(in_order[:5])
 
-    @pytest.mark.parametrize("engines", [1, 2, 5, 10])
-    def test_each_part_has_its_own_order(self, engines):
-        addresses = [f"10.0.0.{number}:80" for number in range(engines)]
-        places = Counter(place_in_part(own, 2, addresses) for own in addresses)
-        assert set(places) == set(range((engines + 1) // 2))
-        assert max(places.values()) <= 2
-
     def test_every_listener_of_a_vm_has_the_same_place(self):
         assert turn_of("10.0.0.1:80", 3) == turn_of("10.0.0.1:7000", 3)
 
