Take a domain for cut off where most servers elsewhere are lost

Cause: of a plain service only the nearest servers are tried, so the others never count as lost. Change: half of the servers elsewhere are enough.

--- a/src/leadhollow/forward/isolation.py
+++ b/src/leadhollow/forward/isolation.py
@@ -16,6 +16,10 @@
 OVERLOADED = 0.6  # pressure from which callers are sent elsewhere
 CALM = 0.1  # and below which they are taken again
 
+MOST_LOST = 0.5
+"""Part of the servers elsewhere that cannot be reached; of plain services only the nearest are
+tried, so that the others are not known to be lost."""
+
 log = get_logger("isolation")
 
 
@@ -64,7 +68,7 @@
         return wanted
 
     def _is_cut_off(self) -> bool:
-        """Tell whether neither the control majority nor any server elsewhere can be reached."""
+        """Tell whether neither the control majority nor most servers elsewhere can be reached."""
         confirmed_s = self._confirmed_s()
         if confirmed_s is None or self._clock() - confirmed_s < UNCONFIRMED_S:
             return False
@@ -73,7 +77,8 @@
             for server in self._board.all_servers()
             if server.instance.failure_domain != self._failure_domain
         ]
-        return bool(elsewhere) and all(server.health.unreachable for server in elsewhere)
+        lost = sum(1 for server in elsewhere if server.health.unreachable)
+        return lost > 0 and lost >= MOST_LOST * len(elsewhere)
 
 
 __all__ = ["Isolation"]
