After an outage let those that come back go first

Cause: after a loss of power 210 callers were told to come back, and half of them were refused again because new requests went before them; each of those is lost and costs more, while a new request that is refused can still come back. Change: while a service had no engine at all up to 2.5 s ago, or the entry started that lately, requests that come back go before new ones, and are taken like them. In a long overload new ones go first as before.

--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -40,6 +40,10 @@
 """Pressure below which an engine takes a request that will be late though it is not idle: of new
 requests hardly one is refused, so none is refused for it."""
 
+RETURN_S = 2.5
+"""After an outage those that were sent away during it come back for so long: callers wait up to two
+seconds, and are spread over that time."""
+
 HOPELESS = 0.5
 """Pressure from which nobody is held: few of those that were got room in time on played days, and
 a caller that waits in vain would rather have heard at once."""
@@ -104,10 +108,12 @@
     """
 
     __slots__ = (
+        "_began_s",
         "_board",
         "_failure_domain",
         "_held",
         "_models",
+        "_outage_s",
         "_pressure",
         "_random",
         "_versions",
@@ -128,6 +134,8 @@
         self._random = random.Random(seed)
         self._models: dict[str, EngineModel] = {}
         self._pressure: dict[str, Pressure] = {}
+        self._began_s = asyncio.get_running_loop().time()
+        self._outage_s: dict[str, float] = {}  # when a service was last seen without any engine
         self._waiters: list[_Waiter] = []
         self._held: list[_Waiter] = []  # will be late, and are placed where room is left over
         board.on_change(self.pump)
@@ -152,6 +160,7 @@
         return Err(Failure(code=Code.NO_CAPACITY)) if placed is None else Ok(placed)
 
     async def _place(self, wish: EngineWish) -> Placement | None:
+        wish.standing = self._standing(wish)
         if not any(waiter.wish.standing < wish.standing for waiter in self._waiters):
             placed = self._try(wish)
             if placed is not None:
@@ -163,6 +172,14 @@
             placed = await self._wait(self._held, wish, until_s=wish.hold_s)
         return placed
 
+    def _standing(self, wish: EngineWish) -> Standing:
+        """Let those that come back after an outage go first: they were sent away because of it."""
+        if wish.standing is not Standing.CAME_BACK:
+            return wish.standing
+        outage_s = self._outage_s.get(wish.service.name, self._began_s)
+        recovering = asyncio.get_running_loop().time() - outage_s < RETURN_S
+        return Standing.PROMISED if recovering else wish.standing
+
     def _holds(self, wish: EngineWish) -> bool:
         """Tell whether a request that came back is likely to get room that is left over."""
         now_s = asyncio.get_running_loop().time()
@@ -237,6 +254,8 @@
         now_s = asyncio.get_running_loop().time()
         option = self._best(wish, now_s)
         if option is None:
+            if not wish.excluded:
+                self._outage_s[wish.service.name] = now_s
             return None
         pressure = self._pressure_of(wish.service)
         level = pressure.level(now_s)
@@ -382,7 +401,7 @@
     match standing:
         case Standing.RESUMED:
             return on_time or free > -LATE_QUEUE
-        case Standing.NEW:
+        case Standing.PROMISED | Standing.NEW:
             return on_time or (last_moment and (idle or margin_s > -LATE_TOLERANCE_S * (1 - level)))
         case Standing.CAME_BACK:
             spare = idle or (free > KEPT_FREE and level < CALM)
--- a/src/leadhollow/forward/wish.py
+++ b/src/leadhollow/forward/wish.py
@@ -19,8 +19,12 @@
     RESUMED = 0
     """It was begun, or sent, before: nothing is lost yet if it goes on at once."""
 
-    NEW = 1
-    CAME_BACK = 2
+    PROMISED = 1
+    """It came back, and the engines are back from an outage during which all were sent away: it was
+    told when to return. Refused once more it would be lost, while a new one can return still."""
+
+    NEW = 2
+    CAME_BACK = 3
     """Its caller was refused before, here or at another entry."""
 
 
