Split the queue of requests and the passing on of streams by concern

Change: choice of an engine, admission and waiting are a module each; so are the attempts of a stream and its relay; one function passes answers on. No behaviour changes.

--- /dev/null
+++ b/src/leadhollow/forward/engine_choice.py
@@ -0,0 +1,146 @@
+"""Which engine a request should go to: the one that answers soonest."""
+
+from __future__ import annotations
+
+import random
+
+from leadhollow.forward.board import ServerBoard
+from leadhollow.forward.engine_model import EngineDemand, EngineModel
+from leadhollow.forward.server import Server
+from leadhollow.forward.versions import VersionPolicy
+from leadhollow.forward.wish import EngineWish
+from leadhollow.routing.model import EngineSpec
+
+FAR_PENALTY_MS = 12.0  # a server of another failure domain must answer this much sooner
+SPREAD_MS = 6.0  # random part, so that entries with the same view do not all choose the same
+SURE_S = 2.5  # before weights become too old, only servers that are heard of get requests for them
+PATH_FACTOR = 4  # a path that was slow may be this much slower when the request takes it
+RECENT_SHARE = 0.6  # of the time for which reports count; they come three times in it
+SAFE_S = 0.35  # time in which a request begins at a server that is not overloaded
+UNHEARD_MS = 250.0  # a server that does not report is thought this much slower than one that does
+
+
+class EngineOption:
+    """An engine that a request could go to.
+
+    Parameters
+    ----------
+    first_ms
+        Predicted time until its first event.
+    usual_ms
+        The same for a request of usual size: admission goes by it, because by its own size a large
+        one would be refused again and again.
+    """
+
+    __slots__ = ("demand", "first_ms", "server", "usual_ms", "version")
+
+    def __init__(
+        self,
+        *,
+        server: Server,
+        first_ms: float,
+        usual_ms: float,
+        demand: EngineDemand,
+        version: int,
+    ) -> None:
+        self.server = server
+        self.first_ms = first_ms
+        self.usual_ms = usual_ms
+        self.demand = demand
+        self.version = version
+
+
+class EngineChooser:
+    """Chooses among the engines that may take a request.
+
+    Parameters
+    ----------
+    failure_domain
+        Ours; engines elsewhere cost a way and its price.
+    source
+        Of the random part by which entries with the same view differ.
+    """
+
+    __slots__ = ("_board", "_failure_domain", "_models", "_random", "_versions")
+
+    def __init__(
+        self,
+        *,
+        board: ServerBoard,
+        versions: VersionPolicy,
+        failure_domain: str,
+        source: random.Random,
+    ) -> None:
+        self._board = board
+        self._versions = versions
+        self._failure_domain = failure_domain
+        self._random = source
+        self._models: dict[str, EngineModel] = {}
+
+    def best(self, wish: EngineWish, now_s: float) -> EngineOption | None:
+        """Give the engine that answers soonest, None where none may take the request."""
+        spec = wish.service.engine
+        if spec is None:
+            return None
+        model = self._models.get(wish.service.name)
+        if model is None or model.spec is not spec:
+            model = EngineModel(spec=spec)
+            self._models[wish.service.name] = model
+        eligible = self._eligible(wish, spec, now_s)
+        heard = any(server.fresh_report(now_s) is not None for server, _ in eligible)
+        told = self._board.hears_others()
+        best: EngineOption | None = None
+        best_rank = float("inf")
+        for server, version in eligible:
+            demand = server.demand(model, now_s, told=told)
+            first_ms = model.first_event_ms(demand, wish.prompt_tokens)
+            delay_ms = max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
+            if heard and server.fresh_report(now_s) is None:
+                delay_ms += UNHEARD_MS
+            first_ms += delay_ms
+            rank = first_ms + self._random.uniform(0, SPREAD_MS)
+            if server.instance.failure_domain != self._failure_domain:
+                rank += FAR_PENALTY_MS
+            if rank < best_rank:
+                best_rank = rank
+                usual_ms = model.first_event_ms(demand, spec.usual_prompt_tokens) + delay_ms
+                best = EngineOption(
+                    server=server,
+                    first_ms=first_ms,
+                    usual_ms=min(first_ms, usual_ms),
+                    demand=demand,
+                    version=version,
+                )
+        return best
+
+    def _eligible(
+        self, wish: EngineWish, spec: EngineSpec, now_s: float
+    ) -> list[tuple[Server, int]]:
+        """Give the engines that may get a request, each with the version that it holds."""
+        oldest = self._versions.oldest_allowed(wish.model)
+        found = []
+        for server in self._board.servers(wish.service.name):
+            if server.instance.instance in wish.excluded or not server.health.usable(now_s):
+                continue
+            version = server.whole_version(wish.model, spec.layers, now_s)
+            if version is None or version < oldest or server.switching(now_s):
+                continue
+            if not self._begins_in_time(wish.model, server, version, now_s):
+                continue
+            found.append((server, version))
+        newest = self._versions.newest(wish.model)
+        settled = [(server, version) for server, version in found if version >= newest]
+        return settled if wish.last_attempt and settled else found
+
+    def _begins_in_time(self, model: str, server: Server, version: int, now_s: float) -> bool:
+        """Tell whether a request will surely begin before the server's weights are too old."""
+        left_s = self._versions.begin_by_s(model, version) - now_s
+        left_s -= PATH_FACTOR * server.path_delay_ms(now_s) / 1000
+        if left_s > SURE_S:
+            return True
+        report = server.fresh_report(now_s)
+        recent_s = RECENT_SHARE * server.report_valid_s()
+        return left_s > SAFE_S and report is not None and now_s - report.made_s < recent_s
+
+
+__all__ = ["EngineChooser", "EngineOption"]
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/forward/engine_queue.py
@@ -13,33 +13,21 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.forward.admission import SURE_MARGIN_S, takes
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.comeback import Refusal
-from leadhollow.forward.engine_model import EngineDemand, EngineModel
+from leadhollow.forward.engine_choice import EngineChooser, EngineOption
 from leadhollow.forward.pressure import Pressure
-from leadhollow.forward.server import OwnCall, Server
+from leadhollow.forward.server import OwnCall
 from leadhollow.forward.versions import VersionPolicy
 from leadhollow.forward.wish import EngineWish, Placement, Standing
 from leadhollow.observe.logs import get_logger, log_decision
-from leadhollow.routing.model import EngineSpec, ServiceRecord
+from leadhollow.routing.model import ServiceRecord
 
 DECIDE_SHARE = 0.2
 """Part of the objective after which a request is placed or refused; users allow a quarter."""
 
-FAR_PENALTY_MS = 12.0  # a server of another failure domain must answer this much sooner
-SPREAD_MS = 6.0  # random part, so that entries with the same view do not all choose the same
-SURE_S = 2.5  # before weights become too old, only servers that are heard of get requests for them
-PATH_FACTOR = 4  # a path that was slow may be this much slower when the request takes it
-RECENT_SHARE = 0.6  # of the time for which reports count; they come three times in it
-SAFE_S = 0.35  # time in which a request begins at a server that is not overloaded
-UNHEARD_MS = 250.0  # a server that does not report is thought this much slower than one that does
-LATE_QUEUE = 2  # requests beyond its batch that an engine gets rather than that they are lost
-KEPT_FREE = 2  # places of its batch that an engine keeps for new requests
 MOST_HELD = 64  # requests that an entry holds beyond their decision
-CALM = 0.25
-"""Pressure below which an engine takes a request that will be late though it is not idle: of new
-requests hardly one is refused, so none is refused for it."""
-
 RETURN_S = 2.5
 """After an outage those that were sent away during it come back for so long: callers wait up to two
 seconds, and are spread over that time."""
@@ -48,13 +36,6 @@
 """Pressure from which nobody is held: few of those that were got room in time on played days, and
 a caller that waits in vain would rather have heard at once."""
 
-IDLE_SHARE = 0.5  # of its places; an engine with so many free takes a request that will be late
-LATE_TOLERANCE_S = 0.05
-"""A request predicted this much too late still comes in time in one case of three."""
-
-SURE_MARGIN_S = 0.08
-"""Predicted this much before its objective a request is on time in four cases of five."""
-
 PUMP_INTERVAL_S = 0.02
 
 log = get_logger("engine-queue")
@@ -68,36 +49,6 @@
         self.future = future
 
 
-class _Option:
-    """An engine that a request could go to.
-
-    Parameters
-    ----------
-    first_ms
-        Predicted time until its first event.
-    usual_ms
-        The same for a request of usual size: admission goes by it, because by its own size a large
-        one would be refused again and again.
-    """
-
-    __slots__ = ("demand", "first_ms", "server", "usual_ms", "version")
-
-    def __init__(
-        self,
-        *,
-        server: Server,
-        first_ms: float,
-        usual_ms: float,
-        demand: EngineDemand,
-        version: int,
-    ) -> None:
-        self.server = server
-        self.first_ms = first_ms
-        self.usual_ms = usual_ms
-        self.demand = demand
-        self.version = version
-
-
 class EngineQueue:
     """Requests that wait for an engine.
 
@@ -105,14 +56,14 @@
     ----------
     failure_domain
         Ours; engines elsewhere cost a way and its price.
+    seed
+        Seed of the random parts of choices and of return times.
     """
 
     __slots__ = (
         "_began_s",
-        "_board",
-        "_failure_domain",
+        "_chooser",
         "_held",
-        "_models",
         "_outage_s",
         "_pressure",
         "_random",
@@ -128,11 +79,11 @@
         failure_domain: str,
         seed: int,
     ) -> None:
-        self._board = board
         self._versions = versions
-        self._failure_domain = failure_domain
         self._random = random.Random(seed)
-        self._models: dict[str, EngineModel] = {}
+        self._chooser = EngineChooser(
+            board=board, versions=versions, failure_domain=failure_domain, source=self._random
+        )
         self._pressure: dict[str, Pressure] = {}
         self._began_s = asyncio.get_running_loop().time()
         self._outage_s: dict[str, float] = {}  # when a service was last seen without any engine
@@ -187,7 +138,7 @@
             return False
         if self._pressure_of(wish.service).level(now_s) >= HOPELESS:
             return False
-        return self._best(wish, now_s) is not None
+        return self._chooser.best(wish, now_s) is not None
 
     async def _wait(
         self, waiters: list[_Waiter], wish: EngineWish, *, until_s: float
@@ -217,7 +168,7 @@
 
     def retry_after_s(self, wish: EngineWish) -> float:
         """Give the time after which a refused request should come back."""
-        served = self._best(wish, asyncio.get_running_loop().time()) is not None
+        served = self._chooser.best(wish, asyncio.get_running_loop().time()) is not None
         refusal = Refusal.OVERLOADED if served else Refusal.NOBODY_SERVES
         return refusal.after_s(self._random)
 
@@ -252,7 +203,7 @@
 
     def _try(self, wish: EngineWish, *, late: bool = False) -> Placement | None:
         now_s = asyncio.get_running_loop().time()
-        option = self._best(wish, now_s)
+        option = self._chooser.best(wish, now_s)
         if option is None:
             if not wish.excluded:
                 self._outage_s[wish.service.name] = now_s
@@ -262,79 +213,15 @@
         shortest_s = pressure.shortest_objective_s(wish.objective_s, now_s)
         margin_s = wish.on_time_s - now_s - option.usual_ms / 1000
         margin_s -= level * (SURE_MARGIN_S + wish.objective_s - shortest_s)
-        if not _takes(wish.standing, option, margin_s, level=level, last_moment=late):
+        if not takes(wish.standing, option, margin_s, level=level, last_moment=late):
             return None
         return self._take(wish, option, now_s, pressure=level)
 
     def _pressure_of(self, service: ServiceRecord) -> Pressure:
         return self._pressure.setdefault(service.name, Pressure())
 
-    def _best(self, wish: EngineWish, now_s: float) -> _Option | None:
-        spec = wish.service.engine
-        if spec is None:
-            return None
-        model = self._models.get(wish.service.name)
-        if model is None or model.spec is not spec:
-            model = EngineModel(spec=spec)
-            self._models[wish.service.name] = model
-        eligible = self._eligible(wish, spec, now_s)
-        heard = any(server.fresh_report(now_s) is not None for server, _ in eligible)
-        told = self._board.hears_others()
-        best: _Option | None = None
-        best_rank = float("inf")
-        for server, version in eligible:
-            demand = server.demand(model, now_s, told=told)
-            first_ms = model.first_event_ms(demand, wish.prompt_tokens)
-            delay_ms = max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
-            if heard and server.fresh_report(now_s) is None:
-                delay_ms += UNHEARD_MS
-            first_ms += delay_ms
-            rank = first_ms + self._random.uniform(0, SPREAD_MS)
-            if server.instance.failure_domain != self._failure_domain:
-                rank += FAR_PENALTY_MS
-            if rank < best_rank:
-                best_rank = rank
-                usual_ms = model.first_event_ms(demand, spec.usual_prompt_tokens) + delay_ms
-                best = _Option(
-                    server=server,
-                    first_ms=first_ms,
-                    usual_ms=min(first_ms, usual_ms),
-                    demand=demand,
-                    version=version,
-                )
-        return best
-
-    def _eligible(
-        self, wish: EngineWish, spec: EngineSpec, now_s: float
-    ) -> list[tuple[Server, int]]:
-        """Give the engines that may get a request, each with the version that it holds."""
-        oldest = self._versions.oldest_allowed(wish.model)
-        found = []
-        for server in self._board.servers(wish.service.name):
-            if server.instance.instance in wish.excluded or not server.health.usable(now_s):
-                continue
-            version = server.whole_version(wish.model, spec.layers, now_s)
-            if version is None or version < oldest or server.switching(now_s):
-                continue
-            if not self._begins_in_time(wish.model, server, version, now_s):
-                continue
-            found.append((server, version))
-        newest = self._versions.newest(wish.model)
-        settled = [(server, version) for server, version in found if version >= newest]
-        return settled if wish.last_attempt and settled else found
-
-    def _begins_in_time(self, model: str, server: Server, version: int, now_s: float) -> bool:
-        """Tell whether a request will surely begin before the server's weights are too old."""
-        left_s = self._versions.begin_by_s(model, version) - now_s
-        left_s -= PATH_FACTOR * server.path_delay_ms(now_s) / 1000
-        if left_s > SURE_S:
-            return True
-        report = server.fresh_report(now_s)
-        recent_s = RECENT_SHARE * server.report_valid_s()
-        return left_s > SAFE_S and report is not None and now_s - report.made_s < recent_s
-
     def _take(
-        self, wish: EngineWish, option: _Option, now_s: float, *, pressure: float
+        self, wish: EngineWish, option: EngineOption, now_s: float, *, pressure: float
     ) -> Placement:
         call = OwnCall(
             prompt_tokens=wish.prompt_tokens,
@@ -380,32 +267,4 @@
     return future.done() and not future.cancelled()
 
 
-def _takes(
-    standing: Standing, option: _Option, margin_s: float, *, level: float, last_moment: bool
-) -> bool:
-    """Tell whether an engine takes a request now.
-
-    Parameters
-    ----------
-    margin_s
-        Time between its first event, as predicted, and its objective.
-    level
-        Pressure on the engines; where somebody has to be refused, nobody is taken that may be late.
-    last_moment
-        Whether it is refused otherwise.
-    """
-    slots = option.server.instance.slots
-    free = slots - option.demand.requests
-    on_time = margin_s >= 0
-    idle = free > IDLE_SHARE * slots
-    match standing:
-        case Standing.RESUMED:
-            return on_time or free > -LATE_QUEUE
-        case Standing.PROMISED | Standing.NEW:
-            return on_time or (last_moment and (idle or margin_s > -LATE_TOLERANCE_S * (1 - level)))
-        case Standing.CAME_BACK:
-            spare = idle or (free > KEPT_FREE and level < CALM)
-            return (on_time and free > KEPT_FREE) or (last_moment and spare)
-
-
 __all__ = ["DECIDE_SHARE", "PUMP_INTERVAL_S", "EngineQueue"]
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -16,6 +16,7 @@
 from leadhollow.forward.comeback import Refusal
 from leadhollow.forward.ending import Ending
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
+from leadhollow.forward.passing import pass_on
 from leadhollow.forward.server import OwnCall, Server
 from leadhollow.http1.messages import ResponseHead
 from leadhollow.observe.logs import get_logger, log_decision
@@ -102,11 +103,11 @@
                 continue
             answer = attempted.unwrap()
             if answer.good or not (answer.own_failure and self._may_try(call)):
-                await self._pass_on(call, answer)
+                await pass_on(call, answer.exchange, taken=answer.data, whole=answer.whole)
                 return
             fallback = answer
         if fallback is not None and fallback.exchange.facts.signed:
-            await self._pass_on(call, fallback)
+            await pass_on(call, fallback.exchange, taken=fallback.data, whole=fallback.whole)
         elif call.attempts:
             await self._ending.unknown(call, failure)
         else:
@@ -274,26 +275,6 @@
             failure=str(failed.failure),
         )
 
-    async def _pass_on(self, call: ForwardedCall, answer: WholeAnswer) -> None:
-        """Pass an answer on; the rest of a long one as it comes."""
-        head = answer.head
-        fields = head.headers.end_to_end().without({b"content-length"})
-        length = len(answer.data) if answer.whole else head.content_length
-        call.reply.start(head.status, fields, reason=head.reason, content_length=length)
-        await call.reply.write(answer.data)
-        while not answer.whole:
-            read = await answer.exchange.read()
-            if read.is_err():
-                call.reply.abort()
-                answer.exchange.abort()
-                return
-            data = read.unwrap()
-            if not data:
-                break
-            await call.reply.write(data)
-        call.reply.finish()
-        answer.exchange.finish()
-
 
 async def _take_whole(exchange: Exchange) -> Result[WholeAnswer, Failure]:
     parts: list[bytes] = []
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
 from http import HTTPStatus
 
 from leadhollow.codes import Code
@@ -13,19 +12,17 @@
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.ending import Ending
 from leadhollow.forward.engine_queue import DECIDE_SHARE, EngineQueue
-from leadhollow.forward.events import Event, EventSplitter
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
+from leadhollow.forward.passing import pass_on
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S
+from leadhollow.forward.stream_relay import SHORTEST_STALL_S, StreamRelay
 from leadhollow.forward.wish import EngineWish, Placement, Standing
-from leadhollow.http1.messages import Framing
 from leadhollow.observe.logs import get_logger
 from leadhollow.routing.model import ServiceRecord
 
 NEAR_BOUND_S = 3.0  # before weights become too old, a request must not be held up on its way
 QUICK_CONNECT_S = 0.08  # many times the way between failure domains: the path is free
 MOST_SENDS = 6  # refusals in the servers' own words included
-STALL_FACTOR = 2.0  # of the pause that a route calls on time; then the stream is taken for dead
-SHORTEST_STALL_S = 0.8
 FIRST_EVENT_FACTOR = 2.5  # of the predicted time, and at least the objective
 RESUME_WAIT_S = 0.3  # how long a broken stream may look for an engine without being late for it
 
@@ -37,13 +34,6 @@
 log = get_logger("stream")
 
 
-class _Relayed(Enum):
-    """How the passing on of one engine's stream ended."""
-
-    COMPLETE = "complete"
-    BROKEN = "broken"
-
-
 class StreamForwarder:
     """Forwards the streams of one entry."""
 
@@ -95,25 +85,15 @@
 
 
 class _StreamRun:
-    """One stream; it may be written by several engines one after the other.
-
-    Attributes
-    ----------
-    last_id
-        Number of the last event that was passed on, or after which the caller asked to go on.
-    """
+    """One stream; it may be written by several engines one after the other."""
 
     __slots__ = (
-        "_begun",
         "_call",
         "_excluded",
         "_failure",
-        "_first_event_s",
         "_forwarder",
-        "_last_event_s",
-        "_longest_pause_s",
+        "_relay",
         "_service",
-        "last_id",
     )
 
     def __init__(
@@ -124,11 +104,7 @@
         self._service = service
         self._excluded: set[str] = set()
         self._failure = Failure(code=Code.NO_CAPACITY)
-        self._begun = False
-        self._first_event_s = 0.0
-        self._last_event_s = 0.0
-        self._longest_pause_s = 0.0
-        self.last_id = call.facts.last_event_id
+        self._relay = StreamRelay(call=call)
 
     async def run(self) -> None:
         """Try engines until the stream is complete or given up."""
@@ -199,7 +175,7 @@
             prompt_tokens=call.facts.prompt_tokens,
             output_tokens=_expected_output(call),
             objective_s=objective_s,
-            on_time_s=call.objective_s if not self._begun else now_s + objective_s,
+            on_time_s=call.objective_s if not self._relay.begun else now_s + objective_s,
             decide_s=decide_s,
             hold_s=hold_s,
             standing=standing,
@@ -220,7 +196,7 @@
         dispatch = call.dispatch(
             instance=instance.instance,
             version=placement.expected_version,
-            last_event_id=self.last_id,
+            last_event_id=self._relay.last_id,
         )
         first_by_s = self._first_event_by(placement)
         near_bound = placement.begin_by_s - asyncio.get_running_loop().time() < NEAR_BOUND_S
@@ -270,11 +246,12 @@
         if exchange.status != HTTPStatus.OK or not exchange.facts.signed:
             return await self._take_failure(placement, exchange)
         call.attempts += 1
-        relayed = await self._relay(placement, exchange, first_by_s)
-        if relayed is _Relayed.COMPLETE:
-            placement.server.health.note_success()
-            return True
-        return False
+        relayed = await self._relay.run(placement, exchange, first_by_s)
+        if relayed.is_err():
+            self._lost(placement, relayed.unwrap_err(), counted=True)
+            return False
+        placement.server.health.note_success()
+        return True
 
     async def _take_failure(self, placement: Placement, exchange: Exchange) -> bool:
         """Pass on an engine's own failure, unless another engine may try."""
@@ -290,87 +267,13 @@
             status=exchange.status,
             signed=exchange.facts.signed,
         )
-        if self._may_try() or self._begun:
+        if self._may_try() or self._relay.begun:
             return False
         if not exchange.facts.signed and exchange.status < HTTPStatus.BAD_REQUEST:
             return False
         await pass_on(call, exchange)
         return True
 
-    async def _relay(self, placement: Placement, exchange: Exchange, first_by_s: float) -> _Relayed:
-        """Pass whole events on until the stream ends or breaks."""
-        call = self._call
-        splitter = EventSplitter()
-        wait_until_s = first_by_s
-        while True:
-            try:
-                async with asyncio.timeout_at(wait_until_s) as limit:
-                    read = await exchange.read()
-            except TimeoutError:
-                if not limit.expired():
-                    raise
-                stall = Failure(code=Code.BACKEND_LOST, detail="the stream stands still")
-                return self._broken(placement, stall)
-            if read.is_err():
-                return self._broken(placement, read.unwrap_err())
-            data = read.unwrap()
-            if not data:
-                return self._ended(placement, exchange, splitter)
-            events = splitter.feed(data)
-            if not events:
-                continue
-            if not self._in_order(events):
-                order = Failure(code=Code.ENGINE_FAILED, detail="events are out of order")
-                return self._broken(placement, order)
-            if placement.call.reading:
-                placement.server.begun(placement.call)
-                self._note_first_event(placement)
-            self._begin_reply(exchange)
-            await call.reply.write(b"".join(event.data for event in events))
-            self._note_pause()
-            wait_until_s = asyncio.get_running_loop().time() + self._stall_s()
-
-    def _note_pause(self) -> None:
-        now_s = asyncio.get_running_loop().time()
-        if self._last_event_s:
-            self._longest_pause_s = max(self._longest_pause_s, now_s - self._last_event_s)
-        self._last_event_s = now_s
-
-    def _in_order(self, events: list[Event]) -> bool:
-        """Check that events follow on each other without a gap or a repeat."""
-        for event in events:
-            if event.event_id is None:
-                continue
-            if self.last_id is not None and event.event_id != self.last_id + 1:
-                return False
-            self.last_id = event.event_id
-        return True
-
-    def _ended(self, placement: Placement, exchange: Exchange, splitter: EventSplitter) -> _Relayed:
-        if splitter.rest.strip():
-            half = Failure(code=Code.BACKEND_LOST, detail="the stream ends within an event")
-            return self._broken(placement, half)
-        self._begin_reply(exchange)
-        self._call.reply.finish()
-        exchange.finish()
-        self._log_done(placement)
-        return _Relayed.COMPLETE
-
-    def _begin_reply(self, exchange: Exchange) -> None:
-        if self._begun:
-            return
-        self._begun = True
-        head = exchange.answer.head
-        length = head.content_length if head.framing is Framing.LENGTH else None
-        fields = head.headers.end_to_end().without({b"content-length"})
-        # a stream that another engine may have to go on with must not declare a length
-        length = None if self._call.route.repeatable else length
-        self._call.reply.start(head.status, fields, reason=head.reason, content_length=length)
-
-    def _broken(self, placement: Placement, failure: Failure) -> _Relayed:
-        self._lost(placement, failure, counted=True)
-        return _Relayed.BROKEN
-
     def _lost(self, placement: Placement, failure: Failure, *, counted: bool = False) -> None:
         """Note an engine that was sent the request and did not bring it to its end."""
         if not counted:
@@ -387,7 +290,7 @@
             request=self._call.request_id,
             instance=placement.server.instance.instance,
             address=placement.server.instance.address,
-            last_event_id=self.last_id,
+            last_event_id=self._relay.last_id,
             failure=str(failure),
         )
 
@@ -423,54 +326,6 @@
             expected_version=placement.expected_version,
         )
 
-    def _note_first_event(self, placement: Placement) -> None:
-        now_s = asyncio.get_running_loop().time()
-        self._first_event_s = self._first_event_s or now_s
-        took_ms = (now_s - placement.call.placed_s) * 1000
-        placement.server.note_first_event(took_ms - placement.call.predicted_ms, now_s)
-        log.info(
-            "first event",
-            request=self._call.request_id,
-            instance=placement.server.instance.instance,
-            after_ms=round((now_s - self._call.received_s) * 1000),
-            engine_ms=round((now_s - placement.call.placed_s) * 1000),
-            predicted_ms=round(placement.call.predicted_ms),
-        )
-
-    def _log_done(self, placement: Placement) -> None:
-        now_s = asyncio.get_running_loop().time()
-        log.info(
-            "stream complete",
-            request=self._call.request_id,
-            instance=placement.server.instance.instance,
-            after_ms=round((now_s - self._call.received_s) * 1000),
-            first_ms=round((self._first_event_s - self._call.received_s) * 1000),
-            longest_pause_ms=round(self._longest_pause_s * 1000),
-            last_event_id=self.last_id,
-            attempts=self._call.attempts,
-        )
-
-    def _stall_s(self) -> float:
-        return max(SHORTEST_STALL_S, STALL_FACTOR * self._call.route.pause_objective_ms / 1000)
-
-
-async def pass_on(call: ForwardedCall, exchange: Exchange) -> None:
-    """Pass an answer on as it comes; one that breaks off cannot look complete."""
-    head = exchange.answer.head
-    fields = head.headers.end_to_end().without({b"content-length"})
-    call.reply.start(head.status, fields, reason=head.reason, content_length=head.content_length)
-    while True:
-        read = await exchange.read()
-        if read.is_err():
-            call.reply.abort()
-            return
-        data = read.unwrap()
-        if not data:
-            break
-        await call.reply.write(data)
-    call.reply.finish()
-    exchange.finish()
-
 
 def _expected_output(call: ForwardedCall) -> float:
     if call.facts.output_hint_tokens is not None:
@@ -478,4 +333,4 @@
     return float(call.facts.output_tokens)
 
 
-__all__ = ["StreamForwarder", "pass_on"]
+__all__ = ["StreamForwarder"]
