Close idle connections to a server that was silent on one of them

A request on such a connection waits until its engine is taken for lost; the next one took the next silent connection. Change: where a connection that was used before gives no answer for 0.3 s and the attempt is given up, the idle connections to that server are closed.

--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -16,6 +16,10 @@
 from leadhollow.observe.logs import get_logger
 
 MOST_STRAY_ANSWERS = 4
+SILENT_S = 0.3
+"""Without an answer, on a connection that was used before: connections of the same age may have
+gone silent together, as behind a device that forgot them."""
+
 
 log = get_logger("exchange")
 
@@ -131,6 +135,7 @@
             failure = acquired.unwrap_err()
             return Err(AttemptFailure(end=AttemptEnd.NOT_SENT, failure=failure))
         connection = acquired.unwrap()
+        sent_s = asyncio.get_running_loop().time()
         exchange: Exchange | None = None
         sender: asyncio.Task[Result[None, Failure]] | None = None
         try:
@@ -161,8 +166,16 @@
             if exchange is None:
                 if sender is not None:
                     sender.cancel()
+                self._note_silence(address, connection, sent_s)
                 connection.close()
 
+    def _note_silence(self, address: str, connection: ClientConnection, sent_s: float) -> None:
+        """Close the idle connections to a server that was silent on one of them."""
+        silent_s = asyncio.get_running_loop().time() - sent_s
+        if connection.exchanges > 1 and connection.usable and silent_s > SILENT_S:
+            log.info("idle connections closed", address=address, silent_s=round(silent_s, 2))
+            self._pool.drop(address)
+
     async def _own_answer(
         self, connection: ClientConnection, attempt_id: str
     ) -> Result[Answer, Failure]:
