--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -87,11 +87,7 @@
     def link_bytes_per_s() -> float:
         return settings.link_mbit_per_s * BYTES_PER_MBIT * link_share()
 
-    def idle() -> bool:
-        report = kernel.get("engine-watch", EngineWatch).report
-        return report is None or report.active + report.queued == 0
-
-    window = PieceWindow(link_share=link_share, idle=idle)
+    window = PieceWindow(link_share=link_share)
 
     def start_fetch(version: StagedVersion) -> PieceFetch:
         return PieceFetch(
@@ -154,7 +150,6 @@
             store=store,
             handlers=process.handlers,
             link_bytes_per_s=link_bytes_per_s,
-            idle=idle,
             failure_domain=settings.failure_domain,
         )
 
@@ -162,7 +157,7 @@
         return LinkGauge(feed=feed(), peers=process.peers, vm=settings.vm)
 
     kernel.register("link-gauge", make_gauge, needs=("feed",))
-    kernel.register("pieces", make_pieces, needs=("wire", "engine-watch"))
+    kernel.register("pieces", make_pieces, needs=("wire", "link-gauge"))
     kernel.register("feed", make_feed, needs=("wire",))
     kernel.register("engine-watch", make_watch, needs=("feed", "link-gauge"))
     kernel.register("installer", make_installer, needs=("engine-watch", "pieces"))
--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -12,9 +12,7 @@
 
 AWAY_S = 0.2  # an origin that did not answer is asked again after it
 
-PER_SOURCE = 2
-"""Pieces ordered from one stager at a time, as it serves others too; more only where so few hold
-pieces that our window would not be filled."""
+PER_SOURCE = 2  # pieces ordered from one stager at a time; it serves others too
 
 
 class Origin(enum.Enum):
@@ -46,7 +44,6 @@
         "_outside_since_s",
         "_own",
         "_patience",
-        "_per_source",
         "_random",
         "_read_s",
         "_sharing",
@@ -60,7 +57,6 @@
         self._away_until_s = 0.0
         self._near = 0  # bits of the pieces that neighbours hold
         self._far = 0  # and of those that others hold
-        self._per_source = PER_SOURCE
         self._read_s = LONGEST_READ_S
         self._import_s = LONGEST_IMPORT_S
         self._random = random.Random(seed)
@@ -69,10 +65,8 @@
         self._step_in_from_s: float | None = None  # while our own part is not read
         self._outside_since_s: dict[int, float] = {}
 
-    def look(
-        self, sources: Collection[PieceSource], *, number: int, now_s: float, window: int
-    ) -> None:
-        """Take note of who can be asked now, and for how many pieces at a time in all."""
+    def look(self, sources: Collection[PieceSource], *, number: int, now_s: float) -> None:
+        """Take note of who can be asked now."""
         self._sources = [source for source in sources if source.usable(now_s)]
         own_domain = self._own.failure_domain
         self._near = self._far = 0
@@ -81,8 +75,6 @@
                 self._near |= source.held.mask()
             else:
                 self._far |= source.held.mask()
-        near = sum(1 for found in self._sources if found.stager.failure_domain == own_domain)
-        self._per_source = max(PER_SOURCE, -(-window // max(1, near)))
         # one that only hangs keeps its tasks: dealt out anew, all would be read twice
         stagers = [self._own, *(source.stager for source in sources if source.connected)]
         self._sharing = Sharing(number=number, stagers=stagers)
@@ -155,7 +147,7 @@
         ]
 
     def _freest(self, sources: list[PieceSource]) -> PieceSource | None:
-        free = [source for source in sources if len(source.ordered) < self._per_source]
+        free = [source for source in sources if len(source.ordered) < PER_SOURCE]
         return min(free, key=self._busy) if free else None
 
     def _busy(self, source: PieceSource) -> float:
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -195,12 +195,7 @@
         if not self._stager_room() and not self._origin_room():
             return
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
-        self._choice.look(
-            self._sources.values(),
-            number=self.version.number,
-            now_s=now_s,
-            window=self._window.size,
-        )
+        self._choice.look(self._sources.values(), number=self.version.number, now_s=now_s)
         for index in self._choice.in_order(missing, now_s):
             source = self._choice.source(index, now_s)
             if isinstance(source, PieceSource):
--- a/src/leadhollow/staging/piece_server.py
+++ b/src/leadhollow/staging/piece_server.py
@@ -24,8 +24,6 @@
 """Part of the link for pieces: the engine's answers leave over the same one, a tenth of it where
 the engine is busy, and must not queue."""
 
-IDLE_LINK_SHARE = 0.98  # while the engine has no request, and so gives no answers
-
 BURST_S = 0.015  # a slice's time on a slow link
 FRAME_SHARE = 1.03  # bytes on the wire for each byte of a slice
 BACKLOG_BYTES = 8 * 1024  # a receiver that takes no more gets its next slice later
@@ -80,8 +78,6 @@
     ----------
     link_bytes_per_s
         Gives what this VM's link carries now.
-    idle
-        Tells whether the engine on this VM has no request.
     failure_domain
         Ours; stagers of others are served first, because each piece enters a domain only once.
         Then go those whose engine changes first, so that not all have to change at once.
@@ -95,7 +91,6 @@
         store: PieceStore,
         handlers: HandlerTable,
         link_bytes_per_s: Callable[[], float],
-        idle: Callable[[], bool],
         failure_domain: str,
     ) -> None:
         self._store = store
@@ -103,9 +98,7 @@
         self._wants: list[_Want] = []
         self._asked = 0
         self._pacer = Pacer(
-            rate_bytes_per_s=lambda: link_bytes_per_s()
-            * (IDLE_LINK_SHARE if idle() else LINK_SHARE),
-            burst_s=BURST_S,
+            rate_bytes_per_s=lambda: link_bytes_per_s() * LINK_SHARE, burst_s=BURST_S
         )
         self._wake = asyncio.Event()
         self.bytes_sent = 0
--- a/src/leadhollow/staging/window.py
+++ b/src/leadhollow/staging/window.py
@@ -8,7 +8,6 @@
 """Slices on their way, each of another piece: enough to keep our link full while senders are busy
 with others, and no more, because the requests for the engine come over the same link."""
 
-IDLE_WINDOW = 8  # while the engine has no request, so that nobody waits behind slices
 FROM_ORIGIN = 2  # of them, further ones from the origin: one on its way, one to follow it at once
 SLOW_SLICE_S = 0.25  # on its way; with a full window and pieces of the origin it is a tenth
 QUICK_SLICE_S = 0.12
@@ -22,22 +21,18 @@
     ----------
     link_share
         Gives what part of its declared speed this VM's link is thought to carry.
-    idle
-        Tells whether the engine on this VM has no request.
     """
 
-    __slots__ = ("_idle", "_link_share", "_size")
+    __slots__ = ("_link_share", "_size")
 
-    def __init__(self, *, link_share: Callable[[], float], idle: Callable[[], bool]) -> None:
+    def __init__(self, *, link_share: Callable[[], float]) -> None:
         self._link_share = link_share
-        self._idle = idle
         self._size = float(WINDOW)
 
     @property
     def size(self) -> int:
         """Pieces of which a slice may be on its way; at least one."""
-        wider = IDLE_WINDOW / WINDOW if self._idle() else 1.0
-        return max(1, round(self._size * self._link_share() * wider))
+        return max(1, round(self._size * self._link_share()))
 
     @property
     def narrowed(self) -> bool:
@@ -66,4 +61,4 @@
         return from_origin == 0 and from_stagers <= self.size
 
 
-__all__ = ["FROM_ORIGIN", "IDLE_WINDOW", "QUICK_SLICE_S", "SLOW_SLICE_S", "WINDOW", "PieceWindow"]
+__all__ = ["FROM_ORIGIN", "QUICK_SLICE_S", "SLOW_SLICE_S", "WINDOW", "PieceWindow"]
--- a/tests/staging/test_choice.py
+++ b/tests/staging/test_choice.py
@@ -27,7 +27,7 @@
 
 def a_choice(*sources: PieceSource) -> SourceChoice:
     choice = SourceChoice(own=OWN, number=1, seed=1, patience=SLOW)
-    choice.look(sources, number=1, now_s=0.0, window=2)
+    choice.look(sources, number=1, now_s=0.0)
     return choice
 
 
@@ -46,13 +46,6 @@
         neighbour.ordered.update(range(10, 10 + PER_SOURCE))
         assert a_choice(neighbour, a_source(FAR, 5)).source(5, 0.0) is None
 
-    def test_asks_few_holders_for_more_so_that_the_window_is_filled(self):
-        neighbour = a_source(NEIGHBOUR, 5, 6)
-        neighbour.ordered.update(range(10, 10 + PER_SOURCE))
-        choice = SourceChoice(own=OWN, number=1, seed=1, patience=SLOW)
-        choice.look([neighbour, a_source(FAR, 5)], number=1, now_s=0.0, window=2 * PER_SOURCE)
-        assert choice.source(5, 0.0) is neighbour
-
     def test_reads_its_own_pieces_from_the_origin(self):
         choice = a_choice(a_source(NEIGHBOUR), a_source(FAR))
         assert choice.source(read_by(OWN), 0.0) is Origin.ORIGIN
@@ -94,7 +87,7 @@
         neighbour, far = a_source(NEIGHBOUR, 5), a_source(FAR, 5)
         neighbour.order(7, 0.0)
         choice = SourceChoice(own=OWN, number=1, seed=1, patience=SLOW)
-        choice.look([neighbour, far], number=1, now_s=HANGS_AFTER_S + 0.1, window=2)
+        choice.look([neighbour, far], number=1, now_s=HANGS_AFTER_S + 0.1)
         choice.source(5, HANGS_AFTER_S + 0.1)
         assert choice.source(5, HANGS_AFTER_S + LONGEST_IMPORT_S + 0.2) is far
         neighbour.note_slice(1.0, HANGS_AFTER_S + 0.1)
@@ -113,7 +106,7 @@
     def test_does_the_tasks_of_those_that_are_gone(self):
         index = read_by(NEIGHBOUR)
         choice = SourceChoice(own=OWN, number=1, seed=1, patience=SLOW)
-        choice.look([], number=1, now_s=0.0, window=2)
+        choice.look([], number=1, now_s=0.0)
         assert choice.source(index, 0.0) is Origin.ORIGIN
 
     def test_asks_first_for_what_neighbours_wait_for(self):
@@ -136,7 +129,7 @@
             piece_bytes=1_000, origin_bytes_per_s=lambda: 1e5, link_bytes_per_s=lambda: 1e5
         )
         choice = SourceChoice(own=OWN, number=1, seed=1, patience=quick)
-        choice.look([a_source(NEIGHBOUR), a_source(FAR)], number=1, now_s=0.0, window=2)
+        choice.look([a_source(NEIGHBOUR), a_source(FAR)], number=1, now_s=0.0)
         index = read_by(NEIGHBOUR)
         choice.in_order([index], 0.0)
         assert choice.source(index, 0.1) is None
--- a/tests/staging/test_exchange.py
+++ b/tests/staging/test_exchange.py
@@ -77,7 +77,6 @@
             store=self.store,
             handlers=self.handlers,
             link_bytes_per_s=lambda: self.bytes_per_s,
-            idle=lambda: False,
             failure_domain=domain,
         )
 
@@ -99,7 +98,7 @@
             peers=self.peers,
             link_bytes_per_s=lambda: self.bytes_per_s,
             origin_bytes_per_s=lambda: 1e8,
-            window=PieceWindow(link_share=lambda: link_share, idle=lambda: False),
+            window=PieceWindow(link_share=lambda: link_share),
             seed=1,
         )
 
--- a/tests/staging/test_window.py
+++ b/tests/staging/test_window.py
@@ -4,18 +4,11 @@
 
 import pytest
 
-from leadhollow.staging.window import (
-    FROM_ORIGIN,
-    IDLE_WINDOW,
-    QUICK_SLICE_S,
-    SLOW_SLICE_S,
-    WINDOW,
-    PieceWindow,
-)
+from leadhollow.staging.window import FROM_ORIGIN, QUICK_SLICE_S, SLOW_SLICE_S, WINDOW, PieceWindow
 
 
-def a_window(share: float = 1.0, *, idle: bool = False) -> PieceWindow:
-    return PieceWindow(link_share=lambda: share, idle=lambda: idle)
+def a_window(share: float = 1.0) -> PieceWindow:
+    return PieceWindow(link_share=lambda: share)
 
 
 class TestPieceWindow:
@@ -24,10 +17,6 @@
         assert window.size == WINDOW
         assert not window.narrowed
 
-    def test_is_wider_while_no_request_could_wait_behind_slices(self):
-        assert a_window(idle=True).size == IDLE_WINDOW
-        assert not a_window(idle=True).narrowed
-
     def test_slices_that_take_long_narrow_it_for_the_next_version_too(self):
         window = a_window()
         for _ in range(4):
