Test what a control replica tells its watchers

Cause: the feed had no test of its own. Change: entries, stagers, namings and a majority that is found, over loopback. Figures: 3 tests. Conclusion: a stager is told of weights only, as meant.

--- /dev/null
+++ b/tests/control/test_feed_server.py
@@ -0,0 +1,165 @@
+"""What a control replica tells entries and stagers, over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from leadhollow.control.engine_uses import EngineUses
+from leadhollow.control.feed_server import FeedServer
+from leadhollow.control.registry import Registry
+from leadhollow.membership.naming_times import NamingTimes
+from leadhollow.settings.address import Address
+from leadhollow.settings.deployment import Listener, LoopbackAddresses
+from leadhollow.state.catalog import Catalog
+from leadhollow.wire.generated.ttypes import (
+    FeedUpdate,
+    FeedWatch,
+    LoadRecord,
+    LoadReport,
+    ServedModel,
+    VersionAge,
+)
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.peers import PeerPool
+from leadhollow.wire.server import WireServer
+from tests.support import TOKEN, eventually
+
+ENGINE = "10.0.0.1:80"
+QUIET_S = 0.6  # more than two of a feed's heartbeats
+
+
+class FakeConfirmation:
+    """A majority that always confirms, and says so once more when asked to."""
+
+    def __init__(self) -> None:
+        self.found: list[Callable[[], None]] = []
+
+    def age_ms(self) -> int:
+        return 0
+
+    def on_found(self, listener: Callable[[], None]) -> None:
+        self.found.append(listener)
+
+
+class Replica:
+    """One control replica without a log."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.handlers = HandlerTable()
+        self.peers = PeerPool(vm=address, failure_domain="d", token=TOKEN, handlers=self.handlers)
+        self.server = WireServer(
+            address=Address.parse(address).unwrap(), token=TOKEN, handlers=self.handlers
+        )
+        self.times = NamingTimes(clock=asyncio.get_running_loop().time)
+        self.confirmation = FakeConfirmation()
+        shared = {"own_address": address, "replicas": lambda: [address]}
+        self.registry = Registry(
+            **shared,
+            peers=self.peers,
+            handlers=self.handlers,
+            forget_after_s=60.0,
+            naming_times=self.times,
+        )
+        self.uses = EngineUses(**shared, peers=self.peers, handlers=self.handlers)
+        self.feed = FeedServer(
+            catalog=Catalog(),
+            registry=self.registry,
+            uses=self.uses,
+            confirmation=self.confirmation,
+            replicas=lambda: [address],
+            handlers=self.handlers,
+            naming_times=self.times,
+        )
+
+
+class Watcher:
+    """An entry or a stager that keeps what it is told."""
+
+    def __init__(self, role: str, address: str) -> None:
+        self.role = role
+        self.address = address
+        self.peers = PeerPool(vm=role, failure_domain="d", token=TOKEN, handlers=HandlerTable())
+        self.updates: list[FeedUpdate] = []
+
+    async def follow(self) -> None:
+        connection = (await self.peers.connection(self.address)).unwrap()
+        stream = connection.stream(FeedWatch(self.role, self.role, "d", 0))
+        while (received := await stream.next()).is_ok():
+            update = received.unwrap()
+            if update is None:
+                return
+            self.updates.append(update)
+
+    def loads(self) -> list[LoadRecord]:
+        return [load for update in self.updates for load in update.loads or ()]
+
+    def named(self) -> list[VersionAge]:
+        return [age for update in self.updates for age in update.named or ()]
+
+    async def report(self, **changes: object) -> None:
+        values: dict[str, object] = {"address": ENGINE, "models": [ServedModel("m", 1, 0, 16)]}
+        connection = (await self.peers.connection(self.address)).unwrap()
+        connection.oneway(LoadReport([LoadRecord(**(values | changes))]))
+
+
+def with_watchers(work: Callable[[Replica, Watcher, Watcher], Awaitable[None]]) -> None:
+    async def run() -> None:
+        replica = Replica(LoopbackAddresses()("one", Listener.WIRE))
+        assert (await replica.server.start()).is_ok()
+        watchers = [Watcher(role, replica.address) for role in ("entry", "stager")]
+        tasks = [asyncio.create_task(watcher.follow()) for watcher in watchers]
+        await eventually(lambda: all(watcher.updates for watcher in watchers), "first updates")
+        try:
+            await work(replica, *watchers)
+        finally:
+            for task in tasks:
+                task.cancel()
+            for watcher in watchers:
+                await watcher.peers.stop()
+            await replica.peers.stop()
+            await replica.server.stop()
+
+    asyncio.run(asyncio.wait_for(run(), 20))
+
+
+class TestLoads:
+    def test_stagers_are_told_of_weights_and_entries_of_everything(self):
+        async def work(replica: Replica, entry: Watcher, stager: Watcher) -> None:
+            await stager.report(active=1)
+            await eventually(lambda: stager.loads() and entry.loads(), "the first report")
+            await stager.report(active=5)
+            await eventually(lambda: entry.loads()[-1].active == 5, "the second report")
+            await stager.report(active=6, switching=True)
+            await eventually(lambda: stager.loads()[-1].switching, "the change")
+            assert [load.active for load in stager.loads()] == [1, 6]
+
+        with_watchers(work)
+
+
+class TestNamings:
+    def test_are_told_once_and_again_when_more_is_known(self):
+        async def work(replica: Replica, entry: Watcher, stager: Watcher) -> None:
+            replica.times.note("m", 2)
+            await eventually(lambda: entry.named() and stager.named(), "the naming")
+            await asyncio.sleep(QUIET_S)
+            assert len(entry.named()) == 1
+            replica.times.learn([VersionAge("m", 2, 5_000)])
+            await eventually(lambda: len(entry.named()) == 2, "the longer age")
+            assert entry.named()[-1].age_ms >= 5_000
+
+        with_watchers(work)
+
+
+class TestConfirmation:
+    def test_a_majority_that_is_found_is_told_at_once(self):
+        async def work(replica: Replica, entry: Watcher, stager: Watcher) -> None:
+            for subscriber in replica.feed._subscribers:
+                subscriber.wake.clear()
+            for listener in replica.confirmation.found:
+                listener()
+            assert len(replica.feed._subscribers) == 2
+            assert all(subscriber.wake.is_set() for subscriber in replica.feed._subscribers)
+
+        with_watchers(work)
