Lose no second disk in the soak before the first replica has caught up

The soak's check was right, its fault was not. Change: a disk is lost at the earliest 4 s after the replica that lost one before is back, as the deployments allow.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,10 @@
 
 Fault = Callable[[World, Operator], Awaitable[None]]
 
+CATCH_UP_S = 4.0
+"""A replica without its disk counts as lost for so long after it is back; of three voters no second
+one can lose its disk meanwhile without the loss of what was acknowledged."""
+
 
 async def kill_core(world: World, operator: Operator) -> None:
     """A control replica dies and comes back."""
@@ -23,12 +27,15 @@
 
 async def wipe_core(world: World, operator: Operator) -> None:
     """A control replica loses its disk right after something was acknowledged."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(max(0.0, world.disk_back_s + CATCH_UP_S - loop.time()))
     await operator.change()
     core = world.random.choice(world.cores)
     await core.end()
     core.wipe()
     await asyncio.sleep(world.random.uniform(0.2, 1.0))
     core.start()
+    world.disk_back_s = loop.time()
 
 
 async def kill_all_cores(world: World, operator: Operator) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -48,6 +48,7 @@
         ]
         self.origin_proxy = self._proxy("b", 6)
         self._origin_runner: web.AppRunner | None = None
+        self.disk_back_s = float("-inf")  # when a replica that lost its disk was last back
 
     @property
     def programs(self) -> list[Program]:
