--- a/tests/forward/test_engine_queue.py
+++ b/tests/forward/test_engine_queue.py
@@ -286,6 +286,23 @@
 
 
 class TestStanding:
+    async def check_the_second_is_placed_first(
+        self, group: Group, server: Server, first: Standing, second: Standing
+    ) -> None:
+        """Let two wait for a full engine, and make room for one of them."""
+        places = [
+            asyncio.create_task(
+                group.queue.place(a_wish(on_time_s=0.4, decide_s=0.5, standing=standing))
+            )
+            for standing in (first, second)
+            if not await asyncio.sleep(0.01)
+        ]
+        await asyncio.sleep(0.01)
+        group.report(server, active=1, queued=2)
+        assert (await places[1]).is_ok()
+        assert not places[0].done()
+        await places[0]
+
     @pytest.mark.parametrize(
         ("first", "second"),
         [(Standing.NEW, Standing.RESUMED), (Standing.CAME_BACK, Standing.NEW)],
@@ -295,18 +312,7 @@
             group = Group()
             group.calm()
             server = group.engine("full", active=4, queued=9)
-            places = [
-                asyncio.create_task(
-                    group.queue.place(a_wish(on_time_s=0.4, decide_s=0.5, standing=standing))
-                )
-                for standing in (first, second)
-                if not await asyncio.sleep(0.01)
-            ]
-            await asyncio.sleep(0.01)
-            group.report(server, active=1, queued=2)
-            assert (await places[1]).is_ok()
-            assert not places[0].done()
-            await places[0]
+            await self.check_the_second_is_placed_first(group, server, first, second)
 
         in_loop(work)
 
@@ -316,18 +322,9 @@
             sent_away = await group.queue.place(a_wish())
             assert sent_away.is_err()
             server = group.engine("back", active=4, queued=9)
-            places = [
-                asyncio.create_task(
-                    group.queue.place(a_wish(on_time_s=0.4, decide_s=0.5, standing=standing))
-                )
-                for standing in (Standing.NEW, Standing.CAME_BACK)
-                if not await asyncio.sleep(0.01)
-            ]
-            await asyncio.sleep(0.01)
-            group.report(server, active=1, queued=2)
-            assert (await places[1]).is_ok()
-            assert not places[0].done()
-            await places[0]
+            await self.check_the_second_is_placed_first(
+                group, server, Standing.NEW, Standing.CAME_BACK
+            )
 
         in_loop(work)
 
