Move the decisions on requests into a package without event loop

Change: decide/ holds queue, choice, admission, pressure, return times, engine model, outliers, retry budget and version rule; time is passed in, forward/places.py waits.

--- a/src/leadhollow/forward/admission.py
+++ b/src/leadhollow/decide/admission.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from leadhollow.forward.engine_choice import EngineOption
-from leadhollow.forward.wish import Standing
+from leadhollow.decide.engine_choice import EngineOption
+from leadhollow.decide.wish import Standing
 
 LATE_QUEUE = 2  # requests beyond its batch that an engine gets rather than that they are lost
 KEPT_FREE = 2  # places of its batch that an engine keeps for new requests
--- a/src/leadhollow/forward/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -4,11 +4,10 @@
 
 import random
 
-from leadhollow.forward.board import ServerBoard
-from leadhollow.forward.engine_model import EngineDemand, EngineModel
-from leadhollow.forward.server import Server
-from leadhollow.forward.versions import VersionPolicy
-from leadhollow.forward.wish import EngineWish
+from leadhollow.decide.engine_model import EngineDemand, EngineModel
+from leadhollow.decide.server import Server
+from leadhollow.decide.sources import EngineSource, WeightsRule
+from leadhollow.decide.wish import EngineWish
 from leadhollow.routing.model import EngineSpec
 
 FAR_PENALTY_MS = 12.0  # a server of another failure domain must answer this much sooner
@@ -66,8 +65,8 @@
     def __init__(
         self,
         *,
-        board: ServerBoard,
-        versions: VersionPolicy,
+        board: EngineSource,
+        versions: WeightsRule,
         failure_domain: str,
         source: random.Random,
     ) -> None:
--- a/src/leadhollow/forward/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -6,21 +6,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
-
-from result import Err, Ok, Result
-
-from leadhollow.codes import Code
-from leadhollow.failure import Failure
-from leadhollow.forward.admission import SURE_MARGIN_S, takes
-from leadhollow.forward.board import ServerBoard
-from leadhollow.forward.comeback import Refusal
-from leadhollow.forward.engine_choice import EngineChooser, EngineOption
-from leadhollow.forward.pressure import Pressure
-from leadhollow.forward.server import OwnCall
-from leadhollow.forward.versions import VersionPolicy
-from leadhollow.forward.wish import EngineWish, Placement, Standing
+from collections.abc import Callable
+
+from leadhollow.decide.admission import SURE_MARGIN_S, takes
+from leadhollow.decide.comeback import Refusal
+from leadhollow.decide.engine_choice import EngineChooser, EngineOption
+from leadhollow.decide.pressure import Pressure
+from leadhollow.decide.server import OwnCall
+from leadhollow.decide.sources import EngineSource, WeightsRule
+from leadhollow.decide.wish import EngineWish, Placement, Standing
 from leadhollow.observe.logs import get_logger, log_decision
 from leadhollow.routing.model import ServiceRecord
 
@@ -41,12 +36,34 @@
 log = get_logger("engine-queue")
 
 
-class _Waiter:
-    __slots__ = ("future", "wish")
+class Waiter:
+    """A request that asked for an engine.
+
+    Parameters
+    ----------
+    until_s
+        When `EngineQueue.time_passed` is to be called.
+    on_end
+        Called once, when it has a place or is refused; not by `EngineQueue.submit` itself.
+
+    Attributes
+    ----------
+    placement
+        Its place, None while it has none.
+    ended
+        Whether it has a place or is refused.
+    """
+
+    __slots__ = ("ended", "on_end", "placement", "until_s", "wish")
 
-    def __init__(self, *, wish: EngineWish, future: asyncio.Future[Placement]) -> None:
+    def __init__(
+        self, *, wish: EngineWish, until_s: float, on_end: Callable[[], None] = lambda: None
+    ) -> None:
         self.wish = wish
-        self.future = future
+        self.until_s = until_s
+        self.on_end = on_end
+        self.placement: Placement | None = None
+        self.ended = False
 
 
 class EngineQueue:
@@ -54,15 +71,20 @@
 
     Parameters
     ----------
+    board
+        Engines; the queue looks for places when they change.
     failure_domain
         Ours; engines elsewhere cost a way and its price.
     seed
         Seed of the random parts of choices and of return times.
+    clock
+        Gives the time in seconds.
     """
 
     __slots__ = (
         "_began_s",
         "_chooser",
+        "_clock",
         "_held",
         "_outage_s",
         "_pressure",
@@ -74,21 +96,23 @@
     def __init__(
         self,
         *,
-        board: ServerBoard,
-        versions: VersionPolicy,
+        board: EngineSource,
+        versions: WeightsRule,
         failure_domain: str,
         seed: int,
+        clock: Callable[[], float],
     ) -> None:
         self._versions = versions
+        self._clock = clock
         self._random = random.Random(seed)
         self._chooser = EngineChooser(
             board=board, versions=versions, failure_domain=failure_domain, source=self._random
         )
         self._pressure: dict[str, Pressure] = {}
-        self._began_s = asyncio.get_running_loop().time()
+        self._began_s = clock()
         self._outage_s: dict[str, float] = {}  # when a service was last seen without any engine
-        self._waiters: list[_Waiter] = []
-        self._held: list[_Waiter] = []  # will be late, and are placed where room is left over
+        self._waiters: list[Waiter] = []
+        self._held: list[Waiter] = []  # will be late, and are placed where room is left over
         board.on_change(self.pump)
 
     @property
@@ -96,96 +120,92 @@
         """Requests that wait, those that are held included."""
         return len(self._waiters) + len(self._held)
 
-    async def place(self, wish: EngineWish) -> Result[Placement, Failure]:
-        """Find a place for a request, or refuse it in time.
-
-        Errors
-        ------
-        NO_CAPACITY
-            No engine can answer in time; nothing was sent.
-        """
-        placed = await self._place(wish)
-        if wish.standing is Standing.NEW:
-            now_s = asyncio.get_running_loop().time()
-            self._pressure_of(wish.service).note(refused=placed is None, now_s=now_s)
-        return Err(Failure(code=Code.NO_CAPACITY)) if placed is None else Ok(placed)
-
-    async def _place(self, wish: EngineWish) -> Placement | None:
+    def submit(self, wish: EngineWish) -> Waiter:
+        """Place a request at once where that is possible, or let it wait."""
         wish.standing = self._standing(wish)
-        if not any(waiter.wish.standing < wish.standing for waiter in self._waiters):
+        waiter = Waiter(wish=wish, until_s=wish.decide_s)
+        if not any(found.wish.standing < wish.standing for found in self._waiters):
             placed = self._try(wish)
             if placed is not None:
-                return placed
-        placed = await self._wait(self._waiters, wish, until_s=wish.decide_s)
-        if placed is None:
-            placed = self._try(wish, late=True)
-        if placed is None and self._holds(wish):
-            placed = await self._wait(self._held, wish, until_s=wish.hold_s)
-        return placed
+                self._end(waiter, placed)
+                return waiter
+        _insert(self._waiters, waiter)
+        return waiter
+
+    def time_passed(self, waiter: Waiter) -> None:
+        """Place, hold or refuse a request whose time to wait is over."""
+        if waiter.ended:
+            return
+        if waiter in self._held:
+            self._held.remove(waiter)
+            self._end(waiter, None)
+            return
+        self._waiters.remove(waiter)
+        placed = self._try(waiter.wish, late=True)
+        if placed is None and self._holds(waiter.wish):
+            waiter.until_s = waiter.wish.hold_s
+            _insert(self._held, waiter)
+            return
+        self._end(waiter, placed)
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Forget a request whose caller has left; gives its place back where it has one."""
+        if waiter.placement is not None:
+            self.release(waiter.placement)
+        for waiters in (self._waiters, self._held):
+            if waiter in waiters:
+                waiters.remove(waiter)
+        waiter.ended = True
+
+    def _end(self, waiter: Waiter, placed: Placement | None) -> None:
+        waiter.placement = placed
+        waiter.ended = True
+        if waiter.wish.standing is Standing.NEW:
+            self._pressure_of(waiter.wish.service).note(refused=placed is None, now_s=self._clock())
+        waiter.on_end()
 
     def _standing(self, wish: EngineWish) -> Standing:
         """Let those that come back after an outage go first: they were sent away because of it."""
         if wish.standing is not Standing.CAME_BACK:
             return wish.standing
         outage_s = self._outage_s.get(wish.service.name, self._began_s)
-        recovering = asyncio.get_running_loop().time() - outage_s < RETURN_S
+        recovering = self._clock() - outage_s < RETURN_S
         return Standing.PROMISED if recovering else wish.standing
 
     def _holds(self, wish: EngineWish) -> bool:
         """Tell whether a request that came back is likely to get room that is left over."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._clock()
         if wish.hold_s <= now_s or len(self._held) >= MOST_HELD:
             return False
         if self._pressure_of(wish.service).level(now_s) >= HOPELESS:
             return False
         return self._chooser.best(wish, now_s) is not None
 
-    async def _wait(
-        self, waiters: list[_Waiter], wish: EngineWish, *, until_s: float
-    ) -> Placement | None:
-        """Wait among others for a place; None where none came in time."""
-        future: asyncio.Future[Placement] = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(wish=wish, future=future)
-        _insert(waiters, waiter)
-        try:
-            async with asyncio.timeout_at(until_s):
-                return await future
-        except TimeoutError:
-            # it may have been given in the same turn of the loop as the end of the wait
-            return future.result() if _given(future) else None
-        except asyncio.CancelledError:
-            if _given(future):
-                self.release(future.result())
-            raise
-        finally:
-            if waiter in waiters:
-                waiters.remove(waiter)
-
     def pressure(self) -> float:
         """Give the highest pressure on the engines of any service."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._clock()
         return max((found.level(now_s) for found in self._pressure.values()), default=0.0)
 
     def retry_after_s(self, wish: EngineWish) -> float:
         """Give the time after which a refused request should come back."""
-        served = self._chooser.best(wish, asyncio.get_running_loop().time()) is not None
+        served = self._chooser.best(wish, self._clock()) is not None
         refusal = Refusal.OVERLOADED if served else Refusal.NOBODY_SERVES
         return refusal.after_s(self._random)
 
     def release(self, placement: Placement) -> None:
         """Give a place back."""
-        placement.server.remove(placement.call, asyncio.get_running_loop().time())
+        placement.server.remove(placement.call, self._clock())
         self.pump()
 
     def pump(self) -> None:
         """Place those who wait, as far as engines have room."""
         for waiter in list(self._waiters):
-            if waiter.future.done():
+            if waiter.ended:
                 continue
             placed = self._try(waiter.wish)
             if placed is not None:
-                waiter.future.set_result(placed)
                 self._waiters.remove(waiter)
+                self._end(waiter, placed)
 
     def pump_held(self) -> None:
         """Place those that are held, one after the other while there is room left over.
@@ -193,16 +213,14 @@
         Called now and then, and ended at the first that finds no room: they differ little.
         """
         for waiter in list(self._held):
-            if waiter.future.done():
-                continue
             placed = None if self._waiters else self._try(waiter.wish, late=True)
             if placed is None:
                 return
-            waiter.future.set_result(placed)
             self._held.remove(waiter)
+            self._end(waiter, placed)
 
     def _try(self, wish: EngineWish, *, late: bool = False) -> Placement | None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._clock()
         option = self._chooser.best(wish, now_s)
         if option is None:
             if not wish.excluded:
@@ -256,15 +274,11 @@
         )
 
 
-def _insert(waiters: list[_Waiter], waiter: _Waiter) -> None:
+def _insert(waiters: list[Waiter], waiter: Waiter) -> None:
     """Queue behind those of the same standing."""
     standing = waiter.wish.standing
     position = sum(1 for found in waiters if found.wish.standing <= standing)
     waiters.insert(position, waiter)
 
 
-def _given(future: asyncio.Future[Placement]) -> bool:
-    return future.done() and not future.cancelled()
-
-
-__all__ = ["DECIDE_SHARE", "PUMP_INTERVAL_S", "EngineQueue"]
+__all__ = ["DECIDE_SHARE", "PUMP_INTERVAL_S", "EngineQueue", "Waiter"]
--- a/src/leadhollow/forward/isolation.py
+++ b/src/leadhollow/decide/isolation.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
-from leadhollow.forward.board import ServerBoard
+from leadhollow.decide.server import Server
 from leadhollow.observe.logs import get_logger
 
 UNCONFIRMED_S = 1.0  # a majority confirms what an entry knows several times in it
@@ -23,6 +24,14 @@
 log = get_logger("isolation")
 
 
+class AllServers(Protocol):
+    """Backend servers of all services."""
+
+    def all_servers(self) -> Sequence[Server]:
+        """Give them."""
+        ...
+
+
 class Isolation:
     """Looks at what this entry reaches.
 
@@ -45,7 +54,7 @@
     def __init__(
         self,
         *,
-        board: ServerBoard,
+        board: AllServers,
         failure_domain: str,
         pressure: Callable[[], float],
         confirmed_s: Callable[[], float | None],
--- a/src/leadhollow/forward/server.py
+++ b/src/leadhollow/decide/server.py
@@ -5,8 +5,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from leadhollow.forward.engine_model import READING_SHARE, EngineDemand, EngineModel
-from leadhollow.forward.health import Health
+from leadhollow.decide.engine_model import READING_SHARE, EngineDemand, EngineModel
+from leadhollow.decide.health import Health
 from leadhollow.membership.instances import Instance, ServedVersion
 from leadhollow.membership.reporting import SHORTEST_INTERVAL_S, VALID_INTERVALS
 from leadhollow.membership.uses import Use
--- a/src/leadhollow/forward/wish.py
+++ b/src/leadhollow/decide/wish.py
@@ -4,7 +4,7 @@
 
 from enum import IntEnum
 
-from leadhollow.forward.server import OwnCall, Server
+from leadhollow.decide.server import OwnCall, Server
 from leadhollow.routing.model import ServiceRecord
 
 
--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from leadhollow.forward.server import NO_USE, Server
+from leadhollow.decide.server import NO_USE, Server
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable
 from leadhollow.membership.reporting import VALID_INTERVALS, report_interval_s
 from leadhollow.membership.uses import Use
--- a/src/leadhollow/forward/path_probes.py
+++ b/src/leadhollow/forward/path_probes.py
@@ -9,9 +9,9 @@
 
 import asyncio
 
+from leadhollow.decide.server import Server
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.pool import ConnectionPool
-from leadhollow.forward.server import Server
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.observe.logs import get_logger
 
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -9,15 +9,15 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
+from leadhollow.decide.comeback import Refusal
+from leadhollow.decide.retry_budget import RetryBudget
+from leadhollow.decide.server import OwnCall, Server
 from leadhollow.failure import Failure
 from leadhollow.forward.board import ServerBoard
-from leadhollow.forward.budget import RetryBudget
 from leadhollow.forward.call import ForwardedCall
-from leadhollow.forward.comeback import Refusal
 from leadhollow.forward.ending import Ending
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
 from leadhollow.forward.passing import pass_on
-from leadhollow.forward.server import OwnCall, Server
 from leadhollow.http1.messages import ResponseHead
 from leadhollow.observe.logs import get_logger, log_decision
 
--- a/src/leadhollow/forward/service.py
+++ b/src/leadhollow/forward/service.py
@@ -9,9 +9,9 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
+from leadhollow.decide.comeback import Refusal
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
-from leadhollow.forward.comeback import Refusal
 from leadhollow.forward.dialect import CallDialect, CallFacts
 from leadhollow.forward.plain_call import PlainForwarder
 from leadhollow.forward.request_body import RequestBody
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -6,17 +6,18 @@
 from http import HTTPStatus
 
 from leadhollow.codes import Code
+from leadhollow.decide.engine_queue import DECIDE_SHARE, EngineQueue
+from leadhollow.decide.retry_budget import RetryBudget
+from leadhollow.decide.wish import EngineWish, Placement, Standing
 from leadhollow.failure import Failure
 from leadhollow.forward.board import ServerBoard
-from leadhollow.forward.budget import RetryBudget
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.ending import Ending
-from leadhollow.forward.engine_queue import DECIDE_SHARE, EngineQueue
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
 from leadhollow.forward.passing import pass_on
+from leadhollow.forward.places import place
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S
 from leadhollow.forward.stream_relay import SHORTEST_STALL_S, StreamRelay
-from leadhollow.forward.wish import EngineWish, Placement, Standing
 from leadhollow.observe.logs import get_logger
 from leadhollow.routing.model import ServiceRecord
 
@@ -122,7 +123,7 @@
         if not self._may_try():
             await self._give_up()
             return True
-        placed = await self._forwarder.queue.place(self._wish())
+        placed = await place(self._forwarder.queue, self._wish())
         if placed.is_err():
             self._failure = placed.unwrap_err()
             await self._give_up()
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -7,11 +7,11 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
+from leadhollow.decide.wish import Placement
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.events import Event, EventSplitter
 from leadhollow.forward.exchange import Exchange
-from leadhollow.forward.wish import Placement
 from leadhollow.http1.messages import Framing
 from leadhollow.observe.logs import get_logger
 
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -5,12 +5,13 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from leadhollow.decide.engine_queue import PUMP_INTERVAL_S, EngineQueue
+from leadhollow.decide.isolation import Isolation
+from leadhollow.decide.retry_budget import RetryBudget
+from leadhollow.decide.versions import VersionPolicy
 from leadhollow.forward.board import ServerBoard
-from leadhollow.forward.budget import RetryBudget
 from leadhollow.forward.ending import Ending
-from leadhollow.forward.engine_queue import PUMP_INTERVAL_S, EngineQueue
 from leadhollow.forward.exchange import Exchanger
-from leadhollow.forward.isolation import Isolation
 from leadhollow.forward.path_probes import PathProber
 from leadhollow.forward.plain_call import PlainForwarder
 from leadhollow.forward.pool import ConnectionPool
@@ -19,7 +20,6 @@
 from leadhollow.forward.stream_call import StreamForwarder
 from leadhollow.forward.targets import TargetChooser
 from leadhollow.forward.use_reporter import UseReporter
-from leadhollow.forward.versions import VersionPolicy
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.control_feed import ControlFeed
 from leadhollow.membership.instances import InstanceTable
@@ -60,6 +60,7 @@
             versions=versions,
             failure_domain=settings.failure_domain,
             seed=process.seed,
+            clock=clock,
         )
         ending = Ending(dialect=dialect)
         exchanger = Exchanger(dialect=dialect, pool=pool)
--- a/tests/forward/test_comeback.py
+++ b/tests/decide/test_comeback.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from leadhollow.forward.comeback import RANGES_S, Refusal
-from tests.forward.test_engine_queue import Group, a_wish, in_loop
+from leadhollow.decide.comeback import RANGES_S, Refusal
+from tests.decide.test_engine_queue import Group, a_wish, in_loop
 
 SAMPLES = 200
 
--- a/tests/forward/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -9,11 +9,12 @@
 import pytest
 
 from leadhollow.codes import Code
+from leadhollow.decide.engine_queue import MOST_HELD, EngineQueue
+from leadhollow.decide.pressure import Pressure
+from leadhollow.decide.server import NO_USE, Server
+from leadhollow.decide.wish import EngineWish, Placement, Standing
 from leadhollow.forward.board import ServerBoard
-from leadhollow.forward.engine_queue import MOST_HELD, EngineQueue
-from leadhollow.forward.pressure import Pressure
-from leadhollow.forward.server import NO_USE, Server
-from leadhollow.forward.wish import EngineWish, Placement, Standing
+from leadhollow.forward.places import place
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable, ServedVersion
 from leadhollow.membership.uses import Use
 from leadhollow.routing.model import EngineSpec, ServiceRecord
@@ -64,6 +65,7 @@
             versions=weights or Weights(),
             failure_domain="a",
             seed=1,
+            clock=loop.time,
         )
         self._sequence = 0
 
@@ -131,7 +133,7 @@
 
 
 async def placed(group: Group, wish: EngineWish | None = None) -> Placement:
-    found = await group.queue.place(wish or a_wish())
+    found = await place(group.queue, wish or a_wish())
     assert found.is_ok(), found
     return found.unwrap()
 
@@ -172,7 +174,7 @@
             part = group.engine("part", active=0, queued=0)
             half = ServedVersion(model="m", version=1, first_layer=0, end_layer=8).record()
             group.report(part, active=0, queued=0, models=[half])
-            found = await group.queue.place(a_wish(excluded={"tried"}))
+            found = await place(group.queue, a_wish(excluded={"tried"}))
             assert found.unwrap_err().code is Code.NO_CAPACITY
 
         in_loop(work)
@@ -247,7 +249,7 @@
         async def work() -> None:
             group = Group()
             group.engine("full", active=4, queued=6)
-            found = await group.queue.place(a_wish(on_time_s=0.2))
+            found = await place(group.queue, a_wish(on_time_s=0.2))
             assert found.unwrap_err().code is Code.NO_CAPACITY
             assert group.queue.waiting == 0
 
@@ -257,7 +259,7 @@
         async def work() -> None:
             group = Group()
             server = group.engine("full", active=4, queued=6)
-            waiting = asyncio.create_task(group.queue.place(a_wish(on_time_s=0.3, decide_s=2.0)))
+            waiting = asyncio.create_task(place(group.queue, a_wish(on_time_s=0.3, decide_s=2.0)))
             await asyncio.sleep(0.01)
             assert group.queue.waiting == 1
             group.report(server, active=0, queued=0)
@@ -277,7 +279,7 @@
         async def work() -> None:
             group = Group()
             group.engine("half", active=2, queued=0, pace_permille=9_000)
-            found = await group.queue.place(a_wish(on_time_s=0.2))
+            found = await place(group.queue, a_wish(on_time_s=0.2))
             assert found.unwrap_err().code is Code.NO_CAPACITY
             idle = group.engine("idle", active=1, queued=0, pace_permille=9_000)
             assert (await placed(group, a_wish(on_time_s=0.2))).server is idle
@@ -292,7 +294,7 @@
         """Let two wait for a full engine, and make room for one of them."""
         places = [
             asyncio.create_task(
-                group.queue.place(a_wish(on_time_s=0.4, decide_s=0.5, standing=standing))
+                place(group.queue, a_wish(on_time_s=0.4, decide_s=0.5, standing=standing))
             )
             for standing in (first, second)
             if not await asyncio.sleep(0.01)
@@ -319,7 +321,7 @@
     def test_after_an_outage_what_came_back_goes_first(self):
         async def work() -> None:
             group = Group()
-            sent_away = await group.queue.place(a_wish())
+            sent_away = await place(group.queue, a_wish())
             assert sent_away.is_err()
             server = group.engine("back", active=4, queued=9)
             await self.check_the_second_is_placed_first(
@@ -333,7 +335,7 @@
             group = Group()
             group.calm()
             server = group.engine("used", active=2, queued=0)
-            back = await group.queue.place(a_wish(standing=Standing.CAME_BACK))
+            back = await place(group.queue, a_wish(standing=Standing.CAME_BACK))
             assert back.unwrap_err().code is Code.NO_CAPACITY
             assert (await placed(group, a_wish(standing=Standing.NEW))).server is server
 
@@ -355,7 +357,7 @@
             group = Group()
             group.calm()
             server = group.engine("full", active=4, queued=9)
-            holding = asyncio.create_task(group.queue.place(a_last_wish()))
+            holding = asyncio.create_task(place(group.queue, a_last_wish()))
             await asyncio.sleep(0.05)
             assert group.queue.waiting == 1
             group.queue.pump_held()
@@ -371,9 +373,9 @@
             group = Group()
             group.calm()
             server = group.engine("full", active=4, queued=9)
-            holding = asyncio.create_task(group.queue.place(a_last_wish()))
+            holding = asyncio.create_task(place(group.queue, a_last_wish()))
             await asyncio.sleep(0.05)
-            new = asyncio.create_task(group.queue.place(a_wish(on_time_s=0.1, decide_s=5.0)))
+            new = asyncio.create_task(place(group.queue, a_wish(on_time_s=0.1, decide_s=5.0)))
             await asyncio.sleep(0.01)
             group.report(server, active=2, queued=0, pace_permille=9_000)
             group.queue.pump_held()
@@ -392,7 +394,7 @@
             group = Group()
             group.calm()
             group.engine("full", active=4, queued=9)
-            found = await group.queue.place(a_last_wish())
+            found = await place(group.queue, a_last_wish())
             assert found.unwrap_err().code is Code.NO_CAPACITY
             assert group.queue.waiting == 0
 
@@ -404,9 +406,9 @@
             group.calm()
             group.engine("full", active=4, queued=9)
             for _ in range(12):
-                await group.queue.place(a_wish(on_time_s=0.01, decide_s=0.0))
-            await group.queue.place(a_last_wish())
-            holding = asyncio.create_task(group.queue.place(a_last_wish()))
+                await place(group.queue, a_wish(on_time_s=0.01, decide_s=0.0))
+            await place(group.queue, a_last_wish())
+            holding = asyncio.create_task(place(group.queue, a_last_wish()))
             await asyncio.sleep(0.1)
             assert holding.done()
 
@@ -416,7 +418,7 @@
         async def work() -> None:
             group = Group()
             group.calm()
-            holding = asyncio.create_task(group.queue.place(a_last_wish()))
+            holding = asyncio.create_task(place(group.queue, a_last_wish()))
             await asyncio.sleep(0.1)
             assert holding.done()
 
@@ -428,7 +430,7 @@
             group.calm()
             group.engine("full", active=4, queued=9)
             holding = [
-                asyncio.create_task(group.queue.place(a_last_wish())) for _ in range(MOST_HELD + 3)
+                asyncio.create_task(place(group.queue, a_last_wish())) for _ in range(MOST_HELD + 3)
             ]
             await asyncio.sleep(0.1)
             assert group.queue.waiting == MOST_HELD
@@ -443,7 +445,7 @@
         async def work() -> None:
             group = Group()
             server = group.engine("full", active=4, queued=9)
-            waiting = asyncio.create_task(group.queue.place(a_wish(decide_s=5.0)))
+            waiting = asyncio.create_task(place(group.queue, a_wish(decide_s=5.0)))
             await asyncio.sleep(0.01)
             group.report(server, active=0, queued=0)  # the place is given in this turn
             waiting.cancel()
@@ -461,7 +463,7 @@
             end_s = loop.time() + 0.05
             loop.call_at(end_s - 0.0005, lambda: time.sleep(0.002))  # both timers are due then
             loop.call_at(end_s - 0.0001, lambda: group.report(server, active=0, queued=0))
-            found = await group.queue.place(a_wish(decide_s=0.05))
+            found = await place(group.queue, a_wish(decide_s=0.05))
             assert found.is_ok()
             assert server.own == 1
 
@@ -500,12 +502,12 @@
         async def work() -> None:
             group = Group()
             group.engine("used", active=3, queued=0)
-            calm = await group.queue.place(a_wish(on_time_s=0.25))
+            calm = await place(group.queue, a_wish(on_time_s=0.25))
             group.queue.release(calm.unwrap())
             for _ in range(12):
-                refused = await group.queue.place(a_wish(on_time_s=0.01, decide_s=0.0))
+                refused = await place(group.queue, a_wish(on_time_s=0.01, decide_s=0.0))
                 assert refused.is_err()
-            pressed = await group.queue.place(a_wish(on_time_s=0.25, decide_s=0.0))
+            pressed = await place(group.queue, a_wish(on_time_s=0.25, decide_s=0.0))
             assert pressed.unwrap_err().code is Code.NO_CAPACITY
 
         in_loop(work)
@@ -515,7 +517,7 @@
             group = Group()
             group.engine("used", active=3, queued=0)
             large = a_wish(on_time_s=0.25, prompt_tokens=4_000, decide_s=0.0)
-            assert (await group.queue.place(large)).is_ok()
+            assert (await place(group.queue, large)).is_ok()
 
         in_loop(work)
 
@@ -537,7 +539,7 @@
         async def work() -> None:
             group = Group(Weights(newest=2, left_s=1.5))
             group.engine("old", version=1, active=0, queued=0, path_delay_ms=path_delay_ms)
-            found = await group.queue.place(a_wish())
+            found = await place(group.queue, a_wish())
             assert found.is_ok() is (path_delay_ms == 5)
 
         in_loop(work)
@@ -547,7 +549,7 @@
             group = Group(Weights(newest=2, left_s=1.5))
             server = group.engine("old", version=1)
             group.report(server, age_s=1.0, active=0, queued=0)
-            assert (await group.queue.place(a_wish())).is_err()
+            assert (await place(group.queue, a_wish())).is_err()
 
         in_loop(work)
 
--- a/tests/forward/test_isolation.py
+++ b/tests/decide/test_isolation.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from leadhollow.forward.isolation import CALM, OVERLOADED, UNCONFIRMED_S, Isolation
-from tests.forward.test_engine_queue import Group, in_loop
+from leadhollow.decide.isolation import CALM, OVERLOADED, UNCONFIRMED_S, Isolation
+from tests.decide.test_engine_queue import Group, in_loop
 
 
 class Entry:
--- a/tests/forward/test_parts.py
+++ b/tests/forward/test_parts.py
@@ -6,16 +6,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from leadhollow.forward.budget import RATIO_USED, SLACK_USED, RetryBudget
-from leadhollow.forward.engine_model import (
+from leadhollow.decide.engine_model import (
     FIXED_MS,
     UNREAD_SHARE,
     WAITING_SHARE,
     EngineDemand,
     EngineModel,
 )
+from leadhollow.decide.health import FAILURES_TO_EJECT, FIRST_EJECTION_S, Health
+from leadhollow.decide.retry_budget import RATIO_USED, SLACK_USED, RetryBudget
 from leadhollow.forward.events import EventSplitter
-from leadhollow.forward.health import FAILURES_TO_EJECT, FIRST_EJECTION_S, Health
 from leadhollow.routing.model import EngineSpec
 from leadhollow.settings.node import Bounds
 
--- a/tests/membership/test_naming_times.py
+++ b/tests/membership/test_naming_times.py
@@ -7,7 +7,7 @@
 import pytest
 
 from leadhollow.control.version_ages import UP_TO_DATE_MS, VersionAges
-from leadhollow.forward.versions import MARGIN_S, VersionPolicy
+from leadhollow.decide.versions import MARGIN_S, VersionPolicy
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.settings.node import Bounds
 from leadhollow.state.catalog import Catalog
