Let an overload fall on all failure domains alike, and play load patterns in virtual time

Cause: entries ask for more certainty of a place the more new requests they refused themselves. Who refused a little more than the others refused more and more, and left the engines to them; what became free was also taken first by the entry that heard of it first. Change: entries tell what they decided with the uses that travel anyway, at most ten times a second and only while anybody is refused; the pressure is that of all entries, and one that refuses less than the others leaves engines to them. leadhollow.experiment plays such patterns: engines by their pass model, lagging views, callers that come back, around the very EngineQueue that entries run. Sums that the choice of an engine made again and again are kept.

--- a/src/leadhollow/control/engine_uses.py
+++ b/src/leadhollow/control/engine_uses.py
@@ -1,4 +1,4 @@
-"""What all entries have at each engine, summed up for every one of them.
+"""What all entries have at each engine, and refused lately, summed up for every one of them.
 
 An entry tells its control replica each change at once. Replicas tell each other sums only, so
 what travels grows with the engines of the domain and not with entries times requests.
@@ -9,8 +9,15 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+from leadhollow.decide.pressure import Decisions
 from leadhollow.kernel.gathering_service import GatheringService
-from leadhollow.membership.uses import Use, decode_uses, encode_uses
+from leadhollow.membership.uses import (
+    Use,
+    decode_decisions,
+    decode_uses,
+    encode_decisions,
+    encode_uses,
+)
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import UseReport, UseTotals
@@ -27,11 +34,23 @@
 class _Teller:
     """What one entry, or one other replica, last told."""
 
-    __slots__ = ("heard_s", "uses")
+    __slots__ = ("_decided_s", "_decisions", "heard_s", "uses")
 
     def __init__(self) -> None:
         self.uses: dict[str, Use] = {}
         self.heard_s = 0.0
+        self._decisions: dict[str, Decisions] = {}
+        self._decided_s = 0.0
+
+    def take_decisions(self, told: dict[str, Decisions], now_s: float) -> None:
+        """Take what was decided on requests, by service."""
+        self._decisions = told
+        self._decided_s = now_s
+
+    def decisions(self, now_s: float) -> dict[str, Decisions]:
+        """Give what was decided on requests, as it counts now."""
+        age_s = now_s - self._decided_s
+        return {name: found.faded(age_s) for name, found in self._decisions.items()}
 
     def take(self, told: dict[str, Use], *, whole: bool, now_s: float) -> set[str]:
         """Take what was told; gives the engines whose use changed."""
@@ -98,6 +117,12 @@
         found += [teller.uses.get(address) for teller in self._tellers.values()]
         return _sum(use for use in found if use is not None)
 
+    def decisions(self, *, without: str = "") -> dict[str, Decisions]:
+        """Sum up what entries decided lately, one of them left out, by service."""
+        now_s = asyncio.get_running_loop().time()
+        tellers = [teller for vm, teller in self._entries.items() if vm != without]
+        return _sum_decisions([*tellers, *self._tellers.values()], now_s)
+
     def forget(self, vm: str) -> None:
         """Drop what an entry told: it follows another replica now, or has ended."""
         teller = self._entries.pop(vm, None)
@@ -126,7 +151,9 @@
         if not dirty and not whole:
             return
         engines, uses = encode_uses({address: self._here(address) for address in sorted(dirty)})
-        totals = UseTotals(self._own_address, engines, uses, whole)
+        now_s = asyncio.get_running_loop().time()
+        decided = encode_decisions(_sum_decisions(self._entries.values(), now_s))
+        totals = UseTotals(self._own_address, engines, uses, whole, decided)
         for address in self._replicas():
             if address != self._own_address:
                 self._peers.post(address, totals)
@@ -156,6 +183,8 @@
             log.warning("uses not understood", failure=str(decoded.unwrap_err()))
             return set()
         now_s = asyncio.get_running_loop().time()
+        if told.decisions is not None:
+            teller.take_decisions(decode_decisions(told.decisions), now_s)
         return teller.take(decoded.unwrap(), whole=bool(told.whole), now_s=now_s)
 
     def _tell_here(self, changed: set[str], vm: str) -> None:
@@ -174,4 +203,12 @@
     return Use(requests=requests, unread_tokens=unread)
 
 
+def _sum_decisions(tellers: Iterable[_Teller], now_s: float) -> dict[str, Decisions]:
+    total: dict[str, Decisions] = {}
+    for teller in tellers:
+        for name, found in teller.decisions(now_s).items():
+            total.setdefault(name, Decisions()).add(found)
+    return total
+
+
 __all__ = ["EngineUses"]
--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -14,6 +14,7 @@
 from leadhollow.failure import Failure
 from leadhollow.membership.instances import Instance
 from leadhollow.membership.naming_times import NamingTimes
+from leadhollow.membership.uses import encode_decisions
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeRole
 from leadhollow.state.catalog import Catalog, encode_item
@@ -25,6 +26,7 @@
     FeedProbeReply,
     FeedUpdate,
     FeedWatch,
+    ServiceDecisions,
 )
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.streams import StreamSink
@@ -34,6 +36,7 @@
 USE_PAUSE_S = 0.02
 """Uses within it travel together; an entry's view of what others placed is about half as old."""
 
+DECISIONS_PAUSE_S = 0.1  # what was refused is told again after it, with whatever is told then
 USE_BYTES_PER_S = 2_000.0  # half of what control may send to a daemon
 USE_BYTES = 8  # one engine's use in an update
 STAGER_PREFIXES = ("weights/", "service/")
@@ -46,6 +49,7 @@
     """What one watcher has not been told yet."""
 
     __slots__ = (
+        "decisions_s",
         "engines",
         "instances",
         "loads",
@@ -63,6 +67,7 @@
         self.role = role
         self.engines: dict[str, int] = {}  # numbers that stand for addresses on this feed
         self.uses: set[str] = set()  # engines whose use changed
+        self.decisions_s = 0.0  # when it was last told what others refused
         self.sent_revision = sent_revision
         self.instances: dict[str, Instance] = {}
         self.loads: dict[str, Load] = {}
@@ -225,6 +230,7 @@
             engines,
             uses,
             named,
+            self._news_of_decisions(subscriber, now_s),
         )
 
     def _news_of_uses(self, subscriber: _Subscriber) -> tuple[list[str], list[EngineUse]]:
@@ -240,6 +246,17 @@
             uses.append(EngineUse(number, use.requests, use.unread_tokens))
         return engines, uses
 
+    def _news_of_decisions(
+        self, subscriber: _Subscriber, now_s: float
+    ) -> list[ServiceDecisions] | None:
+        """Give what other entries refused lately, unless that was told a moment ago."""
+        if subscriber.role is not NodeRole.ENTRY:
+            return None
+        if now_s - subscriber.decisions_s < DECISIONS_PAUSE_S:
+            return None
+        subscriber.decisions_s = now_s
+        return encode_decisions(self._uses.decisions(without=subscriber.vm)) or None
+
     def _on_catalog(self, items: list[CatalogItem]) -> None:
         for subscriber in self._subscribers:
             if any(subscriber.wants(item) for item in items):
--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -88,7 +88,7 @@
         eligible = self._eligible(wish, spec, now_s)
         heard = any(server.fresh_report(now_s) is not None for server, _ in eligible)
         told = self._board.hears_others()
-        best: EngineOption | None = None
+        best: tuple[Server, int, EngineDemand, float, float] | None = None
         best_rank = float("inf")
         for server, version in eligible:
             demand = server.demand(model, now_s, told=told)
@@ -102,15 +102,18 @@
                 rank += FAR_PENALTY_MS
             if rank < best_rank:
                 best_rank = rank
-                usual_ms = model.first_event_ms(demand, spec.usual_prompt_tokens) + delay_ms
-                best = EngineOption(
-                    server=server,
-                    first_ms=first_ms,
-                    usual_ms=min(first_ms, usual_ms),
-                    demand=demand,
-                    version=version,
-                )
-        return best
+                best = (server, version, demand, first_ms, delay_ms)
+        if best is None:
+            return None
+        server, version, demand, first_ms, delay_ms = best
+        usual_ms = model.first_event_ms(demand, spec.usual_prompt_tokens) + delay_ms
+        return EngineOption(
+            server=server,
+            first_ms=first_ms,
+            usual_ms=min(first_ms, usual_ms),
+            demand=demand,
+            version=version,
+        )
 
     def _eligible(
         self, wish: EngineWish, spec: EngineSpec, now_s: float
--- a/src/leadhollow/decide/engine_model.py
+++ b/src/leadhollow/decide/engine_model.py
@@ -47,10 +47,11 @@
 class EngineModel:
     """Times of one kind of engine."""
 
-    __slots__ = ("spec",)
+    __slots__ = ("_usual_ms", "spec")
 
     def __init__(self, *, spec: EngineSpec) -> None:
         self.spec = spec
+        self._usual_ms = self.request_ms(spec.usual_prompt_tokens, spec.usual_answer_tokens)
 
     def read_ms(self, tokens: float) -> float:
         """Time to read a prompt, attention among its tokens included."""
@@ -82,13 +83,12 @@
         """Time until the first event of a request that arrives now."""
         spec = self.spec
         waiting = max(0.0, demand.requests - spec.slots + 1)
-        usual_ms = self.request_ms(spec.usual_prompt_tokens, spec.usual_answer_tokens)
         running = min(demand.requests, spec.slots - 1) + 1
         pass_ms = self.pass_ms(running, demand.context_tokens)
         backlog_ms = 1000 * demand.unread_tokens / spec.read_tokens_per_s
         begun_ms = pass_ms / 2 if demand.requests else 0.0
         own_ms = self.read_ms(prompt_tokens) + pass_ms
-        waiting_ms = WAITING_SHARE * waiting * usual_ms
+        waiting_ms = WAITING_SHARE * waiting * self._usual_ms
         backlog_ms *= UNREAD_SHARE
         return FIXED_MS + demand.pace * (waiting_ms + begun_ms + backlog_ms + own_ms)
 
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from leadhollow.decide.admission import SURE_MARGIN_S, takes
 from leadhollow.decide.comeback import Refusal
 from leadhollow.decide.engine_choice import EngineChooser, EngineOption
-from leadhollow.decide.pressure import Pressure
+from leadhollow.decide.policy import QueuePolicy
+from leadhollow.decide.pressure import Decisions, Pressure
 from leadhollow.decide.server import OwnCall
 from leadhollow.decide.sources import EngineSource, WeightsRule
 from leadhollow.decide.wish import EngineWish, Placement, Standing
@@ -23,10 +24,6 @@
 """Part of the objective after which a request is placed or refused; users allow a quarter."""
 
 MOST_HELD = 64  # requests that an entry holds beyond their decision
-RETURN_S = 2.5
-"""After an outage those that were sent away during it come back for so long: callers wait up to two
-seconds, and are spread over that time."""
-
 HOPELESS = 0.5
 """Pressure from which nobody is held: few of those that were got room in time on played days, and
 a caller that waits in vain would rather have heard at once."""
@@ -79,6 +76,8 @@
         Seed of the random parts of choices and of return times.
     clock
         Gives the time in seconds.
+    policy
+        What it does of what can be chosen.
     """
 
     __slots__ = (
@@ -87,6 +86,7 @@
         "_clock",
         "_held",
         "_outage_s",
+        "_policy",
         "_pressure",
         "_random",
         "_versions",
@@ -101,7 +101,9 @@
         failure_domain: str,
         seed: int,
         clock: Callable[[], float],
+        policy: QueuePolicy | None = None,
     ) -> None:
+        self._policy = policy or QueuePolicy()
         self._versions = versions
         self._clock = clock
         self._random = random.Random(seed)
@@ -169,18 +171,29 @@
         if wish.standing is not Standing.CAME_BACK:
             return wish.standing
         outage_s = self._outage_s.get(wish.service.name, self._began_s)
-        recovering = self._clock() - outage_s < RETURN_S
+        recovering = self._clock() - outage_s < self._policy.promise_s
         return Standing.PROMISED if recovering else wish.standing
 
     def _holds(self, wish: EngineWish) -> bool:
         """Tell whether a request that came back is likely to get room that is left over."""
         now_s = self._clock()
-        if wish.hold_s <= now_s or len(self._held) >= MOST_HELD:
+        if not self._policy.holds or wish.hold_s <= now_s or len(self._held) >= MOST_HELD:
             return False
         if self._pressure_of(wish.service).level(now_s) >= HOPELESS:
             return False
         return self._chooser.best(wish, now_s) is not None
 
+    def decisions(self) -> dict[str, Decisions]:
+        """Give what this entry decided lately on new requests of each service."""
+        now_s = self._clock()
+        return {service: found.own(now_s) for service, found in self._pressure.items()}
+
+    def take_decisions(self, told: Mapping[str, Decisions]) -> None:
+        """Take what the other entries decided lately on new requests of each service."""
+        now_s = self._clock()
+        for service, decisions in told.items():
+            self._pressure.setdefault(service, Pressure()).take_others(decisions, now_s)
+
     def pressure(self) -> float:
         """Give the highest pressure on the engines of any service."""
         now_s = self._clock()
@@ -227,7 +240,7 @@
                 self._outage_s[wish.service.name] = now_s
             return None
         pressure = self._pressure_of(wish.service)
-        level = pressure.level(now_s)
+        level = self._level(pressure, now_s)
         shortest_s = pressure.shortest_objective_s(wish.objective_s, now_s)
         margin_s = wish.on_time_s - now_s - option.usual_ms / 1000
         margin_s -= level * (SURE_MARGIN_S + wish.objective_s - shortest_s)
@@ -235,6 +248,11 @@
             return None
         return self._take(wish, option, now_s, pressure=level)
 
+    def _level(self, pressure: Pressure, now_s: float) -> float:
+        if not self._policy.uses_pressure:
+            return 0.0
+        return pressure.balanced_level(now_s) if self._policy.balances else pressure.level(now_s)
+
     def _pressure_of(self, service: ServiceRecord) -> Pressure:
         return self._pressure.setdefault(service.name, Pressure())
 
--- /dev/null
+++ b/src/leadhollow/decide/policy.py
@@ -0,0 +1,32 @@
+"""What of the queue's behaviour may be chosen, so that it can be measured against its absence."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class QueuePolicy(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Choices of one queue; the defaults are what entries run.
+
+    Parameters
+    ----------
+    promise_s
+        After an outage those that come back go first for so long; 0 never.
+    holds
+        Whether callers that come no more are kept for room that is left over.
+    uses_pressure
+        Whether the margin before an objective grows with the share of requests refused lately.
+    shares_pressure
+        Whether what the other entries refused counts in it.
+    balances
+        Whether an entry that refuses less than the others leaves engines to them.
+    """
+
+    promise_s: float = 2.5
+    holds: bool = True
+    uses_pressure: bool = True
+    shares_pressure: bool = True
+    balances: bool = True
+
+
+__all__ = ["QueuePolicy"]
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -119,6 +119,7 @@
         "_own_counts",
         "_told",
         "_told_counts",
+        "_unread_tokens",
         "calls",
         "health",
         "instance",
@@ -135,6 +136,7 @@
     ) -> None:
         self.instance = instance
         self.calls: set[OwnCall] = set()
+        self._unread_tokens = 0  # of our calls that have no event yet
         self.report: Report | None = None
         self.health = Health()
         self._on_use = on_use
@@ -153,24 +155,31 @@
     def add(self, call: OwnCall) -> None:
         """Note a request that goes there."""
         self.calls.add(call)
+        self._unread_tokens += call.prompt_tokens
         self._own_counts.note(len(self.calls), call.placed_s)
         self._on_use(self.instance.address)
 
     def remove(self, call: OwnCall, now_s: float) -> None:
         """Note that a request ended."""
+        self._note_read(call)
         self.calls.discard(call)
         self._own_counts.note(len(self.calls), now_s)
         self._on_use(self.instance.address)
 
     def begun(self, call: OwnCall) -> None:
         """Note the first event of a request: its prompt is read."""
-        call.reading = False
+        self._note_read(call)
         self._on_use(self.instance.address)
 
+    def _note_read(self, call: OwnCall) -> None:
+        """Count a prompt no more among those that are being read."""
+        if call.reading and call in self.calls:
+            self._unread_tokens -= call.prompt_tokens
+        call.reading = False
+
     def use(self) -> Use:
         """Give what this entry has there."""
-        unread = sum(call.prompt_tokens for call in self.calls if call.reading)
-        return Use(requests=len(self.calls), unread_tokens=unread)
+        return Use(requests=len(self.calls), unread_tokens=self._unread_tokens)
 
     def take_told(self, use: Use, now_s: float) -> None:
         """Take what other entries have there."""
@@ -255,7 +264,7 @@
         """
         report = self.fresh_report(now_s)
         others = self.others(now_s, told=told)
-        unread = float(self.use().unread_tokens)
+        unread = float(self._unread_tokens)
         if told:
             unread += self._told.unread_tokens
         else:
--- a/src/leadhollow/decide/wish.py
+++ b/src/leadhollow/decide/wish.py
@@ -7,6 +7,10 @@
 from leadhollow.decide.server import OwnCall, Server
 from leadhollow.routing.model import ServiceRecord
 
+HOLD_SHARE = 0.3
+"""Of the time that is left to a caller that does not come again: so long its request is kept for
+room that is left over. Later than that its answer would hardly be whole in time."""
+
 
 class Standing(IntEnum):
     """Who goes before whom while requests wait.
@@ -132,4 +136,4 @@
         self.expected_version = expected_version
 
 
-__all__ = ["EngineWish", "Placement", "Standing"]
+__all__ = ["HOLD_SHARE", "EngineWish", "Placement", "Standing"]
--- /dev/null
+++ b/src/leadhollow/experiment/outcome.py
@@ -0,0 +1,84 @@
+"""What became of the callers of one run."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from leadhollow.experiment.scenario import MS_PER_S
+from leadhollow.experiment.world import Caller
+
+SIZE_FLOOR = 0.3  # of its kind's worth that every request has; the rest goes by its size
+REFUSED_AGAIN_COST = 0.3  # of the worth of a caller that came back in vain
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True):
+    """Shares of the worth that was asked for.
+
+    Parameters
+    ----------
+    worth
+        What callers got less what returning in vain cost them.
+    by_kind, by_domain
+        What callers got, without that cost.
+    on_time, late, refused
+        Parts of the requests.
+    """
+
+    worth: float
+    by_kind: dict[str, float]
+    by_domain: dict[str, float]
+    on_time: float
+    late: float
+    refused: float
+
+
+def judge(callers: Iterable[Caller]) -> Outcome:
+    """Sum up a run."""
+    found = list(callers)
+    owed = [_weight(caller) * caller.kind.worth for caller in found]
+    got = [_weight(caller) * _earned(caller) for caller in found]
+    in_vain = sum(
+        REFUSED_AGAIN_COST * worth
+        for caller, worth in zip(found, owed, strict=True)
+        if caller.refused_again
+    )
+    total = sum(owed) or 1.0
+    on_time = sum(1 for caller in found if _on_time(caller))
+    served = sum(1 for caller in found if caller.outcome_s is not None)
+    return Outcome(
+        worth=(sum(got) - in_vain) / total,
+        by_kind=_shares([caller.kind.name for caller in found], got, owed),
+        by_domain=_shares([caller.domain for caller in found], got, owed),
+        on_time=on_time / max(1, len(found)),
+        late=(served - on_time) / max(1, len(found)),
+        refused=(len(found) - served) / max(1, len(found)),
+    )
+
+
+def _weight(caller: Caller) -> float:
+    size = caller.prompt_tokens / caller.kind.prompt_tokens
+    return min(4.0, SIZE_FLOOR + (1 - SIZE_FLOOR) * size)
+
+
+def _on_time(caller: Caller) -> bool:
+    return caller.outcome_s is not None and caller.outcome_s <= caller.kind.objective_ms / MS_PER_S
+
+
+def _earned(caller: Caller) -> float:
+    if caller.outcome_s is None:
+        return 0.0
+    return caller.kind.worth if _on_time(caller) else caller.kind.late_worth
+
+
+def _shares(names: list[str], got: list[float], owed: list[float]) -> dict[str, float]:
+    sums: dict[str, list[float]] = {}
+    for name, part, whole in zip(names, got, owed, strict=True):
+        found = sums.setdefault(name, [0.0, 0.0])
+        found[0] += part
+        found[1] += whole
+    return {name: part / whole for name, (part, whole) in sorted(sums.items())}
+
+
+__all__ = ["Outcome", "judge"]
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -8,7 +8,7 @@
 from leadhollow.codes import Code
 from leadhollow.decide.engine_queue import DECIDE_SHARE, EngineQueue
 from leadhollow.decide.retry_budget import RetryBudget
-from leadhollow.decide.wish import EngineWish, Placement, Standing
+from leadhollow.decide.wish import HOLD_SHARE, EngineWish, Placement, Standing
 from leadhollow.failure import Failure
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.call import ForwardedCall
@@ -27,11 +27,6 @@
 FIRST_EVENT_FACTOR = 2.5  # of the predicted time, and at least the objective
 RESUME_WAIT_S = 0.3  # how long a broken stream may look for an engine without being late for it
 
-HOLD_SHARE = 0.3
-"""Of the time that is left to a caller that does not come again: so long its request is kept for
-room that is left over. Later than that its answer would hardly be whole in time."""
-
-
 log = get_logger("stream")
 
 
--- a/src/leadhollow/forward/use_reporter.py
+++ b/src/leadhollow/forward/use_reporter.py
@@ -1,25 +1,49 @@
-"""Tells the control replica that is followed what this entry has at each engine."""
+"""Tells the control replica that is followed what this entry has at each engine, and refused."""
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable, Mapping
+
+from leadhollow.decide.pressure import Decisions
 from leadhollow.forward.board import ServerBoard
 from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.control_feed import ControlFeed
-from leadhollow.membership.uses import encode_uses
-from leadhollow.wire.generated.ttypes import UseReport
+from leadhollow.membership.uses import encode_decisions, encode_uses
+from leadhollow.wire.generated.ttypes import ServiceDecisions, UseReport
 from leadhollow.wire.peers import PeerPool
 
 GATHER_S = 0.004  # changes within it travel together
 REFRESH_S = 0.5  # everything is told again this often: a report may have been lost
 
 
+DECISIONS_PAUSE_S = 0.1
+"""What was refused is told again after it, beside uses that travel anyway: a tenth of the time in
+which a refusal comes to count half."""
+
+
 class UseReporter(GatheringService):
-    """Reports changes at once, and everything now and then."""
+    """Reports changes at once, and everything now and then.
 
-    __slots__ = ("_board", "_dirty", "_feed", "_peers", "_told")
+    Parameters
+    ----------
+    decisions
+        Gives what this entry decided lately on requests for each service.
+    """
 
-    def __init__(self, *, board: ServerBoard, feed: ControlFeed, peers: PeerPool) -> None:
+    __slots__ = ("_board", "_decisions", "_decisions_s", "_dirty", "_feed", "_peers", "_told")
+
+    def __init__(
+        self,
+        *,
+        board: ServerBoard,
+        decisions: Callable[[], Mapping[str, Decisions]],
+        feed: ControlFeed,
+        peers: PeerPool,
+    ) -> None:
         self._board = board
+        self._decisions = decisions
+        self._decisions_s = 0.0
         self._feed = feed
         self._peers = peers
         self._dirty: set[str] = set()
@@ -47,8 +71,16 @@
         if whole:
             uses = {address: use for address, use in self._board.uses().items() if not use.nothing}
         engines, records = encode_uses(uses)
-        connected.unwrap().oneway(UseReport(engines, records, whole))
+        connected.unwrap().oneway(UseReport(engines, records, whole, self._news()))
         return True
 
+    def _news(self) -> list[ServiceDecisions] | None:
+        """Give what was decided, unless it was told a moment ago."""
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._decisions_s < DECISIONS_PAUSE_S:
+            return None
+        self._decisions_s = now_s
+        return encode_decisions(self._decisions())
+
 
 __all__ = ["UseReporter"]
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -8,10 +8,11 @@
 
 import msgspec
 
+from leadhollow.decide.pressure import Decisions
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.instances import Instance, InstanceTable
 from leadhollow.membership.naming_times import NamingTimes
-from leadhollow.membership.uses import Use, decode_uses
+from leadhollow.membership.uses import Use, decode_decisions, decode_uses
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeRole, NodeSettings
 from leadhollow.state.catalog import Catalog, decode_item
@@ -50,6 +51,7 @@
 
 LoadListener = Callable[[LoadRecord, float], None]
 UseListener = Callable[[dict[str, Use], bool], None]
+DecisionsListener = Callable[[dict[str, Decisions]], None]
 
 log = get_logger("feed")
 
@@ -73,6 +75,7 @@
 
     __slots__ = (
         "_current",
+        "_decisions_listeners",
         "_domains",
         "_engines",
         "_load_listeners",
@@ -98,6 +101,7 @@
         self._random = random.Random(settings.vm)
         self._load_listeners: list[LoadListener] = []
         self._use_listeners: list[UseListener] = []
+        self._decisions_listeners: list[DecisionsListener] = []
         self._engines: list[str] = []  # addresses by their numbers on the feed that is followed
         self.catalog = Catalog()
         self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
@@ -124,6 +128,10 @@
         """
         self._use_listeners.append(listener)
 
+    def on_decisions(self, listener: DecisionsListener) -> None:
+        """Call a function with what the other entries decided lately, by service."""
+        self._decisions_listeners.append(listener)
+
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for replicas at other seeds from now on; known ones are kept."""
         self._seeds = seeds
@@ -305,6 +313,10 @@
             return
         for listener in self._use_listeners:
             listener(decoded.unwrap(), bool(update.whole))
+        if update.decisions is not None:
+            decisions = decode_decisions(update.decisions)
+            for take in self._decisions_listeners:
+                take(decisions)
 
     def _take_replicas(self, replicas: list[str] | None) -> None:
         if replicas is None:
--- a/src/leadhollow/membership/uses.py
+++ b/src/leadhollow/membership/uses.py
@@ -1,4 +1,4 @@
-"""What entries have at an engine, and how it travels."""
+"""What entries have at engines and lately decided on requests, and how it travels."""
 
 from __future__ import annotations
 
@@ -7,8 +7,15 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
+from leadhollow.decide.pressure import Decisions
 from leadhollow.failure import Failure
-from leadhollow.wire.generated.ttypes import EngineUse
+from leadhollow.wire.generated.ttypes import EngineUse, ServiceDecisions
+
+MILLI = 1000  # decisions travel in thousandths
+
+TOLD_FROM = 0.05
+"""Refused requests, older ones counting less, below which there is nothing to tell: while nobody is
+refused anywhere, nothing of it travels."""
 
 
 class Use:
@@ -75,4 +82,23 @@
     return Ok(found)
 
 
-__all__ = ["Use", "decode_uses", "encode_uses"]
+def encode_decisions(decisions: Mapping[str, Decisions]) -> list[ServiceDecisions]:
+    """Encode what was decided on requests for services, as far as any was refused."""
+    return [
+        ServiceDecisions(name, round(found.made * MILLI), round(found.refused * MILLI))
+        for name, found in decisions.items()
+        if found.refused >= TOLD_FROM
+    ]
+
+
+def decode_decisions(records: Iterable[ServiceDecisions] | None) -> dict[str, Decisions]:
+    """Decode what was decided on requests, by service."""
+    return {
+        record.name: Decisions(
+            made=(record.made_milli or 0) / MILLI, refused=(record.refused_milli or 0) / MILLI
+        )
+        for record in records or ()
+    }
+
+
+__all__ = ["Use", "decode_decisions", "decode_uses", "encode_decisions", "encode_uses"]
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -62,6 +62,7 @@
             seed=process.seed,
             clock=clock,
         )
+        feed.on_decisions(self.queue.take_decisions)
         ending = Ending(dialect=dialect)
         exchanger = Exchanger(dialect=dialect, pool=pool)
         self.streams = StreamForwarder(
@@ -120,8 +121,13 @@
 
     def make_reporter() -> Service:
         feed = kernel.get("feed", ControlFeed)
-        board = kernel.get("dispatching", Dispatching).board
-        return UseReporter(board=board, feed=feed, peers=process.peers)
+        shared = kernel.get("dispatching", Dispatching)
+        return UseReporter(
+            board=shared.board,
+            decisions=shared.queue.decisions,
+            feed=feed,
+            peers=process.peers,
+        )
 
     def make_prober() -> Service:
         board = kernel.get("dispatching", Dispatching).board
