Compare two policies of the queue on the command line

Cause: a load pattern could be played from tests only. Change: leadhollow experiment run SCENARIO plays a named pattern or a scenario file under two policies, paired by seed, and prints means, differences and their intervals; a policy, a scenario or a field that does not exist is refused by name. A pattern more: everything out for 1.5 s.

--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -13,6 +13,7 @@
     BenchRequestsCommand,
 )
 from leadhollow.cli.demo_command import DemoCommand
+from leadhollow.cli.experiment_command import ExperimentRunCommand
 from leadhollow.cli.explain_command import ExplainCommand
 from leadhollow.cli.model_commands import ModelPublishCommand, ModelRolloutCommand
 from leadhollow.cli.output import print_failure
@@ -51,6 +52,7 @@
     DrainCommand,
     ErrorsCommand,
     ExplainCommand,
+    ExperimentRunCommand,
     StateVerifyCommand,
     StateBackupCommand,
     StateRestoreCommand,
--- a/src/leadhollow/experiment/patterns.py
+++ b/src/leadhollow/experiment/patterns.py
@@ -79,6 +79,18 @@
                 Change(at_s=13.0, engines_out=0.0),
             ),
         ),
+        Scenario(
+            name="blink",
+            engine=ENGINE,
+            kinds=KINDS,
+            domains=WIDE,
+            length_s=20.0,
+            changes=(
+                Change(at_s=0.0, load=1.0),
+                Change(at_s=6.0, engines_out=1.0),
+                Change(at_s=7.5, engines_out=0.0),
+            ),
+        ),
         Scenario(
             name="half-out",
             engine=ENGINE,
