Use engines at once that changed their weights or have free places again

(2) While engines that had just come stood at 10 to 12 of 16 places, a quarter of the new requests was refused for 1.5 s, because pressure tells of the refusals of the last seconds. Change: what an engine breaks off while it says that it changes is no failure of it; one that begins to answer gets more than one request again; an engine with over a quarter of its places free takes what comes in time, whatever was refused before.

--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -23,6 +23,11 @@
 DECIDE_SHARE = 0.2
 """Part of the objective after which a request is placed or refused; users allow a quarter."""
 
+ROOMY = 0.25
+"""Part of an engine's places that are free from which nothing is asked but that a request comes in
+time: pressure is what refusals of the last seconds say, and engines that have just come, or come
+back, stood half empty for a second while every fourth new request was refused."""
+
 MOST_HELD = 64  # requests that an entry holds beyond their decision
 HOPELESS = 0.5
 """Pressure from which nobody is held: few of those that were got room in time on played days, and
@@ -240,7 +245,7 @@
                 self._outage_s[wish.service.name] = now_s
             return None
         pressure = self._pressure_of(wish.service)
-        level = self._level(pressure, now_s)
+        level = self._level(pressure, now_s, option)
         shortest_s = pressure.shortest_objective_s(wish.objective_s, now_s)
         margin_s = wish.on_time_s - now_s - option.usual_ms / 1000
         margin_s -= level * (SURE_MARGIN_S + wish.objective_s - shortest_s)
@@ -248,8 +253,11 @@
             return None
         return self._take(wish, option, now_s, pressure=level)
 
-    def _level(self, pressure: Pressure, now_s: float) -> float:
-        if not self._policy.uses_pressure:
+    def _level(self, pressure: Pressure, now_s: float, option: EngineOption) -> float:
+        """Give how much certainty is asked of a place."""
+        slots = option.server.instance.slots
+        roomy = slots - option.demand.requests > ROOMY * slots
+        if not self._policy.uses_pressure or (roomy and self._policy.uses_room):
             return 0.0
         return pressure.balanced_level(now_s) if self._policy.balances else pressure.level(now_s)
 
--- a/src/leadhollow/decide/health.py
+++ b/src/leadhollow/decide/health.py
@@ -52,6 +52,14 @@
         if self._ejected_until_s and now_s >= self._ejected_until_s:
             self._probing = True
 
+    def note_begun(self) -> None:
+        """Note that it began to answer, so that more than one request may go there again.
+
+        Without this a server that came back got one request from each entry until that one's whole
+        answer had ended. What it failed at before still counts.
+        """
+        self._probing = False
+
     def note_success(self) -> None:
         """Note a good answer."""
         self._failures = 0
--- a/src/leadhollow/decide/policy.py
+++ b/src/leadhollow/decide/policy.py
@@ -16,6 +16,8 @@
         Whether callers that come no more are kept for room that is left over.
     uses_pressure
         Whether the margin before an objective grows with the share of requests refused lately.
+    uses_room
+        Whether engines with many free places take requests whatever the pressure is.
     shares_pressure
         Whether what the other entries refused counts in it.
     balances
@@ -25,6 +27,7 @@
     promise_s: float = 2.5
     holds: bool = True
     uses_pressure: bool = True
+    uses_room: bool = True
     shares_pressure: bool = True
     balances: bool = True
 
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -220,6 +220,16 @@
         report = self.fresh_report(now_s)
         return report is not None and bool(report.record.switching)
 
+    def note_broken(self, now_s: float) -> None:
+        """Note a request that it did not bring to its end.
+
+        An engine breaks requests off where it changes its weights. That was told before and is over
+        in a third of a second, so it counts for no failure: it would be out of use for longer, and
+        then get one request from each entry until that one's answer had ended.
+        """
+        if not self.switching(now_s):
+            self.health.note_failure(now_s)
+
     def path_delay_ms(self, now_s: float) -> float:
         """Give how much longer than usual small messages take to the server's VM and back."""
         report = self.fresh_report(now_s)
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -277,7 +277,7 @@
         self._failure = failure
         self._excluded.add(placement.server.instance.instance)
         now_s = asyncio.get_running_loop().time()
-        placement.server.health.note_failure(now_s)
+        placement.server.note_broken(now_s)
         if placement.call.reading:
             late_ms = (now_s - placement.call.placed_s) * 1000 - placement.call.predicted_ms
             placement.server.note_first_event(max(0.0, late_ms), now_s)
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -86,6 +86,7 @@
                 return Err(order)
             if placement.call.reading:
                 placement.server.begun(placement.call)
+                placement.server.health.note_begun()
                 self._note_first_event(placement)
             self._begin_reply(exchange)
             await call.reply.write(b"".join(event.data for event in events))
--- a/tests/decide/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -512,6 +512,18 @@
 
         in_loop(work)
 
+    def test_an_engine_with_many_free_places_takes_requests_whatever_was_refused_before(self):
+        async def work() -> None:
+            group = Group()
+            full = group.engine("full", active=4, queued=9)
+            for _ in range(12):
+                refused = await place(group.queue, a_wish(on_time_s=0.25, decide_s=0.0))
+                assert refused.is_err()
+            group.report(full, active=2, queued=0)
+            assert (await place(group.queue, a_wish(on_time_s=0.25, decide_s=0.0))).is_ok()
+
+        in_loop(work)
+
     def test_a_large_request_is_taken_like_a_usual_one(self):
         async def work() -> None:
             group = Group()
--- a/tests/forward/test_parts.py
+++ b/tests/forward/test_parts.py
@@ -132,6 +132,26 @@
         health.note_neutral()
         assert health.usable(1.0)
 
+    def test_one_that_began_to_answer_gets_more_than_one_request_again(self):
+        health = Health()
+        for _ in range(FAILURES_TO_EJECT):
+            health.note_failure(1.0)
+        back_s = 1.0 + FIRST_EJECTION_S
+        health.note_start(back_s)
+        assert not health.usable(back_s)
+        health.note_begun()
+        assert health.usable(back_s)
+
+    def test_one_that_began_to_answer_and_fails_again_is_out_of_use_at_once(self):
+        health = Health()
+        for _ in range(FAILURES_TO_EJECT):
+            health.note_failure(1.0)
+        back_s = 1.0 + FIRST_EJECTION_S
+        health.note_start(back_s)
+        health.note_begun()
+        health.note_failure(back_s)
+        assert not health.usable(back_s + FIRST_EJECTION_S)
+
 
 class TestReachability:
     def test_a_server_that_cannot_be_reached_gets_no_request_while_connections_fail(self):
