Finish the version before while the newest cannot be had, and leave slow sources

(2) A stager on a narrowed link (a twentieth of its speed) had read two pieces that nobody else held: it sent slices all the time, so it did not count as hanging, and every engine waited 3 s at 62 of 64 pieces, past the bound of the version that ran. Change: decide/version_choice.py plans what is fetched and installed; a version between the held and the newest one is finished while nobody holds some pieces of the newest and the origin does not answer, and is installed 2.5 s before the bound where the newest does not come by then; the bound is that of the weights that the engine holds. A piece that takes three times the usual time is asked of another holder or, by the order of the readers, of the origin.

--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -143,6 +143,7 @@
             times=feed().naming_times,
             version_s=settings.bounds.version_ms / 1000,
             turn=is_turn,
+            piece_s=lambda staged: staged.manifest.chunk_bytes / link_bytes_per_s(),
         )
 
     def make_pieces() -> Service:
--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -10,6 +10,10 @@
 from leadhollow.staging.piece_source import PieceSource
 from leadhollow.staging.sharing import Sharing, Stager
 
+FAILED_RECENTLY_S = 3.0
+"""An origin that failed last is taken for away for so long: a stager that has read its own part
+asks it again only when its turn to step in comes."""
+
 AWAY_S = 0.2  # an origin that did not answer is asked again after it
 
 PER_SOURCE = 2  # pieces ordered from one stager at a time; it serves others too
@@ -38,6 +42,7 @@
 
     __slots__ = (
         "_away_until_s",
+        "_failed_s",
         "_far",
         "_import_s",
         "_near",
@@ -55,6 +60,7 @@
         self._own = own
         self._patience = patience
         self._away_until_s = 0.0
+        self._failed_s = float("-inf")  # when the origin failed, unless it answered since
         self._near = 0  # bits of the pieces that neighbours hold
         self._far = 0  # and of those that others hold
         self._read_s = LONGEST_READ_S
@@ -82,8 +88,20 @@
     def origin_failed(self, now_s: float) -> None:
         """Take note that the origin does not answer."""
         self._step_in_from_s = None
+        self._failed_s = now_s
         self._away_until_s = now_s + AWAY_S
 
+    def origin_answered(self) -> None:
+        """Take note that the origin sent a piece."""
+        self._failed_s = float("-inf")
+
+    def blocked(self, missing: list[int], now_s: float) -> bool:
+        """Tell whether nobody holds some of these pieces and the origin does not answer."""
+        if now_s - self._failed_s > FAILED_RECENTLY_S:
+            return False
+        held = self._near | self._far
+        return any(not held >> index & 1 for index in missing)
+
     def in_order(self, missing: list[int], now_s: float) -> list[int]:
         """Give the pieces in the order in which they should be asked for.
 
@@ -109,6 +127,11 @@
             return None
         return Origin.ORIGIN if self._reads(index) or self._steps_in(index, now_s) else None
 
+    def elsewhere(self, index: int, source: PieceSource, now_s: float) -> bool:
+        """Tell whether a piece can be had of another holder or of the origin."""
+        others = [one for one in self._sources if one is not source and index in one.held]
+        return bool(others) or now_s >= self._away_until_s
+
     def _be_patient(self, missing: list[int]) -> None:
         """Work out how long others are waited for, by what is left for them to do."""
         held = self._near | self._far
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from leadhollow.decide.version_choice import VersionProgress, bound_s, plan_versions
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.observe.logs import get_logger, log_decision
@@ -48,6 +49,8 @@
     turn
         Tells whether it is our engine's turn to change, and whether it still is once the others
         have been told that it changes.
+    piece_s
+        Gives the time in which this VM's link carries one piece of a version.
     first_start
         Whether engine and process start together, so that the engine holds weights it came with.
     """
@@ -56,9 +59,9 @@
         "_began_s",
         "_catalog",
         "_engine",
-        "_fetch",
-        "_fetch_task",
+        "_fetches",
         "_models",
+        "_piece_s",
         "_read_back",
         "_stage_patience_s",
         "_staged",
@@ -85,6 +88,7 @@
         times: NamingTimes,
         version_s: float,
         turn: Callable[[StagedVersion, bool], bool],
+        piece_s: Callable[[StagedVersion], float],
     ) -> None:
         self._catalog = catalog
         self._engine = engine
@@ -92,8 +96,8 @@
         self._store = store
         self._models = models
         self._start_fetch = start_fetch
-        self._fetch: PieceFetch | None = None
-        self._fetch_task: asyncio.Task[None] | None = None
+        self._piece_s = piece_s
+        self._fetches: dict[StagedVersion, _RunningFetch] = {}
         self._read_back = False
         self._times = times
         self._version_s = version_s
@@ -110,8 +114,8 @@
     async def stop(self) -> None:
         """Stop fetching."""
         await super().stop()
-        if self._fetch_task is not None:
-            self._fetch_task.cancel()
+        for fetch in self._fetches.values():
+            fetch.task.cancel()
         self._engine.close()
 
     async def _work(self) -> None:
@@ -138,39 +142,83 @@
         if report is not None and not self._read_back:
             for version in known:
                 await self._read_stage(version)
-        staged = self._store.open(known[0])
+        progress = [self._progress_of(version) for version in known]
+        plan = plan_versions(
+            progress,
+            held=self._held(report, known),
+            version_s=self._version_s,
+            now_s=asyncio.get_running_loop().time(),
+        )
+        self._keep_fetching(known, plan.fetch)
+        goal = plan.install if plan.install is not None else next(iter(plan.fetch), None)
+        staged = next((self._store.open(found) for found in known if found.number == goal), None)
         if staged is None:
             return
+        bound = self._usable_until_s(progress, report, known)
         if not staged.complete:
-            self._ensure_fetch(staged)
             if report is not None:
                 await self._stage_new(staged)
             if staged.complete:
                 await self._watch.tell()  # whose turn it is depends on who is complete
-                if self._is_in_use(staged, report):
+                if self._is_in_use(bound, report):
                     await asyncio.sleep(NOTICE_S)
             return
-        if report is None:
-            return
-        if _holds(report, staged):
+        if report is None or plan.install is None:
             return
-        if report.busy or not self._is_our_turn(staged, report, announced=False):
+        if report.busy or not self._is_our_turn(staged, bound, report, announced=False):
             return
-        await self._install(staged)
+        await self._install(staged, bound)
+
+    def _usable_until_s(
+        self,
+        progress: list[VersionProgress],
+        report: EngineReport | None,
+        known: list[NamedVersion],
+    ) -> float:
+        """Give the loop time from which requests may not go to the engine as it is.
+
+        That is past where it holds no whole version: a few layers of one that is not wanted any
+        more serve nobody.
+        """
+        held = self._held(report, known)
+        if held is None:
+            return float("-inf")
+        return bound_s(progress, held, self._version_s)
+
+    def _held(self, report: EngineReport | None, known: list[NamedVersion]) -> int | None:
+        return None if report is None else _whole_version(report, known)
 
-    def _is_our_turn(self, staged: StagedVersion, report: EngineReport, *, announced: bool) -> bool:
+    def _progress_of(self, version: NamedVersion) -> VersionProgress:
+        """Tell how far this VM is with a version."""
+        staged = self._store.open(version)
+        fetch = None if staged is None else self._fetches.get(staged)
+        missing = 0 if staged is None else staged.held.count - staged.held.held
+        return VersionProgress(
+            number=version.number,
+            named_s=self._times.named_s(version.model, version.number),
+            described=staged is not None,
+            missing=missing,
+            piece_s=0.0 if staged is None else self._piece_s(staged),
+            blocked=fetch is not None and fetch.fetch.blocked(),
+        )
+
+    def _is_our_turn(
+        self, staged: StagedVersion, bound: float, report: EngineReport, *, announced: bool
+    ) -> bool:
         """Tell whether the engine may change now, without taking too many away at once."""
-        return not self._is_in_use(staged, report) or self._turn(staged, announced)
+        return not self._is_in_use(bound, report) or self._turn(staged, announced)
+
+    def _is_in_use(self, bound: float, report: EngineReport | None) -> bool:
+        """Tell whether requests may go to the engine with the weights that it holds.
 
-    def _is_in_use(self, staged: StagedVersion, report: EngineReport | None) -> bool:
-        """Tell whether requests may go to the engine with the weights that it holds."""
+        Parameters
+        ----------
+        bound
+            Loop time from which its weights are too old.
+        """
         if report is None or not report.served:
             return False
-        named_s = self._times.named_s(staged.model, staged.number)
-        if named_s is None:
-            return True  # engines brought it with them, so nobody is behind
-        bound_s = named_s + self._version_s
-        return asyncio.get_running_loop().time() < bound_s - LAST_CALL_S
+        return asyncio.get_running_loop().time() < bound - LAST_CALL_S
 
     def _may_hold_stage(self) -> bool:
         """Tell whether the engine, once it answers, may turn out to hold pieces already."""
@@ -200,15 +248,21 @@
             held=staged.held.held,
         )
 
-    def _ensure_fetch(self, staged: StagedVersion) -> None:
-        running = self._fetch_task is not None and not self._fetch_task.done()
-        if running and self._fetch is not None and self._fetch.version is staged:
-            return
-        if running and self._fetch_task is not None:
-            self._fetch_task.cancel()
-        log.info("fetch begins", model=staged.model, number=staged.number)
-        self._fetch = self._start_fetch(staged)
-        self._fetch_task = asyncio.get_running_loop().create_task(self._fetch.run())
+    def _keep_fetching(self, known: list[NamedVersion], numbers: tuple[int, ...]) -> None:
+        """Fetch these versions, and nothing else."""
+        wanted = [self._store.open(found) for found in known if found.number in numbers]
+        for version in list(self._fetches):
+            if version not in wanted:
+                self._fetches.pop(version).task.cancel()
+        for staged in wanted:
+            if staged is None or staged in self._fetches:
+                continue
+            log.info("fetch begins", model=staged.model, number=staged.number)
+            fetch = self._start_fetch(staged)
+            task = asyncio.get_running_loop().create_task(fetch.run())
+            self._fetches[staged] = _RunningFetch(fetch=fetch, task=task)
+        for staged, running in self._fetches.items():
+            running.fetch.yields = len(numbers) > 1 and staged.number == numbers[0]
 
     async def _stage_new(self, staged: StagedVersion) -> None:
         """Lay pieces into the stage as they come."""
@@ -232,17 +286,17 @@
     def _lies_staged(self, staged: StagedVersion, index: int) -> bool:
         return self._staged_of is staged and index in self._staged
 
-    async def _install(self, staged: StagedVersion) -> None:
+    async def _install(self, staged: StagedVersion, bound: float) -> None:
         await self._stage_new(staged)
         if not await self._verify_stage(staged):
             return
         self._watch.switching = True
         await self._watch.tell()
         try:
-            if self._is_in_use(staged, self._watch.report):
+            if self._is_in_use(bound, self._watch.report):
                 await asyncio.sleep(NOTICE_S)
             report = await self._watch.refresh()
-            if report is None or not self._is_our_turn(staged, report, announced=True):
+            if report is None or not self._is_our_turn(staged, bound, report, announced=True):
                 return  # another one announced at the same time, and comes first
             report = await self._let_finish()
             if report is None or report.busy or _holds(report, staged):
@@ -328,11 +382,34 @@
                 return
 
     def _progress(self) -> tuple[int, int]:
-        """Give the version that lies complete beside the engine, and its number of pieces."""
-        if self._fetch is None or not self._fetch.version.complete:
-            return 0, 0
-        version = self._fetch.version
-        return version.number, version.held.held
+        """Give the newest version that lies complete beside the engine, and its pieces."""
+        for model in self._models():
+            for version in self._store.versions(model):
+                if version.complete:
+                    return version.number, version.held.held
+        return 0, 0
+
+
+class _RunningFetch:
+    __slots__ = ("fetch", "task")
+
+    def __init__(self, *, fetch: PieceFetch, task: asyncio.Task[None]) -> None:
+        self.fetch = fetch
+        self.task = task
+
+
+def _whole_version(report: EngineReport, known: list[NamedVersion]) -> int | None:
+    """Give the newest version of a model of which the engine holds all layers.
+
+    Layers are counted by the manifests that are known; all versions of a model have as many.
+    """
+    layers = max((found.manifest.layers for found in known if found.manifest), default=0)
+    whole = [
+        served.version
+        for served in report.served
+        if served.model == known[0].model and served.first_layer == 0 and served.end_layer >= layers
+    ]
+    return max(whole, default=None)
 
 
 def _holds(report: EngineReport, staged: StagedVersion) -> bool:
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -40,6 +40,11 @@
 
 PATIENCE_MS = 1_200  # a sender that is asked by everybody takes a few tenths of a second
 TRAVEL_MS = 800  # what a slice may take on its way besides
+OVERDUE_S = 1.2
+"""A piece takes 0.4 s where all links are full. One that takes three times as long is asked of
+another holder, or of the origin: a sender whose link was narrowed, and which alone held two pieces,
+kept every engine from a version for three seconds."""
+
 REPORT_INTERVAL_S = 1.0
 FAILED_PAUSE_S = 0.2
 ORIGIN_SILENT_S = 1.0  # an origin that owes us a piece for so long takes nothing of our link
@@ -62,6 +67,11 @@
         Gives the speed of the origin's link, 0 where it is not known.
     window
         How many pieces may be on their way here at a time, of whatever version.
+
+    Attributes
+    ----------
+    yields
+        Whether it leaves the link to another version, and asks nobody but the origin.
     """
 
     __slots__ = (
@@ -70,6 +80,7 @@
         "_download",
         "_from_origin",
         "_ordered",
+        "_ordered_s",
         "_origin",
         "_origin_progress_s",
         "_others",
@@ -81,6 +92,7 @@
         "_wake",
         "_window",
         "version",
+        "yields",
     )
 
     def __init__(
@@ -97,6 +109,7 @@
         seed: int,
     ) -> None:
         self.version = version
+        self.yields = False
         self._own = own
         self._others = others
         self._origin = origin
@@ -113,12 +126,13 @@
         self._origin_progress_s = 0.0
         self._sources: dict[str, PieceSource] = {}
         self._ordered: dict[int, PieceSource | None] = {}  # pieces on their way; None: the origin
+        self._ordered_s: dict[int, float] = {}  # when each was asked of the stager it comes from
         self._parts: dict[int, list[bytes]] = {}  # slices of pieces that are not whole yet
         self._arrived_s = 0.0
         self._window = window
         self._from_origin: asyncio.Queue[int] = asyncio.Queue()
         self._wake = asyncio.Event()
-        self._started_s = 0.0
+        self._started_s = asyncio.get_running_loop().time()
 
     async def run(self) -> None:
         """Fetch until every piece is here."""
@@ -144,6 +158,11 @@
             origin_bytes=self._origin.bytes_read,
         )
 
+    def blocked(self) -> bool:
+        """Tell whether nobody holds some of the pieces and the origin does not answer."""
+        now_s = asyncio.get_running_loop().time()
+        return self._choice.blocked(list(self.version.held.missing()), now_s)
+
     async def _keep_reporting(self) -> None:
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
@@ -206,8 +225,10 @@
     def _order_from_stager(self, index: int, source: PieceSource) -> None:
         if not self._stager_room():
             return
+        now_s = asyncio.get_running_loop().time()
         self._ordered[index] = source
-        source.order(index, asyncio.get_running_loop().time())
+        self._ordered_s[index] = now_s
+        source.order(index, now_s)
         self._spawn(source, self._receive(source, index))
 
     def _order_from_origin(self, index: int) -> None:
@@ -219,6 +240,8 @@
 
     def _stager_room(self) -> bool:
         """Tell whether another piece may be ordered from a stager now."""
+        if self.yields:
+            return False
         at_origin = self._on_order_at_origin()
         from_stagers = len(self._ordered) - at_origin
         silent_s = asyncio.get_running_loop().time() - self._origin_progress_s
@@ -265,12 +288,29 @@
         """Take one piece, slice after slice; what came of it is kept for the next source."""
         try:
             while not self._has_all(index):
+                if index in self.version.held or self._gives_up(source, index):
+                    return
                 if not await self._receive_slice(source, index):
                     return
             self._take(source, index, b"".join(self._parts.pop(index)))
         finally:
             self._give_back(source, index)
 
+    def _gives_up(self, source: PieceSource, index: int) -> bool:
+        """Leave a source alone that takes too long over a piece which can be had elsewhere.
+
+        Not where our own link is slow: then all sources are.
+        """
+        now_s = asyncio.get_running_loop().time()
+        overdue = now_s - self._ordered_s[index] > OVERDUE_S
+        if not overdue or self._window.link_slow:
+            return False
+        if not self._choice.elsewhere(index, source, now_s):
+            return False
+        log.info("source is slow", piece=index, source=source.stager.address)
+        source.avoid(now_s)
+        return True
+
     def _has_all(self, index: int) -> bool:
         size = sum(map(len, self._parts.get(index, ())))
         return size >= self.version.manifest.chunk_bytes
@@ -372,6 +412,8 @@
                 elif not version.take(index, data):
                     log.warning("piece spoilt", index=index, source="origin")
                     await asyncio.sleep(FAILED_PAUSE_S)
+                else:
+                    self._choice.origin_answered()
             self._ordered.pop(index, None)
             self._wake.set()
 
--- a/src/leadhollow/staging/window.py
+++ b/src/leadhollow/staging/window.py
@@ -34,6 +34,11 @@
         """Pieces of which a slice may be on its way; at least one."""
         return max(1, round(self._size * self._link_share()))
 
+    @property
+    def link_slow(self) -> bool:
+        """Whether this VM's link is thought to carry less than it should."""
+        return self._link_share() < 1.0
+
     @property
     def narrowed(self) -> bool:
         """Whether the link is thought to be slow; what the origin sends then counts too."""
--- a/tests/staging/test_choice.py
+++ b/tests/staging/test_choice.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from leadhollow.staging.choice import AWAY_S, PER_SOURCE, Origin, SourceChoice
+from leadhollow.staging.choice import (
+    AWAY_S,
+    FAILED_RECENTLY_S,
+    PER_SOURCE,
+    Origin,
+    SourceChoice,
+)
 from leadhollow.staging.patience import LONGEST_IMPORT_S, LONGEST_READ_S, TaskPatience
 from leadhollow.staging.piece_source import HANGS_AFTER_S, PieceSource
 from leadhollow.staging.sharing import Sharing, Stager
@@ -159,3 +165,27 @@
             piece_bytes=24_576, origin_bytes_per_s=lambda: 0.0, link_bytes_per_s=lambda: 1.0
         )
         assert unknown.read_s(1) == LONGEST_READ_S
+
+
+class TestOriginAway:
+    def test_blocks_a_version_of_which_nobody_holds_some_pieces(self):
+        choice = a_choice(a_source(NEIGHBOUR, 5))
+        assert not choice.blocked([5, 6], 1.0)
+        choice.origin_failed(1.0)
+        assert choice.blocked([5, 6], 1.1)
+        assert not choice.blocked([5], 1.1)
+
+    def test_no_more_once_it_answers_or_was_not_asked_for_long(self):
+        choice = a_choice(a_source(NEIGHBOUR))
+        choice.origin_failed(1.0)
+        assert not choice.blocked([6], 1.1 + FAILED_RECENTLY_S)
+        choice.origin_answered()
+        assert not choice.blocked([6], 1.1)
+
+    def test_a_slow_holder_is_left_where_another_one_or_the_origin_has_the_piece(self):
+        slow, other = a_source(NEIGHBOUR, 5), a_source(FAR, 5)
+        alone = a_choice(slow)
+        assert alone.elsewhere(5, slow, 1.0)
+        alone.origin_failed(1.0)
+        assert not alone.elsewhere(5, slow, 1.1)
+        assert a_choice(slow, other).elsewhere(5, slow, 1.0)
--- a/tests/staging/test_exchange.py
+++ b/tests/staging/test_exchange.py
@@ -9,7 +9,7 @@
 from leadhollow.codes import Code
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
-from leadhollow.staging.piece_fetch import SLICE_BYTES, PieceFetch
+from leadhollow.staging.piece_fetch import OVERDUE_S, SLICE_BYTES, PieceFetch
 from leadhollow.staging.piece_server import PieceServer
 from leadhollow.staging.pieces import PieceStore, StagedVersion
 from leadhollow.staging.sharing import Stager
@@ -21,7 +21,7 @@
 from leadhollow.wire.server import WireServer
 from tests.support import TOKEN, eventually
 
-PIECE_BYTES = 2 * SLICE_BYTES + 100
+PIECE_BYTES = 8 * SLICE_BYTES + 100
 PIECES = [bytes([number]) * PIECE_BYTES for number in range(8)]
 VERSION = NamedVersion(
     model="m",
@@ -58,6 +58,14 @@
         return None
 
 
+class GoodOrigin(NoOrigin):
+    """An origin that answers at once."""
+
+    async def piece(self, model: str, number: int, index: int) -> bytes | None:
+        self.asked.append(index)
+        return PIECES[index]
+
+
 class Node:
     """One stager; its link carries what is said."""
 
@@ -147,6 +155,30 @@
 
         with_nodes(work, count=3)
 
+    def test_what_only_a_slow_source_holds_is_read_at_the_origin_in_time(self):
+        async def work(slow: Node, empty: Node) -> None:
+            slow.bytes_per_s = SLICE_BYTES * 2  # one piece takes more than four seconds
+            slow.hold(7)
+            empty.hold(*range(7))
+            empty.origin = GoodOrigin()
+            began_s = asyncio.get_running_loop().time()
+            await empty.fetch(slow).run()
+            assert empty.staged().piece(7) == PIECES[7]
+            assert asyncio.get_running_loop().time() - began_s < OVERDUE_S + 1.5
+            assert empty.origin.asked == [7]
+
+        with_nodes(work, count=2)
+
+    def test_a_slow_source_is_kept_where_the_piece_cannot_be_had_elsewhere(self):
+        async def work(slow: Node, empty: Node) -> None:
+            slow.bytes_per_s = SLICE_BYTES * 4
+            slow.hold(7)
+            empty.hold(*range(7))
+            await empty.fetch(slow).run()
+            assert empty.staged().piece(7) == PIECES[7]
+
+        with_nodes(work, count=2)
+
     def test_goes_on_with_the_same_piece_at_another_source_after_one_is_lost(self):
         async def work(one: Node, two: Node, empty: Node) -> None:
             one.hold(*range(8))
@@ -191,7 +223,7 @@
         async def work(one: Node, two: Node) -> None:
             one.hold(2)
             connection = (await two.peers.connection(one.stager.address)).unwrap()
-            last = 2 * SLICE_BYTES
+            last = PIECE_BYTES - PIECE_BYTES % SLICE_BYTES
             reply = (await connection.call(ask(2, last), timeout_ms=5_000)).unwrap()
             assert reply.data == PIECES[2][last:]
 
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -7,6 +7,7 @@
 
 from result import Ok
 
+from leadhollow.decide.version_choice import SWITCH_LEAD_S
 from leadhollow.membership.instances import ServedVersion
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
@@ -102,17 +103,39 @@
         for index, piece in enumerate(PIECES):
             self.version.take(index, piece)
 
+    def blocked(self) -> bool:
+        return False
+
+
+class StalledFetch(FakeFetch):
+    """Brings nothing: the origin is away."""
+
+    async def run(self) -> None:
+        await asyncio.Event().wait()
+
+    def blocked(self) -> bool:
+        return True
+
 
 class Bench:
     """An installer with its fakes."""
 
-    def __init__(self, *, served: tuple[ServedVersion, ...] = (), staged: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        served: tuple[ServedVersion, ...] = (),
+        staged: bool = False,
+        version_s: float = BOUND_S,
+        absent: tuple[int, ...] = (),
+    ) -> None:
+        self.absent = absent  # versions that cannot be had
         self.engine = FakeEngine()
         self.engine.served = served
         if staged:
             self.engine.stage = dict(enumerate(PIECES))
         self.watch = FakeWatch(self.engine)
         self.catalog = Catalog()
+        self.times = NamingTimes(clock=asyncio.get_running_loop().time)
         self.fetched: list[StagedVersion] = []
         self.installer = Installer(
             catalog=self.catalog,
@@ -122,14 +145,15 @@
             models=lambda: ["m"],
             start_fetch=self._start_fetch,
             first_start=False,
-            times=NamingTimes(clock=asyncio.get_running_loop().time),
-            version_s=BOUND_S,
+            times=self.times,
+            version_s=version_s,
             turn=lambda staged, announced: True,
+            piece_s=lambda staged: 0.01,
         )
 
     def _start_fetch(self, version: StagedVersion) -> FakeFetch:
         self.fetched.append(version)
-        return FakeFetch(version)
+        return StalledFetch(version) if version.number in self.absent else FakeFetch(version)
 
     def name(self, number: int) -> None:
         version = NamedVersion(model="m", number=number, named=True, manifest=manifest())
@@ -192,3 +216,17 @@
             assert bench.engine.stage[5] == PIECES[5]
 
         in_loop(work)
+
+
+class TestTwoVersionsInARow:
+    def test_the_one_before_is_installed_while_the_origin_of_the_newest_is_away(self):
+        async def work() -> None:
+            bench = Bench(served=holding(1), version_s=SWITCH_LEAD_S + 0.3, absent=(3,))
+            for number in (2, 3):
+                bench.times.note("m", number)
+                bench.name(number)
+            await bench.until_ordered()
+            assert [order.version for order in bench.engine.orders] == [2]
+            assert [found.number for found in bench.fetched] == [3, 2]
+
+        in_loop(work)
