Tell later attempts by the deadlines that callers usually give

Cause: every request with less time left than its route's timeout counted as one that came back. Where callers have deadlines of their own that are all of them: they waited behind each other, kept places free for new requests that never came, and were held.

--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 from leadhollow.codes import Code
+from leadhollow.decide.attempts import UsualDeadlines
 from leadhollow.decide.engine_queue import DECIDE_SHARE, EngineQueue
 from leadhollow.decide.retry_budget import RetryBudget
 from leadhollow.decide.wish import HOLD_SHARE, EngineWish, Placement, Standing
@@ -33,7 +34,7 @@
 class StreamForwarder:
     """Forwards the streams of one entry."""
 
-    __slots__ = ("_board", "_budget", "_ending", "_exchanger", "_queue")
+    __slots__ = ("_board", "_budget", "_deadlines", "_ending", "_exchanger", "_queue")
 
     def __init__(
         self,
@@ -49,10 +50,16 @@
         self._ending = ending
         self._exchanger = exchanger
         self._queue = queue
+        self._deadlines = UsualDeadlines()
 
     async def run(self, call: ForwardedCall, service: ServiceRecord) -> None:
         """Forward one stream to its end."""
-        await _StreamRun(forwarder=self, call=call, service=service).run()
+        deadline_ms = call.facts.deadline_ms
+        came_back = deadline_ms is not None and self._deadlines.came_back(
+            call.route.name, deadline_ms=deadline_ms, timeout_ms=call.route.timeout_ms
+        )
+        run = _StreamRun(forwarder=self, call=call, service=service, came_back=came_back)
+        await run.run()
 
     @property
     def board(self) -> ServerBoard:
@@ -85,6 +92,7 @@
 
     __slots__ = (
         "_call",
+        "_came_back",
         "_excluded",
         "_failure",
         "_forwarder",
@@ -93,8 +101,14 @@
     )
 
     def __init__(
-        self, *, forwarder: StreamForwarder, call: ForwardedCall, service: ServiceRecord
+        self,
+        *,
+        forwarder: StreamForwarder,
+        call: ForwardedCall,
+        service: ServiceRecord,
+        came_back: bool,
     ) -> None:
+        self._came_back = came_back
         self._forwarder = forwarder
         self._call = call
         self._service = service
@@ -159,7 +173,7 @@
         if not first:
             standing = Standing.RESUMED
         else:
-            standing = Standing.CAME_BACK if self._came_back() else Standing.NEW
+            standing = Standing.CAME_BACK if self._came_back else Standing.NEW
         decide_s = call.received_s + objective_s * DECIDE_SHARE if first else now_s + RESUME_WAIT_S
         decide_s = min(decide_s, call.deadline_s)
         hold_s = decide_s
@@ -181,11 +195,6 @@
             last_attempt=call.attempts + 1 >= call.route.attempts,
         )
 
-    def _came_back(self) -> bool:
-        """Tell whether this is a later attempt of the caller: some of its time is used up."""
-        facts = self._call.facts
-        return facts.deadline_ms is not None and facts.deadline_ms < self._call.route.timeout_ms
-
     async def _send(self, placement: Placement) -> bool:
         call = self._call
         instance = placement.server.instance
