Split what an installer does at the stage and what it fetches by concern

Change: staging/engine_stage.py lays, reads back and verifies; staging/running_fetches.py keeps what is fetched, and begins a fetch anew that has ended; a test of that.

--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -11,9 +11,11 @@
 from leadhollow.observe.logs import get_logger, log_decision
 from leadhollow.staging.engine_client import LocalEngine
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
+from leadhollow.staging.engine_stage import EngineStage
 from leadhollow.staging.load_reports import EngineWatch
 from leadhollow.staging.piece_fetch import PieceFetch
 from leadhollow.staging.pieces import PieceStore, StagedVersion
+from leadhollow.staging.running_fetches import RunningFetches
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.weights_versions import versions_of
 from leadhollow.weights.named import NamedVersion
@@ -63,10 +65,8 @@
         "_models",
         "_piece_s",
         "_read_back",
+        "_stage",
         "_stage_patience_s",
-        "_staged",
-        "_staged_of",
-        "_start_fetch",
         "_store",
         "_times",
         "_turn",
@@ -95,17 +95,15 @@
         self._watch = watch
         self._store = store
         self._models = models
-        self._start_fetch = start_fetch
+        self._fetches = RunningFetches(start_fetch=start_fetch)
+        self._stage = EngineStage(engine=engine)
         self._piece_s = piece_s
-        self._fetches: dict[StagedVersion, _RunningFetch] = {}
         self._read_back = False
         self._times = times
         self._version_s = version_s
         self._turn = turn
         self._began_s = asyncio.get_running_loop().time()
         self._stage_patience_s = FIRST_PATIENCE_S if first_start else LATER_PATIENCE_S
-        self._staged: set[int] = set()
-        self._staged_of: StagedVersion | None = None
         self._wake = asyncio.Event()
         watch.staged = self._progress
         catalog.on_change(lambda _: self._wake.set())
@@ -114,8 +112,7 @@
     async def stop(self) -> None:
         """Stop fetching."""
         await super().stop()
-        for fetch in self._fetches.values():
-            fetch.task.cancel()
+        self._fetches.stop()
         self._engine.close()
 
     async def _work(self) -> None:
@@ -140,8 +137,7 @@
         if not known or (report is None and self._may_hold_stage()):
             return
         if report is not None and not self._read_back:
-            for version in known:
-                await self._read_stage(version)
+            await self._read_stages(known)
         progress = [self._progress_of(version) for version in known]
         plan = plan_versions(
             progress,
@@ -149,7 +145,8 @@
             version_s=self._version_s,
             now_s=asyncio.get_running_loop().time(),
         )
-        self._keep_fetching(known, plan.fetch)
+        wanted = (self._store.open(found) for found in known if found.number in plan.fetch)
+        self._fetches.keep([found for found in wanted if found is not None])
         goal = plan.install if plan.install is not None else next(iter(plan.fetch), None)
         staged = next((self._store.open(found) for found in known if found.number == goal), None)
         if staged is None:
@@ -157,7 +154,7 @@
         bound = self._usable_until_s(progress, report, known)
         if not staged.complete:
             if report is not None:
-                await self._stage_new(staged)
+                await self._stage.lay(staged)
             if staged.complete:
                 await self._watch.tell()  # whose turn it is depends on who is complete
                 if self._is_in_use(bound, report):
@@ -169,6 +166,14 @@
             return
         await self._install(staged, bound)
 
+    async def _read_stages(self, known: list[NamedVersion]) -> None:
+        """Take over what lay beside the engine when this process began."""
+        for version in known:
+            staged = self._store.open(version)
+            if staged is not None:
+                self._read_back = True
+                await self._stage.read_back(staged)
+
     def _usable_until_s(
         self,
         progress: list[VersionProgress],
@@ -190,16 +195,19 @@
 
     def _progress_of(self, version: NamedVersion) -> VersionProgress:
         """Tell how far this VM is with a version."""
+        named_s = self._times.named_s(version.model, version.number)
         staged = self._store.open(version)
-        fetch = None if staged is None else self._fetches.get(staged)
-        missing = 0 if staged is None else staged.held.count - staged.held.held
+        if staged is None:
+            return VersionProgress(
+                number=version.number, named_s=named_s, described=False, missing=0
+            )
         return VersionProgress(
             number=version.number,
-            named_s=self._times.named_s(version.model, version.number),
-            described=staged is not None,
-            missing=missing,
-            piece_s=0.0 if staged is None else self._piece_s(staged),
-            blocked=fetch is not None and fetch.fetch.blocked(),
+            named_s=named_s,
+            described=True,
+            missing=staged.held.count - staged.held.held,
+            piece_s=self._piece_s(staged),
+            blocked=self._fetches.blocked(staged),
         )
 
     def _is_our_turn(
@@ -225,70 +233,9 @@
         age_s = asyncio.get_running_loop().time() - self._began_s
         return not self._read_back and age_s < self._stage_patience_s
 
-    async def _read_stage(self, version: NamedVersion) -> None:
-        """Take over what the engine's stage held when this process began."""
-        staged = self._store.open(version)
-        if staged is None:
-            return
-        self._read_back = True
-        listed = await self._engine.held(version.model)
-        if listed.is_err():
-            return
-        for index in listed.unwrap():
-            if index in staged.held or not 0 <= index < staged.held.count:
-                continue
-            read = await self._engine.get(version.model, index)
-            if read.is_ok() and staged.take(index, read.unwrap()):
-                self._note_staged(staged, index)
-        log.info(
-            "stage read",
-            model=version.model,
-            number=version.number,
-            listed=len(listed.unwrap()),
-            held=staged.held.held,
-        )
-
-    def _keep_fetching(self, known: list[NamedVersion], numbers: tuple[int, ...]) -> None:
-        """Fetch these versions, and nothing else."""
-        wanted = [self._store.open(found) for found in known if found.number in numbers]
-        for version in list(self._fetches):
-            if version not in wanted:
-                self._fetches.pop(version).task.cancel()
-        for staged in wanted:
-            if staged is None or staged in self._fetches:
-                continue
-            log.info("fetch begins", model=staged.model, number=staged.number)
-            fetch = self._start_fetch(staged)
-            task = asyncio.get_running_loop().create_task(fetch.run())
-            self._fetches[staged] = _RunningFetch(fetch=fetch, task=task)
-        for staged, running in self._fetches.items():
-            running.fetch.yields = len(numbers) > 1 and staged.number == numbers[0]
-
-    async def _stage_new(self, staged: StagedVersion) -> None:
-        """Lay pieces into the stage as they come."""
-        for index in list(staged.held.indexes()):
-            piece = staged.piece(index)
-            if self._lies_staged(staged, index) or piece is None:
-                continue
-            put = await self._engine.put(staged.model, index, piece)
-            if put.is_err():
-                log.warning("piece not staged", index=index, failure=str(put.unwrap_err()))
-                return
-            self._note_staged(staged, index)
-
-    def _note_staged(self, staged: StagedVersion, index: int) -> None:
-        """Remember that a piece lies in the stage, which holds one version of a model."""
-        if self._staged_of is not staged:
-            self._staged_of = staged
-            self._staged = set()
-        self._staged.add(index)
-
-    def _lies_staged(self, staged: StagedVersion, index: int) -> bool:
-        return self._staged_of is staged and index in self._staged
-
     async def _install(self, staged: StagedVersion, bound: float) -> None:
-        await self._stage_new(staged)
-        if not await self._verify_stage(staged):
+        await self._stage.lay(staged)
+        if not await self._stage.verify(staged):
             return
         self._watch.switching = True
         await self._watch.tell()
@@ -317,27 +264,6 @@
             await asyncio.sleep(STEP_S)
         return self._watch.report
 
-    async def _verify_stage(self, staged: StagedVersion) -> bool:
-        """Read every staged piece back, and lay those again that turned bad.
-
-        Returns
-        -------
-        bool
-            Whether all were as they should be.
-        """
-        good = True
-        for index in range(staged.held.count):
-            piece = staged.piece(index)
-            read = await self._engine.get(staged.model, index)
-            if piece is None or (read.is_ok() and read.unwrap() == piece):
-                continue
-            good = False
-            log.warning("staged piece is bad", index=index, absent=read.is_err())
-            put = await self._engine.put(staged.model, index, piece)
-            if put.is_err():
-                return False
-        return good
-
     async def _order(self, staged: StagedVersion, report: EngineReport) -> None:
         order = LoadOrder(
             model=staged.model,
@@ -390,14 +316,6 @@
         return 0, 0
 
 
-class _RunningFetch:
-    __slots__ = ("fetch", "task")
-
-    def __init__(self, *, fetch: PieceFetch, task: asyncio.Task[None]) -> None:
-        self.fetch = fetch
-        self.task = task
-
-
 def _whole_version(report: EngineReport, known: list[NamedVersion]) -> int | None:
     """Give the newest version of a model of which the engine holds all layers.
 
--- /dev/null
+++ b/src/leadhollow/staging/running_fetches.py
@@ -0,0 +1,67 @@
+"""Versions that are on their way to this VM, each with the task that fetches it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from leadhollow.observe.logs import get_logger
+from leadhollow.staging.piece_fetch import PieceFetch
+from leadhollow.staging.pieces import StagedVersion
+
+log = get_logger("installer")
+
+
+class _RunningFetch:
+    __slots__ = ("fetch", "task")
+
+    def __init__(self, *, fetch: PieceFetch, task: asyncio.Task[None]) -> None:
+        self.fetch = fetch
+        self.task = task
+
+
+class RunningFetches:
+    """What is fetched now.
+
+    Parameters
+    ----------
+    start_fetch
+        Makes the fetch of a version.
+    """
+
+    __slots__ = ("_running", "_start_fetch")
+
+    def __init__(self, *, start_fetch: Callable[[StagedVersion], PieceFetch]) -> None:
+        self._start_fetch = start_fetch
+        self._running: dict[StagedVersion, _RunningFetch] = {}
+
+    def keep(self, wanted: Sequence[StagedVersion]) -> None:
+        """Fetch these versions and nothing else; of several the first leaves the link to others."""
+        for version in list(self._running):
+            if version not in wanted:
+                self._running.pop(version).task.cancel()
+        for version in wanted:
+            running = self._running.get(version)
+            if running is None or running.task.done():
+                running = self._start(version)
+            running.fetch.yields = len(wanted) > 1 and version is wanted[0]
+
+    def blocked(self, version: StagedVersion) -> bool:
+        """Tell whether a version is fetched and cannot be had now."""
+        running = self._running.get(version)
+        return running is not None and running.fetch.blocked()
+
+    def stop(self) -> None:
+        """Fetch nothing more."""
+        self.keep(())
+
+    def _start(self, version: StagedVersion) -> _RunningFetch:
+        log.info("fetch begins", model=version.model, number=version.number)
+        fetch = self._start_fetch(version)
+        task = asyncio.get_running_loop().create_task(fetch.run())
+        running = _RunningFetch(fetch=fetch, task=task)
+        self._running[version] = running
+        return running
+
+
+__all__ = ["RunningFetches"]
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -117,6 +117,13 @@
         return True
 
 
+class FailingFetch(FakeFetch):
+    """Ends with an error before anything has come."""
+
+    async def run(self) -> None:
+        raise OSError
+
+
 class Bench:
     """An installer with its fakes."""
 
@@ -127,7 +134,9 @@
         staged: bool = False,
         version_s: float = BOUND_S,
         absent: tuple[int, ...] = (),
+        failures: int = 0,
     ) -> None:
+        self.failures = failures  # fetches that fail before one succeeds
         self.absent = absent  # versions that cannot be had
         self.engine = FakeEngine()
         self.engine.served = served
@@ -153,6 +162,8 @@
 
     def _start_fetch(self, version: StagedVersion) -> FakeFetch:
         self.fetched.append(version)
+        if len(self.fetched) <= self.failures:
+            return FailingFetch(version)
         return StalledFetch(version) if version.number in self.absent else FakeFetch(version)
 
     def name(self, number: int) -> None:
@@ -218,6 +229,18 @@
         in_loop(work)
 
 
+class TestFetch:
+    def test_one_that_fails_is_begun_anew(self):
+        async def work() -> None:
+            bench = Bench(failures=2)
+            bench.name(1)
+            await bench.until_ordered()
+            assert [order.version for order in bench.engine.orders] == [1]
+            assert len(bench.fetched) == 3
+
+        in_loop(work)
+
+
 class TestTwoVersionsInARow:
     def test_the_one_before_is_installed_while_the_origin_of_the_newest_is_away(self):
         async def work() -> None:
