--- a/src/leadhollow/experiment/outcome.py
+++ b/src/leadhollow/experiment/outcome.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from leadhollow.experiment.callers import Caller
 from leadhollow.experiment.scenario import MS_PER_S
-from leadhollow.experiment.world import Caller
 
 SIZE_FLOOR = 0.3  # of its kind's worth that every request has; the rest goes by its size
 REFUSED_AGAIN_COST = 0.3  # of the worth of a caller that came back in vain
--- a/src/leadhollow/experiment/world.py
+++ b/src/leadhollow/experiment/world.py
@@ -7,18 +7,18 @@
 
 from __future__ import annotations
 
-import heapq
-import math
 import random
-from collections.abc import Callable, Sequence
 
 from leadhollow.decide.engine_queue import DECIDE_SHARE, PUMP_INTERVAL_S, EngineQueue, Waiter
 from leadhollow.decide.policy import QueuePolicy
 from leadhollow.decide.pressure import Decisions
 from leadhollow.decide.server import NO_USE, Server
 from leadhollow.decide.wish import HOLD_SHARE, EngineWish, Placement, Standing
+from leadhollow.experiment.callers import Caller, draw_callers
+from leadhollow.experiment.clock import Clock
 from leadhollow.experiment.engine import EmulatedEngine, EngineTask
-from leadhollow.experiment.scenario import MS_PER_S, RequestKind, Scenario
+from leadhollow.experiment.scenario import MS_PER_S, Scenario
+from leadhollow.experiment.view import OneVersion, View
 from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
 from leadhollow.membership.uses import Use
 from leadhollow.routing.model import ServiceRecord
@@ -30,79 +30,6 @@
 SETTLE_S = 8.0  # after the last arrival; every deadline has passed by then
 
 
-class Clock:
-    """Events in the order of virtual time."""
-
-    __slots__ = ("_events", "_number", "now_s")
-
-    def __init__(self) -> None:
-        self.now_s = 0.0
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._number = 0
-
-    def at(self, when_s: float, work: Callable[[], None]) -> None:
-        """Call a function at a time."""
-        self._number += 1
-        heapq.heappush(self._events, (max(when_s, self.now_s), self._number, work))
-
-    def after_ms(self, delay_ms: float, work: Callable[[], None]) -> None:
-        """Call a function after some milliseconds."""
-        self.at(self.now_s + delay_ms / MS_PER_S, work)
-
-    def run(self, until_s: float) -> None:
-        """Let everything happen up to a time."""
-        while self._events and self._events[0][0] <= until_s:
-            self.now_s, _, work = heapq.heappop(self._events)
-            work()
-
-
-class OneVersion:
-    """Weights that never change."""
-
-    def oldest_allowed(self, model: str) -> int:
-        """Allow every version."""
-        return 0
-
-    def newest(self, model: str) -> int:
-        """Give the only version."""
-        return 1
-
-    def begin_by_s(self, model: str, version: int) -> float:
-        """Set no bound."""
-        return math.inf
-
-
-class View:
-    """Engines as one entry sees them."""
-
-    __slots__ = ("_listeners", "by_address")
-
-    def __init__(self) -> None:
-        self.by_address: dict[str, Server] = {}
-        self._listeners: list[Callable[[], None]] = []
-
-    def servers(self, service: str) -> Sequence[Server]:
-        """Give the engines that take requests."""
-        return [
-            found
-            for found in self.by_address.values()
-            if found.instance.state is InstanceState.READY
-        ]
-
-    def hears_others(self) -> bool:
-        """Tell that other entries are heard."""
-        return True
-
-    def on_change(self, listener: Callable[[], None]) -> None:
-        """Call a function at each change."""
-        self._listeners.append(listener)
-
-    def changed(self) -> None:
-        """Tell that something changed."""
-        for listener in self._listeners:
-            listener()
-
-
 class Entry:
     """One entry: the product's queue before its own view of the engines."""
 
@@ -114,41 +41,6 @@
         self.queue = queue
 
 
-class Caller:
-    """One request of a caller, with its later attempt.
-
-    Attributes
-    ----------
-    outcome_s
-        Time from its first attempt to the first event; None while there is none.
-    """
-
-    __slots__ = (
-        "attempts",
-        "domain",
-        "done",
-        "events",
-        "first_s",
-        "kind",
-        "outcome_s",
-        "prompt_tokens",
-        "refused_again",
-    )
-
-    def __init__(
-        self, *, kind: RequestKind, domain: str, first_s: float, prompt_tokens: int, events: int
-    ) -> None:
-        self.kind = kind
-        self.domain = domain
-        self.first_s = first_s
-        self.prompt_tokens = prompt_tokens
-        self.events = events
-        self.attempts = 0
-        self.outcome_s: float | None = None
-        self.done = False
-        self.refused_again = False
-
-
 class World:
     """One run of a scenario.
 
@@ -180,7 +72,7 @@
         self._service = ServiceRecord(name=SERVICE, engine=scenario.engine)
         self.engines: dict[str, EmulatedEngine] = {}
         self.entries: list[Entry] = []
-        self.callers = _callers(scenario, seed)
+        self.callers = draw_callers(scenario, seed)
         domains = {}
         for domain in scenario.domains:
             for place in range(domain.engines):
@@ -395,40 +287,4 @@
             caller.outcome_s = None
 
 
-def _callers(scenario: Scenario, seed: int) -> list[Caller]:
-    """Draw who comes when; independent of what becomes of them."""
-    source = random.Random(f"callers {seed}")
-    loads = [change for change in scenario.changes if change.load is not None]
-    most = max([1.0, *(change.load or 0.0 for change in loads)])
-    domains = [domain.name for domain in scenario.domains]
-    shares = [domain.share for domain in scenario.domains]
-    found = []
-    for kind in scenario.kinds:
-        now_s = 0.0
-        while kind.per_s > 0:
-            now_s += source.expovariate(kind.per_s * most)
-            if now_s >= scenario.length_s:
-                break
-            load = 1.0
-            for change in loads:
-                if change.at_s <= now_s:
-                    load = change.load or 0.0
-            caller = Caller(
-                kind=kind,
-                domain=source.choices(domains, weights=shares)[0],
-                first_s=now_s,
-                prompt_tokens=_size(source, kind.prompt_tokens, kind.spread),
-                events=_size(source, kind.answer_events, kind.spread),
-            )
-            if source.random() < load / most:
-                found.append(caller)
-    return found
-
-
-def _size(source: random.Random, mean: float, spread: float) -> int:
-    """Draw a size, at most three times the mean."""
-    drawn = source.lognormvariate(math.log(mean) - spread * spread / 2, spread)
-    return max(1, round(min(drawn, 3 * mean)))
-
-
-__all__ = ["Caller", "World"]
+__all__ = ["World"]
