Let no delayed heartbeat take an address back from a newer incarnation

Cause: the table let whoever was heard last have an address. A heartbeat that a cut had held up arrives after its sender has crashed and another incarnation has registered there: the newer one was dropped until its next heartbeat, up to 1.2 s in which requests named an incarnation that is gone. Change: who was replaced at an address may come back only after 3 s in which the newer one was silent, so that a held-up call of the newer one does no harm for longer either.

--- a/src/leadhollow/membership/instances.py
+++ b/src/leadhollow/membership/instances.py
@@ -18,6 +18,13 @@
 DEPARTED_KEPT = 4_096
 """Departed incarnations remembered, so that a late call does not bring one back."""
 
+REPLACED_KEPT = 1_024  # incarnations remembered whose address another one took
+
+TAKE_BACK_S = 3.0
+"""Silence of an incarnation, two heartbeats and some more, after which the one that it replaced at
+its address may come back. A call of that one that a cut had held up arrives while the newer one is
+heard; where it was the newer one's call that had been held up, that one is heard no more."""
+
 log = get_logger("instances")
 
 
@@ -178,12 +185,20 @@
         Silence after which an incarnation is dropped without a word of its own.
     """
 
-    __slots__ = ("_by_address", "_departed", "_forget_after_s", "_instances", "_listeners")
+    __slots__ = (
+        "_by_address",
+        "_departed",
+        "_forget_after_s",
+        "_instances",
+        "_listeners",
+        "_replaced",
+    )
 
     def __init__(self, *, forget_after_s: float) -> None:
         self._instances: dict[str, Instance] = {}
         self._by_address: dict[str, str] = {}
         self._departed: OrderedDict[str, Instance] = OrderedDict()
+        self._replaced: OrderedDict[str, None] = OrderedDict()
         self._forget_after_s = forget_after_s
         self._listeners: list[Listener] = []
 
@@ -280,12 +295,18 @@
     def _take_address(self, heard: Instance) -> bool:
         """Let a newer incarnation replace one at the same address."""
         previous = self.at_address(heard.address)
-        if previous is None or previous.heard_s <= heard.heard_s:
-            if previous is not None:
-                log.info("address taken over", address=heard.address, previous=previous.instance)
-                self._drop(previous.instance)
+        if previous is None:
             return True
-        return False
+        silent_s = heard.heard_s - previous.heard_s
+        if silent_s < 0 or (heard.instance in self._replaced and silent_s < TAKE_BACK_S):
+            return False
+        log.info("address taken over", address=heard.address, previous=previous.instance)
+        self._drop(previous.instance)
+        self._replaced[previous.instance] = None
+        self._replaced.pop(heard.instance, None)
+        while len(self._replaced) > REPLACED_KEPT:
+            self._replaced.popitem(last=False)
+        return True
 
     def _depart(self, gone: Instance) -> bool:
         known = self._instances.get(gone.instance)
--- a/tests/membership/test_instances.py
+++ b/tests/membership/test_instances.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from leadhollow.membership.instances import (
+    TAKE_BACK_S,
     Instance,
     InstanceState,
     InstanceTable,
@@ -117,6 +118,21 @@
         assert not table.take(said("i-1", heard_s=100.0))
         assert table.at_address("10.0.0.1:80").instance == "i-2"
 
+    def test_stay_with_the_newer_one_where_a_delayed_call_of_the_older_one_arrives(self, table):
+        table.take(said("i-1", sequence=40, heard_s=100.0))
+        table.take(said("i-2", sequence=1, heard_s=103.0))
+        assert not table.take(said("i-1", sequence=41, heard_s=103.5))
+        assert not table.take(said("i-1", sequence=42, heard_s=103.0 + TAKE_BACK_S - 0.1))
+        assert table.at_address("10.0.0.1:80").instance == "i-2"
+
+    def test_go_back_where_it_was_the_delayed_call_that_took_them(self, table):
+        table.take(said("i-2", sequence=1, heard_s=103.0))
+        table.take(said("i-1", sequence=41, heard_s=103.5))  # unknown here until now
+        late_s = 103.5 + TAKE_BACK_S
+        assert table.take(said("i-2", sequence=4, heard_s=late_s))
+        assert table.at_address("10.0.0.1:80").instance == "i-2"
+        assert not table.take(said("i-1", sequence=42, heard_s=late_s + 0.1))
+
 
 class TestSilence:
     def test_drops_an_incarnation_that_may_come_back(self, table):
