--- a/src/leadhollow/cli/explain_command.py
+++ b/src/leadhollow/cli/explain_command.py
@@ -1,4 +1,4 @@
-"""``leadhollow explain``."""
+"""``leadhollow explain`` and ``leadhollow explain day``."""
 
 from __future__ import annotations
 
@@ -6,9 +6,11 @@
 
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
+from result import Err, Ok, Result
 
-from leadhollow.cli.output import print_failure, print_json, print_text
+from leadhollow.cli.output import print_failure, print_json, print_table, print_text
 from leadhollow.codes import Code
+from leadhollow.explain.losses import Loss, LossTable, divide_losses
 from leadhollow.explain.records import LogRecord, read_records
 from leadhollow.explain.story import tell_story
 from leadhollow.failure import Failure
@@ -27,14 +29,10 @@
 
     def handle(self) -> int:
         """Print the story."""
-        records: list[LogRecord] = []
-        for name in self.argument("logs"):
-            try:
-                text = Path(name).read_text(encoding="utf-8", errors="replace")
-            except OSError as error:
-                failure = Failure(code=Code.COMMAND_USAGE, detail=f"{name}: {error.strerror}")
-                return print_failure(failure)
-            records += read_records(name, text.splitlines())
+        read = _read(self.argument("logs"))
+        if read.is_err():
+            return print_failure(read.unwrap_err())
+        records = read.unwrap()
         request = self.argument("request")
         story = tell_story(request, records)
         if not story:
@@ -53,4 +51,63 @@
         return 0
 
 
-__all__ = ["ExplainCommand"]
+class ExplainDayCommand(Command):
+    """Divides what a day lost by second and cause."""
+
+    name = "explain day"
+    description = "Count what entries refused, answered late or broke off, by cause."
+    arguments = [argument("logs", "Files with log lines.", multiple=True)]  # noqa: RUF012
+    options = [  # noqa: RUF012
+        option("objective-ms", None, "Time until the first event.", flag=False, default="400"),
+        option("seconds", None, "Also print each second.", flag=True),
+        option("json", None, "Print one JSON object.", flag=True),
+    ]
+
+    def handle(self) -> int:
+        """Print the table."""
+        objective = self.option("objective-ms")
+        if not objective.isdigit() or int(objective) < 1:
+            detail = f"--objective-ms: expected a whole number above 0, found {objective!r}"
+            return print_failure(Failure(code=Code.COMMAND_USAGE, detail=detail))
+        read = _read(self.argument("logs"))
+        if read.is_err():
+            return print_failure(read.unwrap_err())
+        table = divide_losses(read.unwrap(), objective_ms=float(objective))
+        if self.option("json"):
+            print_json(_as_object(table))
+            return 0
+        rows = [(loss.value, table.by_cause[loss]) for loss in Loss if table.by_cause[loss]]
+        print_table(("cause", "attempts"), rows)
+        print_text(f"{sum(table.by_cause.values())} of {table.attempts} attempts")
+        if self.option("seconds"):
+            seconds = sorted(table.by_second)
+            found = [(second, sum(table.by_second[second].values())) for second in seconds]
+            print_table(("second", "attempts lost"), found)
+        return 0
+
+
+def _as_object(table: LossTable) -> dict[str, object]:
+    return {
+        "attempts": table.attempts,
+        "by_cause": {loss.name.lower(): count for loss, count in table.by_cause.items()},
+        "by_second": {
+            str(second): {loss.name.lower(): count for loss, count in losses.items()}
+            for second, losses in sorted(table.by_second.items())
+        },
+    }
+
+
+def _read(names: list[str]) -> Result[list[LogRecord], Failure]:
+    """Read all lines of all files; what is no log line is passed over."""
+    records: list[LogRecord] = []
+    for name in names:
+        try:
+            text = Path(name).read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            detail = f"{name}: {error.strerror}"
+            return Err(Failure(code=Code.COMMAND_USAGE, detail=detail))
+        records += read_records(name, text.splitlines())
+    return Ok(records)
+
+
+__all__ = ["ExplainCommand", "ExplainDayCommand"]
