--- a/tests/control/test_engine_uses.py
+++ b/tests/control/test_engine_uses.py
@@ -9,7 +9,8 @@
 
 from leadhollow.codes import Code
 from leadhollow.control.engine_uses import VALID_S, EngineUses
-from leadhollow.membership.uses import Use, decode_uses, encode_uses
+from leadhollow.decide.pressure import Decisions
+from leadhollow.membership.uses import Use, decode_uses, encode_decisions, encode_uses
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
 from leadhollow.wire.generated.ttypes import EngineUse, UseReport, UseTotals
@@ -65,11 +66,19 @@
     asyncio.run(asyncio.wait_for(run(), 20))
 
 
-async def tell(node: Node, vm: str, uses: dict[str, Use], *, whole: bool = False) -> PeerPool:
+async def tell(
+    node: Node,
+    vm: str,
+    uses: dict[str, Use],
+    *,
+    whole: bool = False,
+    decisions: dict[str, Decisions] | None = None,
+) -> PeerPool:
     """Report as an entry does."""
     peers = PeerPool(vm=vm, failure_domain="d", token=TOKEN, handlers=HandlerTable())
     connection = (await peers.connection(node.address)).unwrap()
-    connection.oneway(UseReport(*encode_uses(uses), whole))
+    told = None if decisions is None else encode_decisions(decisions)
+    connection.oneway(UseReport(*encode_uses(uses), whole, told))
     return peers
 
 
@@ -157,3 +166,29 @@
     )
     def test_that_cannot_be_are_refused(self, record):
         assert decode_uses([FIRST], [record]).unwrap_err().code is Code.FRAME_MALFORMED
+
+
+class TestDecisions:
+    def test_what_entries_refused_is_summed_up_at_both_replicas_without_the_asker(self):
+        async def work(one: Node, two: Node) -> None:
+            peers = [
+                await tell(one, "entry-1", {}, decisions={"m": Decisions(made=10.0, refused=4.0)}),
+                await tell(one, "entry-2", {}, decisions={"m": Decisions(made=10.0, refused=1.0)}),
+                await tell(two, "entry-3", {}, decisions={"m": Decisions(made=10.0, refused=7.0)}),
+            ]
+            for node in (one, two):
+                await eventually(lambda node=node: refused(node) > 8.0)
+                assert refused(node) <= 12.0
+            assert refused(one, without="entry-1") < refused(one)
+            for pool in peers:
+                await pool.stop()
+
+        with_nodes(work)
+
+    def test_where_nobody_was_refused_nothing_travels(self):
+        assert encode_decisions({"m": Decisions(made=50.0, refused=0.0)}) == []
+
+
+def refused(node: Node, *, without: str = "") -> float:
+    found = node.uses.decisions(without=without).get("m")
+    return 0.0 if found is None else found.refused
