--- a/tests/control/test_feed_server.py
+++ b/tests/control/test_feed_server.py
@@ -18,6 +18,8 @@
     LoadRecord,
     LoadReport,
     ServedModel,
+    ServiceDecisions,
+    UseReport,
     VersionAge,
 )
 from leadhollow.wire.handlers import HandlerTable
@@ -163,3 +165,22 @@
             assert all(subscriber.wake.is_set() for subscriber in replica.feed._subscribers)
 
         with_watchers(work)
+
+
+class TestDecisions:
+    def test_entries_hear_what_others_refused_and_stagers_do_not(self):
+        async def work(replica: Replica, entry: Watcher, stager: Watcher) -> None:
+            other = PeerPool(vm="other", failure_domain="d", token=TOKEN, handlers=HandlerTable())
+            connection = (await other.connection(replica.address)).unwrap()
+            connection.oneway(UseReport([], [], False, [ServiceDecisions("m", 20_000, 8_000)]))
+            await eventually(lambda: decided(entry), "the refusals of the other entry")
+            assert decided(entry)[0].name == "m"
+            assert 0 < decided(entry)[0].refused_milli <= 8_000
+            assert not decided(stager)
+            await other.stop()
+
+        with_watchers(work)
+
+
+def decided(watcher: Watcher) -> list[ServiceDecisions]:
+    return [found for update in watcher.updates for found in update.decisions or ()]
