--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -45,7 +45,9 @@
         for target in LINK.findall(text):
             if "://" not in target and not (page.parent / target).exists():
                 yield f"{shown}: no such page: {target}"
-        for name in re.findall(r"`leadhollow ((?:table|model|bench|state|experiment) [a-z]+|[a-z]+)", text):
+        for name in re.findall(
+            r"`leadhollow ((?:table|model|bench|state|experiment) [a-z]+|[a-z]+)", text
+        ):
             if name not in known:
                 yield f"{shown}: no such command: {name}"
         if MACHINE_PATH.search(text):
