Say how many servers of a service an entry knows, and where it knows none

Cause: the lines of an entry could not tell "the route is not there", "refused by prediction" and "no server of the service is known" apart: the last ended in the words for a model version, and a forgotten server's line named no service and no silence. Change: found and dropped servers say how many of their service are known, a warning where none is left; a plain request without any says so with its service; a forgotten server says how long nothing was heard.

--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -139,6 +139,7 @@
                     instance=instance.instance,
                     address=instance.address,
                     service=instance.service,
+                    known=self._known(instance.service),
                 )
             previous = self._by_address.get(instance.address)
             if previous is not None and previous is not server:
@@ -147,6 +148,10 @@
             self._by_address[instance.address] = server
         self.changed()
 
+    def _known(self, service: str) -> int:
+        """Count the backend servers of a service, those that leave included."""
+        return sum(1 for server in self._servers.values() if server.instance.service == service)
+
     def _report_valid_s(self) -> float:
         return VALID_INTERVALS * report_interval_s(len(self._servers))
 
@@ -158,7 +163,15 @@
         server = self._servers.pop(instance, None)
         if server is None:
             return
-        log.info("backend server dropped", instance=instance, own_calls=server.own)
+        known = self._known(server.instance.service)
+        report = log.info if known else log.warning
+        report(
+            "backend server dropped",
+            instance=instance,
+            service=server.instance.service,
+            own_calls=server.own,
+            known=known,
+        )
         if self._by_address.get(server.instance.address) is server:
             del self._by_address[server.instance.address]
 
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -92,6 +92,7 @@
         while self._may_try(call):
             server = self._choose(call, excluded)
             if server is None:
+                failure = self._nobody(call, failure)
                 break
             if call.sends and not self._budget.take(call.service):
                 failure = Failure(code=Code.RETRIES_EXHAUSTED)
@@ -114,6 +115,13 @@
             retry_after_s = Refusal.NO_SERVER.after_s(self._random)
             await self._ending.not_run(call, failure, retry_after_s=retry_after_s)
 
+    def _nobody(self, call: ForwardedCall, failure: Failure) -> Failure:
+        """Say that the service has no server at all; else the last attempt's failure stands."""
+        if self._board.servers(call.service):
+            return failure
+        detail = f"no backend server of {call.service} is known here"
+        return Failure(code=Code.NO_CAPACITY, detail=detail)
+
     def _may_try(self, call: ForwardedCall) -> bool:
         if call.sends >= MOST_SENDS or call.attempts >= call.route.attempts:
             return False
--- a/src/leadhollow/membership/instances.py
+++ b/src/leadhollow/membership/instances.py
@@ -288,7 +288,12 @@
             if now_s - found.heard_s > self._forget_after_s
         ]
         for found in silent:
-            log.info("backend server forgotten", instance=found.instance, address=found.address)
+            log.info(
+                "backend server forgotten",
+                instance=found.instance,
+                address=found.address,
+                silent_s=round(now_s - found.heard_s, 1),
+            )
             self._drop(found.instance)
         return silent
 
