--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,11 +8,35 @@
 
 from tests.support import ReplicaGroup
 
+ROOT = Path(__file__).parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+"""Tests that fail for a known fault: one a line, its name first, then the cause and the issue."""
+
+
+def known_red() -> dict[str, str]:
+    """Give the listed lines by the name of their test."""
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines() if KNOWN_RED.exists() else []
+    return {line.split()[0]: line for line in lines if line.strip()}
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Let only the listed tests fail; one that passes has to leave the list."""
+    listed = known_red()
+    for item in items:
+        if item.nodeid in listed:
+            item.add_marker(pytest.mark.xfail(reason=listed[item.nodeid], strict=True))
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print the list."""
+    for line in known_red().values():
+        terminalreporter.write_line(f"known red: {line}")
+
 
 @pytest.fixture
 def project_root() -> Path:
     """Give the root of the checkout."""
-    return Path(__file__).parent.parent
+    return ROOT
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/node/site.py
@@ -0,0 +1,200 @@
+"""A control replica and an entry as whole processes on loopback, with plain services."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import socket
+from collections.abc import Sequence
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+
+from leadhollow.node.process import NodeProcess
+from leadhollow.platform.serve import platform_dialects
+from leadhollow.settings.node import NodeRole, NodeSettings
+from tests.support import eventually
+
+HOST = "crews.example"
+BEAT_S = 0.05
+_ports = random.Random()
+_attempts = itertools.count(1)
+_hosts = itertools.count(1)
+
+
+def free_port(hosts: Sequence[str]) -> int:
+    """Find a port that is free on all of these addresses, below those of outgoing connections."""
+    while True:
+        port = _ports.randrange(20_000, 30_000)
+        try:
+            for host in hosts:
+                with socket.socket() as probe:
+                    probe.bind((host, port))
+                with socket.socket() as probe:
+                    probe.bind((host, port + 1))
+        except OSError:
+            continue
+        return port
+
+
+def route(prefix: str, service: str) -> dict[str, object]:
+    """Describe a public route that may be repeated."""
+    return {
+        "name": f"r-{prefix.strip('/')}",
+        "host": HOST,
+        "pathPrefix": prefix,
+        "type": "idempotent",
+        "timeoutMs": 2_000,
+        "targetLatencyMs": 1_000,
+        "service": service,
+        "maxAttempts": 2,
+        "public": True,
+    }
+
+
+class PlainServer:
+    """A backend server of a plain service, which answers everything and announces itself."""
+
+    def __init__(self, *, instance: str, service: str) -> None:
+        self.instance = instance
+        self.service = service
+        self.sequence = 0
+        self.address = ""
+        self.silent = False
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        application = web.Application()
+        application.router.add_route("*", "/{rest:.*}", self._answer)
+        self._runner = web.AppRunner(application)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    async def stop(self) -> None:
+        assert self._runner is not None
+        await self._runner.cleanup()
+
+    async def _answer(self, request: web.Request) -> web.Response:
+        headers = {
+            "X-Attempt-Id": request.headers["X-Attempt-Id"],
+            "X-Response-Signature": "signed",
+            "X-Instance-Id": self.instance,
+        }
+        if request.headers.get("X-Expect-Instance") != self.instance:
+            return web.Response(status=421, headers=headers)
+        return web.Response(body=self.instance.encode(), headers=headers)
+
+    def heartbeat(self) -> dict[str, object]:
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "d",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": self.sequence,
+        }
+
+
+class Site:
+    """One failure domain: a control replica, an entry, backend servers and an operator."""
+
+    def __init__(self, *, folder: Path, servers: Sequence[PlainServer]) -> None:
+        number = next(_hosts)
+        self.control_host = f"127.0.70.{number}"
+        self.entry_host = f"127.0.71.{number}"
+        hosts = (self.control_host, self.entry_host)
+        wire = free_port(hosts)
+        self.operators = f"{self.control_host}:{free_port(hosts)}"
+        self.callers = f"{self.entry_host}:{free_port(hosts)}"
+        shared = {
+            "region": "r",
+            "failure_domain": "d",
+            "ports": (wire, wire + 1),
+            "seeds": (self.operators,),
+            "first_start": True,
+            "tolerated_losses": 0,
+        }
+        self._control_settings = NodeSettings(
+            vm="control",
+            role=NodeRole.CONTROL,
+            host=self.control_host,
+            operators=self.operators,
+            data_folder=str(folder),
+            **shared,
+        )
+        self._entry_settings = NodeSettings(
+            vm="entry",
+            role=NodeRole.ENTRY,
+            host=self.entry_host,
+            callers=self.callers,
+            readiness=f"{self.entry_host}:{free_port(hosts)}",
+            **shared,
+        )
+        self.servers = list(servers)
+        self.number = 0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def __aenter__(self) -> Site:
+        self.http = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=5))
+        self.control = NodeProcess(settings=self._control_settings, dialects=platform_dialects())
+        self.entry = NodeProcess(settings=self._entry_settings, dialects=platform_dialects())
+        assert (await self.control.start()).is_ok()
+        assert (await self.entry.start()).is_ok()
+        for server in self.servers:
+            await server.start()
+            self._tasks.append(asyncio.create_task(self._announce(server)))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await self.entry.kernel.kill()
+        await self.control.kernel.kill()
+        for server in self.servers:
+            await server.stop()
+        await self.http.close()
+
+    async def _announce(self, server: PlainServer) -> None:
+        while True:
+            await asyncio.sleep(BEAT_S)
+            if server.silent:
+                continue
+            url = f"http://{self.operators}/-/instances/{server.instance}"
+            try:
+                async with self.http.put(url, json=server.heartbeat()):
+                    pass
+            except aiohttp.ClientError:
+                continue
+
+    async def put_routes(self, *routes: dict[str, object]) -> None:
+        """Put a table with these routes in force; the call is repeated until acknowledged."""
+        self.number += 1
+        document = {
+            "version": self.number,
+            "routes": list(routes),
+            "services": [{"name": name} for name in {server.service for server in self.servers}],
+        }
+
+        async def acknowledged() -> bool:
+            url = f"http://{self.operators}/-/config"
+            async with self.http.put(url, json=document) as answer:
+                return answer.status == 200
+
+        await eventually(acknowledged, "an acknowledged table")
+
+    async def get(self, path: str) -> int:
+        """Ask the entry for a path; gives the status."""
+        headers = {"Host": HOST, "X-Attempt-Id": f"{next(_attempts):016x}"}
+        async with self.http.get(f"http://{self.callers}{path}", headers=headers) as answer:
+            return answer.status
+
+
+__all__ = ["PlainServer", "Site", "route"]
