Let followers drop only servers that the followed replica does not name

Cause: a control replica tells entries what changes; an entry dropped each backend server of which nothing had been told for 60 s, though the replica heard its heartbeats. Class: a cache that ages by the time of the last news where it is fed with news only. Change: a follower's clock for a server runs only while a replica is followed that does not name it: left out of a whole view, or taken back as silent, which replicas now tell (FeedUpdate.silent). While no replica is heard nobody is dropped. The same now holds for stagers, which never dropped anybody.

--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -57,6 +57,7 @@
         "sent_naming_times",
         "sent_replicas",
         "sent_revision",
+        "silent",
         "uses",
         "vm",
         "wake",
@@ -70,6 +71,7 @@
         self.decisions_s = 0.0  # when it was last told what others refused
         self.sent_revision = sent_revision
         self.instances: dict[str, Instance] = {}
+        self.silent: set[str] = set()  # incarnations that are heard no more
         self.loads: dict[str, Load] = {}
         self.sent_replicas: list[str] = []
         self.sent_naming_times = 0
@@ -135,6 +137,7 @@
         self._subscribers: set[_Subscriber] = set()
         catalog.on_change(self._on_catalog)
         registry.on_change(self._on_registry)
+        registry.on_silence(self._on_silence)
         uses.on_change(self._on_uses)
         confirmation.on_found(self._wake_all)
         handlers.on_stream(FeedWatch, self._on_watch)
@@ -210,6 +213,7 @@
         subscriber.sent_replicas = replicas
         instances = [found.record(now_s) for found in subscriber.instances.values()]
         loads = [load.message(now_s) for load in subscriber.loads.values()]
+        silent, subscriber.silent = sorted(subscriber.silent), set()
         subscriber.instances = {}
         subscriber.loads = {}
         engines, uses = self._news_of_uses(subscriber)
@@ -231,6 +235,7 @@
             uses,
             named,
             self._news_of_decisions(subscriber, now_s),
+            silent or None,
         )
 
     def _news_of_uses(self, subscriber: _Subscriber) -> tuple[list[str], list[EngineUse]]:
@@ -270,10 +275,19 @@
                 continue
             for instance in instances:
                 subscriber.instances[instance.instance] = instance
+                subscriber.silent.discard(instance.instance)
             for load in wanted:
                 subscriber.loads[load.record.address] = load
             subscriber.wake.set()
 
+    def _on_silence(self, silent: list[str]) -> None:
+        """Take back that these are heard: watchers are told of changes only."""
+        for subscriber in self._subscribers:
+            for instance in silent:
+                subscriber.instances.pop(instance, None)
+                subscriber.silent.add(instance)
+            subscriber.wake.set()
+
     def _on_uses(self, engines: set[str], vm: str) -> None:
         for subscriber in self._subscribers:
             if subscriber.role is NodeRole.ENTRY and subscriber.vm != vm:
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -67,6 +67,7 @@
 
 
 ChangeListener = Callable[[list[Instance], list[Load]], None]
+SilenceListener = Callable[[list[str]], None]
 
 
 class Registry(GatheringService):
@@ -95,6 +96,7 @@
         "_own_address",
         "_peers",
         "_replicas",
+        "_silence_listeners",
         "_started_s",
         "entries_here",
         "table",
@@ -119,6 +121,7 @@
         self._heard_here_s: dict[str, float] = {}
         self._entries_elsewhere: dict[str, tuple[int, float]] = {}
         self._listeners: list[ChangeListener] = []
+        self._silence_listeners: list[SilenceListener] = []
         self._started_s = _now_s()
         self._naming_times = naming_times
         self.entries_here = 0
@@ -131,6 +134,10 @@
         """Call a function with instances and loads that changed."""
         self._listeners.append(listener)
 
+    def on_silence(self, listener: SilenceListener) -> None:
+        """Call a function with the incarnations of which nothing has been heard for long."""
+        self._silence_listeners.append(listener)
+
     def announce(self, heard: Instance) -> None:
         """Take an announcement that was made here."""
         self._heard_here_s[heard.instance] = heard.heard_s
@@ -258,7 +265,10 @@
 
     def _forget(self) -> None:
         now_s = _now_s()
-        self.table.forget_silent(now_s)
+        silent = [found.instance for found in self.table.forget_silent(now_s)]
+        if silent:
+            for listener in self._silence_listeners:
+                listener(silent)
         for address, load in list(self._loads.items()):
             if now_s - load.heard_s > LOAD_VALID_S:
                 del self._loads[address]
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -12,6 +12,7 @@
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.instances import Instance, InstanceTable
 from leadhollow.membership.naming_times import NamingTimes
+from leadhollow.membership.unnamed import UnnamedInstances
 from leadhollow.membership.uses import Use, decode_decisions, decode_uses
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeRole, NodeSettings
@@ -64,7 +65,8 @@
     catalog
         Route table and versions, applied forwards only.
     table
-        Backend servers; a silent feed or a restarted replica removes none.
+        Backend servers; one leaves by its own word, or where the followed replica hears nothing
+        of it for long. A silent feed or a restarted replica removes none.
     ready
         Set once a replica that a majority confirmed has told everything.
     naming_times
@@ -83,6 +85,7 @@
         "_random",
         "_seeds",
         "_settings",
+        "_unnamed",
         "_use_listeners",
         "catalog",
         "confirmed_s",
@@ -107,6 +110,7 @@
         self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
         self.catalog.on_change(self._note_named)
         self.table = table
+        self._unnamed = UnnamedInstances(table=table)
         self.ready = asyncio.Event()
         self.entries = 1
         self.confirmed_s: float | None = None
@@ -229,6 +233,7 @@
             return await self._take_updates(address, stream)
         finally:
             self._current = ""
+            self._unnamed.pause()
             stream.cancel()
 
     async def _take_updates(self, address: str, stream: CallStream) -> bool:
@@ -283,8 +288,7 @@
             return False
         self.naming_times.learn(update.named or ())
         self.catalog.apply(items, revision=update.revision or 0)
-        for record in update.instances or ():
-            self.table.take(Instance.from_record(record, now_s))
+        self._take_instances(update, now_s)
         for load in update.loads or ():
             for listener in self._load_listeners:
                 listener(load, now_s - (load.age_ms or 0) / 1000)
@@ -298,6 +302,14 @@
                 self.ready.set()
         return True
 
+    def _take_instances(self, update: FeedUpdate, now_s: float) -> None:
+        records = update.instances or ()
+        for record in records:
+            self.table.take(Instance.from_record(record, now_s))
+        named = [record.instance for record in records]
+        self._unnamed.take(named, update.silent or (), whole=bool(update.whole), now_s=now_s)
+        self._unnamed.forget(now_s)
+
     def _note_named(self, items: list[CatalogItem]) -> None:
         for item in items:
             if isinstance(item.value, NamedVersion) and item.value.named:
--- a/src/leadhollow/membership/instances.py
+++ b/src/leadhollow/membership/instances.py
@@ -182,16 +182,18 @@
     Parameters
     ----------
     forget_after_s
-        Silence after which an incarnation is dropped without a word of its own.
+        Silence after which an incarnation is dropped without a word of its own. A control replica
+        hears heartbeats and judges by them (:meth:`forget_silent`); one that is only told what
+        changes judges by whom the replica names (:mod:`leadhollow.membership.unnamed`).
     """
 
     __slots__ = (
         "_by_address",
         "_departed",
-        "_forget_after_s",
         "_instances",
         "_listeners",
         "_replaced",
+        "forget_after_s",
     )
 
     def __init__(self, *, forget_after_s: float) -> None:
@@ -199,7 +201,7 @@
         self._by_address: dict[str, str] = {}
         self._departed: OrderedDict[str, Instance] = OrderedDict()
         self._replaced: OrderedDict[str, None] = OrderedDict()
-        self._forget_after_s = forget_after_s
+        self.forget_after_s = forget_after_s
         self._listeners: list[Listener] = []
 
     def on_change(self, listener: Listener) -> None:
@@ -285,7 +287,7 @@
         silent = [
             found
             for found in self._instances.values()
-            if now_s - found.heard_s > self._forget_after_s
+            if now_s - found.heard_s > self.forget_after_s
         ]
         for found in silent:
             log.info(
@@ -297,6 +299,12 @@
             self._drop(found.instance)
         return silent
 
+    def forget(self, instance: str) -> bool:
+        """Drop one incarnation, which may come back; tells whether it was known."""
+        known = instance in self._instances
+        self._drop(instance)
+        return known
+
     def _take_address(self, heard: Instance) -> bool:
         """Let a newer incarnation replace one at the same address."""
         previous = self.at_address(heard.address)
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -37,13 +37,12 @@
 class Dispatching(TaskService):
     """What the requests of one entry share; its task looks after those that wait."""
 
-    __slots__ = ("board", "budget", "chooser", "plain", "queue", "routes", "streams", "table")
+    __slots__ = ("board", "budget", "chooser", "plain", "queue", "routes", "streams")
 
     def __init__(self, *, process: NodeProcess, feed: ControlFeed, pool: ConnectionPool) -> None:
         settings = process.settings
         clock = asyncio.get_running_loop().time
         dialect = process.dialects.calls
-        self.table = feed.table
         self.routes = RouteIndex(catalog=feed.catalog)
         self.board = ServerBoard(table=feed.table, clock=clock)
         feed.on_load(self.board.take_load)
@@ -94,7 +93,6 @@
                 self.queue.pump()
                 self.queue.pump_held()
             if turn % TIDY_TURNS == 0:
-                self.table.forget_silent(asyncio.get_running_loop().time())
                 self.board.tidy()
 
 
--- a/src/leadhollow/node/process.py
+++ b/src/leadhollow/node/process.py
@@ -22,7 +22,9 @@
 
 STOP_MARGIN_MS = 500  # of the grace: time to close after the drain
 FORGET_AFTER_S = 15.0  # many heartbeats; a silent backend server is avoided long before
-FEED_FORGET_AFTER_S = 60.0  # entries keep their view while control replicas are away
+FEED_FORGET_AFTER_S = 60.0
+"""Of one that the followed replica does not name: a replica that has lost its disk, or is cut off
+from most backend servers, knows few for a while."""
 
 
 class NodeProcess:
--- a/tests/control/test_feed_server.py
+++ b/tests/control/test_feed_server.py
@@ -8,6 +8,7 @@
 from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.control.registry import Registry
+from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
@@ -100,6 +101,12 @@
     def named(self) -> list[VersionAge]:
         return [age for update in self.updates for age in update.named or ()]
 
+    def named_servers(self) -> list[str]:
+        return [found.instance for update in self.updates for found in update.instances or ()]
+
+    def silent(self) -> list[str]:
+        return [instance for update in self.updates for instance in update.silent or ()]
+
     async def report(self, **changes: object) -> None:
         values: dict[str, object] = {"address": ENGINE, "models": [ServedModel("m", 1, 0, 16)]}
         connection = (await self.peers.connection(self.address)).unwrap()
@@ -140,6 +147,31 @@
         with_watchers(work)
 
 
+class TestSilence:
+    def test_of_a_backend_server_is_told_once_to_all_watchers(self):
+        async def work(replica: Replica, entry: Watcher, stager: Watcher) -> None:
+            now_s = asyncio.get_running_loop().time()
+            replica.registry.announce(an_instance(heard_s=now_s))
+            await eventually(lambda: entry.named_servers() and stager.named_servers(), "the news")
+            replica.registry.table.forget_after_s = 0.0
+            replica.registry._forget()
+            await eventually(lambda: entry.silent() and stager.silent(), "the silence")
+            await asyncio.sleep(QUIET_S)
+            assert entry.silent() == stager.silent() == ["i-1"]
+
+        with_watchers(work)
+
+    def test_that_ends_before_it_is_told_is_no_news(self):
+        async def work(replica: Replica, entry: Watcher, stager: Watcher) -> None:
+            heard = an_instance(heard_s=asyncio.get_running_loop().time())
+            replica.feed._on_silence(["i-1"])
+            replica.registry.announce(heard)
+            await eventually(lambda: entry.named_servers() and stager.named_servers(), "the news")
+            assert entry.silent() == stager.silent() == []
+
+        with_watchers(work)
+
+
 class TestNamings:
     def test_are_told_once_and_again_when_more_is_known(self):
         async def work(replica: Replica, entry: Watcher, stager: Watcher) -> None:
@@ -182,5 +214,19 @@
         with_watchers(work)
 
 
+def an_instance(*, heard_s: float) -> Instance:
+    return Instance(
+        instance="i-1",
+        service="s",
+        address=ENGINE,
+        failure_domain="d",
+        sequence=1,
+        state=InstanceState.READY,
+        slots=16,
+        served=(),
+        heard_s=heard_s,
+    )
+
+
 def decided(watcher: Watcher) -> list[ServiceDecisions]:
     return [found for update in watcher.updates for found in update.decisions or ()]
