Let what is kept of backend servers last as long as their news is apart

A report of load was dropped after 10 s, though engines report each n/40 s, so that from 401 engines on every report was gone before the next one, which then counted as news to all stagers. A replica passed on what it heard itself for 5 s and dropped a silent server after 15 s, whatever the operator's heartbeat is. Change: these times are multiples of the interval, with the old values as the least. Figures: four cases of tests/control/test_registry.py fail with the old values (200, 401 and 650 engines; heartbeats of 6 s), all pass now; nothing changes at heartbeats of 1.2 s and up to 133 engines.

--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -12,6 +12,7 @@
 from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.instances import Instance, InstanceState, InstanceTable
 from leadhollow.membership.naming_times import NamingTimes
+from leadhollow.membership.reporting import VALID_INTERVALS, report_interval_s
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import LoadRecord, LoadReport, RegistryPush
@@ -24,9 +25,16 @@
 """Of a replica that has started. Others flood what changes at once, and where all have started
 together nobody knows more, so that entries need not wait for a whole refresh."""
 
-OWN_WORD_S = 5.0  # how long this replica passes on what it heard itself
+OWN_WORD_S = 5.0
+OWN_WORD_BEATS = 4
+"""How long this replica passes on what it heard itself: some heartbeats, and at least 5 s."""
+
 ENTRIES_VALID_S = 4.0
+
 LOAD_VALID_S = 10.0
+"""Age after which a report of load is dropped, and at least as long as followers go by it: the
+more engines, the rarer each reports, so that a fixed time drops every report of a large fleet
+before the next one comes, and takes that one for news."""
 
 log = get_logger("registry")
 
@@ -81,6 +89,8 @@
         Gives the addresses of all replicas.
     forget_after_s
         Silence after which a backend server is dropped.
+    heartbeat_s
+        How often a backend server announces itself.
     naming_times
         When versions were named; replicas learn it from each other.
     """
@@ -94,6 +104,7 @@
         "_loads",
         "_naming_times",
         "_own_address",
+        "_own_word_s",
         "_peers",
         "_replicas",
         "_silence_listeners",
@@ -110,9 +121,11 @@
         peers: PeerPool,
         handlers: HandlerTable,
         forget_after_s: float,
+        heartbeat_s: float,
         naming_times: NamingTimes,
     ) -> None:
         self._own_address = own_address
+        self._own_word_s = max(OWN_WORD_S, OWN_WORD_BEATS * heartbeat_s)
         self._replicas = replicas
         self._peers = peers
         self._loads: dict[str, Load] = {}
@@ -125,7 +138,7 @@
         self._started_s = _now_s()
         self._naming_times = naming_times
         self.entries_here = 0
-        self.table = InstanceTable(forget_after_s=forget_after_s)
+        self.table = InstanceTable(forget_after_s=forget_after_s, heartbeat_s=heartbeat_s)
         super().__init__(gather_s=FLOOD_PAUSE_S, refresh_s=REFRESH_S)
         handlers.on_oneway(RegistryPush, self._on_push)
         handlers.on_oneway(LoadReport, self._on_load_report)
@@ -200,7 +213,7 @@
         self._heard_here_s = {
             instance: heard_s
             for instance, heard_s in self._heard_here_s.items()
-            if now_s - heard_s < OWN_WORD_S
+            if now_s - heard_s < self._own_word_s
         }
         found = [self.table.get(instance) for instance in self._heard_here_s]
         return [instance for instance in found if instance is not None]
@@ -269,13 +282,25 @@
         if silent:
             for listener in self._silence_listeners:
                 listener(silent)
+        valid_s = load_valid_s(len(self._loads))
         for address, load in list(self._loads.items()):
-            if now_s - load.heard_s > LOAD_VALID_S:
+            if now_s - load.heard_s > valid_s:
                 del self._loads[address]
 
 
+def load_valid_s(engines: int) -> float:
+    """Give the age after which a report of load is dropped.
+
+    Parameters
+    ----------
+    engines
+        Engines that report.
+    """
+    return max(LOAD_VALID_S, VALID_INTERVALS * report_interval_s(engines))
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["Load", "Registry"]
+__all__ = ["Load", "Registry", "load_valid_s"]
--- a/src/leadhollow/membership/instances.py
+++ b/src/leadhollow/membership/instances.py
@@ -21,9 +21,11 @@
 REPLACED_KEPT = 1_024  # incarnations remembered whose address another one took
 
 TAKE_BACK_S = 3.0
-"""Silence of an incarnation, two heartbeats and some more, after which the one that it replaced at
-its address may come back. A call of that one that a cut had held up arrives while the newer one is
-heard; where it was the newer one's call that had been held up, that one is heard no more."""
+TAKE_BACK_BEATS = 2.5
+"""Silence of an incarnation, two heartbeats and some more and at least 3 s, after which the one
+that it replaced at its address may come back. A call of that one that a cut had held up arrives
+while the newer one is heard; where it was the newer one's call that had been held up, that one is
+heard no more."""
 
 log = get_logger("instances")
 
@@ -185,6 +187,8 @@
         Silence after which an incarnation is dropped without a word of its own. A control replica
         hears heartbeats and judges by them (:meth:`forget_silent`); one that is only told what
         changes judges by whom the replica names (:mod:`leadhollow.membership.unnamed`).
+    heartbeat_s
+        How often an incarnation announces itself.
     """
 
     __slots__ = (
@@ -193,15 +197,17 @@
         "_instances",
         "_listeners",
         "_replaced",
+        "_take_back_s",
         "forget_after_s",
     )
 
-    def __init__(self, *, forget_after_s: float) -> None:
+    def __init__(self, *, forget_after_s: float, heartbeat_s: float = 0.0) -> None:
         self._instances: dict[str, Instance] = {}
         self._by_address: dict[str, str] = {}
         self._departed: OrderedDict[str, Instance] = OrderedDict()
         self._replaced: OrderedDict[str, None] = OrderedDict()
         self.forget_after_s = forget_after_s
+        self._take_back_s = max(TAKE_BACK_S, TAKE_BACK_BEATS * heartbeat_s)
         self._listeners: list[Listener] = []
 
     def on_change(self, listener: Listener) -> None:
@@ -311,7 +317,7 @@
         if previous is None:
             return True
         silent_s = heard.heard_s - previous.heard_s
-        if silent_s < 0 or (heard.instance in self._replaced and silent_s < TAKE_BACK_S):
+        if silent_s < 0 or (heard.instance in self._replaced and silent_s < self._take_back_s):
             return False
         log.info("address taken over", address=heard.address, previous=previous.instance)
         self._drop(previous.instance)
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -12,7 +12,7 @@
 from leadhollow.control.registry import Registry
 from leadhollow.control.replica_service import ReplicaService
 from leadhollow.control.version_ages import VersionAges
-from leadhollow.node.process import FORGET_AFTER_S
+from leadhollow.node.process import FORGET_AFTER_S, FORGET_BEATS
 from leadhollow.settings.address import Address
 
 if TYPE_CHECKING:
@@ -24,6 +24,7 @@
     """Register everything that a control replica runs."""
     kernel = process.kernel
     settings = process.settings
+    heartbeat_s = settings.heartbeat_ms / 1000
 
     def replica() -> ReplicaService:
         return kernel.get("replica", ReplicaService)
@@ -48,7 +49,8 @@
             replicas=replica().addresses,
             peers=process.peers,
             handlers=process.handlers,
-            forget_after_s=FORGET_AFTER_S,
+            forget_after_s=max(FORGET_AFTER_S, FORGET_BEATS * heartbeat_s),
+            heartbeat_s=heartbeat_s,
             naming_times=kernel.get("version-ages", VersionAges).times,
         )
 
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -105,7 +105,9 @@
         feed = ControlFeed(
             settings=settings,
             peers=process.peers,
-            table=InstanceTable(forget_after_s=FEED_FORGET_AFTER_S),
+            table=InstanceTable(
+                forget_after_s=FEED_FORGET_AFTER_S, heartbeat_s=settings.heartbeat_ms / 1000
+            ),
         )
         process.seed_users.append(feed.use_seeds)
         return feed
--- a/src/leadhollow/node/process.py
+++ b/src/leadhollow/node/process.py
@@ -21,7 +21,10 @@
     from leadhollow.kernel.service import Service
 
 STOP_MARGIN_MS = 500  # of the grace: time to close after the drain
-FORGET_AFTER_S = 15.0  # many heartbeats; a silent backend server is avoided long before
+FORGET_AFTER_S = 15.0
+FORGET_BEATS = 12
+"""Many heartbeats, and at least 15 s; a silent backend server is avoided long before."""
+
 FEED_FORGET_AFTER_S = 60.0
 """Of one that the followed replica does not name: a replica that has lost its disk, or is cut off
 from most backend servers, knows few for a while."""
@@ -94,4 +97,4 @@
 
     SeedUser = Callable[[tuple[str, ...]], None]
 
-__all__ = ["FEED_FORGET_AFTER_S", "FORGET_AFTER_S", "NodeProcess"]
+__all__ = ["FEED_FORGET_AFTER_S", "FORGET_AFTER_S", "FORGET_BEATS", "NodeProcess"]
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -106,7 +106,9 @@
         made = ControlFeed(
             settings=settings,
             peers=process.peers,
-            table=InstanceTable(forget_after_s=FEED_FORGET_AFTER_S),
+            table=InstanceTable(
+                forget_after_s=FEED_FORGET_AFTER_S, heartbeat_s=settings.heartbeat_ms / 1000
+            ),
         )
         process.seed_users.append(made.use_seeds)
         return made
--- a/tests/control/test_feed_server.py
+++ b/tests/control/test_feed_server.py
@@ -63,6 +63,7 @@
             peers=self.peers,
             handlers=self.handlers,
             forget_after_s=60.0,
+            heartbeat_s=1.2,
             naming_times=self.times,
         )
         self.uses = EngineUses(**shared, peers=self.peers, handlers=self.handlers)
--- a/tests/control/test_registry.py
+++ b/tests/control/test_registry.py
@@ -2,15 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
-from leadhollow.control.registry import Load
+from leadhollow.control.registry import LOAD_VALID_S, Load, Registry, load_valid_s
+from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.membership.reporting import (
     REPORTS_PER_S,
     SHORTEST_INTERVAL_S,
+    VALID_INTERVALS,
     report_interval_s,
 )
 from leadhollow.wire.generated.ttypes import LoadRecord, ServedModel
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.peers import PeerPool
+from tests.control.test_feed_server import an_instance
+from tests.support import TOKEN
 
 
 def a_load(previous: Load | None = None, **changes: object) -> Load:
@@ -53,3 +61,35 @@
     @pytest.mark.parametrize("engines", [20, 53, 93, 650])
     def test_bounds_what_all_engines_say_together(self, engines):
         assert engines / report_interval_s(engines) <= REPORTS_PER_S
+
+
+class TestReportsOfManyEngines:
+    @pytest.mark.parametrize("engines", [1, 53, 133, 200, 401, 650])
+    def test_are_kept_for_as_long_as_entries_go_by_them(self, engines):
+        assert load_valid_s(engines) >= VALID_INTERVALS * report_interval_s(engines)
+        assert load_valid_s(engines) >= LOAD_VALID_S
+
+
+class TestRareHeartbeats:
+    """A deployment whose servers announce themselves each 6 s, five times as rarely as usual."""
+
+    BEAT_S = 6.0
+
+    async def test_are_passed_on_from_one_to_the_next(self):
+        registry = a_registry(heartbeat_s=self.BEAT_S)
+        now_s = asyncio.get_running_loop().time()
+        registry.announce(an_instance(heard_s=now_s - self.BEAT_S - 1))
+        assert [found.instance for found in registry._own_instances(now_s)] == ["i-1"]
+
+
+def a_registry(*, heartbeat_s: float) -> Registry:
+    handlers = HandlerTable()
+    return Registry(
+        own_address="127.0.0.1:1",
+        replicas=lambda: [],
+        peers=PeerPool(vm="r", failure_domain="d", token=TOKEN, handlers=handlers),
+        handlers=handlers,
+        forget_after_s=60.0,
+        heartbeat_s=heartbeat_s,
+        naming_times=NamingTimes(clock=asyncio.get_running_loop().time),
+    )
--- a/tests/node/site.py
+++ b/tests/node/site.py
@@ -121,6 +121,7 @@
             "seeds": (self.operators,),
             "first_start": True,
             "tolerated_losses": 0,
+            "heartbeat_ms": BEAT_S * 1000,
         }
         self._control_settings = NodeSettings(
             vm="control",
