Tell the lives of a backend server apart, and leave out announcements of unknown services

A server that starts again under its name counts its calls from 1, so each call of the new life was taken for an old one: it kept the layers, state and health of the former life, and after a farewell it was never used again, on any route. An announcement of another writer could take the address of a server in use. Change: a life is ordered by its birth before its calls, in records, farewells, reports of load and at the entries, which forget health, report and idle connections with the former life; what a former life says late changes nothing. A replica leaves out an announcement whose service no table names, unless it knows the server already.

--- a/src/leadhollow/control/calls.py
+++ b/src/leadhollow/control/calls.py
@@ -55,12 +55,19 @@
 
 
 class Depart:
-    """A backend server says that it goes."""
+    """A backend server says that it goes.
 
-    __slots__ = ("instance",)
+    Parameters
+    ----------
+    born_ms
+        When the life that ends began; 0 where it does not say.
+    """
+
+    __slots__ = ("born_ms", "instance")
 
-    def __init__(self, *, instance: str) -> None:
+    def __init__(self, *, instance: str, born_ms: int = 0) -> None:
         self.instance = instance
+        self.born_ms = born_ms
 
 
 ControlCall = PutTable | ReadTable | NameWeights | Announce | Depart
--- a/src/leadhollow/control/operators.py
+++ b/src/leadhollow/control/operators.py
@@ -101,7 +101,7 @@
             case Announce():
                 self._registry.announce(call.instance)
             case Depart():
-                self._registry.leave(call.instance)
+                self._registry.leave(call.instance, born_ms=call.born_ms)
         return self._dialect.accepted()
 
     async def _propose(self, command: Command, *, what: str, number: int) -> ControlAnswer:
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -93,6 +93,8 @@
         How often a backend server announces itself.
     naming_times
         When versions were named; replicas learn it from each other.
+    serves
+        Tells whether the route table in force names a service.
     """
 
     __slots__ = (
@@ -107,6 +109,7 @@
         "_own_word_s",
         "_peers",
         "_replicas",
+        "_serves",
         "_silence_listeners",
         "_started_s",
         "entries_here",
@@ -123,10 +126,12 @@
         forget_after_s: float,
         heartbeat_s: float,
         naming_times: NamingTimes,
+        serves: Callable[[str], bool],
     ) -> None:
         self._own_address = own_address
         self._own_word_s = max(OWN_WORD_S, OWN_WORD_BEATS * heartbeat_s)
         self._replicas = replicas
+        self._serves = serves
         self._peers = peers
         self._loads: dict[str, Load] = {}
         self._dirty: dict[str, Instance] = {}
@@ -152,14 +157,26 @@
         self._silence_listeners.append(listener)
 
     def announce(self, heard: Instance) -> None:
-        """Take an announcement that was made here."""
+        """Take an announcement that was made here.
+
+        One of a service that no route table names is of no use, and may not take the address of a
+        server that is: it is left out until a table names its service. A server that is known
+        already stays, whatever tables name, so that its leaving is heard.
+        """
+        if self.table.get(heard.instance) is None and not self._serves(heard.service):
+            log.warning(
+                "announcement of an unknown service left out",
+                instance=heard.instance,
+                service=heard.service,
+            )
+            return
         self._heard_here_s[heard.instance] = heard.heard_s
         if self.table.take(heard):
             self._changed_here(heard)
 
-    def leave(self, instance: str) -> None:
-        """Take the word of a backend server that it is gone."""
-        gone = self.table.leave(instance)
+    def leave(self, instance: str, *, born_ms: int = 0) -> None:
+        """Take the word of a backend server that it is gone; see :meth:`InstanceTable.leave`."""
+        gone = self.table.leave(instance, born_ms=born_ms)
         if gone is not None:
             self._changed_here(gone)
 
@@ -226,7 +243,7 @@
         for record in push.instances or ():
             heard = Instance.from_record(record, now_s)
             if heard.state is InstanceState.GONE:
-                gone = self.table.leave(heard.instance)
+                gone = self.table.leave(heard.instance, born_ms=heard.born_ms)
                 changed += [] if gone is None else [gone]
             elif self.table.take(heard):
                 changed.append(heard)
@@ -252,6 +269,8 @@
         known = self._loads.get(record.address)
         if known is not None and known.heard_s >= heard_s:
             return None
+        if known is not None and 0 < (record.born_ms or 0) < (known.record.born_ms or 0):
+            return None  # a late report of a former life
         load = Load(record=record, heard_s=heard_s, own=own, previous=known)
         self._loads[record.address] = load
         return load
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -200,7 +200,9 @@
         return self._late_ms * fade
 
     def take_report(self, record: LoadRecord, made_s: float) -> None:
-        """Take a report of load, unless a newer one is known."""
+        """Take a report of load, unless a newer one is known or it is of a former life."""
+        if 0 < (record.born_ms or 0) < self.instance.born_ms:
+            return
         if self.report is None or made_s >= self.report.made_s:
             self.report = Report(
                 record=record,
--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -28,6 +28,7 @@
     __slots__ = (
         "_by_address",
         "_clock",
+        "_life_listeners",
         "_listeners",
         "_servers",
         "_table",
@@ -42,6 +43,7 @@
         self._servers: dict[str, Server] = {}
         self._by_address: dict[str, Server] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._life_listeners: list[Callable[[str], None]] = []
         self._use_listeners: list[Callable[[str], None]] = []
         self._told: dict[str, Use] = {}
         self._told_s = float("-inf")
@@ -51,6 +53,10 @@
         """Call a function when a place may have become free."""
         self._listeners.append(listener)
 
+    def on_new_life(self, listener: Callable[[str], None]) -> None:
+        """Call a function with the address of a server that started again under its name."""
+        self._life_listeners.append(listener)
+
     def servers(self, service: str) -> list[Server]:
         """Give the backend servers of a service that take requests."""
         return [
@@ -126,6 +132,9 @@
             self._drop(instance.instance)
         else:
             server = self._servers.get(instance.instance)
+            if server is not None and server.instance.born_ms != instance.born_ms:
+                self._end_life(server)
+                server = None
             if server is None:
                 server = Server(
                     instance=instance,
@@ -159,6 +168,13 @@
         for listener in self._use_listeners:
             listener(address)
 
+    def _end_life(self, server: Server) -> None:
+        """Forget all that was found out of a former life: health, load, calls, connections."""
+        address = server.instance.address
+        self._drop(server.instance.instance)
+        for listener in self._life_listeners:
+            listener(address)
+
     def _drop(self, instance: str) -> None:
         server = self._servers.pop(instance, None)
         if server is None:
--- a/src/leadhollow/membership/instances.py
+++ b/src/leadhollow/membership/instances.py
@@ -88,7 +88,10 @@
     instance
         Unique for each start of the backend server.
     sequence
-        Counts up with each call.
+        Counts up with each call of one life.
+    born_ms
+        When this life began, by the server's own clock; 0 where it does not say. A server may start
+        again under its name: nothing that was said in a former life holds then.
     heard_s
         Loop time of the last sign of life that anybody heard.
     cold_until_s
@@ -97,6 +100,7 @@
 
     __slots__ = (
         "address",
+        "born_ms",
         "cold_until_s",
         "failure_domain",
         "heard_s",
@@ -121,6 +125,7 @@
         served: tuple[ServedVersion, ...],
         heard_s: float,
         cold_until_s: float = 0.0,
+        born_ms: int = 0,
     ) -> None:
         self.instance = instance
         self.service = service
@@ -132,6 +137,7 @@
         self.served = served
         self.heard_s = heard_s
         self.cold_until_s = cold_until_s
+        self.born_ms = born_ms
 
     def says_the_same(self, other: Instance) -> bool:
         """Tell whether two records differ in nothing but their number and age."""
@@ -156,6 +162,7 @@
             [served.record() for served in self.served],
             int((now_s - self.heard_s) * 1000),
             max(0, int((self.cold_until_s - now_s) * 1000)),
+            self.born_ms,
         )
 
     @classmethod
@@ -172,6 +179,7 @@
             served=tuple(ServedVersion.from_record(found) for found in record.models or ()),
             heard_s=now_s - (record.heard_age_ms or 0) / 1000,
             cold_until_s=now_s + (record.cold_ms or 0) / 1000,
+            born_ms=int(record.born_ms or 0),
         )
 
 
@@ -223,6 +231,9 @@
             Whether it says something new; an older one, or one of an incarnation that has left,
             does not.
         """
+        if self._is_former(heard):
+            return False
+        self._end_former(heard)
         if heard.instance in self._departed:
             return False
         known = self._instances.get(heard.instance)
@@ -249,11 +260,19 @@
         self._tell(heard)
         return True
 
-    def leave(self, instance: str) -> Instance | None:
-        """Note that an incarnation left, also one that was never heard of; None if known gone."""
+    def leave(self, instance: str, *, born_ms: int = 0) -> Instance | None:
+        """Note that an incarnation left, also one that was never heard of; None if known gone.
+
+        Parameters
+        ----------
+        born_ms
+            The life that left, 0 for the newest one that is known.
+        """
+        known = self._instances.get(instance)
         if instance in self._departed:
             return None
-        known = self._instances.get(instance)
+        if known is not None and 0 < born_ms < known.born_ms:
+            return None  # the word of a former life came late
         gone = Instance(
             instance=instance,
             service="" if known is None else known.service,
@@ -264,6 +283,7 @@
             slots=0,
             served=(),
             heard_s=_now_s(),
+            born_ms=born_ms if known is None else max(born_ms, known.born_ms),
         )
         self._depart(gone)
         return gone
@@ -305,6 +325,21 @@
             self._drop(found.instance)
         return silent
 
+    def _is_former(self, heard: Instance) -> bool:
+        """Tell whether a record is of a life before the one that is known."""
+        known = self._instances.get(heard.instance) or self._departed.get(heard.instance)
+        return known is not None and heard.born_ms < known.born_ms
+
+    def _end_former(self, heard: Instance) -> None:
+        """Let a server that started again under its name begin with nothing."""
+        known = self._instances.get(heard.instance)
+        departed = self._departed.get(heard.instance)
+        if departed is not None and departed.born_ms < heard.born_ms:
+            del self._departed[heard.instance]
+        if known is not None and known.born_ms < heard.born_ms:
+            log.info("backend server started again", instance=heard.instance, born_ms=heard.born_ms)
+            self._drop(heard.instance)
+
     def forget(self, instance: str) -> bool:
         """Drop one incarnation, which may come back; tells whether it was known."""
         known = instance in self._instances
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -13,6 +13,7 @@
 from leadhollow.control.replica_service import ReplicaService
 from leadhollow.control.version_ages import VersionAges
 from leadhollow.node.process import FORGET_AFTER_S, FORGET_BEATS
+from leadhollow.routing.items import names_service
 from leadhollow.settings.address import Address
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
             forget_after_s=max(FORGET_AFTER_S, FORGET_BEATS * heartbeat_s),
             heartbeat_s=heartbeat_s,
             naming_times=kernel.get("version-ages", VersionAges).times,
+            serves=lambda name: names_service(replica().replica.machine.catalog, name),
         )
 
     def make_uses() -> Service:
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -45,6 +45,7 @@
         dialect = process.dialects.calls
         self.routes = RouteIndex(catalog=feed.catalog)
         self.board = ServerBoard(table=feed.table, clock=clock)
+        self.board.on_new_life(pool.drop)
         feed.on_load(self.board.take_load)
         feed.on_uses(self.board.take_told)
         self.budget = RetryBudget(bounds=settings.bounds, entries=lambda: feed.entries, clock=clock)
--- a/src/leadhollow/platform/control.py
+++ b/src/leadhollow/platform/control.py
@@ -29,6 +29,7 @@
 INSTANCES_PATH = "/-/instances/"
 STATES = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
 MOST_SLOTS = 100_000  # an engine that claims more does not mean what it says
+LAST_MS = (1 << 63) - 1  # what a message between processes can carry
 LAST_LAYER = 1 << 20  # stands for all layers where an engine names none
 
 
@@ -48,7 +49,10 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True, rename="camel"):
-    """An engine's announcement; ``version`` is that of its software and of no use here."""
+    """An engine's announcement; ``version`` is that of its software and of no use here.
+
+    ``born`` is the Unix millisecond of its start.
+    """
 
     service: str
     address: str
@@ -56,11 +60,18 @@
     state: str
     sequence: int
     slots: Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)] = 1
+    born: Annotated[int, msgspec.Meta(ge=0, le=LAST_MS)] = 0
     cold_remaining_ms: float = 0.0
     models: tuple[HeldModel, ...] = ()
     layers: tuple[HeldLayers, ...] | HeldLayers | None = None
 
 
+class Farewell(msgspec.Struct, frozen=True):
+    """What an engine may say beside its name as it goes."""
+
+    born: Annotated[int, msgspec.Meta(ge=0, le=LAST_MS)] = 0
+
+
 class VersionOrder(msgspec.Struct, frozen=True):
     """The order to run a version of a model's weights."""
 
@@ -68,6 +79,7 @@
     version: int
 
 
+_farewells = msgspec.json.Decoder(Farewell)
 _heartbeats = msgspec.json.Decoder(Heartbeat)
 _version_orders = msgspec.json.Decoder(VersionOrder)
 
@@ -94,7 +106,7 @@
             if method == "PUT":
                 return _read_heartbeat(instance, body, now_s)
             if method == "DELETE":
-                return Ok(Depart(instance=instance))
+                return _read_farewell(instance, body)
         return Err(Failure(code=Code.SERVICE_UNKNOWN, detail=f"no call {method} {path}"))
 
     def accepted(self) -> ControlAnswer:
@@ -154,6 +166,14 @@
     return Ok(NameWeights(model=order.model, number=order.version))
 
 
+def _read_farewell(instance: str, body: bytes) -> Result[ControlCall, Failure]:
+    try:
+        said = _farewells.decode(body) if body.strip() else Farewell()
+    except msgspec.MsgspecError as error:
+        return Err(Failure(code=Code.REQUEST_MALFORMED, detail=str(error)))
+    return Ok(Depart(instance=instance, born_ms=said.born))
+
+
 def _read_heartbeat(instance: str, body: bytes, now_s: float) -> Result[ControlCall, Failure]:
     try:
         beat = _heartbeats.decode(body)
@@ -176,6 +196,7 @@
                 served=read_served(beat.models, beat.layers),
                 heard_s=now_s,
                 cold_until_s=now_s + beat.cold_remaining_ms / 1000,
+                born_ms=beat.born,
             )
         )
     )
--- a/src/leadhollow/platform/engines.py
+++ b/src/leadhollow/platform/engines.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.platform.control import HeldLayers, HeldModel, read_served
+from leadhollow.platform.control import LAST_MS, HeldLayers, HeldModel, read_served
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
 
 
 class ReportDocument(msgspec.Struct, frozen=True, rename="camel"):
-    """State of an engine; ``kv_used`` is the part of its memory that cannot yield."""
+    """State of an engine; ``kv_used`` is the part of its memory that cannot yield.
+
+    ``born`` is the Unix millisecond of its start.
+    """
 
     models: tuple[HeldModel, ...] = ()
     layers: tuple[HeldLayers, ...] | HeldLayers | None = None
@@ -23,6 +28,7 @@
     kv_used: int = 0
     kv_total: int = 0
     pace: float = 1.0
+    born: Annotated[int, msgspec.Meta(ge=0, le=LAST_MS)] = 0
 
 
 class HeldDocument(msgspec.Struct, frozen=True):
@@ -70,6 +76,7 @@
                 memory_used_tokens=document.kv_used,
                 memory_tokens=document.kv_total,
                 pace=document.pace,
+                born_ms=document.born,
             )
         )
 
--- a/src/leadhollow/routing/items.py
+++ b/src/leadhollow/routing/items.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from leadhollow.routing.model import RouteTable, TableNumber
+from leadhollow.routing.model import RouteTable, ServiceRecord, TableNumber
+from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem, CatalogValue
 
 TABLE_KEY = "table"
@@ -59,4 +60,11 @@
     return changed + gone
 
 
-__all__ = ["TABLE_KEY", "changed_items", "table_values"]
+def names_service(catalog: Catalog, name: str) -> bool:
+    """Tell whether the table in force names a service; without any table every one may come."""
+    if catalog.item(TABLE_KEY) is None:
+        return True
+    return catalog.value(f"{SERVICE_PREFIX}{name}", ServiceRecord) is not None
+
+
+__all__ = ["TABLE_KEY", "changed_items", "names_service", "table_values"]
--- a/src/leadhollow/staging/engine_dialect.py
+++ b/src/leadhollow/staging/engine_dialect.py
@@ -27,10 +27,13 @@
         Memory that cannot be given up, and all of it.
     pace
         How much slower than declared it is; 1 is as declared.
+    born_ms
+        When it started, by its own clock; 0 where it does not say.
     """
 
     __slots__ = (
         "active",
+        "born_ms",
         "busy",
         "memory_tokens",
         "memory_used_tokens",
@@ -51,8 +54,10 @@
         memory_used_tokens: int,
         memory_tokens: int,
         pace: float,
+        born_ms: int = 0,
     ) -> None:
         self.served = served
+        self.born_ms = born_ms
         self.busy = busy
         self.sequence = sequence
         self.active = active
--- a/src/leadhollow/staging/load_reports.py
+++ b/src/leadhollow/staging/load_reports.py
@@ -120,6 +120,7 @@
             staged_version,
             staged_pieces,
             int(self._path_delay_s() * 1000),
+            report.born_ms,
         )
         connected.unwrap().oneway(LoadReport([record]))
         self._sent_s = asyncio.get_running_loop().time()
@@ -131,6 +132,7 @@
                 await asyncio.sleep(LOST_PAUSE_S)
                 continue
             said = (
+                report.born_ms,
                 report.busy,
                 self.switching,
                 self.staged(),
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -43,8 +43,8 @@
 
 // Control feed: catalog, backend servers that announce themselves, their loads.
 struct ServedModel { 1: string model; 2: i64 version; 3: i32 first_layer; 4: i32 end_layer }
-struct InstanceRecord { 1: string instance; 2: string service_name; 3: string address; 4: string failure_domain; 5: i64 sequence; 6: i32 state; 7: i32 slots; 8: list<ServedModel> models; 9: i32 heard_age_ms; 10: i32 cold_ms }
-struct LoadRecord { 1: string address; 2: i32 active; 3: i32 queued; 4: i64 kv_used; 5: i64 kv_total; 6: i32 pace_permille; 7: list<ServedModel> models; 8: bool switching; 9: i32 age_ms; 10: i64 staged_version; 11: i32 staged_pieces; 12: i32 path_delay_ms }
+struct InstanceRecord { 1: string instance; 2: string service_name; 3: string address; 4: string failure_domain; 5: i64 sequence; 6: i32 state; 7: i32 slots; 8: list<ServedModel> models; 9: i32 heard_age_ms; 10: i32 cold_ms; 11: i64 born_ms }
+struct LoadRecord { 1: string address; 2: i32 active; 3: i32 queued; 4: i64 kv_used; 5: i64 kv_total; 6: i32 pace_permille; 7: list<ServedModel> models; 8: bool switching; 9: i32 age_ms; 10: i64 staged_version; 11: i32 staged_pieces; 12: i32 path_delay_ms; 13: i64 born_ms }
 // What entries have at an engine, told at once so that they do not choose the same one unseen. The
 // engine is a place in the list of addresses of the message; a feed goes on counting from update to update.
 struct EngineUse { 1: i32 engine; 2: i32 requests; 3: i32 unread_tokens }
--- a/tests/control/test_feed_server.py
+++ b/tests/control/test_feed_server.py
@@ -65,6 +65,7 @@
             forget_after_s=60.0,
             heartbeat_s=1.2,
             naming_times=self.times,
+            serves=lambda name: name == "s",
         )
         self.uses = EngineUses(**shared, peers=self.peers, handlers=self.handlers)
         self.feed = FeedServer(
@@ -215,13 +216,15 @@
         with_watchers(work)
 
 
-def an_instance(*, heard_s: float) -> Instance:
+def an_instance(
+    instance: str = "i-1", *, heard_s: float, service: str = "s", sequence: int = 1
+) -> Instance:
     return Instance(
-        instance="i-1",
-        service="s",
+        instance=instance,
+        service=service,
         address=ENGINE,
         failure_domain="d",
-        sequence=1,
+        sequence=sequence,
         state=InstanceState.READY,
         slots=16,
         served=(),
--- a/tests/control/test_registry.py
+++ b/tests/control/test_registry.py
@@ -7,6 +7,7 @@
 import pytest
 
 from leadhollow.control.registry import LOAD_VALID_S, Load, Registry, load_valid_s
+from leadhollow.membership.instances import InstanceState
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.membership.reporting import (
     REPORTS_PER_S,
@@ -92,4 +93,34 @@
         forget_after_s=60.0,
         heartbeat_s=heartbeat_s,
         naming_times=NamingTimes(clock=asyncio.get_running_loop().time),
+        serves=lambda name: name == "s",
     )
+
+
+class TestUnknownServices:
+    """Announcements of another writer: they name no server to use, and the others hold."""
+
+    async def test_take_no_address_of_a_server_in_use(self):
+        registry = a_registry(heartbeat_s=1.2)
+        now_s = asyncio.get_running_loop().time()
+        registry.announce(an_instance(heard_s=now_s))
+        registry.announce(an_instance("i-2", service="nobody", heard_s=now_s + 1))
+        assert [found.instance for found in registry.table.instances()] == ["i-1"]
+
+    async def test_do_not_keep_a_known_server_from_leaving(self):
+        registry = a_registry(heartbeat_s=1.2)
+        now_s = asyncio.get_running_loop().time()
+        registry.announce(an_instance(heard_s=now_s))
+        leaving = an_instance(service="renamed", heard_s=now_s + 1, sequence=2)
+        leaving.state = InstanceState.DRAINING
+        registry.announce(leaving)
+        assert registry.table.get("i-1").state is InstanceState.DRAINING
+
+
+class TestFormerLives:
+    async def test_late_reports_of_load_change_nothing(self):
+        registry = a_registry(heartbeat_s=1.2)
+        registry._take_load(a_load(active=0, born_ms=2_000).record, own=True)
+        await asyncio.sleep(0.01)
+        assert registry._take_load(a_load(active=9, born_ms=1_000).record, own=True) is None
+        assert registry.loads()[0].record.active == 0
--- a/tests/membership/test_instances.py
+++ b/tests/membership/test_instances.py
@@ -27,6 +27,7 @@
     address: str = "10.0.0.1:80",
     heard_s: float = 100.0,
     version: int = 1,
+    born_ms: int = 0,
 ) -> Instance:
     served = ServedVersion(model="m", version=version, first_layer=0, end_layer=16)
     return Instance(
@@ -39,6 +40,7 @@
         slots=16,
         served=(served,),
         heard_s=heard_s,
+        born_ms=born_ms,
     )
 
 
@@ -134,6 +136,75 @@
         assert not table.take(said("i-1", sequence=42, heard_s=late_s + 0.1))
 
 
+class TestLives:
+    """A server that starts again under its name, its calls counted anew."""
+
+    FIRST, SECOND = 1_000, 2_000
+
+    def test_of_a_server_that_crashed_begins_with_what_it_says_now(self, table):
+        table.take(said(sequence=40, version=3, born_ms=self.FIRST))
+        assert table.take(said(sequence=1, version=1, born_ms=self.SECOND))
+        assert table.get("i-1").served[0].version == 1
+        assert table.get("i-1").sequence == 1
+
+    async def test_of_a_server_that_had_left_is_taken(self, table):
+        table.take(said(sequence=40, born_ms=self.FIRST))
+        table.leave("i-1")
+        assert not table.take(said(sequence=41, born_ms=self.FIRST))
+        assert table.take(said(sequence=1, born_ms=self.SECOND))
+        assert table.get("i-1") is not None
+
+    def test_of_a_server_that_was_leaving_takes_requests_again(self, table):
+        table.take(said(sequence=40, state=DRAINING, born_ms=self.FIRST))
+        assert table.take(said(sequence=1, born_ms=self.SECOND))
+        assert table.get("i-1").state is READY
+
+    def test_at_another_address_leaves_the_old_one(self, table):
+        table.take(said(sequence=40, born_ms=self.FIRST))
+        table.take(said(sequence=1, address="10.0.0.2:80", born_ms=self.SECOND))
+        assert table.at_address("10.0.0.1:80") is None
+        assert table.at_address("10.0.0.2:80").born_ms == self.SECOND
+
+    @pytest.mark.parametrize("state", [READY, DRAINING, GONE])
+    @pytest.mark.parametrize("born_ms", [0, FIRST])
+    def test_late_calls_of_a_former_one_change_nothing(self, table, state, born_ms):
+        table.take(said(sequence=1, heard_s=100.0, born_ms=self.SECOND))
+        late = said(sequence=41, version=3, heard_s=109.0, state=state, born_ms=born_ms)
+        assert not table.take(late)
+        known = table.get("i-1")
+        assert (known.state, known.served[0].version, known.heard_s) == (READY, 1, 100.0)
+
+    async def test_the_late_farewell_of_a_former_one_changes_nothing(self, table):
+        table.take(said(sequence=1, born_ms=self.SECOND))
+        assert table.leave("i-1", born_ms=self.FIRST) is None
+        assert table.get("i-1") is not None
+
+    async def test_a_farewell_without_a_birth_is_that_of_the_newest(self, table):
+        table.take(said(sequence=1, born_ms=self.SECOND))
+        assert table.leave("i-1").born_ms == self.SECOND
+        assert not table.take(said(sequence=2, born_ms=self.SECOND))
+
+    def test_travel_with_the_record(self):
+        record = said(born_ms=self.SECOND).record(103.0)
+        assert Instance.from_record(record, 50.0).born_ms == self.SECOND
+
+    @given(st.permutations(range(6)))
+    def test_any_order_ends_with_the_newest(self, order):
+        calls = [
+            said(sequence=1, born_ms=self.FIRST),
+            said(sequence=40, version=3, born_ms=self.FIRST),
+            said(sequence=41, state=DRAINING, born_ms=self.FIRST),
+            said(sequence=41, state=GONE, born_ms=self.FIRST),
+            said(sequence=1, version=1, born_ms=self.SECOND),
+            said(sequence=2, version=2, born_ms=self.SECOND),
+        ]
+        table = InstanceTable(forget_after_s=10.0)
+        for place in order:
+            table.take(calls[place])
+        known = table.get("i-1")
+        assert (known.born_ms, known.sequence, known.served[0].version) == (self.SECOND, 2, 2)
+
+
 class TestSilence:
     def test_drops_an_incarnation_that_may_come_back(self, table):
         table.take(said(heard_s=100.0))
--- a/tests/node/site.py
+++ b/tests/node/site.py
@@ -61,6 +61,7 @@
         self.instance = instance
         self.service = service
         self.sequence = 0
+        self.born_ms: int | None = None
         self.address = ""
         self.silent = False
         self._runner: web.AppRunner | None = None
@@ -91,7 +92,9 @@
 
     def heartbeat(self) -> dict[str, object]:
         self.sequence += 1
+        life = {} if self.born_ms is None else {"born": self.born_ms}
         return {
+            **life,
             "service": self.service,
             "address": self.address,
             "zone": "d",
@@ -191,6 +194,17 @@
 
         await eventually(acknowledged, "an acknowledged table")
 
+    async def leave(self, server: PlainServer, *, born_ms: int | None = None) -> None:
+        """Say that a server goes, which may name the life that ends."""
+        url = f"http://{self.operators}/-/instances/{server.instance}"
+        said = None if born_ms is None else {"born": born_ms}
+        async with self.http.delete(url, json=said) as answer:
+            assert answer.status == 200
+
+    async def pause(self) -> None:
+        """Let what was said spread."""
+        await asyncio.sleep(4 * BEAT_S)
+
     async def get(self, path: str) -> int:
         """Ask the entry for a path; gives the status."""
         headers = {"Host": HOST, "X-Attempt-Id": f"{next(_attempts):016x}"}
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -5,6 +5,8 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from leadhollow.codes import Code
 from leadhollow.control.calls import Announce, Depart, NameWeights, PutTable, ReadTable
@@ -270,6 +272,36 @@
         assert (said.sequence, said.state, said.cold_until_s) == (4, InstanceState.READY, 100.5)
         assert [served.key() for served in said.served] == [("m", 1, 0, 16)]
 
+    def test_say_which_life_they_are_of(self):
+        beat = json.dumps({**BEAT, "born": 1_790_000_000_123}).encode()
+        announced = call("PUT", "/-/instances/i-1", beat).unwrap()
+        assert announced.instance.born_ms == 1_790_000_000_123
+        gone = call("DELETE", "/-/instances/i-1", b'{"born":7}').unwrap()
+        assert gone.born_ms == 7
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            *({name: None} for name in ("service", "address", "zone", "state", "sequence")),
+            *({name: []} for name in BEAT if name not in ("version", "models", "layers", "stage")),
+            *({"born": born} for born in ("soon", 1.5, -1, 1 << 64, None)),
+        ],
+    )
+    def test_with_a_field_of_another_type_name_nobody(self, changes):
+        beat = json.dumps({**BEAT, **changes}).encode()
+        failure = call("PUT", "/-/instances/i-1", beat).unwrap_err()
+        assert failure.code is Code.REQUEST_MALFORMED
+
+    @pytest.mark.parametrize("name", ["service", "address", "zone", "state", "sequence"])
+    def test_without_a_field_that_is_needed_name_nobody(self, name):
+        beat = {field: value for field, value in BEAT.items() if field != name}
+        failure = call("PUT", "/-/instances/i-1", json.dumps(beat).encode()).unwrap_err()
+        assert failure.code is Code.REQUEST_MALFORMED
+
+    @given(st.binary(max_size=200))
+    def test_that_are_any_bytes_name_nobody(self, body):
+        assert call("PUT", "/-/instances/i-1", body).is_err()
+
     @pytest.mark.parametrize(
         ("method", "target", "body", "code"),
         [
@@ -279,6 +311,7 @@
             ("PUT", "/-/config", with_route(timeoutMs=0), Code.TABLE_INVALID),
             ("POST", "/-/version-put", b"{}", Code.VERSION_MALFORMED),
             ("PUT", "/-/instances/i-1", b"no", Code.REQUEST_MALFORMED),
+            ("DELETE", "/-/instances/i-1", b'{"born":"soon"}', Code.REQUEST_MALFORMED),
             (
                 "PUT",
                 "/-/instances/i-1",
