Let a connection that is cancelled with its loop be no fault

Cause: asyncio runs an accepted connection's coroutine as a task of its own and reads its exception at the end, which raises where that task was cancelled: "Exception in callback StreamReaderProtocol.connection_made". Change: the listener starts the task itself, and logs one that ends by an error. Figures: tests/wire/test_connection.py::TestEndOfTheLoop fails without it.

--- a/src/leadhollow/wire/server.py
+++ b/src/leadhollow/wire/server.py
@@ -40,7 +40,7 @@
         """Open the listener; port 0 takes a free one."""
         try:
             self._server = await asyncio.start_server(
-                self._accept, self.address.host, self.address.port, limit=2**20
+                self._accepted, self.address.host, self.address.port, limit=2**20
             )
         except OSError as error:
             return Err(Failure(code=Code.ADDRESS_IN_USE, detail=f"{self.address}: {error}"))
@@ -56,11 +56,18 @@
             connection.close()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        if task is not None:
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+    def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Start the task of a connection; one of asyncio's own is called a fault when cancelled."""
+        task = asyncio.get_running_loop().create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("connection ended by an error", error=repr(task.exception()))
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = Connection(reader=reader, writer=writer, handlers=self._handlers)
         self._connections.add(connection)
         try:
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -164,3 +164,19 @@
             return (await pair.peers.call(pair.address, StateProbe("x"), timeout_ms=1_000)).is_ok()
 
         await eventually(reached, "the peer again")
+
+
+class TestEndOfTheLoop:
+    def test_with_a_peer_connected_is_no_fault(self):
+        faults: list[dict[str, object]] = []
+
+        async def run() -> None:
+            asyncio.get_running_loop().set_exception_handler(
+                lambda loop, context: faults.append(context)
+            )
+            pair = Pair()
+            assert (await pair.server.start()).is_ok()
+            assert (await pair.peers.connection(pair.address)).is_ok()
+
+        asyncio.run(run())
+        assert not faults
