Let a change of the route table cost an entry what it changes, and measure it

Cause: each change made the entry's index anew from all items, a look-up tried every route of its host, and the feed sorted all items for each watcher. Change: the catalog keeps its items by revision, the index takes changes in and finds a route by the lengths of prefixes in use; `leadhollow bench table` prints the costs. Hosts that differ in case only are one place (the index took them for one, the check did not), a table of number 0 is in force instead of acknowledged and dropped.

--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -11,6 +11,7 @@
     BenchFairnessCommand,
     BenchRecoveryCommand,
     BenchRequestsCommand,
+    BenchTableCommand,
 )
 from leadhollow.cli.demo_command import DemoCommand
 from leadhollow.cli.experiment_command import ExperimentRunCommand
@@ -62,6 +63,7 @@
     BenchFairnessCommand,
     BenchRecoveryCommand,
     BenchRequestsCommand,
+    BenchTableCommand,
 )
 
 
--- a/src/leadhollow/cli/bench_command.py
+++ b/src/leadhollow/cli/bench_command.py
@@ -193,6 +193,19 @@
         return run_recovery(self.number("seeds"))
 
 
+class BenchTableCommand(BenchCommand):
+    """Measures what a change of the route table costs."""
+
+    name = "bench table"
+    description = "Measure a change of one route in tables of 100, 1,500 and 10,000."
+
+    def measure(self) -> Coroutine[Any, Any, Result[Any, Failure]]:
+        """Begin the measurement."""
+        from leadhollow.bench.table_costs import run_table_costs
+
+        return run_table_costs()
+
+
 __all__ = [
     "BenchCommand",
     "BenchControlCommand",
@@ -200,4 +213,5 @@
     "BenchFairnessCommand",
     "BenchRecoveryCommand",
     "BenchRequestsCommand",
+    "BenchTableCommand",
 ]
--- a/src/leadhollow/routing/index.py
+++ b/src/leadhollow/routing/index.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import hashlib
+from collections import Counter
 
+from leadhollow.routing.items import LIMITS_KEY, TABLE_KEY
 from leadhollow.routing.model import (
     CallerLimits,
     Organisation,
@@ -12,12 +14,52 @@
     TableNumber,
 )
 from leadhollow.state.catalog import Catalog
-from leadhollow.state.records import CatalogItem
+from leadhollow.state.records import CatalogItem, CatalogValue
+
+
+class _HostRoutes:
+    """Routes of one host by their prefix; a look-up costs as many steps as lengths are in use."""
+
+    __slots__ = ("_by_prefix", "_lengths", "_longest_first")
+
+    def __init__(self) -> None:
+        self._by_prefix: dict[str, Route] = {}
+        self._lengths: Counter[int] = Counter()
+        self._longest_first: list[int] = []
+
+    def put(self, route: Route) -> None:
+        """Take a route in."""
+        if route.path_prefix not in self._by_prefix:
+            self._count(len(route.path_prefix), 1)
+        self._by_prefix[route.path_prefix] = route
+
+    def remove(self, route: Route) -> None:
+        """Leave a route out, unless another one has its place by now."""
+        if self._by_prefix.get(route.path_prefix) is route:
+            del self._by_prefix[route.path_prefix]
+            self._count(len(route.path_prefix), -1)
+
+    def find(self, path: str) -> Route | None:
+        """Find the route with the longest prefix of a path."""
+        for length in self._longest_first:
+            found = self._by_prefix.get(path[:length])
+            if found is not None:
+                return found
+        return None
+
+    def _count(self, length: int, change: int) -> None:
+        self._lengths[length] += change
+        if self._lengths[length] <= 0:
+            del self._lengths[length]
+        if len(self._lengths) != len(self._longest_first):
+            self._longest_first = sorted(self._lengths, reverse=True)
 
 
 class RouteIndex:
     """The route table of a catalog, kept ready for look-ups.
 
+    A change costs as much as it changes, whatever the size of the table.
+
     Parameters
     ----------
     catalog
@@ -26,7 +68,7 @@
 
     __slots__ = (
         "_by_host",
-        "_catalog",
+        "_by_key",
         "_organisations",
         "keyed",
         "limits",
@@ -35,52 +77,66 @@
     )
 
     def __init__(self, *, catalog: Catalog) -> None:
-        self._catalog = catalog
-        self._by_host: dict[str, list[Route]] = {}
+        self._by_host: dict[str, _HostRoutes] = {}
+        self._by_key: dict[str, CatalogValue] = {}  # what was taken in, by the item's key
         self._organisations: dict[str, Organisation] = {}
         self.services: dict[str, ServiceRecord] = {}
         self.limits = CallerLimits()
         self.number = 0
         self.keyed = False
         catalog.on_change(self._on_change)
-        self._rebuild()
+        self._on_change(list(catalog.items().values()))
 
     @property
     def known(self) -> bool:
         """Whether any table has been received."""
-        return self.number > 0
+        return TABLE_KEY in self._by_key
 
     def route(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix of a path."""
-        for route in self._by_host.get(host.lower(), ()):
-            if path.startswith(route.path_prefix):
-                return route
-        return None
+        routes = self._by_host.get(host.lower())
+        return None if routes is None else routes.find(path)
 
     def organisation(self, key: str) -> Organisation | None:
         """Find the group that holds a key."""
         return self._organisations.get(hashlib.sha256(key.encode()).hexdigest())
 
     def _on_change(self, items: list[CatalogItem]) -> None:
-        self._rebuild()
-
-    def _rebuild(self) -> None:
-        by_host: dict[str, list[Route]] = {}
-        for route in self._catalog.values(Route):
-            by_host.setdefault(route.host.lower(), []).append(route)
-        for routes in by_host.values():
-            routes.sort(key=lambda route: -len(route.path_prefix))
-        self._by_host = by_host
-        self.services = {found.name: found for found in self._catalog.values(ServiceRecord)}
-        self._organisations = {
-            key: organisation
-            for organisation in self._catalog.values(Organisation)
-            for key in organisation.key_sha256s
-        }
-        self.limits = next(iter(self._catalog.values(CallerLimits)), CallerLimits())
-        for number in self._catalog.values(TableNumber):
-            self.number = number.number
-            self.keyed = number.keyed
+        """Leave all former values out before new ones come in: a key may go to another group."""
+        for item in items:
+            former = self._by_key.pop(item.key, None)
+            if former is not None:
+                self._leave_out(former)
+        for item in items:
+            if item.value is not None:
+                self._take_in(item.key, item.value)
+
+    def _leave_out(self, value: CatalogValue) -> None:
+        match value:
+            case Route():
+                self._by_host[value.host.lower()].remove(value)
+            case ServiceRecord():
+                del self.services[value.name]
+            case Organisation():
+                for key in value.key_sha256s:
+                    self._organisations.pop(key, None)
+
+    def _take_in(self, key: str, value: CatalogValue) -> None:
+        match value:
+            case Route():
+                self._by_host.setdefault(value.host.lower(), _HostRoutes()).put(value)
+            case ServiceRecord():
+                self.services[value.name] = value
+            case Organisation():
+                self._organisations.update(dict.fromkeys(value.key_sha256s, value))
+            case CallerLimits() if key == LIMITS_KEY:
+                self.limits = value
+            case TableNumber() if key == TABLE_KEY:
+                self.number = value.number
+                self.keyed = value.keyed
+            case _:
+                return
+        self._by_key[key] = value
 
 
 __all__ = ["RouteIndex"]
--- a/src/leadhollow/routing/items.py
+++ b/src/leadhollow/routing/items.py
@@ -67,4 +67,4 @@
     return catalog.value(f"{SERVICE_PREFIX}{name}", ServiceRecord) is not None
 
 
-__all__ = ["TABLE_KEY", "changed_items", "names_service", "table_values"]
+__all__ = ["LIMITS_KEY", "TABLE_KEY", "changed_items", "names_service", "table_values"]
--- a/src/leadhollow/routing/model.py
+++ b/src/leadhollow/routing/model.py
@@ -152,6 +152,9 @@
     idle_timeout_ms: int = 15_000
 
 
+LOWEST_NUMBER = 0  # of a route table
+
+
 class TableNumber(msgspec.Struct, frozen=True, kw_only=True, tag="table-number"):
     """Number of the route table in force, and whether it knows groups at all."""
 
@@ -171,6 +174,7 @@
 
 
 __all__ = [
+    "LOWEST_NUMBER",
     "CallKind",
     "CallerLimits",
     "EngineSpec",
--- a/src/leadhollow/routing/rules.py
+++ b/src/leadhollow/routing/rules.py
@@ -4,7 +4,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.routing.model import Organisation, Route, RouteTable
+from leadhollow.routing.model import LOWEST_NUMBER, Organisation, Route, RouteTable
 
 
 def check_table(table: RouteTable) -> Failure | None:
@@ -15,6 +15,8 @@
     Failure or None
         ``TABLE_INVALID`` with the path of the field.
     """
+    if table.number < LOWEST_NUMBER:
+        return _invalid("number", f"{table.number} is below {LOWEST_NUMBER}")
     services = [service.name for service in table.services]
     if len(set(services)) != len(services):
         return _invalid("services", "a service is named twice")
@@ -25,7 +27,7 @@
     places: dict[tuple[str, str], str] = {}
     for route in routes:
         field = f"routes.{route.name}"
-        place = (route.host, route.path_prefix)
+        place = (route.host.lower(), route.path_prefix)  # hosts are the same in any case
         if place in places:
             return _invalid(field, f"has the host and prefix of {places[place]}")
         places[place] = route.name
--- a/src/leadhollow/state/catalog.py
+++ b/src/leadhollow/state/catalog.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from leadhollow.state.records import (
+    ROW_PREFIX,
     CatalogItem,
     CatalogValue,
     DrainRecord,
@@ -31,16 +32,18 @@
 class Catalog:
     """Items by key; changes are applied forwards only.
 
-    ``revision`` is the log index up to which the catalog is complete.
+    ``revision`` is the log index up to which the catalog is complete. Items stand in the order of
+    their revisions, so that what is new is found at the end however many there are.
     """
 
-    __slots__ = ("_changed", "_items", "_listeners", "_rows_by_key_hash", "revision")
+    __slots__ = ("_changed", "_items", "_listeners", "_newest", "_rows_by_key_hash", "revision")
 
     def __init__(self) -> None:
         self._items: dict[str, CatalogItem] = {}
         self._rows_by_key_hash: dict[str, str] = {}
         self._changed = asyncio.Event()
         self._listeners: list[Listener] = []
+        self._newest = 0  # revision of the last item
         self.revision = 0
 
     def apply(self, items: Iterable[CatalogItem], *, revision: int) -> list[CatalogItem]:
@@ -55,11 +58,14 @@
         for item in items:
             existing = self._items.get(item.key)
             if existing is None or item.revision > existing.revision:
+                self._items.pop(item.key, None)  # it moves to the end
                 self._items[item.key] = item
                 fresh.append(item)
         self.revision = max(self.revision, revision)
         if fresh:
-            self._index_keys()
+            self._keep_order(fresh)
+            if any(item.key.startswith(ROW_PREFIX) for item in fresh):
+                self._index_keys()
             for listener in self._listeners:
                 listener(fresh)
             self._changed.set()
@@ -76,8 +82,12 @@
 
     def items_after(self, revision: int) -> list[CatalogItem]:
         """Give all items newer than a revision, oldest first."""
-        newer = [item for item in self._items.values() if item.revision > revision]
-        newer.sort(key=lambda item: item.revision)
+        newer = []
+        for item in reversed(self._items.values()):
+            if item.revision <= revision:
+                break
+            newer.append(item)
+        newer.reverse()
         return newer
 
     def items(self) -> dict[str, CatalogItem]:
@@ -134,6 +144,15 @@
         group = self._rows_by_key_hash.get(key_sha256)
         return None if group is None else self.row(group)
 
+    def _keep_order(self, fresh: list[CatalogItem]) -> None:
+        """Sort again where items came out of order, as none do that one log made."""
+        in_order = True
+        for item in fresh:
+            in_order = in_order and item.revision >= self._newest
+            self._newest = max(self._newest, item.revision)
+        if not in_order:
+            self._items = dict(sorted(self._items.items(), key=lambda pair: pair[1].revision))
+
     def _index_keys(self) -> None:
         self._rows_by_key_hash = {
             key: stored.row.group for stored in self.rows() for key in stored.row.key_sha256s
--- a/src/leadhollow/state/records.py
+++ b/src/leadhollow/state/records.py
@@ -128,9 +128,12 @@
     after: Row | None
 
 
+ROW_PREFIX = "row/"
+
+
 def row_key(group: str) -> str:
     """Catalog key of a row."""
-    return f"row/{group}"
+    return f"{ROW_PREFIX}{group}"
 
 
 def version_key(model: str, version: str) -> str:
--- a/tests/routing/test_tables.py
+++ b/tests/routing/test_tables.py
@@ -55,7 +55,9 @@
         ("bad", "field"),
         [
             (table(1, route(targets=(Target(service="x", weight=1.0),))), "routes.r"),
+            (table(-1), "number"),
             (table(1, route("a"), route("b")), "routes.b"),
+            (table(1, route("a"), route("b", host="H.Example")), "routes.b"),
             (table(1, route(targets=(Target(service="s", weight=0.0),))), "routes.r"),
             (table(1, route(targets=())), "routes.r"),
             (table(1, route(timeout_ms=0)), "routes.r"),
@@ -90,6 +92,11 @@
         assert held_number(machine.catalog) == 5
         assert machine.route_tables.document() == b"document 5"
 
+    def test_the_lowest_number_is_in_force_until_a_higher_one_comes(self):
+        machine = replaced(table(0))
+        assert RouteIndex(catalog=machine.catalog).known
+        assert machine.route_tables.document() == b"document 0"
+
     def test_other_content_under_the_same_number_changes_nothing(self):
         machine = replaced(table(5), table(5, route(prefix="/other/")))
         assert RouteIndex(catalog=machine.catalog).route("h.example", "/other/x") is None
