Follow one route table from its acknowledgement to every entry

Cause: no line of an entry said which table it has in force, so "not in force in time" could only be guessed from answers. Change: a line for each table in force; `leadhollow explain table` puts acknowledgements and entries together over clocks that disagree, and names the last event of the feed of one that never had it.

--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -15,7 +15,7 @@
 )
 from leadhollow.cli.demo_command import DemoCommand
 from leadhollow.cli.experiment_command import ExperimentRunCommand
-from leadhollow.cli.explain_command import ExplainCommand, ExplainDayCommand
+from leadhollow.cli.explain_command import ExplainCommand, ExplainDayCommand, ExplainTableCommand
 from leadhollow.cli.model_commands import ModelPublishCommand, ModelRolloutCommand
 from leadhollow.cli.output import print_failure
 from leadhollow.cli.run_command import CheckCommand, RunCommand
@@ -54,6 +54,7 @@
     ErrorsCommand,
     ExplainCommand,
     ExplainDayCommand,
+    ExplainTableCommand,
     ExperimentRunCommand,
     StateVerifyCommand,
     StateBackupCommand,
--- a/src/leadhollow/cli/explain_command.py
+++ b/src/leadhollow/cli/explain_command.py
@@ -1,4 +1,4 @@
-"""``leadhollow explain`` and ``leadhollow explain day``."""
+"""``leadhollow explain``, ``leadhollow explain day`` and ``leadhollow explain table``."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 from leadhollow.explain.losses import Loss, LossTable, divide_losses
 from leadhollow.explain.records import LogRecord, read_records
 from leadhollow.explain.story import tell_story
+from leadhollow.explain.table_spread import TableSpread, follow_table
 from leadhollow.failure import Failure
 
 
@@ -86,6 +87,68 @@
         return 0
 
 
+class ExplainTableCommand(Command):
+    """Tells how one route table came into force."""
+
+    name = "explain table"
+    description = "Tell when a route table was acknowledged, and when each entry had it in force."
+    arguments = [  # noqa: RUF012
+        argument("number", "Number of the table."),
+        argument("logs", "Files with log lines.", multiple=True),
+    ]
+    options = [option("json", None, "Print one JSON object.", flag=True)]  # noqa: RUF012
+
+    def handle(self) -> int:
+        """Print acknowledgements and entries."""
+        text = self.argument("number")
+        if not text.isdigit():
+            detail = f"number: expected a whole number, found {text!r}"
+            return print_failure(Failure(code=Code.COMMAND_USAGE, detail=detail))
+        read = _read(self.argument("logs"))
+        if read.is_err():
+            return print_failure(read.unwrap_err())
+        spread = follow_table(int(text), read.unwrap())
+        if spread is None:
+            detail = f"no line says that route table {text} was acknowledged"
+            return print_failure(Failure(code=Code.COMMAND_USAGE, detail=detail))
+        if self.option("json"):
+            print_json(_spread_object(spread))
+            return 0
+        acknowledged = [(source, f"{after_s:.3f}") for source, after_s in spread.acknowledged]
+        print_table(("acknowledged by", "after s"), acknowledged)
+        print_table(
+            ("entry", "in force after s", "last table", "last event of its feed"),
+            [
+                (
+                    entry.source,
+                    "never" if entry.after_s is None else f"{entry.after_s:.3f}",
+                    entry.number,
+                    entry.last_event,
+                )
+                for entry in spread.entries
+            ],
+        )
+        return 0
+
+
+def _spread_object(spread: TableSpread) -> dict[str, object]:
+    return {
+        "acknowledged": [
+            {"source": source, "after_s": round(after_s, 6)}
+            for source, after_s in spread.acknowledged
+        ],
+        "entries": [
+            {
+                "source": entry.source,
+                "after_s": None if entry.after_s is None else round(entry.after_s, 6),
+                "number": entry.number,
+                "last_event": entry.last_event,
+            }
+            for entry in spread.entries
+        ],
+    }
+
+
 def _as_object(table: LossTable) -> dict[str, object]:
     return {
         "attempts": table.attempts,
@@ -110,4 +173,4 @@
     return Ok(records)
 
 
-__all__ = ["ExplainCommand", "ExplainDayCommand"]
+__all__ = ["ExplainCommand", "ExplainDayCommand", "ExplainTableCommand"]
--- a/src/leadhollow/explain/story.py
+++ b/src/leadhollow/explain/story.py
@@ -51,7 +51,7 @@
     home = own[0].source
     start_s = min(record.time_s for record in own)
     end_s = max(record.time_s for record in own)
-    offsets = _offsets(home, records)
+    offsets = clock_offsets(home, records)
     engines = {str(record.fields["instance"]) for record in own if "instance" in record.fields}
     lines = [StoryLine(after_s=record.time_s - start_s, record=record) for record in own]
     for record in records:
@@ -63,7 +63,7 @@
     return sorted(lines, key=lambda line: line.after_s)
 
 
-def _offsets(home: str, records: Iterable[LogRecord]) -> dict[str, float]:
+def clock_offsets(home: str, records: Iterable[LogRecord]) -> dict[str, float]:
     """Estimate how far each process's clock is ahead of that of one of them.
 
     Every process notes when it first hears of a backend server; the median difference of these
@@ -87,4 +87,4 @@
     return offsets
 
 
-__all__ = ["StoryLine", "tell_story"]
+__all__ = ["StoryLine", "clock_offsets", "tell_story"]
--- a/src/leadhollow/routing/index.py
+++ b/src/leadhollow/routing/index.py
@@ -5,6 +5,7 @@
 import hashlib
 from collections import Counter
 
+from leadhollow.observe.logs import get_logger
 from leadhollow.routing.items import LIMITS_KEY, TABLE_KEY
 from leadhollow.routing.model import (
     CallerLimits,
@@ -16,6 +17,8 @@
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem, CatalogValue
 
+log = get_logger("routes")
+
 
 class _HostRoutes:
     """Routes of one host by their prefix; a look-up costs as many steps as lengths are in use."""
@@ -110,6 +113,8 @@
         for item in items:
             if item.value is not None:
                 self._take_in(item.key, item.value)
+        if any(item.key == TABLE_KEY for item in items):
+            log.info("route table in force", number=self.number, items=len(items))
 
     def _leave_out(self, value: CatalogValue) -> None:
         match value:
