--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable
 
 from leadhollow.kernel.gathering_service import GatheringService
-from leadhollow.membership.instances import Instance, InstanceState, InstanceTable
+from leadhollow.membership.instance_table import InstanceTable
+from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.membership.reporting import VALID_INTERVALS, report_interval_s
 from leadhollow.observe.logs import get_logger
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -10,7 +10,8 @@
 
 from leadhollow.decide.pressure import Decisions
 from leadhollow.kernel.task_service import TaskService
-from leadhollow.membership.instances import Instance, InstanceTable
+from leadhollow.membership.instance_table import InstanceTable
+from leadhollow.membership.instances import Instance
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.membership.unnamed import UnnamedInstances
 from leadhollow.membership.uses import Use, decode_decisions, decode_uses
--- a/src/leadhollow/membership/unnamed.py
+++ b/src/leadhollow/membership/unnamed.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Iterable
 
-from leadhollow.membership.instances import InstanceTable
+from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.observe.logs import get_logger
 
 log = get_logger("instances")
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -22,7 +22,7 @@
 from leadhollow.forward.use_reporter import UseReporter
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.control_feed import ControlFeed
-from leadhollow.membership.instances import InstanceTable
+from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.node.process import FEED_FORGET_AFTER_S
 from leadhollow.routing.index import RouteIndex
 from leadhollow.settings.address import Address
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from leadhollow.membership.control_feed import ControlFeed
-from leadhollow.membership.instances import InstanceTable
+from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.reporting import report_interval_s
 from leadhollow.node.process import FEED_FORGET_AFTER_S
 from leadhollow.routing.model import ServiceRecord
--- a/tests/decide/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -15,7 +15,8 @@
 from leadhollow.decide.wish import EngineWish, Placement, Standing
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.places import place
-from leadhollow.membership.instances import Instance, InstanceState, InstanceTable, ServedVersion
+from leadhollow.membership.instance_table import InstanceTable
+from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
 from leadhollow.membership.uses import Use
 from leadhollow.routing.model import EngineSpec, ServiceRecord
 from leadhollow.wire.generated.ttypes import LoadRecord
--- a/tests/forward/test_board.py
+++ b/tests/forward/test_board.py
@@ -5,7 +5,7 @@
 import pytest
 
 from leadhollow.forward.board import ServerBoard
-from leadhollow.membership.instances import InstanceTable
+from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.wire.generated.ttypes import LoadRecord
 from tests.membership.test_instances import said
 
--- a/tests/forward/test_path_probes.py
+++ b/tests/forward/test_path_probes.py
@@ -7,7 +7,8 @@
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.path_probes import PathProber
 from leadhollow.forward.pool import ConnectionPool
-from leadhollow.membership.instances import Instance, InstanceState, InstanceTable
+from leadhollow.membership.instance_table import InstanceTable
+from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
 from tests.support import eventually
 
--- a/tests/membership/test_control_feed.py
+++ b/tests/membership/test_control_feed.py
@@ -13,7 +13,7 @@
     PAUSE_SPREAD,
     ControlFeed,
 )
-from leadhollow.membership.instances import InstanceTable
+from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
 from leadhollow.settings.node import NodeRole, NodeSettings
--- a/tests/membership/test_instances.py
+++ b/tests/membership/test_instances.py
@@ -8,13 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from leadhollow.membership.instances import (
-    TAKE_BACK_S,
-    Instance,
-    InstanceState,
-    InstanceTable,
-    ServedVersion,
-)
+from leadhollow.membership.instance_table import TAKE_BACK_S, InstanceTable
+from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
 
 READY, DRAINING, GONE = InstanceState.READY, InstanceState.DRAINING, InstanceState.GONE
 
--- a/tests/membership/test_unnamed.py
+++ b/tests/membership/test_unnamed.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from leadhollow.membership.instances import InstanceTable
+from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.unnamed import UnnamedInstances
 from tests.membership.test_instances import said
 
