Play the way of a configuration in a model of whole processes with a clock of its own

Cause: no test drove an operator's call through log, disk, feed and an entry's index to its routes, under faults. Change: real control replicas and entries in one emulated system: connections in memory that are delayed, cut and reset, a file layer that knows what was synced, operators that race, resend, send what is old, other or invalid and lose answers; hypothesis draws the runs.

--- /dev/null
+++ b/tests/config_path/__main__.py
@@ -0,0 +1,61 @@
+"""Plays many runs of the model, or shows which planted faults it finds."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import traceback
+from multiprocessing import Pool
+
+from absl import logging as absl_logging
+
+from tests.config_path.mutants import MUTANTS
+from tests.config_path.scenario import drawn, play
+
+
+def run_one(number: int) -> tuple[int, list[str]]:
+    """Play one run; an error of the model counts as found."""
+    absl_logging.set_verbosity(absl_logging.FATAL)
+    try:
+        return number, play(*drawn(number))
+    except Exception:
+        return number, [traceback.format_exc(limit=3)]
+
+
+def find(name: str, most: int) -> tuple[str, int | None, str]:
+    """Play runs with a planted fault until one shows it."""
+    for number in range(most):
+        with MUTANTS[name]():
+            _, broken = run_one(number)
+        if broken:
+            return name, number + 1, broken[0].strip().splitlines()[-1]
+    return name, None, ""
+
+
+def main() -> int:
+    """Run what the command line asks for."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--examples", type=int, default=1_000)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--mutants", action="store_true")
+    given = parser.parse_args()
+    with Pool(given.jobs) as pool:
+        if given.mutants:
+            work = [pool.apply_async(find, (name, given.examples)) for name in MUTANTS]
+            found = [each.get() for each in work]
+            for name, examples, shown in found:
+                print(f"{name}: {examples or 'not found'}  {shown}")
+            return 0 if all(examples for _, examples, _ in found) else 1
+        failed = 0
+        numbers = range(given.first, given.first + given.examples)
+        for number, broken in pool.imap_unordered(run_one, numbers, chunksize=4):
+            if broken:
+                failed += 1
+                print(f"run {number}: {broken}", flush=True)
+    print(f"{given.examples - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/config_path/mutants.py
@@ -0,0 +1,171 @@
+"""Faults put into the source one by one, to show what the model finds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from unittest import mock
+
+from result import Ok
+
+from leadhollow.control import replica_service
+from leadhollow.control.feed_server import FeedServer
+from leadhollow.platform import control as platform_control
+from leadhollow.routing.index import RouteIndex
+from leadhollow.state import following, leadership, machine, route_tables
+from leadhollow.state.catalog import Catalog
+from leadhollow.state.gateway import LeaderGateway
+from leadhollow.state.log_store import LogStore
+from tests.config_path.disk import Disks
+
+Patch = Callable[[], AbstractContextManager[object]]
+
+
+def forgotten_sync() -> AbstractContextManager[object]:
+    return mock.patch.object(Disks, "fsync", lambda self, descriptor: None)
+
+
+def acknowledged_before_the_majority() -> AbstractContextManager[object]:
+    def own_word(*, match_indexes, **_):
+        return max(match_indexes)
+
+    return mock.patch.object(leadership, "committed_index", own_word)
+
+
+def delta_that_skips_an_item() -> AbstractContextManager[object]:
+    items_after = Catalog.items_after
+
+    def fewer(self, revision):
+        found = items_after(self, revision)
+        return found[1:] if revision else found
+
+    return mock.patch.object(Catalog, "items_after", fewer)
+
+
+def older_view_taken() -> AbstractContextManager[object]:
+    def replaced(self, items, *, revision):
+        fresh = list(items)
+        self._items.update({item.key: item for item in fresh})
+        self.revision = revision
+        for listener in self._listeners if fresh else ():
+            listener(fresh)
+        return fresh
+
+    return mock.patch.object(Catalog, "apply", replaced)
+
+
+def whole_view_told_to_nobody_who_lags() -> AbstractContextManager[object]:
+    delta = FeedServer._delta
+
+    def ahead(self, subscriber):
+        update = delta(self, subscriber)
+        if len(update.items or ()) > 2:
+            update.items = update.items[:-1]
+        return update
+
+    return mock.patch.object(FeedServer, "_delta", ahead)
+
+
+def tombstone_lost_in_a_snapshot() -> AbstractContextManager[object]:
+    snapshot = machine.StateMachine.snapshot
+
+    def without(self):
+        held = self.catalog._items
+        self.catalog._items = {key: item for key, item in held.items() if item.value is not None}
+        try:
+            return snapshot(self)
+        finally:
+            self.catalog._items = held
+
+    return mock.patch.object(machine.StateMachine, "snapshot", without)
+
+
+def document_lost_in_a_snapshot() -> AbstractContextManager[object]:
+    restore = machine.StateMachine.restore
+
+    def without(self, data):
+        held = self.route_tables.source
+        restore(self, data)
+        self.route_tables.source = held
+
+    return mock.patch.object(machine.StateMachine, "restore", without)
+
+
+def read_without_confirmation() -> AbstractContextManager[object]:
+    async def at_once(self, *, timeout_s):
+        return Ok(None)
+
+    return mock.patch.object(LeaderGateway, "confirm", at_once)
+
+
+def vote_not_written() -> AbstractContextManager[object]:
+    def kept(self, vote):
+        self.vote = vote
+        return Ok(None)
+
+    return mock.patch.object(LogStore, "save_vote", kept)
+
+
+def wiped_disk_votes_as_before() -> AbstractContextManager[object]:
+    load = replica_service.load_identity
+
+    def as_before(folder, **given):
+        return load(folder, **{**given, "first_start": True})
+
+    return mock.patch.object(replica_service, "load_identity", as_before)
+
+
+def vote_for_an_old_log() -> AbstractContextManager[object]:
+    return mock.patch.object(following, "log_is_current", lambda **_: True)
+
+
+def conflicting_entries_kept() -> AbstractContextManager[object]:
+    return mock.patch.object(following, "first_conflict", lambda **_: None)
+
+
+def removed_routes_stay() -> AbstractContextManager[object]:
+    return mock.patch.object(RouteIndex, "_leave_out", lambda self, value: None)
+
+
+def other_content_under_a_held_number() -> AbstractContextManager[object]:
+    held = route_tables.held_number
+    return mock.patch.object(route_tables, "held_number", lambda catalog: held(catalog) - 1)
+
+
+def invalid_table_taken() -> AbstractContextManager[object]:
+    return mock.patch.object(platform_control, "check_table", lambda table: None)
+
+
+def unknown_fate_acknowledged() -> AbstractContextManager[object]:
+    propose = LeaderGateway.propose
+
+    async def hopeful(self, command, *, timeout_s):
+        answered = await propose(self, command, timeout_s=timeout_s)
+        return Ok(None) if answered.is_err() else answered
+
+    return mock.patch.object(LeaderGateway, "propose", hopeful)
+
+
+MUTANTS: dict[str, Patch] = {
+    made.__name__.replace("_", " "): made
+    for made in (
+        forgotten_sync,
+        acknowledged_before_the_majority,
+        delta_that_skips_an_item,
+        older_view_taken,
+        whole_view_told_to_nobody_who_lags,
+        tombstone_lost_in_a_snapshot,
+        document_lost_in_a_snapshot,
+        read_without_confirmation,
+        vote_not_written,
+        wiped_disk_votes_as_before,
+        vote_for_an_old_log,
+        conflicting_entries_kept,
+        removed_routes_stay,
+        other_content_under_a_held_number,
+        invalid_table_taken,
+        unknown_fate_acknowledged,
+    )
+}
+
+__all__ = ["MUTANTS"]
--- /dev/null
+++ b/tests/config_path/scenario.py
@@ -0,0 +1,207 @@
+"""Steps of a run, and the run of a list of them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+from hypothesis import strategies as st
+
+from tests.config_path.record import FAULTS, IN_FORCE_S, Document
+from tests.config_path.site import CONTROLS, ENTRIES, Site
+
+Step = tuple[object, ...]
+
+STORM_GAP_S = 0.06
+DOWN_S = 0.3
+WHOLE_WITHIN_S = 30.0  # elections, joining and catching up after anything
+ACKNOWLEDGED_WITHIN_S = 4.0
+HOSTS = (*CONTROLS, *ENTRIES)
+
+STEPS: tuple[tuple[str, tuple[Sequence[object], ...]], ...] = (
+    ("change", ((1, 2, 3), (False, True))),
+    ("storm", ((2, 4, 6),)),
+    ("race", ()),
+    ("again", (range(6),)),
+    ("other content", ()),
+    ("invalid", (FAULTS,)),
+    ("read", (CONTROLS,)),
+    ("cut", (HOSTS, (*CONTROLS, ""), (False, True))),
+    ("heal", ()),
+    ("reset", (HOSTS,)),
+    ("restart", (HOSTS, (False, True))),
+    ("restart all", ((False, True),)),
+    ("wipe", (CONTROLS,)),
+    ("lose answers", ((0.0, 0.7),)),
+    ("wait", ((0.02, 0.3, 1.5, 3.0),)),
+)
+"""What may happen, one after the other, and what may be given; operators go on beside it."""
+
+LONGEST = 24  # steps of a run
+
+steps = st.one_of(
+    *(
+        st.tuples(st.just(name), *(st.sampled_from(list(choices)) for choices in given))
+        for name, given in STEPS
+    )
+)
+
+runs = st.tuples(st.integers(0, 2**16), st.lists(steps, min_size=4, max_size=LONGEST))
+
+
+def drawn(number: int) -> tuple[int, list[Step]]:
+    """Draw a run by its number, for those that are counted and not made smaller."""
+    chance = random.Random(number)
+    taken: list[Step] = []
+    for _ in range(chance.randint(4, LONGEST)):
+        name, given = chance.choice(STEPS)
+        taken.append((name, *(chance.choice(list(choices)) for choices in given)))
+    return number, taken
+
+
+class Scenario:
+    """One run."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.documents: list[Document] = []  # valid ones, in the order they were sent
+        self.prefixes: dict[str, int] = {"/first/": 1_000}
+        self.number = 0
+        self._made = 0
+
+    def begin(self) -> None:
+        self.site.wait(1.5)
+        self.change(1, removes=False)
+        self.site.wait(1.0)
+
+    def take(self, step: Step) -> None:
+        name, *given = step
+        getattr(self, f"do_{str(name).replace(' ', '_')}")(*given)
+        self.site.wait(0.05)
+
+    # operators
+
+    def change(self, added: int, *, removes: bool, to: str | None = None) -> None:
+        """Send the next table: routes are added, and perhaps one is taken away."""
+        prefixes = dict(self.prefixes)
+        if removes and len(prefixes) > 1:
+            prefixes.pop(next(name for name in prefixes if name != "/first/"))
+        for _ in range(added):
+            self._made += 1
+            prefixes[f"/{self._made}/"] = 1_000 + self._made
+        prefixes["/first/"] = 1_000 + self._made
+        self.number += self.site.random.randint(1, 3)
+        self._send(prefixes, to=to)
+        self.prefixes = prefixes
+
+    def _send(self, prefixes: dict[str, int], *, to: str | None = None) -> None:
+        document = Document(number=self.number, prefixes=prefixes)
+        self.documents.append(document)
+        self.site.put(document, to=to)
+
+    def do_change(self, added: int, removes: bool) -> None:
+        self.change(added, removes=removes)
+
+    def do_storm(self, count: int) -> None:
+        for _ in range(count):
+            self.change(1, removes=True)
+            self.site.wait(STORM_GAP_S)
+
+    def do_race(self) -> None:
+        first, second = self.site.random.sample(CONTROLS, 2)
+        self.change(1, removes=False, to=first)
+        other = {**self.prefixes, "/race/": 1_000 + self._made}
+        self._send(other, to=second)
+
+    def do_again(self, place: int) -> None:
+        if self.documents:
+            self.site.put(self.documents[-1 - place % len(self.documents)])
+
+    def do_other_content(self) -> None:
+        if self.documents:
+            self._send({**self.prefixes, "/other/": 77})
+
+    def do_invalid(self, fault: str) -> None:
+        prefixes = {**self.prefixes, "/invalid/": 5}
+        self.site.put(Document(number=self.number + 1, prefixes=prefixes, fault=fault))
+
+    def do_read(self, host: str) -> None:
+        self.site.run(self.site.read(host))
+
+    def do_lose_answers(self, share: float) -> None:
+        self.site.record.lost_answers = share
+
+    # faults
+
+    def do_cut(self, host: str, second: str, one_way: bool) -> None:
+        self.site.network.cut({host, second}, set(HOSTS), one_way=one_way)
+
+    def do_heal(self) -> None:
+        self.site.network.heal()
+
+    def do_reset(self, host: str) -> None:
+        self.site.network.reset(host)
+
+    def do_restart(self, host: str, power: bool) -> None:
+        self.site.run(self.site.kill(host, power=power))
+        self.site.wait(DOWN_S)
+        self._start(host)
+
+    def do_restart_all(self, power: bool) -> None:
+        for host in HOSTS:
+            self.site.run(self.site.kill(host, power=power))
+        self.site.wait(DOWN_S)
+        for host in HOSTS:
+            self._start(host)
+
+    def do_wipe(self, host: str) -> None:
+        """Lose a disk, but never a second one before the first is made good."""
+        if not self.site.whole():
+            return
+        self.site.run(self.site.kill(host, power=True))
+        self.site.disks.wipe(host)
+        self.site.wait(DOWN_S)
+        self._start(host)
+
+    def do_wait(self, span_s: float) -> None:
+        self.site.wait(span_s)
+
+    def _start(self, host: str) -> None:
+        if host not in self.site.processes:
+            self.site.run(self.site.start(host))
+
+    def end(self) -> None:
+        """Let all be calm, and see whether everything is as it must be then."""
+        site = self.site
+        site.settle()
+        waited_s = 0.0
+        while not site.whole() and waited_s < WHOLE_WITHIN_S:
+            site.wait(0.5)
+            waited_s += 0.5
+        if not site.whole():
+            site.record.break_rule("the replicas are not whole again")
+        self.change(1, removes=False)
+        site.wait(ACKNOWLEDGED_WITHIN_S)
+        if site.record.newest_acknowledged() != self.number:
+            site.record.break_rule(f"{self.number} was not acknowledged where all was calm")
+        site.wait(IN_FORCE_S)
+        site.look()
+        site.record.check_in_force(ENTRIES)
+        for host in CONTROLS:
+            site.run(site.read(host))
+
+
+def play(seed: int, taken: Sequence[Step]) -> list[str]:
+    """Run steps; gives what was seen and must not be."""
+    with Site(seed=seed) as site:
+        scenario = Scenario(site)
+        scenario.begin()
+        for step in taken:
+            scenario.take(step)
+            if site.record.broken:
+                return site.record.broken
+        scenario.end()
+        return site.record.broken
+
+
+__all__ = ["Scenario", "Step", "drawn", "play", "runs"]
