Let the model strike where it hurts: after an acknowledgement, at a replica that lags, at a leader cut off

Change: three steps that let them meet; the tables are read at every replica before the last change.

--- a/tests/config_path/scenario.py
+++ b/tests/config_path/scenario.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from tests.config_path.record import FAULTS, IN_FORCE_S, Document
-from tests.config_path.site import CONTROLS, ENTRIES, Site
+from tests.config_path.site import CONTROLS, ENTRIES, SNAPSHOT_ENTRIES, Site
 
 Step = tuple[object, ...]
 
@@ -32,6 +32,9 @@
     ("restart", (HOSTS, (False, True))),
     ("restart all", ((False, True),)),
     ("wipe", (CONTROLS,)),
+    ("after acknowledgement", (("power", "wipe", "cut"),)),
+    ("behind", ((False, True),)),
+    ("split leader", ()),
     ("lose answers", ((0.0, 0.7),)),
     ("wait", ((0.02, 0.3, 1.5, 3.0),)),
 )
@@ -163,6 +166,64 @@
         self.site.wait(DOWN_S)
         self._start(host)
 
+    def do_after_acknowledgement(self, what: str) -> None:
+        """Strike the leader in the moment in which it acknowledged a change."""
+        leader = self.site.leader()
+        if leader is None:
+            return
+        whole = self.site.whole()
+        self.change(1, removes=False, to=leader)
+        for _ in range(500):
+            if self.site.record.newest_acknowledged() >= self.number:
+                break
+            self.site.wait(0.001)
+        if what == "cut":
+            self.site.network.cut({leader}, set(CONTROLS))
+            return
+        self.site.run(self.site.kill(leader, power=True))
+        if what == "wipe" and whole:
+            self.site.disks.wipe(leader)
+        self.site.wait(2 * DOWN_S)
+        self._start(leader)
+
+    def do_behind(self, wipes: bool) -> None:
+        """Let one replica miss changes; then the leader fails, and perhaps the third disk."""
+        leader = self.site.leader()
+        if leader is None or not self.site.whole():
+            return
+        behind, third = self.site.random.sample([host for host in CONTROLS if host != leader], 2)
+        self.site.network.cut({behind}, set(CONTROLS))
+        for _ in range(SNAPSHOT_ENTRIES + 2):
+            self.change(1, removes=True, to=leader)
+            self.site.wait(STORM_GAP_S)
+        self.site.wait(0.3)
+        self.site.run(self.site.kill(leader))
+        if wipes:
+            self.site.run(self.site.kill(third, power=True))
+            self.site.disks.wipe(third)
+            self._start(third)
+        self.site.network.heal()
+        self.site.wait(3 * DOWN_S)
+        self._start(leader)
+
+    def do_split_leader(self) -> None:
+        """Cut the leader off from the others; two operators change the table, one on each side.
+
+        What the leader writes then is never committed: its operator gives up without an answer.
+        """
+        leader = self.site.leader()
+        if leader is None:
+            return
+        other = next(host for host in CONTROLS if host != leader)
+        self.site.network.cut({leader}, set(CONTROLS))
+        self.number += 1
+        lost = Document(number=self.number, prefixes={**self.prefixes, "/lost/": 1})
+        self.site.put(lost, to=leader, tries=1)
+        self.site.wait(1.5)
+        self._send({**self.prefixes, "/kept/": 2}, to=other)
+        self.site.wait(1.0)
+        self.site.network.heal()
+
     def do_wait(self, span_s: float) -> None:
         self.site.wait(span_s)
 
@@ -180,6 +241,8 @@
             waited_s += 0.5
         if not site.whole():
             site.record.break_rule("the replicas are not whole again")
+        for host in CONTROLS:
+            site.run(site.read(host))
         self.change(1, removes=False)
         site.wait(ACKNOWLEDGED_WITHIN_S)
         if site.record.newest_acknowledged() != self.number:
--- a/tests/config_path/site.py
+++ b/tests/config_path/site.py
@@ -241,6 +241,19 @@
 
         self.run(work())
 
+    def leader(self) -> str | None:
+        """Give the host of the replica that leads."""
+
+        async def work() -> str | None:
+            for host in CONTROLS:
+                process = self.processes.get(host)
+                if process and process.kernel.get("replica", ReplicaService).replica.ready():
+                    return host
+            return None
+
+        found: str | None = self.run(work())
+        return found
+
     def whole(self) -> bool:
         """Tell whether all three replicas vote and have applied everything."""
 
@@ -280,4 +293,4 @@
 
 Check = Callable[[], Awaitable[None]]
 
-__all__ = ["CONTROLS", "ENTRIES", "Site"]
+__all__ = ["CONTROLS", "ENTRIES", "SNAPSHOT_ENTRIES", "Site"]
--- a/tests/config_path/test_config_path.py
+++ b/tests/config_path/test_config_path.py
@@ -23,6 +23,8 @@
 REGRESSIONS: list[tuple[int, list[Step]]] = [
     (1, [("restart", "10.0.0.1", True), ("change", 1, False), ("wait", 1.5)]),
     (2, [("storm", 6), ("restart all", True), ("race",), ("wipe", "10.0.0.2")]),
+    (4, [("behind", True), ("after acknowledgement", "wipe"), ("split leader",)]),
+    (5, [("behind", False), ("split leader",), ("after acknowledgement", "cut"), ("heal",)]),
     (3, [("cut", "10.0.0.1", "", False), ("storm", 5), ("read", "10.0.0.1"), ("heal",)]),
 ]
 """Runs that reach far; one that ever shows a fault is added and stays as it is."""
