--- a/tests/config_path/test_config_path.py
+++ b/tests/config_path/test_config_path.py
@@ -16,7 +16,7 @@
 from absl import logging as absl_logging
 from hypothesis import HealthCheck, given, settings
 
-from tests.config_path.scenario import Step, play, runs
+from tests.config_path.scenario import Step, drawn, play, runs
 
 EXAMPLES = 60
 
@@ -51,6 +51,10 @@
     def test_keeps_its_promises(self, run):
         assert play(*run) == []
 
+    def test_knows_the_voters_after_a_lost_connection(self):
+        """Seen in a drawn run: a replica that applied a change of voters holds the old set."""
+        assert play(*drawn(3_728)) == []
+
     @pytest.mark.parametrize(("seed", "taken"), REGRESSIONS)
     def test_keeps_them_in_runs_that_reach_far(self, seed, taken):
         assert play(seed, taken) == []
