--- a/src/leadhollow/state/election.py
+++ b/src/leadhollow/state/election.py
@@ -97,7 +97,7 @@
             answers = [reply.unwrap() for reply in replies if reply.is_ok()]
             all_new = all(answer.blank or answer.term <= 1 for answer in answers)
             if len(answers) == len(state.others) and all_new:
-                await self._begin()
+                await state.steps.run(self._begin)
                 return
             if any(not answer.blank for answer in answers):
                 log.warning("this replica's disk is empty, it learns before it votes")
@@ -152,31 +152,37 @@
 
     async def _begin(self) -> None:
         state = self._state
-        async with state.append_lock:
-            if state.store.vote is None:
-                log.info("all replicas are new, state begins")
-                await state.save_vote(Vote(term=1, voted_for="", voter=True))
+        if state.store.vote is None:
+            log.info("all replicas are new, state begins")
+            await state.save_vote(Vote(term=1, voted_for="", voter=True))
 
     async def _stand(self, *, transfer: bool = False) -> None:
         state = self._state
         if not transfer and not await self._gather_votes(state.term + 1, pre_vote=True):
             state.heard_s = now_s()
             return
-        async with state.append_lock:
-            heard = state.leader_heard_lately() and not transfer
-            if heard or state.role is ReplicaRole.LEADER:
-                return
-            term = state.term + 1
-            if not await state.save_vote(Vote(term=term, voted_for=state.vm, voter=True)):
-                return
-            state.role = ReplicaRole.CANDIDATE
-            state.leader_vm = ""
+        term = await state.steps.run(lambda: self._vote_for_ourselves(transfer=transfer))
+        if term is None:
+            return
         won = await self._gather_votes(term, pre_vote=False, transfer=transfer)
         if won and state.term == term and state.role is ReplicaRole.CANDIDATE:
             self._leadership.begin()
         else:
             state.heard_s = now_s()
 
+    async def _vote_for_ourselves(self, *, transfer: bool) -> int | None:
+        """Begin a term as its candidate; None where somebody leads or the disk fails."""
+        state = self._state
+        heard = state.leader_heard_lately() and not transfer
+        if heard or state.role is ReplicaRole.LEADER:
+            return None
+        term = state.term + 1
+        if not await state.save_vote(Vote(term=term, voted_for=state.vm, voter=True)):
+            return None
+        state.role = ReplicaRole.CANDIDATE
+        state.leader_vm = ""
+        return term
+
     async def _gather_votes(self, term: int, *, pre_vote: bool, transfer: bool = False) -> bool:
         state = self._state
         store = state.store
--- a/src/leadhollow/state/following.py
+++ b/src/leadhollow/state/following.py
@@ -58,16 +58,19 @@
             return Err(Failure(code=Code.REPLICA_OTHER))
         if state.failed or state.store.vote is None:
             return Ok(VoteReply(state.term, False))
-        async with state.append_lock:
-            granted = self._may_grant(request)
-            if not granted or request.pre_vote:
-                return Ok(VoteReply(state.term, granted))
-            state.become_follower("")
-            vote = Vote(term=request.term, voted_for=request.candidate, voter=True)
-            if not await state.save_vote(vote):
-                return Ok(VoteReply(state.term, False))
-            state.heard_s = now_s()
-            return Ok(VoteReply(request.term, True))
+        return Ok(await state.steps.run(lambda: self._answer_vote(request)))
+
+    async def _answer_vote(self, request: VoteRequest) -> VoteReply:
+        state = self._state
+        granted = self._may_grant(request)
+        if not granted or request.pre_vote:
+            return VoteReply(state.term, granted)
+        state.become_follower("")
+        vote = Vote(term=request.term, voted_for=request.candidate, voter=True)
+        if not await state.save_vote(vote):
+            return VoteReply(state.term, False)
+        state.heard_s = now_s()
+        return VoteReply(request.term, True)
 
     def _meant_for_another(self, replica: str | None) -> bool:
         """Tell whether a request was meant for the disk that this address had before."""
@@ -104,23 +107,26 @@
             return Err(Failure(code=Code.REPLICA_OTHER))
         if state.failed:
             return Err(Failure(code=Code.DISK_FAILED))
-        async with state.append_lock:
-            if not await self._accept_leader(request.term, request.leader):
-                return Ok(AppendReply(state.term, False, 0))
-            snapshot_index = state.store.snapshot.last_index
-            if request.previous_index < snapshot_index:
-                return Ok(AppendReply(state.term, True, snapshot_index))  # all of it is committed
-            previous_term = state.store.term_at(request.previous_index)
-            if previous_term != request.previous_term:
-                hint = min(state.store.last_index, request.previous_index - 1)
-                return Ok(AppendReply(state.term, False, max(hint, snapshot_index)))
-            offered = [Entry(entry.index, entry.term, entry.command) for entry in request.entries]
-            if not await self._take_entries(offered):
-                return Err(Failure(code=Code.DISK_FAILED))
-            matched = request.previous_index + len(offered)
-            state.advance_commit(min(request.commit_index, matched))
-            await self._maybe_become_voter(request.commit_index, matched)
-            return Ok(AppendReply(state.term, True, matched))
+        return await state.steps.run(lambda: self._append(request))
+
+    async def _append(self, request: AppendRequest) -> Result[AppendReply, Failure]:
+        state = self._state
+        if not await self._accept_leader(request.term, request.leader):
+            return Ok(AppendReply(state.term, False, 0))
+        snapshot_index = state.store.snapshot.last_index
+        if request.previous_index < snapshot_index:
+            return Ok(AppendReply(state.term, True, snapshot_index))  # all of it is committed
+        previous_term = state.store.term_at(request.previous_index)
+        if previous_term != request.previous_term:
+            hint = min(state.store.last_index, request.previous_index - 1)
+            return Ok(AppendReply(state.term, False, max(hint, snapshot_index)))
+        offered = [Entry(entry.index, entry.term, entry.command) for entry in request.entries]
+        if not await self._take_entries(offered):
+            return Err(Failure(code=Code.DISK_FAILED))
+        matched = request.previous_index + len(offered)
+        state.advance_commit(min(request.commit_index, matched))
+        await self._maybe_become_voter(request.commit_index, matched)
+        return Ok(AppendReply(state.term, True, matched))
 
     async def _on_snapshot(
         self, request: SnapshotRequest, connection: Connection
@@ -128,25 +134,28 @@
         state = self._state
         if self._meant_for_another(request.replica):
             return Err(Failure(code=Code.REPLICA_OTHER))
-        async with state.append_lock:
-            if state.failed or not await self._accept_leader(request.term, request.leader):
-                return Ok(AppendReply(state.term, False, 0))
-            if request.last_index > state.applied_index:
-                snapshot = Snapshot(
-                    last_index=request.last_index,
-                    last_term=request.last_term,
-                    data=request.data,
-                    voters=request.voters or b"",
-                )
-                saved = await state.disk.run(lambda: state.store.save_snapshot(snapshot))
-                if saved.is_err():
-                    return Err(state.fail(saved.unwrap_err()))
-                state.machine.restore(request.data)
-                state.note_snapshot(snapshot)
-                state.note_entries(state.store.entries)
-                state.commit_index = max(state.commit_index, request.last_index)
-                state.applied_index = request.last_index
-            return Ok(AppendReply(state.term, True, request.last_index))
+        return await state.steps.run(lambda: self._take_snapshot(request))
+
+    async def _take_snapshot(self, request: SnapshotRequest) -> Result[AppendReply, Failure]:
+        state = self._state
+        if state.failed or not await self._accept_leader(request.term, request.leader):
+            return Ok(AppendReply(state.term, False, 0))
+        if request.last_index > state.applied_index:
+            snapshot = Snapshot(
+                last_index=request.last_index,
+                last_term=request.last_term,
+                data=request.data,
+                voters=request.voters or b"",
+            )
+            saved = await state.disk.run(lambda: state.store.save_snapshot(snapshot))
+            if saved.is_err():
+                return Err(state.fail(saved.unwrap_err()))
+            state.machine.restore(request.data)
+            state.note_snapshot(snapshot)
+            state.note_entries(state.store.entries)
+            state.commit_index = max(state.commit_index, request.last_index)
+            state.applied_index = request.last_index
+        return Ok(AppendReply(state.term, True, request.last_index))
 
     async def _accept_leader(self, term: int, leader: str) -> bool:
         state = self._state
--- a/src/leadhollow/state/leadership.py
+++ b/src/leadhollow/state/leadership.py
@@ -280,22 +280,28 @@
         while self._leads(term):
             await self._wake_writer.wait()
             self._wake_writer.clear()
-            async with state.append_lock:
-                if not self._leads(term):
-                    return
-                entries = self._take_batch(term)
-                if not entries:
-                    continue
-                written = await state.disk.run(lambda: state.store.append(entries))  # noqa: B023
-                if written.is_err():
-                    state.fail(written.unwrap_err())
-                    return
-                state.note_entries(entries)
+            if not await state.steps.run(lambda: self._write_batch(term)):
+                return
             if self._proposals:
                 self._wake_writer.set()
             self._wake_all_followers()
             self._advance_commit(term)
 
+    async def _write_batch(self, term: int) -> bool:
+        """Sync what waits; False where we lead no more."""
+        state = self._state
+        if not self._leads(term):
+            return False
+        entries = self._take_batch(term)
+        if not entries:
+            return True
+        written = await state.disk.run(lambda: state.store.append(entries))
+        if written.is_err():
+            state.fail(written.unwrap_err())
+            return False
+        state.note_entries(entries)
+        return True
+
     def _take_batch(self, term: int) -> list[Entry]:
         batch = self._proposals[:ENTRIES_PER_APPEND]
         self._proposals = self._proposals[ENTRIES_PER_APPEND:]
--- a/src/leadhollow/state/replica.py
+++ b/src/leadhollow/state/replica.py
@@ -187,6 +187,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._state.steps.idle()
         self._state.disk.close()
         self._state.store.close()
 
@@ -212,7 +213,7 @@
                 self._apply(entry)
             applied = state.applied_index - state.store.snapshot.last_index
             if applied >= state.timing.snapshot_entries and not state.failed:
-                await self._take_snapshot()
+                await state.steps.run(self._take_snapshot)
 
     def _apply(self, entry: Entry) -> None:
         state = self._state
@@ -228,19 +229,18 @@
 
     async def _take_snapshot(self) -> None:
         state = self._state
-        async with state.append_lock:
-            index = state.applied_index
-            snapshot = Snapshot(
-                last_index=index,
-                last_term=state.store.term_at(index) or 0,
-                data=state.machine.snapshot(),
-                voters=b"" if state.named else encode_voters(state.voters.at(index).voters),
-            )
-            saved = await state.disk.run(lambda: state.store.save_snapshot(snapshot))
-            if saved.is_err():
-                state.fail(saved.unwrap_err())
-                return
-            state.voters.forget_before(index)
+        index = state.applied_index
+        snapshot = Snapshot(
+            last_index=index,
+            last_term=state.store.term_at(index) or 0,
+            data=state.machine.snapshot(),
+            voters=b"" if state.named else encode_voters(state.voters.at(index).voters),
+        )
+        saved = await state.disk.run(lambda: state.store.save_snapshot(snapshot))
+        if saved.is_err():
+            state.fail(saved.unwrap_err())
+            return
+        state.voters.forget_before(index)
         log.info("snapshot taken", index=index, size_bytes=len(snapshot.data))
 
 
--- a/src/leadhollow/state/replica_state.py
+++ b/src/leadhollow/state/replica_state.py
@@ -16,6 +16,7 @@
 from leadhollow.state.log_store import Entry, LogStore, Snapshot, Vote
 from leadhollow.state.machine import StateMachine
 from leadhollow.state.voters import Voter, VoterBook, decode_voters
+from leadhollow.state.whole_steps import WholeSteps
 from leadhollow.wire.peers import PeerPool
 
 CALL_TIMEOUT_MS = 1_000
@@ -45,7 +46,7 @@
 class ReplicaState:
     """State of one replica.
 
-    ``append_lock`` is held by whoever changes the log, the vote or the term.
+    Whatever changes the log, the vote or the term is one of its ``steps``.
 
     Parameters
     ----------
@@ -61,7 +62,6 @@
     __slots__ = (
         "_step_down",
         "_voters_changed",
-        "append_lock",
         "applied_index",
         "commit_index",
         "disk",
@@ -73,6 +73,7 @@
         "named",
         "peers",
         "role",
+        "steps",
         "store",
         "timing",
         "vm",
@@ -98,7 +99,7 @@
         self.store = store
         self.peers = peers
         self.disk = DiskThread()
-        self.append_lock = asyncio.Lock()
+        self.steps = WholeSteps()
         self.machine = StateMachine()
         self.role = ReplicaRole.FOLLOWER
         self.leader_vm = ""
@@ -197,10 +198,12 @@
 
     async def learn_term(self, term: int) -> None:
         """Follow a higher term that somebody named."""
-        async with self.append_lock:
-            if term > self.term:
-                self.become_follower("")
-                await self.save_vote(Vote(term=term, voted_for="", voter=self.vote.voter))
+        await self.steps.run(lambda: self._learn_term(term))
+
+    async def _learn_term(self, term: int) -> None:
+        if term > self.term:
+            self.become_follower("")
+            await self.save_vote(Vote(term=term, voted_for="", voter=self.vote.voter))
 
     def fail(self, failure: Failure) -> Failure:
         """Take no part until the whole log could be written anew; see :meth:`recover`."""
@@ -211,14 +214,16 @@
 
     async def recover(self) -> None:
         """Try to write the log and the vote anew, and take part again where that succeeds."""
-        async with self.append_lock:
-            written = await self.disk.run(self.store.recover)
-            if written.is_ok():
-                written = await self.disk.run(lambda: self.store.save_vote(self.vote))
-            if written.is_err():
-                return
-            self.failed = False
-            self.heard_s = now_s()
+        await self.steps.run(self._recover)
+
+    async def _recover(self) -> None:
+        written = await self.disk.run(self.store.recover)
+        if written.is_ok():
+            written = await self.disk.run(lambda: self.store.save_vote(self.vote))
+        if written.is_err():
+            return
+        self.failed = False
+        self.heard_s = now_s()
         log.warning("replica takes part again", replica=self.vm, last_index=self.store.last_index)
 
 
