--- a/src/leadhollow/weights/pacing.py
+++ b/src/leadhollow/weights/pacing.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from leadhollow.kernel.timers import sleep_at_least
+
 BURST_S = 0.05
 
 
@@ -41,8 +43,8 @@
     async def free(self) -> None:
         """Wait until the link has carried everything that was taken."""
         loop = asyncio.get_running_loop()
-        while (wait_s := self._free_at_s - loop.time()) > 0:  # noqa: ASYNC110 others take meanwhile
-            await asyncio.sleep(wait_s)
+        while (wait_s := self._free_at_s - loop.time()) > 0:  # others take meanwhile
+            await sleep_at_least(wait_s)
 
     async def take(self, size_bytes: int) -> None:
         """Wait until the link has carried all bytes before these, and then these."""
@@ -53,7 +55,7 @@
         self.bytes_taken += size_bytes
         wait_s = self._free_at_s - now_s
         if wait_s > 0:
-            await asyncio.sleep(wait_s)
+            await sleep_at_least(wait_s)
 
 
 class Link:
