--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -45,12 +45,15 @@
         "_failed_s",
         "_far",
         "_import_s",
+        "_inside",
         "_near",
+        "_outside",
         "_outside_since_s",
         "_own",
         "_patience",
         "_random",
         "_read_s",
+        "_shared_among",
         "_sharing",
         "_sources",
         "_step_in_from_s",
@@ -67,23 +70,53 @@
         self._import_s = LONGEST_IMPORT_S
         self._random = random.Random(seed)
         self._sharing = Sharing(number=number, stagers=[own])
+        self._shared_among: tuple[frozenset[str], frozenset[str]] = frozenset(), frozenset()
         self._sources: list[PieceSource] = []
+        self._inside: list[tuple[PieceSource, int]] = []  # usable ones with what they hold
+        self._outside: list[tuple[PieceSource, int]] = []
         self._step_in_from_s: float | None = None  # while our own part is not read
         self._outside_since_s: dict[int, float] = {}
 
-    def look(self, sources: Collection[PieceSource], *, number: int, now_s: float) -> None:
-        """Take note of who can be asked now."""
+    def look(
+        self,
+        sources: Collection[PieceSource],
+        *,
+        number: int,
+        now_s: float,
+        others: Collection[Stager] = (),
+    ) -> None:
+        """Take note of who can be asked now.
+
+        Parameters
+        ----------
+        others
+            Stagers that take part and are not followed.
+        """
         self._sources = [source for source in sources if source.usable(now_s)]
         own_domain = self._own.failure_domain
+        self._inside = []
+        self._outside = []
         self._near = self._far = 0
         for source in self._sources:
+            held = source.held.mask()
             if source.stager.failure_domain == own_domain:
-                self._near |= source.held.mask()
+                self._near |= held
+                self._inside.append((source, held))
             else:
-                self._far |= source.held.mask()
+                self._far |= held
+                self._outside.append((source, held))
         # one that only hangs keeps its tasks: dealt out anew, all would be read twice
-        stagers = [self._own, *(source.stager for source in sources if source.connected)]
-        self._sharing = Sharing(number=number, stagers=stagers)
+        lost = frozenset(source.stager.address for source in sources if source.lost(now_s))
+        followed = [source.stager for source in sources]
+        known = frozenset(stager.address for stager in (*followed, *others))
+        if (known, lost) != self._shared_among:
+            self._shared_among = known, lost
+            stagers = [self._own, *followed, *others]
+            self._sharing = Sharing(number=number, stagers=stagers, lost=lost)
+
+    def followed(self, *, pieces: int, places: int) -> set[str]:
+        """Give the stagers of other domains that have to be followed."""
+        return self._sharing.followed(self._own, pieces=pieces, places=places)
 
     def origin_failed(self, now_s: float) -> None:
         """Take note that the origin does not answer."""
@@ -162,12 +195,8 @@
         return self._sharing.origin_reader(index) == self._own
 
     def _holders(self, index: int, *, inside: bool) -> list[PieceSource]:
-        own_domain = self._own.failure_domain
-        return [
-            source
-            for source in self._sources
-            if index in source.held and (source.stager.failure_domain == own_domain) == inside
-        ]
+        holders = self._inside if inside else self._outside
+        return [source for source, held in holders if held >> index & 1]
 
     def _freest(self, sources: list[PieceSource]) -> PieceSource | None:
         free = [source for source in sources if len(source.ordered) < PER_SOURCE]
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -9,15 +9,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.observe.logs import get_logger
 from leadhollow.staging.choice import Origin, SourceChoice
 from leadhollow.staging.origin_source import OriginSource
-from leadhollow.staging.patience import TaskPatience
-from leadhollow.staging.piece_source import PieceSource
+from leadhollow.staging.patience import LONGEST_IMPORT_S, TaskPatience
+from leadhollow.staging.piece_source import MEET_S, PieceSource
 from leadhollow.staging.pieces import StagedVersion
 from leadhollow.staging.sharing import Stager
 from leadhollow.staging.turns import turn_of
@@ -29,8 +29,12 @@
 
 ORIGIN_READERS = 1  # all stagers read at once; more would only make each piece come later
 PLAN_INTERVAL_S = 0.02
+FOLLOW_INTERVAL_S = 0.2  # how often it is looked who takes part; who ends is noticed at once
+WIDEN_S = 2 * LONGEST_IMPORT_S
+"""Time after which one more place of those that bring pieces in follows the readers outside: those
+before it have had theirs, and do not bring the piece."""
+
 WATCH_AGAIN_S = 0.3
-MEET_S = 0.5  # time to reach the other stagers before the first order
 EARLY_TURNS = 3  # stagers whose engines change first get their pieces first
 DOWNLOAD_SHARE = 0.95  # of our link; the rest is for the engine's requests
 BURST_S = 0.03  # idle time of our link that may be made up for
@@ -78,6 +82,7 @@
         "_arrived_s",
         "_choice",
         "_download",
+        "_follow_s",
         "_from_origin",
         "_ordered",
         "_ordered_s",
@@ -89,6 +94,8 @@
         "_peers",
         "_sources",
         "_started_s",
+        "_turn",
+        "_unfollowed",
         "_wake",
         "_window",
         "version",
@@ -133,6 +140,9 @@
         self._from_origin: asyncio.Queue[int] = asyncio.Queue()
         self._wake = asyncio.Event()
         self._started_s = asyncio.get_running_loop().time()
+        self._follow_s = 0.0
+        self._unfollowed: list[Stager] = []  # take part, and their word is not needed
+        self._turn = 0
 
     async def run(self) -> None:
         """Fetch until every piece is here."""
@@ -191,16 +201,39 @@
                 continue
 
     def _follow_stagers(self) -> None:
-        """Watch each stager that is there, and forget those that are not."""
+        """Watch the stagers whose word is needed, and forget those that are not there any more."""
+        now_s = asyncio.get_running_loop().time()
+        if self._sources and now_s < self._follow_s:
+            return
+        self._follow_s = now_s + FOLLOW_INTERVAL_S
         present = {stager.address: stager for stager in self._others()}
         for address in list(self._sources):
             if address not in present:
                 self._lose(self._sources.pop(address))
-        for address, stager in present.items():
-            if address not in self._sources:
+        self._unfollowed = [
+            stager for address, stager in present.items() if address not in self._sources
+        ]
+        self._look(now_s)
+        places = 1 + int((now_s - self._started_s) / WIDEN_S)
+        needed = self._choice.followed(pieces=self.version.held.count, places=places)
+        for stager in self._unfollowed:
+            if stager.address in needed or stager.failure_domain == self._own.failure_domain:
                 source = PieceSource(stager=stager, count=self.version.held.count)
-                self._sources[address] = source
+                source.followed_s = now_s
+                self._sources[stager.address] = source
                 self._spawn(source, self._watch(source))
+        self._unfollowed = [
+            stager for address, stager in present.items() if address not in self._sources
+        ]
+        self._turn = self._turn_among(present.values())
+
+    def _look(self, now_s: float) -> None:
+        self._choice.look(
+            self._sources.values(),
+            number=self.version.number,
+            now_s=now_s,
+            others=self._unfollowed,
+        )
 
     def _knows_others(self) -> bool:
         """Tell whether it is known who takes part; the origin must not be asked by everybody."""
@@ -214,7 +247,7 @@
         if not self._stager_room() and not self._origin_room():
             return
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
-        self._choice.look(self._sources.values(), number=self.version.number, now_s=now_s)
+        self._look(now_s)
         for index in self._choice.in_order(missing, now_s):
             source = self._choice.source(index, now_s)
             if isinstance(source, PieceSource):
@@ -332,7 +365,7 @@
             offset,
             SLICE_BYTES,
             self._own.failure_domain,
-            self._turn(),
+            self._turn,
             PATIENCE_MS,
         )
         loop = asyncio.get_running_loop()
@@ -371,12 +404,11 @@
         self._ordered.pop(index, None)
         self._wake.set()
 
-    def _turn(self) -> int:
+    def _turn_among(self, others: Iterable[Stager]) -> int:
         """Give our place among those that change first; all later ones share the last place."""
         number = self.version.number
         own = turn_of(self._own.address, number)
-        stagers = [source.stager for source in self._sources.values()]
-        before = sum(1 for stager in stagers if turn_of(stager.address, number) < own)
+        before = sum(1 for stager in others if turn_of(stager.address, number) < own)
         return min(before, EARLY_TURNS)
 
     def _give_back(self, source: PieceSource, index: int) -> None:
--- a/src/leadhollow/staging/piece_source.py
+++ b/src/leadhollow/staging/piece_source.py
@@ -8,6 +8,7 @@
 from leadhollow.weights.bitmap import Bitmap
 
 AVOIDED_S = 1.5  # how long a source that did not answer is left alone
+MEET_S = 0.5  # time to reach another stager; who was not reached within it is taken for lost
 HANGS_AFTER_S = 0.7  # a source that owes us slices and sent none for so long is asked for no more
 USUAL_SLICE_S = 0.05  # assumed of a source that has sent nothing yet
 SLICE_WEIGHT = 0.3  # of the newest slice in the running mean
@@ -23,6 +24,8 @@
 
     Attributes
     ----------
+    followed_s
+        When it was first asked what it holds.
     tried
         Whether it told what it holds, or could not be reached.
     slice_s
@@ -32,6 +35,7 @@
     __slots__ = (
         "avoided_until_s",
         "connected",
+        "followed_s",
         "held",
         "ordered",
         "progress_s",
@@ -46,6 +50,7 @@
         self.held = Bitmap(count=count)
         self.ordered: set[int] = set()
         self.connected = False
+        self.followed_s = 0.0
         self.tried = False
         self.progress_s = 0.0
         self.slice_s = USUAL_SLICE_S
@@ -57,6 +62,10 @@
         hangs = bool(self.ordered) and now_s - self.progress_s > HANGS_AFTER_S
         return self.connected and now_s >= self.avoided_until_s and not hangs
 
+    def lost(self, now_s: float) -> bool:
+        """Tell whether it cannot be reached."""
+        return not self.connected and (self.tried or now_s - self.followed_s > MEET_S)
+
     def order(self, index: int, now_s: float) -> None:
         """Note a piece that is asked for there."""
         if not self.ordered:
@@ -73,4 +82,4 @@
         self.avoided_until_s = now_s + AVOIDED_S
 
 
-__all__ = ["PieceSource"]
+__all__ = ["MEET_S", "PieceSource"]
--- /dev/null
+++ b/tests/staging/test_sharing_at_size.py
@@ -0,0 +1,145 @@
+"""Pieces among a hundred stagers of five failure domains: whom each follows, and who reads what."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+
+from leadhollow.settings.deployment import Listener, LoopbackAddresses
+from leadhollow.staging.sharing import SUCCESSORS, Sharing, Stager
+from leadhollow.wire.generated.ttypes import PieceWatch
+from tests.staging.test_exchange import PIECES, GoodOrigin, Node
+
+VERSION_PIECES = 96
+DOMAINS = 5
+SIZES = (31, 102, 302)
+MOST_FOLLOWED_OUTSIDE = 24
+
+
+def stagers(count: int) -> list[Stager]:
+    return [
+        Stager(
+            address=f"10.0.{number % DOMAINS}.{number // DOMAINS}:7000",
+            failure_domain=f"d{number % DOMAINS}",
+        )
+        for number in range(count)
+    ]
+
+
+def followed(sharing: Sharing, own: Stager, *, places: int = 1) -> set[str]:
+    return sharing.followed(own, pieces=VERSION_PIECES, places=places)
+
+
+class TestFollowed:
+    @pytest.mark.parametrize("count", SIZES)
+    def test_are_few_outside_the_own_domain_however_many_there_are(self, count):
+        everybody = stagers(count)
+        sharing = Sharing(number=3, stagers=everybody)
+        most = max(len(followed(sharing, own)) for own in everybody)
+        assert most <= (MOST_FOLLOWED_OUTSIDE if count >= 100 else count)
+
+    @pytest.mark.parametrize("count", SIZES)
+    def test_hold_what_one_is_to_bring_in(self, count):
+        everybody = stagers(count)
+        sharing = Sharing(number=3, stagers=everybody)
+        for own in everybody:
+            known = followed(sharing, own)
+            for index in range(VERSION_PIECES):
+                reader = sharing.origin_reader(index)
+                if reader.failure_domain != own.failure_domain:
+                    assert sharing.importer_place(index, own) > 1 or reader.address in known
+
+    def test_grow_with_the_places_that_have_had_their_turn(self):
+        everybody = stagers(102)
+        sharing = Sharing(number=3, stagers=everybody)
+        sizes = [len(followed(sharing, everybody[0], places=places)) for places in (1, 4, 20)]
+        assert sizes == sorted(sizes)
+        assert sizes[-1] > sizes[0]
+
+    def test_in_a_small_fleet_are_all(self):
+        everybody = stagers(10)
+        sharing = Sharing(number=3, stagers=everybody)
+        own = everybody[0]
+        outside = {one.address for one in everybody if one.failure_domain != own.failure_domain}
+        assert followed(sharing, own) == outside
+
+
+class TestALostStager:
+    @pytest.mark.parametrize("count", SIZES)
+    def test_is_followed_by_all_who_read_its_pieces(self, count):
+        everybody = stagers(count)
+        whole = Sharing(number=3, stagers=everybody)
+        for lost in everybody[:20]:
+            without = Sharing(number=3, stagers=everybody, lost={lost.address})
+            for index in range(VERSION_PIECES):
+                if whole.origin_reader(index) != lost:
+                    assert without.origin_reader(index) == whole.origin_reader(index)
+                    continue
+                heir = without.origin_reader(index)
+                assert heir != lost
+                near = heir.failure_domain == lost.failure_domain
+                assert near or lost.address in followed(whole, heir)
+
+    def test_leaves_its_pieces_to_several_in_a_small_fleet(self):
+        everybody = stagers(6)
+        sharing = Sharing(number=3, stagers=everybody, lost={everybody[0].address})
+        reads = Counter(sharing.origin_reader(index).address for index in range(VERSION_PIECES))
+        assert everybody[0].address not in reads
+        assert max(reads.values()) <= VERSION_PIECES / 6 * (1 + 1 / SUCCESSORS) + 1
+
+    @pytest.mark.parametrize("count", [6, 31, 102])
+    def test_leaves_one_place_to_each_of_the_others(self, count):
+        everybody = stagers(count)
+        lost = {stager.address for stager in everybody[::5]}
+        rest = [stager for stager in everybody if stager.address not in lost]
+        sharing = Sharing(number=3, stagers=everybody, lost=lost)
+        for index in range(VERSION_PIECES):
+            places = [sharing.reader_place(index, stager) for stager in rest]
+            assert sorted(places) == list(range(len(rest)))
+            assert sharing.reader_place(index, sharing.origin_reader(index)) == 0
+
+
+class TestAWholeFleet:
+    def test_reads_each_piece_once_and_tells_it_to_few(self):
+        async def run() -> tuple[list[Node], Counter[str]]:
+            take = LoopbackAddresses()
+            nodes = [
+                Node(
+                    take(f"n{number}", Listener.WIRE),
+                    bytes_per_s=1e8,
+                    domain=f"d{number % DOMAINS}",
+                )
+                for number in range(30)
+            ]
+            watched: Counter[str] = Counter()
+            for node in nodes:
+                node.origin = GoodOrigin()
+                await node.start()
+                _count_watches(node, watched)
+            fetches = [
+                node.fetch(*[other for other in nodes if other is not node]).run() for node in nodes
+            ]
+            await asyncio.gather(*fetches)
+            for node in nodes:
+                await node.stop()
+            return nodes, watched
+
+        nodes, watched = asyncio.run(asyncio.wait_for(run(), 60))
+        assert all(node.staged().complete for node in nodes)
+        asked = Counter(index for node in nodes for index in node.origin.asked)
+        assert sorted(asked) == list(range(len(PIECES)))
+        assert asked.total() <= 2 * len(PIECES)  # others may have stepped in for one that was slow
+        everybody = len(nodes) * (len(nodes) - 1)
+        assert watched.total() < everybody / 2
+
+
+def _count_watches(node: Node, watched: Counter[str]) -> None:
+    answer = node.handlers._streams[PieceWatch]
+
+    async def counted(request, sink):
+        watched[node.stager.address] += 1
+        return await answer(request, sink)
+
+    node.handlers.on_stream(PieceWatch, counted)
