--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -23,6 +23,9 @@
 RECENT_SHARE = 0.6  # of the time for which reports count; they come three times in it
 SAFE_S = 0.35  # time in which a request begins at a server that is not overloaded
 UNHEARD_MS = 250.0  # a server that does not report is thought this much slower than one that does
+SAME_MOMENT_S = 0.002
+"""Time for which engines stay as they were reckoned where nothing is known to have changed; a turn
+of the loop takes less, and predictions are some tens of milliseconds off."""
 
 
 SIZE_TILT = 0.5
@@ -76,9 +79,36 @@
         self.version = version
 
 
+class _Reckoned:
+    """What an engine has to do, as all requests that ask at the same moment see it.
+
+    Parameters
+    ----------
+    ready_ms
+        Time until the first event of a request but for reading its prompt.
+    far
+        Whether it is of another failure domain.
+    """
+
+    __slots__ = ("demand", "far", "ready_ms", "server", "version")
+
+    def __init__(
+        self, *, server: Server, version: int, demand: EngineDemand, ready_ms: float, far: bool
+    ) -> None:
+        self.server = server
+        self.version = version
+        self.demand = demand
+        self.ready_ms = ready_ms
+        self.far = far
+
+
 class EngineChooser:
     """Chooses among the engines that may take a request.
 
+    Requests that wait ask again whenever something may have become free, all of them in the same
+    turn. Engines are reckoned once for all of these: before a hundred engines that is five times
+    what is left for each request.
+
     Parameters
     ----------
     failure_domain
@@ -87,7 +117,15 @@
         Of the random part by which entries with the same view differ.
     """
 
-    __slots__ = ("_board", "_failure_domain", "_models", "_random", "_versions")
+    __slots__ = (
+        "_board",
+        "_failure_domain",
+        "_models",
+        "_random",
+        "_reckoned",
+        "_reckoned_s",
+        "_versions",
+    )
 
     def __init__(
         self,
@@ -102,63 +140,103 @@
         self._failure_domain = failure_domain
         self._random = source
         self._models: dict[str, EngineModel] = {}
+        self._reckoned: dict[tuple[str, str], list[_Reckoned]] = {}
+        self._reckoned_s = 0.0
+
+    def forget(self) -> None:
+        """Reckon engines anew: what is known of them has changed."""
+        self._reckoned.clear()
 
     def best(self, wish: EngineWish, now_s: float) -> EngineOption | None:
         """Give the engine that answers soonest, None where none may take the request."""
         spec = wish.service.engine
         if spec is None:
             return None
-        model = self._models.get(wish.service.name)
-        if model is None or model.spec is not spec:
-            model = EngineModel(spec=spec)
-            self._models[wish.service.name] = model
-        eligible = self._eligible(wish, spec, now_s)
-        heard = any(server.fresh_report(now_s) is not None for server, _ in eligible)
-        told = self._board.hears_others()
-        best: tuple[Server, int, EngineDemand, float, float] | None = None
-        best_rank = float("inf")
-        for server, version in eligible:
-            demand = server.demand(model, now_s, told=told)
-            first_ms = model.first_event_ms(demand, wish.prompt_tokens)
-            delay_ms = max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
-            if heard and server.fresh_report(now_s) is None:
-                delay_ms += UNHEARD_MS
-            first_ms += delay_ms
-            rank = first_ms + self._random.uniform(0, SPREAD_MS)
-            if server.instance.failure_domain != self._failure_domain:
+        model = self._model(wish.service.name, spec)
+        read_ms = model.read_ms(wish.prompt_tokens)
+        chance = self._random.random
+        best: _Reckoned | None = None
+        best_ms = best_rank = float("inf")
+        for found in self._eligible(wish, model, now_s):
+            first_ms = found.ready_ms + found.demand.pace * read_ms
+            rank = first_ms + SPREAD_MS * chance()
+            if found.far:
                 rank += FAR_PENALTY_MS
             if rank < best_rank:
-                best_rank = rank
-                best = (server, version, demand, first_ms, delay_ms)
+                best, best_ms, best_rank = found, first_ms, rank
         if best is None:
             return None
-        server, version, demand, first_ms, delay_ms = best
         return EngineOption(
-            server=server,
-            first_ms=first_ms,
-            admission_ms=first_ms + _size_allowance_ms(model, wish.prompt_tokens),
-            demand=demand,
-            version=version,
+            server=best.server,
+            first_ms=best_ms,
+            admission_ms=best_ms + _size_allowance_ms(model, wish.prompt_tokens),
+            demand=best.demand,
+            version=best.version,
         )
 
-    def _eligible(
-        self, wish: EngineWish, spec: EngineSpec, now_s: float
+    def _model(self, service: str, spec: EngineSpec) -> EngineModel:
+        model = self._models.get(service)
+        if model is None or model.spec is not spec:
+            model = self._models[service] = EngineModel(spec=spec)
+        return model
+
+    def _eligible(self, wish: EngineWish, model: EngineModel, now_s: float) -> list[_Reckoned]:
+        """Give the engines that may get a request."""
+        found = self._reckon(wish.service.name, wish.model, model, now_s)
+        if wish.excluded:
+            found = [one for one in found if one.server.instance.instance not in wish.excluded]
+        if not wish.last_attempt:
+            return found
+        newest = self._versions.newest(wish.model)
+        return [one for one in found if one.version >= newest] or found
+
+    def _reckon(
+        self, service: str, model_name: str, model: EngineModel, now_s: float
+    ) -> list[_Reckoned]:
+        """Reckon the engines of a service that may take requests for a model."""
+        if now_s - self._reckoned_s > SAME_MOMENT_S:
+            self._reckoned.clear()
+        known = self._reckoned.get((service, model_name))
+        if known is not None:
+            return known
+        servers = self._usable(service, model_name, model.spec, now_s)
+        heard = any(server.fresh_report(now_s) is not None for server, _ in servers)
+        told = self._board.hears_others()
+        reckoned = []
+        for server, version in servers:
+            demand = server.demand(model, now_s, told=told)
+            delay_ms = max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
+            if heard and server.fresh_report(now_s) is None:
+                delay_ms += UNHEARD_MS
+            reckoned.append(
+                _Reckoned(
+                    server=server,
+                    version=version,
+                    demand=demand,
+                    ready_ms=model.ready_ms(demand) + delay_ms,
+                    far=server.instance.failure_domain != self._failure_domain,
+                )
+            )
+        if not self._reckoned:
+            self._reckoned_s = now_s
+        self._reckoned[service, model_name] = reckoned
+        return reckoned
+
+    def _usable(
+        self, service: str, model: str, spec: EngineSpec, now_s: float
     ) -> list[tuple[Server, int]]:
-        """Give the engines that may get a request, each with the version that it holds."""
-        oldest = self._versions.oldest_allowed(wish.model)
+        """Give the engines that take requests now, each with the version that it holds."""
+        oldest = self._versions.oldest_allowed(model)
         found = []
-        for server in self._board.servers(wish.service.name):
-            if server.instance.instance in wish.excluded or not server.health.usable(now_s):
+        for server in self._board.servers(service):
+            if not server.health.usable(now_s):
                 continue
-            version = server.whole_version(wish.model, spec.layers, now_s)
+            version = server.whole_version(model, spec.layers, now_s)
             if version is None or version < oldest or server.switching(now_s):
                 continue
-            if not self._begins_in_time(wish.model, server, version, now_s):
-                continue
-            found.append((server, version))
-        newest = self._versions.newest(wish.model)
-        settled = [(server, version) for server, version in found if version >= newest]
-        return settled if wish.last_attempt and settled else found
+            if self._begins_in_time(model, server, version, now_s):
+                found.append((server, version))
+        return found
 
     def _begins_in_time(self, model: str, server: Server, version: int, now_s: float) -> bool:
         """Tell whether a request will surely begin before the server's weights are too old."""
--- a/src/leadhollow/decide/engine_model.py
+++ b/src/leadhollow/decide/engine_model.py
@@ -81,16 +81,19 @@
 
     def first_event_ms(self, demand: EngineDemand, prompt_tokens: float) -> float:
         """Time until the first event of a request that arrives now."""
+        return self.ready_ms(demand) + demand.pace * self.read_ms(prompt_tokens)
+
+    def ready_ms(self, demand: EngineDemand) -> float:
+        """Time until that first event but for reading its own prompt."""
         spec = self.spec
         waiting = max(0.0, demand.requests - spec.slots + 1)
         running = min(demand.requests, spec.slots - 1) + 1
         pass_ms = self.pass_ms(running, demand.context_tokens)
         backlog_ms = 1000 * demand.unread_tokens / spec.read_tokens_per_s
         begun_ms = pass_ms / 2 if demand.requests else 0.0
-        own_ms = self.read_ms(prompt_tokens) + pass_ms
         waiting_ms = WAITING_SHARE * waiting * self._usual_ms
         backlog_ms *= UNREAD_SHARE
-        return FIXED_MS + demand.pace * (waiting_ms + begun_ms + backlog_ms + own_ms)
+        return FIXED_MS + demand.pace * (waiting_ms + begun_ms + backlog_ms + pass_ms)
 
 
 __all__ = [
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -116,7 +116,7 @@
         self._pressure: dict[str, Pressure] = {}
         self._waiters: list[Waiter] = []
         self._held: list[Waiter] = []  # will be late, and are placed where room is left over
-        board.on_change(self.pump)
+        board.on_change(self._on_board)
 
     @property
     def waiting(self) -> int:
@@ -200,6 +200,11 @@
     def release(self, placement: Placement) -> None:
         """Give a place back."""
         placement.server.remove(placement.call, self._clock())
+        self._chooser.forget()
+        self.pump()
+
+    def _on_board(self) -> None:
+        self._chooser.forget()
         self.pump()
 
     def pump(self) -> None:
@@ -259,6 +264,7 @@
             predicted_ms=option.first_ms,
         )
         option.server.add(call)
+        self._chooser.forget()
         option.server.health.note_start(now_s)
         report = option.server.fresh_report(now_s)
         log_decision(
--- a/src/leadhollow/experiment/world.py
+++ b/src/leadhollow/experiment/world.py
@@ -158,7 +158,7 @@
                 sum(use.unread_tokens for use in uses),
             )
         self._dirty.clear()
-        told = [self._decisions_without(entry) for entry in self.entries]
+        told = self._decisions_of_others()
         near_ms = self.scenario.view_lag_ms
         far_ms = self.scenario.far_view_lag_ms or near_ms
         if far_ms == near_ms:
@@ -201,14 +201,15 @@
             if entry.queue.waiting:
                 entry.view.changed()
 
-    def _decisions_without(self, left_out: Entry) -> dict[str, Decisions]:
-        """Sum up what the other entries decided lately."""
-        total = Decisions()
-        for entry in self.entries:
-            found = entry.queue.decisions().get(SERVICE)
-            if entry is not left_out and found is not None:
-                total.add(found)
-        return {SERVICE: total}
+    def _decisions_of_others(self) -> list[dict[str, Decisions]]:
+        """Give what all others decided lately, for each entry: the sum without its own part."""
+        found = [entry.queue.decisions().get(SERVICE, Decisions()) for entry in self.entries]
+        made = sum(own.made for own in found)
+        refused = sum(own.refused for own in found)
+        return [
+            {SERVICE: Decisions(made=made - own.made, refused=refused - own.refused)}
+            for own in found
+        ]
 
     def _set_out(self, share: float) -> None:
         """Take part of each domain's engines out, or bring all back."""
