--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -16,6 +16,7 @@
 
 AWAY_S = 0.2  # an origin that did not answer is asked again after it
 
+LEAST_FOLLOWED = 2  # stagers of a failure domain that have to be lost for it to be cut off
 PER_SOURCE = 2  # pieces ordered from one stager at a time; it serves others too
 
 
@@ -106,7 +107,7 @@
                 self._far |= held
                 self._outside.append((source, held))
         # one that only hangs keeps its tasks: dealt out anew, all would be read twice
-        lost = frozenset(source.stager.address for source in sources if source.lost(now_s))
+        lost = _lost(sources, others, now_s)
         followed = [source.stager for source in sources]
         known = frozenset(stager.address for stager in (*followed, *others))
         if (known, lost) != self._shared_among:
@@ -207,4 +208,26 @@
         return (1 + len(source.ordered)) * source.slice_s * self._random.uniform(0.7, 1.3)
 
 
+def _lost(
+    sources: Collection[PieceSource], others: Collection[Stager], now_s: float
+) -> frozenset[str]:
+    """Give the addresses of stagers that cannot be reached.
+
+    Where that is so for all that are followed of a failure domain, it is taken to be cut off: the
+    pieces of those that are not followed would be waited for in vain.
+    """
+    found = {source.stager.address for source in sources if source.lost(now_s)}
+    followed: dict[str, list[bool]] = {}
+    for source in sources:
+        reached = followed.setdefault(source.stager.failure_domain, [])
+        reached.append(source.stager.address not in found)
+    cut_off = {
+        domain
+        for domain, reached in followed.items()
+        if len(reached) >= LEAST_FOLLOWED and not any(reached)
+    }
+    found.update(stager.address for stager in others if stager.failure_domain in cut_off)
+    return frozenset(found)
+
+
 __all__ = ["Origin", "SourceChoice"]
--- a/tests/staging/test_choice.py
+++ b/tests/staging/test_choice.py
@@ -143,6 +143,22 @@
         assert 2 * quick.read_s(1) < LONGEST_READ_S
 
 
+class TestACutOffDomain:
+    def test_is_taken_for_lost_with_those_that_are_not_followed(self):
+        followed = [a_source(Stager(address=f"127.0.0.2:{n}", failure_domain="b")) for n in (1, 2)]
+        unfollowed = [Stager(address=f"127.0.0.2:{n}", failure_domain="b") for n in (3, 4)]
+        choice = SourceChoice(own=OWN, number=1, seed=1, patience=SLOW)
+        choice.look(followed, number=1, now_s=0.0, others=unfollowed)
+        waited = [index for index in range(PIECES) if choice.source(index, 0.0) is None]
+        assert waited
+        followed[0].connected = False
+        choice.look(followed, number=1, now_s=0.0, others=unfollowed)
+        assert [index for index in waited if choice.source(index, 0.0) is None]
+        followed[1].connected = False
+        choice.look(followed, number=1, now_s=0.0, others=unfollowed)
+        assert all(choice.source(index, 0.0) is Origin.ORIGIN for index in range(PIECES))
+
+
 class TestTaskPatience:
     PATIENCE = TaskPatience(
         piece_bytes=24_576,
