--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -32,7 +32,9 @@
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.streams import StreamSink
 
-HEARTBEAT_S = 0.25
+HEARTBEAT_S = {NodeRole.ENTRY: 0.25, NodeRole.STAGER: 0.7}
+"""A watcher gives a feed up that says nothing for 0.9 s, a stager after 2.5 s."""
+
 LOAD_PAUSE_S = {NodeRole.ENTRY: 0.06, NodeRole.STAGER: 0.1}  # loads within it travel together
 DECISIONS_PAUSE_S = 0.1  # what was refused is told again after it, with whatever is told then
 STAGER_PREFIXES = ("weights/", "service/")
@@ -196,7 +198,7 @@
     async def _wait(self, subscriber: _Subscriber) -> None:
         """Wait until something is to be told, at most for a heartbeat."""
         loop = asyncio.get_running_loop()
-        latest_s = loop.time() + HEARTBEAT_S
+        latest_s = loop.time() + HEARTBEAT_S[subscriber.role]
         while (until_s := min(latest_s, subscriber.due_s)) > loop.time():
             subscriber.wake.clear()
             try:
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -89,6 +89,7 @@
         "_chooser",
         "_clock",
         "_held",
+        "_on_waiting",
         "_policy",
         "_pressure",
         "_random",
@@ -115,9 +116,14 @@
         )
         self._pressure: dict[str, Pressure] = {}
         self._waiters: list[Waiter] = []
+        self._on_waiting: Callable[[], None] = _nothing
         self._held: list[Waiter] = []  # will be late, and are placed where room is left over
         board.on_change(self._on_board)
 
+    def on_waiting(self, listener: Callable[[], None]) -> None:
+        """Call a function when a request has to wait: from then on somebody is to pump."""
+        self._on_waiting = listener
+
     @property
     def waiting(self) -> int:
         """Requests that wait, those that are held included."""
@@ -132,6 +138,7 @@
                 self._end(waiter, placed)
                 return waiter
         _insert(self._waiters, waiter)
+        self._on_waiting()
         return waiter
 
     def time_passed(self, waiter: Waiter) -> None:
@@ -291,6 +298,10 @@
         )
 
 
+def _nothing() -> None:
+    return
+
+
 def _insert(waiters: list[Waiter], waiter: Waiter) -> None:
     """Queue behind those of the same standing."""
     standing = waiter.wish.standing
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -21,6 +21,7 @@
 from leadhollow.forward.targets import TargetChooser
 from leadhollow.forward.use_reporter import UseReporter
 from leadhollow.kernel.task_service import TaskService
+from leadhollow.kernel.timers import TIMER_STEP_S
 from leadhollow.membership.control_feed import ControlFeed
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.node.process import FEED_FORGET_AFTER_S
@@ -31,13 +32,13 @@
     from leadhollow.kernel.service import Service
     from leadhollow.node.process import NodeProcess
 
-TIDY_TURNS = 50  # pumps between two looks for backend servers that are gone
+TIDY_INTERVAL_S = 1.0  # between two looks for backend servers that are gone
 
 
 class Dispatching(TaskService):
     """What the requests of one entry share; its task looks after those that wait."""
 
-    __slots__ = ("board", "budget", "chooser", "plain", "queue", "routes", "streams")
+    __slots__ = ("_waiting", "board", "budget", "chooser", "plain", "queue", "routes", "streams")
 
     def __init__(self, *, process: NodeProcess, feed: ControlFeed, pool: ConnectionPool) -> None:
         settings = process.settings
@@ -62,6 +63,8 @@
             seed=process.seed,
             clock=clock,
         )
+        self._waiting = asyncio.Event()
+        self.queue.on_waiting(self._waiting.set)
         feed.on_decisions(self.queue.take_decisions)
         ending = Ending(dialect=dialect)
         exchanger = Exchanger(dialect=dialect, pool=pool)
@@ -86,16 +89,29 @@
         super().__init__()
 
     async def _work(self) -> None:
-        turn = 0
+        loop = asyncio.get_running_loop()
+        tidy_s = loop.time() + TIDY_INTERVAL_S
         while True:
-            await asyncio.sleep(PUMP_INTERVAL_S)
-            turn += 1
+            await self._wait_for_waiters(tidy_s - loop.time())
             if self.queue.waiting:
+                await asyncio.sleep(PUMP_INTERVAL_S)
                 self.queue.pump()
                 self.queue.pump_held()
-            if turn % TIDY_TURNS == 0:
+            if loop.time() >= tidy_s:
+                tidy_s = loop.time() + TIDY_INTERVAL_S
                 self.board.tidy()
 
+    async def _wait_for_waiters(self, longest_s: float) -> None:
+        """Wait until a request waits: an entry that has room for all does not wake to look."""
+        if self.queue.waiting:
+            return
+        self._waiting.clear()
+        try:
+            async with asyncio.timeout(max(TIMER_STEP_S, longest_s)):
+                await self._waiting.wait()
+        except TimeoutError:
+            return
+
 
 def register_entry(process: NodeProcess) -> None:
     """Register everything that an entry runs."""
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -113,8 +113,11 @@
         process.seed_users.append(made.use_seeds)
         return made
 
+    def engines() -> int:
+        return len(feed().table.of_service(engine_settings.service))
+
     def interval_s() -> float:
-        return report_interval_s(len(feed().table.of_service(engine_settings.service)))
+        return report_interval_s(engines())
 
     def make_watch() -> Service:
         return EngineWatch(
@@ -130,8 +133,8 @@
         loads = EngineLoads(feed=feed())
 
         def is_turn(staged: StagedVersion, announced: bool) -> bool:
-            engines = feed().table.of_service(engine_settings.service)
-            addresses = {instance.address for instance in engines}
+            known = feed().table.of_service(engine_settings.service)
+            addresses = {instance.address for instance in known}
             return loads.is_turn(engine_settings.address, staged, addresses, announced=announced)
 
         return Installer(
@@ -157,7 +160,7 @@
         )
 
     def make_gauge() -> Service:
-        return LinkGauge(feed=feed(), peers=process.peers, vm=settings.vm)
+        return LinkGauge(feed=feed(), peers=process.peers, vm=settings.vm, stagers=engines)
 
     kernel.register("link-gauge", make_gauge, needs=("feed",))
     kernel.register("pieces", make_pieces, needs=("wire", "link-gauge"))
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -21,6 +21,10 @@
 from leadhollow.weights.named import NamedVersion
 
 STEP_S = 0.05
+IDLE_STEP_S = 0.25
+"""Between two looks while the engine holds what is wanted and nothing is on its way; what is named
+or described is seen at once, an engine that starts again with nothing after as long."""
+
 NOTICE_S = 0.15  # entries hear of the switch before the order is given
 ORDER_AGAIN_S = 0.5
 FIRST_PATIENCE_S = 4.0  # an engine takes a second or two to answer after its start
@@ -62,6 +66,7 @@
         "_catalog",
         "_engine",
         "_fetches",
+        "_idle",
         "_models",
         "_piece_s",
         "_read_back",
@@ -105,6 +110,7 @@
         self._began_s = asyncio.get_running_loop().time()
         self._stage_patience_s = FIRST_PATIENCE_S if first_start else LATER_PATIENCE_S
         self._wake = asyncio.Event()
+        self._idle = False  # whether nothing was left to do at the last look
         watch.staged = self._progress
         catalog.on_change(lambda _: self._wake.set())
         super().__init__()
@@ -118,13 +124,15 @@
     async def _work(self) -> None:
         while True:
             await self._pause()
-            for model in self._models():
+            models = self._models()
+            self._idle = bool(models)
+            for model in models:
                 await self._advance(model)
 
     async def _pause(self) -> None:
         """Wait for the next step, which comes at once where a version was named or described."""
         try:
-            async with asyncio.timeout(STEP_S):
+            async with asyncio.timeout(IDLE_STEP_S if self._idle else STEP_S):
                 await self._wake.wait()
         except TimeoutError:
             return
@@ -134,6 +142,7 @@
         """Do the next step towards the wanted version of a model."""
         report = self._watch.report
         known = versions_of(self._catalog, model)
+        self._idle = self._idle and bool(known) and report is not None
         if not known or (report is None and self._may_hold_stage()):
             return
         if report is not None and not self._read_back:
@@ -151,6 +160,7 @@
         staged = next((self._store.open(found) for found in known if found.number == goal), None)
         if staged is None:
             return
+        self._idle = False
         bound = self._usable_until_s(progress, report, known)
         if not staged.complete:
             if report is not None:
--- a/src/leadhollow/staging/link_gauge.py
+++ b/src/leadhollow/staging/link_gauge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.control_feed import ControlFeed
@@ -11,6 +12,10 @@
 from leadhollow.wire.peers import PeerPool
 
 INTERVAL_S = 0.2
+PROBES_PER_S = 250.0
+"""Of all stagers together: a hundred of them probe each 0.4 s, so that a replica which a fifth of
+them follow answers fifty a second at any size."""
+
 TIMEOUT_MS = 1_000
 SLOW_S = 0.35  # a few pieces in front of the probe in both directions explain less
 FAST_S = 0.2
@@ -33,18 +38,31 @@
 class LinkGauge(TaskService):
     """Sends small probes to the control replica that is followed, and times the answers.
 
+    Parameters
+    ----------
+    stagers
+        Gives how many there are.
+
     Attributes
     ----------
     share
         Part of the link's declared speed that pieces may use now.
     """
 
-    __slots__ = ("_feed", "_last_delay_s", "_peers", "_probe", "_vm", "share")
+    __slots__ = ("_feed", "_last_delay_s", "_peers", "_probe", "_stagers", "_vm", "share")
 
-    def __init__(self, *, feed: ControlFeed, peers: PeerPool, vm: str) -> None:
+    def __init__(
+        self,
+        *,
+        feed: ControlFeed,
+        peers: PeerPool,
+        vm: str,
+        stagers: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._feed = feed
         self._peers = peers
         self._vm = vm
+        self._stagers = stagers
         self._probe: _Probe | None = None
         self._last_delay_s = 0.0
         self.share = 1.0
@@ -53,7 +71,7 @@
     async def _work(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(INTERVAL_S)
+            await asyncio.sleep(max(INTERVAL_S, self._stagers() / PROBES_PER_S))
             source = self._feed.source
             if not source:
                 continue
--- a/src/leadhollow/staging/load_reports.py
+++ b/src/leadhollow/staging/load_reports.py
@@ -14,6 +14,10 @@
 from leadhollow.wire.peers import PeerPool
 
 INTERVAL_S = 0.1
+ASKS_PER_REPORT = 5
+"""How often the engine is asked between two reports of a load whose standing stays as it is. All
+that looks at it while its weights change asks for itself."""
+
 LOST_PAUSE_S = 0.2
 PACE_UNIT = 1000
 SLOW_PATH_S = 0.1  # a path that is slower than this is told with each report
@@ -144,7 +148,18 @@
             if said != self._sent or now_s - self._sent_s > self._interval_s():
                 self._sent = said
                 await self.tell()
-            await asyncio.sleep(INTERVAL_S)
+            await asyncio.sleep(ask_interval_s(self._interval_s()))
+
+
+def ask_interval_s(report_interval_s: float) -> float:
+    """Give how long to wait before the engine is asked again.
+
+    Parameters
+    ----------
+    report_interval_s
+        Between two reports; the more engines, the longer.
+    """
+    return max(INTERVAL_S, report_interval_s / ASKS_PER_REPORT)
 
 
-__all__ = ["EngineWatch"]
+__all__ = ["EngineWatch", "ask_interval_s"]
--- a/src/leadhollow/staging/patience.py
+++ b/src/leadhollow/staging/patience.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Callable
 
+from leadhollow.staging.news import NEWS_PAUSE_S
+
 LONGEST_IMPORT_S = 0.8
 """Time in which one stager should bring in a piece that is held elsewhere; it asks for those first.
 Then it is the next one's turn."""
@@ -16,7 +18,7 @@
 """Time by which one stager may be later than another in reading its part from the origin, which
 serves all alike; then the next one reads what is left."""
 
-TELL_S = 0.15  # news of a piece travel for 0.04 s and more; a request for it is on its way as long
+TELL_S = 0.11  # a request for a piece is on its way as long, besides the pause of its news
 SLACK = 2.0  # links carry requests too, and the origin serves several at once
 
 
@@ -31,9 +33,11 @@
         Gives the speed of the origin's link, 0 where it is not known.
     link_bytes_per_s
         Gives the speed of a stager's link.
+    news_pause_s
+        Gives how long a stager gathers pieces before it tells of them.
     """
 
-    __slots__ = ("_link_bytes_per_s", "_origin_bytes_per_s", "_piece_bytes")
+    __slots__ = ("_link_bytes_per_s", "_news_pause_s", "_origin_bytes_per_s", "_piece_bytes")
 
     def __init__(
         self,
@@ -41,10 +45,12 @@
         piece_bytes: int,
         origin_bytes_per_s: Callable[[], float],
         link_bytes_per_s: Callable[[], float],
+        news_pause_s: Callable[[], float] = lambda: NEWS_PAUSE_S,
     ) -> None:
         self._piece_bytes = piece_bytes
         self._origin_bytes_per_s = origin_bytes_per_s
         self._link_bytes_per_s = link_bytes_per_s
+        self._news_pause_s = news_pause_s
 
     def read_s(self, unread: int) -> float:
         """Give the patience with a reader at the origin.
@@ -58,7 +64,7 @@
         if speed <= 0:
             return LONGEST_READ_S
         needed_s = unread * self._piece_bytes / speed
-        return min(LONGEST_READ_S, TELL_S + SLACK * needed_s)
+        return min(LONGEST_READ_S, self._tell_s() + SLACK * needed_s)
 
     def import_s(self, outside: int, importers: int) -> float:
         """Give the patience with one that brings pieces into a failure domain.
@@ -72,7 +78,11 @@
         """
         each = -(-outside // max(1, importers))
         needed_s = each * self._piece_bytes / self._link_bytes_per_s()
-        return min(LONGEST_IMPORT_S, TELL_S + SLACK * needed_s)
+        return min(LONGEST_IMPORT_S, self._tell_s() + SLACK * needed_s)
+
+    def _tell_s(self) -> float:
+        """Give the time until others know of a piece and ask for it."""
+        return TELL_S + self._news_pause_s()
 
 
 __all__ = ["LONGEST_IMPORT_S", "LONGEST_READ_S", "TaskPatience"]
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -15,6 +15,7 @@
 from leadhollow.failure import Failure
 from leadhollow.observe.logs import get_logger
 from leadhollow.staging.choice import Origin, SourceChoice
+from leadhollow.staging.news import news_pause_s
 from leadhollow.staging.origin_source import OriginSource
 from leadhollow.staging.patience import LONGEST_IMPORT_S, TaskPatience
 from leadhollow.staging.piece_source import MEET_S, PieceSource
@@ -29,6 +30,10 @@
 
 ORIGIN_READERS = 1  # all stagers read at once; more would only make each piece come later
 PLAN_INTERVAL_S = 0.02
+PLAN_GATHER_S = 0.01
+"""What happens within it is planned for together: with forty others each tells ten times a second
+what came to it, and slices on their way keep our link busy for five times as long."""
+
 FOLLOW_INTERVAL_S = 0.2  # how often it is looked who takes part; who ends is noticed at once
 WIDEN_S = 2 * LONGEST_IMPORT_S
 """Time after which one more place of those that bring pieces in follows the readers outside: those
@@ -128,6 +133,7 @@
             piece_bytes=version.manifest.chunk_bytes,
             origin_bytes_per_s=origin_bytes_per_s,
             link_bytes_per_s=link_bytes_per_s,
+            news_pause_s=lambda: news_pause_s(len(self._sources)),
         )
         self._choice = SourceChoice(own=own, number=version.number, seed=seed, patience=patience)
         self._origin_progress_s = 0.0
@@ -199,6 +205,7 @@
                     await self._wake.wait()
             except TimeoutError:
                 continue
+            await asyncio.sleep(PLAN_GATHER_S)
 
     def _follow_stagers(self) -> None:
         """Watch the stagers whose word is needed, and forget those that are not there any more."""
--- a/src/leadhollow/staging/piece_server.py
+++ b/src/leadhollow/staging/piece_server.py
@@ -10,6 +10,7 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.kernel.task_service import TaskService
+from leadhollow.staging.news import news_pause_s
 from leadhollow.staging.pieces import PieceStore
 from leadhollow.weights.bitmap import Bitmap
 from leadhollow.weights.pacing import Pacer
@@ -18,7 +19,6 @@
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.streams import StreamSink
 
-NEWS_PAUSE_S = 0.04  # pieces that come within it are told together
 WAIT_VERSION_S = 0.1
 LINK_SHARE = 0.86
 """Part of the link for pieces: the engine's answers leave over the same one, a tenth of it where
@@ -83,7 +83,16 @@
         Then go those whose engine changes first, so that not all have to change at once.
     """
 
-    __slots__ = ("_asked", "_failure_domain", "_pacer", "_store", "_wake", "_wants", "bytes_sent")
+    __slots__ = (
+        "_asked",
+        "_failure_domain",
+        "_pacer",
+        "_store",
+        "_wake",
+        "_wants",
+        "_watchers",
+        "bytes_sent",
+    )
 
     def __init__(
         self,
@@ -101,6 +110,7 @@
             rate_bytes_per_s=lambda: link_bytes_per_s() * LINK_SHARE, burst_s=BURST_S
         )
         self._wake = asyncio.Event()
+        self._watchers = 0
         self.bytes_sent = 0
         super().__init__()
         handlers.on_stream(PieceWatch, self._on_watch)
@@ -176,6 +186,13 @@
 
     async def _on_watch(self, request: PieceWatch, sink: StreamSink) -> Result[None, Failure]:
         """Send what is held, then each piece as it comes."""
+        self._watchers += 1
+        try:
+            return await self._tell_news(request, sink)
+        finally:
+            self._watchers -= 1
+
+    async def _tell_news(self, request: PieceWatch, sink: StreamSink) -> Result[None, Failure]:
         version = self._store.find(request.model, request.version)
         if version is None:
             await sink.send(PieceNews(b"", []))  # so that nobody waits for us to begin
@@ -188,7 +205,7 @@
             news = [index for index in version.held.indexes() if index not in told]
             if not news:
                 await version.changed()
-                await asyncio.sleep(NEWS_PAUSE_S)
+                await asyncio.sleep(news_pause_s(self._watchers))
                 continue
             told.add_all(news)
             await sink.send(PieceNews(b"", news))
--- a/tests/node/test_long_calm.py
+++ b/tests/node/test_long_calm.py
@@ -30,14 +30,14 @@
 
 FORGET_AFTER_S = 0.6
 CALM_S = 2 * FORGET_AFTER_S
-TIDY_TURNS = 2  # an entry looks for servers to forget each 40 ms
+TIDY_INTERVAL_S = 0.04  # how often an entry looks for servers to forget
 
 
 @pytest.fixture
 def short_memory(monkeypatch):
     """Let entries forget soon."""
     monkeypatch.setattr(entry_role, "FEED_FORGET_AFTER_S", FORGET_AFTER_S)
-    monkeypatch.setattr(entry_role, "TIDY_TURNS", TIDY_TURNS)
+    monkeypatch.setattr(entry_role, "TIDY_INTERVAL_S", TIDY_INTERVAL_S)
 
 
 def with_site(folder: Path, work: Callable[[Site], Awaitable[None]]) -> None:
--- a/tests/staging/test_exchange.py
+++ b/tests/staging/test_exchange.py
@@ -97,7 +97,9 @@
         for index in indexes:
             assert self.staged().take(index, PIECES[index])
 
-    def fetch(self, *others: Node, link_share: float = 1.0) -> PieceFetch:
+    def fetch(
+        self, *others: Node, link_share: float = 1.0, origin_bytes_per_s: float = 1e8
+    ) -> PieceFetch:
         return PieceFetch(
             version=self.staged(),
             own=self.stager,
@@ -105,7 +107,7 @@
             origin=self.origin,
             peers=self.peers,
             link_bytes_per_s=lambda: self.bytes_per_s,
-            origin_bytes_per_s=lambda: 1e8,
+            origin_bytes_per_s=lambda: origin_bytes_per_s,
             window=PieceWindow(link_share=lambda: link_share),
             seed=1,
         )
--- a/tests/staging/test_sharing_at_size.py
+++ b/tests/staging/test_sharing_at_size.py
@@ -8,6 +8,7 @@
 import pytest
 
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
+from leadhollow.staging.news import NEWS_PAUSE_S, NEWS_PER_S, news_pause_s
 from leadhollow.staging.sharing import SUCCESSORS, Sharing, Stager
 from leadhollow.wire.generated.ttypes import PieceWatch
 from tests.staging.test_exchange import PIECES, GoodOrigin, Node
@@ -16,6 +17,7 @@
 DOMAINS = 5
 SIZES = (31, 102, 302)
 MOST_FOLLOWED_OUTSIDE = 24
+SLOW_ORIGIN_BYTES_PER_S = 1.0  # others are waited for as long as anybody ever is
 
 
 def stagers(count: int) -> list[Stager]:
@@ -119,7 +121,11 @@
                 await node.start()
                 _count_watches(node, watched)
             fetches = [
-                node.fetch(*[other for other in nodes if other is not node]).run() for node in nodes
+                node.fetch(
+                    *[other for other in nodes if other is not node],
+                    origin_bytes_per_s=SLOW_ORIGIN_BYTES_PER_S,
+                ).run()
+                for node in nodes
             ]
             await asyncio.gather(*fetches)
             for node in nodes:
@@ -143,3 +149,12 @@
         return await answer(request, sink)
 
     node.handlers.on_stream(PieceWatch, counted)
+
+
+class TestNews:
+    def test_in_a_small_fleet_are_told_at_once(self):
+        assert news_pause_s(9) == NEWS_PAUSE_S
+
+    @pytest.mark.parametrize("watchers", [16, 44, 101, 300])
+    def test_cost_a_stager_no_more_the_more_follow_it(self, watchers):
+        assert watchers / news_pause_s(watchers) <= NEWS_PER_S
