--- a/src/leadhollow/control/engine_uses.py
+++ b/src/leadhollow/control/engine_uses.py
@@ -28,8 +28,8 @@
 RELAY_PAUSE_S = 0.01  # changes within it travel to the other replicas together
 RELAY_BYTES_PER_S = 13_000.0
 """Of sums to each other replica. Ten engines are told each 20 ms, thirty each 60 ms; entries
-elsewhere hear of these no sooner than each third of a second. Links between regions carry it, and
-each 10 ms, with all that changed, it was most of what left a region of 20 entries."""
+elsewhere hear of these no sooner than each third of a second. Links between regions carry it:
+thirty each 10 ms would be 78 kB/s to each other replica."""
 
 SUM_BYTES = 26.0  # one engine's sum with its address
 REFRESH_S = 0.5  # replicas tell everything again this often
--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -106,8 +106,8 @@
     """Chooses among the engines that may take a request.
 
     Requests that wait ask again whenever something may have become free, all of them in the same
-    turn. Engines are reckoned once for all of these: before a hundred engines that is five times
-    what is left for each request.
+    turn. Engines are reckoned once for all of these: with ten waiting before 102 engines a turn
+    takes 0.9 ms, where each reckoned them for itself 8.6 (timed on one machine, busy both times).
 
     Parameters
     ----------
