Say in the logs which attempts are the same request

Cause: nothing told that two attempts with different ids are one request, so a request that ends engines could not be told from one that is there by chance. Change: a digest of method, target, caller and body in the lines on answers, breaks and endings; no change of logic.

--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -20,6 +20,8 @@
         Loop time at which its head was whole.
     organisation
         Group of its caller; None on a public route.
+    fingerprint
+        The same for all attempts of all clients at the same request.
 
     Attributes
     ----------
@@ -34,6 +36,7 @@
         "body",
         "deadline_s",
         "facts",
+        "fingerprint",
         "head",
         "organisation",
         "received_s",
@@ -54,7 +57,9 @@
         organisation: Organisation | None,
         reply: ReplyWriter,
         received_s: float,
+        fingerprint: bytes,
     ) -> None:
+        self.fingerprint = fingerprint
         self.head = head
         self.body = body
         self.facts = facts
--- a/src/leadhollow/forward/ending.py
+++ b/src/leadhollow/forward/ending.py
@@ -9,6 +9,7 @@
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.dialect import CallDialect
+from leadhollow.forward.fingerprint import shown
 from leadhollow.observe.logs import get_logger
 
 NOT_RUN_STATUS = HTTPStatus.SERVICE_UNAVAILABLE  # promises that the request has not run
@@ -58,6 +59,7 @@
         log.info(
             "request ended without an answer",
             request=call.request_id,
+            fingerprint=shown(call.fingerprint),
             route=call.route.name,
             status=int(status),
             code=int(failure.code),
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -17,6 +17,7 @@
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.ending import Ending
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
+from leadhollow.forward.fingerprint import shown
 from leadhollow.forward.passing import pass_on
 from leadhollow.http1.messages import ResponseHead
 from leadhollow.observe.logs import get_logger, log_decision
@@ -246,6 +247,7 @@
         log.info(
             "answer taken",
             request=call.request_id,
+            fingerprint=shown(call.fingerprint),
             instance=server.instance.instance,
             status=exchange.status,
             framing=exchange.answer.head.framing.value,
@@ -278,6 +280,7 @@
         log.warning(
             "attempt failed",
             request=call.request_id,
+            fingerprint=shown(call.fingerprint),
             instance=server.instance.instance,
             end=failed.end.value,
             failure=str(failed.failure),
--- a/src/leadhollow/forward/request_body.py
+++ b/src/leadhollow/forward/request_body.py
@@ -34,6 +34,16 @@
         self._received = 0
         self.whole = False
 
+    @property
+    def kept(self) -> bytes:
+        """What of it is here, all of it where it is whole."""
+        return self._data
+
+    @property
+    def length(self) -> int | None:
+        """Length in bytes, None where it is not known before its end."""
+        return len(self._data) if self.whole else self._length
+
     @property
     def framing_fields(self) -> list[tuple[bytes, bytes]]:
         """Fields that tell a backend server where the body ends."""
--- a/src/leadhollow/forward/service.py
+++ b/src/leadhollow/forward/service.py
@@ -13,6 +13,7 @@
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.dialect import CallDialect, CallFacts
+from leadhollow.forward.fingerprint import fingerprint_of
 from leadhollow.forward.plain_call import PlainForwarder
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.forward.stream_call import StreamForwarder
@@ -151,15 +152,21 @@
         collected = await body.collect()
         if collected.is_err():
             return Err(collected.unwrap_err())
+        organisation = known.unwrap()
         call = ForwardedCall(
             head=request.head,
             body=body,
             facts=facts,
             route=route,
             service=self._chooser.choose(route),
-            organisation=known.unwrap(),
+            organisation=organisation,
             reply=reply,
             received_s=request.received_s,
+            fingerprint=fingerprint_of(
+                request.head,
+                body,
+                organisation="" if organisation is None else organisation.name,
+            ),
         )
         self._chooser.note_request(call.service)
         return Ok(call)
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -15,6 +15,7 @@
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.ending import Ending
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
+from leadhollow.forward.fingerprint import shown
 from leadhollow.forward.passing import pass_on
 from leadhollow.forward.places import place
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S
@@ -293,6 +294,7 @@
         log.warning(
             "stream broken",
             request=self._call.request_id,
+            fingerprint=shown(self._call.fingerprint),
             instance=placement.server.instance.instance,
             address=placement.server.instance.address,
             last_event_id=self._relay.last_id,
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -12,6 +12,7 @@
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.events import Event, EventSplitter
 from leadhollow.forward.exchange import Exchange
+from leadhollow.forward.fingerprint import shown
 from leadhollow.http1.messages import Framing
 from leadhollow.observe.logs import get_logger
 
@@ -151,6 +152,7 @@
         log.info(
             "stream complete",
             request=self._call.request_id,
+            fingerprint=shown(self._call.fingerprint),
             instance=placement.server.instance.instance,
             after_ms=round((now_s - self._call.received_s) * 1000),
             first_ms=round((self._first_event_s - self._call.received_s) * 1000),
