Bring about that a request ends one server after the other, as a test that fails

Cause: whether a request may be sent again is judged for each call alone. Change: three entries, a control replica and twelve servers that end when they begin to run one body; a caller that sends it again; plain servers and engines.

--- a/tests/node/site.py
+++ b/tests/node/site.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 import socket
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import aiohttp
@@ -90,6 +90,10 @@
             return web.Response(status=421, headers=headers)
         return web.Response(body=self.instance.encode(), headers=headers)
 
+    def record(self) -> dict[str, object]:
+        """Describe the service."""
+        return {"name": self.service}
+
     def heartbeat(self) -> dict[str, object]:
         self.sequence += 1
         life = {} if self.born_ms is None else {"born": self.born_ms}
@@ -107,16 +111,24 @@
 
 
 class Site:
-    """One failure domain: a control replica, an entry, backend servers and an operator."""
+    """One failure domain: a control replica, entries, backend servers and an operator.
+
+    Parameters
+    ----------
+    entries
+        How many of them; the first one is ``entry``.
+    """
 
-    def __init__(self, *, folder: Path, servers: Sequence[PlainServer]) -> None:
+    def __init__(self, *, folder: Path, servers: Sequence[PlainServer], entries: int = 1) -> None:
         number = next(_hosts)
         self.control_host = f"127.0.70.{number}"
-        self.entry_host = f"127.0.71.{number}"
-        hosts = (self.control_host, self.entry_host)
+        entry_hosts = [f"127.0.{71 + place}.{number}" for place in range(entries)]
+        hosts = (self.control_host, *entry_hosts)
         wire = free_port(hosts)
         self.operators = f"{self.control_host}:{free_port(hosts)}"
-        self.callers = f"{self.entry_host}:{free_port(hosts)}"
+        callers_port, readiness_port = free_port(hosts), free_port(hosts)
+        self.all_callers = [f"{host}:{callers_port}" for host in entry_hosts]
+        self.callers = self.all_callers[0]
         shared = {
             "region": "r",
             "failure_domain": "d",
@@ -134,14 +146,17 @@
             data_folder=str(folder),
             **shared,
         )
-        self._entry_settings = NodeSettings(
-            vm="entry",
-            role=NodeRole.ENTRY,
-            host=self.entry_host,
-            callers=self.callers,
-            readiness=f"{self.entry_host}:{free_port(hosts)}",
-            **shared,
-        )
+        self._entry_settings = [
+            NodeSettings(
+                vm=f"entry-{place}",
+                role=NodeRole.ENTRY,
+                host=host,
+                callers=f"{host}:{callers_port}",
+                readiness=f"{host}:{readiness_port}",
+                **shared,
+            )
+            for place, host in enumerate(entry_hosts)
+        ]
         self.servers = list(servers)
         self.number = 0
         self._tasks: list[asyncio.Task[None]] = []
@@ -149,9 +164,13 @@
     async def __aenter__(self) -> Site:
         self.http = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=5))
         self.control = NodeProcess(settings=self._control_settings, dialects=platform_dialects())
-        self.entry = NodeProcess(settings=self._entry_settings, dialects=platform_dialects())
-        assert (await self.control.start()).is_ok()
-        assert (await self.entry.start()).is_ok()
+        self.entries = [
+            NodeProcess(settings=settings, dialects=platform_dialects())
+            for settings in self._entry_settings
+        ]
+        self.entry = self.entries[0]
+        for process in (self.control, *self.entries):
+            assert (await process.start()).is_ok()
         for server in self.servers:
             await server.start()
             self._tasks.append(asyncio.create_task(self._announce(server)))
@@ -160,8 +179,8 @@
     async def __aexit__(self, *_: object) -> None:
         for task in self._tasks:
             task.cancel()
-        await self.entry.kernel.kill()
-        await self.control.kernel.kill()
+        for process in (*self.entries, self.control):
+            await process.kernel.kill()
         for server in self.servers:
             await server.stop()
         await self.http.close()
@@ -184,7 +203,7 @@
         document = {
             "version": self.number,
             "routes": list(routes),
-            "services": [{"name": name} for name in {server.service for server in self.servers}],
+            "services": list({server.service: server.record() for server in self.servers}.values()),
         }
 
         async def acknowledged() -> bool:
@@ -211,5 +230,15 @@
         async with self.http.get(f"http://{self.callers}{path}", headers=headers) as answer:
             return answer.status
 
+    async def post(
+        self, path: str, body: bytes, *, entry: int = 0, fields: Mapping[str, str] | None = None
+    ) -> int:
+        """Send a request with a body to one of the entries; gives the status of a whole answer."""
+        headers = {"Host": HOST, "X-Attempt-Id": f"{next(_attempts):016x}", **(fields or {})}
+        url = f"http://{self.all_callers[entry]}{path}"
+        async with self.http.post(url, data=body, headers=headers) as answer:
+            await answer.read()
+            return answer.status
+
 
-__all__ = ["PlainServer", "Site", "route"]
+__all__ = ["HOST", "PlainServer", "Site", "route"]
--- /dev/null
+++ b/tests/node/test_crashing_requests.py
@@ -0,0 +1,87 @@
+"""The incident of the request that ended one engine after the other.
+
+Seen: a request under which three engines had ended was sent to engines again and again, by every
+entry; twenty engines ended, and half of what all other callers asked for was refused meanwhile.
+
+How it came about: its caller sent it again each few seconds, at whatever entry, each time as a new
+attempt. Each entry sent each attempt to two engines, the second a moment after the first had ended.
+
+Cause: whether a request may be sent again was judged for each call alone. Attempts, the budget of
+repeats and ejection all end with the call or stay within one process, so what all entries together
+had seen of a request was known to none.
+
+Proof: entries and a control replica as whole processes, servers that end when they begin to run
+one certain body, and a caller that sends it again at one entry after the other.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from tests.node.crashing import POISON, CrashingEngine, CrashingServer, Farm
+from tests.node.site import Site, route
+from tests.support import eventually
+
+SERVERS = 12
+ENTRIES = 3
+PAUSE_S = 0.15
+SPREAD_S = 0.4  # until all entries have to know
+FIELDS = {"X-Model": "m", "X-Token-Usage": "10,3"}
+KINDS = {"plain": CrashingServer, "stream": CrashingEngine}
+
+
+def a_route(kind: str) -> dict[str, object]:
+    streams = {"type": "streaming", "resumable": True, "gapTargetMs": 400}
+    return {**route("/ask/", "service"), **(streams if kind == "stream" else {})}
+
+
+def with_site(
+    folder: Path, kind: str, work: Callable[[Site, Farm], Awaitable[None]], *, run_s: float = 0.02
+) -> None:
+    farm = Farm()
+
+    async def run() -> None:
+        servers = [
+            KINDS[kind](number=number, service="service", farm=farm, run_s=run_s)
+            for number in range(SERVERS)
+        ]
+        async with Site(folder=folder, servers=servers, entries=ENTRIES) as site:
+            await site.put_routes(a_route(kind))
+            for entry in range(ENTRIES):
+                await eventually(lambda entry=entry: served(site, entry), "an answer")
+            await site.pause()
+            await work(site, farm)
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+async def served(site: Site, entry: int) -> bool:
+    return await site.post("/ask/a", b"good", entry=entry, fields=FIELDS) == 200
+
+
+async def send_again(site: Site, times: int, body: bytes = POISON) -> list[int]:
+    """Send one request again and again, at one entry after the other; gives the statuses."""
+    statuses = []
+    for number in range(times):
+        entry = number % ENTRIES
+        statuses.append(await site.post("/ask/p", body, entry=entry, fields=FIELDS))
+        await asyncio.sleep(PAUSE_S)
+    return statuses
+
+
+@pytest.mark.parametrize("kind", sorted(KINDS))
+class TestRequestThatEndsItsServers:
+    def test_is_sent_no_more_after_the_third(self, tmp_path, kind):
+        async def work(site: Site, farm: Farm) -> None:
+            statuses = await send_again(site, 12)
+            assert len(farm.ends_s) >= 3
+            assert farm.arrivals_after_third_end(SPREAD_S) == 0
+            assert statuses[-ENTRIES:] == [503] * ENTRIES
+            for entry in range(ENTRIES):
+                assert await served(site, entry)
+
+        with_site(tmp_path, kind, work)
