Count a stream's attempt when it is sent, not when its engine has answered

Cause: found while the way of a request to its second engine was read. Where the caller's time ended before the engine's first sign, the attempt was not counted yet, so the caller got 503, which promises that nothing ran, for a request that an engine was running. Change: the attempt is counted as it is sent and taken back where it is certain that nothing ran, as for plain requests.

--- a/src/leadhollow/forward/ending.py
+++ b/src/leadhollow/forward/ending.py
@@ -31,7 +31,7 @@
         self, call: ForwardedCall, failure: Failure, *, retry_after_s: float | None
     ) -> None:
         """Say that the request has not run and never will, and when to come back."""
-        if call.attempts and not call.route.repeatable:
+        if call.attempts:
             await self.unknown(call, failure)
             return
         await self._send(call, NOT_RUN_STATUS, failure, retry_after_s)
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -204,6 +204,7 @@
             version=placement.expected_version,
             last_event_id=self._relay.last_id,
         )
+        call.attempts += 1  # taken back where it is certain that nothing ran
         first_by_s = self._first_event_by(placement)
         near_bound = placement.begin_by_s - asyncio.get_running_loop().time() < NEAR_BOUND_S
         try:
@@ -251,10 +252,9 @@
             return False
         if exchange.status != HTTPStatus.OK or not exchange.facts.signed:
             return await self._take_failure(placement, exchange)
-        call.attempts += 1
         relayed = await self._relay.run(placement, exchange, first_by_s)
         if relayed.is_err():
-            self._lost(placement, relayed.unwrap_err(), counted=True)
+            self._lost(placement, relayed.unwrap_err())
             return False
         placement.server.health.note_success()
         return True
@@ -262,7 +262,6 @@
     async def _take_failure(self, placement: Placement, exchange: Exchange) -> bool:
         """Pass on an engine's own failure, unless another engine may try."""
         call = self._call
-        call.attempts += 1
         placement.server.health.note_failure(asyncio.get_running_loop().time())
         self._excluded.add(placement.server.instance.instance)
         self._failure = Failure(code=Code.ENGINE_FAILED, detail=f"status {exchange.status}")
@@ -280,10 +279,8 @@
         await pass_on(call, exchange)
         return True
 
-    def _lost(self, placement: Placement, failure: Failure, *, counted: bool = False) -> None:
+    def _lost(self, placement: Placement, failure: Failure) -> None:
         """Note an engine that was sent the request and did not bring it to its end."""
-        if not counted:
-            self._call.attempts += 1
         self._failure = failure
         self._excluded.add(placement.server.instance.instance)
         now_s = asyncio.get_running_loop().time()
@@ -305,6 +302,7 @@
         if failed.may_have_run:
             self._lost(placement, failed.failure)
             return
+        self._call.attempts -= 1
         self._failure = failed.failure
         self._excluded.add(placement.server.instance.instance)
         now_s = asyncio.get_running_loop().time()
@@ -320,6 +318,7 @@
     def _refused(self, placement: Placement, exchange: Exchange) -> None:
         """Take an engine's word that it did not run the request."""
         instance = placement.server.instance.instance
+        self._call.attempts -= 1
         self._excluded.add(instance)
         self._failure = Failure(code=Code.BACKEND_REFUSED, detail=f"status {exchange.status}")
         placement.server.health.note_neutral()
