--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -110,6 +110,11 @@
     DUPLICATE_ATTEMPT = (513, 409, "This attempt was dispatched before.")
     RETRIES_EXHAUSTED = (514, 503, "Each attempt was refused; nothing was run.")
     STOPPING = (515, 503, "This entry is stopping; nothing was run.")
+    REQUEST_QUARANTINED = (
+        516,
+        503,
+        "The request ended several backend servers and is sent to none any more.",
+    )
 
     MANIFEST_INVALID = (601, 400, "A manifest is malformed, or its chunks do not cover the file.")
     CHUNK_MISMATCH = (602, 502, "A chunk does not match its hash.")
@@ -129,6 +134,7 @@
     PEER_REFUSED = (704, 401, "The peer's token or protocol version is wrong.")
     PEER_LOST = (705, 503, "The connection to the peer was lost.")
     PEER_TIMEOUT = (706, 504, "The peer did not answer in time.")
+    PEER_ABSENT = (707, 503, "Nothing listens at the peer's address.")
 
     NAME_TAKEN = (801, 409, "A live backend server already uses this name.")
     ALLOCATOR_ABSENT = (802, 503, "This replica does not hold the domain's lease.")
--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -12,10 +12,12 @@
 from leadhollow.control.confirmation import Confirmation
 from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.registry import Load, Registry
+from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.control.use_news import UseNews
 from leadhollow.failure import Failure
 from leadhollow.membership.instances import Instance
 from leadhollow.membership.naming_times import NamingTimes
+from leadhollow.membership.suspect_news import Changed, encode_news, everything
 from leadhollow.membership.uses import Use, encode_decisions
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeRole
@@ -28,6 +30,7 @@
     FeedUpdate,
     FeedWatch,
     ServiceDecisions,
+    SuspectNews,
 )
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.streams import StreamSink
@@ -57,6 +60,8 @@
         "sent_replicas",
         "sent_revision",
         "silent",
+        "suspects",
+        "suspects_mark",
         "uses",
         "vm",
         "wake",
@@ -73,6 +78,8 @@
         self.instances: dict[str, Instance] = {}
         self.silent: set[str] = set()  # incarnations that are heard no more
         self.loads: dict[str, Load] = {}
+        self.suspects = Changed()
+        self.suspects_mark = 0  # of the table that it was told last
         self.sent_replicas: list[str] = []
         self.sent_naming_times = 0
         self.wake = asyncio.Event()
@@ -126,6 +133,7 @@
         "_registry",
         "_replicas",
         "_subscribers",
+        "_suspects",
         "_uses",
     )
 
@@ -139,7 +147,9 @@
         replicas: Callable[[], list[str]],
         handlers: HandlerTable,
         naming_times: NamingTimes,
+        suspects: SuspectRelay,
     ) -> None:
+        self._suspects = suspects
         self._catalog = catalog
         self._registry = registry
         self._uses = uses
@@ -151,6 +161,7 @@
         registry.on_change(self._on_registry)
         registry.on_silence(self._on_silence)
         uses.on_change(self._on_uses)
+        suspects.on_change(self._on_suspects)
         confirmation.on_found(self._wake_all)
         handlers.on_stream(FeedWatch, self._on_watch)
         handlers.on_call(FeedProbe, self._on_probe)
@@ -214,6 +225,7 @@
         subscriber.loads = {load.record.address: load for load in self._registry.loads()}
         if subscriber.role is NodeRole.ENTRY:
             subscriber.uses.add(self._uses.engines(), (), _now_s())
+            subscriber.suspects = everything(self._suspects.table)
         update = self._delta(subscriber)
         update.whole = True
         return update
@@ -255,6 +267,7 @@
             self._news_of_decisions(subscriber, now_s),
             silent or None,
             uses,
+            self._news_of_suspects(subscriber, now_s),
         )
 
     def _news_of_uses(self, subscriber: _Subscriber, now_s: float) -> tuple[list[str], bytes]:
@@ -276,6 +289,22 @@
         subscriber.decisions_s = now_s
         return encode_decisions(self._uses.decisions(without=subscriber.vm)) or None
 
+    def _news_of_suspects(self, subscriber: _Subscriber, now_s: float) -> SuspectNews | None:
+        """Give what is known of requests that end servers, where that changed."""
+        if subscriber.role is not NodeRole.ENTRY:
+            return None
+        mark = self._suspects.table.mark()
+        if not subscriber.suspects and mark == subscriber.suspects_mark:
+            return None
+        subscriber.suspects_mark = mark
+        return encode_news(self._suspects.table, subscriber.suspects.take(), now_s)
+
+    def _on_suspects(self, changed: Changed) -> None:
+        for subscriber in self._subscribers:
+            if subscriber.role is NodeRole.ENTRY:
+                subscriber.suspects.add(changed)
+                subscriber.tell_at(_now_s())
+
     def _on_catalog(self, items: list[CatalogItem]) -> None:
         for subscriber in self._subscribers:
             if any(subscriber.wants(item) for item in items):
--- a/src/leadhollow/control/replica_service.py
+++ b/src/leadhollow/control/replica_service.py
@@ -140,4 +140,4 @@
         return Ok(None)
 
 
-__all__ = ["ReplicaService"]
+__all__ = ["STATE_FOLDER", "ReplicaService"]
--- /dev/null
+++ b/src/leadhollow/decide/suspects.py
@@ -0,0 +1,388 @@
+"""Which requests end the servers that run them, by what all entries have seen together.
+
+A server that ends takes all with it that it runs, and every one of these may have been the cause.
+What is kept is who ran where; a request that ends well anywhere is cleared, and one that was there
+when three servers ended is in quarantine: it is sent to no server any more. All that is known may
+be merged in any order, any number of times.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+from zlib import crc32
+
+ENDS_TO_QUARANTINE = 3
+"""Ends of servers under a request that has ended well nowhere. Two are a matter of chance: of 4,767
+requests of a day with trouble 14 were broken off twice, none three times."""
+
+SETTLE_S = 0.06
+"""Until an end is judged: all entries that had requests there tell so first. A way between regions,
+two tries to connect and the gathering of news take half of it."""
+
+MASS_S = 0.05
+MASS_ENDS = 3
+"""Servers that end within that time, where they are as many and another one that did not run the
+request ends with them, have a common cause, such as the loss of a failure domain: they count as one
+end. Where all that ended ran it, copies of it came at once."""
+
+TIED_ENDS = 5
+"""Ends from which requests that were always there together are all in quarantine. With fewer, the
+next end is waited for: who rides along by chance is not there again."""
+
+ENDS_KEPT = 256
+RAN_KEPT = 256  # requests of one end; a batch of an engine has 64 at most
+VERDICTS_KEPT = 1_024
+"""Bounds of memory, some 200 kB together; beyond them the oldest is forgotten first."""
+
+END_VALID_S = 600.0
+"""A request that comes again more rarely than that ends one server each time, for good."""
+
+
+class ServerEnd:
+    """A life of a backend server that ended while it ran requests.
+
+    Parameters
+    ----------
+    life
+        Names the life.
+    ran
+        Fingerprints of requests that ran there.
+    cleared
+        Those of them that ended well elsewhere, before or since.
+    alive
+        Whether it answered afterwards, so that only the way there was cut.
+    happened_s
+        When, by the clock of this process.
+    """
+
+    __slots__ = ("alive", "cleared", "happened_s", "life", "ran")
+
+    def __init__(
+        self,
+        *,
+        life: str,
+        ran: Iterable[bytes] = (),
+        cleared: Iterable[bytes] = (),
+        alive: bool = False,
+        happened_s: float,
+    ) -> None:
+        self.life = life
+        self.ran = set(ran)
+        self.cleared = set(cleared)
+        self.alive = alive
+        self.happened_s = happened_s
+
+    @property
+    def suspects(self) -> set[bytes]:
+        """Requests that may have been the cause."""
+        return set() if self.alive else self.ran - self.cleared
+
+
+class Verdict:
+    """What was decided on a request.
+
+    Parameters
+    ----------
+    number
+        Counts up each time that the request is put in quarantine.
+    released
+        Whether it was let go after that.
+    lives
+        Ends by which it was judged.
+    since_s
+        When, by the clock of this process.
+    """
+
+    __slots__ = ("fingerprint", "lives", "number", "released", "since_s")
+
+    def __init__(
+        self,
+        *,
+        fingerprint: bytes,
+        number: int,
+        released: bool,
+        lives: tuple[str, ...],
+        since_s: float,
+    ) -> None:
+        self.fingerprint = fingerprint
+        self.number = number
+        self.released = released
+        self.lives = lives
+        self.since_s = since_s
+
+    @property
+    def order(self) -> tuple[int, bool]:
+        """Which of two verdicts on a request holds: the higher one."""
+        return self.number, self.released
+
+
+class SuspectTable:
+    """All that is known of servers that ended and of the requests that ran there.
+
+    Parameters
+    ----------
+    clock
+        Gives the loop time.
+    """
+
+    __slots__ = ("_clock", "_ends", "_ends_of", "_verdicts")
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._ends: OrderedDict[str, ServerEnd] = OrderedDict()
+        self._ends_of: dict[bytes, set[str]] = {}
+        self._verdicts: OrderedDict[bytes, Verdict] = OrderedDict()
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing is known of any request."""
+        return not self._ends and not self._verdicts
+
+    def ends(self) -> list[ServerEnd]:
+        """Give all ends, the oldest first."""
+        return list(self._ends.values())
+
+    def end(self, life: str) -> ServerEnd | None:
+        """Find an end."""
+        return self._ends.get(life)
+
+    def verdicts(self) -> list[Verdict]:
+        """Give all verdicts, those on released requests included."""
+        return list(self._verdicts.values())
+
+    def verdict(self, fingerprint: bytes) -> Verdict | None:
+        """Find the verdict on a request."""
+        return self._verdicts.get(fingerprint)
+
+    def holds(self, fingerprint: bytes) -> bool:
+        """Tell whether a request is in quarantine."""
+        found = self._verdicts.get(fingerprint)
+        return found is not None and not found.released
+
+    def lives_of(self, fingerprint: bytes) -> set[str]:
+        """Give the lives that ended under a request that has not been cleared of them."""
+        return set(self._ends_of.get(fingerprint, ()))
+
+    def take_end(self, heard: ServerEnd) -> bool:
+        """Merge what is said of an end; tells whether it says anything new."""
+        if self._clock() - heard.happened_s > END_VALID_S:
+            return False
+        known = self._ends.get(heard.life)
+        if known is None:
+            known = ServerEnd(life=heard.life, happened_s=heard.happened_s)
+            self._ends[heard.life] = known
+            self._forget_beyond_bounds()
+        room = max(0, RAN_KEPT - len(known.ran))
+        ran = set(sorted(heard.ran - known.ran)[:room])
+        cleared = (heard.cleared & (known.ran | ran)) - known.cleared
+        revived = heard.alive and not known.alive
+        known.ran |= ran
+        known.cleared |= cleared
+        known.alive |= heard.alive
+        suspects = known.suspects
+        for fingerprint in known.ran if revived else ran | cleared:
+            if fingerprint in suspects:
+                self._ends_of.setdefault(fingerprint, set()).add(heard.life)
+            else:
+                self._take_back(fingerprint, heard.life)
+        if revived:
+            self._let_go_all(heard.life)
+        return bool(ran or cleared or revived)
+
+    def take_verdict(self, heard: Verdict) -> bool:
+        """Merge a verdict; tells whether it is news."""
+        known = self._verdicts.get(heard.fingerprint)
+        if known is not None and known.order >= heard.order:
+            return False
+        self._verdicts[heard.fingerprint] = heard
+        self._verdicts.move_to_end(heard.fingerprint)
+        self._forget_beyond_bounds()
+        if not heard.released and any(self._cleared(heard.fingerprint, at) for at in heard.lives):
+            self._let_go(heard)
+        return True
+
+    def clear(self, fingerprint: bytes) -> set[str]:
+        """Take a request's good end for proof that it ended no server; gives the lives."""
+        lives = self.lives_of(fingerprint)
+        for life in lives:
+            self._ends[life].cleared.add(fingerprint)
+            self._take_back(fingerprint, life)
+        return lives
+
+    def revive(self, life: str) -> bool:
+        """Take an answer of a server for proof that it lives; tells whether that is news."""
+        known = self._ends.get(life)
+        if known is None or known.alive:
+            return False
+        return self.take_end(ServerEnd(life=life, alive=True, happened_s=known.happened_s))
+
+    def release(self, fingerprint: bytes) -> Verdict | None:
+        """Let a request go; None where it is not in quarantine."""
+        known = self._verdicts.get(fingerprint)
+        if known is None or known.released:
+            return None
+        self.clear(fingerprint)
+        return self._let_go(known)
+
+    def judge(self) -> list[Verdict]:
+        """Put in quarantine whoever is to be, and give the verdicts."""
+        made: list[Verdict] = []
+        while (found := self._cause()) is not None:
+            for fingerprint, ends in found:
+                made.append(self._put_in_quarantine(fingerprint, ends))
+        return made
+
+    def forget_old(self) -> None:
+        """Forget ends that say nothing any more."""
+        oldest_s = self._clock() - END_VALID_S
+        for end in self.ends():
+            if end.happened_s < oldest_s:
+                self._forget_end(end.life)
+
+    def mark(self) -> int:
+        """Give a number that two tables share where they say the same; 0 where that is unknown."""
+        if self.empty or len(self._ends) >= ENDS_KEPT or len(self._verdicts) >= VERDICTS_KEPT:
+            return 0
+        total = 0
+        for end in self._ends.values():
+            known = b"".join([*sorted(end.ran), b"/", *sorted(end.cleared), b"%d" % end.alive])
+            total ^= crc32(end.life.encode() + known)
+        for verdict in self._verdicts.values():
+            total ^= crc32(verdict.fingerprint + repr(verdict.order).encode())
+        return total or 1
+
+    def _cause(self) -> list[tuple[bytes, list[ServerEnd]]] | None:
+        """Find the request that explains most ends; several where nothing tells them apart."""
+        open_ends = self._open_ends()
+        found = [(self._strength(ends), request, ends) for request, ends in open_ends.items()]
+        found = [one for one in found if one[0][0] >= ENDS_TO_QUARANTINE]
+        if not found:
+            return None
+        found.sort(key=lambda one: (one[0], one[1]), reverse=True)
+        strength, _, ends = found[0]
+        lives = {end.life for end in ends}
+        tied = [
+            (request, others)
+            for strong, request, others in found
+            if strong == strength and not lives.isdisjoint(end.life for end in others)
+        ]
+        if len(tied) > 1 and strength[0] < TIED_ENDS:
+            return None
+        return tied
+
+    def _open_ends(self) -> dict[bytes, list[ServerEnd]]:
+        """Give the ends that have no known cause yet, by the requests that were there."""
+        settled_s = self._clock() - SETTLE_S
+        found: dict[bytes, list[ServerEnd]] = {}
+        for end in self._ends.values():
+            suspects = end.suspects
+            if end.happened_s > settled_s or any(self.holds(request) for request in suspects):
+                continue
+            for request in suspects:
+                found.setdefault(request, []).append(end)
+        return found
+
+    def _strength(self, ends: list[ServerEnd]) -> tuple[int, float]:
+        """Give how many ends speak against a request, and how few others were there."""
+        alone = sum(1 / len(end.suspects) for end in ends)
+        return self._moments(ends), round(alone, 6)
+
+    def _moments(self, ends: list[ServerEnd]) -> int:
+        """Count ends, those of servers that ended together for a common cause as one."""
+        lives = {end.life for end in ends}
+        others_s = [
+            end.happened_s for end in self._ends.values() if end.life not in lives and not end.alive
+        ]
+        groups = _groups([end.happened_s for end in ends])
+        return sum(1 if _common(group, others_s) else len(group) for group in groups)
+
+    def _put_in_quarantine(self, fingerprint: bytes, ends: list[ServerEnd]) -> Verdict:
+        known = self._verdicts.get(fingerprint)
+        verdict = Verdict(
+            fingerprint=fingerprint,
+            number=1 if known is None else known.number + 1,
+            released=False,
+            lives=tuple(sorted(end.life for end in ends)),
+            since_s=self._clock(),
+        )
+        self.take_verdict(verdict)
+        return verdict
+
+    def _cleared(self, fingerprint: bytes, life: str) -> bool:
+        end = self._ends.get(life)
+        return end is not None and (end.alive or fingerprint in end.cleared)
+
+    def _take_back(self, fingerprint: bytes, life: str) -> None:
+        """Note that an end does not speak against a request any more."""
+        lives = self._ends_of.get(fingerprint)
+        if lives is not None:
+            lives.discard(life)
+            if not lives:
+                del self._ends_of[fingerprint]
+        verdict = self._verdicts.get(fingerprint)
+        if verdict is None or verdict.released or life not in verdict.lives:
+            return
+        self._let_go(verdict)
+
+    def _let_go_all(self, life: str) -> None:
+        """Let go all that were judged by an end that was none."""
+        for verdict in self.verdicts():
+            if life in verdict.lives and not verdict.released:
+                self._let_go(verdict)
+
+    def _let_go(self, verdict: Verdict) -> Verdict:
+        released = Verdict(
+            fingerprint=verdict.fingerprint,
+            number=verdict.number,
+            released=True,
+            lives=verdict.lives,
+            since_s=self._clock(),
+        )
+        self.take_verdict(released)
+        return released
+
+    def _forget_beyond_bounds(self) -> None:
+        while len(self._ends) > ENDS_KEPT:
+            self._forget_end(next(iter(self._ends)))
+        while len(self._verdicts) > VERDICTS_KEPT:
+            self._verdicts.popitem(last=False)
+
+    def _forget_end(self, life: str) -> None:
+        for fingerprint in self._ends.pop(life).ran:
+            lives = self._ends_of.get(fingerprint)
+            if lives is not None:
+                lives.discard(life)
+                if not lives:
+                    del self._ends_of[fingerprint]
+
+
+def _groups(times_s: list[float]) -> list[list[float]]:
+    """Part times where there is a pause."""
+    groups: list[list[float]] = []
+    for happened_s in sorted(times_s):
+        if groups and happened_s - groups[-1][-1] <= MASS_S:
+            groups[-1].append(happened_s)
+        else:
+            groups.append([happened_s])
+    return groups
+
+
+def _common(group: list[float], others_s: list[float]) -> bool:
+    """Tell whether others ended with as many that ended together."""
+    first_s, last_s = group[0] - MASS_S, group[-1] + MASS_S
+    return len(group) >= MASS_ENDS and any(first_s <= other_s <= last_s for other_s in others_s)
+
+
+__all__ = [
+    "ENDS_KEPT",
+    "ENDS_TO_QUARANTINE",
+    "END_VALID_S",
+    "RAN_KEPT",
+    "SETTLE_S",
+    "TIED_ENDS",
+    "VERDICTS_KEPT",
+    "ServerEnd",
+    "SuspectTable",
+    "Verdict",
+]
--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -31,6 +31,7 @@
         "_clock",
         "_life_listeners",
         "_listeners",
+        "_replaced_listeners",
         "_servers",
         "_table",
         "_told",
@@ -45,6 +46,7 @@
         self._by_address: dict[str, Server] = {}
         self._listeners: list[Callable[[], None]] = []
         self._life_listeners: list[Callable[[str], None]] = []
+        self._replaced_listeners: list[Callable[[Instance], None]] = []
         self._use_listeners: list[Callable[[str], None]] = []
         self._told: dict[str, Use] = {}
         self._told_s = float("-inf")
@@ -58,6 +60,10 @@
         """Call a function with the address of a server that started again under its name."""
         self._life_listeners.append(listener)
 
+    def on_replaced(self, listener: Callable[[Instance], None]) -> None:
+        """Call a function with each life whose address another one has now."""
+        self._replaced_listeners.append(listener)
+
     def servers(self, service: str) -> list[Server]:
         """Give the backend servers of a service that take requests."""
         return [
@@ -153,6 +159,7 @@
                 )
             previous = self._by_address.get(instance.address)
             if previous is not None and previous is not server:
+                self._tell_replaced(previous.instance)
                 self._drop(previous.instance.instance)
             server.instance = instance
             self._by_address[instance.address] = server
@@ -169,9 +176,14 @@
         for listener in self._use_listeners:
             listener(address)
 
+    def _tell_replaced(self, instance: Instance) -> None:
+        for listener in self._replaced_listeners:
+            listener(instance)
+
     def _end_life(self, server: Server) -> None:
         """Forget all that was found out of a former life: health, load, calls, connections."""
         address = server.instance.address
+        self._tell_replaced(server.instance)
         self._drop(server.instance.instance)
         for listener in self._life_listeners:
             listener(address)
--- a/src/leadhollow/forward/ending.py
+++ b/src/leadhollow/forward/ending.py
@@ -15,6 +15,7 @@
 NOT_RUN_STATUS = HTTPStatus.SERVICE_UNAVAILABLE  # promises that the request has not run
 UNKNOWN_STATUS = HTTPStatus.BAD_GATEWAY  # promises nothing
 TIMEOUT_STATUS = HTTPStatus.GATEWAY_TIMEOUT  # promises nothing either
+QUARANTINE_RETRY_AFTER_S = 600.0  # a person has to look at it first
 
 log = get_logger("ending")
 
@@ -40,6 +41,15 @@
         """Say that the request failed and may have run."""
         await self._send(call, UNKNOWN_STATUS, failure, None)
 
+    async def quarantined(self, call: ForwardedCall) -> None:
+        """Answer a request that is sent to no server any more.
+
+        Where it did not run, that is said, with a time to come back which tells that asking again
+        soon is of no use. A status that ends all tries would be wrong once it is let go.
+        """
+        failure = Failure(code=Code.REQUEST_QUARANTINED)
+        await self.not_run(call, failure, retry_after_s=QUARANTINE_RETRY_AFTER_S)
+
     async def timed_out(self, call: ForwardedCall) -> None:
         """Answer a request whose time is over."""
         failure = Failure(code=Code.DEADLINE_PASSED)
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -19,7 +19,8 @@
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, Exchange, Exchanger
 from leadhollow.forward.fingerprint import shown
 from leadhollow.forward.passing import pass_on
-from leadhollow.http1.messages import ResponseHead
+from leadhollow.forward.suspect_exchange import SuspectExchange
+from leadhollow.http1.messages import Framing, ResponseHead
 from leadhollow.observe.logs import get_logger, log_decision
 
 HELD_BYTES = 256 * 1024  # answers up to it are taken whole before they are passed on
@@ -59,7 +60,15 @@
 class PlainForwarder:
     """Forwards the plain requests of one entry."""
 
-    __slots__ = ("_board", "_budget", "_ending", "_exchanger", "_failure_domain", "_random")
+    __slots__ = (
+        "_board",
+        "_budget",
+        "_ending",
+        "_exchanger",
+        "_failure_domain",
+        "_random",
+        "_suspects",
+    )
 
     def __init__(
         self,
@@ -68,9 +77,11 @@
         budget: RetryBudget,
         ending: Ending,
         exchanger: Exchanger,
+        suspects: SuspectExchange,
         failure_domain: str,
         seed: int,
     ) -> None:
+        self._suspects = suspects
         self._board = board
         self._budget = budget
         self._ending = ending
@@ -80,17 +91,22 @@
 
     async def run(self, call: ForwardedCall) -> None:
         """Forward one request to its end."""
+        quarantine = self._suspects.quarantine
         try:
-            async with asyncio.timeout_at(call.deadline_s):
-                await self._run(call)
+            async with asyncio.timeout_at(call.deadline_s) as limit:
+                with quarantine.running(call, limit):
+                    await self._run(call)
         except TimeoutError:
-            await self._ending.timed_out(call)
+            if quarantine.holds(call):
+                await self._ending.quarantined(call)
+            else:
+                await self._ending.timed_out(call)
 
     async def _run(self, call: ForwardedCall) -> None:
         excluded: set[str] = set()
         failure = Failure(code=Code.NO_CAPACITY)
         fallback: WholeAnswer | None = None
-        while self._may_try(call):
+        while await self._may_try_now(call):
             server = self._choose(call, excluded)
             if server is None:
                 failure = self._nobody(call, failure)
@@ -110,6 +126,8 @@
             fallback = answer
         if fallback is not None and fallback.exchange.facts.signed:
             await pass_on(call, fallback.exchange, taken=fallback.data, whole=fallback.whole)
+        elif self._suspects.quarantine.holds(call):
+            await self._ending.quarantined(call)
         elif call.attempts:
             await self._ending.unknown(call, failure)
         else:
@@ -123,7 +141,14 @@
         detail = f"no backend server of {call.service} is known here"
         return Failure(code=Code.NO_CAPACITY, detail=detail)
 
+    async def _may_try_now(self, call: ForwardedCall) -> bool:
+        if self._may_try(call):
+            await self._suspects.quarantine.wait_for_verdict(call)
+        return self._may_try(call)
+
     def _may_try(self, call: ForwardedCall) -> bool:
+        if self._suspects.quarantine.holds(call):
+            return False
         if call.sends >= MOST_SENDS or call.attempts >= call.route.attempts:
             return False
         return call.attempts == 0 or (call.route.repeatable and call.body.whole)
@@ -244,6 +269,8 @@
             server.health.note_failure(asyncio.get_running_loop().time())
         else:
             server.health.note_success()
+            if exchange.answer.head.framing is not Framing.UNTIL_CLOSE:
+                self._suspects.note_good(server, call.fingerprint)
         log.info(
             "answer taken",
             request=call.request_id,
@@ -277,6 +304,7 @@
             server.health.note_unreachable(now_s)
         else:
             server.health.note_failure(now_s)
+            self._suspects.note_broken(server, call.fingerprint)
         log.warning(
             "attempt failed",
             request=call.request_id,
--- a/src/leadhollow/forward/pool.py
+++ b/src/leadhollow/forward/pool.py
@@ -44,7 +44,7 @@
 
         Errors
         ------
-        PEER_LOST, PEER_TIMEOUT
+        PEER_ABSENT, PEER_LOST, PEER_TIMEOUT
             There is no connection; nothing was sent.
         """
         if not fresh:
--- a/src/leadhollow/forward/service.py
+++ b/src/leadhollow/forward/service.py
@@ -13,10 +13,12 @@
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.dialect import CallDialect, CallFacts
+from leadhollow.forward.ending import Ending
 from leadhollow.forward.fingerprint import fingerprint_of
 from leadhollow.forward.plain_call import PlainForwarder
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.forward.stream_call import StreamForwarder
+from leadhollow.forward.suspect_exchange import SuspectExchange
 from leadhollow.forward.targets import TargetChooser
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.server import HttpServer
@@ -50,12 +52,14 @@
         "_chooser",
         "_closed",
         "_dialect",
+        "_ending",
         "_plain",
         "_random",
         "_routes",
         "_server",
         "_stop_grace_s",
         "_streams",
+        "_suspects",
         "stopping",
     )
 
@@ -68,6 +72,8 @@
         chooser: TargetChooser,
         plain: PlainForwarder,
         streams: StreamForwarder,
+        suspects: SuspectExchange,
+        ending: Ending,
         stop_grace_s: float,
         seed: int,
     ) -> None:
@@ -76,6 +82,8 @@
         self._chooser = chooser
         self._plain = plain
         self._streams = streams
+        self._suspects = suspects
+        self._ending = ending
         self._stop_grace_s = stop_grace_s
         self._random = random.Random(seed)
         self._server = HttpServer(address=address, handler=self._handle, limits=self._limits)
@@ -121,6 +129,9 @@
             await self._refuse(request, reply, checked.unwrap_err())
             return
         call = checked.unwrap()
+        if self._suspects.quarantine.refuses(call):
+            await self._ending.quarantined(call)
+            return
         service = self._routes.services.get(call.service)
         if service is not None and service.engine is not None:
             await self._streams.run(call, service)
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -20,6 +20,8 @@
 from leadhollow.forward.places import place
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S
 from leadhollow.forward.stream_relay import SHORTEST_STALL_S, StreamRelay
+from leadhollow.forward.suspect_exchange import SuspectExchange
+from leadhollow.http1.messages import Framing
 from leadhollow.observe.logs import get_logger
 from leadhollow.routing.model import ServiceRecord
 
@@ -35,7 +37,7 @@
 class StreamForwarder:
     """Forwards the streams of one entry."""
 
-    __slots__ = ("_board", "_budget", "_deadlines", "_ending", "_exchanger", "_queue")
+    __slots__ = ("_board", "_budget", "_deadlines", "_ending", "_exchanger", "_queue", "_suspects")
 
     def __init__(
         self,
@@ -45,7 +47,9 @@
         ending: Ending,
         exchanger: Exchanger,
         queue: EngineQueue,
+        suspects: SuspectExchange,
     ) -> None:
+        self._suspects = suspects
         self._board = board
         self._budget = budget
         self._ending = ending
@@ -82,6 +86,11 @@
         """Attempts."""
         return self._exchanger
 
+    @property
+    def suspects(self) -> SuspectExchange:
+        """Requests that end engines."""
+        return self._suspects
+
     @property
     def queue(self) -> EngineQueue:
         """Requests that wait for an engine."""
@@ -120,16 +129,23 @@
     async def run(self) -> None:
         """Try engines until the stream is complete or given up."""
         call = self._call
+        quarantine = self._forwarder.suspects.quarantine
         try:
-            async with asyncio.timeout_at(call.deadline_s):
-                while not await self._attempt():
-                    pass
+            async with asyncio.timeout_at(call.deadline_s) as limit:
+                with quarantine.running(call, limit):
+                    while not await self._attempt():
+                        pass
         except TimeoutError:
-            await self._forwarder.ending.timed_out(call)
+            if quarantine.holds(call):
+                await self._forwarder.ending.quarantined(call)
+            else:
+                await self._forwarder.ending.timed_out(call)
 
     async def _attempt(self) -> bool:
         """Make one attempt; True where the request has its ending."""
         call = self._call
+        if self._may_try():
+            await self._forwarder.suspects.quarantine.wait_for_verdict(call)
         if not self._may_try():
             await self._give_up()
             return True
@@ -152,6 +168,8 @@
 
     def _may_try(self) -> bool:
         call = self._call
+        if self._forwarder.suspects.quarantine.holds(call):
+            return False
         if call.sends == 0:
             return True
         if call.sends >= MOST_SENDS or call.attempts >= call.route.attempts:
@@ -160,7 +178,9 @@
 
     async def _give_up(self) -> None:
         call = self._call
-        if call.attempts == 0:
+        if self._forwarder.suspects.quarantine.holds(call):
+            await self._forwarder.ending.quarantined(call)
+        elif call.attempts == 0:
             retry_after_s = self._forwarder.queue.retry_after_s(self._wish())
             await self._forwarder.ending.not_run(call, self._failure, retry_after_s=retry_after_s)
         else:
@@ -257,6 +277,8 @@
             self._lost(placement, relayed.unwrap_err())
             return False
         placement.server.health.note_success()
+        if exchange.answer.head.framing is not Framing.UNTIL_CLOSE:
+            self._forwarder.suspects.note_good(placement.server, call.fingerprint)
         return True
 
     async def _take_failure(self, placement: Placement, exchange: Exchange) -> bool:
@@ -282,6 +304,7 @@
     def _lost(self, placement: Placement, failure: Failure) -> None:
         """Note an engine that was sent the request and did not bring it to its end."""
         self._failure = failure
+        self._forwarder.suspects.note_broken(placement.server, self._call.fingerprint)
         self._excluded.add(placement.server.instance.instance)
         now_s = asyncio.get_running_loop().time()
         placement.server.note_broken(now_s)
--- /dev/null
+++ b/src/leadhollow/forward/suspect_exchange.py
@@ -0,0 +1,154 @@
+"""What this entry and all others know of requests that end servers: told, heard, and acted upon."""
+
+from __future__ import annotations
+
+import asyncio
+
+from leadhollow.decide.server import Server
+from leadhollow.decide.suspects import SETTLE_S, ServerEnd, SuspectTable
+from leadhollow.forward.board import ServerBoard
+from leadhollow.forward.end_watch import EndWatch, life_of
+from leadhollow.forward.fingerprint import shown
+from leadhollow.forward.good_ends import GoodEnds
+from leadhollow.forward.pool import ConnectionPool
+from leadhollow.forward.quarantine import Quarantine
+from leadhollow.kernel.gathering_service import GatheringService
+from leadhollow.membership.control_feed import ControlFeed
+from leadhollow.membership.suspect_news import Changed, encode_news, everything, take_news
+from leadhollow.observe.logs import get_logger
+from leadhollow.state.records import CatalogItem
+from leadhollow.weights.named import NamedVersion
+from leadhollow.wire.generated.ttypes import SuspectNews
+from leadhollow.wire.peers import PeerPool
+
+GATHER_S = 0.002  # the requests that one server broke off are told together
+REFRESH_S = 1.0  # how often the replica's mark is looked at
+WHOLE_PAUSE_S = 2.0
+"""Everything is told again at most this often, and only where the replica does not say the same: a
+table of usual size is a few hundred bytes."""
+
+ALONE_SETTLE_S = 4 * SETTLE_S
+"""Until an entry that no control replica tells anything judges by itself: it knows only what ran
+here, but nobody else will judge."""
+
+log = get_logger("quarantine")
+
+
+class SuspectExchange(GatheringService):
+    """Keeps this entry's table like those of all others."""
+
+    __slots__ = (
+        "_changed",
+        "_feed",
+        "_good",
+        "_mark",
+        "_peers",
+        "_told",
+        "_whole_s",
+        "quarantine",
+        "table",
+        "watch",
+    )
+
+    def __init__(
+        self, *, board: ServerBoard, feed: ControlFeed, pool: ConnectionPool, peers: PeerPool
+    ) -> None:
+        self.table = SuspectTable(clock=asyncio.get_running_loop().time)
+        self.quarantine = Quarantine(table=self.table)
+        self._feed = feed
+        self._peers = peers
+        self._good = GoodEnds()
+        self.watch = EndWatch(board=board, pool=pool, good=self._good, on_end=self._on_end)
+        self._changed = Changed()
+        self._told = ""  # replica that was told everything
+        self._mark = 0  # of the replica's table, as it last said
+        self._whole_s = 0.0
+        feed.on_suspects(self._on_news)
+        feed.catalog.on_change(self._on_catalog)
+        super().__init__(gather_s=GATHER_S, refresh_s=REFRESH_S)
+
+    async def stop(self) -> None:
+        """Look for no ends any more."""
+        await super().stop()
+        await self.watch.stop()
+
+    def note_broken(self, server: Server, fingerprint: bytes) -> None:
+        """Note a request that a server broke off."""
+        self.watch.note_broken(server, fingerprint)
+
+    def note_good(self, server: Server, fingerprint: bytes) -> None:
+        """Note a request whose answer came whole."""
+        self._good.note(fingerprint, asyncio.get_running_loop().time())
+        if self.table.lives_of(fingerprint):
+            self._clear(fingerprint)
+        life = life_of(server.instance)
+        if self.table.revive(life):
+            log.info("backend server had not ended", instance=server.instance.instance)
+            self._changed.lives.add(life)
+            self.note_change()
+
+    def _clear(self, fingerprint: bytes) -> None:
+        lives = self.table.clear(fingerprint)
+        log.info("request cleared", fingerprint=shown(fingerprint), ends=len(lives))
+        self._changed.lives |= lives
+        self.note_change()
+
+    def _on_end(self, end: ServerEnd) -> None:
+        if self.table.take_end(end):
+            self._changed.lives.add(end.life)
+            self.note_change()
+            asyncio.get_running_loop().call_later(ALONE_SETTLE_S, self._judge_alone)
+
+    def _judge_alone(self) -> None:
+        if self._feed.source:
+            return
+        made = {verdict.fingerprint for verdict in self.table.judge()}
+        self._changed.fingerprints |= made
+        self.quarantine.break_off(made)
+
+    def _on_news(self, news: SuspectNews, whole: bool) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if whole and not self.table.empty:
+            self._told = ""  # the replica may have begun anew: it is told everything
+            self.note_change()
+        self._mark = int(news.mark or 0)
+        taken = take_news(self.table, news, now_s)
+        if taken.is_err():
+            log.warning("news of suspects not taken", failure=str(taken.unwrap_err()))
+            return
+        changed = taken.unwrap()
+        self.quarantine.break_off(changed.fingerprints)
+        for life in changed.lives:
+            end = self.table.end(life)
+            for fingerprint in () if end is None else end.suspects:
+                if self._good.knows(fingerprint, now_s):
+                    self._clear(fingerprint)
+
+    def _on_catalog(self, items: list[CatalogItem]) -> None:
+        if any(isinstance(item.value, NamedVersion) and item.value.named for item in items):
+            self._good.forget()
+
+    async def _tell(self, *, whole: bool) -> None:
+        """Tell the replica that is followed what is news, or all where it does not know it."""
+        self.table.forget_old()
+        source = self._feed.source
+        if not source:
+            self._told = ""
+            return
+        now_s = asyncio.get_running_loop().time()
+        unlike = whole and self._mark != self.table.mark()
+        if source != self._told or (unlike and now_s - self._whole_s > WHOLE_PAUSE_S):
+            self._changed.add(everything(self.table))
+            self._whole_s = now_s
+        if not self._changed:
+            self._told = source
+            return
+        connected = await self._peers.connection(source)
+        if connected.is_err():
+            self._told = ""
+            return
+        connected.unwrap().oneway(encode_news(self.table, self._changed.take(), now_s))
+        self._told = source
+
+
+__all__ = ["SuspectExchange"]
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -291,8 +291,10 @@
 
     Errors
     ------
-    PEER_LOST
+    PEER_ABSENT
         Nothing listens there.
+    PEER_LOST
+        There is no way there.
     PEER_TIMEOUT
         No answer in time.
     """
@@ -304,6 +306,8 @@
             )
     except TimeoutError:
         return Err(Failure(code=Code.PEER_TIMEOUT, detail=f"{address}: no connection in time"))
+    except ConnectionRefusedError as error:
+        return Err(Failure(code=Code.PEER_ABSENT, detail=f"{address}: {error}"))
     except OSError as error:
         return Err(Failure(code=Code.PEER_LOST, detail=f"{address}: {error}"))
     return Ok(connection)
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -30,6 +30,7 @@
     FeedUpdate,
     FeedWatch,
     LoadRecord,
+    SuspectNews,
 )
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.streams import CallStream
@@ -58,6 +59,7 @@
 LoadListener = Callable[[LoadRecord, float], None]
 UseListener = Callable[[dict[str, Use], bool], None]
 DecisionsListener = Callable[[dict[str, Decisions]], None]
+SuspectsListener = Callable[[SuspectNews, bool], None]
 
 log = get_logger("feed")
 
@@ -90,6 +92,7 @@
         "_random",
         "_seeds",
         "_settings",
+        "_suspects_listeners",
         "_unnamed",
         "_use_listeners",
         "catalog",
@@ -110,6 +113,7 @@
         self._load_listeners: list[LoadListener] = []
         self._use_listeners: list[UseListener] = []
         self._decisions_listeners: list[DecisionsListener] = []
+        self._suspects_listeners: list[SuspectsListener] = []
         self._engines: list[str] = []  # addresses by their numbers on the feed that is followed
         self.catalog = Catalog()
         self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
@@ -141,6 +145,13 @@
         """Call a function with what the other entries decided lately, by service."""
         self._decisions_listeners.append(listener)
 
+    def on_suspects(self, listener: SuspectsListener) -> None:
+        """Call a function with news of requests that end servers.
+
+        It gets the news, and whether these are all that the replica knows.
+        """
+        self._suspects_listeners.append(listener)
+
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for replicas at other seeds from now on; known ones are kept."""
         self._seeds = seeds
@@ -298,6 +309,10 @@
             for listener in self._load_listeners:
                 listener(load, now_s - (load.age_ms or 0) / 1000)
         self._take_uses(update)
+        if update.suspects is not None or update.whole:
+            news = update.suspects or SuspectNews("", 0, [], [])
+            for listener_of_suspects in self._suspects_listeners:
+                listener_of_suspects(news, bool(update.whole))
         self._take_replicas(update.replicas)
         self.entries = max(1, int(update.entries or 0))
         if self._confirmed(update):
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from leadhollow.control.confirmation import Confirmation
@@ -10,7 +11,8 @@
 from leadhollow.control.manifests import ManifestReader
 from leadhollow.control.operators import ControlListener
 from leadhollow.control.registry import Registry
-from leadhollow.control.replica_service import ReplicaService
+from leadhollow.control.replica_service import STATE_FOLDER, ReplicaService
+from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.control.version_ages import VersionAges
 from leadhollow.node.process import FORGET_AFTER_S, FORGET_BEATS
 from leadhollow.routing.items import names_service
@@ -73,6 +75,16 @@
             replicas=replica().places,
             handlers=process.handlers,
             naming_times=kernel.get("version-ages", VersionAges).times,
+            suspects=kernel.get("suspects", SuspectRelay),
+        )
+
+    def make_suspects() -> Service:
+        return SuspectRelay(
+            own_address=settings.wire_address,
+            replicas=replica().addresses,
+            peers=process.peers,
+            handlers=process.handlers,
+            folder=Path(settings.data_folder or ".") / STATE_FOLDER,
         )
 
     def make_manifests() -> Service:
@@ -96,7 +108,8 @@
     kernel.register("version-ages", make_ages, needs=("confirmation",))
     kernel.register("registry", make_registry, needs=("version-ages",))
     kernel.register("uses", make_uses, needs=("replica",))
-    kernel.register("feed", make_feed, needs=("confirmation", "registry", "uses"))
+    kernel.register("suspects", make_suspects, needs=("replica",))
+    kernel.register("feed", make_feed, needs=("confirmation", "registry", "uses", "suspects"))
     kernel.register("manifests", make_manifests, needs=("replica",))
     kernel.register("operators", make_operators, needs=("registry",))
 
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -18,6 +18,7 @@
 from leadhollow.forward.readiness import ReadinessListener
 from leadhollow.forward.service import CallerListener
 from leadhollow.forward.stream_call import StreamForwarder
+from leadhollow.forward.suspect_exchange import SuspectExchange
 from leadhollow.forward.targets import TargetChooser
 from leadhollow.forward.use_reporter import UseReporter
 from leadhollow.kernel.task_service import TaskService
@@ -38,7 +39,18 @@
 class Dispatching(TaskService):
     """What the requests of one entry share; its task looks after those that wait."""
 
-    __slots__ = ("_waiting", "board", "budget", "chooser", "plain", "queue", "routes", "streams")
+    __slots__ = (
+        "_waiting",
+        "board",
+        "budget",
+        "chooser",
+        "ending",
+        "plain",
+        "queue",
+        "routes",
+        "streams",
+        "suspects",
+    )
 
     def __init__(self, *, process: NodeProcess, feed: ControlFeed, pool: ConnectionPool) -> None:
         settings = process.settings
@@ -66,20 +78,23 @@
         self._waiting = asyncio.Event()
         self.queue.on_waiting(self._waiting.set)
         feed.on_decisions(self.queue.take_decisions)
-        ending = Ending(dialect=dialect)
+        self.ending = Ending(dialect=dialect)
+        self.suspects = SuspectExchange(board=self.board, feed=feed, pool=pool, peers=process.peers)
         exchanger = Exchanger(dialect=dialect, pool=pool)
         self.streams = StreamForwarder(
             board=self.board,
             budget=self.budget,
-            ending=ending,
+            ending=self.ending,
             exchanger=exchanger,
             queue=self.queue,
+            suspects=self.suspects,
         )
         self.plain = PlainForwarder(
             board=self.board,
             budget=self.budget,
-            ending=ending,
+            ending=self.ending,
             exchanger=exchanger,
+            suspects=self.suspects,
             failure_domain=settings.failure_domain,
             seed=process.seed,
         )
@@ -146,6 +161,9 @@
             peers=process.peers,
         )
 
+    def make_suspects() -> Service:
+        return kernel.get("dispatching", Dispatching).suspects
+
     def make_prober() -> Service:
         board = kernel.get("dispatching", Dispatching).board
         return PathProber(board=board, pool=kernel.get("pool", ConnectionPool))
@@ -159,6 +177,8 @@
             chooser=shared.chooser,
             plain=shared.plain,
             streams=shared.streams,
+            suspects=shared.suspects,
+            ending=shared.ending,
             stop_grace_s=settings.bounds.stop_grace_s,
             seed=process.seed,
         )
@@ -195,6 +215,7 @@
     kernel.register("dispatching", make_dispatching, needs=("feed", "pool"))
     kernel.register("path-prober", make_prober, needs=("dispatching",))
     kernel.register("use-reporter", make_reporter, needs=("dispatching",))
+    kernel.register("suspects", make_suspects, needs=("dispatching",))
     kernel.register("callers", make_callers, needs=("dispatching",))
     kernel.register("readiness", make_readiness, needs=("callers",))
 
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -52,11 +52,16 @@
 struct ServiceDecisions { 1: string name; 2: i32 made_milli; 3: i32 refused_milli }
 struct UseReport { 1: list<string> engines; 2: list<EngineUse> uses; 3: bool whole; 4: list<ServiceDecisions> decisions }
 struct UseTotals { 1: string address; 2: list<string> engines; 3: list<EngineUse> uses; 4: bool whole; 5: list<ServiceDecisions> decisions }
+// A life of a backend server that ended, the fingerprints of requests that ran there, and those of them that
+// ended well elsewhere. A verdict is a request that is sent no more, or one that was let go again.
+struct ServerEnd { 1: string life; 2: list<binary> ran; 3: list<binary> cleared; 4: i64 age_ms; 5: bool alive }
+struct Verdict { 1: binary fingerprint; 2: i32 number; 3: bool released; 4: list<string> lives; 5: i64 age_ms }
+struct SuspectNews { 1: string address; 2: i64 mark; 3: list<ServerEnd> ends; 4: list<Verdict> verdicts }
 struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision }
 // How long ago a version of weights was named, by steady clocks only: the time of day may jump.
 struct VersionAge { 1: string model; 2: i64 version; 3: i64 age_ms }
 // Field 10 is not sent any more; packed_uses says the same in three bytes an engine.
-struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses }
+struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses; 15: SuspectNews suspects }
 struct FeedProbe { 1: string vm }
 struct FeedProbeReply { 1: i32 confirmed_age_ms; 2: i64 revision; 3: list<string> replicas }
 struct RegistryPush { 1: string address; 2: list<InstanceRecord> instances; 3: list<LoadRecord> loads; 4: i32 entries; 5: bool whole; 6: list<VersionAge> named }
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -73,6 +73,7 @@
     85: ttypes.LoadReport,
     86: ttypes.UseReport,
     87: ttypes.UseTotals,
+    88: ttypes.SuspectNews,
     90: ttypes.PieceWatch,
     91: ttypes.PieceNews,
     94: ttypes.SliceRequest,
--- a/tests/control/test_feed_server.py
+++ b/tests/control/test_feed_server.py
@@ -8,6 +8,7 @@
 from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.control.registry import Registry
+from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.settings.address import Address
@@ -76,6 +77,7 @@
             replicas=lambda: [address],
             handlers=self.handlers,
             naming_times=self.times,
+            suspects=SuspectRelay(**shared, peers=self.peers, handlers=self.handlers),
         )
 
 
--- a/tests/control/test_uses_at_size.py
+++ b/tests/control/test_uses_at_size.py
@@ -11,6 +11,7 @@
 from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.control.registry import Registry
+from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.membership.packed_uses import UNREAD_STEP_TOKENS, pack_uses, unpack_uses
@@ -78,6 +79,7 @@
             replicas=lambda: ["one"],
             handlers=self.handlers,
             naming_times=times,
+            suspects=SuspectRelay(**shared, peers=self.posts, handlers=self.handlers),
         )
         self.near: list[str] = []
         self.far: list[str] = []
--- a/tests/http1/test_client_connection.py
+++ b/tests/http1/test_client_connection.py
@@ -197,4 +197,4 @@
             taken.bind(("127.0.0.1", 0))
             address = Address(host="127.0.0.1", port=taken.getsockname()[1])
             failed = await open_connection(address, timeout_s=5)
-        assert failed.unwrap_err().code is Code.PEER_LOST
+        assert failed.unwrap_err().code is Code.PEER_ABSENT
--- a/tests/node/crashing.py
+++ b/tests/node/crashing.py
@@ -42,6 +42,7 @@
         self.farm = farm
         self.run_s = run_s
         self.lives = 1
+        self.only_resets = False
         self._number = number
         self._restarts: set[asyncio.Task[None]] = set()
 
@@ -73,6 +74,12 @@
         await asyncio.sleep(self.run_s)
         if request.headers.get("X-Expect-Instance") != self.instance or self.silent:
             return web.Response(status=421)
+        if request.transport is None:
+            return web.Response(status=500)  # its caller has left, so it is dropped
+        if self.only_resets:
+            assert request.transport is not None
+            request.transport.abort()
+            return web.Response(status=500)
         await self._end()
         return web.Response(status=500)  # nobody hears it
 
--- a/tests/node/site.py
+++ b/tests/node/site.py
@@ -168,7 +168,6 @@
             NodeProcess(settings=settings, dialects=platform_dialects())
             for settings in self._entry_settings
         ]
-        self.entry = self.entries[0]
         for process in (self.control, *self.entries):
             assert (await process.start()).is_ok()
         for server in self.servers:
@@ -185,6 +184,25 @@
             await server.stop()
         await self.http.close()
 
+    @property
+    def entry(self) -> NodeProcess:
+        """The first entry."""
+        return self.entries[0]
+
+    async def restart_entry(self, place: int) -> None:
+        """Kill an entry and start it again."""
+        await self.entries[place].kernel.kill()
+        settings = self._entry_settings[place]
+        self.entries[place] = NodeProcess(settings=settings, dialects=platform_dialects())
+        assert (await self.entries[place].start()).is_ok()
+
+    async def restart_control(self) -> None:
+        """Kill the control replica and start it again with its disk."""
+        await self.control.kernel.kill()
+        settings = self._control_settings
+        self.control = NodeProcess(settings=settings, dialects=platform_dialects())
+        assert (await self.control.start()).is_ok()
+
     async def _announce(self, server: PlainServer) -> None:
         while True:
             await asyncio.sleep(BEAT_S)
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -30,6 +30,7 @@
 ENTRIES = 3
 PAUSE_S = 0.15
 SPREAD_S = 0.4  # until all entries have to know
+LATE_S = 0.25  # after a server began to run it, while it still runs
 FIELDS = {"X-Model": "m", "X-Token-Usage": "10,3"}
 KINDS = {"plain": CrashingServer, "stream": CrashingEngine}
 
@@ -85,3 +86,90 @@
                 assert await served(site, entry)
 
         with_site(tmp_path, kind, work)
+
+    def test_ends_no_more_servers_where_it_comes_to_all_entries_at_once(self, tmp_path, kind):
+        async def work(site: Site, farm: Farm) -> None:
+            for _ in range(4):
+                sends = [
+                    site.post("/ask/p", POISON, entry=entry, fields=FIELDS)
+                    for entry in range(ENTRIES)
+                ]
+                await asyncio.gather(*sends)
+                await asyncio.sleep(PAUSE_S)
+            assert 3 <= len(farm.ends_s) <= 2 * ENTRIES  # those that were on their way included
+            assert farm.arrivals_after_third_end(SPREAD_S) == 0
+
+        with_site(tmp_path, kind, work)
+
+
+class TestCallsThatRunWhenTheirRequestIsHeld:
+    def test_are_broken_off_before_they_end_another_server(self, tmp_path):
+        async def work(site: Site, farm: Farm) -> None:
+            first = asyncio.create_task(send_again(site, 3))
+            await eventually(lambda: len(farm.arrivals_s) == 3, "a third server that runs it")
+            await asyncio.sleep(LATE_S)
+            statuses = [await site.post("/ask/p", POISON, entry=2, fields=FIELDS), *await first]
+            assert 502 in statuses
+            assert len(farm.ends_s) == 3
+            assert len(farm.arrivals_s) == 4
+
+        with_site(tmp_path, "plain", work, run_s=2 * LATE_S)
+
+
+class TestVerdict:
+    def test_is_known_to_an_entry_that_starts_later(self, tmp_path):
+        async def work(site: Site, farm: Farm) -> None:
+            await send_again(site, 6)
+            await site.restart_entry(1)
+            await eventually(lambda: served(site, 1), "an answer of the new entry")
+            await refused_everywhere(site, farm)
+
+        with_site(tmp_path, "plain", work)
+
+    def test_is_told_to_a_control_replica_that_starts_again(self, tmp_path):
+        async def work(site: Site, farm: Farm) -> None:
+            await send_again(site, 6)
+            await site.restart_control()
+            await site.restart_entry(1)
+            await eventually(lambda: served(site, 1), "an answer of the new entry")
+            await refused_everywhere(site, farm)
+
+        with_site(tmp_path, "plain", work)
+
+    def test_outlasts_all_processes(self, tmp_path):
+        async def work(site: Site, farm: Farm) -> None:
+            await send_again(site, 6)
+            await asyncio.sleep(PAUSE_S)  # the disk has time
+            await site.restart_control()
+            for entry in range(ENTRIES):
+                await site.restart_entry(entry)
+            for entry in range(ENTRIES):
+                await eventually(lambda entry=entry: served(site, entry), "an answer")
+            await refused_everywhere(site, farm)
+
+        with_site(tmp_path, "plain", work)
+
+
+async def refused_everywhere(site: Site, farm: Farm) -> None:
+    """Check that no entry sends the request any more."""
+    before = len(farm.arrivals_s)
+    assert await send_again(site, ENTRIES) == [503] * ENTRIES
+    assert len(farm.arrivals_s) == before
+
+
+class TestServersThatOnlyBreakConnections:
+    def test_do_not_bring_a_request_into_quarantine(self, tmp_path):
+        async def work(site: Site, farm: Farm) -> None:
+            for server in site.servers:
+                assert isinstance(server, CrashingServer)
+                server.only_resets = True
+            await send_again(site, 9)
+            for server in site.servers:
+                assert isinstance(server, CrashingServer)
+                server.only_resets = False
+            before = len(farm.arrivals_s)
+            assert before >= 9
+            await send_again(site, 1)
+            assert len(farm.arrivals_s) > before
+
+        with_site(tmp_path, "plain", work)
