--- a/src/leadhollow/forward/end_watch.py
+++ b/src/leadhollow/forward/end_watch.py
@@ -116,6 +116,8 @@
                 await asyncio.sleep(TRY_PAUSE_S)
             if not await self._absent(found.server.instance.address):
                 return
+        if any(call.placed_s < found.first_s for call in found.server.calls):
+            return  # what ran there before goes on: only connections broke
         if not self._together(found) and await self._neighbour_answers(found.server):
             self._ended(life)
 
@@ -159,8 +161,6 @@
         if found is None:
             return
         server, now_s = found.server, _now_s()
-        if any(call.placed_s < found.first_s for call in server.calls):
-            return  # what ran there before goes on: only connections broke
         if server.instance.state is not InstanceState.READY or server.switching(now_s):
             return  # it said before that it would leave, or change its weights
         ran = {one for one in found.fingerprints if not self._good.knows(one, now_s)}
