Measure by a clock that counts suspensions what others count on too

Cause: a machine may be suspended for seconds; the steady clock stands still meanwhile, so what is believed for a time by it was believed for longer than all others think. On the elapsed clock: votes and leads, leases to order and shares, the age of a majority's confirmation, the ages of versions (an entry that slept would have gone on sending to old weights), what is left of a deadline, idle connections, the window of repeats; a feed is asked for anew, whole, after 0.5 s. Not changed: silence of backend servers at a replica, health of servers, pressure, which fade a little later.

--- a/src/leadhollow/backend/gate.py
+++ b/src/leadhollow/backend/gate.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import OrderedDict
 from enum import Enum
 
 from leadhollow.backend.change_signal import ChangeSignal
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.kernel import clocks
 from leadhollow.wire.generated.ttypes import Dispatch
 
 TOMBSTONES_KEPT = 100_000
@@ -57,7 +57,7 @@
     def __init__(self, *, slots: int, signal: ChangeSignal) -> None:
         self.slots = slots
         self.signal = signal
-        self.incarnation = time.time_ns()
+        self.incarnation = clocks.wall_ns()
         self.state = GateState.OPEN
         self.serving_root = ""
         self.in_flight = 0
--- a/src/leadhollow/control/confirmation.py
+++ b/src/leadhollow/control/confirmation.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from leadhollow.kernel import clocks
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.observe.logs import get_logger
 from leadhollow.state.gateway import LeaderGateway
@@ -37,12 +38,11 @@
         """Give the age of the last confirmation in milliseconds, -1 without any."""
         if self._confirmed_s is None:
             return -1
-        return int((asyncio.get_running_loop().time() - self._confirmed_s) * 1000)
+        return int((clocks.elapsed_s() - self._confirmed_s) * 1000)
 
     async def _work(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
-            asked_s = loop.time()
+            asked_s = clocks.elapsed_s()
             confirmed = await self._gateway.confirm(timeout_s=TIMEOUT_S)
             if confirmed.is_ok():
                 self._confirmed_s = asked_s
--- a/src/leadhollow/decide/retry_budget.py
+++ b/src/leadhollow/decide/retry_budget.py
@@ -19,7 +19,7 @@
     entries
         Gives the number of live entries; the slack is shared out among them evenly.
     clock
-        Gives the loop time.
+        Gives the time, suspensions included: a window that stood still would be too long.
     """
 
     __slots__ = ("_bounds", "_clock", "_entries", "_repeats", "_requests")
--- a/src/leadhollow/entry/share.py
+++ b/src/leadhollow/entry/share.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
+from leadhollow.kernel import clocks
 from leadhollow.state.catalog import Catalog
 
 BURST_S = 1.0
@@ -57,7 +57,7 @@
     static
         Our part without a lease.
     clock_s
-        Monotonic clock, replaced in tests.
+        Clock that counts suspensions: a lease ends for its giver meanwhile. Replaced in tests.
     """
 
     __slots__ = ("_buckets", "_catalog", "_clock_s", "_leases", "_static")
@@ -67,7 +67,7 @@
         *,
         catalog: Catalog,
         static: StaticPart,
-        clock_s: Callable[[], float] = time.monotonic,
+        clock_s: Callable[[], float] = clocks.boot_s,
     ) -> None:
         self._catalog = catalog
         self._static = static
--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from leadhollow.forward.dialect import CallFacts, Dispatch
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.messages import RequestHead
 from leadhollow.http1.reply import ReplyWriter
+from leadhollow.kernel import clocks
 from leadhollow.routing.model import Organisation, Route
 
 
@@ -44,6 +43,7 @@
         "route",
         "sends",
         "service",
+        "suspended_s",
     )
 
     def __init__(
@@ -68,6 +68,7 @@
         self.organisation = organisation
         self.reply = reply
         self.received_s = received_s
+        self.suspended_s = clocks.suspended_s()
         self.deadline_s = received_s + route.timeout_ms / 1000
         if facts.deadline_ms is not None:
             self.deadline_s = min(self.deadline_s, received_s + facts.deadline_ms / 1000)
@@ -90,8 +91,9 @@
         return self.received_s + self.route.objective_ms / 1000
 
     def left_ms(self) -> float:
-        """Give what is left of the caller's time."""
-        return (self.deadline_s - asyncio.get_running_loop().time()) * 1000
+        """Give what is left of the caller's time, which went on while this machine did not."""
+        suspended_s = clocks.suspended_s() - self.suspended_s
+        return (self.deadline_s - clocks.steady_s() - suspended_s) * 1000
 
     def dispatch(
         self,
--- a/src/leadhollow/forward/pool.py
+++ b/src/leadhollow/forward/pool.py
@@ -8,6 +8,7 @@
 
 from leadhollow.failure import Failure
 from leadhollow.http1.client_connection import ClientConnection, open_connection
+from leadhollow.kernel import clocks
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.settings.address import Address
 
@@ -113,7 +114,7 @@
         limit_s = REUSE_WITHIN_S
         if connection.keep_alive_s is not None:
             limit_s = min(limit_s, connection.keep_alive_s * KEEP_ALIVE_SHARE)
-        return asyncio.get_running_loop().time() - connection.idle_since_s < limit_s
+        return clocks.elapsed_s() - connection.idle_since_s < limit_s
 
 
 __all__ = ["ConnectionPool"]
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -23,6 +23,7 @@
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import Framing, ResponseHead, response_framing
+from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.address import Address
 
@@ -236,7 +237,7 @@
     def end_exchange(self) -> None:
         """Note that the request and its answer are whole; the connection may be used again."""
         self._outstanding = False
-        self.idle_since_s = asyncio.get_running_loop().time()
+        self.idle_since_s = clocks.elapsed_s()
         if self._answers or self._answer is not None:
             self.close()
 
--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -11,6 +11,7 @@
 from leadhollow.http1.client_connection import Answer, ClientConnection, open_connection
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead, ResponseHead
+from leadhollow.kernel import clocks
 from leadhollow.settings.address import Address
 
 LARGEST_ANSWER_BYTES = 16 * 1024 * 1024
@@ -112,7 +113,7 @@
 
     async def _connection(self, address: Address) -> Result[ClientConnection, Failure]:
         idle = self._idle.get(str(address), [])
-        now_s = asyncio.get_running_loop().time()
+        now_s = clocks.elapsed_s()
         while idle:
             connection = idle.pop()
             if connection.usable and now_s - connection.idle_since_s < IDLE_REUSE_S:
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -12,6 +12,7 @@
 from leadhollow.codes import Code
 from leadhollow.decide.pressure import Decisions
 from leadhollow.failure import Failure
+from leadhollow.kernel import clocks
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance
@@ -56,6 +57,10 @@
 
 PAUSE_SPREAD = 0.3  # part of a pause by which those of processes that start together differ
 
+SUSPENDED_S = 0.5
+"""Suspension after which a view is asked for anew, whole: what arrives now was told before or
+meanwhile, and nothing in it says how old it is. The replica gives up a watcher after a second."""
+
 LoadListener = Callable[[LoadRecord, float], None]
 UseListener = Callable[[dict[str, Use], bool], None]
 DecisionsListener = Callable[[dict[str, Decisions]], None]
@@ -257,12 +262,16 @@
         probe_s = loop.time() + self._probe_interval_s()
         home_s = loop.time() + HOME_INTERVAL_S
         taken = False
+        suspended_s = clocks.suspended_s()
         while True:
             received = await stream.next(timeout_ms=SILENCE_MS[self._settings.role])
             if received.is_err():
                 log.warning("control replica lost", address=address, failure=received.unwrap_err())
                 return taken
             update = received.unwrap()
+            if clocks.suspended_s() - suspended_s > SUSPENDED_S:
+                log.warning("view given up after a suspension", address=address)
+                return taken
             if update is None or not self._apply(update):
                 return taken
             taken = True
@@ -316,7 +325,7 @@
         self._take_replicas(update.replicas)
         self.entries = max(1, int(update.entries or 0))
         if self._confirmed(update):
-            self.confirmed_s = now_s - update.confirmed_age_ms / 1000
+            self.confirmed_s = clocks.elapsed_s() - update.confirmed_age_ms / 1000
             if not self.ready.is_set():
                 log.info("first confirmed view", revision=self.catalog.revision)
                 self.ready.set()
--- a/src/leadhollow/membership/summary_sender.py
+++ b/src/leadhollow/membership/summary_sender.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+from leadhollow.kernel import clocks
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.domain_service import DomainService
 from leadhollow.membership.summary import summarise
@@ -29,7 +29,7 @@
         self._domain = domain
         self._sent: dict[str, list[CapacityLine]] = {}
         self._sequence = 0
-        self._epoch = time.time_ns()
+        self._epoch = clocks.wall_ns()
         super().__init__()
 
     async def _work(self) -> None:
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -21,6 +21,7 @@
 from leadhollow.forward.suspect_exchange import SuspectExchange
 from leadhollow.forward.targets import TargetChooser
 from leadhollow.forward.use_reporter import UseReporter
+from leadhollow.kernel import clocks
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.kernel.timers import TIMER_STEP_S
 from leadhollow.membership.control_feed import ControlFeed
@@ -61,7 +62,9 @@
         self.board.on_new_life(pool.drop)
         feed.on_load(self.board.take_load)
         feed.on_uses(self.board.take_told)
-        self.budget = RetryBudget(bounds=settings.bounds, entries=lambda: feed.entries, clock=clock)
+        self.budget = RetryBudget(
+            bounds=settings.bounds, entries=lambda: feed.entries, clock=clocks.elapsed_s
+        )
         versions = VersionPolicy(
             catalog=feed.catalog,
             times=feed.naming_times,
@@ -193,7 +196,7 @@
             failure_domain=settings.failure_domain,
             pressure=shared.queue.pressure,
             confirmed_s=lambda: feed.confirmed_s,
-            clock=asyncio.get_running_loop().time,
+            clock=clocks.elapsed_s,
         )
 
         def reason() -> str:
--- a/src/leadhollow/placement/domain_lease.py
+++ b/src/leadhollow/placement/domain_lease.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from leadhollow.kernel import clocks
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.model import Settings
@@ -18,8 +19,8 @@
 class DomainLease(TaskService):
     """Tries to take the lease of the own failure domain, then keeps renewing it.
 
-    ``valid`` is answered from our own monotonic clock alone: a holder that is cut off stops
-    before anyone else may take over, with no message from anyone.
+    ``valid`` is answered from our own clock alone: a holder that is cut off, or was suspended,
+    stops before anyone else may take over, with no message from anyone.
     """
 
     __slots__ = ("_settings", "_state", "_valid_until_s", "fence")
@@ -34,7 +35,7 @@
     @property
     def valid(self) -> bool:
         """Whether we hold the lease now."""
-        return self.fence > 0 and asyncio.get_running_loop().time() < self._valid_until_s
+        return self.fence > 0 and clocks.elapsed_s() < self._valid_until_s
 
     async def drain(self) -> None:
         """Stop ordering; the lease runs out by itself."""
@@ -43,9 +44,8 @@
 
     async def _work(self) -> None:
         interval_s = self._settings.domain.lease_ttl_ms / 1000 / 4
-        loop = asyncio.get_running_loop()
         while True:
-            asked_s = loop.time()
+            asked_s = clocks.elapsed_s()
             fence = self.fence if self.valid else 0
             reply = await self._state.renew_lease(
                 name=domain_lease_name(self._settings.failure_domain),
--- a/src/leadhollow/state/leases.py
+++ b/src/leadhollow/state/leases.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.kernel import clocks
 from leadhollow.observe.logs import log_decision
 from leadhollow.state.commands import TakeLease
 from leadhollow.state.records import LeaseRecord
@@ -45,7 +44,7 @@
         if not self._replica.ready():
             return Err(Failure(code=Code.NOT_LEADER))
         record = self._replica.machine.catalog.lease(name)
-        now_s = asyncio.get_running_loop().time()
+        now_s = clocks.elapsed_s()
         if record is not None and record.holder == holder and record.fence == fence:
             self._renewed_s[name] = now_s
             return Ok(record)
@@ -71,7 +70,7 @@
         record = self._replica.machine.catalog.lease(name)
         if record is None or record.fence != applied.unwrap().index:
             return Err(Failure(code=Code.LEASE_HELD, detail=f"{name} was taken meanwhile"))
-        self._renewed_s[name] = asyncio.get_running_loop().time()
+        self._renewed_s[name] = clocks.elapsed_s()
         log_decision("lease given", lease=name, holder=holder, fence=record.fence)
         return Ok(record)
 
--- a/src/leadhollow/state/replica_state.py
+++ b/src/leadhollow/state/replica_state.py
@@ -9,6 +9,7 @@
 from result import Result
 
 from leadhollow.failure import Failure
+from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.model import StateSettings
 from leadhollow.state.commands import AnyAnswer
@@ -243,8 +244,8 @@
 
 
 def now_s() -> float:
-    """Give the monotonic time."""
-    return asyncio.get_running_loop().time()
+    """Give the time by which votes and leads count: a suspension ends a lead like any silence."""
+    return clocks.elapsed_s()
 
 
 def _nothing() -> None:
--- a/tests/membership/test_control_feed.py
+++ b/tests/membership/test_control_feed.py
@@ -13,6 +13,7 @@
     PAUSE_SPREAD,
     ControlFeed,
 )
+from leadhollow.kernel import clocks
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
@@ -23,7 +24,7 @@
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.server import WireServer
 from leadhollow.wire.streams import StreamSink
-from tests.support import TOKEN
+from tests.support import TOKEN, eventually
 
 ATTEMPTS = range(20)
 
@@ -51,6 +52,7 @@
         self.reply = FeedProbeReply(age_ms, revision, None)
         self.handlers = HandlerTable()
         self.followed = asyncio.Event()
+        self.watches = 0
         self.server = WireServer(
             address=Address.parse(address).unwrap(), token=TOKEN, handlers=self.handlers
         )
@@ -62,6 +64,7 @@
 
     async def _on_watch(self, request: FeedWatch, sink: StreamSink):
         self.followed.set()
+        self.watches += 1
         while True:
             await sink.send(
                 FeedUpdate(self.reply.revision, [], self.reply.confirmed_age_ms, [], [], None, 1)
@@ -120,6 +123,21 @@
         with_replicas(work, (-1, 0), (-1, 0))
 
 
+class TestSuspension:
+    def test_lets_the_view_be_told_anew(self, monkeypatch):
+        async def work(feed: ControlFeed, replica: Replica) -> None:
+            await asyncio.wait_for(feed.ready.wait(), 10)
+            await asyncio.sleep(0.2)
+            assert replica.watches == 1
+            before_s = clocks.suspended_s()
+            monkeypatch.setattr(clocks, "suspended_s", lambda: before_s + 5.0)
+            await eventually(lambda: replica.watches == 2, "a second view")
+            await asyncio.sleep(0.2)
+            assert replica.watches == 2
+
+        with_replicas(work, (10, 9))
+
+
 class TestPauses:
     def test_of_a_process_that_knows_nothing_stay_short(self):
         async def work() -> None:
