--- a/tests/membership/test_control_feed.py
+++ b/tests/membership/test_control_feed.py
@@ -7,13 +7,13 @@
 
 from result import Ok
 
+from leadhollow.kernel import clocks
 from leadhollow.membership.control_feed import (
     LONGEST_FIRST_PAUSE_S,
     LONGEST_PAUSE_S,
     PAUSE_SPREAD,
     ControlFeed,
 )
-from leadhollow.kernel import clocks
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
