--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -18,6 +18,11 @@
 from leadhollow.cli.explain_command import ExplainCommand, ExplainDayCommand, ExplainTableCommand
 from leadhollow.cli.model_commands import ModelPublishCommand, ModelRolloutCommand
 from leadhollow.cli.output import print_failure
+from leadhollow.cli.quarantine_commands import (
+    QuarantineListCommand,
+    QuarantineReleaseCommand,
+    QuarantineShowCommand,
+)
 from leadhollow.cli.run_command import CheckCommand, RunCommand
 from leadhollow.cli.state_commands import (
     StateBackupCommand,
@@ -56,6 +61,9 @@
     ExplainDayCommand,
     ExplainTableCommand,
     ExperimentRunCommand,
+    QuarantineListCommand,
+    QuarantineShowCommand,
+    QuarantineReleaseCommand,
     StateVerifyCommand,
     StateBackupCommand,
     StateRestoreCommand,
--- /dev/null
+++ b/src/leadhollow/cli/quarantine_commands.py
@@ -0,0 +1,187 @@
+"""``leadhollow quarantine``: list, show and release."""
+
+from __future__ import annotations
+
+import getpass
+import os
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.option import Option
+from result import Err, Ok, Result
+
+from leadhollow.cli.loop import run_async
+from leadhollow.cli.output import print_failure, print_json, print_table, print_text
+from leadhollow.codes import Code
+from leadhollow.failure import Failure
+from leadhollow.wire.generated.ttypes import SuspectNews, SuspectQuery, SuspectRelease, Verdict
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.messages import Body
+from leadhollow.wire.peers import PeerPool
+
+CALL_TIMEOUT_MS = 2_000
+TOKEN_VARIABLE = "LEADHOLLOW_WIRE_TOKEN"
+DEFAULT_TOKEN = "leadhollow"  # as in the settings of a process that names none
+
+
+class _QuarantineCommand(Command):
+    """A command that asks a control replica."""
+
+    def ask(self, body: Body) -> Result[Body, Failure]:  # type: ignore[override]
+        """Send one call to the replica that the command names."""
+        address = self.argument("replica")
+        token = os.environ.get(TOKEN_VARIABLE, DEFAULT_TOKEN)
+
+        async def talk() -> Result[Body, Failure]:
+            peers = PeerPool(
+                vm=f"operator-{getpass.getuser()}",
+                failure_domain="",
+                token=token,
+                handlers=HandlerTable(),
+            )
+            try:
+                return await peers.call(address, body, timeout_ms=CALL_TIMEOUT_MS)
+            finally:
+                await peers.stop()
+
+        return run_async(talk())
+
+    def verdicts(self) -> Result[tuple[SuspectNews, list[Verdict]], Failure]:
+        """Give what the replica knows, and its verdicts."""
+        asked = self.ask(SuspectQuery(getpass.getuser()))
+        if asked.is_err():
+            return Err(asked.unwrap_err())
+        news: SuspectNews = asked.unwrap()
+        return Ok((news, list(news.verdicts or ())))
+
+
+def _replica_argument() -> object:
+    return argument("replica", "Address of a control replica's own port, HOST:PORT.")
+
+
+def _json_option() -> Option:
+    return option("json", None, "Print JSON.", flag=True)
+
+
+class QuarantineListCommand(_QuarantineCommand):
+    """Lists requests in quarantine."""
+
+    name = "quarantine list"
+    description = "List the requests that are sent to no server any more."
+    arguments = [_replica_argument()]  # type: ignore[list-item]  # noqa: RUF012
+    options = [  # noqa: RUF012
+        option("all", None, "Those that were released too.", flag=True),
+        _json_option(),
+    ]
+
+    def handle(self) -> int:
+        """Print one line a request."""
+        asked = self.verdicts()
+        if asked.is_err():
+            return print_failure(asked.unwrap_err())
+        _, verdicts = asked.unwrap()
+        shown = [found for found in verdicts if self.option("all") or not found.released]
+        if self.option("json"):
+            print_json([_document(found) for found in shown])
+            return 0
+        rows = [
+            (
+                found.fingerprint.hex(),
+                "released" if found.released else "held",
+                found.number,
+                round((found.age_ms or 0) / 1000),
+                len(found.lives or ()),
+            )
+            for found in shown
+        ]
+        print_table(("FINGERPRINT", "STATE", "TIMES", "SINCE_S", "SERVERS"), rows)
+        return 0
+
+
+class QuarantineShowCommand(_QuarantineCommand):
+    """Shows why a request is in quarantine."""
+
+    name = "quarantine show"
+    description = "Show the servers that ended under a request, and how many others ran there."
+    arguments = [  # noqa: RUF012
+        _replica_argument(),  # type: ignore[list-item]
+        argument("fingerprint", "Its first digits; log lines show twelve."),
+    ]
+    options = [_json_option()]  # noqa: RUF012
+
+    def handle(self) -> int:
+        """Print one line a server."""
+        found = self.found()
+        if found.is_err():
+            return print_failure(found.unwrap_err())
+        news, verdict = found.unwrap()
+        ends = {end.life: end for end in news.ends or ()}
+        rows = []
+        for life in verdict.lives or ():
+            end = ends.get(life)
+            others = "forgotten" if end is None else len(end.ran or ()) - 1
+            rows.append((life, others, "" if end is None else round(end.age_ms / 1000)))
+        if self.option("json"):
+            servers = [{"life": row[0], "others": row[1], "since_s": row[2]} for row in rows]
+            print_json({**_document(verdict), "servers": servers})
+        else:
+            print_text(f"{verdict.fingerprint.hex()} {'released' if verdict.released else 'held'}")
+            print_table(("SERVER", "OTHERS", "SINCE_S"), rows)
+        return 0
+
+    def found(self) -> Result[tuple[SuspectNews, Verdict], Failure]:
+        """Find the verdict whose fingerprint begins as the argument does."""
+        asked = self.verdicts()
+        if asked.is_err():
+            return Err(asked.unwrap_err())
+        news, verdicts = asked.unwrap()
+        return _the_one(self.argument("fingerprint"), verdicts).map(lambda found: (news, found))
+
+
+class QuarantineReleaseCommand(QuarantineShowCommand):
+    """Lets a request go."""
+
+    name = "quarantine release"
+    description = "Let a request be sent again, until three more servers end under it."
+    help = "The servers that ended under it speak against it no more. All entries know in a second."
+
+    def handle(self) -> int:
+        """Release the request."""
+        found = self.found()
+        if found.is_err():
+            return print_failure(found.unwrap_err())
+        _, verdict = found.unwrap()
+        released = self.ask(SuspectRelease(verdict.fingerprint, getpass.getuser()))
+        if released.is_err():
+            return print_failure(released.unwrap_err())
+        if self.option("json"):
+            print_json({**_document(verdict), "released": True})
+        else:
+            print_text(f"{verdict.fingerprint.hex()} is sent again.")
+        return 0
+
+
+def _the_one(text: str, verdicts: list[Verdict]) -> Result[Verdict, Failure]:
+    wanted = text.lower()
+    if not wanted or not all(letter in "0123456789abcdef" for letter in wanted):
+        return Err(Failure(code=Code.FINGERPRINT_INVALID, detail=text))
+    found = [verdict for verdict in verdicts if verdict.fingerprint.hex().startswith(wanted)]
+    if len(found) > 1:
+        detail = f"{len(found)} fingerprints begin with {text}"
+        return Err(Failure(code=Code.FINGERPRINT_INVALID, detail=detail))
+    if not found:
+        return Err(Failure(code=Code.FINGERPRINT_UNKNOWN, detail=text))
+    return Ok(found[0])
+
+
+def _document(verdict: Verdict) -> dict[str, object]:
+    return {
+        "fingerprint": verdict.fingerprint.hex(),
+        "released": bool(verdict.released),
+        "number": int(verdict.number),
+        "since_s": round((verdict.age_ms or 0) / 1000),
+        "lives": list(verdict.lives or ()),
+    }
+
+
+__all__ = ["QuarantineListCommand", "QuarantineReleaseCommand", "QuarantineShowCommand"]
--- a/src/leadhollow/control/suspect_relay.py
+++ b/src/leadhollow/control/suspect_relay.py
@@ -13,8 +13,9 @@
 from functools import partial
 from pathlib import Path
 
-from result import Result
+from result import Err, Ok, Result
 
+from leadhollow.codes import Code
 from leadhollow.control.verdict_file import load_verdicts, save_verdicts
 from leadhollow.decide.suspects import SETTLE_S, SuspectTable, Verdict
 from leadhollow.failure import Failure
@@ -23,7 +24,7 @@
 from leadhollow.observe.logs import get_logger
 from leadhollow.state.disk_thread import DiskThread
 from leadhollow.wire.connection import Connection
-from leadhollow.wire.generated.ttypes import SuspectNews
+from leadhollow.wire.generated.ttypes import Done, SuspectNews, SuspectQuery, SuspectRelease
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 
@@ -84,6 +85,8 @@
         self.table = SuspectTable(clock=asyncio.get_running_loop().time)
         super().__init__(gather_s=GATHER_S, refresh_s=REFRESH_S)
         handlers.on_oneway(SuspectNews, self._on_news)
+        handlers.on_call(SuspectQuery, self._on_query)
+        handlers.on_call(SuspectRelease, self._on_release)
 
     async def start(self) -> Result[None, Failure]:
         """Take in what was decided before a restart."""
@@ -104,7 +107,7 @@
         """Call a function with what is news here."""
         self._listeners.append(listener)
 
-    def release(self, fingerprint: bytes) -> Verdict | None:
+    def release(self, fingerprint: bytes, *, operator: str) -> Verdict | None:
         """Let a request go; None where it is not in quarantine."""
         lives = self.table.lives_of(fingerprint)
         released = self.table.release(fingerprint)
@@ -112,10 +115,28 @@
             changed = Changed()
             changed.lives = lives
             changed.fingerprints = {fingerprint}
-            log.info("request released", fingerprint=fingerprint.hex(), number=released.number)
+            log.info(
+                "request released",
+                fingerprint=fingerprint.hex(),
+                number=released.number,
+                operator=operator,
+            )
             self._note(changed)
         return released
 
+    async def _on_query(
+        self, query: SuspectQuery, connection: Connection
+    ) -> Result[SuspectNews, Failure]:
+        return Ok(self._news(everything(self.table)))
+
+    async def _on_release(
+        self, request: SuspectRelease, connection: Connection
+    ) -> Result[Done, Failure]:
+        fingerprint = request.fingerprint or b""
+        if self.release(fingerprint, operator=request.operator or "") is None:
+            return Err(Failure(code=Code.FINGERPRINT_UNKNOWN, detail=fingerprint.hex()))
+        return Ok(Done())
+
     def _on_news(self, news: SuspectNews, connection: Connection) -> None:
         taken = take_news(self.table, news, _now_s())
         if taken.is_err():
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -74,6 +74,8 @@
     86: ttypes.UseReport,
     87: ttypes.UseTotals,
     88: ttypes.SuspectNews,
+    92: ttypes.SuspectQuery,
+    93: ttypes.SuspectRelease,
     90: ttypes.PieceWatch,
     91: ttypes.PieceNews,
     94: ttypes.SliceRequest,
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -28,7 +28,8 @@
 class TestHelp:
     def test_lists_every_command(self):
         listed = run("--help") and run("list").stdout
-        for command in ("run", "check", "demo", "status", "table set", "model rollout", "drain"):
+        commands = ("run", "check", "demo", "status", "table set", "model rollout", "drain")
+        for command in (*commands, "quarantine list", "quarantine show", "quarantine release"):
             assert command in listed
 
     def test_of_a_command_says_what_it_does(self):
--- /dev/null
+++ b/tests/membership/test_suspect_news.py
@@ -0,0 +1,83 @@
+"""News of suspects from other processes: what is taken, what is refused, and how large it gets."""
+
+from __future__ import annotations
+
+import pytest
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import serialize
+
+from leadhollow.codes import Code
+from leadhollow.decide.suspects import RAN_KEPT, ServerEnd, SuspectTable, Verdict
+from leadhollow.membership.suspect_news import MOST_RECORDS, encode_news, everything, take_news
+from leadhollow.wire.generated.ttypes import ServerEnd as EndRecord
+from leadhollow.wire.generated.ttypes import SuspectNews
+from leadhollow.wire.generated.ttypes import Verdict as VerdictRecord
+
+NOW_S = 50.0
+GOOD = b"g" * 16
+BAD = b"b" * 16
+
+
+def a_table() -> SuspectTable:
+    return SuspectTable(clock=lambda: NOW_S)
+
+
+def a_full_table() -> SuspectTable:
+    table = a_table()
+    table.take_end(ServerEnd(life="i-1@1", ran=[GOOD, BAD], cleared=[GOOD], happened_s=NOW_S - 3))
+    table.take_end(ServerEnd(life="i-2@1", ran=[BAD], alive=True, happened_s=NOW_S - 2))
+    table.take_verdict(
+        Verdict(fingerprint=BAD, number=2, released=False, lives=("i-1@1",), since_s=NOW_S - 1)
+    )
+    return table
+
+
+class TestNews:
+    def test_of_a_whole_table_make_another_one_like_it(self):
+        told, other = a_full_table(), a_table()
+        news = encode_news(told, everything(told), NOW_S, address="one")
+        changed = take_news(other, news, NOW_S + 0.1).unwrap()
+        assert changed.lives == {"i-1@1", "i-2@1"}
+        assert changed.fingerprints == {BAD}
+        assert other.mark() == told.mark() == news.mark
+        assert other.holds(BAD)
+        end = other.end("i-1@1")
+        assert end is not None
+        assert end.happened_s == pytest.approx(NOW_S - 2.9)
+
+    def test_that_are_known_change_nothing(self):
+        told, other = a_full_table(), a_table()
+        news = encode_news(told, everything(told), NOW_S)
+        take_news(other, news, NOW_S)
+        assert not take_news(other, news, NOW_S).unwrap()
+
+    def test_of_one_end_under_sixteen_requests_take_half_a_kilobyte(self):
+        table = a_table()
+        ran = [bytes([number]) * 16 for number in range(16)]
+        table.take_end(ServerEnd(life="i-0123456789@1764736000000", ran=ran, happened_s=NOW_S))
+        news = encode_news(table, everything(table), NOW_S)
+        assert len(serialize(news, TCompactProtocolAcceleratedFactory())) < 400
+
+    @pytest.mark.parametrize(
+        "news",
+        [
+            SuspectNews("", 1, [EndRecord("i", [b"short"], [], 0, False)], []),
+            SuspectNews("", 1, [EndRecord("i", [GOOD], [b"x" * 17], 0, False)], []),
+            SuspectNews("", 1, [EndRecord("", [GOOD], [], 0, False)], []),
+            SuspectNews("", 1, [], [VerdictRecord(None, 1, False, [], 0)]),
+            SuspectNews("", 1, [], [VerdictRecord(GOOD, 1, False, [], 0)] * (MOST_RECORDS + 1)),
+            SuspectNews("", 1, [EndRecord("i", [GOOD] * (RAN_KEPT + 1), [], 0, False)], []),
+        ],
+        ids=["short", "long", "no life", "no request", "too many", "too many of one"],
+    )
+    def test_that_make_no_sense_are_refused_whole(self, news):
+        table = a_full_table()
+        before = table.mark()
+        news.verdicts = [*(news.verdicts or ()), VerdictRecord(GOOD, 9, False, [], 0)]
+        refused = take_news(table, news, NOW_S)
+        assert refused.unwrap_err().code is Code.FRAME_MALFORMED
+        assert table.mark() == before
+        assert not table.holds(GOOD)
+
+    def test_without_fields_say_nothing(self):
+        assert not take_news(a_table(), SuspectNews(), NOW_S).unwrap()
