--- a/src/leadhollow/control/suspect_relay.py
+++ b/src/leadhollow/control/suspect_relay.py
@@ -17,7 +17,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.control.verdict_file import load_verdicts, save_verdicts
-from leadhollow.decide.suspects import SETTLE_S, SuspectTable, Verdict
+from leadhollow.decide.suspects import SuspectTable, Verdict
 from leadhollow.failure import Failure
 from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.suspect_news import Changed, encode_news, everything, take_news
@@ -53,6 +53,7 @@
         "_changed",
         "_disk",
         "_folder",
+        "_judging",
         "_listeners",
         "_own_address",
         "_peers",
@@ -80,6 +81,7 @@
         self._saving: asyncio.Task[None] | None = None
         self._unsaved = False
         self._changed = Changed()
+        self._judging = False  # a judgement is to come
         self._whole_s: dict[str, float] = {}
         self._listeners: list[Callable[[Changed], None]] = []
         self.table = SuspectTable(clock=asyncio.get_running_loop().time)
@@ -146,12 +148,21 @@
         if changed:
             self._note(changed)
         if changed.lives:
-            loop = asyncio.get_running_loop()
-            loop.call_later(SETTLE_S + JUDGE_MARGIN_S, self._judge)
+            self._judge_later()
         if news.address and int(news.mark or 0) != self.table.mark():
             self._tell_everything(news.address)
 
+    def _judge_later(self) -> None:
+        """Judge once the newest end has settled, all that are told of until then together."""
+        if not self._judging:
+            self._judging = True
+            wait_s = self.table.settled_in_s() + JUDGE_MARGIN_S
+            asyncio.get_running_loop().call_later(wait_s, self._judge)
+
     def _judge(self) -> None:
+        self._judging = False
+        if self.table.settled_in_s() > 0:
+            self._judge_later()
         made = self.table.judge()
         for verdict in made:
             log.warning(
--- a/src/leadhollow/decide/suspects.py
+++ b/src/leadhollow/decide/suspects.py
@@ -22,9 +22,13 @@
 
 MASS_S = 0.05
 MASS_ENDS = 3
-"""Servers that end within that time, where they are as many and another one that did not run the
-request ends with them, have a common cause, such as the loss of a failure domain: they count as one
-end. Where all that ended ran it, copies of it came at once."""
+"""Ends have a cause in common, such as the loss of a failure domain, where as many other servers,
+which did not run the request, ended within that time: they count as one end together."""
+
+CHANCE_S = 10.0
+CHANCE_ENDS = 8
+"""Ends that nothing explains, so many within that time: then one more end is asked for, since being
+there three times becomes a matter of chance."""
 
 TIED_ENDS = 5
 """Ends from which requests that were always there together are all in quarantine. With fewer, the
@@ -126,13 +130,14 @@
         Gives the loop time.
     """
 
-    __slots__ = ("_clock", "_ends", "_ends_of", "_verdicts")
+    __slots__ = ("_clock", "_ends", "_ends_of", "_mark", "_verdicts")
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._ends: OrderedDict[str, ServerEnd] = OrderedDict()
         self._ends_of: dict[bytes, set[str]] = {}
         self._verdicts: OrderedDict[bytes, Verdict] = OrderedDict()
+        self._mark: int | None = None  # of what is known; None since something changed
 
     @property
     def empty(self) -> bool:
@@ -173,6 +178,7 @@
             known = ServerEnd(life=heard.life, happened_s=heard.happened_s)
             self._ends[heard.life] = known
             self._forget_beyond_bounds()
+        self._mark = None
         room = max(0, RAN_KEPT - len(known.ran))
         ran = set(sorted(heard.ran - known.ran)[:room])
         cleared = (heard.cleared & (known.ran | ran)) - known.cleared
@@ -195,6 +201,7 @@
         known = self._verdicts.get(heard.fingerprint)
         if known is not None and known.order >= heard.order:
             return False
+        self._mark = None
         self._verdicts[heard.fingerprint] = heard
         self._verdicts.move_to_end(heard.fingerprint)
         self._forget_beyond_bounds()
@@ -205,6 +212,7 @@
     def clear(self, fingerprint: bytes) -> set[str]:
         """Take a request's good end for proof that it ended no server; gives the lives."""
         lives = self.lives_of(fingerprint)
+        self._mark = None
         for life in lives:
             self._ends[life].cleared.add(fingerprint)
             self._take_back(fingerprint, life)
@@ -242,6 +250,16 @@
 
     def mark(self) -> int:
         """Give a number that two tables share where they say the same; 0 where that is unknown."""
+        if self._mark is None:
+            self._mark = self._make_mark()
+        return self._mark
+
+    def settled_in_s(self) -> float:
+        """Give the time until the newest end may be judged; 0 where all may."""
+        newest_s = max((end.happened_s for end in self._ends.values()), default=float("-inf"))
+        return max(0.0, newest_s + SETTLE_S - self._clock())
+
+    def _make_mark(self) -> int:
         if self.empty or len(self._ends) >= ENDS_KEPT or len(self._verdicts) >= VERDICTS_KEPT:
             return 0
         total = 0
@@ -255,8 +273,12 @@
     def _cause(self) -> list[tuple[bytes, list[ServerEnd]]] | None:
         """Find the request that explains most ends; several where nothing tells them apart."""
         open_ends = self._open_ends()
-        found = [(self._strength(ends), request, ends) for request, ends in open_ends.items()]
-        found = [one for one in found if one[0][0] >= ENDS_TO_QUARANTINE]
+        found = [
+            (self._strength(ends), request, ends)
+            for request, ends in open_ends.items()
+            if len(ends) >= ENDS_TO_QUARANTINE
+        ]
+        found = [one for one in found if one[0][0] >= self._needed(one[2])]
         if not found:
             return None
         found.sort(key=lambda one: (one[0], one[1]), reverse=True)
@@ -277,7 +299,7 @@
         found: dict[bytes, list[ServerEnd]] = {}
         for end in self._ends.values():
             suspects = end.suspects
-            if end.happened_s > settled_s or any(self.holds(request) for request in suspects):
+            if end.happened_s > settled_s or self._explained(end):
                 continue
             for request in suspects:
                 found.setdefault(request, []).append(end)
@@ -286,16 +308,27 @@
     def _strength(self, ends: list[ServerEnd]) -> tuple[int, float]:
         """Give how many ends speak against a request, and how few others were there."""
         alone = sum(1 / len(end.suspects) for end in ends)
-        return self._moments(ends), round(alone, 6)
+        others_s = self._others_s(ends)
+        common = sum(1 for end in ends if _has_a_common_cause(end, others_s))
+        return len(ends) - common + min(1, common), round(alone, 6)
 
-    def _moments(self, ends: list[ServerEnd]) -> int:
-        """Count ends, those of servers that ended together for a common cause as one."""
+    def _others_s(self, ends: list[ServerEnd]) -> list[float]:
+        """Give when servers ended that did not run a request, and that nothing explains."""
         lives = {end.life for end in ends}
-        others_s = [
-            end.happened_s for end in self._ends.values() if end.life not in lives and not end.alive
+        return [
+            end.happened_s
+            for end in self._ends.values()
+            if end.life not in lives and not end.alive and not self._explained(end)
         ]
-        groups = _groups([end.happened_s for end in ends])
-        return sum(1 if _common(group, others_s) else len(group) for group in groups)
+
+    def _explained(self, end: ServerEnd) -> bool:
+        return any(self.holds(request) for request in end.suspects)
+
+    def _needed(self, ends: list[ServerEnd]) -> int:
+        """Give how many ends it takes now."""
+        oldest_s = self._clock() - CHANCE_S
+        others = sum(1 for happened_s in self._others_s(ends) if happened_s > oldest_s)
+        return ENDS_TO_QUARANTINE + (1 if others >= CHANCE_ENDS else 0)
 
     def _put_in_quarantine(self, fingerprint: bytes, ends: list[ServerEnd]) -> Verdict:
         known = self._verdicts.get(fingerprint)
@@ -347,8 +380,10 @@
             self._forget_end(next(iter(self._ends)))
         while len(self._verdicts) > VERDICTS_KEPT:
             self._verdicts.popitem(last=False)
+            self._mark = None
 
     def _forget_end(self, life: str) -> None:
+        self._mark = None
         for fingerprint in self._ends.pop(life).ran:
             lives = self._ends_of.get(fingerprint)
             if lives is not None:
@@ -357,21 +392,10 @@
                     del self._ends_of[fingerprint]
 
 
-def _groups(times_s: list[float]) -> list[list[float]]:
-    """Part times where there is a pause."""
-    groups: list[list[float]] = []
-    for happened_s in sorted(times_s):
-        if groups and happened_s - groups[-1][-1] <= MASS_S:
-            groups[-1].append(happened_s)
-        else:
-            groups.append([happened_s])
-    return groups
-
-
-def _common(group: list[float], others_s: list[float]) -> bool:
-    """Tell whether others ended with as many that ended together."""
-    first_s, last_s = group[0] - MASS_S, group[-1] + MASS_S
-    return len(group) >= MASS_ENDS and any(first_s <= other_s <= last_s for other_s in others_s)
+def _has_a_common_cause(end: ServerEnd, others_s: list[float]) -> bool:
+    """Tell whether so many others ended in the same moment that one thing ended all of them."""
+    near = [other_s for other_s in others_s if abs(other_s - end.happened_s) <= MASS_S]
+    return len(near) >= MASS_ENDS
 
 
 __all__ = [
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -27,23 +27,16 @@
         What all entries together know.
     """
 
-    __slots__ = ("_running", "refused", "table")
+    __slots__ = ("_running", "table")
 
     def __init__(self, *, table: SuspectTable) -> None:
         self.table = table
-        self.refused = 0
         self._running: dict[bytes, dict[ForwardedCall, asyncio.Timeout]] = {}
 
     def holds(self, call: ForwardedCall) -> bool:
         """Tell whether a request must not be sent."""
         return self.table.holds(call.fingerprint)
 
-    def refuses(self, call: ForwardedCall) -> bool:
-        """Tell whether a call that has just come must not be sent, and count it."""
-        held = self.table.holds(call.fingerprint)
-        self.refused += held
-        return held
-
     async def wait_for_verdict(self, call: ForwardedCall) -> None:
         """Let a call wait that may have ended its third server just now, before it is sent again.
 
--- a/src/leadhollow/forward/service.py
+++ b/src/leadhollow/forward/service.py
@@ -129,7 +129,7 @@
             await self._refuse(request, reply, checked.unwrap_err())
             return
         call = checked.unwrap()
-        if self._suspects.quarantine.refuses(call):
+        if self._suspects.quarantine.holds(call):
             await self._ending.quarantined(call)
             return
         service = self._routes.services.get(call.service)
