Suspend hosts in the model of a configuration's way, and end connections accepted while a process stops

A connection is accepted in the turn of the loop in which the process begins to stop; its task had not begun when all connections were closed, so it was served for ever and the process did not end. Change: a listener that has stopped closes what its tasks come with later. The model: hosts whose steady clock stands still, by the context that runs; a disk lost while all others lose power; what a host believes as it wakes, and that no two replicas lead.

--- a/src/leadhollow/wire/server.py
+++ b/src/leadhollow/wire/server.py
@@ -26,13 +26,14 @@
 class WireServer:
     """Accepts peers, checks their greeting and serves their calls."""
 
-    __slots__ = ("_connections", "_handlers", "_server", "_tasks", "_token", "address")
+    __slots__ = ("_connections", "_handlers", "_server", "_stopped", "_tasks", "_token", "address")
 
     def __init__(self, *, address: Address, token: str, handlers: HandlerTable) -> None:
         self.address = address
         self._token = token
         self._handlers = handlers
         self._server: asyncio.Server | None = None
+        self._stopped = False
         self._connections: set[Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -49,7 +50,8 @@
         return Ok(None)
 
     async def stop(self) -> None:
-        """Close the listener and every connection."""
+        """Close the listener and every connection, also one that was accepted just now."""
+        self._stopped = True
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
@@ -69,6 +71,9 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = Connection(reader=reader, writer=writer, handlers=self._handlers)
+        if self._stopped:
+            connection.close()  # its task had not begun when the others were closed
+            return
         self._connections.add(connection)
         try:
             greeted = await self._greet(connection)
--- a/tests/config_path/__main__.py
+++ b/tests/config_path/__main__.py
@@ -5,19 +5,20 @@
 import argparse
 import sys
 import traceback
+from functools import partial
 from multiprocessing import Pool
 
 from absl import logging as absl_logging
 
-from tests.config_path.mutants import MUTANTS
+from tests.config_path.mutants import CLOCK_MUTANTS, MUTANTS
 from tests.config_path.scenario import drawn, play
 
 
-def run_one(number: int) -> tuple[int, list[str]]:
+def run_one(number: int, *, suspends: bool = False) -> tuple[int, list[str]]:
     """Play one run; an error of the model counts as found."""
     absl_logging.set_verbosity(absl_logging.FATAL)
     try:
-        return number, play(*drawn(number))
+        return number, play(*drawn(number, suspends=suspends), suspends=suspends)
     except Exception:
         return number, [traceback.format_exc(limit=3)]
 
@@ -25,8 +26,8 @@
 def find(name: str, most: int) -> tuple[str, int | None, str]:
     """Play runs with a planted fault until one shows it."""
     for number in range(most):
-        with MUTANTS[name]():
-            _, broken = run_one(number)
+        with {**MUTANTS, **CLOCK_MUTANTS}[name]():
+            _, broken = run_one(number, suspends=name in CLOCK_MUTANTS)
         if broken:
             return name, number + 1, broken[0].strip().splitlines()[-1]
     return name, None, ""
@@ -39,17 +40,23 @@
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--mutants", action="store_true")
+    parser.add_argument("--suspends", action="store_true")
     given = parser.parse_args()
     with Pool(given.jobs) as pool:
         if given.mutants:
-            work = [pool.apply_async(find, (name, given.examples)) for name in MUTANTS]
+            work = [
+                pool.apply_async(find, (name, given.examples))
+                for name in (*MUTANTS, *CLOCK_MUTANTS)
+            ]
             found = [each.get() for each in work]
             for name, examples, shown in found:
                 print(f"{name}: {examples or 'not found'}  {shown}")
             return 0 if all(examples for _, examples, _ in found) else 1
         failed = 0
         numbers = range(given.first, given.first + given.examples)
-        for number, broken in pool.imap_unordered(run_one, numbers, chunksize=4):
+        for number, broken in pool.imap_unordered(
+            partial(run_one, suspends=given.suspends), numbers, chunksize=4
+        ):
             if broken:
                 failed += 1
                 print(f"run {number}: {broken}", flush=True)
--- a/tests/config_path/mutants.py
+++ b/tests/config_path/mutants.py
@@ -2,17 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
-from contextlib import AbstractContextManager
+from contextlib import AbstractContextManager, ExitStack
+from types import SimpleNamespace
 from unittest import mock
 
 from result import Ok
 
-from leadhollow.control import replica_service
+from leadhollow.control import confirmation, replica_service
 from leadhollow.control.feed_server import FeedServer
+from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.platform import control as platform_control
 from leadhollow.routing.index import RouteIndex
-from leadhollow.state import following, leadership, machine, route_tables
+from leadhollow.state import (
+    election,
+    following,
+    leadership,
+    machine,
+    replica,
+    replica_state,
+    route_tables,
+)
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.gateway import LeaderGateway
 from leadhollow.state.log_store import LogStore
@@ -146,6 +157,26 @@
     return mock.patch.object(LeaderGateway, "propose", hopeful)
 
 
+def steady_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def lead_by_the_steady_clock() -> AbstractContextManager[object]:
+    stack = ExitStack()
+    for module in (election, following, leadership, replica, replica_state):
+        if hasattr(module, "now_s"):
+            stack.enter_context(mock.patch.object(module, "now_s", steady_s))
+    return stack
+
+
+def confirmation_by_the_steady_clock() -> AbstractContextManager[object]:
+    return mock.patch.object(confirmation, "clocks", SimpleNamespace(elapsed_s=steady_s))
+
+
+def versions_age_by_the_steady_clock() -> AbstractContextManager[object]:
+    return mock.patch.object(NamingTimes, "_elapsed_s", lambda self: self._clock())
+
+
 MUTANTS: dict[str, Patch] = {
     made.__name__.replace("_", " "): made
     for made in (
@@ -168,4 +199,14 @@
     )
 }
 
-__all__ = ["MUTANTS"]
+CLOCK_MUTANTS: dict[str, Patch] = {
+    made.__name__.replace("_", " "): made
+    for made in (
+        lead_by_the_steady_clock,
+        confirmation_by_the_steady_clock,
+        versions_age_by_the_steady_clock,
+    )
+}
+"""Found in runs with suspended hosts only."""
+
+__all__ = ["CLOCK_MUTANTS", "MUTANTS"]
--- a/tests/config_path/network.py
+++ b/tests/config_path/network.py
@@ -56,7 +56,7 @@
             data = self.waiting.popleft()
             if data is None:
                 self.reader.feed_eof()
-            elif not self.reader.at_eof():
+            elif not self.reader._eof:
                 self.reader.feed_data(data)
 
 
--- a/tests/config_path/scenario.py
+++ b/tests/config_path/scenario.py
@@ -40,6 +40,15 @@
 )
 """What may happen, one after the other, and what may be given; operators go on beside it."""
 
+SUSPENDED_STEPS = (
+    *STEPS,
+    ("suspend", (HOSTS, (0.3, 2.0, 6.0))),
+    ("suspend", (CONTROLS, (1.0, 3.0, 8.0))),
+    ("suspend leader", ((0.7, 2.0, 6.0), (False, True))),
+    ("power of all others", (CONTROLS,)),
+)
+"""The same, with machines that stand still and with disks lost while all others lose power."""
+
 LONGEST = 24  # steps of a run
 
 steps = st.one_of(
@@ -52,12 +61,12 @@
 runs = st.tuples(st.integers(0, 2**16), st.lists(steps, min_size=4, max_size=LONGEST))
 
 
-def drawn(number: int) -> tuple[int, list[Step]]:
+def drawn(number: int, *, suspends: bool = False) -> tuple[int, list[Step]]:
     """Draw a run by its number, for those that are counted and not made smaller."""
     chance = random.Random(number)
     taken: list[Step] = []
     for _ in range(chance.randint(4, LONGEST)):
-        name, given = chance.choice(STEPS)
+        name, given = chance.choice(SUSPENDED_STEPS if suspends else STEPS)
         taken.append((name, *(chance.choice(list(choices)) for choices in given)))
     return number, taken
 
@@ -224,6 +233,38 @@
         self.site.wait(1.0)
         self.site.network.heal()
 
+    def do_suspend(self, host: str, span_s: float) -> None:
+        self.site.suspend(host, span_s)
+
+    def do_suspend_leader(self, span_s: float, after_change: bool) -> None:
+        """Suspend the leader, perhaps between its write and its answer."""
+        leader = self.site.leader()
+        if leader is None:
+            return
+        if after_change:
+            self.change(1, removes=False, to=leader)
+            self.site.wait(self.site.random.choice((0.001, 0.002, 0.003, 0.005, 0.01)))
+        self.site.suspend(leader, span_s)
+        self.site.wait(1.2)
+        self.do_read(self.site.random.choice(CONTROLS))
+
+    def do_power_of_all_others(self, lost: str) -> None:
+        """In the moment of an acknowledgement one disk goes, and all other machines' power."""
+        leader = self.site.leader()
+        if leader is None or not self.site.whole():
+            return
+        self.change(1, removes=False, to=leader)
+        for _ in range(500):
+            if self.site.record.newest_acknowledged() >= self.number:
+                break
+            self.site.wait(0.001)
+        for host in HOSTS:
+            self.site.run(self.site.kill(host, power=True))
+        self.site.disks.wipe(lost)
+        self.site.wait(DOWN_S)
+        for host in HOSTS:
+            self._start(host)
+
     def do_wait(self, span_s: float) -> None:
         self.site.wait(span_s)
 
@@ -254,9 +295,9 @@
             site.run(site.read(host))
 
 
-def play(seed: int, taken: Sequence[Step]) -> list[str]:
+def play(seed: int, taken: Sequence[Step], *, suspends: bool = False) -> list[str]:
     """Run steps; gives what was seen and must not be."""
-    with Site(seed=seed) as site:
+    with Site(seed=seed, suspends=suspends) as site:
         scenario = Scenario(site)
         scenario.begin()
         for step in taken:
@@ -267,4 +308,4 @@
         return site.record.broken
 
 
-__all__ = ["Scenario", "Step", "drawn", "play", "runs"]
+__all__ = ["SUSPENDED_STEPS", "Scenario", "Step", "drawn", "play", "runs"]
--- a/tests/config_path/site.py
+++ b/tests/config_path/site.py
@@ -15,11 +15,16 @@
 from unittest import mock
 
 from leadhollow.control.calls import ReadTable
+from leadhollow.control.confirmation import Confirmation
 from leadhollow.control.operators import ControlListener
 from leadhollow.control.registry import Registry
 from leadhollow.control.replica_service import ReplicaService
+from leadhollow.control.version_ages import VersionAges
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
+from leadhollow.kernel import clocks
+from leadhollow.membership.control_feed import ControlFeed
+from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.node.entry_role import Dispatching
 from leadhollow.node.process import NodeProcess
 from leadhollow.platform.serve import platform_dialects
@@ -29,6 +34,7 @@
 from tests.config_path.disk import Disks
 from tests.config_path.network import Network, here
 from tests.config_path.record import Document, Record
+from tests.config_path.suspending_loop import SuspendingLoop
 from tests.config_path.virtual_loop import VirtualLoop
 
 PORT = 7_000
@@ -44,8 +50,8 @@
 class Site:
     """One system. Everything random in it follows from the seed."""
 
-    def __init__(self, *, seed: int) -> None:
-        self.loop = VirtualLoop()
+    def __init__(self, *, seed: int, suspends: bool = False) -> None:
+        self.loop = SuspendingLoop() if suspends else VirtualLoop()
         self.random = random.Random(seed)
         self.network = Network(loop=self.loop, seed=seed)
         self._folder = tempfile.TemporaryDirectory(prefix="config-path-")
@@ -63,6 +69,12 @@
             mock.patch.object(os, "replace", self.disks.replace),
             mock.patch.object(secrets, "token_hex", self._name),
         ]
+        if isinstance(self.loop, SuspendingLoop):
+            self.loop.on_wake = self._on_wake
+            self._patches += [
+                mock.patch.object(clocks, "suspended_s", self._suspended_s),
+                mock.patch.dict(NamingTimes.__init__.__kwdefaults__, suspended=self._suspended_s),
+            ]
 
     def __enter__(self) -> Site:
         for patch in self._patches:
@@ -126,6 +138,8 @@
             self.record.refused_start(host, str(started.unwrap_err()))
             return False
         self.processes[host] = process
+        if isinstance(self.loop, SuspendingLoop):
+            naming_times(process).note("m", 1)  # a version whose age is looked at
         if settings.role is NodeRole.CONTROL:
             service = process.kernel.get("replica", ReplicaService)
             self._listeners[host] = ControlListener(
@@ -139,6 +153,7 @@
 
     async def kill(self, host: str, *, power: bool = False) -> None:
         """End a process at once; with the power goes what its disk had not synced."""
+        self._wake(host)
         process = self.processes.pop(host, None)
         self._listeners.pop(host, None)
         if power and host in CONTROLS:
@@ -149,6 +164,45 @@
         if power and host in CONTROLS:
             self.disks.lose_power(host)
 
+    # suspensions
+
+    def suspend(self, host: str, span_s: float) -> None:
+        """Let a host stand still, its steady clock too."""
+        assert isinstance(self.loop, SuspendingLoop)
+        if host in self.processes and not self.loop.suspended(host):
+            self.loop.suspend(host, span_s)
+
+    def _wake(self, host: str) -> None:
+        if isinstance(self.loop, SuspendingLoop):
+            self.loop.wake(host)
+
+    def _suspended_s(self) -> float:
+        assert isinstance(self.loop, SuspendingLoop)
+        return self.loop.slept_s.get(here.get(), 0.0)
+
+    def _on_wake(self, host: str, span_s: float) -> None:
+        """See what a host believes in the moment in which it goes on."""
+        if host in self.processes:
+            context = self._contexts[host].copy()
+            for what in context.run(believed_too_long, self.processes[host], span_s):
+                self.record.break_rule(f"{host} was suspended for {span_s:.1f} s: {what}")
+        self.check_leaders()
+
+    def check_leaders(self) -> None:
+        """See that no two replicas believe in a lead at once."""
+        leading = [
+            host
+            for host in CONTROLS
+            if host in self.processes
+            and not (isinstance(self.loop, SuspendingLoop) and self.loop.suspended(host))
+            and self._contexts[host].copy().run(self._leads, host)
+        ]
+        if len(leading) > 1:
+            self.record.break_rule(f"{leading} lead at once")
+
+    def _leads(self, host: str) -> bool:
+        return self.processes[host].kernel.get("replica", ReplicaService).replica.ready()
+
     async def _start_all(self) -> None:
         for host in (*CONTROLS, *ENTRIES):
             await self.start(host, first_start=True)
@@ -219,6 +273,7 @@
     async def _sample(self) -> None:
         while True:
             self.look()
+            self.check_leaders()
             await asyncio.sleep(SAMPLE_S)
 
     def look(self) -> None:
@@ -234,6 +289,8 @@
         self.record.lost_answers = 0.0
 
         async def work() -> None:
+            for host in (*CONTROLS, *ENTRIES):
+                self._wake(host)
             for host in (*CONTROLS, *ENTRIES):
                 if host not in self.processes:
                     await self.start(host)
@@ -294,6 +351,26 @@
         return f"{self._names:0{2 * count}x}"
 
 
+def naming_times(process: NodeProcess) -> NamingTimes:
+    """Give when versions were named, as a process knows it."""
+    if process.settings.role is NodeRole.CONTROL:
+        return process.kernel.get("version-ages", VersionAges).times
+    return process.kernel.get("feed", ControlFeed).naming_times
+
+
+def believed_too_long(process: NodeProcess, span_s: float) -> list[str]:
+    """Give what a process believes for longer than others, by the clocks that it has."""
+    found = []
+    if process.settings.role is NodeRole.CONTROL:
+        age_ms = process.kernel.get("confirmation", Confirmation).age_ms()
+        if 0 <= age_ms < span_s * 1000:
+            found.append(f"a confirmation of {age_ms} ms ago")
+    for age in naming_times(process).ages():
+        if age.age_ms < span_s * 1000:
+            found.append(f"a version was named {age.age_ms} ms ago")
+    return found
+
+
 Check = Callable[[], Awaitable[None]]
 
 __all__ = ["CONTROLS", "ENTRIES", "SNAPSHOT_ENTRIES", "Site"]
--- a/tests/config_path/test_config_path.py
+++ b/tests/config_path/test_config_path.py
@@ -16,9 +16,12 @@
 from absl import logging as absl_logging
 from hypothesis import HealthCheck, given, settings
 
+from tests.config_path.mutants import CLOCK_MUTANTS
 from tests.config_path.scenario import Step, drawn, play, runs
 
 EXAMPLES = 60
+SUSPENDED_RUNS = range(24)  # run 9 showed a process that never ended
+MOST_TO_FIND = 12
 
 REGRESSIONS: list[tuple[int, list[Step]]] = [
     (1, [("restart", "10.0.0.1", True), ("change", 1, False), ("wait", 1.5)]),
@@ -55,6 +58,20 @@
         """Seen in a drawn run: a replica that applied a change of voters holds the old set."""
         assert play(*drawn(3_728)) == []
 
+    @pytest.mark.parametrize("number", SUSPENDED_RUNS)
+    def test_keeps_its_promises_while_machines_are_suspended(self, number):
+        assert play(*drawn(number, suspends=True), suspends=True) == []
+
+    @pytest.mark.parametrize("name", sorted(CLOCK_MUTANTS))
+    def test_finds_a_clock_that_stands_still(self, name):
+        found = []
+        for number in range(MOST_TO_FIND):
+            with CLOCK_MUTANTS[name]():
+                found = play(*drawn(number, suspends=True), suspends=True)
+            if found:
+                break
+        assert found
+
     @pytest.mark.parametrize(("seed", "taken"), REGRESSIONS)
     def test_keeps_them_in_runs_that_reach_far(self, seed, taken):
         assert play(seed, taken) == []
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import struct
 
 import pytest
@@ -180,3 +181,18 @@
 
         asyncio.run(run())
         assert not faults
+
+
+class TestStop:
+    async def test_ends_a_connection_that_was_accepted_just_now(self):
+        """Seen in a drawn run with suspended hosts: its task had not begun when all were closed."""
+        handlers = HandlerTable()
+        listen = Address(host="127.0.0.1", port=0)
+        server = WireServer(address=listen, token=TOKEN, handlers=handlers)
+        assert (await server.start()).is_ok()
+        ours, theirs = socket.socketpair()
+        reader, writer = await asyncio.open_connection(sock=ours)
+        stopping = asyncio.create_task(server.stop())
+        server._accepted(reader, writer)
+        await asyncio.wait_for(stopping, 2)
+        theirs.close()
