Split what is known of ends, how they are judged, and the table that keeps it

Change: decide/ server_ends.py, judging.py, suspects.py; the strongest case that is not tied goes first; neighbours are left out for a second only.

--- a/src/leadhollow/control/suspect_relay.py
+++ b/src/leadhollow/control/suspect_relay.py
@@ -17,7 +17,8 @@
 
 from leadhollow.codes import Code
 from leadhollow.control.verdict_file import load_verdicts, save_verdicts
-from leadhollow.decide.suspects import SuspectTable, Verdict
+from leadhollow.decide.server_ends import Verdict
+from leadhollow.decide.suspects import SuspectTable
 from leadhollow.failure import Failure
 from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.suspect_news import Changed, encode_news, everything, take_news
--- a/src/leadhollow/control/verdict_file.py
+++ b/src/leadhollow/control/verdict_file.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Result
 
-from leadhollow.decide.suspects import Verdict
+from leadhollow.decide.server_ends import Verdict
 from leadhollow.failure import Failure
 from leadhollow.observe.logs import get_logger
 from leadhollow.state.files import read_file, replace_file
--- a/src/leadhollow/decide/suspects.py
+++ b/src/leadhollow/decide/suspects.py
@@ -9,30 +9,11 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from zlib import crc32
 
-ENDS_TO_QUARANTINE = 3
-"""Ends of servers under a request that has ended well nowhere. Two are a matter of chance: of 4,767
-requests of a day with trouble 14 were broken off twice, none three times."""
-
-SETTLE_S = 0.06
-"""Until an end is judged: all entries that had requests there tell so first. A way between regions,
-two tries to connect and the gathering of news take half of it."""
-
-MASS_S = 0.05
-MASS_ENDS = 3
-"""Ends have a cause in common, such as the loss of a failure domain, where as many other servers,
-which did not run the request, ended within that time: they count as one end together."""
-
-CHANCE_S = 10.0
-CHANCE_ENDS = 8
-"""Ends that nothing explains, so many within that time: then one more end is asked for, since being
-there three times becomes a matter of chance."""
-
-TIED_ENDS = 5
-"""Ends from which requests that were always there together are all in quarantine. With fewer, the
-next end is waited for: who rides along by chance is not there again."""
+from leadhollow.decide.judging import SETTLE_S, find_cause
+from leadhollow.decide.server_ends import ServerEnd, Verdict
 
 ENDS_KEPT = 256
 RAN_KEPT = 256  # requests of one end; a batch of an engine has 64 at most
@@ -43,84 +24,6 @@
 """A request that comes again more rarely than that ends one server each time, for good."""
 
 
-class ServerEnd:
-    """A life of a backend server that ended while it ran requests.
-
-    Parameters
-    ----------
-    life
-        Names the life.
-    ran
-        Fingerprints of requests that ran there.
-    cleared
-        Those of them that ended well elsewhere, before or since.
-    alive
-        Whether it answered afterwards, so that only the way there was cut.
-    happened_s
-        When, by the clock of this process.
-    """
-
-    __slots__ = ("alive", "cleared", "happened_s", "life", "ran")
-
-    def __init__(
-        self,
-        *,
-        life: str,
-        ran: Iterable[bytes] = (),
-        cleared: Iterable[bytes] = (),
-        alive: bool = False,
-        happened_s: float,
-    ) -> None:
-        self.life = life
-        self.ran = set(ran)
-        self.cleared = set(cleared)
-        self.alive = alive
-        self.happened_s = happened_s
-
-    @property
-    def suspects(self) -> set[bytes]:
-        """Requests that may have been the cause."""
-        return set() if self.alive else self.ran - self.cleared
-
-
-class Verdict:
-    """What was decided on a request.
-
-    Parameters
-    ----------
-    number
-        Counts up each time that the request is put in quarantine.
-    released
-        Whether it was let go after that.
-    lives
-        Ends by which it was judged.
-    since_s
-        When, by the clock of this process.
-    """
-
-    __slots__ = ("fingerprint", "lives", "number", "released", "since_s")
-
-    def __init__(
-        self,
-        *,
-        fingerprint: bytes,
-        number: int,
-        released: bool,
-        lives: tuple[str, ...],
-        since_s: float,
-    ) -> None:
-        self.fingerprint = fingerprint
-        self.number = number
-        self.released = released
-        self.lives = lives
-        self.since_s = since_s
-
-    @property
-    def order(self) -> tuple[int, bool]:
-        """Which of two verdicts on a request holds: the higher one."""
-        return self.number, self.released
-
-
 class SuspectTable:
     """All that is known of servers that ended and of the requests that ran there.
 
@@ -236,9 +139,8 @@
     def judge(self) -> list[Verdict]:
         """Put in quarantine whoever is to be, and give the verdicts."""
         made: list[Verdict] = []
-        while (found := self._cause()) is not None:
-            for fingerprint, ends in found:
-                made.append(self._put_in_quarantine(fingerprint, ends))
+        while found := find_cause(self._ends.values(), holds=self.holds, now_s=self._clock()):
+            made += [self._put_in_quarantine(fingerprint, ends) for fingerprint, ends in found]
         return made
 
     def forget_old(self) -> None:
@@ -270,66 +172,6 @@
             total ^= crc32(verdict.fingerprint + repr(verdict.order).encode())
         return total or 1
 
-    def _cause(self) -> list[tuple[bytes, list[ServerEnd]]] | None:
-        """Find the request that explains most ends; several where nothing tells them apart."""
-        open_ends = self._open_ends()
-        found = [
-            (self._strength(ends), request, ends)
-            for request, ends in open_ends.items()
-            if len(ends) >= ENDS_TO_QUARANTINE
-        ]
-        found = [one for one in found if one[0][0] >= self._needed(one[2])]
-        if not found:
-            return None
-        found.sort(key=lambda one: (one[0], one[1]), reverse=True)
-        strength, _, ends = found[0]
-        lives = {end.life for end in ends}
-        tied = [
-            (request, others)
-            for strong, request, others in found
-            if strong == strength and not lives.isdisjoint(end.life for end in others)
-        ]
-        if len(tied) > 1 and strength[0] < TIED_ENDS:
-            return None
-        return tied
-
-    def _open_ends(self) -> dict[bytes, list[ServerEnd]]:
-        """Give the ends that have no known cause yet, by the requests that were there."""
-        settled_s = self._clock() - SETTLE_S
-        found: dict[bytes, list[ServerEnd]] = {}
-        for end in self._ends.values():
-            suspects = end.suspects
-            if end.happened_s > settled_s or self._explained(end):
-                continue
-            for request in suspects:
-                found.setdefault(request, []).append(end)
-        return found
-
-    def _strength(self, ends: list[ServerEnd]) -> tuple[int, float]:
-        """Give how many ends speak against a request, and how few others were there."""
-        alone = sum(1 / len(end.suspects) for end in ends)
-        others_s = self._others_s(ends)
-        common = sum(1 for end in ends if _has_a_common_cause(end, others_s))
-        return len(ends) - common + min(1, common), round(alone, 6)
-
-    def _others_s(self, ends: list[ServerEnd]) -> list[float]:
-        """Give when servers ended that did not run a request, and that nothing explains."""
-        lives = {end.life for end in ends}
-        return [
-            end.happened_s
-            for end in self._ends.values()
-            if end.life not in lives and not end.alive and not self._explained(end)
-        ]
-
-    def _explained(self, end: ServerEnd) -> bool:
-        return any(self.holds(request) for request in end.suspects)
-
-    def _needed(self, ends: list[ServerEnd]) -> int:
-        """Give how many ends it takes now."""
-        oldest_s = self._clock() - CHANCE_S
-        others = sum(1 for happened_s in self._others_s(ends) if happened_s > oldest_s)
-        return ENDS_TO_QUARANTINE + (1 if others >= CHANCE_ENDS else 0)
-
     def _put_in_quarantine(self, fingerprint: bytes, ends: list[ServerEnd]) -> Verdict:
         known = self._verdicts.get(fingerprint)
         verdict = Verdict(
@@ -392,21 +234,4 @@
                     del self._ends_of[fingerprint]
 
 
-def _has_a_common_cause(end: ServerEnd, others_s: list[float]) -> bool:
-    """Tell whether so many others ended in the same moment that one thing ended all of them."""
-    near = [other_s for other_s in others_s if abs(other_s - end.happened_s) <= MASS_S]
-    return len(near) >= MASS_ENDS
-
-
-__all__ = [
-    "ENDS_KEPT",
-    "ENDS_TO_QUARANTINE",
-    "END_VALID_S",
-    "RAN_KEPT",
-    "SETTLE_S",
-    "TIED_ENDS",
-    "VERDICTS_KEPT",
-    "ServerEnd",
-    "SuspectTable",
-    "Verdict",
-]
+__all__ = ["ENDS_KEPT", "END_VALID_S", "RAN_KEPT", "VERDICTS_KEPT", "SuspectTable"]
--- a/src/leadhollow/experiment/crashes.py
+++ b/src/leadhollow/experiment/crashes.py
@@ -13,7 +13,9 @@
 
 import msgspec
 
-from leadhollow.decide.suspects import SETTLE_S, ServerEnd, SuspectTable
+from leadhollow.decide.judging import SETTLE_S
+from leadhollow.decide.server_ends import ServerEnd
+from leadhollow.decide.suspects import SuspectTable
 from leadhollow.experiment.clock import Clock
 from leadhollow.forward.good_ends import GoodEnds
 
--- a/src/leadhollow/forward/end_watch.py
+++ b/src/leadhollow/forward/end_watch.py
@@ -14,7 +14,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.decide.server import Server
-from leadhollow.decide.suspects import ServerEnd
+from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.fingerprint import shown
 from leadhollow.forward.good_ends import GoodEnds
@@ -33,6 +33,7 @@
 """Servers that break off requests in the same moment, where they are as many, are taken for cut off
 and not for ended; whether they have ended is known once others have their addresses."""
 
+LATELY_S = 1.0  # a server that broke off requests within it is not asked: it may have ended too
 NEIGHBOURS = 2  # servers of the same failure domain that are tried, one of which has to answer
 
 KEPT_S = 30.0
@@ -140,7 +141,12 @@
 
     async def _neighbour_answers(self, server: Server) -> bool:
         """Tell whether another server of the same failure domain can be reached."""
-        lost = {found.server.instance.address for found in self._broken.values()}
+        recent_s = _now_s() - LATELY_S
+        lost = {
+            found.server.instance.address
+            for found in self._broken.values()
+            if found.first_s > recent_s or found.server is server
+        }
         near = [
             other.instance.address
             for other in self._board.all_servers()
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
-from leadhollow.decide.suspects import ENDS_TO_QUARANTINE, SuspectTable
+from leadhollow.decide.judging import ENDS_TO_QUARANTINE
+from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.fingerprint import shown
 from leadhollow.observe.logs import get_logger
--- a/src/leadhollow/forward/suspect_exchange.py
+++ b/src/leadhollow/forward/suspect_exchange.py
@@ -4,8 +4,10 @@
 
 import asyncio
 
+from leadhollow.decide.judging import SETTLE_S
 from leadhollow.decide.server import Server
-from leadhollow.decide.suspects import SETTLE_S, ServerEnd, SuspectTable
+from leadhollow.decide.server_ends import ServerEnd
+from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.end_watch import EndWatch, life_of
 from leadhollow.forward.fingerprint import shown
--- a/src/leadhollow/membership/suspect_news.py
+++ b/src/leadhollow/membership/suspect_news.py
@@ -7,7 +7,8 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
-from leadhollow.decide.suspects import RAN_KEPT, ServerEnd, SuspectTable, Verdict
+from leadhollow.decide.server_ends import ServerEnd, Verdict
+from leadhollow.decide.suspects import RAN_KEPT, SuspectTable
 from leadhollow.failure import Failure
 from leadhollow.wire.generated.ttypes import ServerEnd as EndRecord
 from leadhollow.wire.generated.ttypes import SuspectNews
--- a/tests/decide/test_suspects.py
+++ b/tests/decide/test_suspects.py
@@ -7,19 +7,9 @@
 
 import pytest
 
-from leadhollow.decide.suspects import (
-    CHANCE_ENDS,
-    END_VALID_S,
-    ENDS_KEPT,
-    MASS_ENDS,
-    MASS_S,
-    RAN_KEPT,
-    SETTLE_S,
-    TIED_ENDS,
-    ServerEnd,
-    SuspectTable,
-    Verdict,
-)
+from leadhollow.decide.judging import CHANCE_ENDS, MASS_ENDS, MASS_S, SETTLE_S, TIED_ENDS
+from leadhollow.decide.server_ends import ServerEnd, Verdict
+from leadhollow.decide.suspects import END_VALID_S, ENDS_KEPT, RAN_KEPT, SuspectTable
 
 CRASHER = b"c" * 16
 OTHER = b"o" * 16
@@ -92,6 +82,14 @@
         fleet.end(CRASHER)
         assert fleet.judge() == [CRASHER]
 
+    def test_of_another_request_does_not_wait_for_those(self):
+        fleet = Fleet()
+        for _ in range(4):
+            fleet.end(CRASHER, OTHER)
+        for _ in range(3):
+            fleet.end(request(7))
+        assert fleet.judge() == [request(7)]
+
     def test_holds_all_that_were_always_there_together_in_the_end(self):
         fleet = Fleet()
         for _ in range(TIED_ENDS):
--- a/tests/membership/test_suspect_news.py
+++ b/tests/membership/test_suspect_news.py
@@ -7,7 +7,8 @@
 from thrift.TSerialization import serialize
 
 from leadhollow.codes import Code
-from leadhollow.decide.suspects import RAN_KEPT, ServerEnd, SuspectTable, Verdict
+from leadhollow.decide.server_ends import ServerEnd, Verdict
+from leadhollow.decide.suspects import RAN_KEPT, SuspectTable
 from leadhollow.membership.suspect_news import MOST_RECORDS, encode_news, everything, take_news
 from leadhollow.wire.generated.ttypes import ServerEnd as EndRecord
 from leadhollow.wire.generated.ttypes import SuspectNews
