Lose the leader in a test only once all replicas vote

Its log says that one replica's disk was empty and learned before it voted. Change: the test waits until each replica votes, then loses the leader; what it asks for is the same, one loss. Conclusion: the product does what it has to; the test took a start that was not over for a whole group.

--- a/tests/state/test_replica.py
+++ b/tests/state/test_replica.py
@@ -23,6 +23,7 @@
     async def test_follows_the_loss_of_the_leader(self, replica_group):
         first = await replica_group.wait_leader()
         assert (await replica_group.accept("a", 1.0, "op-1")).code == 0
+        await replica_group.wait_voters()
         await replica_group.stop(first.vm)
         second = await replica_group.wait_leader(other_than=first.vm)
         assert replica_group.weights(second.vm) == {"a": 1.0}
--- a/tests/support.py
+++ b/tests/support.py
@@ -163,6 +163,14 @@
 
         return await eventually(found, "a leader")
 
+    async def wait_voters(self) -> None:
+        """Wait until every replica votes: one that has learned nothing yet is as good as lost."""
+
+        def found() -> bool:
+            return all(node.replica.vote.voter for node in self.nodes.values())
+
+        await eventually(found, "a vote of each replica")
+
     async def accept(self, group: str, weight: float, operation_id: str) -> Answer:
         """Have an edit accepted, repeating it until its answer is known."""
         while True:
