--- a/tests/state/test_replica.py
+++ b/tests/state/test_replica.py
@@ -10,7 +10,8 @@
 from leadhollow.failure import Failure
 from leadhollow.state.log_store import LOG_FILE, LogStore
 from leadhollow.state.replica import ReplicaRole
-from tests.support import ReplicaGroup, edit, eventually
+from leadhollow.wire.generated.ttypes import AppendRequest
+from tests.support import Node, ReplicaGroup, edit, eventually
 
 LONG_ELECTION_MS = 4_000  # far above what an election takes
 
@@ -114,6 +115,40 @@
         assert leader.replica.term == term
 
 
+class TestUnknownOutcome:
+    async def test_an_edit_sent_again_after_its_leader_lost_the_majority_is_accepted_once(
+        self, replica_group
+    ):
+        assert (await replica_group.accept("a", 1.0, "op-1")).code == 0
+        await replica_group.wait_voters()
+        old = await replica_group.wait_leader()
+        lose_majority_at_next_append(replica_group, old)
+        answer = await replica_group.accept("a", 2.0, "op-2")
+        assert answer.code == 0
+        new = await replica_group.wait_leader(other_than=old.vm)
+        history = new.replica.machine.history(None)
+        assert [entry.operation_id for entry in history] == ["op-1", "op-2"]
+        assert history[-1].revision == answer.revision
+
+
+def lose_majority_at_next_append(group: ReplicaGroup, leader: Node) -> None:
+    """Cut a leader off once a follower has written what it appends, so that it never hears so."""
+    for node in group.nodes.values():
+        if node is leader:
+            continue
+        append = node.handlers.call_handler(AppendRequest())
+        assert append is not None
+
+        async def write_and_cut_off(request, connection, append=append):
+            written = await append(request, connection)
+            if request.leader == leader.vm and request.entries:
+                group.isolate(leader.vm)
+                return Err(Failure(code=Code.PEER_LOST))
+            return written
+
+        node.handlers.on_call(AppendRequest, write_and_cut_off)
+
+
 class TestRestart:
     async def test_of_all_after_hundreds_of_edits_keeps_every_one(self, tmp_path):
         group = ReplicaGroup(folder=tmp_path, count=3, snapshot_entries=50)
--- a/tests/support.py
+++ b/tests/support.py
@@ -9,6 +9,10 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from result import Err
+
+from leadhollow.codes import Code
+from leadhollow.failure import Failure
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
 from leadhollow.settings.model import PeerSettings, StateSettings
@@ -172,19 +176,20 @@
         await eventually(found, "a vote of each replica")
 
     async def accept(self, group: str, weight: float, operation_id: str) -> Answer:
-        """Have an edit accepted, repeating it until its answer is known."""
+        """Have an edit accepted, sending the same one again until its answer is known."""
+        leader = await self.wait_leader()
+        item = leader.replica.machine.catalog.item(f"row/{group}")
+        revision = 0 if item is None else item.revision
+        command = edit(group, weight=weight, expected=revision, operation_id=operation_id)
         while True:
-            leader = await self.wait_leader()
-            item = leader.replica.machine.catalog.item(f"row/{group}")
-            revision = 0 if item is None else item.revision
-            command = edit(group, weight=weight, expected=revision, operation_id=operation_id)
             try:
                 async with asyncio.timeout(2.0):
                     applied = await leader.replica.propose(command)
             except TimeoutError:
-                continue
+                applied = Err(Failure(code=Code.EDIT_UNKNOWN))
             if applied.is_ok():
                 return applied.unwrap().answer
+            leader = await self.wait_leader()
 
     def weights(self, vm: str) -> dict[str, float]:
         """Give the weights that a replica's table names."""
