Tell an operator that an edit's outcome is unknown once any replica may have it

Cause: OperatorClient gave the last replica's word. A replica that read an edit and broke off, or said that its outcome is unknown, was forgotten where the next one was down (202) or had no majority (304, "nothing was accepted"), though the edit may be in force. Looked at besides: the platform's calls (a table and a version name themselves by number, sent again unchanged), StateClient and the gateway (both keep it): nothing. Change: an unknown outcome stays, with the operation id; a connection that was never made is told apart (707) from one that broke (705).

--- a/src/leadhollow/http_client.py
+++ b/src/leadhollow/http_client.py
@@ -60,8 +60,10 @@
 
         Errors
         ------
+        PEER_ABSENT
+            No connection, so nothing was sent.
         PEER_LOST
-            No connection, or it broke.
+            The connection broke; the request may have been carried out.
         PEER_TIMEOUT
             No whole answer in time.
         """
@@ -81,6 +83,8 @@
                 return Ok(
                     HttpReply(status=response.status, headers=response.headers, body=received)
                 )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return Err(Failure(code=Code.PEER_ABSENT, detail=f"{url}: {error}"))
         except TimeoutError:
             return Err(Failure(code=Code.PEER_TIMEOUT, detail=url))
         except (aiohttp.ClientError, OSError) as error:
--- a/src/leadhollow/operator_client.py
+++ b/src/leadhollow/operator_client.py
@@ -202,22 +202,26 @@
     ) -> Result[HttpReply, Failure]:
         headers = {"Authorization": f"Bearer {self._token}"}
         last = Failure(code=Code.OPERATOR_UNREACHABLE)
+        may_be_accepted = False
         for url in self._urls:
             fetched = await self._http.fetch(
                 method, f"{url}{path}", headers=headers, body=body, timeout_s=timeout_s
             )
             if fetched.is_err():
-                detail = fetched.unwrap_err().detail
-                last = Failure(code=Code.OPERATOR_UNREACHABLE, detail=detail)
+                failure = fetched.unwrap_err()
+                may_be_accepted = may_be_accepted or failure.code is not Code.PEER_ABSENT
+                last = Failure(code=Code.OPERATOR_UNREACHABLE, detail=failure.detail)
                 continue
             reply = fetched.unwrap()
-            if reply.headers.get("Content-Type", "").startswith(PROBLEM_TYPE):
-                last = _problem_failure(reply)
-                if last.code in (Code.NO_MAJORITY, Code.EDIT_UNKNOWN):
-                    continue  # the operation id makes it safe to ask another replica
-                return Err(last)
-            self.last_answer_stale = STALE_HEADER in reply.headers
-            return Ok(reply)
+            if not reply.headers.get("Content-Type", "").startswith(PROBLEM_TYPE):
+                self.last_answer_stale = STALE_HEADER in reply.headers
+                return Ok(reply)
+            last = _problem_failure(reply)
+            may_be_accepted = may_be_accepted or last.code is Code.EDIT_UNKNOWN
+            if last.code not in (Code.NO_MAJORITY, Code.EDIT_UNKNOWN):
+                break  # the operation id makes it safe to ask another replica after these two
+        if may_be_accepted and method != "GET":
+            return Err(Failure(code=Code.EDIT_UNKNOWN, detail=last.detail))
         return Err(last)
 
 
