Wait for a large frame while its bytes come

Cause: a stream's silence was counted by whole frames. An entry that follows a control replica in another region gives it up after 0.9 s without a frame; a change of 1,520 routes (401 kB) for thirteen entries of a domain takes some 3.5 s over 12 Mbit/s. Each gave up in the middle and began anew, so that most of what the link carried was thrown away. Change: a connection notes when bytes of an unfinished frame last came; a stream waits on while they do. Test: tests/wire/test_connection.py::TestALargeBody, a paced link; 1 of 3 cases fails without the change (the others hold what must stay: a link that stands still, or a peer that says nothing, is given up).

--- a/src/leadhollow/wire/connection.py
+++ b/src/leadhollow/wire/connection.py
@@ -41,6 +41,7 @@
         "_calls",
         "_handlers",
         "_next_call_id",
+        "_part_s",
         "_reader",
         "_served",
         "_streams",
@@ -65,6 +66,7 @@
         self._streams: dict[int, CallStream] = {}
         self._served: dict[int, asyncio.Task[None]] = {}
         self._next_call_id = 1
+        self._part_s: float | None = None  # when the last bytes of an unfinished frame came
         self.hello = hello
         self.closed = asyncio.Event()
         end_when_silent(writer)
@@ -82,6 +84,15 @@
         """Bytes that were written and that the socket has not taken yet."""
         return 0 if self.closed.is_set() else self._writer.transport.get_write_buffer_size()
 
+    def part_age_s(self) -> float | None:
+        """Give how long ago the last bytes of an unfinished frame came; None where there is none.
+
+        While that is short a large frame is on its way, and the peer is not silent.
+        """
+        if self._part_s is None or self.closed.is_set():
+            return None
+        return asyncio.get_running_loop().time() - self._part_s
+
     async def drain(self) -> None:
         """Wait until the socket takes more."""
         if self.closed.is_set():
@@ -145,6 +156,7 @@
             while data := await self._read_some():
                 buffer += data
                 failure = self._take_frames(buffer)
+                self._part_s = asyncio.get_running_loop().time() if buffer else None
                 if failure is not None:
                     log.warning("connection ended", peer=self.peer_name, failure=str(failure))
                     break
--- a/src/leadhollow/wire/streams.py
+++ b/src/leadhollow/wire/streams.py
@@ -34,6 +34,12 @@
     async def next(self, *, timeout_ms: float | None = None) -> Result[Body | None, Failure]:
         """Wait for the next body.
 
+        Parameters
+        ----------
+        timeout_ms
+            How long the peer may send nothing at all. A large body takes longer over a narrow
+            link; given up and asked for again, it would never come.
+
         Returns
         -------
         Result
@@ -41,10 +47,8 @@
         """
         if self._finished:
             return Ok(None)
-        try:
-            async with asyncio.timeout(None if timeout_ms is None else timeout_ms / 1000):
-                frame = await self._queue.get()
-        except TimeoutError:
+        frame = await self._next_frame(None if timeout_ms is None else timeout_ms / 1000)
+        if frame is None:
             return Err(Failure(code=Code.PEER_TIMEOUT))
         if frame.kind is FrameKind.ITEM:
             return Ok(frame.body)
@@ -53,6 +57,19 @@
             return Err(failure_from_number(frame.code, frame.detail))
         return Ok(frame.body)
 
+    async def _next_frame(self, silence_s: float | None) -> Frame | None:
+        """Wait for a frame for as long as bytes come; None where none came for a time."""
+        wait_s = silence_s
+        while True:
+            try:
+                async with asyncio.timeout(wait_s):
+                    return await self._queue.get()
+            except TimeoutError:
+                part_age_s = self._connection.part_age_s()
+                if silence_s is None or part_age_s is None or part_age_s >= silence_s:
+                    return None
+                wait_s = silence_s - part_age_s
+
     def cancel(self) -> None:
         """Tell the peer that nobody waits for this stream any more."""
         if not self._finished:
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -23,6 +23,10 @@
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.server import WireServer
 from tests.support import TOKEN, eventually
+from tests.wire.narrow_link import NarrowLink
+
+LARGE_BYTES = 60_000
+LARGE_S = 1.2  # that a narrow link takes for it
 
 
 class Pair:
@@ -126,6 +130,49 @@
         await eventually(lambda: pair.cancelled, "the handler to stop")
 
 
+class TestALargeBody:
+    """A body that a narrow link carries for longer than a peer may be silent."""
+
+    async def take(self, pair, *, stands_still_after: int = 10**9):
+        async def send_large(request, sink):
+            await sink.send(ViewUpdate(False, [], ["x" * LARGE_BYTES], []))
+            await asyncio.sleep(30)
+
+        pair.handlers.on_stream(ViewWatch, send_large)
+        link = NarrowLink(target=pair.server.address.port, bytes_per_s=LARGE_BYTES / LARGE_S)
+        await link.start()
+        connection = (await pair.peers.connection(link.address)).unwrap()
+        stream = connection.stream(ViewWatch("large"))
+        taking = asyncio.ensure_future(stream.next(timeout_ms=1000 * LARGE_S / 3))
+        while not taking.done() and link.passed < stands_still_after:
+            await asyncio.sleep(0.01)
+        link.stands_still = link.passed >= stands_still_after
+        taken = await taking
+        await pair.peers.stop()
+        await link.stop()
+        return taken
+
+    async def test_is_waited_for_while_it_comes(self, pair):
+        taken = await self.take(pair)
+        assert len(taken.unwrap().removed[0]) == LARGE_BYTES
+
+    async def test_that_comes_no_further_is_given_up(self, pair):
+        taken = await self.take(pair, stands_still_after=LARGE_BYTES // 2)
+        assert taken.unwrap_err().code is Code.PEER_TIMEOUT
+
+    async def test_that_does_not_begin_is_given_up(self, pair):
+        stream = (await pair.peers.connection(pair.address)).unwrap().stream(ViewWatch("long"))
+        for _ in range(3):
+            assert (await stream.next(timeout_ms=1_000)).is_ok()
+
+        async def send_nothing(request, sink):
+            await asyncio.sleep(30)
+
+        pair.handlers.on_stream(ViewWatch, send_nothing)
+        silent = (await pair.peers.connection(pair.address)).unwrap().stream(ViewWatch("x"))
+        assert (await silent.next(timeout_ms=100)).unwrap_err().code is Code.PEER_TIMEOUT
+
+
 class TestGreeting:
     async def test_a_wrong_token_is_refused(self, pair):
         stranger = pair.pool("another-token-entirely")
