Tell entries many changed items of the catalog packed

Change: eight items and more travel as one compressed field, encoded once for all watchers that ask for the same; a watcher that does not say that it takes them gets single items as before.

--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -11,6 +11,7 @@
 from leadhollow.codes import Code
 from leadhollow.control.confirmation import Confirmation
 from leadhollow.control.engine_uses import EngineUses
+from leadhollow.control.item_news import ItemNews
 from leadhollow.control.registry import Load, Registry
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.control.use_news import UseNews
@@ -21,7 +22,7 @@
 from leadhollow.membership.uses import Use, encode_decisions
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeRole
-from leadhollow.state.catalog import Catalog, encode_item
+from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import (
@@ -62,15 +63,19 @@
         "silent",
         "suspects",
         "suspects_mark",
+        "takes_packed",
         "uses",
         "vm",
         "wake",
     )
 
-    def __init__(self, *, vm: str, domain: str, role: NodeRole, sent_revision: int) -> None:
+    def __init__(
+        self, *, vm: str, domain: str, role: NodeRole, sent_revision: int, takes_packed: bool
+    ) -> None:
         self.vm = vm
         self.domain = domain
         self.role = role
+        self.takes_packed = takes_packed
         self.uses = UseNews()
         self._due_s = math.inf  # when it is to be told of something else than uses
         self.decisions_s = 0.0  # when it was last told what others refused
@@ -110,10 +115,6 @@
         self._due_s = math.inf
         self.wake.clear()
 
-    def wants(self, item: CatalogItem) -> bool:
-        """Tell whether an item concerns this watcher."""
-        return self.role is NodeRole.ENTRY or item.key.startswith(STAGER_PREFIXES)
-
 
 class FeedServer:
     """Serves the feeds of one control replica.
@@ -129,6 +130,7 @@
     __slots__ = (
         "_catalog",
         "_confirmation",
+        "_item_news",
         "_naming_times",
         "_registry",
         "_replicas",
@@ -151,6 +153,7 @@
     ) -> None:
         self._suspects = suspects
         self._catalog = catalog
+        self._item_news = ItemNews(catalog=catalog, wants=_wants)
         self._registry = registry
         self._uses = uses
         self._confirmation = confirmation
@@ -191,6 +194,7 @@
             domain=request.failure_domain or "",
             role=role,
             sent_revision=int(request.from_revision or 0),
+            takes_packed=bool(request.takes_packed),
         )
         self._subscribers.add(subscriber)
         log.info("watcher found", vm=request.vm, role=request.role)
@@ -233,11 +237,10 @@
     def _delta(self, subscriber: _Subscriber) -> FeedUpdate:
         subscriber.told()
         now_s = asyncio.get_running_loop().time()
-        items: list[bytes] = []
-        if subscriber.sent_revision < self._catalog.revision:
-            newer = self._catalog.items_after(subscriber.sent_revision)
-            items = [encode_item(item) for item in newer if subscriber.wants(item)]
-            subscriber.sent_revision = self._catalog.revision
+        items, packed_items = self._item_news.after(
+            subscriber.sent_revision, subscriber.role, takes_packed=subscriber.takes_packed
+        )
+        subscriber.sent_revision = max(subscriber.sent_revision, self._catalog.revision)
         replicas = self._replicas()
         news = replicas if replicas != subscriber.sent_replicas else None
         subscriber.sent_replicas = replicas
@@ -268,6 +271,7 @@
             silent or None,
             uses,
             self._news_of_suspects(subscriber, now_s),
+            packed_items,
         )
 
     def _news_of_uses(self, subscriber: _Subscriber, now_s: float) -> tuple[list[str], bytes]:
@@ -307,7 +311,7 @@
 
     def _on_catalog(self, items: list[CatalogItem]) -> None:
         for subscriber in self._subscribers:
-            if any(subscriber.wants(item) for item in items):
+            if any(_wants(subscriber.role, item) for item in items):
                 subscriber.tell_at(_now_s())
 
     def _on_registry(self, instances: list[Instance], loads: list[Load]) -> None:
@@ -363,6 +367,11 @@
     return asyncio.get_running_loop().time()
 
 
+def _wants(role: NodeRole, item: CatalogItem) -> bool:
+    """Tell whether an item concerns watchers of a role."""
+    return role is NodeRole.ENTRY or item.key.startswith(STAGER_PREFIXES)
+
+
 def _role(name: str) -> NodeRole | None:
     return next((role for role in LOAD_PAUSE_S if role.value == name), None)
 
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -17,6 +17,7 @@
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance
 from leadhollow.membership.naming_times import NamingTimes
+from leadhollow.membership.packed_items import unpack_items
 from leadhollow.membership.packed_uses import unpack_uses
 from leadhollow.membership.unnamed import UnnamedInstances
 from leadhollow.membership.uses import Use, decode_decisions
@@ -245,7 +246,7 @@
             return False
         settings = self._settings
         watch = FeedWatch(
-            settings.vm, settings.role.value, settings.failure_domain, self.catalog.revision
+            settings.vm, settings.role.value, settings.failure_domain, self.catalog.revision, True
         )
         stream = connected.unwrap().stream(watch)
         self._current = address
@@ -306,13 +307,12 @@
 
     def _apply(self, update: FeedUpdate) -> bool:
         now_s = asyncio.get_running_loop().time()
-        try:
-            items = [decode_item(data) for data in update.items or ()]
-        except msgspec.MsgspecError as error:
-            log.error("catalog update not understood", error=str(error))
+        decoded = _items_of(update)
+        if decoded.is_err():
+            log.error("catalog update not understood", failure=str(decoded.unwrap_err()))
             return False
         self.naming_times.learn(update.named or ())
-        self.catalog.apply(items, revision=update.revision or 0)
+        self.catalog.apply(decoded.unwrap(), revision=update.revision or 0)
         self._take_instances(update, now_s)
         for load in update.loads or ():
             for listener in self._load_listeners:
@@ -377,6 +377,16 @@
             self._domains = told
 
 
+def _items_of(update: FeedUpdate) -> Result[list[CatalogItem], Failure]:
+    """Give the items of the catalog that an update carries, however they are encoded."""
+    if update.packed_items:
+        return unpack_items(update.packed_items)
+    try:
+        return Ok([decode_item(data) for data in update.items or ()])
+    except msgspec.MsgspecError as error:
+        return Err(Failure(code=Code.FRAME_MALFORMED, detail=str(error)))
+
+
 def _confirms(said: FeedProbeReply | FeedUpdate | None) -> bool:
     """Tell whether a majority confirmed a replica lately, by what it said."""
     return said is not None and 0 <= int(said.confirmed_age_ms) < UNCONFIRMED_MS
