Read pieces from the origin one after the other, at the pace of its link

They share its 4.38 Mbit/s, so all come after 2 to 3.6 s and nobody has anything to pass on before; 45 readers take its 48 connections, so that the manifest of the next version, named 3 s later, was read 3.0 s late ("no connection in time"); slow answers made the next in order step in, 3.9 copies left the origin. Version 3, named at 21.0, lay complete at 34 to 40 s, its bound was 34.4. Whoever steps in waits from a piece's turn on.

--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Collection
 
+from leadhollow.staging.origin_turns import AHEAD, OriginTurns
 from leadhollow.staging.patience import LONGEST_IMPORT_S, LONGEST_READ_S, TaskPatience
 from leadhollow.staging.piece_source import PieceSource
 from leadhollow.staging.sharing import Sharing, Stager
@@ -33,7 +34,8 @@
     task that is do it. Others step in one after the other: a stager on a slow link, or one that
     hangs, would keep everybody waiting. Whoever steps in at the origin has read its own part: the
     others must have come as far. While the origin does not answer us no time runs, because it
-    answers the others no more than us.
+    answers the others no more than us. Pieces are read in their order, at the pace of the origin's
+    link, or sooner where it turns out to be faster than was declared.
 
     Parameters
     ----------
@@ -58,6 +60,8 @@
         "_sharing",
         "_sources",
         "_step_in_from_s",
+        "_turns",
+        "_unread",
     )
 
     def __init__(self, *, own: Stager, number: int, seed: int, patience: TaskPatience) -> None:
@@ -77,6 +81,8 @@
         self._outside: list[tuple[PieceSource, int]] = []
         self._step_in_from_s: float | None = None  # while our own part is not read
         self._outside_since_s: dict[int, float] = {}
+        self._turns: OriginTurns | None = None  # from the first look on
+        self._unread: list[int] = []  # as of the last order
 
     def look(
         self,
@@ -106,6 +112,8 @@
             else:
                 self._far |= held
                 self._outside.append((source, held))
+        if self._turns is None:
+            self._turns = OriginTurns(begin_s=now_s, piece_s=self._patience.origin_piece_s())
         # one that only hangs keeps its tasks: dealt out anew, all would be read twice
         lost = _lost(sources, others, now_s)
         followed = [source.stager for source in sources]
@@ -124,6 +132,8 @@
         self._step_in_from_s = None
         self._failed_s = now_s
         self._away_until_s = now_s + AWAY_S
+        if self._turns is not None:
+            self._turns.begin_again(self._unread, now_s)
 
     def origin_answered(self) -> None:
         """Take note that the origin sent a piece."""
@@ -159,7 +169,9 @@
             return self._freest(outside) if self._imports(index, now_s) else None
         if now_s < self._away_until_s:
             return None
-        return Origin.ORIGIN if self._reads(index) or self._steps_in(index, now_s) else None
+        if self._reads(index):
+            return Origin.ORIGIN if now_s >= self._due_s(index) else None
+        return Origin.ORIGIN if self._steps_in(index, now_s) else None
 
     def elsewhere(self, index: int, source: PieceSource, now_s: float) -> bool:
         """Tell whether a piece can be had of another holder or of the origin."""
@@ -169,10 +181,10 @@
     def _be_patient(self, missing: list[int]) -> None:
         """Work out how long others are waited for, by what is left for them to do."""
         held = self._near | self._far
-        unread = sum(1 for index in missing if not held >> index & 1)
+        self._unread = [index for index in missing if not held >> index & 1]
         outside = sum(1 for index in missing if (self._far & ~self._near) >> index & 1)
         importers = self._sharing.importers(self._own.failure_domain)
-        self._read_s = self._patience.read_s(unread)
+        self._read_s = self._patience.read_s(len(self._unread))
         self._import_s = self._patience.import_s(outside, importers)
 
     def _imports(self, index: int, now_s: float) -> bool:
@@ -185,7 +197,15 @@
         if self._step_in_from_s is None:
             return False
         place = self._sharing.reader_place(index, self._own)
-        return now_s - self._step_in_from_s >= self._read_s * place
+        from_s = max(self._step_in_from_s, self._due_s(index))
+        return now_s - from_s >= self._read_s * place
+
+    def _due_s(self, index: int) -> float:
+        """Give the time from which a piece may be read; past where the origin has come so far."""
+        come_near = (self._near | self._far) >> max(0, index - AHEAD)
+        if self._turns is None or come_near:
+            return float("-inf")
+        return self._turns.due_s(index)
 
     def _rank(self, index: int) -> int:
         if self._near >> index & 1:
--- a/src/leadhollow/staging/patience.py
+++ b/src/leadhollow/staging/patience.py
@@ -66,6 +66,11 @@
         needed_s = unread * self._piece_bytes / speed
         return min(LONGEST_READ_S, self._tell_s() + SLACK * needed_s)
 
+    def origin_piece_s(self) -> float:
+        """Give the time in which the origin's link carries a piece; 0 where it is not known."""
+        speed = self._origin_bytes_per_s()
+        return self._piece_bytes / speed if speed > 0 else 0.0
+
     def import_s(self, outside: int, importers: int) -> float:
         """Give the patience with one that brings pieces into a failure domain.
 
