Change engines in as many parts as there is time for, alike from all failure domains

Hypothesis: half of the engines away for 1.15 s makes a load of 0.85 one of 1.7; where a version lies complete well before its bound, smaller parts cost less. Change: the part that may be away at a time is what is left, divided by the changes that still fit before the bound; half at most, as before, where there is no time. The order goes round the failure domains.

--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -132,10 +132,15 @@
     def make_installer() -> Service:
         loads = EngineLoads(feed=feed())
 
-        def is_turn(staged: StagedVersion, announced: bool) -> bool:
+        def is_turn(staged: StagedVersion, announced: bool, left_s: float) -> bool:
             known = feed().table.of_service(engine_settings.service)
-            addresses = {instance.address for instance in known}
-            return loads.is_turn(engine_settings.address, staged, addresses, announced=announced)
+            return loads.is_turn(
+                engine_settings.address,
+                staged,
+                {instance.address: instance.failure_domain for instance in known},
+                announced=announced,
+                left_s=left_s,
+            )
 
         return Installer(
             catalog=feed().catalog,
--- a/src/leadhollow/staging/engine_loads.py
+++ b/src/leadhollow/staging/engine_loads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 
 from leadhollow.membership.control_feed import ControlFeed
 from leadhollow.staging.pieces import StagedVersion
@@ -25,7 +26,13 @@
         feed.on_load(self._take)
 
     def is_turn(
-        self, own: str, staged: StagedVersion, addresses: set[str], *, announced: bool
+        self,
+        own: str,
+        staged: StagedVersion,
+        domains: Mapping[str, str],
+        *,
+        announced: bool,
+        left_s: float,
     ) -> bool:
         """Tell whether our engine may change to a version now.
 
@@ -33,19 +40,34 @@
         ----------
         own
             Address of our engine.
-        addresses
-            Engines of the same service.
+        domains
+            Failure domain of each engine of the same service, by address.
         announced
             Whether the others have been told that our engine changes.
+        left_s
+            Time until requests may not go to an engine any more that has not changed.
         """
         now_s = asyncio.get_running_loop().time()
         standings = [
-            _standing(record, staged, recent=now_s - self._heard_s[address] < SWITCH_VALID_S)
+            _standing(
+                record,
+                staged,
+                failure_domain=domains[address],
+                recent=now_s - self._heard_s[address] < SWITCH_VALID_S,
+            )
             for address, record in self._records.items()
-            if address in addresses and address != own
+            if address in domains and address != own
         ]
-        standings.append(EngineStanding(address=own, complete=True, switching=False, done=False))
-        return may_switch(own, staged.number, standings, announced=announced)
+        standings.append(
+            EngineStanding(
+                address=own,
+                failure_domain=domains.get(own, ""),
+                complete=True,
+                switching=False,
+                done=False,
+            )
+        )
+        return may_switch(own, staged.number, standings, announced=announced, left_s=left_s)
 
     def _take(self, record: LoadRecord, made_s: float) -> None:
         if made_s >= self._heard_s.get(record.address, 0.0):
@@ -53,7 +75,9 @@
             self._heard_s[record.address] = made_s
 
 
-def _standing(record: LoadRecord, staged: StagedVersion, *, recent: bool) -> EngineStanding:
+def _standing(
+    record: LoadRecord, staged: StagedVersion, *, failure_domain: str, recent: bool
+) -> EngineStanding:
     done = any(
         served.model == staged.model
         and served.version >= staged.number
@@ -65,6 +89,7 @@
     )
     return EngineStanding(
         address=record.address,
+        failure_domain=failure_domain,
         complete=complete,
         switching=bool(record.switching) and recent and not done,
         done=done,
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -54,7 +54,7 @@
         Time from the naming of a version until no request may begin on an older one.
     turn
         Tells whether it is our engine's turn to change, and whether it still is once the others
-        have been told that it changes.
+        have been told that it changes, by the time that is left for all of them.
     piece_s
         Gives the time in which this VM's link carries one piece of a version.
     first_start
@@ -92,7 +92,7 @@
         first_start: bool,
         times: NamingTimes,
         version_s: float,
-        turn: Callable[[StagedVersion, bool], bool],
+        turn: Callable[[StagedVersion, bool, float], bool],
         piece_s: Callable[[StagedVersion], float],
     ) -> None:
         self._catalog = catalog
@@ -224,7 +224,10 @@
         self, staged: StagedVersion, bound: float, report: EngineReport, *, announced: bool
     ) -> bool:
         """Tell whether the engine may change now, without taking too many away at once."""
-        return not self._is_in_use(bound, report) or self._turn(staged, announced)
+        if not self._is_in_use(bound, report):
+            return True
+        left_s = bound - LAST_CALL_S - asyncio.get_running_loop().time()
+        return self._turn(staged, announced, left_s)
 
     def _is_in_use(self, bound: float, report: EngineReport | None) -> bool:
         """Tell whether requests may go to the engine with the weights that it holds.
--- a/src/leadhollow/staging/turns.py
+++ b/src/leadhollow/staging/turns.py
@@ -1,7 +1,8 @@
-"""When an engine changes its weights: in two parts, so that the others carry the work.
+"""When an engine changes its weights: in as many parts as there is time for.
 
-Every stager decides for itself by what engines report of themselves; where two see different
-reports, one engine more changes at the same time, which costs little.
+The engines that stay carry the work of those that change, so the smaller a part is, the fewer
+requests are late for it. Every stager decides for itself by what engines report of themselves;
+where two see different reports, one engine more changes at the same time, which costs little.
 """
 
 from __future__ import annotations
@@ -9,6 +10,9 @@
 import zlib
 from collections.abc import Sequence
 
+CHANGE_S = 1.3
+"""From the notice that an engine is about to change until entries know that it is back."""
+
 
 class EngineStanding:
     """How far an engine is with a version.
@@ -23,10 +27,19 @@
         Whether it runs the version.
     """
 
-    __slots__ = ("address", "complete", "done", "switching")
-
-    def __init__(self, *, address: str, complete: bool, switching: bool, done: bool) -> None:
+    __slots__ = ("address", "complete", "done", "failure_domain", "switching")
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        failure_domain: str,
+        complete: bool,
+        switching: bool,
+        done: bool,
+    ) -> None:
         self.address = address
+        self.failure_domain = failure_domain
         self.complete = complete
         self.switching = switching
         self.done = done
@@ -44,13 +57,15 @@
 
 
 def may_switch(
-    own: str, number: int, standings: Sequence[EngineStanding], *, announced: bool
+    own: str,
+    number: int,
+    standings: Sequence[EngineStanding],
+    *,
+    announced: bool,
+    left_s: float = 0.0,
 ) -> bool:
     """Tell whether it is the turn of our own engine.
 
-    Half of the engines change first, and the others once these are back: the weights come so late
-    before the bound that there is no time for smaller parts.
-
     Parameters
     ----------
     own
@@ -62,19 +77,44 @@
     announced
         Whether we have told the others already that our engine changes. Of several that did so at
         the same time, those that come first in the order go on.
+    left_s
+        Time until requests may not go to an engine any more that has not changed.
     """
-    own_turn = turn_of(own, number)
-    done = sum(1 for standing in standings if standing.done)
+    places = _places(number, standings)
     ahead = 0
     for standing in standings:
         if standing.address == own or standing.done:
             continue
-        before_us = turn_of(standing.address, number) < own_turn
+        before_us = places[standing.address] < places[own]
         if standing.switching:
             ahead += 1 if before_us or not announced else 0
         elif standing.complete and not announced:
             ahead += 1 if before_us else 0
-    return ahead < max(1, len(standings) // 2, done)
+    done = sum(1 for standing in standings if standing.done)
+    return ahead < part_size(len(standings), done, left_s)
+
+
+def part_size(engines: int, done: int, left_s: float) -> int:
+    """Give how many engines may change at a time.
+
+    Half of them, and more once more have changed, where there is no time for smaller parts.
+    """
+    most = max(1, engines // 2, done)
+    parts = int(min(left_s / CHANGE_S, engines))
+    return max(1, min(most, -(-(engines - done) // parts))) if parts > 1 else most
+
+
+def _places(number: int, standings: Sequence[EngineStanding]) -> dict[str, tuple[int, int]]:
+    """Give the order in which engines change: one of each failure domain after the other.
+
+    Any part of them then takes as much from one domain as from another.
+    """
+    places: dict[str, tuple[int, int]] = {}
+    inside: dict[str, int] = {}
+    for standing in sorted(standings, key=lambda found: turn_of(found.address, number)):
+        place = inside[standing.failure_domain] = inside.get(standing.failure_domain, 0) + 1
+        places[standing.address] = place, turn_of(standing.address, number)
+    return places
 
 
-__all__ = ["EngineStanding", "may_switch", "turn_of"]
+__all__ = ["CHANGE_S", "EngineStanding", "may_switch", "part_size", "turn_of"]
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -156,7 +156,7 @@
             first_start=False,
             times=self.times,
             version_s=version_s,
-            turn=lambda staged, announced: True,
+            turn=lambda staged, announced, left_s: True,
             piece_s=lambda staged: 0.01,
         )
 
--- a/tests/staging/test_parts.py
+++ b/tests/staging/test_parts.py
@@ -66,6 +66,7 @@
     return [
         EngineStanding(
             address=f"10.0.0.{number}:80",
+            failure_domain="a",
             complete=state != "-",
             switching=state == "s",
             done=state == "d",
