Try an origin that is away by few readers, and let the others wait for word of it

Each stager found out by itself and tried again each second or two; once it answered, 39 asked at once, and the 46 pieces left, 2.1 s of its link, lay everywhere 5 to 6 s later, past the time at which engines may begin to change. Change: after a failure the first four readers of what is missing try again, one more each half second; as soon as a stager hears that a piece was read which nobody held, all turns go on at the pace of the origin's link. A stager keeps an origin for away that long.

--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -6,14 +6,14 @@
 import random
 from collections.abc import Collection
 
-from leadhollow.staging.origin_turns import AHEAD, OriginTurns
+from leadhollow.staging.origin_turns import AHEAD, LONGEST_PAUSE_S, OriginTurns
 from leadhollow.staging.patience import LONGEST_IMPORT_S, LONGEST_READ_S, TaskPatience
 from leadhollow.staging.piece_source import PieceSource
 from leadhollow.staging.sharing import Sharing, Stager
 
-FAILED_RECENTLY_S = 3.0
-"""An origin that failed last is taken for away for so long: a stager that has read its own part
-asks it again only when its turn to step in comes."""
+FAILED_RECENTLY_S = LONGEST_PAUSE_S + 2.0
+"""An origin that failed last is taken for away for so long: a reader asks it again only when its
+turn comes, and takes a moment to find out."""
 
 AWAY_S = 0.2  # an origin that did not answer is asked again after it
 
@@ -114,6 +114,10 @@
                 self._outside.append((source, held))
         if self._turns is None:
             self._turns = OriginTurns(begin_s=now_s, piece_s=self._patience.origin_piece_s())
+        was_away = self._turns.away
+        self._turns.hear(self._near | self._far, now_s)
+        if was_away and not self._turns.away:
+            self._failed_s = float("-inf")
         # one that only hangs keeps its tasks: dealt out anew, all would be read twice
         lost = _lost(sources, others, now_s)
         followed = [source.stager for source in sources]
@@ -133,11 +137,13 @@
         self._failed_s = now_s
         self._away_until_s = now_s + AWAY_S
         if self._turns is not None:
-            self._turns.begin_again(self._unread, now_s)
+            self._turns.fail(self._unread, now_s)
 
-    def origin_answered(self) -> None:
+    def origin_answered(self, now_s: float) -> None:
         """Take note that the origin sent a piece."""
         self._failed_s = float("-inf")
+        if self._turns is not None:
+            self._turns.answer(now_s)
 
     def blocked(self, missing: list[int], now_s: float) -> bool:
         """Tell whether nobody holds some of these pieces and the origin does not answer."""
@@ -202,8 +208,10 @@
 
     def _due_s(self, index: int) -> float:
         """Give the time from which a piece may be read; past where the origin has come so far."""
+        if self._turns is None:
+            return float("-inf")
         come_near = (self._near | self._far) >> max(0, index - AHEAD)
-        if self._turns is None or come_near:
+        if come_near and not self._turns.away:
             return float("-inf")
         return self._turns.due_s(index)
 
--- a/src/leadhollow/staging/origin_turns.py
+++ b/src/leadhollow/staging/origin_turns.py
@@ -10,9 +10,11 @@
 from collections.abc import Iterable
 
 AHEAD = 4  # pieces asked for at a time: the next request is there before a piece has left
-LONGEST_PAUSE_S = 2.0
-"""After a failure even the last piece is tried again this soon: an origin that was not asked for a
-few seconds would be taken for one that answers."""
+PROBE_STEP_S = 0.5
+"""While the origin does not answer, a few readers try it and one more after each such time. When it
+answers again, the others do not all ask at once."""
+
+LONGEST_PAUSE_S = 8.0  # even the last reader tries again this soon, whatever it hears of others
 
 
 class OriginTurns:
@@ -24,18 +26,24 @@
         Loop time at which reading begins.
     piece_s
         Time in which the origin's link carries one piece; 0 where it is not known.
+
+    Attributes
+    ----------
+    away
+        Whether the origin did not answer, and nobody is known to have read a piece since.
     """
 
-    __slots__ = ("_begin_s", "_longest_s", "_piece_s", "_places")
+    __slots__ = ("_begin_s", "_piece_s", "_places", "_unread", "away")
 
     def __init__(self, *, begin_s: float, piece_s: float) -> None:
         self._begin_s = begin_s
         self._piece_s = piece_s
         self._places: dict[int, int] = {}  # empty while pieces go by their numbers
-        self._longest_s = float("inf")
+        self._unread = 0  # bits of the pieces that nobody held when the origin did not answer
+        self.away = False
 
-    def begin_again(self, unread: Iterable[int], now_s: float) -> None:
-        """Deal out turns anew, after the origin did not answer.
+    def fail(self, unread: Iterable[int], now_s: float) -> None:
+        """Take note that the origin did not answer.
 
         Parameters
         ----------
@@ -44,12 +52,32 @@
         """
         self._begin_s = now_s
         self._places = {index: place for place, index in enumerate(sorted(unread))}
-        self._longest_s = LONGEST_PAUSE_S
+        self._unread = sum(1 << index for index in self._places)
+        self.away = True
+
+    def hear(self, held: int, now_s: float) -> None:
+        """Take note of what others hold: a piece that nobody held before shows the origin is back.
+
+        Parameters
+        ----------
+        held
+            Bits of the pieces.
+        """
+        if self.away and held & self._unread:
+            self.answer(now_s)
+
+    def answer(self, now_s: float) -> None:
+        """Take note that the origin answers; after it was away turns begin anew."""
+        if self.away:
+            self._begin_s = now_s
+            self.away = False
 
     def due_s(self, index: int) -> float:
         """Give the loop time from which a piece may be read."""
         before = max(0, self._places.get(index, index) + 1 - AHEAD)
-        return self._begin_s + min(self._longest_s, before * self._piece_s)
+        if self.away:
+            return self._begin_s + min(LONGEST_PAUSE_S, before * max(self._piece_s, PROBE_STEP_S))
+        return self._begin_s + before * self._piece_s
 
 
-__all__ = ["AHEAD", "LONGEST_PAUSE_S", "OriginTurns"]
+__all__ = ["AHEAD", "LONGEST_PAUSE_S", "PROBE_STEP_S", "OriginTurns"]
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -452,7 +452,7 @@
                     log.warning("piece spoilt", index=index, source="origin")
                     await asyncio.sleep(FAILED_PAUSE_S)
                 else:
-                    self._choice.origin_answered()
+                    self._choice.origin_answered(now_s)
             self._ordered.pop(index, None)
             self._wake.set()
 
--- a/tests/staging/test_choice.py
+++ b/tests/staging/test_choice.py
@@ -197,7 +197,7 @@
         choice = a_choice(a_source(NEIGHBOUR))
         choice.origin_failed(1.0)
         assert not choice.blocked([6], 1.1 + FAILED_RECENTLY_S)
-        choice.origin_answered()
+        choice.origin_answered(1.2)
         assert not choice.blocked([6], 1.1)
 
     def test_a_slow_holder_is_left_where_another_one_or_the_origin_has_the_piece(self):
--- a/tests/staging/test_many_readers.py
+++ b/tests/staging/test_many_readers.py
@@ -15,7 +15,8 @@
 LINK_BYTES_PER_S = 456_250.0
 ORIGIN_CONNECTIONS = 48
 WHOLE_S = PIECES * PIECE_BYTES / ORIGIN_BYTES_PER_S
-STEP_S = 0.01
+STEP_S = 0.02
+LOOK_STEPS = 3  # between two looks of a stager
 NEWS_S = 0.2  # until the others know of a piece that was read
 AWAY_FOR_S = 1.0  # what a stager needs to find out that the origin does not answer
 STAGERS = [
@@ -53,8 +54,8 @@
             now_s = step * STEP_S
             self._send(now_s)
             known = [index for index, at_s in self.read_s.items() if now_s - at_s >= NEWS_S]
-            for own in STAGERS:
-                if own.address not in self.silent:
+            for place, own in enumerate(STAGERS):
+                if own.address not in self.silent and step % LOOK_STEPS == place % LOOK_STEPS:
                     self._look(own, known, now_s, away=now_s < away_until_s)
             self.most_connections = max(self.most_connections, len(self.reading))
 
@@ -67,7 +68,7 @@
                 continue
             del self.reading[address]
             self.read_s.setdefault(index, now_s)
-            self.choices[address].origin_answered()
+            self.choices[address].origin_answered(now_s)
 
     def _look(self, own: Stager, known: list[int], now_s: float, *, away: bool) -> None:
         if own.address in self.reading:
@@ -123,6 +124,7 @@
     def test_is_read_whole_soon_after_it_was_away(self, away_s):
         origin = NarrowOrigin()
         origin.run(away_s + 2 * WHOLE_S, away_until_s=away_s)
+        assert origin.most_connections <= ORIGIN_CONNECTIONS // 3
         assert len(origin.read_s) == PIECES
         assert max(origin.read_s.values()) - away_s <= 1.5 * WHOLE_S
         assert origin.bytes_sent <= 1.2 * PIECES * PIECE_BYTES
