--- a/src/leadhollow/staging/patience.py
+++ b/src/leadhollow/staging/patience.py
@@ -10,7 +10,7 @@
 
 from leadhollow.staging.news import NEWS_PAUSE_S
 
-LONGEST_IMPORT_S = 0.8
+LONGEST_IMPORT_S = 0.9
 """Time in which one stager should bring in a piece that is held elsewhere; it asks for those first.
 Then it is the next one's turn."""
 
@@ -19,6 +19,10 @@
 serves all alike; then the next one reads what is left."""
 
 TELL_S = 0.11  # a request for a piece is on its way as long, besides the pause of its news
+IMPORT_S = 0.3
+"""A piece takes as long from its holder over busy links, and until others know that it is here. Who
+waits less brings in again what is on its way."""
+
 SLACK = 2.0  # links carry requests too, and the origin serves several at once
 
 
@@ -64,7 +68,7 @@
         if speed <= 0:
             return LONGEST_READ_S
         needed_s = unread * self._piece_bytes / speed
-        return min(LONGEST_READ_S, self._tell_s() + SLACK * needed_s)
+        return min(LONGEST_READ_S, TELL_S + self._news_pause_s() + SLACK * needed_s)
 
     def origin_piece_s(self) -> float:
         """Give the time in which the origin's link carries a piece; 0 where it is not known."""
@@ -83,11 +87,7 @@
         """
         each = -(-outside // max(1, importers))
         needed_s = each * self._piece_bytes / self._link_bytes_per_s()
-        return min(LONGEST_IMPORT_S, self._tell_s() + SLACK * needed_s)
-
-    def _tell_s(self) -> float:
-        """Give the time until others know of a piece and ask for it."""
-        return TELL_S + self._news_pause_s()
+        return min(LONGEST_IMPORT_S, IMPORT_S + self._news_pause_s() + SLACK * needed_s)
 
 
 __all__ = ["LONGEST_IMPORT_S", "LONGEST_READ_S", "TaskPatience"]
--- a/src/leadhollow/staging/piece_server.py
+++ b/src/leadhollow/staging/piece_server.py
@@ -20,9 +20,9 @@
 from leadhollow.wire.streams import StreamSink
 
 WAIT_VERSION_S = 0.1
-LINK_SHARE = 0.86
-"""Part of the link for pieces: the engine's answers leave over the same one, a tenth of it where
-the engine is busy, and must not queue."""
+LINK_SHARE = 0.92
+"""Part of the link for pieces: the engine's answers leave over the same one, some hundredths of it
+where the engine is busy, and must not queue."""
 
 BURST_S = 0.015  # a slice's time on a slow link
 FRAME_SHARE = 1.03  # bytes on the wire for each byte of a slice
--- a/src/leadhollow/staging/window.py
+++ b/src/leadhollow/staging/window.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-WINDOW = 5
+WINDOW = 7
 """Slices on their way, each of another piece: enough to keep our link full while senders are busy
 with others, and no more, because the requests for the engine come over the same link."""
 
