Let pieces take more of a link only where the version would come too late

A VM hurries until its own engine runs the version, since others may need what it holds. Tests: test_version_choice.py::TestHurry, test_window.py.

--- a/src/leadhollow/decide/version_choice.py
+++ b/src/leadhollow/decide/version_choice.py
@@ -18,6 +18,8 @@
 """Time before the bound at which engines begin to change to a version: enough for two parts of one
 second each."""
 
+USUAL_PACE = 0.65  # of its link at which a VM gets pieces while requests go first
+
 USEFUL_S = 2.0  # a version that will be too old itself by then is not worth two changes
 
 
@@ -123,6 +125,25 @@
     return VersionPlan(fetch=tuple(fetch), install=install)
 
 
+def hurries(
+    versions: Sequence[VersionProgress],
+    *,
+    held: int | None,
+    version_s: float,
+    now_s: float,
+) -> bool:
+    """Tell whether the newest version would come too late at the usual pace.
+
+    Its pieces then may take what they otherwise leave to requests: these wait a little, where later
+    nobody could serve them at all.
+    """
+    newest = versions[0]
+    if not newest.described or newest.complete or newest.number == held:
+        return False
+    left_s = bound_s(versions, held, version_s) - SWITCH_LEAD_S - now_s
+    return newest.missing * newest.piece_s / USUAL_PACE > left_s
+
+
 def bound_s(versions: Sequence[VersionProgress], held: int | None, version_s: float) -> float:
     """Give the time from which no request may begin on the version that the engine holds.
 
@@ -153,5 +174,6 @@
     "VersionPlan",
     "VersionProgress",
     "bound_s",
+    "hurries",
     "plan_versions",
 ]
--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -154,6 +154,7 @@
             version_s=settings.bounds.version_ms / 1000,
             turn=is_turn,
             piece_s=lambda staged: staged.manifest.chunk_bytes / link_bytes_per_s(),
+            window=window,
         )
 
     def make_pieces() -> Service:
@@ -162,6 +163,7 @@
             handlers=process.handlers,
             link_bytes_per_s=link_bytes_per_s,
             failure_domain=settings.failure_domain,
+            hurries=lambda: window.hurries,
         )
 
     def make_gauge() -> Service:
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -5,7 +5,12 @@
 import asyncio
 from collections.abc import Callable
 
-from leadhollow.decide.version_choice import VersionProgress, bound_s, plan_versions
+from leadhollow.decide.version_choice import (
+    VersionProgress,
+    bound_s,
+    hurries,
+    plan_versions,
+)
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.observe.logs import get_logger, log_decision
@@ -16,6 +21,7 @@
 from leadhollow.staging.piece_fetch import PieceFetch
 from leadhollow.staging.pieces import PieceStore, StagedVersion
 from leadhollow.staging.running_fetches import RunningFetches
+from leadhollow.staging.window import PieceWindow
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.weights_versions import versions_of
 from leadhollow.weights.named import NamedVersion
@@ -57,6 +63,8 @@
         have been told that it changes, by the time that is left for all of them.
     piece_s
         Gives the time in which this VM's link carries one piece of a version.
+    window
+        Is told whether the version would come too late at the usual pace.
     first_start
         Whether engine and process start together, so that the engine holds weights it came with.
     """
@@ -78,6 +86,7 @@
         "_version_s",
         "_wake",
         "_watch",
+        "_window",
     )
 
     def __init__(
@@ -94,6 +103,7 @@
         version_s: float,
         turn: Callable[[StagedVersion, bool, float], bool],
         piece_s: Callable[[StagedVersion], float],
+        window: PieceWindow,
     ) -> None:
         self._catalog = catalog
         self._engine = engine
@@ -103,6 +113,7 @@
         self._fetches = RunningFetches(start_fetch=start_fetch)
         self._stage = EngineStage(engine=engine)
         self._piece_s = piece_s
+        self._window = window
         self._read_back = False
         self._times = times
         self._version_s = version_s
@@ -148,12 +159,13 @@
         if report is not None and not self._read_back:
             await self._read_stages(known)
         progress = [self._progress_of(version) for version in known]
-        plan = plan_versions(
-            progress,
-            held=self._held(report, known),
-            version_s=self._version_s,
-            now_s=asyncio.get_running_loop().time(),
-        )
+        held = self._held(report, known)
+        now_s = asyncio.get_running_loop().time()
+        plan = plan_versions(progress, held=held, version_s=self._version_s, now_s=now_s)
+        if held == progress[0].number:
+            self._window.hurries = False  # until then others may still need what is here
+        elif hurries(progress, held=held, version_s=self._version_s, now_s=now_s):
+            self._window.hurries = True
         wanted = (self._store.open(found) for found in known if found.number in plan.fetch)
         self._fetches.keep([found for found in wanted if found is not None])
         goal = plan.install if plan.install is not None else next(iter(plan.fetch), None)
--- a/src/leadhollow/staging/piece_server.py
+++ b/src/leadhollow/staging/piece_server.py
@@ -20,10 +20,11 @@
 from leadhollow.wire.streams import StreamSink
 
 WAIT_VERSION_S = 0.1
-LINK_SHARE = 0.92
-"""Part of the link for pieces: the engine's answers leave over the same one, some hundredths of it
-where the engine is busy, and must not queue."""
+LINK_SHARE = 0.86
+"""Part of the link for pieces: the engine's answers leave over the same one, a tenth of it where
+the engine is busy, and must not queue."""
 
+HURRIED_SHARE = 0.92  # where the version would come too late otherwise
 BURST_S = 0.015  # a slice's time on a slow link
 FRAME_SHARE = 1.03  # bytes on the wire for each byte of a slice
 BACKLOG_BYTES = 8 * 1024  # a receiver that takes no more gets its next slice later
@@ -81,6 +82,8 @@
     failure_domain
         Ours; stagers of others are served first, because each piece enters a domain only once.
         Then go those whose engine changes first, so that not all have to change at once.
+    hurries
+        Tells whether pieces go before requests, since the version would come too late.
     """
 
     __slots__ = (
@@ -101,14 +104,17 @@
         handlers: HandlerTable,
         link_bytes_per_s: Callable[[], float],
         failure_domain: str,
+        hurries: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._failure_domain = failure_domain
         self._wants: list[_Want] = []
         self._asked = 0
-        self._pacer = Pacer(
-            rate_bytes_per_s=lambda: link_bytes_per_s() * LINK_SHARE, burst_s=BURST_S
-        )
+
+        def rate_bytes_per_s() -> float:
+            return link_bytes_per_s() * (HURRIED_SHARE if hurries() else LINK_SHARE)
+
+        self._pacer = Pacer(rate_bytes_per_s=rate_bytes_per_s, burst_s=BURST_S)
         self._wake = asyncio.Event()
         self._watchers = 0
         self.bytes_sent = 0
--- a/src/leadhollow/staging/window.py
+++ b/src/leadhollow/staging/window.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Callable
 
-WINDOW = 7
+WINDOW = 5
 """Slices on their way, each of another piece: enough to keep our link full while senders are busy
 with others, and no more, because the requests for the engine come over the same link."""
 
+HURRIED_WINDOW = 7  # where the version would come too late otherwise
+
 FROM_ORIGIN = 2  # of them, further ones from the origin: one on its way, one to follow it at once
 SLOW_SLICE_S = 0.25  # on its way; with a full window and pieces of the origin it is a tenth
 QUICK_SLICE_S = 0.12
@@ -21,18 +23,25 @@
     ----------
     link_share
         Gives what part of its declared speed this VM's link is thought to carry.
+
+    Attributes
+    ----------
+    hurries
+        Whether pieces go before requests, since the version would come too late.
     """
 
-    __slots__ = ("_link_share", "_size")
+    __slots__ = ("_link_share", "_size", "hurries")
 
     def __init__(self, *, link_share: Callable[[], float]) -> None:
         self._link_share = link_share
         self._size = float(WINDOW)
+        self.hurries = False
 
     @property
     def size(self) -> int:
         """Pieces of which a slice may be on its way; at least one."""
-        return max(1, round(self._size * self._link_share()))
+        most = HURRIED_WINDOW / WINDOW if self.hurries else 1.0
+        return max(1, round(self._size * most * self._link_share()))
 
     @property
     def link_slow(self) -> bool:
@@ -66,4 +75,11 @@
         return from_origin == 0 and from_stagers <= self.size
 
 
-__all__ = ["FROM_ORIGIN", "QUICK_SLICE_S", "SLOW_SLICE_S", "WINDOW", "PieceWindow"]
+__all__ = [
+    "FROM_ORIGIN",
+    "HURRIED_WINDOW",
+    "QUICK_SLICE_S",
+    "SLOW_SLICE_S",
+    "WINDOW",
+    "PieceWindow",
+]
--- a/tests/decide/test_version_choice.py
+++ b/tests/decide/test_version_choice.py
@@ -7,6 +7,7 @@
     UNDESCRIBED_S,
     VersionProgress,
     bound_s,
+    hurries,
     plan_versions,
 )
 
@@ -90,3 +91,29 @@
         assert bound_s(versions, 2, VERSION_S) == 28.0
         assert bound_s(versions, 3, VERSION_S) == float("inf")
         assert bound_s(versions, None, VERSION_S) == float("inf")
+
+
+class TestHurry:
+    """A version on its way to an engine that runs the one before."""
+
+    def hurries(self, missing: int, left_s: float, **more) -> bool:
+        newest = version(2, named_s=20.0, missing=missing, **more)
+        return hurries(
+            (newest, version(1)), held=1, version_s=VERSION_S, now_s=20.0 + VERSION_S - left_s
+        )
+
+    def test_is_needed_where_the_usual_pace_is_too_slow(self):
+        needed_s = 60 * PIECE_S + SWITCH_LEAD_S
+        assert self.hurries(60, needed_s)
+        assert not self.hurries(60, 2 * needed_s)
+
+    def test_is_needed_past_the_bound(self):
+        assert self.hurries(1, -1.0)
+
+    def test_is_not_needed_for_what_is_here_or_cannot_be_had(self):
+        assert not self.hurries(0, 0.5)
+        assert not self.hurries(60, 0.5, described=False)
+
+    def test_is_not_needed_by_an_engine_that_holds_nothing(self):
+        newest = version(2, named_s=20.0, missing=60)
+        assert not hurries((newest, version(1)), held=None, version_s=VERSION_S, now_s=27.9)
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -13,6 +13,7 @@
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
 from leadhollow.staging.installer import NOTICE_S, Installer
 from leadhollow.staging.pieces import PieceStore, StagedVersion
+from leadhollow.staging.window import PieceWindow
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem
 from leadhollow.weights.named import NamedVersion, weights_key
@@ -158,6 +159,7 @@
             version_s=version_s,
             turn=lambda staged, announced, left_s: True,
             piece_s=lambda staged: 0.01,
+            window=PieceWindow(link_share=lambda: 1.0),
         )
 
     def _start_fetch(self, version: StagedVersion) -> FakeFetch:
--- a/tests/staging/test_window.py
+++ b/tests/staging/test_window.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from leadhollow.staging.window import FROM_ORIGIN, QUICK_SLICE_S, SLOW_SLICE_S, WINDOW, PieceWindow
+from leadhollow.staging.window import (
+    FROM_ORIGIN,
+    HURRIED_WINDOW,
+    QUICK_SLICE_S,
+    SLOW_SLICE_S,
+    WINDOW,
+    PieceWindow,
+)
 
 
 def a_window(share: float = 1.0) -> PieceWindow:
@@ -38,6 +45,12 @@
     def test_a_slow_link_gets_fewer(self, share):
         assert a_window(share).size == max(1, round(WINDOW * share))
 
+    def test_a_version_that_would_come_too_late_gets_more(self):
+        window = a_window()
+        window.hurries = True
+        assert window.size == HURRIED_WINDOW
+        assert not window.narrowed
+
     def test_the_origin_does_not_count_while_the_link_is_free(self):
         window = a_window()
         assert window.stager_room(from_stagers=WINDOW - 1, from_origin=FROM_ORIGIN)
