Step in at the origin once it has come past a piece, and not before all overdue ones could be read

Cause: with five stagers on narrowed links, eleven pieces come late; others stepped in for them only when their own part was read, then all at once, and lost patience after 0.6 s while 24 to 44 reads shared the link: 1.4 copies left the origin where 1.0 would do. Change: who still has pieces to read steps in, too, for one that the origin has come past; the longest patience is 1.2 s.

--- a/src/leadhollow/staging/choice.py
+++ b/src/leadhollow/staging/choice.py
@@ -17,6 +17,7 @@
 
 AWAY_S = 0.2  # an origin that did not answer is asked again after it
 
+PASSED_BY = 2 * AHEAD  # pieces in their order that the origin has come further by then
 LEAST_FOLLOWED = 2  # stagers of a failure domain that have to be lost for it to be cut off
 PER_SOURCE = 2  # pieces ordered from one stager at a time; it serves others too
 
@@ -33,7 +34,8 @@
     A piece crosses into a failure domain once, and leaves the origin once, as long as those whose
     task that is do it. Others step in one after the other: a stager on a slow link, or one that
     hangs, would keep everybody waiting. Whoever steps in at the origin has read its own part: the
-    others must have come as far. While the origin does not answer us no time runs, because it
+    others must have come as far; or others are seen to have read pieces much later than the one
+    that is missing. While the origin does not answer us no time runs, because it
     answers the others no more than us. Pieces are read in their order, at the pace of the origin's
     link, or sooner where it turns out to be faster than was declared.
 
@@ -53,6 +55,7 @@
         "_outside",
         "_outside_since_s",
         "_own",
+        "_passed_s",
         "_patience",
         "_random",
         "_read_s",
@@ -83,6 +86,7 @@
         self._outside_since_s: dict[int, float] = {}
         self._turns: OriginTurns | None = None  # from the first look on
         self._unread: list[int] = []  # as of the last order
+        self._passed_s: dict[int, float] = {}  # when others were seen to have read much later ones
 
     def look(
         self,
@@ -200,10 +204,13 @@
 
     def _steps_in(self, index: int, now_s: float) -> bool:
         """Tell whether it is our turn to read a piece that others should have read."""
-        if self._step_in_from_s is None:
+        if self._step_in_from_s is not None:
+            from_s = max(self._step_in_from_s, self._due_s(index))
+        elif (self._near | self._far) >> (index + PASSED_BY):
+            from_s = self._passed_s.setdefault(index, now_s)
+        else:
             return False
         place = self._sharing.reader_place(index, self._own)
-        from_s = max(self._step_in_from_s, self._due_s(index))
         return now_s - from_s >= self._read_s * place
 
     def _due_s(self, index: int) -> float:
--- a/src/leadhollow/staging/patience.py
+++ b/src/leadhollow/staging/patience.py
@@ -14,9 +14,10 @@
 """Time in which one stager should bring in a piece that is held elsewhere; it asks for those first.
 Then it is the next one's turn."""
 
-LONGEST_READ_S = 0.6
+LONGEST_READ_S = 1.2
 """Time by which one stager may be later than another in reading its part from the origin, which
-serves all alike; then the next one reads what is left."""
+serves all alike; then the next one reads what is left. Several that step in for several at once
+share its link: who loses patience sooner than all of these are read makes it slower for all."""
 
 TELL_S = 0.11  # a request for a piece is on its way as long, besides the pause of its news
 IMPORT_S = 0.3
