--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -22,6 +22,11 @@
 
 MOST_PENALTIES = 2.5  # times that penalty, however many engines there are
 
+CHOICES = 4
+"""Engines of the own failure domain, and as many elsewhere, that are drawn for a request; the best
+of them gets it. If each entry took the best of all, those whose views lag alike would all take the
+same one: an engine that has just come, or become free, would get a dozen requests at once."""
+
 SPREAD_MS = 6.0  # random part, so that entries with the same view do not all choose the same
 SURE_S = 2.5  # before weights become too old, only servers that are heard of get requests for them
 PATH_FACTOR = 4  # a path that was slow may be this much slower when the request takes it
@@ -86,34 +91,37 @@
         self.version = version
 
 
-class _Reckoned:
-    """What an engine has to do, as all requests that ask at the same moment see it.
+class _Usable:
+    """An engine that takes requests now, as all that ask at the same moment see it.
 
     Parameters
     ----------
-    ready_ms
-        Time until the first event of a request but for reading its prompt.
     far
         Whether it is of another failure domain.
+
+    Attributes
+    ----------
+    demand
+        What it has to do; None until a request looks at it.
+    ready_ms
+        Time until the first event of a request but for reading its prompt.
     """
 
     __slots__ = ("demand", "far", "ready_ms", "server", "version")
 
-    def __init__(
-        self, *, server: Server, version: int, demand: EngineDemand, ready_ms: float, far: bool
-    ) -> None:
+    def __init__(self, *, server: Server, version: int, far: bool) -> None:
         self.server = server
         self.version = version
-        self.demand = demand
-        self.ready_ms = ready_ms
         self.far = far
+        self.demand: EngineDemand | None = None
+        self.ready_ms = 0.0
 
 
 class EngineChooser:
     """Chooses among the engines that may take a request.
 
     Requests that wait ask again whenever something may have become free, all of them in the same
-    turn. Engines are reckoned once for all of these.
+    turn. Engines are reckoned once for all of these, and only those that one of them looks at.
 
     Parameters
     ----------
@@ -126,10 +134,10 @@
     __slots__ = (
         "_board",
         "_failure_domain",
+        "_known",
+        "_looked_s",
         "_models",
         "_random",
-        "_reckoned",
-        "_reckoned_s",
         "_versions",
     )
 
@@ -146,51 +154,63 @@
         self._failure_domain = failure_domain
         self._random = source
         self._models: dict[str, EngineModel] = {}
-        self._reckoned: dict[tuple[str, str], list[_Reckoned]] = {}
-        self._reckoned_s = 0.0
+        self._known: dict[tuple[str, str], list[_Usable]] = {}  # as of the same moment
+        self._looked_s = 0.0
 
     def forget(self) -> None:
         """Reckon engines anew: what is known of them has changed."""
-        self._reckoned.clear()
+        self._known.clear()
+
+    def best(self, wish: EngineWish, now_s: float, *, of_all: bool = False) -> EngineOption | None:
+        """Give the engine that answers soonest, None where none may take the request.
 
-    def best(self, wish: EngineWish, now_s: float) -> EngineOption | None:
-        """Give the engine that answers soonest, None where none may take the request."""
+        Parameters
+        ----------
+        of_all
+            Whether all engines are looked at, and not just some that are drawn.
+        """
         spec = wish.service.engine
         if spec is None:
             return None
         model = self._model(wish.service.name, spec)
         read_ms = model.read_ms(wish.prompt_tokens)
-        chance = self._random.random
-        best: _Reckoned | None = None
+        eligible = self._eligible(wish, spec, now_s)
+        near = [found for found in eligible if not found.far]
+        far_ms = _far_penalty_ms(len(near))
+        if not of_all:
+            far = [found for found in eligible if found.far]
+            eligible = [*self._draw(near), *self._draw(far)]
+        best: _Usable | None = None
+        best_demand: EngineDemand | None = None
         best_ms = best_rank = float("inf")
-        eligible = self._eligible(wish, model, now_s)
-        far_ms = _far_penalty_ms(sum(not found.far for found in eligible))
         for found in eligible:
-            first_ms = found.ready_ms + found.demand.pace * read_ms
-            rank = first_ms + SPREAD_MS * chance()
-            if found.far:
-                rank += far_ms
+            demand = found.demand or self._reckon(found, wish, model, now_s)
+            first_ms = found.ready_ms + demand.pace * read_ms
+            rank = first_ms + SPREAD_MS * self._random.random() + (far_ms if found.far else 0.0)
             if rank < best_rank:
-                best, best_ms, best_rank = found, first_ms, rank
-        if best is None:
+                best, best_demand, best_ms, best_rank = found, demand, first_ms, rank
+        if best is None or best_demand is None:
             return None
         return EngineOption(
             server=best.server,
             first_ms=best_ms,
             admission_ms=best_ms + _size_allowance_ms(model, wish.prompt_tokens),
-            demand=best.demand,
+            demand=best_demand,
             version=best.version,
         )
 
+    def _draw(self, found: list[_Usable]) -> list[_Usable]:
+        return found if len(found) <= CHOICES else self._random.sample(found, CHOICES)
+
     def _model(self, service: str, spec: EngineSpec) -> EngineModel:
         model = self._models.get(service)
         if model is None or model.spec is not spec:
             model = self._models[service] = EngineModel(spec=spec)
         return model
 
-    def _eligible(self, wish: EngineWish, model: EngineModel, now_s: float) -> list[_Reckoned]:
+    def _eligible(self, wish: EngineWish, spec: EngineSpec, now_s: float) -> list[_Usable]:
         """Give the engines that may get a request."""
-        found = self._reckon(wish.service.name, wish.model, model, now_s)
+        found = self._usable(wish.service.name, wish.model, spec, now_s)
         if wish.excluded:
             found = [one for one in found if one.server.instance.instance not in wish.excluded]
         if not wish.last_attempt:
@@ -199,43 +219,34 @@
         return [one for one in found if one.version >= newest] or found
 
     def _reckon(
-        self, service: str, model_name: str, model: EngineModel, now_s: float
-    ) -> list[_Reckoned]:
-        """Reckon the engines of a service that may take requests for a model."""
-        if now_s - self._reckoned_s > SAME_MOMENT_S:
-            self._reckoned.clear()
-        known = self._reckoned.get((service, model_name))
+        self, found: _Usable, wish: EngineWish, model: EngineModel, now_s: float
+    ) -> EngineDemand:
+        """Reckon what an engine has to do, once for all requests of the same moment."""
+        server = found.server
+        demand = server.demand(model, now_s, told=self._board.hears_others())
+        delay_ms = max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
+        if server.fresh_report(now_s) is None and self._heard(wish, model.spec, now_s):
+            delay_ms += UNHEARD_MS
+        found.demand = demand
+        found.ready_ms = model.ready_ms(demand) + delay_ms
+        return demand
+
+    def _heard(self, wish: EngineWish, spec: EngineSpec, now_s: float) -> bool:
+        """Tell whether any engine reports, so that one that does not stands out."""
+        usable = self._usable(wish.service.name, wish.model, spec, now_s)
+        return any(found.server.fresh_report(now_s) is not None for found in usable)
+
+    def _usable(self, service: str, model: str, spec: EngineSpec, now_s: float) -> list[_Usable]:
+        """Give the engines that take requests for a model now."""
+        if now_s - self._looked_s > SAME_MOMENT_S:
+            self._known.clear()
+        known = self._known.get((service, model))
         if known is not None:
             return known
-        servers = self._usable(service, model_name, model.spec, now_s)
-        heard = any(server.fresh_report(now_s) is not None for server, _ in servers)
-        told = self._board.hears_others()
-        reckoned = []
-        for server, version in servers:
-            demand = server.demand(model, now_s, told=told)
-            delay_ms = max(0.0, server.late_ms(now_s), server.path_delay_ms(now_s))
-            if heard and server.fresh_report(now_s) is None:
-                delay_ms += UNHEARD_MS
-            reckoned.append(
-                _Reckoned(
-                    server=server,
-                    version=version,
-                    demand=demand,
-                    ready_ms=model.ready_ms(demand) + delay_ms,
-                    far=server.instance.failure_domain != self._failure_domain,
-                )
-            )
-        if not self._reckoned:
-            self._reckoned_s = now_s
-        self._reckoned[service, model_name] = reckoned
-        return reckoned
-
-    def _usable(
-        self, service: str, model: str, spec: EngineSpec, now_s: float
-    ) -> list[tuple[Server, int]]:
-        """Give the engines that take requests now, each with the version that it holds."""
+        if not self._known:
+            self._looked_s = now_s
         oldest = self._versions.oldest_allowed(model)
-        found = []
+        found = self._known[service, model] = []
         for server in self._board.servers(service):
             if not server.health.usable(now_s):
                 continue
@@ -243,7 +254,8 @@
             if version is None or version < oldest or server.switching(now_s):
                 continue
             if self._begins_in_time(model, server, version, now_s):
-                found.append((server, version))
+                far = server.instance.failure_domain != self._failure_domain
+                found.append(_Usable(server=server, version=version, far=far))
         return found
 
     def _begins_in_time(self, model: str, server: Server, version: int, now_s: float) -> bool:
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -237,8 +237,14 @@
             self._end(waiter, placed)
 
     def _try(self, wish: EngineWish, *, late: bool = False) -> Placement | None:
+        """Take the best of some engines, or of all where none of these will do."""
+        return self._take_best(wish, late=late, of_all=False) or self._take_best(
+            wish, late=late, of_all=True
+        )
+
+    def _take_best(self, wish: EngineWish, *, late: bool, of_all: bool) -> Placement | None:
         now_s = self._clock()
-        option = self._chooser.best(wish, now_s)
+        option = self._chooser.best(wish, now_s, of_all=of_all)
         if option is None:
             return None
         pressure = self._pressure_of(wish.service)
