Keep a ledger of work in vain in the soak, and mend tests that waited for the wrong moment

Soak: servers note when their whole answer was taken and when whoever sent a request was gone; a failure told by an undisturbed entry is held against them. Three columns: ready and not delivered, withdrawn within a tenth of a second, falsely said not to have run.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import collections
 import shutil
 import sys
 import tempfile
@@ -13,14 +14,14 @@
 from tests.soak.run import Verdict, soak
 
 
-def play(seed: int, faults: int, keep: str) -> tuple[int, list[str], int, int, list[str]]:
+def play(seed: int, faults: int, keep: str) -> Verdict:
     """Play one seed in a process of its own."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     verdict: Verdict = asyncio.run(soak(seed=seed, folder=folder, faults=faults))
     if verdict.violations and keep:
         shutil.copytree(folder, Path(keep) / f"seed-{seed}", dirs_exist_ok=True)
     shutil.rmtree(folder, ignore_errors=True)
-    return verdict.seed, verdict.faults, verdict.asked, verdict.served, verdict.violations
+    return verdict
 
 
 def main() -> int:
@@ -34,14 +35,18 @@
     options = parser.parse_args()
     seeds = range(options.first, options.first + options.seeds)
     failed = 0
+    lost: collections.Counter[str] = collections.Counter()
     with ProcessPoolExecutor(options.jobs) as pool:
         count = len(seeds)
         rows = pool.map(play, seeds, [options.faults] * count, [options.keep] * count)
-        for seed, faults, asked, served, violations in rows:
-            failed += bool(violations)
-            print(f"seed {seed}: {served} of {asked} served; {', '.join(faults)}", flush=True)
-            for violation in violations[:10]:
+        for row in rows:
+            failed += bool(row.violations)
+            lost.update(row.columns)
+            faults = ", ".join(row.faults)
+            print(f"seed {row.seed}: {row.served} of {row.asked} served; {faults}", flush=True)
+            for violation in row.violations[:10]:
                 print(f"  {violation}", flush=True)
+    print(", ".join(f"{name}: {count}" for name, count in lost.items()), flush=True)
     print(f"{len(seeds) - failed} seeds held every promise, {failed} did not", flush=True)
     return 1 if failed else 0
 
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -246,6 +246,7 @@
         headers = {"X-Attempt-Id": attempt, "X-Response-Signature": signature}
         if not self.model:
             await asyncio.sleep(WORK_S)
+            self._note_end(run, request)
             return web.Response(body=signature.encode(), headers=headers)
         response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
         with contextlib.suppress(ConnectionError):  # the caller left
@@ -255,9 +256,22 @@
             await asyncio.sleep(EVENT_S)
             with contextlib.suppress(ConnectionError):
                 await response.write(event(attempt, number))
+            self._note_cut(run, request)
         with contextlib.suppress(ConnectionError):
             await response.write_eof()
+        self._note_end(run, request)
         return response
 
+    def _note_end(self, run: Run, request: web.Request) -> None:
+        """Note that the whole answer is there, unless nobody takes it any more."""
+        self._note_cut(run, request)
+        if run.cut_s is None:
+            run.ended_s = self._ledger.now_s()
+
+    def _note_cut(self, run: Run, request: web.Request) -> None:
+        gone = request.transport is None or request.transport.is_closing()
+        if gone and run.cut_s is None:
+            run.cut_s = self._ledger.now_s()
+
 
 __all__ = ["DRAIN_S", "Backend", "event"]
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -7,9 +7,12 @@
 from enum import Enum
 
 PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
+FAILURE = 500  # statuses from here on are failures of entries or servers
 IN_FORCE_S = 2.0  # bound of a configuration and of a draining engine
 VERSION_S = 8.0  # bound of a version
 CONTACT_S = 3.0  # undisturbed time after which bounds hold
+ON_ITS_WAY_S = 0.3  # what an answer may take from its server to its caller
+WITHDRAWN_S = 0.1  # a send that is cut sooner gave its server no chance to answer
 
 
 class Kind(Enum):
@@ -21,9 +24,17 @@
 
 
 class Run:
-    """A request that an engine or service began to work on."""
+    """A request that an engine or service began to work on.
 
-    __slots__ = ("began_s", "instance", "request", "service", "version")
+    Attributes
+    ----------
+    ended_s
+        When its whole answer had been taken from it; None while that is not so.
+    cut_s
+        When whoever had sent it was seen to be gone before that.
+    """
+
+    __slots__ = ("began_s", "cut_s", "ended_s", "instance", "request", "service", "version")
 
     def __init__(
         self, *, request: str, instance: str, service: str, version: int, began_s: float
@@ -33,12 +44,30 @@
         self.service = service
         self.version = version
         self.began_s = began_s
+        self.ended_s: float | None = None
+        self.cut_s: float | None = None
 
 
 class Told:
-    """What a caller was told."""
-
-    __slots__ = ("body", "entry", "kind", "request", "sent_s", "signature", "status", "wanted")
+    """What a caller was told.
+
+    Attributes
+    ----------
+    told_s
+        When it had heard everything, or nothing more would come.
+    """
+
+    __slots__ = (
+        "body",
+        "entry",
+        "kind",
+        "request",
+        "sent_s",
+        "signature",
+        "status",
+        "told_s",
+        "wanted",
+    )
 
     def __init__(
         self, *, request: str, kind: Kind, entry: str, sent_s: float, wanted: bytes = b""
@@ -48,6 +77,7 @@
         self.entry = entry
         self.sent_s = sent_s
         self.wanted = wanted  # the whole body of a stream
+        self.told_s = sent_s
         self.status = 0  # no answer
         self.body = b""
         self.signature = ""
@@ -128,8 +158,31 @@
             found += self._judge_success(told, runs)
         if told.kind is Kind.LOOKUP:
             found += self._judge_route(told, runs)
+        if told.status >= FAILURE and self.calm(told.told_s) and self.calm(told.sent_s):
+            found += self._judge_failure(told, runs)
         return found
 
+    def _judge_failure(self, told: Told, runs: list[Run]) -> list[str]:
+        """Judge a failure that an undisturbed entry told: nothing was there, all had a chance."""
+        latest_s = told.told_s - ON_ITS_WAY_S
+        ready = [run for run in runs if run.ended_s is not None and run.ended_s < latest_s]
+        cut = [run for run in runs if run.cut_s is not None]
+        withdrawn = [run for run in cut if (run.cut_s or 0.0) - run.began_s < WITHDRAWN_S]
+        return [
+            f"{rule} {told.request}: told {told.status}, ran at {run.instance}"
+            for rule, broken in (("READY", ready), ("WITHDRAWN", withdrawn))
+            for run in broken
+        ]
+
+    def columns(self) -> dict[str, int]:
+        """Count what callers lose though engines did, or could have done, their work."""
+        rules = [text.partition(" ")[0] for text in self.judge()]
+        return {
+            "ready and not delivered": rules.count("READY"),
+            "withdrawn before it could run": rules.count("WITHDRAWN"),
+            "falsely said not to have run": rules.count("REFUSED"),
+        }
+
     def _judge_success(self, told: Told, runs: list[Run]) -> list[str]:
         instances = {run.instance for run in runs}
         if not any(told.signature == f"{told.request}/{name}" for name in instances):
@@ -145,7 +198,8 @@
         oldest = self.acknowledged(told.sent_s - IN_FORCE_S)
         allowed = {table.lookup_service for table in self.tables if table.number >= oldest}
         return [
-            f"CONFIG {told.request}: ran at {run.service}, table {oldest} or newer allows {allowed}"
+            f"CONFIG {told.request}: ran at {run.service} by {told.entry}, {told.sent_s:.2f} s, "
+            f"table {oldest} or newer allows {allowed}"
             for run in runs
             if run.service not in allowed
         ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,16 +20,24 @@
 class Verdict:
     """What one run showed."""
 
-    __slots__ = ("asked", "faults", "seed", "served", "violations")
+    __slots__ = ("asked", "columns", "faults", "seed", "served", "violations")
 
     def __init__(
-        self, *, seed: int, faults: list[str], asked: int, served: int, violations: list[str]
+        self,
+        *,
+        seed: int,
+        faults: list[str],
+        asked: int,
+        served: int,
+        violations: list[str],
+        columns: dict[str, int],
     ) -> None:
         self.seed = seed
         self.faults = faults
         self.asked = asked
         self.served = served
         self.violations = violations
+        self.columns = columns
 
 
 async def soak(*, seed: int, folder: Path, faults: int) -> Verdict:
@@ -54,6 +62,7 @@
         asked=len(ledger.told),
         served=served,
         violations=ledger.judge(),
+        columns=ledger.columns(),
     )
 
 
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -4,14 +4,26 @@
 
 import pytest
 
-from tests.soak.ledger import CONTACT_S, IN_FORCE_S, VERSION_S, Kind, Ledger, Run, Table, Told
+from tests.soak.ledger import (
+    CONTACT_S,
+    IN_FORCE_S,
+    VERSION_S,
+    WITHDRAWN_S,
+    Kind,
+    Ledger,
+    Run,
+    Table,
+    Told,
+)
 
 START_S = 100.0
 
 
-def ran(ledger: Ledger, request: str, **changes: object) -> None:
+def ran(ledger: Ledger, request: str, **changes: object) -> Run:
     values = {"instance": "i-1", "service": "left", "version": 0, "began_s": START_S} | changes
-    ledger.runs[request].append(Run(request=request, **values))
+    run = Run(request=request, **values)
+    ledger.runs[request].append(run)
+    return run
 
 
 def told(ledger: Ledger, request: str, kind: Kind, status: int, **changes: object) -> Told:
@@ -81,6 +93,56 @@
         assert rules(ledger) == ["MIXED"]
 
 
+class TestWorkInVain:
+    """Answers that were there, and sends that gave nobody a chance, behind a failure."""
+
+    def failed(self, *, told_s: float = START_S + 3.0, status: int = 504) -> tuple[Ledger, Run]:
+        ledger = Ledger()
+        run = ran(ledger, "r")
+        told(ledger, "r", Kind.STREAM, status, told_s=told_s)
+        return ledger, run
+
+    @pytest.mark.parametrize("status", [500, 502, 504])
+    def test_an_answer_that_was_ready_and_not_delivered(self, status):
+        ledger, run = self.failed(status=status)
+        run.ended_s = START_S + 2.0
+        assert rules(ledger) == ["READY"]
+        assert ledger.columns()["ready and not delivered"] == 1
+
+    def test_an_answer_that_came_as_the_time_was_over_is_well(self):
+        ledger, run = self.failed()
+        run.ended_s = START_S + 2.9
+        assert rules(ledger) == []
+
+    def test_a_send_that_was_withdrawn_at_once(self):
+        ledger, run = self.failed()
+        run.cut_s = START_S + WITHDRAWN_S / 2
+        assert rules(ledger) == ["WITHDRAWN"]
+        assert ledger.columns()["withdrawn before it could run"] == 1
+
+    def test_a_send_that_was_given_up_later_is_well(self):
+        ledger, run = self.failed()
+        run.cut_s = START_S + 1.0
+        assert rules(ledger) == []
+
+    def test_a_withdrawn_send_beside_a_success_is_well(self):
+        ledger = Ledger()
+        ran(ledger, "r", instance="i-2").cut_s = START_S + WITHDRAWN_S / 2
+        ran(ledger, "r").ended_s = START_S + 0.2
+        told(ledger, "r", Kind.STREAM, 200, told_s=START_S + 0.3)
+        assert rules(ledger) == []
+
+    def test_nothing_is_counted_around_a_fault(self):
+        ledger, run = self.failed()
+        run.ended_s = START_S + 2.0
+        ledger.disturbances.append(START_S + 1.0)
+        assert rules(ledger) == []
+
+    def test_a_false_refusal_is_counted(self):
+        ledger, _ = self.failed(status=503)
+        assert ledger.columns()["falsely said not to have run"] == 1
+
+
 class TestBounds:
     def lookup(self, ledger: Ledger, *, sent_s: float) -> None:
         for number, service in ((1, "left"), (2, "right")):
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -196,6 +196,8 @@
                     body = await answer.read()
             except (aiohttp.ClientError, TimeoutError, OSError):
                 return
+            finally:
+                told.told_s = self._ledger.now_s()
             told.body = body
             told.signature = answer.headers.get("X-Response-Signature", "")
             told.status = answer.status
--- a/tests/staging/test_choice.py
+++ b/tests/staging/test_choice.py
@@ -23,6 +23,7 @@
 SLOW = TaskPatience(piece_bytes=1_000, origin_bytes_per_s=lambda: 1.0, link_bytes_per_s=lambda: 1.0)
 """Links on which even one piece takes longer than anybody is waited for."""
 
+A_MOMENT_S = 0.001
 ALL_DUE_S = PIECES * 1_000.0  # such an origin has had time for every piece
 
 
@@ -78,7 +79,7 @@
         assert choice.source(index, 60.0) is None
         choice.in_order([index], 60.0)
         assert choice.source(index, 60.0) is None
-        assert choice.source(index, 60.0 + 2 * LONGEST_READ_S) is Origin.ORIGIN
+        assert choice.source(index, 60.0 + 2 * LONGEST_READ_S + A_MOMENT_S) is Origin.ORIGIN
 
     def test_one_after_the_other_steps_in(self):
         stagers = [OWN, NEIGHBOUR, FAR]
@@ -109,7 +110,7 @@
         choice.origin_failed(outage_s)
         choice.in_order([index], outage_s)
         assert choice.source(index, outage_s + 0.9 * LONGEST_READ_S) is None
-        assert choice.source(index, outage_s + 2 * LONGEST_READ_S) is Origin.ORIGIN
+        assert choice.source(index, outage_s + 2 * LONGEST_READ_S + A_MOMENT_S) is Origin.ORIGIN
 
     def test_does_the_tasks_of_those_that_are_gone(self):
         index = read_by(NEIGHBOUR)
--- a/tests/state/test_changing_voters.py
+++ b/tests/state/test_changing_voters.py
@@ -151,6 +151,7 @@
     async def test_half_cut_off_with_edits_on_both_sides(self, group):
         old = await group.wait_leader()
         await group.accept()
+        await group.wait_voters(*group.seeds)
         group.cut(old.host)
         lost = asyncio.ensure_future(
             old.service.gateway.propose(NameVersion(model="lost", number=9), timeout_s=1.0)
