Log fields of answers and heartbeats that are not decoded

Cause: a field that nobody decodes passed without a trace, so the logs of the incident could not tell whether any answer had named a limit, nor to which process. Change: the adapter logs each such name once a process, without its value, 64 names at most.

--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -9,6 +9,7 @@
 from leadhollow.forward.dialect import AnswerFacts, CallFacts, Dispatch
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead, ResponseHead
+from leadhollow.platform.unknown_fields import UnknownFields
 
 ATTEMPT_ID = b"x-attempt-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -44,10 +45,36 @@
 """Fields that callers cannot pass through: they are ours, or belong to this connection."""
 
 
+KNOWN_ANSWER_FIELDS = frozenset(
+    {
+        "at-server",
+        "cache-control",
+        "connection",
+        "content-encoding",
+        "content-length",
+        "content-type",
+        "date",
+        "keep-alive",
+        "retry-after",
+        "server",
+        "transfer-encoding",
+        "x-attempt-id",
+        "x-instance-id",
+        "x-not-executed",
+        "x-response-signature",
+        "x-weight-versions",
+    }
+)
+"""Fields of engines' answers that are decoded here or in `http1`, or of no use to the product."""
+
+
 class PlatformCalls:
     """Headers of requests and answers."""
 
-    __slots__ = ()
+    __slots__ = ("_unknown",)
+
+    def __init__(self) -> None:
+        self._unknown = UnknownFields(message="answer", known=KNOWN_ANSWER_FIELDS)
 
     def read_call(self, head: RequestHead) -> Result[CallFacts, Failure]:
         """Decode what a caller says."""
@@ -94,12 +121,13 @@
         """Decode what an engine or plain service says."""
         headers = head.headers
         attempt_id = headers.get(ATTEMPT_ID)
-        instance = headers.get(INSTANCE_ID)
+        instance = headers.text(INSTANCE_ID)
+        self._unknown.note_headers((name for name, _ in headers), sender=instance)
         return AnswerFacts(
             attempt_id=None if attempt_id is None else attempt_id.decode("latin-1"),
             signed=headers.get(SIGNATURE) is not None,
             not_executed=headers.get(NOT_EXECUTED) is not None,
-            instance=None if instance is None else instance.decode("latin-1"),
+            instance=instance or None,
         )
 
     def refusal(self, failure: Failure, retry_after_s: float | None) -> Headers:
--- a/src/leadhollow/platform/control.py
+++ b/src/leadhollow/platform/control.py
@@ -22,6 +22,7 @@
 from leadhollow.http1.messages import RequestHead
 from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
 from leadhollow.platform.documents import read_configuration
+from leadhollow.platform.unknown_fields import UnknownFields
 from leadhollow.routing.rules import check_table
 
 CONFIGURATION_PATH = "/-/config"
@@ -79,6 +80,9 @@
     version: int
 
 
+KNOWN_HEARTBEAT_FIELDS = frozenset({*Heartbeat.__struct_encode_fields__, "stage", "version"})
+
+_members = msgspec.json.Decoder(dict[str, msgspec.Raw])
 _farewells = msgspec.json.Decoder(Farewell)
 _heartbeats = msgspec.json.Decoder(Heartbeat)
 _version_orders = msgspec.json.Decoder(VersionOrder)
@@ -87,7 +91,10 @@
 class PlatformControl:
     """Control calls and their answers."""
 
-    __slots__ = ()
+    __slots__ = ("_unknown",)
+
+    def __init__(self) -> None:
+        self._unknown = UnknownFields(message="heartbeat", known=KNOWN_HEARTBEAT_FIELDS)
 
     def read_call(
         self, head: RequestHead, body: bytes, now_s: float
@@ -104,7 +111,10 @@
         if path.startswith(INSTANCES_PATH):
             instance = path.removeprefix(INSTANCES_PATH)
             if method == "PUT":
-                return _read_heartbeat(instance, body, now_s)
+                heartbeat = _read_heartbeat(instance, body, now_s)
+                if heartbeat.is_ok():
+                    self._unknown.note_members(_members.decode(body), sender=instance)
+                return heartbeat
             if method == "DELETE":
                 return _read_farewell(instance, body)
         return Err(Failure(code=Code.SERVICE_UNKNOWN, detail=f"no call {method} {path}"))
--- /dev/null
+++ b/src/leadhollow/platform/unknown_fields.py
@@ -0,0 +1,67 @@
+"""Reports fields of the platform's messages that the adapter does not decode."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from leadhollow.observe.logs import get_logger
+
+MOST_NAMES = 64
+"""Names that are remembered of one kind of message, so that no sender can fill the logs."""
+
+SHOWN_CHARACTERS = 64
+
+log = get_logger("platform")
+
+
+class UnknownFields:
+    """Logs each unknown field of one kind of message once.
+
+    Parameters
+    ----------
+    message
+        Kind of message, as it is named in the log.
+    known
+        Names that are decoded, or ignored on purpose; for headers in lower case.
+
+    Attributes
+    ----------
+    reported
+        Unknown names that were logged.
+    """
+
+    __slots__ = ("_known", "_message", "_seen", "reported")
+
+    def __init__(self, *, message: str, known: Iterable[str]) -> None:
+        self._message = message
+        self._known = frozenset(known)
+        self._seen: set[str | bytes] = set()
+        self.reported: set[str] = set()
+
+    def note_headers(self, names: Iterable[bytes], *, sender: str) -> None:
+        """Note the header fields of a message."""
+        for name in names:
+            if name not in self._seen:
+                self._note(name, name.decode("latin-1").lower(), sender)
+
+    def note_members(self, names: Iterable[str], *, sender: str) -> None:
+        """Note the members of a JSON object."""
+        for name in names:
+            if name not in self._seen:
+                self._note(name, name, sender)
+
+    def _note(self, raw: str | bytes, name: str, sender: str) -> None:
+        if len(self._seen) < MOST_NAMES:
+            self._seen.add(raw)
+        if name in self._known or name in self.reported or len(self.reported) >= MOST_NAMES:
+            return
+        self.reported.add(name)
+        log.warning(
+            "unknown field",
+            message_kind=self._message,
+            field=name[:SHOWN_CHARACTERS],
+            sender=sender,
+        )
+
+
+__all__ = ["MOST_NAMES", "UnknownFields"]
--- /dev/null
+++ b/tests/platform/test_unknown_fields.py
@@ -0,0 +1,56 @@
+"""Fields that the adapter does not decode are reported once, and never fill the logs."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from leadhollow.http1.headers import Headers
+from leadhollow.http1.messages import Framing, ResponseHead
+from leadhollow.platform.callers import PlatformCalls
+from leadhollow.platform.unknown_fields import MOST_NAMES, UnknownFields
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    found: list[dict[str, object]] = []
+
+    class Recorder:
+        def warning(self, message: str, **fields: object) -> None:
+            found.append({"message": message, **fields})
+
+    monkeypatch.setattr("leadhollow.platform.unknown_fields.log", Recorder())
+    return found
+
+
+def answer(*fields: tuple[bytes, bytes]) -> ResponseHead:
+    return ResponseHead(
+        status=200, reason=b"OK", headers=Headers(items=fields), framing=Framing.LENGTH
+    )
+
+
+class TestAnswers:
+    def test_with_an_unknown_field_are_reported_once(self, lines):
+        calls = PlatformCalls()
+        for value in (b"1", b"2"):
+            calls.read_answer(answer((b"X-Instance-Id", b"i-1"), (b"X-New-Field", value)))
+        assert [(line["field"], line["sender"]) for line in lines] == [("x-new-field", "i-1")]
+
+    def test_with_known_fields_are_not_reported(self, lines):
+        fields = [(b"Content-Type", b"text/plain"), (b"X-ATTEMPT-ID", b"a"), (b"Date", b"now")]
+        PlatformCalls().read_answer(answer(*fields))
+        assert lines == []
+
+
+class TestNames:
+    def test_are_logged_without_their_values_and_cut(self, lines):
+        PlatformCalls().read_answer(answer((b"X" * 10_000, b"secret")))
+        assert "secret" not in json.dumps(lines)
+        assert len(str(lines[0]["field"])) < 100
+
+    def test_that_a_sender_invents_are_bounded(self, lines):
+        unknown = UnknownFields(message="answer", known=())
+        for number in range(10 * MOST_NAMES):
+            unknown.note_headers([b"x-%d" % number], sender="i-1")
+        assert len(lines) == len(unknown.reported) == MOST_NAMES
