Reproduce the incident with a server's limit, as a test that fails

Three entries, a control replica and four servers as whole processes, plain and streaming; one server names a limit of 1.3 a second, 60 requests a second come.

--- a/tests/node/crashing.py
+++ b/tests/node/crashing.py
@@ -134,12 +134,16 @@
             "models": [{"name": "m", "version": 1, "adapters": []}],
         }
 
+    def _more_fields(self) -> dict[str, str]:
+        return {}
+
     async def _answer_well(self, request: web.Request) -> web.StreamResponse:
         headers = {
             "X-Attempt-Id": request.headers["X-Attempt-Id"],
             "X-Response-Signature": "signed",
             "X-Instance-Id": self.instance,
             "Content-Type": "text/event-stream",
+            **self._more_fields(),
         }
         if request.headers.get("X-Expect-Instance") != self.instance:
             return web.Response(status=421, headers=headers)
--- /dev/null
+++ b/tests/node/test_server_limit.py
@@ -0,0 +1,97 @@
+"""Backend servers that name a limit, before entries and a control replica as whole processes."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from tests.node.limiting import LimitingEngine, LimitingServer
+from tests.node.site import Site, route
+from tests.support import eventually
+
+SERVERS = 4
+ENTRIES = 3
+REQUESTS_PER_S = 60.0
+WINDOW_S = 4.0
+SPREAD_S = 0.5  # until every entry has to know
+FIELDS = {"X-Model": "m", "X-Token-Usage": "10,3"}
+KINDS = {"plain": LimitingServer, "stream": LimitingEngine}
+
+
+def a_route(kind: str) -> dict[str, object]:
+    streams = {"type": "streaming", "resumable": True, "gapTargetMs": 400}
+    return {**route("/ask/", "service"), **(streams if kind == "stream" else {})}
+
+
+class Load:
+    """Requests at a steady rate, to one entry after the other."""
+
+    def __init__(self, *, site: Site, entries: int = ENTRIES) -> None:
+        self.statuses: list[int] = []
+        self._site = site
+        self._entries = itertools.cycle(range(entries))
+        self._requests: set[asyncio.Task[None]] = set()
+        self._task: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Load:
+        self._task = asyncio.create_task(self._run())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        assert self._task is not None
+        self._task.cancel()
+        await asyncio.gather(*self._requests, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            request = asyncio.create_task(self._send(next(self._entries)))
+            self._requests.add(request)
+            request.add_done_callback(self._requests.discard)
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+
+    async def _send(self, entry: int) -> None:
+        status = await self._site.post("/ask/a", b"good", entry=entry, fields=FIELDS)
+        self.statuses.append(status)
+
+
+def with_site(
+    folder: Path,
+    kind: str,
+    work: Callable[[Site, list[LimitingServer | LimitingEngine]], Awaitable[None]],
+) -> None:
+    async def run() -> None:
+        servers = [KINDS[kind](number=number, service="service") for number in range(SERVERS)]
+        async with Site(folder=folder, servers=servers, entries=ENTRIES) as site:
+            await site.put_routes(a_route(kind))
+            for entry in range(ENTRIES):
+                await eventually(lambda entry=entry: served(site, entry), "an answer")
+            await site.pause()
+            await work(site, servers)
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+async def served(site: Site, entry: int) -> bool:
+    return await site.post("/ask/a", b"good", entry=entry, fields=FIELDS) == 200
+
+
+@pytest.mark.parametrize("kind", sorted(KINDS))
+class TestServerThatNamesALimit:
+    # Guards against: all entries together send a server more than the limit that its answers name.
+    def test_gets_no_more_than_its_limit_from_all_entries_together(self, tmp_path, kind):
+        async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
+            limited = servers[0]
+            async with Load(site=site) as load:
+                await asyncio.sleep(0.5)
+                limited.limit = "1.3"
+                await asyncio.sleep(SPREAD_S + 1.5 * WINDOW_S)
+            assert limited.arrivals.named_s is not None
+            told_s = limited.arrivals.named_s + SPREAD_S
+            assert limited.arrivals.most_in(WINDOW_S, after_s=told_s) <= 1.5 * 1.3 * WINDOW_S + 5
+            assert set(load.statuses) == {200}
+
+        with_site(tmp_path, kind, work)
