--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -117,6 +117,8 @@
         503,
         "The request ended several backend servers and is sent to none any more.",
     )
+    LIMIT_MALFORMED = (517, 502, "The backend server named a request limit that is no number.")
+    SERVER_LIMITED = (518, 503, "The backend server's request limit left no room; nothing was run.")
 
     MANIFEST_INVALID = (601, 400, "A manifest is malformed, or its chunks do not cover the file.")
     CHUNK_MISMATCH = (602, 502, "A chunk does not match its hash.")
--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -12,6 +12,7 @@
 from leadhollow.control.confirmation import Confirmation
 from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.item_news import ItemNews
+from leadhollow.control.limit_relay import LimitRelay
 from leadhollow.control.registry import Load, Registry
 from leadhollow.control.subscriber import Subscriber, wants
 from leadhollow.control.suspect_relay import SuspectRelay
@@ -30,6 +31,8 @@
     FeedProbeReply,
     FeedUpdate,
     FeedWatch,
+    LimitLease,
+    LimitNews,
     ServiceDecisions,
     SuspectNews,
 )
@@ -61,6 +64,7 @@
         "_confirmation",
         "_item_news",
         "_known_replicas",
+        "_limits",
         "_naming_times",
         "_registry",
         "_replicas",
@@ -81,8 +85,10 @@
         handlers: HandlerTable,
         naming_times: NamingTimes,
         suspects: SuspectRelay,
+        limits: LimitRelay,
     ) -> None:
         self._suspects = suspects
+        self._limits = limits
         self._catalog = catalog
         self._item_news = ItemNews(catalog=catalog, wants=wants)
         self._registry = registry
@@ -98,6 +104,9 @@
         registry.on_silence(self._on_silence)
         uses.on_change(self._on_uses)
         suspects.on_change(self._on_suspects)
+        limits.tell_entries(
+            on_limits=self._on_limits, on_lease=self._on_lease, on_behind=self._on_behind
+        )
         confirmation.on_found(self._wake_all)
         handlers.on_stream(FeedWatch, self._on_watch)
         handlers.on_call(FeedProbe, self._on_probe)
@@ -151,6 +160,7 @@
         if subscriber.role is NodeRole.ENTRY:
             subscriber.uses.add(self._uses.engines(), (), _now_s())
             subscriber.suspects = everything(self._suspects.table)
+            subscriber.limits = self._limits.everything()
         update = self._delta(subscriber)
         update.whole = True
         return update
@@ -193,6 +203,8 @@
             uses,
             self._news_of_suspects(subscriber, now_s),
             packed_items,
+            self._news_of_limits(subscriber),
+            self._take_lease(subscriber),
         )
 
     def _replicas_now(self, now_s: float) -> list[str]:
@@ -231,6 +243,37 @@
         subscriber.suspects_mark = mark
         return encode_news(self._suspects.table, subscriber.suspects.take(), now_s)
 
+    def _news_of_limits(self, subscriber: Subscriber) -> LimitNews | None:
+        """Give what is known of servers' limits, where that changed or shares are leased."""
+        if subscriber.role is not NodeRole.ENTRY or not self._limits.table:
+            return None
+        if not subscriber.limits and subscriber.limit_lease is None:
+            return None
+        lives, subscriber.limits = subscriber.limits, set()
+        return self._limits.news(lives)
+
+    def _take_lease(self, subscriber: Subscriber) -> LimitLease | None:
+        lease, subscriber.limit_lease = subscriber.limit_lease, None
+        return lease
+
+    def _on_limits(self, lives: set[str]) -> None:
+        for subscriber in self._subscribers:
+            if subscriber.role is NodeRole.ENTRY:
+                subscriber.limits |= lives
+                subscriber.tell_at(_now_s())
+
+    def _on_lease(self, lease: LimitLease) -> None:
+        for subscriber in self._subscribers:
+            if subscriber.vm == lease.vm:
+                subscriber.limit_lease = lease
+                subscriber.tell_at(_now_s())
+
+    def _on_behind(self, vm: str) -> None:
+        for subscriber in self._subscribers:
+            if subscriber.vm == vm and subscriber.role is NodeRole.ENTRY:
+                subscriber.limits |= self._limits.everything()
+                subscriber.tell_at(_now_s())
+
     def _on_suspects(self, changed: Changed) -> None:
         for subscriber in self._subscribers:
             if subscriber.role is NodeRole.ENTRY:
--- a/src/leadhollow/control/subscriber.py
+++ b/src/leadhollow/control/subscriber.py
@@ -11,6 +11,7 @@
 from leadhollow.membership.suspect_news import Changed
 from leadhollow.settings.node import NodeRole
 from leadhollow.state.records import CatalogItem
+from leadhollow.wire.generated.ttypes import LimitLease
 
 STAGER_PREFIXES = ("weights/", "service/")
 """What a stager needs of the catalog; its link is slow."""
@@ -34,6 +35,8 @@
         "decisions_s",
         "domain",
         "instances",
+        "limit_lease",
+        "limits",
         "loads",
         "role",
         "sent_naming_times",
@@ -61,6 +64,8 @@
         self.instances: dict[str, Instance] = {}
         self.silent: set[str] = set()  # incarnations that are heard no more
         self.loads: dict[str, Load] = {}
+        self.limits: set[str] = set()  # lives whose limit it is to be told
+        self.limit_lease: LimitLease | None = None
         self.suspects = Changed()
         self.suspects_mark = 0  # of the table that it was told last
         self.sent_replicas: list[str] = []
--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -248,7 +248,7 @@
         oldest = self._versions.oldest_allowed(model)
         found = self._known[service, model] = []
         for server in self._board.servers(service):
-            if not server.health.usable(now_s):
+            if not server.health.usable(now_s) or not server.admits():
                 continue
             version = server.whole_version(model, spec.layers, now_s)
             if version is None or version < oldest or server.switching(now_s):
--- a/src/leadhollow/decide/retry_budget.py
+++ b/src/leadhollow/decide/retry_budget.py
@@ -37,6 +37,10 @@
         """Count a caller's request."""
         self._requests.setdefault(service, deque()).append(self._clock())
 
+    def demand_per_s(self, service: str) -> float:
+        """Give the callers' requests a second in this window."""
+        return self._count(self._requests, service) / self._bounds.retry_window_s
+
     def take(self, service: str) -> bool:
         """Take the right to one more arrival; False where none is left."""
         if self.left(service) < 1:
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -7,6 +7,7 @@
 
 from leadhollow.decide.engine_model import READING_SHARE, EngineDemand, EngineModel
 from leadhollow.decide.health import Health
+from leadhollow.decide.send_allowance import SendAllowance
 from leadhollow.membership.instances import Instance, ServedVersion
 from leadhollow.membership.reporting import SHORTEST_INTERVAL_S, VALID_INTERVALS
 from leadhollow.membership.uses import NO_USE, Use
@@ -28,9 +29,21 @@
     ----------
     reading
         Whether no event has come yet, so that its prompt may still be read.
+    permit
+        Allowance that its token was taken from, where its server has a limit.
+    sent
+        Whether it was sent, so that its token is used up.
     """
 
-    __slots__ = ("output_tokens", "placed_s", "predicted_ms", "prompt_tokens", "reading")
+    __slots__ = (
+        "output_tokens",
+        "permit",
+        "placed_s",
+        "predicted_ms",
+        "prompt_tokens",
+        "reading",
+        "sent",
+    )
 
     def __init__(
         self, *, prompt_tokens: int, output_tokens: float, placed_s: float, predicted_ms: float
@@ -40,6 +53,8 @@
         self.placed_s = placed_s
         self.predicted_ms = predicted_ms
         self.reading = True
+        self.permit: SendAllowance | None = None
+        self.sent = False
 
 
 class Report:
@@ -109,6 +124,11 @@
         Called where what this entry has there changed.
     report_valid_s
         Gives the age from which a report that comes now is too old to go by.
+
+    Attributes
+    ----------
+    allowance
+        What this entry may send there; None while the server names no limit.
     """
 
     __slots__ = (
@@ -120,6 +140,7 @@
         "_told",
         "_told_counts",
         "_unread_tokens",
+        "allowance",
         "calls",
         "health",
         "instance",
@@ -135,6 +156,7 @@
         report_valid_s: Callable[[], float] = lambda: REPORT_VALID_S,
     ) -> None:
         self.instance = instance
+        self.allowance: SendAllowance | None = None
         self.calls: set[OwnCall] = set()
         self._unread_tokens = 0  # of our calls that have no event yet
         self.report: Report | None = None
@@ -153,8 +175,27 @@
         """Requests of this entry that run there."""
         return len(self.calls)
 
+    def admits(self) -> bool:
+        """Tell whether the server's limit leaves room for a request of this entry."""
+        return self.allowance is None or self.allowance.admits()
+
+    def may_send(self, call: OwnCall) -> bool:
+        """Tell whether a request that goes there may be sent now; from then on it counts as sent.
+
+        The server may have named its limit, or another one, after the request was placed.
+        """
+        allowance = self.allowance
+        if allowance is not None and call.permit is not allowance:
+            if not allowance.take():
+                return False
+            call.permit = allowance
+        call.sent = True
+        return True
+
     def add(self, call: OwnCall) -> None:
         """Note a request that goes there."""
+        if self.allowance is not None and self.allowance.take():
+            call.permit = self.allowance
         self.calls.add(call)
         self._unread_tokens += call.prompt_tokens
         self._own_counts.note(len(self.calls), call.placed_s)
@@ -162,6 +203,9 @@
 
     def remove(self, call: OwnCall, now_s: float) -> None:
         """Note that a request ended."""
+        if call.permit is not None and not call.sent:
+            call.permit.give_back()
+            call.permit = None
         self._note_read(call)
         self.calls.discard(call)
         self._own_counts.note(len(self.calls), now_s)
--- /dev/null
+++ b/src/leadhollow/experiment/limits.py
@@ -0,0 +1,388 @@
+"""Servers that limit the requests they take, and ways of keeping such a limit over all entries.
+
+In virtual time, with the product's own table, allowance and ledger between entries and a leader.
+A server that limits itself is idle, so each entry would send its next request there.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left
+from collections.abc import Callable
+from enum import Enum
+
+import msgspec
+
+from leadhollow.decide.limit_table import LimitTable
+from leadhollow.decide.send_allowance import SendAllowance
+from leadhollow.decide.share_ledger import LEASE_S, EntryDemand, LimitedServer, ShareLedger
+from leadhollow.experiment.clock import Clock
+
+SERVICE = "model"
+ANSWER_S = (0.1, 0.3)  # until the head of an answer
+WAY_S = (0.01, 0.04)  # of news from an entry to the leader, or back
+ASK_S = 0.25
+PATIENCE_S = 0.1  # of a request that waits for a server with room
+WAIT_STEP_S = 0.02
+SPREAD_S = 0.2  # until every entry should know of a limit
+WINDOWS_S = (1.0, 2.0, 4.0, 8.0)
+RULE_WINDOW_S = 4.0
+RULE_FACTOR = 1.5
+RULE_SLACK = 5.0
+MARGIN = 2.0  # requests above a limit that are aimed at
+USE_FROM_S = 2.0  # after a limit was named its use is counted
+
+
+class Way(Enum):
+    """How entries keep a limit."""
+
+    NONE = "not at all"
+    ALONE = "each the whole limit"
+    EVEN = "an even part each"
+    LEASED = "leased shares"
+
+
+class Pattern(msgspec.Struct, frozen=True, kw_only=True):
+    """What entries are asked, what servers limit, and what fails.
+
+    Parameters
+    ----------
+    limited
+        Servers that name a limit, from ``named_s`` to ``lifted_s``.
+    uneven
+        Requests of a busy entry as a multiple of those of a calm one; a fifth of them is busy.
+    lost
+        Entries that end and are replaced by new ones, one a second.
+    cut
+        Part of the entries that is out of touch with control from ``fault_s`` to ``healed_s``.
+    leader_away
+        Whether no leader serves during that time.
+    """
+
+    entries: int = 39
+    domains: int = 3
+    servers: int = 39
+    limited: int = 1
+    limit_per_s: float = 1.3
+    rate_per_s: float = 500.0
+    uneven: float = 4.0
+    lost: int = 0
+    cut: float = 0.0
+    leader_away: bool = False
+    named_s: float = 2.0
+    lifted_s: float = 14.0
+    fault_s: float = 5.0
+    healed_s: float = 9.0
+    length_s: float = 18.0
+
+
+PATTERNS = {
+    "one": Pattern(),
+    "one, few entries": Pattern(entries=3, servers=6, rate_per_s=80.0),
+    "one, many entries": Pattern(entries=98, domains=5, servers=102, rate_per_s=1_200.0),
+    "low": Pattern(limit_per_s=0.2),
+    "high": Pattern(limit_per_s=50.0, rate_per_s=1_200.0),
+    "ten": Pattern(limited=10, limit_per_s=5.0),
+    "all": Pattern(limited=39, limit_per_s=5.0),
+    "entries come and go": Pattern(lost=8, limit_per_s=5.0),
+    "half cut off": Pattern(cut=0.5, limit_per_s=5.0),
+    "no leader": Pattern(leader_away=True, limit_per_s=5.0),
+}
+
+
+class Figures(msgspec.Struct, kw_only=True):
+    """What one run gave.
+
+    Parameters
+    ----------
+    over_aim
+        Most arrivals at one server in any window beyond its limit and two requests.
+    over_rule
+        Most beyond one and a half times the limit in 4 s and five requests.
+    used
+        Part of the limits that was used while they held.
+    refused
+        Requests that found no server with room.
+    full_again_s
+        Time after the limit was lifted until all entries know.
+    """
+
+    over_aim: float = 0.0
+    over_rule: float = 0.0
+    used: float = 0.0
+    refused: int = 0
+    full_again_s: float = 0.0
+    requests: int = 0
+
+
+class _Server:
+    __slots__ = ("arrivals_s", "domain", "life", "limited", "told_s")
+
+    def __init__(self, *, number: int, domain: str, limited: bool) -> None:
+        self.life = f"i-{number}@0"
+        self.domain = domain
+        self.limited = limited
+        self.arrivals_s: list[float] = []
+        self.told_s: float | None = None  # first answer that named the limit
+
+
+class _Entry:
+    __slots__ = ("alive", "allowances", "cut_off", "domain", "number", "requests_s", "table", "vm")
+
+    def __init__(self, *, number: int, vm: str, domain: str) -> None:
+        self.number = number
+        self.vm = vm
+        self.domain = domain
+        self.alive = True
+        self.cut_off = False
+        self.table = LimitTable()
+        self.allowances: dict[str, SendAllowance] = {}
+        self.requests_s: list[float] = []
+
+    def demand_per_s(self, now_s: float, window_s: float = 10.0) -> float:
+        recent = len(self.requests_s) - bisect_left(self.requests_s, now_s - window_s)
+        return recent / min(window_s, max(1.0, now_s))
+
+
+class LimitWorld:
+    """One run of a pattern with one way of keeping limits."""
+
+    def __init__(self, *, pattern: Pattern, way: Way, seed: int) -> None:
+        self.figures = Figures()
+        self._pattern = pattern
+        self._way = way
+        self._random = random.Random(seed)
+        self._clock = Clock()
+        self._servers = [
+            _Server(
+                number=number,
+                domain=f"d{number % pattern.domains}",
+                limited=number < pattern.limited,
+            )
+            for number in range(pattern.servers)
+        ]
+        self._by_life = {server.life: server for server in self._servers}
+        self._entries = [self._new_entry(number) for number in range(pattern.entries)]
+        self._leader_table = LimitTable()
+        self._ledger = ShareLedger(clock=self._now_s)
+        self._leads_from_s = 0.0
+
+    def run(self) -> Figures:
+        """Let everything come, and give the figures."""
+        pattern, clock = self._pattern, self._clock
+        weights = [pattern.uneven if number % 5 == 0 else 1.0 for number in range(pattern.entries)]
+        places = self._random.choices(
+            range(pattern.entries), weights, k=int(pattern.rate_per_s * pattern.length_s)
+        )
+        for place in places:
+            at_s = self._random.uniform(0, pattern.length_s)
+            clock.at(at_s, lambda place=place: self._arrive(place))  # type: ignore[misc]
+        for number in range(pattern.lost):
+            clock.at(pattern.fault_s + number, lambda number=number: self._replace(number))  # type: ignore[misc]
+        clock.at(pattern.fault_s, self._fail)
+        clock.at(pattern.healed_s, self._heal)
+        for entry in self._entries:
+            self._ask_again(entry)
+        clock.run(pattern.length_s)
+        self._judge()
+        return self.figures
+
+    def _now_s(self) -> float:
+        return self._clock.now_s
+
+    def _new_entry(self, number: int, life: int = 0) -> _Entry:
+        domain = f"d{number % self._pattern.domains}"
+        return _Entry(number=number, vm=f"entry-{number}.{life}", domain=domain)
+
+    def _replace(self, number: int) -> None:
+        """End an entry and start another one, which is told all limits before it serves."""
+        entry = self._entries[number] = self._new_entry(number, life=1)
+        for record in self._leader_table.records():
+            self._take(entry, record)
+        self._ask_again(entry)
+
+    def _fail(self) -> None:
+        for entry in self._entries[: int(self._pattern.cut * len(self._entries))]:
+            entry.cut_off = True
+        if self._pattern.leader_away:
+            self._leads_from_s = float("inf")
+
+    def _heal(self) -> None:
+        for entry in self._entries:
+            entry.cut_off = False
+        if self._pattern.leader_away:
+            self._ledger = ShareLedger(clock=self._now_s)
+            self._leads_from_s = self._clock.now_s + LEASE_S
+
+    def _arrive(self, place: int) -> None:
+        entry = self._entries[place]
+        self.figures.requests += 1
+        entry.requests_s.append(self._clock.now_s)
+        self._place(entry, self._clock.now_s + PATIENCE_S)
+
+    def _place(self, entry: _Entry, until_s: float) -> None:
+        """Send a request to a limited server, which is idle, or to any other one."""
+        idle = [
+            life
+            for life, allowance in entry.allowances.items()
+            if self._way is not Way.NONE and allowance.admits()
+        ]
+        others = [one for one in self._servers if one.life not in entry.allowances]
+        if self._way is Way.NONE:
+            others = self._servers
+        if idle:
+            server = self._by_life[self._random.choice(idle)]
+            entry.allowances[server.life].take()
+            self._send(entry, server)
+        elif others:
+            self._send(entry, self._random.choice(others))
+        elif self._clock.now_s < until_s:
+            self._clock.after_ms(WAIT_STEP_S * 1000, lambda: self._place(entry, until_s))
+        else:
+            self.figures.refused += 1
+
+    def _send(self, entry: _Entry, server: _Server) -> None:
+        now_s = self._clock.now_s
+        server.arrivals_s.append(now_s)
+        answer_s = self._random.uniform(*ANSWER_S)
+        self._clock.after_ms(answer_s * 1000, lambda: self._answer(entry, server, now_s))
+
+    def _answer(self, entry: _Entry, server: _Server, sent_s: float) -> None:
+        now_s = self._clock.now_s
+        if not server.limited:
+            return
+        if self._pattern.named_s <= now_s < self._pattern.lifted_s:
+            if server.told_s is None:
+                server.told_s = now_s
+            news = entry.table.name(server.life, per_s=self._pattern.limit_per_s, received_s=now_s)
+        else:
+            news = entry.table.lift(server.life, sent_s=sent_s)
+        if news:
+            self._apply(entry, server.life)
+            self._tell(entry, server.life)
+
+    def _apply(self, entry: _Entry, life: str) -> None:
+        per_s = entry.table.limit(life)
+        if per_s is None:
+            if entry.allowances.pop(life, None) is not None:
+                late_s = self._clock.now_s - self._pattern.lifted_s
+                self.figures.full_again_s = max(self.figures.full_again_s, late_s)
+            return
+        if life not in entry.allowances:
+            entry.allowances[life] = SendAllowance(
+                per_s=per_s,
+                entries=lambda: len(self._entries),
+                clock=self._now_s,
+                source=self._random,
+            )
+            if self._way in (Way.ALONE, Way.EVEN):
+                part = 1.0 if self._way is Way.ALONE else 1.0 / len(self._entries)
+                entry.allowances[life].lease(part, until_s=float("inf"))
+
+    def _tell(self, entry: _Entry, life: str) -> None:
+        """Tell the leader of a limit, and through it everybody."""
+        record = entry.table.record(life)
+        if record is None or self._way in (Way.NONE, Way.ALONE):
+            return
+        heard = record.copy()
+
+        def take() -> None:
+            if self._leader_table.take(heard):
+                for other in self._entries:
+                    self._later(other, lambda other=other: self._take(other, heard))  # type: ignore[misc]
+                    self._later(other, lambda other=other: self._ask(other))  # type: ignore[misc]
+
+        self._later(entry, take)
+
+    def _take(self, entry: _Entry, heard: object) -> None:
+        if entry.table.take(heard):  # type: ignore[arg-type]
+            self._apply(entry, heard.life)  # type: ignore[attr-defined]
+
+    def _ask_again(self, entry: _Entry) -> None:
+        self._ask(entry)
+        if entry in self._entries:
+            self._clock.after_ms(ASK_S * 1000, lambda: self._ask_again(entry))
+
+    def _ask(self, entry: _Entry) -> None:
+        if self._way is not Way.LEASED or not entry.allowances:
+            return
+        asked_s = self._clock.now_s
+        demand = {SERVICE: entry.demand_per_s(asked_s)}
+        self._later(entry, lambda: self._lease(entry, demand, asked_s))
+
+    def _lease(self, entry: _Entry, demand: dict[str, float], asked_s: float) -> None:
+        now_s = self._clock.now_s
+        if now_s < self._leads_from_s:
+            return
+        asked = EntryDemand(vm=entry.vm, failure_domain=entry.domain, per_s=demand, heard_s=now_s)
+        servers = [
+            LimitedServer(
+                life=life,
+                service=SERVICE,
+                failure_domain=self._by_life[life].domain,
+                per_s=per_s,
+            )
+            for life, per_s in self._leader_table.limits().items()
+        ]
+        shares = self._ledger.ask(asked, servers)
+
+        def give() -> None:
+            for life, allowance in entry.allowances.items():
+                allowance.lease(shares.get(life, 0.0), until_s=asked_s + LEASE_S)
+
+        self._later(entry, give)
+
+    def _later(self, entry: _Entry, work: Callable[[], None]) -> None:
+        """Let news travel between an entry and the leader, unless the entry is cut off."""
+
+        def arrive() -> None:
+            if not entry.cut_off:
+                work()
+            else:
+                self._clock.after_ms(ASK_S * 1000, arrive)
+
+        self._clock.after_ms(self._random.uniform(*WAY_S) * 1000, arrive)
+
+    def _judge(self) -> None:
+        pattern, figures = self._pattern, self.figures
+        used = allowed = 0.0
+        for server in self._servers:
+            if server.told_s is None:
+                continue
+            from_s, until_s = server.told_s + SPREAD_S, pattern.lifted_s
+            times_s = [at_s for at_s in server.arrivals_s if from_s <= at_s < until_s]
+            for window_s in WINDOWS_S:
+                found = _most(times_s, window_s)
+                aim = pattern.limit_per_s * window_s + MARGIN
+                figures.over_aim = max(figures.over_aim, found - aim)
+            rule = RULE_FACTOR * pattern.limit_per_s * RULE_WINDOW_S + RULE_SLACK
+            figures.over_rule = max(figures.over_rule, _most(times_s, RULE_WINDOW_S) - rule)
+            begin_s = server.told_s + USE_FROM_S
+            used += sum(1 for at_s in times_s if at_s >= begin_s)
+            allowed += pattern.limit_per_s * max(0.0, until_s - begin_s)
+        figures.used = used / allowed if allowed else 0.0
+
+
+def _most(times_s: list[float], window_s: float) -> int:
+    """Give the most arrivals in any window of a length; the times are in order."""
+    return max(
+        (bisect_left(times_s, at_s + window_s) - place for place, at_s in enumerate(times_s)),
+        default=0,
+    )
+
+
+def play(name: str, way: Way, *, seeds: int) -> dict[str, float]:
+    """Play a pattern with some seeds; gives means, and of what is over its bound the worst."""
+    runs = [LimitWorld(pattern=PATTERNS[name], way=way, seed=seed).run() for seed in range(seeds)]
+    over = [run.over_aim > 0 for run in runs]
+    return {
+        "over_aim": round(max(run.over_aim for run in runs), 2),
+        "within_aim": round(1 - sum(over) / seeds, 3),
+        "over_rule": round(max(run.over_rule for run in runs), 2),
+        "full_again_s": round(max(run.full_again_s for run in runs), 2),
+        "used": round(sum(run.used for run in runs) / seeds, 3),
+        "refused": round(sum(run.refused / run.requests for run in runs) / seeds, 4),
+    }
+
+
+__all__ = ["PATTERNS", "Figures", "LimitWorld", "Pattern", "Way", "play"]
--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -29,6 +29,7 @@
     __slots__ = (
         "_by_address",
         "_clock",
+        "_found_listeners",
         "_life_listeners",
         "_listeners",
         "_replaced_listeners",
@@ -45,6 +46,7 @@
         self._servers: dict[str, Server] = {}
         self._by_address: dict[str, Server] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._found_listeners: list[Callable[[Server], None]] = []
         self._life_listeners: list[Callable[[str], None]] = []
         self._replaced_listeners: list[Callable[[Instance], None]] = []
         self._use_listeners: list[Callable[[str], None]] = []
@@ -56,6 +58,10 @@
         """Call a function when a place may have become free."""
         self._listeners.append(listener)
 
+    def on_found(self, listener: Callable[[Server], None]) -> None:
+        """Call a function with each backend server, or life of one, that was not known."""
+        self._found_listeners.append(listener)
+
     def on_new_life(self, listener: Callable[[str], None]) -> None:
         """Call a function with the address of a server that started again under its name."""
         self._life_listeners.append(listener)
@@ -150,6 +156,8 @@
                 )
                 server.take_told(self._told.get(instance.address, NO_USE), self._clock())
                 self._servers[instance.instance] = server
+                for listener in self._found_listeners:
+                    listener(server)
                 log.info(
                     "backend server found",
                     instance=instance.instance,
--- a/src/leadhollow/forward/dialect.py
+++ b/src/leadhollow/forward/dialect.py
@@ -136,9 +136,20 @@
         Whether the backend server says that the request did not run and never will.
     instance
         Incarnation that answered, where it says so.
+    limit_per_s
+        Requests a second that it takes from all entries together; None where it names no limit.
+    limit_malformed
+        Whether it names a limit that cannot be understood, so that what it said before holds.
     """
 
-    __slots__ = ("attempt_id", "instance", "not_executed", "signed")
+    __slots__ = (
+        "attempt_id",
+        "instance",
+        "limit_malformed",
+        "limit_per_s",
+        "not_executed",
+        "signed",
+    )
 
     def __init__(
         self,
@@ -147,9 +158,13 @@
         signed: bool,
         not_executed: bool,
         instance: str | None = None,
+        limit_per_s: float | None = None,
+        limit_malformed: bool = False,
     ) -> None:
         self.attempt_id = attempt_id
         self.instance = instance
+        self.limit_per_s = limit_per_s
+        self.limit_malformed = limit_malformed
         self.signed = signed
         self.not_executed = not_executed
 
--- a/src/leadhollow/forward/end_watch.py
+++ b/src/leadhollow/forward/end_watch.py
@@ -84,7 +84,7 @@
     def note_broken(self, server: Server, fingerprint: bytes) -> None:
         """Note a request that a server broke off, or did not go on with."""
         now_s = _now_s()
-        life = life_of(server.instance)
+        life = server.instance.life
         found = self._broken.get(life)
         if found is None:
             found = self._broken[life] = _Broken(server=server, first_s=now_s)
@@ -158,7 +158,7 @@
         return any(await asyncio.gather(*opened))
 
     def _on_replaced(self, instance: Instance) -> None:
-        life = life_of(instance)
+        life = instance.life
         if life in self._broken:
             self._ended(life)
 
@@ -187,13 +187,8 @@
             del self._broken[life]
 
 
-def life_of(instance: Instance) -> str:
-    """Name one life of a backend server: it may start again under its name."""
-    return f"{instance.instance}@{instance.born_ms}"
-
-
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["EndWatch", "life_of"]
+__all__ = ["EndWatch"]
--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -4,15 +4,19 @@
 
 import asyncio
 from enum import Enum
+from typing import Protocol
 
 from result import Err, Ok, Result
 
+from leadhollow.codes import Code
+from leadhollow.decide.server import OwnCall, Server
 from leadhollow.failure import Failure
 from leadhollow.forward.dialect import AnswerFacts, CallDialect, Dispatch
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S, ConnectionPool
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.client_connection import Answer, ClientConnection
 from leadhollow.http1.messages import Framing, RequestHead
+from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 
 MOST_STRAY_ANSWERS = 4
@@ -28,6 +32,9 @@
     """What is known of an attempt that gave no answer to pass on."""
 
     NOT_SENT = "not-sent"
+    WITHHELD = "withheld"
+    """The backend server's limit left no room; nothing was sent, and nothing is wrong with it."""
+
     NOT_EXECUTED = "not-executed"
     UNKNOWN = "unknown"
 
@@ -103,20 +110,32 @@
         self._connection.close()
 
 
+class LimitListener(Protocol):
+    """Hears of every answer, whatever its status, what its server says of a limit."""
+
+    def note_answer(self, server: Server, facts: AnswerFacts, *, sent_s: float | None) -> None:
+        """Take what an answer says of its server's limit."""
+        ...
+
+
 class Exchanger:
-    """Makes attempts."""
+    """Makes attempts; all requests to backend servers pass here, and their limits hold here."""
 
-    __slots__ = ("_dialect", "_pool", "stray_answers")
+    __slots__ = ("_dialect", "_limits", "_pool", "stray_answers")
 
-    def __init__(self, *, dialect: CallDialect, pool: ConnectionPool) -> None:
+    def __init__(
+        self, *, dialect: CallDialect, pool: ConnectionPool, limits: LimitListener
+    ) -> None:
         self._dialect = dialect
+        self._limits = limits
         self._pool = pool
         self.stray_answers = 0
 
     async def begin(
         self,
         *,
-        address: str,
+        server: Server,
+        running: OwnCall,
         head: RequestHead,
         body: RequestBody,
         attempt_id: str,
@@ -129,12 +148,18 @@
         Cancelling this breaks the connection.
         """
         began_s = asyncio.get_running_loop().time()
+        address = server.instance.address
         acquired = await self._pool.acquire(address, fresh=fresh, timeout_s=connect_timeout_s)
         dispatch.connect_s = asyncio.get_running_loop().time() - began_s
         if acquired.is_err():
             failure = acquired.unwrap_err()
             return Err(AttemptFailure(end=AttemptEnd.NOT_SENT, failure=failure))
         connection = acquired.unwrap()
+        if not server.may_send(running):
+            self._pool.release(address, connection)
+            failure = Failure(code=Code.SERVER_LIMITED, detail=server.instance.instance)
+            return Err(AttemptFailure(end=AttemptEnd.WITHHELD, failure=failure))
+        limited_sent_s = None if server.allowance is None else clocks.elapsed_s()
         sent_s = asyncio.get_running_loop().time()
         exchange: Exchange | None = None
         sender: asyncio.Task[Result[None, Failure]] | None = None
@@ -153,12 +178,14 @@
                 failure = found.unwrap_err()
                 return Err(AttemptFailure(end=AttemptEnd.UNKNOWN, failure=failure))
             answer = found.unwrap()
+            facts = self._dialect.read_answer(answer.head)
+            self._limits.note_answer(server, facts, sent_s=limited_sent_s)
             exchange = Exchange(
                 address=address,
                 connection=connection,
                 pool=self._pool,
                 answer=answer,
-                facts=self._dialect.read_answer(answer.head),
+                facts=facts,
                 sender=sender,
             )
             return Ok(exchange)
@@ -208,4 +235,4 @@
             return Ok(None)
 
 
-__all__ = ["AttemptEnd", "AttemptFailure", "Exchange", "Exchanger"]
+__all__ = ["AttemptEnd", "AttemptFailure", "Exchange", "Exchanger", "LimitListener"]
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -158,7 +158,7 @@
         found = [
             server
             for server in self._board.servers(call.service)
-            if server.instance.instance not in excluded
+            if server.instance.instance not in excluded and server.admits()
         ]
         healthy = [server for server in found if server.health.usable(now_s)]
         told = self._board.hears_others()
@@ -192,18 +192,19 @@
         server.health.note_start(loop.time())
         call.sends += 1
         try:
-            return await self._exchange(call, server)
+            return await self._exchange(call, server, running)
         finally:
             server.remove(running, loop.time())
             self._board.changed()
 
     async def _exchange(
-        self, call: ForwardedCall, server: Server
+        self, call: ForwardedCall, server: Server, running: OwnCall
     ) -> Result[WholeAnswer, AttemptFailure]:
         instance = server.instance
         call.attempts += 1  # taken back where it is certain that nothing ran
         began = await self._exchanger.begin(
-            address=instance.address,
+            server=server,
+            running=running,
             head=call.head,
             body=call.body,
             attempt_id=call.request_id,
@@ -274,6 +275,11 @@
         now_s = asyncio.get_running_loop().time()
         if not failed.may_have_run:
             call.attempts -= 1
+        if failed.end is AttemptEnd.WITHHELD:
+            call.sends -= 1
+            server.health.note_neutral()
+            log.info("server withheld", request=call.request_id, failure=str(failed.failure))
+            return
         if failed.end is AttemptEnd.NOT_SENT:
             server.health.note_unreachable(now_s)
         else:
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -210,7 +210,8 @@
         try:
             async with asyncio.timeout_at(first_by_s) as limit:
                 began = await self._forwarder.exchanger.begin(
-                    address=instance.address,
+                    server=placement.server,
+                    running=placement.call,
                     head=call.head,
                     body=call.body,
                     attempt_id=call.request_id,
@@ -308,6 +309,11 @@
         self._call.attempts -= 1
         self._failure = failed.failure
         self._excluded.add(placement.server.instance.instance)
+        if failed.end is AttemptEnd.WITHHELD:
+            self._call.sends -= 1
+            placement.server.health.note_neutral()
+            log.info("engine withheld", request=self._call.request_id, failure=str(failed.failure))
+            return
         now_s = asyncio.get_running_loop().time()
         if failed.end is AttemptEnd.NOT_SENT:
             placement.server.health.note_unreachable(now_s)
--- a/src/leadhollow/forward/suspect_exchange.py
+++ b/src/leadhollow/forward/suspect_exchange.py
@@ -9,7 +9,7 @@
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.board import ServerBoard
-from leadhollow.forward.end_watch import EndWatch, life_of
+from leadhollow.forward.end_watch import EndWatch
 from leadhollow.forward.fingerprint import shown
 from leadhollow.forward.good_ends import GoodEnds
 from leadhollow.forward.pool import ConnectionPool
@@ -83,7 +83,7 @@
         self._good.note(fingerprint, asyncio.get_running_loop().time())
         if self.table.lives_of(fingerprint):
             self._clear(fingerprint)
-        life = life_of(server.instance)
+        life = server.instance.life
         if self.table.revive(life):
             log.info("backend server had not ended", instance=server.instance.instance)
             self._changed.lives.add(life)
--- a/src/leadhollow/kernel/gathering_service.py
+++ b/src/leadhollow/kernel/gathering_service.py
@@ -34,12 +34,17 @@
         """Give how long changes are gathered now."""
         return self._gather_s
 
+    def refreshes(self) -> bool:
+        """Tell whether there is anything to be told again; while there is not, nobody wakes."""
+        return True
+
     async def _work(self) -> None:
         loop = asyncio.get_running_loop()
         refresh_s = loop.time()
         while True:
+            left_s = max(0.0, refresh_s - loop.time()) if self.refreshes() else None
             try:
-                async with asyncio.timeout(max(0.0, refresh_s - loop.time())):
+                async with asyncio.timeout(left_s):
                     await self._wake.wait()
                 await asyncio.sleep(self.gather_s())
             except TimeoutError:
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -30,6 +30,8 @@
 from leadhollow.wire.generated.ttypes import (
     FeedUpdate,
     FeedWatch,
+    LimitLease,
+    LimitNews,
     LoadRecord,
     SuspectNews,
 )
@@ -56,6 +58,8 @@
 UseListener = Callable[[dict[str, Use], bool], None]
 DecisionsListener = Callable[[dict[str, Decisions]], None]
 SuspectsListener = Callable[[SuspectNews, bool], None]
+LimitsListener = Callable[[LimitNews, bool], None]
+LeaseListener = Callable[[LimitLease], None]
 
 log = get_logger("feed")
 
@@ -82,6 +86,8 @@
         "_current",
         "_decisions_listeners",
         "_engines",
+        "_lease_listeners",
+        "_limits_listeners",
         "_load_listeners",
         "_peers",
         "_random",
@@ -107,6 +113,8 @@
         self._use_listeners: list[UseListener] = []
         self._decisions_listeners: list[DecisionsListener] = []
         self._suspects_listeners: list[SuspectsListener] = []
+        self._limits_listeners: list[LimitsListener] = []
+        self._lease_listeners: list[LeaseListener] = []
         self._engines: list[str] = []  # addresses by their numbers on the feed that is followed
         self.catalog = Catalog()
         self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
@@ -146,6 +154,17 @@
         """
         self._suspects_listeners.append(listener)
 
+    def on_limits(self, listener: LimitsListener) -> None:
+        """Call a function with news of backend servers' limits.
+
+        It gets the news, and whether these are all that the replica knows.
+        """
+        self._limits_listeners.append(listener)
+
+    def on_limit_lease(self, listener: LeaseListener) -> None:
+        """Call a function with each lease of shares of limits."""
+        self._lease_listeners.append(listener)
+
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for replicas at other seeds from now on; known ones are kept."""
         self._replicas.use_seeds(seeds)
@@ -234,6 +253,7 @@
             news = update.suspects or SuspectNews("", 0, [], [])
             for listener_of_suspects in self._suspects_listeners:
                 listener_of_suspects(news, bool(update.whole))
+        self._take_limits(update)
         self._replicas.take(update.replicas)
         self.entries = max(1, int(update.entries or 0))
         if confirms(update):
@@ -256,6 +276,15 @@
             if isinstance(item.value, NamedVersion) and item.value.named:
                 self.naming_times.note(item.value.model, item.value.number)
 
+    def _take_limits(self, update: FeedUpdate) -> None:
+        if update.limits is not None or update.whole:
+            news = update.limits or LimitNews("", 0, [], [])
+            for take_news in self._limits_listeners:
+                take_news(news, bool(update.whole))
+        if update.limit_lease is not None:
+            for take_lease in self._lease_listeners:
+                take_lease(update.limit_lease)
+
     def _take_uses(self, update: FeedUpdate) -> None:
         if update.whole:
             self._engines = []
--- a/src/leadhollow/membership/instance_table.py
+++ b/src/leadhollow/membership/instance_table.py
@@ -67,6 +67,11 @@
         """Call a function with each record that says something new, also of those that leave."""
         self._listeners.append(listener)
 
+    def of_life(self, life: str) -> Instance | None:
+        """Find the incarnation that is in this life."""
+        found = self._instances.get(life.rpartition("@")[0])
+        return found if found is not None and found.life == life else None
+
     def take(self, heard: Instance) -> bool:
         """Take a record.
 
--- a/src/leadhollow/membership/instances.py
+++ b/src/leadhollow/membership/instances.py
@@ -116,6 +116,11 @@
         self.cold_until_s = cold_until_s
         self.born_ms = born_ms
 
+    @property
+    def life(self) -> str:
+        """Name of this life: a backend server may start again under its name."""
+        return f"{self.instance}@{self.born_ms}"
+
     def says_the_same(self, other: Instance) -> bool:
         """Tell whether two records differ in nothing but their number and age."""
         return (
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -8,6 +8,7 @@
 from leadhollow.control.confirmation import Confirmation
 from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.feed_server import FeedServer
+from leadhollow.control.limit_relay import LimitRelay
 from leadhollow.control.manifests import ManifestReader
 from leadhollow.control.operators import ControlListener
 from leadhollow.control.registry import Registry
@@ -76,6 +77,17 @@
             handlers=process.handlers,
             naming_times=kernel.get("version-ages", VersionAges).times,
             suspects=kernel.get("suspects", SuspectRelay),
+            limits=kernel.get("limits", LimitRelay),
+        )
+
+    def make_limits() -> Service:
+        return LimitRelay(
+            own_address=settings.wire_address,
+            replicas=replica().addresses,
+            lead=replica().gateway,
+            server_of=kernel.get("registry", Registry).table.of_life,
+            peers=process.peers,
+            handlers=process.handlers,
         )
 
     def make_suspects() -> Service:
@@ -109,7 +121,10 @@
     kernel.register("registry", make_registry, needs=("version-ages",))
     kernel.register("uses", make_uses, needs=("replica",))
     kernel.register("suspects", make_suspects, needs=("replica",))
-    kernel.register("feed", make_feed, needs=("confirmation", "registry", "uses", "suspects"))
+    kernel.register("limits", make_limits, needs=("registry",))
+    kernel.register(
+        "feed", make_feed, needs=("confirmation", "registry", "uses", "suspects", "limits")
+    )
     kernel.register("manifests", make_manifests, needs=("replica",))
     kernel.register("operators", make_operators, needs=("registry",))
 
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -12,6 +12,7 @@
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.ending import Ending
 from leadhollow.forward.exchange import Exchanger
+from leadhollow.forward.limit_keeper import LimitKeeper
 from leadhollow.forward.path_probes import PathProber
 from leadhollow.forward.plain_call import PlainForwarder
 from leadhollow.forward.pool import ConnectionPool
@@ -46,6 +47,7 @@
         "budget",
         "chooser",
         "ending",
+        "limits",
         "plain",
         "queue",
         "routes",
@@ -83,7 +85,16 @@
         feed.on_decisions(self.queue.take_decisions)
         self.ending = Ending(dialect=dialect)
         self.suspects = SuspectExchange(board=self.board, feed=feed, pool=pool, peers=process.peers)
-        exchanger = Exchanger(dialect=dialect, pool=pool)
+        self.limits = LimitKeeper(
+            vm=settings.vm,
+            failure_domain=settings.failure_domain,
+            board=self.board,
+            feed=feed,
+            peers=process.peers,
+            demand=self.budget,
+            seed=process.seed,
+        )
+        exchanger = Exchanger(dialect=dialect, pool=pool, limits=self.limits)
         self.streams = StreamForwarder(
             board=self.board,
             budget=self.budget,
@@ -167,6 +178,9 @@
     def make_suspects() -> Service:
         return kernel.get("dispatching", Dispatching).suspects
 
+    def make_limits() -> Service:
+        return kernel.get("dispatching", Dispatching).limits
+
     def make_prober() -> Service:
         board = kernel.get("dispatching", Dispatching).board
         return PathProber(board=board, pool=kernel.get("pool", ConnectionPool))
@@ -218,6 +232,7 @@
     kernel.register("dispatching", make_dispatching, needs=("feed", "pool"))
     kernel.register("path-prober", make_prober, needs=("dispatching",))
     kernel.register("use-reporter", make_reporter, needs=("dispatching",))
+    kernel.register("limits", make_limits, needs=("dispatching",))
     kernel.register("suspects", make_suspects, needs=("dispatching",))
     kernel.register("callers", make_callers, needs=("dispatching",))
     kernel.register("readiness", make_readiness, needs=("callers",))
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
@@ -9,7 +11,8 @@
 from leadhollow.forward.dialect import AnswerFacts, CallFacts, Dispatch
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead, ResponseHead
-from leadhollow.platform.unknown_fields import UnknownFields
+from leadhollow.observe.logs import get_logger
+from leadhollow.platform.unknown_fields import MOST_NAMES, UnknownFields
 
 ATTEMPT_ID = b"x-attempt-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -28,6 +31,8 @@
 NOT_EXECUTED = b"x-not-executed"
 INSTANCE_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
+SERVER_LIMIT = b"server-limit"  # requests a second that an engine takes from all together
+DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 SET_BY_US = frozenset(
     {
@@ -45,6 +50,8 @@
 """Fields that callers cannot pass through: they are ours, or belong to this connection."""
 
 
+log = get_logger("platform")
+
 KNOWN_ANSWER_FIELDS = frozenset(
     {
         "at-server",
@@ -57,6 +64,7 @@
         "keep-alive",
         "retry-after",
         "server",
+        "server-limit",
         "transfer-encoding",
         "x-attempt-id",
         "x-instance-id",
@@ -71,10 +79,12 @@
 class PlatformCalls:
     """Headers of requests and answers."""
 
-    __slots__ = ("_unknown",)
+    __slots__ = ("_malformed_limits_of", "_unknown", "malformed_limits")
 
     def __init__(self) -> None:
         self._unknown = UnknownFields(message="answer", known=KNOWN_ANSWER_FIELDS)
+        self._malformed_limits_of: set[str] = set()
+        self.malformed_limits = 0
 
     def read_call(self, head: RequestHead) -> Result[CallFacts, Failure]:
         """Decode what a caller says."""
@@ -123,13 +133,27 @@
         attempt_id = headers.get(ATTEMPT_ID)
         instance = headers.text(INSTANCE_ID)
         self._unknown.note_headers((name for name, _ in headers), sender=instance)
+        limits = headers.get_all(SERVER_LIMIT)
+        limit_per_s = _limit(limits)
+        if limits and limit_per_s is None:
+            self._note_malformed_limit(instance)
         return AnswerFacts(
             attempt_id=None if attempt_id is None else attempt_id.decode("latin-1"),
+            limit_per_s=limit_per_s,
+            limit_malformed=bool(limits) and limit_per_s is None,
             signed=headers.get(SIGNATURE) is not None,
             not_executed=headers.get(NOT_EXECUTED) is not None,
             instance=instance or None,
         )
 
+    def _note_malformed_limit(self, instance: str) -> None:
+        self.malformed_limits += 1
+        if instance in self._malformed_limits_of or len(self._malformed_limits_of) >= MOST_NAMES:
+            return
+        self._malformed_limits_of.add(instance)
+        failure = Failure(code=Code.LIMIT_MALFORMED)
+        log.warning("limit not taken", failure=str(failure), instance=instance)
+
     def refusal(self, failure: Failure, retry_after_s: float | None) -> Headers:
         """Give the fields of an answer of our own."""
         headers = Headers(items=[(b"Content-Type", b"text/plain")])
@@ -138,6 +162,13 @@
         return headers
 
 
+def _limit(values: list[bytes]) -> float | None:
+    """Decode a limit, None where there is not exactly one decimal number."""
+    if len(values) != 1 or DECIMAL.fullmatch(values[0].strip()) is None:
+        return None
+    return float(values[0])
+
+
 def _number(text: str) -> Result[float | None, Failure]:
     if not text:
         return Ok(None)
--- a/src/leadhollow/state/gateway.py
+++ b/src/leadhollow/state/gateway.py
@@ -86,11 +86,26 @@
             return Ok(None)
         return Err(Failure(code=Code.READ_UNCONFIRMED))
 
+    def term(self) -> int:
+        """Give the current term."""
+        return self._replica.term
+
+    def leads_since_s(self) -> float | None:
+        """Give when this replica came to lead, None where it does not surely lead now."""
+        return self._replica.leader_since_s if self._replica.ready() else None
+
+    def leader_address(self) -> str | None:
+        """Give where the leader is reached, None where it is not known."""
+        for voter in self._replica.voters.voters:
+            if voter.replica == self._replica.leader_vm:
+                return voter.address
+        return None
+
     async def _propose_once(self, command: Command, left_s: float) -> Result[AnyAnswer, Failure]:
         if self._replica.role is ReplicaRole.LEADER:
             applied = await self._propose_here(command, left_s)
             return Ok(applied.unwrap().answer) if applied.is_ok() else Err(applied.unwrap_err())
-        leader = self._leader_address()
+        leader = self.leader_address()
         if leader is None:
             return Err(Failure(code=Code.NO_MAJORITY, detail="no leader is known"))
         connected = await self._peers.connection(leader)
@@ -114,19 +129,13 @@
         if self._replica.role is ReplicaRole.LEADER:
             confirmed = await self._replica.leadership.confirm_round(timeout_s)
             return confirmed.unwrap() if confirmed.is_ok() else None
-        leader = self._leader_address()
+        leader = self.leader_address()
         if leader is None:
             return None
         request = ReadIndexRequest(self._replica.vm)
         reply = await self._peers.call(leader, request, timeout_ms=timeout_s * 1000)
         return int(reply.unwrap().index) if reply.is_ok() else None
 
-    def _leader_address(self) -> str | None:
-        for voter in self._replica.voters.voters:
-            if voter.replica == self._replica.leader_vm:
-                return voter.address
-        return None
-
     async def _on_propose(
         self, request: ProposeRequest, connection: Connection
     ) -> Result[ProposeReply, Failure]:
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -60,12 +60,22 @@
 // An operator asks a control replica for its table of suspects, or lets a request go.
 struct SuspectQuery { 1: string operator }
 struct SuspectRelease { 1: binary fingerprint; 2: string operator }
+// What a life of a backend server said of the requests a second that it takes from all entries. A negative age
+// stands for never.
+struct LimitRecord { 1: string life; 2: double per_s; 3: i64 named_age_ms; 4: i64 lifted_age_ms }
+// An entry asks for shares of limits; asked_ms is of its own clock, and comes back with the lease.
+struct ServiceRate { 1: string service_name; 2: double per_s }
+struct ShareRequest { 1: string vm; 2: string failure_domain; 3: i64 asked_ms; 4: list<ServiceRate> demand }
+struct LimitNews { 1: string address; 2: i64 mark; 3: list<LimitRecord> limits; 4: list<ShareRequest> requests }
+struct LimitShare { 1: string life; 2: double share }
+struct LimitLease { 1: string vm; 2: i64 asked_ms; 3: list<LimitShare> shares }
+struct LimitLeases { 1: i64 term; 2: list<LimitLease> leases }
 // takes_packed: items may come as packed_items, msgpack compressed by zlib.
 struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision; 5: bool takes_packed }
 // How long ago a version of weights was named, by steady clocks only: the time of day may jump.
 struct VersionAge { 1: string model; 2: i64 version; 3: i64 age_ms }
 // Field 10 is not sent any more; packed_uses says the same in three bytes an engine.
-struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses; 15: SuspectNews suspects; 16: binary packed_items }
+struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses; 15: SuspectNews suspects; 16: binary packed_items; 17: LimitNews limits; 18: LimitLease limit_lease }
 struct FeedProbe { 1: string vm }
 struct FeedProbeReply { 1: i32 confirmed_age_ms; 2: i64 revision; 3: list<string> replicas }
 struct RegistryPush { 1: string address; 2: list<InstanceRecord> instances; 3: list<LoadRecord> loads; 4: i32 entries; 5: bool whole; 6: list<VersionAge> named }
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -76,6 +76,8 @@
     88: ttypes.SuspectNews,
     92: ttypes.SuspectQuery,
     93: ttypes.SuspectRelease,
+    96: ttypes.LimitNews,
+    97: ttypes.LimitLeases,
     90: ttypes.PieceWatch,
     91: ttypes.PieceNews,
     94: ttypes.SliceRequest,
--- a/tests/control/test_feed_server.py
+++ b/tests/control/test_feed_server.py
@@ -7,6 +7,7 @@
 
 from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.feed_server import FeedServer
+from leadhollow.control.limit_relay import LimitRelay
 from leadhollow.control.registry import Registry
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.membership.instances import Instance, InstanceState
@@ -27,6 +28,7 @@
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.server import WireServer
+from tests.control.lead import NoLead
 from tests.support import TOKEN, eventually
 
 ENGINE = "10.0.0.1:80"
@@ -78,6 +80,13 @@
             handlers=self.handlers,
             naming_times=self.times,
             suspects=SuspectRelay(**shared, peers=self.peers, handlers=self.handlers),
+            limits=LimitRelay(
+                **shared,
+                lead=NoLead(),
+                server_of=self.registry.table.of_life,
+                peers=self.peers,
+                handlers=self.handlers,
+            ),
         )
 
 
--- a/tests/control/test_uses_at_size.py
+++ b/tests/control/test_uses_at_size.py
@@ -10,6 +10,7 @@
 
 from leadhollow.control.engine_uses import EngineUses
 from leadhollow.control.feed_server import FeedServer
+from leadhollow.control.limit_relay import LimitRelay
 from leadhollow.control.registry import Registry
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.membership.instances import Instance, InstanceState
@@ -21,6 +22,7 @@
 from leadhollow.wire.generated.ttypes import FeedUpdate, FeedWatch, UseReport, UseTotals
 from leadhollow.wire.handlers import HandlerTable
 from tests.config_path.virtual_loop import VirtualLoop
+from tests.control.lead import NoLead
 
 OWN_DOMAIN = "d0"
 WATCHERS = 20  # entries of one failure domain follow its replica
@@ -80,6 +82,13 @@
             handlers=self.handlers,
             naming_times=times,
             suspects=SuspectRelay(**shared, peers=self.posts, handlers=self.handlers),
+            limits=LimitRelay(
+                **shared,
+                lead=NoLead(),
+                server_of=self.registry.table.of_life,
+                peers=self.posts,
+                handlers=self.handlers,
+            ),
         )
         self.near: list[str] = []
         self.far: list[str] = []
--- /dev/null
+++ b/tests/decide/test_send_allowance.py
@@ -0,0 +1,154 @@
+"""What one entry may send to a server with a limit, at any time and after any pause."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leadhollow.decide.send_allowance import SPARE_PART, TRIAL_PER_S, SendAllowance
+from leadhollow.decide.share_ledger import LEASE_S
+
+ENTRIES = 20
+STEP_S = 0.01
+
+
+class Bench:
+    """An allowance, its clock, and who always has something to send."""
+
+    def __init__(self, per_s: float, *, entries: int = ENTRIES, seed: int = 1) -> None:
+        self.now_s = 100.0
+        self.allowance = SendAllowance(
+            per_s=per_s,
+            entries=lambda: entries,
+            clock=lambda: self.now_s,
+            source=random.Random(seed),
+        )
+
+    def lease(self, share: float) -> None:
+        self.allowance.lease(share, until_s=self.now_s + LEASE_S)
+
+    def send_for(self, time_s: float) -> int:
+        sent = 0
+        for _ in range(round(time_s / STEP_S)):
+            self.now_s += STEP_S
+            sent += self.allowance.take()
+        return sent
+
+
+class TestLease:
+    def test_begins_with_nothing_saved_up(self):
+        bench = Bench(2.0)
+        bench.lease(0.5)
+        assert not bench.allowance.admits()
+        assert bench.send_for(1.05) == 1
+
+    def test_holds_to_its_rate(self):
+        bench = Bench(40.0)
+        sent = 0
+        for _ in range(10):
+            bench.lease(0.5)
+            sent += bench.send_for(1.0)
+        assert 195 <= sent <= 200
+
+    def test_saves_up_less_than_two_requests(self):
+        bench = Bench(10.0)
+        for _ in range(10):
+            bench.lease(0.5)
+            bench.now_s += 1.0
+        assert [bench.allowance.take() for _ in range(3)] == [True, False, False]
+
+    def test_that_has_ended_leaves_the_spare_part(self):
+        bench = Bench(10.0)
+        bench.lease(0.9)
+        bench.send_for(LEASE_S + 0.1)
+        assert bench.allowance.rate_per_s() == SPARE_PART * 10.0 / ENTRIES
+
+    def test_of_nothing_leaves_nothing(self):
+        bench = Bench(10.0)
+        bench.lease(0.9)
+        bench.now_s += 1.0
+        bench.lease(0.0)
+        assert bench.send_for(1.0) == 0
+
+    def test_that_was_asked_for_earlier_changes_nothing(self):
+        bench = Bench(10.0)
+        bench.allowance.lease(0.1, until_s=bench.now_s + 1.0)
+        bench.allowance.lease(0.9, until_s=bench.now_s + 0.5)
+        assert bench.allowance.rate_per_s() == pytest.approx(1.0)
+
+    def test_is_void_where_it_came_too_late(self):
+        bench = Bench(10.0)
+        bench.allowance.lease(0.9, until_s=bench.now_s)
+        assert not bench.allowance.leased
+
+    def test_follows_the_limit_at_once(self):
+        bench = Bench(50.0)
+        bench.lease(0.9)
+        bench.now_s += 1.0
+        bench.allowance.set_limit(1.0)
+        assert bench.send_for(0.2) <= 2
+
+
+class TestPause:
+    def test_of_a_suspended_entry_saves_nothing_up(self):
+        bench = Bench(20.0)
+        bench.lease(0.9)
+        bench.now_s += 600.0
+        assert bench.send_for(0.5) <= 1
+
+
+class TestSparePart:
+    def test_is_shared_by_all_entries(self):
+        benches = [Bench(20.0, seed=seed) for seed in range(ENTRIES)]
+        sent = sum(bench.send_for(30.0) for bench in benches)
+        assert 0.8 <= sent / (SPARE_PART * 20.0 * 30.0) <= 1.2
+
+    def test_is_not_saved_up_by_entries_that_had_nothing_to_send(self):
+        benches = [Bench(1.0, seed=seed) for seed in range(ENTRIES)]
+        for bench in benches:
+            bench.allowance.admits()
+        for _ in range(100_000):
+            for bench in benches:
+                bench.now_s += 0.05
+                bench.allowance.admits()
+            if benches[0].now_s > 1_000:
+                break
+        assert sum(bench.allowance.take() for bench in benches) <= 3
+
+
+class TestZero:
+    def test_stands_for_a_rare_trial(self):
+        bench = Bench(0.0, entries=1)
+        assert 0 < bench.send_for(300.0) <= 300.0 * TRIAL_PER_S
+
+
+class TestToken:
+    def test_that_was_not_used_is_given_back(self):
+        bench = Bench(2.0)
+        bench.lease(0.9)
+        bench.now_s += 1.0
+        assert bench.allowance.take()
+        bench.allowance.give_back()
+        assert bench.allowance.take()
+        assert not bench.allowance.take()
+
+    @settings(max_examples=50)
+    @given(
+        st.floats(0.2, 50.0),
+        st.floats(0.1, 0.9),
+        st.lists(st.floats(0.0, 0.5), min_size=5, max_size=40),
+    )
+    def test_s_of_any_window_stay_within_the_rate(self, per_s, share, pauses):
+        bench = Bench(per_s)
+        times_s = []
+        for pause_s in pauses:
+            bench.lease(share)
+            bench.now_s += pause_s
+            while bench.allowance.take():
+                times_s.append(bench.now_s)
+        for place, begin_s in enumerate(times_s):
+            for count, end_s in enumerate(times_s[place:], start=1):
+                assert count <= share * per_s * (end_s - begin_s) + 1 + share + 1e-6
--- /dev/null
+++ b/tests/decide/test_share_ledger.py
@@ -0,0 +1,124 @@
+"""Shares of limits that the leader leases: never more than there is, to those with demand."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leadhollow.decide.send_allowance import LEASED_PART
+from leadhollow.decide.share_ledger import LEASE_S, EntryDemand, LimitedServer, ShareLedger
+
+LIFE = "i-1@0"
+
+
+class Leader:
+    """A ledger and its clock."""
+
+    def __init__(self) -> None:
+        self.now_s = 50.0
+        self.ledger = ShareLedger(clock=lambda: self.now_s)
+
+    def ask(self, vm: str, demand_per_s: float, *servers: LimitedServer, domain: str = "d") -> dict:
+        demand = EntryDemand(
+            vm=vm, failure_domain=domain, per_s={"s": demand_per_s}, heard_s=self.now_s
+        )
+        return self.ledger.ask(demand, servers)
+
+    def settle(self, demands: dict[str, float], *servers: LimitedServer, rounds: int = 12) -> dict:
+        """Let entries ask for a while; gives what each was leased last."""
+        leased: dict[str, dict[str, float]] = {}
+        for _ in range(rounds):
+            self.now_s += 0.25
+            for vm, demand_per_s in demands.items():
+                leased[vm] = self.ask(vm, demand_per_s, *servers)
+        return leased
+
+
+def limited(per_s: float, life: str = LIFE, domain: str = "d") -> LimitedServer:
+    return LimitedServer(life=life, service="s", failure_domain=domain, per_s=per_s)
+
+
+def held(leased: dict[str, dict[str, float]], life: str = LIFE) -> dict[str, float]:
+    return {vm: shares[life] for vm, shares in leased.items() if life in shares}
+
+
+class TestLeases:
+    steps = st.lists(
+        st.tuples(
+            st.integers(0, 7),  # entry
+            st.sampled_from([0.0, 0.1, 3.0, 40.0]),  # its demand
+            st.sampled_from([0.2, 1.3, 10.0, 50.0]),  # the limit
+            st.sampled_from([0.0, 0.02, 0.25, 0.7, 3.0]),  # time until then
+        ),
+        max_size=60,
+    )
+
+    @settings(max_examples=200)
+    @given(steps)
+    def test_never_add_up_to_more_than_is_leased(self, steps):
+        leader = Leader()
+        in_use: dict[str, list[tuple[float, float]]] = {}
+        for entry, demand_per_s, per_s, pause_s in steps:
+            leader.now_s += pause_s
+            vm = f"entry-{entry}"
+            share = leader.ask(vm, demand_per_s, limited(per_s)).get(LIFE, 0.0)
+            in_use.setdefault(vm, []).append((share, leader.now_s + LEASE_S))
+            total = sum(
+                max((found for found, until_s in leases if until_s > leader.now_s), default=0.0)
+                for leases in in_use.values()
+            )
+            assert total <= LEASED_PART + 1e-9
+
+    def test_of_an_entry_that_ended_go_to_another_once_they_are_over(self):
+        leader = Leader()
+        first = held(leader.settle({"a": 30.0}, limited(1.0)))
+        assert first == {"a": pytest.approx(LEASED_PART)}
+        leader.now_s += 0.25
+        assert leader.ask("b", 30.0, limited(1.0)) == {}
+        second = held(leader.settle({"b": 30.0}, limited(1.0), rounds=6))
+        assert second == {"b": pytest.approx(LEASED_PART)}
+
+
+class TestHolders:
+    def test_are_few_where_the_limit_is_low(self):
+        demands = {f"entry-{number}": 12.0 for number in range(39)}
+        leased = held(Leader().settle(demands, limited(1.3)))
+        assert len(leased) == 1
+        assert sum(leased.values()) == pytest.approx(LEASED_PART)
+
+    def test_cover_a_high_limit_by_their_demand(self):
+        demands = {f"entry-{number}": 12.0 for number in range(39)}
+        leased = held(Leader().settle(demands, limited(50.0)))
+        assert sum(leased.values()) == pytest.approx(LEASED_PART)
+        assert all(share * 50.0 <= 12.0 for share in leased.values())
+
+    def test_are_those_with_demand(self):
+        demands = {"idle": 0.0, "calm": 0.1, "busy": 30.0}
+        assert set(held(Leader().settle(demands, limited(5.0)))) == {"busy"}
+
+    def test_use_the_whole_limit_where_all_have_little_demand(self):
+        leased = held(Leader().settle({"a": 1.0, "b": 2.0}, limited(50.0)))
+        assert sum(leased.values()) == pytest.approx(LEASED_PART)
+
+    def test_are_of_the_server_s_own_failure_domain_where_these_have_demand(self):
+        leader = Leader()
+        for _ in range(12):
+            leader.now_s += 0.25
+            leased = {
+                vm: leader.ask(vm, 20.0, limited(2.0, domain="near"), domain=domain)
+                for vm, domain in {"a": "far", "b": "near", "c": "far"}.items()
+            }
+        assert set(held(leased)) == {"b"}
+
+    def test_stay_the_same_while_they_ask(self):
+        leader = Leader()
+        demands = {f"entry-{number}": 12.0 for number in range(10)}
+        before = held(leader.settle(demands, limited(2.0)))
+        assert held(leader.settle(demands, limited(2.4))) == before
+
+    def test_of_many_limited_servers_are_spread_over_entries(self):
+        servers = [limited(2.0, life=f"i-{number}@0") for number in range(20)]
+        demands = {f"entry-{number}": 12.0 for number in range(10)}
+        leased = Leader().settle(demands, *servers)
+        assert all(len(shares) <= 8 for shares in leased.values())
--- a/tests/forward/test_silent_connections.py
+++ b/tests/forward/test_silent_connections.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from leadhollow.decide.server import OwnCall, Server
 from leadhollow.forward.dialect import AnswerFacts, Dispatch
 from leadhollow.forward.exchange import SILENT_S, Exchanger
 from leadhollow.forward.pool import ConnectionPool
@@ -13,6 +14,7 @@
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
+from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -29,7 +31,14 @@
         return AnswerFacts(attempt_id=None, signed=True, not_executed=False)
 
 
-class Server:
+class NoLimits:
+    """Hears of limits and does nothing about them."""
+
+    def note_answer(self, server, facts, *, sent_s):
+        return
+
+
+class SilentServer:
     """Answers each request, until the connections that are open go silent."""
 
     def __init__(self) -> None:
@@ -47,13 +56,28 @@
             writer.close()
 
 
+def a_server(address: str) -> Server:
+    instance = Instance(
+        instance="i",
+        service="s",
+        address=address,
+        failure_domain="d",
+        sequence=1,
+        state=InstanceState.READY,
+        slots=1,
+        served=(),
+        heard_s=0.0,
+    )
+    return Server(instance=instance)
+
+
 class Client:
     """An exchanger with its pool."""
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.pool = ConnectionPool()
-        self.exchanger = Exchanger(dialect=PlainDialect(), pool=self.pool)
+        self.exchanger = Exchanger(dialect=PlainDialect(), pool=self.pool, limits=NoLimits())
 
     async def ask(self) -> bytes:
         nothing = IncomingBody(pause=lambda: None, resume=lambda: None)
@@ -61,7 +85,8 @@
         body = RequestBody(head=head, incoming=nothing, limit_bytes=1)
         body.whole = True
         begun = await self.exchanger.begin(
-            address=self.address,
+            server=a_server(self.address),
+            running=OwnCall(prompt_tokens=0, output_tokens=0, placed_s=0.0, predicted_ms=0.0),
             head=head,
             body=body,
             attempt_id="",
@@ -81,7 +106,7 @@
     def test_closes_idle_connections_once_one_of_them_was_silent(self, waited_s, kept):
         async def work() -> None:
             address = LoopbackAddresses()("one", Listener.WIRE)
-            server = Server()
+            server = SilentServer()
             host, _, port = address.partition(":")
             listener = await asyncio.start_server(server.serve, host, int(port))
             client = Client(address)
--- a/tests/node/test_server_limit.py
+++ b/tests/node/test_server_limit.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from leadhollow.node.entry_role import Dispatching
 from tests.node.limiting import LimitingEngine, LimitingServer
 from tests.node.site import Site, route
 from tests.support import eventually
@@ -95,3 +96,92 @@
             assert set(load.statuses) == {200}
 
         with_site(tmp_path, kind, work)
+
+
+class TestLimit:
+    def test_holds_for_an_entry_that_starts_after_it_was_named(self, tmp_path):
+        async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
+            limited = servers[0]
+            limited.limit = "0.5"
+            async with Load(site=site, entries=2):
+                await asyncio.sleep(2 * SPREAD_S)
+            await site.restart_entry(2)
+            await eventually(lambda: served(site, 2), "an answer of the new entry")
+            began_s = asyncio.get_running_loop().time()
+            async with Load(site=site):
+                await asyncio.sleep(WINDOW_S)
+            assert limited.arrivals.count(began_s, began_s + WINDOW_S) <= 0.5 * WINDOW_S + 2
+
+        with_site(tmp_path, "plain", work)
+
+    def test_holds_while_the_control_replica_starts_again(self, tmp_path):
+        async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
+            limited = servers[0]
+            limited.limit = "2"
+            async with Load(site=site):
+                await asyncio.sleep(2 * SPREAD_S)
+                began_s = asyncio.get_running_loop().time()
+                await site.restart_control()
+                await asyncio.sleep(1.5 * WINDOW_S)
+            assert limited.arrivals.most_in(WINDOW_S, after_s=began_s) <= 2 * WINDOW_S + 2
+
+        with_site(tmp_path, "stream", work)
+
+    def test_is_used_where_one_entry_has_all_requests(self, tmp_path):
+        async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
+            limited = servers[0]
+            limited.limit = "5"
+            async with Load(site=site, entries=1):
+                await asyncio.sleep(2 * SPREAD_S + 1.5)
+                began_s = asyncio.get_running_loop().time()
+                await asyncio.sleep(WINDOW_S)
+            arrived = limited.arrivals.count(began_s, began_s + WINDOW_S)
+            assert 0.5 * 5 * WINDOW_S <= arrived <= 5 * WINDOW_S + 2
+
+        with_site(tmp_path, "stream", work)
+
+    def test_that_is_named_no_more_is_over(self, tmp_path):
+        async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
+            limited = servers[0]
+            limited.limit = "2"
+            async with Load(site=site):
+                await asyncio.sleep(3 * SPREAD_S)
+                limited.limit = None
+
+                async def unlimited() -> bool:
+                    boards = [
+                        entry.kernel.get("dispatching", Dispatching) for entry in site.entries
+                    ]
+                    return all(not board.limits.table.limits() for board in boards)
+
+                await eventually(unlimited, "entries that know of no limit")
+                began_s = asyncio.get_running_loop().time()
+                await asyncio.sleep(1.0)
+            assert limited.arrivals.count(began_s, began_s + 1.0) > 5
+
+        with_site(tmp_path, "stream", work)
+
+    @pytest.mark.parametrize("value", ["", "-1", "nan", "inf", "1e12", "1,3", "9" * 10_000])
+    def test_that_is_no_number_changes_nothing(self, tmp_path, value):
+        async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
+            servers[0].limit = value[:8_000]
+            async with Load(site=site) as load:
+                await asyncio.sleep(2 * SPREAD_S)
+            for entry in site.entries:
+                assert not entry.kernel.get("dispatching", Dispatching).limits.table
+            assert set(load.statuses) == {200}
+
+        with_site(tmp_path, "plain", work)
+
+    def test_of_all_servers_refuses_the_rest_with_a_time_to_come_back(self, tmp_path):
+        async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
+            for server in servers:
+                server.limit = "1"
+            async with Load(site=site) as load:
+                await asyncio.sleep(2 * SPREAD_S)
+                load.statuses.clear()
+                await asyncio.sleep(2.0)
+            assert set(load.statuses) <= {200, 503}
+            assert 503 in load.statuses
+
+        with_site(tmp_path, "plain", work)
