Count the entries of both sides of a cut where a bound is split evenly

Cause: the retry budget splits its slack evenly over live entries, and each entry took the number that its replica last told. A replica that is cut off or has just started knows only its own followers. Same class as the incident with a server's limit: a bound on a sum that each sender keeps by a number of senders on which they do not agree. Change: the highest number told in the last minute counts. The spare part of servers' limits goes by the same number. A fresh entry of a fresh replica still knows no better.

--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -14,6 +14,7 @@
 from leadhollow.failure import Failure
 from leadhollow.kernel import clocks
 from leadhollow.kernel.task_service import TaskService
+from leadhollow.membership.entry_count import EntryCount
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance
 from leadhollow.membership.naming_times import NamingTimes
@@ -78,14 +79,13 @@
         Set once a replica that a majority confirmed has told everything.
     naming_times
         When versions were named: now for those that are news, else as the replicas know.
-    entries
-        Live entries of the whole system, as last told.
     """
 
     __slots__ = (
         "_current",
         "_decisions_listeners",
         "_engines",
+        "_entries",
         "_lease_listeners",
         "_limits_listeners",
         "_load_listeners",
@@ -98,7 +98,6 @@
         "_use_listeners",
         "catalog",
         "confirmed_s",
-        "entries",
         "naming_times",
         "ready",
         "table",
@@ -123,7 +122,7 @@
         self._unnamed = UnnamedInstances(table=table)
         self.ready = asyncio.Event()
         self._replicas = ReplicaChoice(settings=settings, peers=peers, begun=self.ready.is_set)
-        self.entries = 1
+        self._entries = EntryCount(clock=clocks.elapsed_s)
         self.confirmed_s: float | None = None
         super().__init__()
 
@@ -132,6 +131,11 @@
         """Address of the replica that is followed, empty while there is none."""
         return self._current
 
+    @property
+    def entries(self) -> int:
+        """Entries that may be live in the whole system."""
+        return self._entries.most()
+
     def on_load(self, listener: LoadListener) -> None:
         """Call a function with each report of load and the loop time it was made at."""
         self._load_listeners.append(listener)
@@ -255,7 +259,7 @@
                 listener_of_suspects(news, bool(update.whole))
         self._take_limits(update)
         self._replicas.take(update.replicas)
-        self.entries = max(1, int(update.entries or 0))
+        self._entries.take(int(update.entries or 0))
         if confirms(update):
             self.confirmed_s = clocks.elapsed_s() - update.confirmed_age_ms / 1000
             if not self.ready.is_set():
