--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -14,7 +14,11 @@
     BenchTableCommand,
 )
 from leadhollow.cli.demo_command import DemoCommand
-from leadhollow.cli.experiment_command import ExperimentCrashesCommand, ExperimentRunCommand
+from leadhollow.cli.experiment_command import (
+    ExperimentCrashesCommand,
+    ExperimentLimitsCommand,
+    ExperimentRunCommand,
+)
 from leadhollow.cli.explain_command import ExplainCommand, ExplainDayCommand, ExplainTableCommand
 from leadhollow.cli.model_commands import ModelPublishCommand, ModelRolloutCommand
 from leadhollow.cli.output import print_failure
@@ -62,6 +66,7 @@
     ExplainTableCommand,
     ExperimentRunCommand,
     ExperimentCrashesCommand,
+    ExperimentLimitsCommand,
     QuarantineListCommand,
     QuarantineShowCommand,
     QuarantineReleaseCommand,
--- a/src/leadhollow/cli/experiment_command.py
+++ b/src/leadhollow/cli/experiment_command.py
@@ -13,6 +13,7 @@
 from leadhollow.cli.output import print_failure, print_json, print_table, print_text
 from leadhollow.codes import Code
 from leadhollow.decide.policy import QueuePolicy
+from leadhollow.experiment import limits
 from leadhollow.experiment.crashes import PATTERNS, Figures, Memory, play
 from leadhollow.experiment.patterns import patterns
 from leadhollow.experiment.runner import Comparison, compare
@@ -92,6 +93,35 @@
         return 0
 
 
+class ExperimentLimitsCommand(Command):
+    """Plays servers that limit the requests they take."""
+
+    name = "experiment limits"
+    description = "Play servers that name limits, with several ways of keeping these."
+    options = [  # noqa: RUF012
+        option("seeds", None, "Seeds to play.", flag=False, default=str(DEFAULT_SEEDS)),
+        option("json", None, "Print one object on one line.", flag=True),
+    ]
+
+    def handle(self) -> int:
+        """Play each pattern in each way, and print means and worst figures."""
+        counted = _count("seeds", self.option("seeds"))
+        if counted.is_err():
+            return print_failure(counted.unwrap_err())
+        played = {
+            (pattern, way.value): limits.play(pattern, way, seeds=counted.unwrap())
+            for pattern in limits.PATTERNS
+            for way in limits.Way
+        }
+        if self.option("json"):
+            print_json([{"pattern": key[0], "way": key[1], **played[key]} for key in played])
+            return 0
+        figures = list(next(iter(played.values())))
+        rows = [(*key, *(found[figure] for figure in figures)) for key, found in played.items()]
+        print_table(("pattern", "limit kept by", *figures), rows)
+        return 0
+
+
 def _scenario(name: str) -> Result[Scenario, Failure]:
     found = patterns().get(name)
     if found is not None:
@@ -137,4 +167,4 @@
     print_table(("figure", "policy", "against", "difference", "+-95%"), rows)
 
 
-__all__ = ["ExperimentCrashesCommand", "ExperimentRunCommand"]
+__all__ = ["ExperimentCrashesCommand", "ExperimentLimitsCommand", "ExperimentRunCommand"]
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -280,6 +280,8 @@
         self._chooser.forget()
         option.server.health.note_start(now_s)
         report = option.server.fresh_report(now_s)
+        allowance = option.server.allowance
+        limit = {} if allowance is None else {"limit_per_s": allowance.per_s}
         log_decision(
             "engine chosen",
             request=wish.request_id,
@@ -294,6 +296,7 @@
             on_time=now_s + option.first_ms / 1000 <= wish.on_time_s,
             pressure=round(pressure, 2),
             version=option.version,
+            **limit,
         )
         return Placement(
             server=option.server,
--- a/src/leadhollow/experiment/limits.py
+++ b/src/leadhollow/experiment/limits.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from leadhollow.decide.limit_table import LimitTable
+from leadhollow.decide.limit_table import LimitTable, ServerLimit
 from leadhollow.decide.send_allowance import SendAllowance
 from leadhollow.decide.share_ledger import LEASE_S, EntryDemand, LimitedServer, ShareLedger
 from leadhollow.experiment.clock import Clock
@@ -294,9 +294,9 @@
 
         self._later(entry, take)
 
-    def _take(self, entry: _Entry, heard: object) -> None:
-        if entry.table.take(heard):  # type: ignore[arg-type]
-            self._apply(entry, heard.life)  # type: ignore[attr-defined]
+    def _take(self, entry: _Entry, heard: ServerLimit) -> None:
+        if entry.table.take(heard):
+            self._apply(entry, heard.life)
 
     def _ask_again(self, entry: _Entry) -> None:
         self._ask(entry)
--- a/src/leadhollow/forward/limit_keeper.py
+++ b/src/leadhollow/forward/limit_keeper.py
@@ -26,6 +26,7 @@
 GATHER_S = 0.002
 ASK_S = 0.25  # how often shares are asked for while there is any limit
 WHOLE_PAUSE_S = 1.0  # between two times that everything is told to the same replica
+FORGET_S = 60.0  # after which the limit of a server that is gone is dropped
 LOG_PAUSE_S = 1.0  # between two log lines on a limit of the same server that changes
 
 log = get_logger("limits")
@@ -197,6 +198,8 @@
         if source != self._told or (whole and unlike):
             self._changed |= {record.life for record in self.table.records()}
             self._whole_s = now_s
+        if whole:
+            self._forget_old(now_s)
         limited = self.table.limits()
         if not limited and not self._changed:
             self._told = source
@@ -220,6 +223,15 @@
         connected.unwrap().oneway(news)
         self._told = source
 
+    def _forget_old(self, now_s: float) -> None:
+        """Drop what is known of servers that are long gone."""
+        lives = {server.instance.life for server in self._board.all_servers()}
+        self.table.forget(
+            record.life
+            for record in self.table.records()
+            if record.life not in lives and now_s - record.named_s > FORGET_S
+        )
+
     def _own_demand(self) -> EntryDemand:
         services = {
             server.instance.service
