Look for rare fields of answers only where a name is unusual, and lease more of a limit

Cause: reading an answer took 3.4 us where it had taken 1.6, for a field that few answers have; a tenth of each limit was kept for entries out of touch, of 46 requests a second on six engines in need more than one. Change: names that all answers have are passed by; 0.95 leased, 0.05 kept.

--- a/src/leadhollow/decide/send_allowance.py
+++ b/src/leadhollow/decide/send_allowance.py
@@ -5,8 +5,8 @@
 import random
 from collections.abc import Callable
 
-LEASED_PART = 0.9  # of a limit, which control leases to the entries that need it
-SPARE_PART = 0.1
+LEASED_PART = 0.95  # of a limit, which control leases to the entries that need it
+SPARE_PART = 0.05
 """Of a limit, which entries without word from control share evenly. The two parts add up to
 the limit, so entries on both sides of a partition may use theirs."""
 
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -82,7 +82,9 @@
     __slots__ = ("_malformed_limits_of", "_unknown", "malformed_limits")
 
     def __init__(self) -> None:
-        self._unknown = UnknownFields(message="answer", known=KNOWN_ANSWER_FIELDS)
+        self._unknown = UnknownFields(
+            message="answer", known=KNOWN_ANSWER_FIELDS, unusual={"server-limit"}
+        )
         self._malformed_limits_of: set[str] = set()
         self.malformed_limits = 0
 
@@ -132,8 +134,8 @@
         headers = head.headers
         attempt_id = headers.get(ATTEMPT_ID)
         instance = headers.text(INSTANCE_ID)
-        self._unknown.note_headers((name for name, _ in headers), sender=instance)
-        limits = headers.get_all(SERVER_LIMIT)
+        unusual = self._unknown.note_headers(headers, sender=instance)
+        limits = headers.get_all(SERVER_LIMIT) if unusual else []
         limit_per_s = _limit(limits)
         if limits and limit_per_s is None:
             self._note_malformed_limit(instance)
--- a/src/leadhollow/platform/unknown_fields.py
+++ b/src/leadhollow/platform/unknown_fields.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from leadhollow.http1.headers import Headers
 from leadhollow.observe.logs import get_logger
 
 MOST_NAMES = 64
@@ -23,6 +24,8 @@
         Kind of message, as it is named in the log.
     known
         Names that are decoded, or ignored on purpose; for headers in lower case.
+    unusual
+        Those of them that few messages have.
 
     Attributes
     ----------
@@ -30,19 +33,22 @@
         Unknown names that were logged.
     """
 
-    __slots__ = ("_known", "_message", "_seen", "reported")
+    __slots__ = ("_known", "_message", "_seen", "_unusual", "reported")
 
-    def __init__(self, *, message: str, known: Iterable[str]) -> None:
+    def __init__(self, *, message: str, known: Iterable[str], unusual: Iterable[str] = ()) -> None:
         self._message = message
+        self._unusual = frozenset(unusual)
         self._known = frozenset(known)
         self._seen: set[str | bytes] = set()
         self.reported: set[str] = set()
 
-    def note_headers(self, names: Iterable[bytes], *, sender: str) -> None:
-        """Note the header fields of a message."""
-        for name in names:
-            if name not in self._seen:
-                self._note(name, name.decode("latin-1").lower(), sender)
+    def note_headers(self, headers: Headers, *, sender: str) -> bool:
+        """Note the header fields of a message; False where it has none but usual ones."""
+        seen = self._seen
+        unusual = [name for name, _ in headers if name not in seen]
+        for name in unusual:
+            self._note(name, name.decode("latin-1").lower(), sender)
+        return bool(unusual)
 
     def note_members(self, names: Iterable[str], *, sender: str) -> None:
         """Note the members of a JSON object."""
@@ -51,7 +57,7 @@
                 self._note(name, name, sender)
 
     def _note(self, raw: str | bytes, name: str, sender: str) -> None:
-        if len(self._seen) < MOST_NAMES:
+        if len(self._seen) < MOST_NAMES and name not in self._unusual:
             self._seen.add(raw)
         if name in self._known or name in self.reported or len(self.reported) >= MOST_NAMES:
             return
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -397,3 +397,45 @@
         body = {"model": "m", "version": 2, "chunkBytes": 9, "digests": digests}
         failure = PlatformOrigin().read_manifest(json.dumps(body).encode()).unwrap_err()
         assert failure.code is Code.MANIFEST_INVALID
+
+
+class TestServerLimit:
+    @staticmethod
+    def read(*values: bytes):
+        fields = [(b"Server-Limit", value) for value in values]
+        calls = PlatformCalls()
+        answer = ResponseHead(
+            status=503, reason=b"", headers=Headers(items=fields), framing=Framing.LENGTH
+        )
+        for _ in range(3):  # as often as it comes
+            facts = calls.read_answer(answer)
+        return facts
+
+    @pytest.mark.parametrize(
+        ("value", "per_s"), [(b"1.3", 1.3), (b"0", 0.0), (b" 50 ", 50.0), (b"0.000000001", 1e-9)]
+    )
+    def test_is_a_decimal_number_on_an_answer_of_any_status(self, value, per_s):
+        assert self.read(value).limit_per_s == per_s
+
+    @pytest.mark.parametrize(
+        "values",
+        [
+            (b"",),
+            (b"-1",),
+            (b"nan",),
+            (b"inf",),
+            (b"1e12",),
+            (b"1,3",),
+            (b"1", b"2"),
+            (b"9" * 10_000,),
+        ],
+    )
+    def test_that_is_none_is_told_apart_from_no_limit(self, values):
+        facts = self.read(*values)
+        assert facts.limit_per_s is None
+        assert facts.limit_malformed
+
+    def test_is_not_there_on_most_answers(self):
+        facts = self.read()
+        assert facts.limit_per_s is None
+        assert not facts.limit_malformed
--- a/tests/platform/test_unknown_fields.py
+++ b/tests/platform/test_unknown_fields.py
@@ -52,5 +52,5 @@
     def test_that_a_sender_invents_are_bounded(self, lines):
         unknown = UnknownFields(message="answer", known=())
         for number in range(10 * MOST_NAMES):
-            unknown.note_headers([b"x-%d" % number], sender="i-1")
+            unknown.note_headers(Headers(items=[(b"x-%d" % number, b"")]), sender="i-1")
         assert len(lines) == len(unknown.reported) == MOST_NAMES
