Look at the plans of all limits now and then, not at each request for shares

Cause: each request for shares went through all limited servers and, for each, through all plans: at 98 entries and 60 limited servers that is most of a core of the leader. Change: planned rates are summed by entry as plans change, and plans are looked at 20 times a second or where a limit changed.

--- a/src/leadhollow/decide/share_ledger.py
+++ b/src/leadhollow/decide/share_ledger.py
@@ -27,6 +27,7 @@
 LIMIT_CHANGE = 2.0  # factor from which holders are chosen anew
 MORE_ENTRIES = 1.5  # as many entries ask as when holders were chosen: those first heard of hold all
 LEAST_SHARE = 0.001
+PLAN_PAUSE_S = 0.05  # between two looks at all plans while no limit changes
 
 
 class EntryDemand:
@@ -80,10 +81,6 @@
         self.per_s = per_s
         self.shares = shares
 
-    def rate_per_s(self, vm: str) -> float:
-        """Give what an entry is to send."""
-        return self.shares.get(vm, 0.0) * self.per_s
-
 
 class ShareLedger:
     """Plans shares and keeps account of those that are leased.
@@ -94,51 +91,88 @@
         Gives the time, suspensions included.
     """
 
-    __slots__ = ("_clock", "_demands", "_leases", "_plans")
+    __slots__ = (
+        "_clock",
+        "_demands",
+        "_leases",
+        "_planned_per_s",
+        "_planned_s",
+        "_plans",
+        "_servers",
+    )
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._demands: dict[str, EntryDemand] = {}
+        self._servers: dict[str, LimitedServer] = {}
         self._plans: dict[str, _Plan] = {}
+        self._planned_per_s: dict[tuple[str, str], float] = {}  # by service and entry
+        self._planned_s = float("-inf")
         self._leases: dict[str, dict[str, list[tuple[float, float]]]] = {}  # share, until
 
     def ask(self, demand: EntryDemand, servers: Iterable[LimitedServer]) -> dict[str, float]:
         """Lease an entry its shares, by life; a server that is left out is held by others."""
         now_s = self._clock()
         self._demands[demand.vm] = demand
-        self._forget(now_s)
-        known = {server.life: server for server in servers}
-        for life in self._plans.keys() - known.keys():
-            del self._plans[life]
+        self._plan_all({server.life: server for server in servers}, now_s)
         leased: dict[str, float] = {}
-        for server in sorted(known.values(), key=lambda found: found.life):
-            share = self._share(server, demand.vm, now_s)
+        for life, plan in self._plans.items():
+            share = self._lease(life, demand.vm, plan, now_s) if demand.vm in plan.shares else 0.0
             if share >= LEAST_SHARE:
-                leased[server.life] = share
+                leased[life] = share
         return leased
 
     def in_use(self, life: str) -> float:
         """Sum up the shares of a limit whose leases have not ended."""
-        now_s = self._clock()
-        leases = self._leases.get(life, {})
-        return sum(_counted(found, now_s) for found in leases.values())
+        return self._in_use(life, self._clock(), without="")
 
     def holders(self, life: str) -> dict[str, float]:
         """Give the planned shares of a limit, by entry."""
         plan = self._plans.get(life)
         return {} if plan is None else dict(plan.shares)
 
-    def _share(self, server: LimitedServer, vm: str, now_s: float) -> float:
-        plan = self._plans.get(server.life)
-        if plan is None or not self._still_good(plan, server):
-            plan = self._plans[server.life] = self._plan(server)
-        leases = self._leases.setdefault(server.life, {})
-        others = sum(_counted(found, now_s) for name, found in leases.items() if name != vm)
-        share = min(plan.shares.get(vm, 0.0), LEASED_PART - others)
+    def _lease(self, life: str, vm: str, plan: _Plan, now_s: float) -> float:
+        share = min(plan.shares[vm], LEASED_PART - self._in_use(life, now_s, without=vm))
         if share >= LEAST_SHARE:
-            leases.setdefault(vm, []).append((share, now_s + LEASE_S))
+            own = self._leases.setdefault(life, {}).setdefault(vm, [])
+            own[:] = [lease for lease in own if lease[1] > now_s]
+            own.append((share, now_s + LEASE_S))
         return share
 
+    def _in_use(self, life: str, now_s: float, *, without: str) -> float:
+        leases = self._leases.get(life, {})
+        return sum(_counted(found, now_s) for vm, found in leases.items() if vm != without)
+
+    def _plan_all(self, servers: dict[str, LimitedServer], now_s: float) -> None:
+        """Choose holders where there are none, or where others should hold a limit."""
+        limits = {life: server.per_s for life, server in servers.items()}
+        unchanged = limits == {life: server.per_s for life, server in self._servers.items()}
+        if unchanged and now_s - self._planned_s < PLAN_PAUSE_S:
+            return
+        self._servers = servers
+        self._planned_s = now_s
+        self._forget(now_s)
+        for life in self._plans.keys() - servers.keys():
+            self._take_back(life)
+        for life in sorted(servers):
+            plan = self._plans.get(life)
+            if plan is None or not self._still_good(plan, servers[life]):
+                self._take_back(life)
+                self._plans[life] = self._plan(servers[life])
+                self._note(self._plans[life], sign=1)
+
+    def _take_back(self, life: str) -> None:
+        plan = self._plans.pop(life, None)
+        if plan is not None:
+            self._note(plan, sign=-1)
+
+    def _note(self, plan: _Plan, *, sign: int) -> None:
+        """Count what entries are to send to limited servers of a service."""
+        for vm, share in plan.shares.items():
+            key = (plan.service, vm)
+            per_s = self._planned_per_s.get(key, 0.0) + sign * share * plan.per_s
+            self._planned_per_s[key] = per_s
+
     def _still_good(self, plan: _Plan, server: LimitedServer) -> bool:
         """Tell whether the holders are in touch and still need what they hold."""
         if not 1 / LIMIT_CHANGE < server.per_s / plan.per_s < LIMIT_CHANGE:
@@ -147,11 +181,11 @@
             return False
         if len(self._demands) > MORE_ENTRIES * plan.entries:
             return False
-        wanted_per_s = ENOUGH * LEASED_PART * server.per_s
-        room = sum(self._room_per_s(vm, server) for vm in plan.shares)
-        planned = sum(plan.shares.values())
-        spread_out = planned >= ENOUGH * LEASED_PART or self._demands.keys() <= plan.shares.keys()
-        return spread_out and (room >= wanted_per_s or self._demands.keys() <= plan.shares.keys())
+        if self._demands.keys() <= plan.shares.keys():
+            return True
+        own = sum(plan.shares.values()) * plan.per_s
+        room = own + sum(self._room_per_s(vm, server) for vm in plan.shares)
+        return min(own, room) >= ENOUGH * LEASED_PART * server.per_s
 
     def _plan(self, server: LimitedServer) -> _Plan:
         """Choose the fewest holders whose demand covers the limit, near ones first.
@@ -176,17 +210,14 @@
         if shares and left_per_s > 0:
             scale = LEASED_PART / sum(shares.values())
             shares = {vm: share * scale for vm, share in shares.items()}
-        return _Plan(service=server.service, per_s=server.per_s, shares=shares, entries=len(room))
+        return _Plan(
+            service=server.service, per_s=server.per_s, shares=shares, entries=len(self._demands)
+        )
 
     def _room_per_s(self, vm: str, server: LimitedServer) -> float:
-        """Give what an entry could send beside what it is to send to other limited servers."""
-        demand = self._demands[vm]
-        planned = sum(
-            plan.rate_per_s(vm)
-            for life, plan in self._plans.items()
-            if life != server.life and plan.service == server.service
-        )
-        return USABLE_PART * demand.per_s.get(server.service, 0.0) - planned
+        """Give what an entry could send beside what it is to send to limited servers already."""
+        demand_per_s = self._demands[vm].per_s.get(server.service, 0.0)
+        return USABLE_PART * demand_per_s - self._planned_per_s.get((server.service, vm), 0.0)
 
     def _is_far(self, vm: str, server: LimitedServer) -> bool:
         return self._demands[vm].failure_domain != server.failure_domain
@@ -196,10 +227,8 @@
             if now_s - demand.heard_s > ASK_VALID_S:
                 del self._demands[vm]
         for life, leases in list(self._leases.items()):
-            for vm, found in list(leases.items()):
-                leases[vm] = [lease for lease in found if lease[1] > now_s]
-                if not leases[vm]:
-                    del leases[vm]
+            for vm in [vm for vm, found in leases.items() if not _counted(found, now_s)]:
+                del leases[vm]
             if not leases:
                 del self._leases[life]
 
