Let engines of the soak name limits while faults go on, and judge them

Change: one engine after the other names a limit of 0.2 to 3 a second for 7 s; the ledger judges all arrivals, also around faults. Seeds keep their faults: limits are drawn from a source of their own.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -10,7 +10,7 @@
 import aiohttp
 from aiohttp import web
 
-from tests.soak.ledger import Ledger, Run
+from tests.soak.ledger import Ledger, Limit, Run
 from tests.soak.proxy import Proxy
 from tests.soak.weights import LAYERS, MODEL, PIECES, piece
 
@@ -65,6 +65,7 @@
         self.mute = False
         self.state = "ready"
         self.drained_s: float | None = None
+        self.limit: Limit | None = None
         self._ledger = ledger
         self._controls = controls
         self._incarnation = 0
@@ -89,6 +90,7 @@
         self._incarnation += 1
         self._sequence = self._orders = 0
         self.state, self.drained_s, self.mute, self._busy = "ready", None, False, False
+        self.limit = None
         self._semaphore = asyncio.Semaphore(self.slots)
         app = web.Application()
         app.router.add_get("/-/report", self._report)
@@ -112,6 +114,20 @@
         if self.model:
             self.version = 0
 
+    def name_limit(self, per_s: float | None) -> None:
+        """Name a limit in all answers from now on, or none."""
+        self.limit = None
+        if per_s is not None:
+            self.limit = Limit(instance=self.instance, per_s=per_s)
+            self._ledger.limits.append(self.limit)
+
+    def _limit_fields(self) -> dict[str, str]:
+        if self.limit is None:
+            return {}
+        if self.limit.named_s is None:
+            self.limit.named_s = self._ledger.now_s()
+        return {"Server-Limit": str(self.limit.per_s)}
+
     async def leave(self) -> None:
         """Drain as announced, then go."""
         self.state = "draining"
@@ -205,6 +221,9 @@
         refused = {"X-Not-Executed": "1", "X-Instance-Id": self.instance, "X-Attempt-Id": attempt}
         if request.headers.get("X-Expect-Instance") != self.instance:
             return web.Response(status=421, headers=refused)
+        if self.limit is not None:
+            self.limit.arrivals_s.append(self._ledger.now_s())
+        refused.update(self._limit_fields())
         self._judge_draining(attempt)
         expected = request.headers.get("X-Expect-Version")
         if self.model and (not self.version or self._busy):
@@ -243,7 +262,11 @@
         )
         self._ledger.runs[attempt].append(run)
         signature = f"{attempt}/{self.instance}"
-        headers = {"X-Attempt-Id": attempt, "X-Response-Signature": signature}
+        headers = {
+            "X-Attempt-Id": attempt,
+            "X-Response-Signature": signature,
+            **self._limit_fields(),
+        }
         if not self.model:
             await asyncio.sleep(WORK_S)
             answer = web.Response(body=signature.encode(), headers=headers)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -11,6 +11,10 @@
 IN_FORCE_S = 2.0  # bound of a configuration and of a draining engine
 VERSION_S = 8.0  # bound of a version
 CONTACT_S = 3.0  # undisturbed time after which bounds hold
+LIMIT_TOLD_S = 0.5  # from the first answer that names a limit until all entries have to know
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 ON_ITS_WAY_S = 0.3  # what an answer may take from its server to its caller
 WITHDRAWN_S = 0.1  # a send that is cut sooner gave its server no chance to answer
 
@@ -83,6 +87,40 @@
         self.signature = ""
 
 
+class Limit:
+    """A limit that one incarnation of a backend server names.
+
+    Attributes
+    ----------
+    named_s
+        When it was first named in an answer; None before.
+    arrivals_s
+        Arrivals from then on for as long as it is named, in order.
+    """
+
+    __slots__ = ("arrivals_s", "instance", "named_s", "per_s")
+
+    def __init__(self, *, instance: str, per_s: float) -> None:
+        self.instance = instance
+        self.per_s = per_s
+        self.named_s: float | None = None
+        self.arrivals_s: list[float] = []
+
+    def most(self) -> int:
+        """Give the most arrivals in any window, once entries had the time to hear of it."""
+        if self.named_s is None:
+            return 0
+        times_s = [at_s for at_s in self.arrivals_s if at_s >= self.named_s + LIMIT_TOLD_S]
+        return max(
+            (sum(0 <= at_s - begin_s < LIMIT_WINDOW_S for at_s in times_s) for begin_s in times_s),
+            default=0,
+        )
+
+    def allowed(self) -> float:
+        """Give the most that may arrive in a window."""
+        return LIMIT_FACTOR * self.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+
+
 class Table:
     """A configuration that was sent."""
 
@@ -98,13 +136,14 @@
 class Ledger:
     """Everything that was seen in one run."""
 
-    __slots__ = ("disturbances", "named", "runs", "tables", "told", "violations")
+    __slots__ = ("disturbances", "limits", "named", "runs", "tables", "told", "violations")
 
     def __init__(self) -> None:
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.told: list[Told] = []
         self.tables: list[Table] = []
         self.named: dict[int, float] = {}  # acknowledgement of each version
+        self.limits: list[Limit] = []
         self.disturbances: list[float] = []
         self.violations: list[str] = []
 
@@ -145,6 +184,12 @@
         for runs in self.runs.values():
             for run in runs:
                 found += self._judge_version(run)
+        found += [
+            f"LIMIT {limit.instance}: {limit.most()} requests in {LIMIT_WINDOW_S:.0f} s at "
+            f"{limit.per_s} a second, allowed {limit.allowed():.1f}"
+            for limit in self.limits
+            if limit.most() > limit.allowed()
+        ]
         return found
 
     def _judge_request(self, told: Told) -> list[str]:
@@ -213,4 +258,14 @@
         return [f"VERSION {run.request}: began on {run.version}, {max(due)} was due"]
 
 
-__all__ = ["CONTACT_S", "IN_FORCE_S", "PROMISED_NOT_RUN", "Kind", "Ledger", "Run", "Table", "Told"]
+__all__ = [
+    "CONTACT_S",
+    "IN_FORCE_S",
+    "PROMISED_NOT_RUN",
+    "Kind",
+    "Ledger",
+    "Limit",
+    "Run",
+    "Table",
+    "Told",
+]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 from pathlib import Path
 
 from tests.soak.faults import FAULTS, Fault
@@ -12,6 +13,7 @@
 
 CALM_S = 1.0
 GAP_S = (0.2, 1.5)
+LIMIT_S = 7.0  # how long an engine names a limit
 RECOVERY_S = 12.0
 PROBES = 8  # requests of each kind by which recovery is judged
 SERVED_SHARE = 0.9
@@ -68,7 +70,9 @@
 
 async def _play(world: World, operator: Operator, callers: Callers, chosen: list[Fault]) -> None:
     ledger = world.ledger
+    limits = asyncio.create_task(_name_limits(world))
     background = [
+        limits,
         asyncio.create_task(callers.run()),
         asyncio.create_task(operator.keep_reading()),
     ]
@@ -79,6 +83,7 @@
             await fault(world, operator)
             ledger.disturb()
             await asyncio.sleep(world.random.uniform(*GAP_S))
+        limits.cancel()
         if not await operator.change(patience_s=RECOVERY_S):
             ledger.break_rule("RECOVER no edit is acknowledged")
         await _recover(world, callers)
@@ -95,6 +100,24 @@
         ledger.break_rule(f"LOST configuration {newest} cannot be read back")
 
 
+async def _name_limits(world: World) -> None:
+    """Let one engine after the other limit what it takes, while faults go on.
+
+    The choices are of another source than those of faults, so that a seed keeps its faults.
+    """
+    source = random.Random(f"limits {world.seed}")
+    while True:
+        engine = source.choice(world.engines)
+        engine.name_limit(source.choice([0.2, 1.0, 1.3, 3.0]))
+        limit = engine.limit
+        try:
+            await asyncio.sleep(LIMIT_S)
+        finally:
+            if engine.limit is limit:
+                engine.name_limit(None)
+        await asyncio.sleep(source.uniform(0.2, 2.0))
+
+
 async def _recover(world: World, callers: Callers) -> None:
     deadline_s = world.ledger.now_s() + RECOVERY_S
     while await callers.served_share(PROBES) < SERVED_SHARE:
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -7,10 +7,12 @@
 from tests.soak.ledger import (
     CONTACT_S,
     IN_FORCE_S,
+    LIMIT_TOLD_S,
     VERSION_S,
     WITHDRAWN_S,
     Kind,
     Ledger,
+    Limit,
     Run,
     Table,
     Told,
@@ -175,3 +177,20 @@
         ledger.named[2] = START_S
         ran(ledger, "r", version=1, began_s=START_S + VERSION_S + late_s)
         assert rules(ledger) == broken
+
+
+class TestLimits:
+    def judged(self, arrivals: int, *, after_s: float = LIMIT_TOLD_S) -> list[str]:
+        ledger = Ledger()
+        limit = Limit(instance="i-1", per_s=1.0)
+        limit.named_s = START_S
+        limit.arrivals_s = [START_S + after_s + 0.2 * number for number in range(arrivals)]
+        ledger.limits.append(limit)
+        return rules(ledger)
+
+    @pytest.mark.parametrize(("arrivals", "broken"), [(11, []), (12, ["LIMIT"])])
+    def test_hold_for_all_requests_of_some_seconds(self, arrivals, broken):
+        assert self.judged(arrivals) == broken
+
+    def test_do_not_hold_before_entries_could_know(self):
+        assert self.judged(5, after_s=-1.0) == []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -31,6 +31,7 @@
     """
 
     def __init__(self, *, seed: int, folder: Path) -> None:
+        self.seed = seed
         self.random = random.Random(seed)
         self.ledger = Ledger()
         self.origin = Origin(seed=seed)
