Keep an engine's limit at its gate

Cause: the same class on the path behind gates: nothing read a limit there, and each entry would have kept it alone. Change: the gate, which all requests of its engine pass, has one token bucket; a request that finds none is refused as where no slot is free, which entries wait for with growing pauses. One function decodes the decimal number on both paths.

--- a/src/leadhollow/backend/dispatches.py
+++ b/src/leadhollow/backend/dispatches.py
@@ -7,9 +7,11 @@
 from result import Err, Ok, Result
 
 from leadhollow.backend.engine_client import AnswerHead, EngineClient
+from leadhollow.backend.engine_limit import LIMIT_FIELD, EngineLimit
 from leadhollow.backend.gate import Gate
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import Dispatch, Output, Tombstone, TombstoneReply
@@ -32,10 +34,22 @@
     bodies are held back by one piece, so that a short answer is one frame.
     """
 
-    __slots__ = ("_headers", "_held", "_is_events", "_sequence", "_sink", "_status", "ended")
-
-    def __init__(self, *, sink: StreamSink) -> None:
+    __slots__ = (
+        "_headers",
+        "_held",
+        "_is_events",
+        "_limit",
+        "_sent_s",
+        "_sequence",
+        "_sink",
+        "_status",
+        "ended",
+    )
+
+    def __init__(self, *, sink: StreamSink, limit: EngineLimit) -> None:
         self._sink = sink
+        self._limit = limit
+        self._sent_s = clocks.elapsed_s()
         self._sequence = 0
         self._held = b""
         self._is_events = False
@@ -44,7 +58,8 @@
         self.ended = False
 
     async def head(self, head: AnswerHead) -> None:
-        """Keep status and headers for the first frame."""
+        """Keep status and headers for the first frame, and note a limit that they name."""
+        self._limit.note_answer(head.values(LIMIT_FIELD), sent_s=self._sent_s)
         self._status = head.status
         self._is_events = head.headers.get("Content-Type", "").startswith(EVENT_STREAM)
         self._headers = {
@@ -137,7 +152,7 @@
             raise
 
     async def _run(self, dispatch: Dispatch, sink: StreamSink) -> Result[Output, Failure]:
-        answer = _WireSink(sink=sink)
+        answer = _WireSink(sink=sink, limit=self._gate.limit)
         try:
             ran = await self._engine.run(dispatch, answer)
             return Err(ran.unwrap_err()) if ran.is_err() else answer.finish()
--- a/src/leadhollow/backend/engine_client.py
+++ b/src/leadhollow/backend/engine_client.py
@@ -48,6 +48,10 @@
         self.status = status
         self.headers = headers
 
+    def values(self, name: str) -> list[str]:
+        """Give all values of a header."""
+        return [value for found, value in self.headers.items() if found.lower() == name.lower()]
+
 
 class AnswerSink(Protocol):
     """Takes an answer as it comes."""
--- a/src/leadhollow/backend/gate.py
+++ b/src/leadhollow/backend/gate.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from leadhollow.backend.change_signal import ChangeSignal
+from leadhollow.backend.engine_limit import EngineLimit
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.kernel import clocks
@@ -40,6 +41,12 @@
         How many attempts may run at once.
     signal
         Told of every change that is announced.
+
+    Attributes
+    ----------
+    limit
+        What the engine says of the requests that it takes; while it leaves no room, entries are
+        refused as where no slot is free.
     """
 
     __slots__ = (
@@ -48,6 +55,7 @@
         "_tombstones",
         "in_flight",
         "incarnation",
+        "limit",
         "serving_root",
         "signal",
         "slots",
@@ -58,6 +66,7 @@
         self.slots = slots
         self.signal = signal
         self.incarnation = clocks.wall_ns()
+        self.limit = EngineLimit()
         self.state = GateState.OPEN
         self.serving_root = ""
         self.in_flight = 0
@@ -146,6 +155,8 @@
             return Failure(code=Code.BACKEND_REFUSED, detail="another version runs here")
         if self.in_flight >= self.slots:
             return Failure(code=Code.SLOTS_FULL)
+        if not self.limit.take():
+            return Failure(code=Code.SLOTS_FULL, detail="the engine's limit leaves no room")
         return None
 
     def _bury(self, key: tuple[str, int]) -> None:
--- /dev/null
+++ b/src/leadhollow/http1/decimals.py
@@ -0,0 +1,18 @@
+"""Decimal numbers in header fields."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+
+DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+
+
+def read_decimal(values: Sequence[bytes]) -> float | None:
+    """Decode the values of a field, None where they are not exactly one decimal number."""
+    if len(values) != 1 or DECIMAL.fullmatch(values[0].strip()) is None:
+        return None
+    return float(values[0])
+
+
+__all__ = ["read_decimal"]
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import re
-
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.forward.dialect import AnswerFacts, CallFacts, Dispatch
+from leadhollow.http1.decimals import read_decimal
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead, ResponseHead
 from leadhollow.observe.logs import get_logger
@@ -32,7 +31,6 @@
 INSTANCE_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"  # requests a second that an engine takes from all together
-DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 SET_BY_US = frozenset(
     {
@@ -136,7 +134,7 @@
         instance = headers.text(INSTANCE_ID)
         unusual = self._unknown.note_headers(headers, sender=instance)
         limits = headers.get_all(SERVER_LIMIT) if unusual else []
-        limit_per_s = _limit(limits)
+        limit_per_s = read_decimal(limits)
         if limits and limit_per_s is None:
             self._note_malformed_limit(instance)
         return AnswerFacts(
@@ -164,13 +162,6 @@
         return headers
 
 
-def _limit(values: list[bytes]) -> float | None:
-    """Decode a limit, None where there is not exactly one decimal number."""
-    if len(values) != 1 or DECIMAL.fullmatch(values[0].strip()) is None:
-        return None
-    return float(values[0])
-
-
 def _number(text: str) -> Result[float | None, Failure]:
     if not text:
         return Ok(None)
--- a/tests/backend/test_gate.py
+++ b/tests/backend/test_gate.py
@@ -9,6 +9,7 @@
 from leadhollow.backend.change_signal import ChangeSignal
 from leadhollow.backend.gate import Gate, GateState, Progress
 from leadhollow.codes import Code
+from leadhollow.kernel import clocks
 from leadhollow.wire.generated.ttypes import Dispatch
 
 
@@ -102,3 +103,39 @@
         gate.close(GateState.DRAINING)
         gate.close(GateState.SWITCHING)
         assert gate.state is GateState.DRAINING
+
+
+class TestLimit:
+    def test_of_the_engine_holds_for_all_entries(self, gate, monkeypatch):
+        now_s = [100.0]
+        monkeypatch.setattr(clocks, "elapsed_s", lambda: now_s[0])
+        gate.limit.note_answer(["2"], sent_s=now_s[0])
+        admitted = 0
+        for number in range(400):
+            now_s[0] += 0.01
+            entered = dispatch(gate, f"r{number}")
+            refusal = gate.enter(entered)
+            if refusal is None:
+                admitted += 1
+                gate.leave(entered)
+            else:
+                assert refusal.code is Code.SLOTS_FULL
+        assert 7 <= admitted <= 2 * 4 + 2
+
+    def test_that_is_named_no_more_is_over(self, gate, monkeypatch):
+        now_s = [100.0]
+        monkeypatch.setattr(clocks, "elapsed_s", lambda: now_s[0])
+        gate.limit.note_answer(["0.1"], sent_s=100.0)
+        gate.limit.note_answer([], sent_s=99.0)  # sent before the limit was named
+        assert gate.enter(dispatch(gate, "a")).code is Code.SLOTS_FULL
+        gate.limit.note_answer([], sent_s=101.0)
+        assert gate.enter(dispatch(gate, "b")) is None
+
+    @pytest.mark.parametrize("values", [[""], ["-1"], ["nan"], ["1,3"], ["1", "2"]])
+    def test_that_is_no_number_changes_nothing(self, gate, monkeypatch, values):
+        monkeypatch.setattr(clocks, "elapsed_s", lambda: 100.0)
+        gate.limit.note_answer(values, sent_s=99.0)
+        assert gate.limit.per_s is None
+        gate.limit.note_answer(["2"], sent_s=99.0)
+        gate.limit.note_answer(values, sent_s=101.0)
+        assert gate.limit.per_s == 2.0
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -12,6 +12,7 @@
 ENTRY = PACKAGE / "run.py"  # one command of the command line starts the adapter
 
 WIRE_NAMES = (
+    "server-limit",
     "x-attempt-id",
     "x-deadline-ms",
     "x-expect-instance",
