Measure the path of a request by stage

Change: leadhollow bench path prints JSON: digest, head, event, look-up of a route with 10 to 1,500, a decision among 3 to 102 engines with and without limits, an update of uses.

--- /dev/null
+++ b/src/leadhollow/bench/request_path.py
@@ -0,0 +1,219 @@
+"""What one request costs an entry, stage by stage, as engines and routes grow.
+
+Each figure is the median of several rounds in this process, without network or logs.
+"""
+
+from __future__ import annotations
+
+import random
+import statistics
+import time
+from collections.abc import Callable
+from functools import partial
+
+import msgspec
+from result import Ok, Result
+
+from leadhollow.bench.table_costs import route_index, timed
+from leadhollow.decide.engine_queue import DECIDE_SHARE, EngineQueue
+from leadhollow.decide.send_allowance import SendAllowance
+from leadhollow.decide.server import Server
+from leadhollow.decide.wish import EngineWish, Standing
+from leadhollow.experiment.patterns import ENGINE
+from leadhollow.experiment.view import OneVersion, View
+from leadhollow.failure import Failure
+from leadhollow.forward.events import EventSplitter
+from leadhollow.forward.fingerprint import fingerprint_of
+from leadhollow.forward.request_body import RequestBody
+from leadhollow.http1.body import IncomingBody
+from leadhollow.http1.headers import Headers
+from leadhollow.http1.messages import RequestHead
+from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
+from leadhollow.membership.packed_uses import pack_uses, unpack_uses
+from leadhollow.membership.uses import Use
+from leadhollow.routing.model import ServiceRecord
+
+ENGINES = (3, 10, 39, 102)
+ROUTES = (10, 100, 1_500)
+DOMAINS = 3
+ROUNDS = 15
+REPEATS = 100  # of one stage in a round
+OWN_DOMAIN = "d0"
+MODEL = "m"
+BODY_BYTES = 2_000
+EVENT_BYTES = 85
+
+
+class RouteCost(msgspec.Struct, frozen=True, kw_only=True):
+    """Time in which the route of a request is found."""
+
+    routes: int
+    lookup_us: float
+
+
+class ChoiceCost(msgspec.Struct, frozen=True, kw_only=True):
+    """Costs of a decision among some engines.
+
+    Parameters
+    ----------
+    decide_us
+        A request is placed and its place given back, with all engines looked at anew.
+    decide_limited_us
+        The same where every engine limits what it takes.
+    told_us
+        An update of what others have at every engine is taken in.
+    """
+
+    engines: int
+    decide_us: float
+    decide_limited_us: float
+    told_us: float
+
+
+class PathReport(msgspec.Struct, frozen=True, kw_only=True):
+    """All figures.
+
+    Parameters
+    ----------
+    fingerprint_us
+        Digest of a request with a body of 2 kB.
+    head_us
+        Head of a request for a backend server, as bytes.
+    event_us
+        One event of a stream.
+    """
+
+    fingerprint_us: float
+    head_us: float
+    event_us: float
+    routes: list[RouteCost]
+    choices: list[ChoiceCost]
+
+
+async def run_request_path() -> Result[PathReport, Failure]:
+    """Measure every stage."""
+    head = _head()
+    body = RequestBody(
+        head=head,
+        incoming=IncomingBody(pause=lambda: None, resume=lambda: None),
+        limit_bytes=BODY_BYTES,
+    )
+    event = b"id: 7\ndata: %b\n\n" % (b"x" * EVENT_BYTES)
+    splitter = EventSplitter()
+    return Ok(
+        PathReport(
+            fingerprint_us=_median_us(partial(fingerprint_of, head, body, organisation="group")),
+            head_us=_median_us(head.encode),
+            event_us=_median_us(partial(splitter.feed, event)),
+            routes=[_route_cost(size) for size in ROUTES],
+            choices=[_choice_cost(engines) for engines in ENGINES],
+        )
+    )
+
+
+def _head() -> RequestHead:
+    fields = [(b"X-Field-%d" % number, b"v" * 24) for number in range(10)]
+    return RequestHead(method=b"POST", target=b"/prefix/of/it/7", headers=Headers(items=fields))
+
+
+def _route_cost(size: int) -> RouteCost:
+    index = route_index(size)
+    found = partial(index.route, "host1.example", f"/{1:08x}/a/b/c")
+    assert found() is not None
+    return RouteCost(routes=size, lookup_us=_median_us(found))
+
+
+def _choice_cost(engines: int) -> ChoiceCost:
+    view = View()
+    for number in range(engines):
+        server = _server(number)
+        view.by_address[server.instance.address] = server
+    queue = EngineQueue(
+        board=view,
+        versions=OneVersion(),
+        failure_domain=OWN_DOMAIN,
+        seed=1,
+        clock=time.monotonic,
+    )
+    decide = partial(_decide, view, queue)
+    decide_us = _median_us(decide)
+    told_us = _median_us(partial(_take_told, list(view.by_address.values())))
+    for server in view.by_address.values():
+        server.allowance = _unbounded()
+    return ChoiceCost(
+        engines=engines,
+        decide_us=decide_us,
+        decide_limited_us=_median_us(decide),
+        told_us=told_us,
+    )
+
+
+def _decide(view: View, queue: EngineQueue) -> None:
+    view.changed()
+    now_s = time.monotonic()
+    wish = EngineWish(
+        service=ServiceRecord(name="s", engine=ENGINE),
+        model=MODEL,
+        prompt_tokens=900,
+        output_tokens=100.0,
+        objective_s=0.5,
+        on_time_s=now_s + 0.5,
+        decide_s=now_s + 0.5 * DECIDE_SHARE,
+        hold_s=now_s,
+        standing=Standing.NEW,
+        organisation="group",
+        request_id="r",
+        excluded=set(),
+        last_attempt=False,
+    )
+    waiter = queue.submit(wish)
+    assert waiter.placement is not None
+    queue.release(waiter.placement)
+
+
+def _take_told(servers: list[Server]) -> None:
+    now_s = time.monotonic()
+    packed = pack_uses(
+        {place: Use(requests=place % 16, unread_tokens=900) for place in range(len(servers))}
+    )
+    for place, use in unpack_uses(packed).unwrap().items():
+        servers[place].take_told(use, now_s)
+
+
+def _unbounded() -> SendAllowance:
+    allowance = SendAllowance(
+        per_s=1e9, entries=lambda: 1, clock=time.monotonic, source=random.Random(1)
+    )
+    allowance.lease(0.5, until_s=float("inf"))
+    return allowance
+
+
+def _server(number: int) -> Server:
+    served = ServedVersion(model=MODEL, version=1, first_layer=0, end_layer=ENGINE.layers)
+    return Server(
+        instance=Instance(
+            instance=f"i-{number}",
+            service="s",
+            address=f"10.0.0.{number}:80",
+            failure_domain=f"d{number % DOMAINS}",
+            sequence=1,
+            state=InstanceState.READY,
+            slots=ENGINE.slots,
+            served=(served,),
+            heard_s=0.0,
+        )
+    )
+
+
+def _median_us(work: Callable[[], object]) -> float:
+    """Give the median time of one stage over all rounds."""
+    rounds = [timed(partial(_repeat, work))[1] / REPEATS for _ in range(ROUNDS)]
+    return round(statistics.median(rounds), 2)
+
+
+def _repeat(work: Callable[[], object]) -> None:
+    for _ in range(REPEATS):
+        work()
+
+
+__all__ = ["ChoiceCost", "PathReport", "RouteCost", "run_request_path"]
--- a/src/leadhollow/bench/table_costs.py
+++ b/src/leadhollow/bench/table_costs.py
@@ -80,6 +80,16 @@
     return Ok(TableReport(costs=[_cost(size) for size in SIZES], history=_history(SIZES[0])))
 
 
+def route_index(size: int) -> RouteIndex:
+    """Make an index of so many routes."""
+    catalog = Catalog()
+    index = RouteIndex(catalog=catalog)
+    machine = StateMachine()
+    machine.apply(1, replacement(_table(1, {n: _route(n) for n in range(size)}), b"{}"))
+    catalog.apply(machine.catalog.items_after(0), revision=1)
+    return index
+
+
 def _route(number: int, *, timeout_ms: int = 1_000) -> Route:
     return Route(
         name=f"r-{number}",
@@ -110,14 +120,14 @@
     for turn in range(2, ROUNDS + 2):
         routes[turn] = _route(turn, timeout_ms=1_000 + turn)
         command = replacement(_table(turn, routes), b"{}")
-        _, took_us = _timed(partial(machine.apply, turn, command))
+        _, took_us = timed(partial(machine.apply, turn, command))
         times["replica"].append(took_us)
-        items, took_us = _timed(partial(machine.catalog.items_after, turn - 1))
+        items, took_us = timed(partial(machine.catalog.items_after, turn - 1))
         times["gather"].append(took_us)
         change_bytes = sum(len(encode_item(item)) for item in items)
-        _, took_us = _timed(partial(follower.apply, items, revision=turn))
+        _, took_us = timed(partial(follower.apply, items, revision=turn))
         times["entry"].append(took_us)
-    found, took_us = _timed(partial(_look_up, index, size))
+    found, took_us = timed(partial(_look_up, index, size))
     assert found == LOOKUPS
     return TableCost(
         routes=size,
@@ -159,10 +169,18 @@
     return sum(len(encode_item(item)) for item in catalog.items_after(0))
 
 
-def _timed(work: Callable[[], Value]) -> tuple[Value, float]:
+def timed(work: Callable[[], Value]) -> tuple[Value, float]:
+    """Give the value of a function, and the microseconds that it took."""
     began_s = time.perf_counter()
     value = work()
     return value, (time.perf_counter() - began_s) * 1e6
 
 
-__all__ = ["TableCost", "TableHistory", "TableReport", "run_table_costs"]
+__all__ = [
+    "TableCost",
+    "TableHistory",
+    "TableReport",
+    "route_index",
+    "run_table_costs",
+    "timed",
+]
--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -9,6 +9,7 @@
     BenchControlCommand,
     BenchDistributionCommand,
     BenchFairnessCommand,
+    BenchPathCommand,
     BenchRecoveryCommand,
     BenchRequestsCommand,
     BenchTableCommand,
@@ -78,6 +79,7 @@
     BenchFairnessCommand,
     BenchRecoveryCommand,
     BenchRequestsCommand,
+    BenchPathCommand,
     BenchTableCommand,
 )
 
--- a/src/leadhollow/cli/bench_command.py
+++ b/src/leadhollow/cli/bench_command.py
@@ -206,10 +206,24 @@
         return run_table_costs()
 
 
+class BenchPathCommand(BenchCommand):
+    """Measures what one request costs an entry."""
+
+    name = "bench path"
+    description = "Measure a request by stage, with 3 to 102 engines and 10 to 1,500 routes."
+
+    def measure(self) -> Coroutine[Any, Any, Result[Any, Failure]]:
+        """Begin the measurement."""
+        from leadhollow.bench.request_path import run_request_path
+
+        return run_request_path()
+
+
 __all__ = [
     "BenchCommand",
     "BenchControlCommand",
     "BenchDistributionCommand",
+    "BenchPathCommand",
     "BenchFairnessCommand",
     "BenchRecoveryCommand",
     "BenchRequestsCommand",
