Print the worth that no placement can exceed beside each comparison

Change: a price for each second of engine time gives an upper bound on what callers of a run can get (Lagrangian relaxation of the engines' time); experiment run prints its mean.

--- a/src/leadhollow/cli/experiment_command.py
+++ b/src/leadhollow/cli/experiment_command.py
@@ -153,7 +153,10 @@
 
 
 def _print(compared: Comparison) -> None:
-    print_text(f"{compared.scenario}, {compared.seeds} seeds")
+    print_text(
+        f"{compared.scenario}, {compared.seeds} seeds; no placement can exceed a worth of "
+        f"{compared.bound:.4f}"
+    )
     rows = [
         (
             name,
--- a/src/leadhollow/experiment/outcome.py
+++ b/src/leadhollow/experiment/outcome.py
@@ -37,8 +37,8 @@
 def judge(callers: Iterable[Caller]) -> Outcome:
     """Sum up a run."""
     found = list(callers)
-    owed = [_weight(caller) * caller.kind.worth for caller in found]
-    got = [_weight(caller) * _earned(caller) for caller in found]
+    owed = [weight(caller) * caller.kind.worth for caller in found]
+    got = [weight(caller) * _earned(caller) for caller in found]
     in_vain = sum(
         REFUSED_AGAIN_COST * worth
         for caller, worth in zip(found, owed, strict=True)
@@ -60,11 +60,12 @@
 def worth_of(callers: Iterable[Caller]) -> float:
     """Give the part of their worth that callers got, without the cost of coming back in vain."""
     found = list(callers)
-    owed = sum(_weight(caller) * caller.kind.worth for caller in found)
-    return sum(_weight(caller) * _earned(caller) for caller in found) / (owed or 1.0)
+    owed = sum(weight(caller) * caller.kind.worth for caller in found)
+    return sum(weight(caller) * _earned(caller) for caller in found) / (owed or 1.0)
 
 
-def _weight(caller: Caller) -> float:
+def weight(caller: Caller) -> float:
+    """Give how much a request counts by its size, as a part of its kind's worth."""
     size = caller.prompt_tokens / caller.kind.prompt_tokens
     return min(4.0, SIZE_FLOOR + (1 - SIZE_FLOOR) * size)
 
@@ -88,4 +89,4 @@
     return {name: part / whole for name, (part, whole) in sorted(sums.items())}
 
 
-__all__ = ["Outcome", "judge", "worth_of"]
+__all__ = ["Outcome", "judge", "weight", "worth_of"]
--- a/src/leadhollow/experiment/runner.py
+++ b/src/leadhollow/experiment/runner.py
@@ -10,6 +10,8 @@
 import msgspec
 
 from leadhollow.decide.policy import QueuePolicy
+from leadhollow.experiment.bound import worth_bound
+from leadhollow.experiment.callers import draw_callers
 from leadhollow.experiment.outcome import Outcome, judge
 from leadhollow.experiment.scenario import Scenario
 from leadhollow.experiment.world import World
@@ -37,6 +39,8 @@
     ----------
     policy, against
         Means of each figure.
+    bound
+        Mean worth that no placement can exceed.
     difference
         Of the first from the second, seed by seed.
     """
@@ -45,6 +49,7 @@
     seeds: int
     policy: dict[str, float]
     against: dict[str, float]
+    bound: float
     difference: dict[str, Estimate]
 
 
@@ -73,6 +78,7 @@
     on_progress
         Called with the number of seeds that are done.
     """
+    bounds = [worth_bound(scenario, draw_callers(scenario, 1 + place)) for place in range(seeds)]
     pairs = []
     for pair in _pairs(scenario, policy, against, seeds=seeds, jobs=jobs):
         pairs.append(pair)
@@ -85,6 +91,7 @@
         seeds=seeds,
         policy={name: statistics.fmean(row[name] for row in first) for name in names},
         against={name: statistics.fmean(row[name] for row in second) for name in names},
+        bound=statistics.fmean(bounds),
         difference={
             name: _estimate([a[name] - b[name] for a, b in zip(first, second, strict=True)])
             for name in names
