--- a/src/leadhollow/decide/share_ledger.py
+++ b/src/leadhollow/decide/share_ledger.py
@@ -15,19 +15,21 @@
 LEASE_S = 1.2
 """How long a share holds, counted from when its entry asked. Entries ask several times in it."""
 
-ASK_VALID_S = 0.9  # an entry that asks no more has ended, or is out of touch
+DEMAND_VALID_S = 0.9  # an entry that asks no more has ended, or is out of touch
 USABLE_PART = 0.5
-"""Of an entry's demand that is leased to it where others can use the rest: its requests do not come
-just when a token is free, and other servers are better for some of them."""
+"""Part of an entry's demand that may be leased to it while other entries can use the rest: requests
+do not arrive just when a token is free, and other servers are better for some of them."""
 
 FEW_HOLDERS = 4
-"""Entries that share one limit, where their demand allows: each may have a token saved up."""
+"""Entries that share one limit where their demand allows it: each may have saved up a token."""
+
+REPLAN_DEMAND = 0.5  # part of a limit; a plan is made anew where its holders need less
+REPLAN_LIMIT_FACTOR = 2.0  # a plan is made anew where the limit changed by as much
+REPLAN_ENTRIES_FACTOR = 1.5
+"""A plan is made anew where as many more entries ask: the first to ask were given everything."""
 
-ENOUGH = 0.5  # of what is leased; holders that need less than it are chosen anew
-LIMIT_CHANGE = 2.0  # factor from which holders are chosen anew
-MORE_ENTRIES = 1.5  # as many entries ask as when holders were chosen: those first heard of hold all
 LEAST_SHARE = 0.001
-PLAN_PAUSE_S = 0.05  # between two looks at all plans while no limit changes
+PLAN_INTERVAL_S = 0.05  # how often plans are checked while no limit changes
 
 
 class EntryDemand:
@@ -144,10 +146,10 @@
         return sum(_counted(found, now_s) for vm, found in leases.items() if vm != without)
 
     def _plan_all(self, servers: dict[str, LimitedServer], now_s: float) -> None:
-        """Choose holders where there are none, or where others should hold a limit."""
+        """Plan shares where there are none, or where others should hold a limit."""
         limits = {life: server.per_s for life, server in servers.items()}
         unchanged = limits == {life: server.per_s for life, server in self._servers.items()}
-        if unchanged and now_s - self._planned_s < PLAN_PAUSE_S:
+        if unchanged and now_s - self._planned_s < PLAN_INTERVAL_S:
             return
         self._servers = servers
         self._planned_s = now_s
@@ -175,17 +177,17 @@
 
     def _still_good(self, plan: _Plan, server: LimitedServer) -> bool:
         """Tell whether the holders are in touch and still need what they hold."""
-        if not 1 / LIMIT_CHANGE < server.per_s / plan.per_s < LIMIT_CHANGE:
+        if not 1 / REPLAN_LIMIT_FACTOR < server.per_s / plan.per_s < REPLAN_LIMIT_FACTOR:
             return False
         if any(vm not in self._demands for vm in plan.shares):
             return False
-        if len(self._demands) > MORE_ENTRIES * plan.entries:
+        if len(self._demands) > REPLAN_ENTRIES_FACTOR * plan.entries:
             return False
         if self._demands.keys() <= plan.shares.keys():
             return True
         own = sum(plan.shares.values()) * plan.per_s
         room = own + sum(self._room_per_s(vm, server) for vm in plan.shares)
-        return min(own, room) >= ENOUGH * LEASED_PART * server.per_s
+        return min(own, room) >= REPLAN_DEMAND * LEASED_PART * server.per_s
 
     def _plan(self, server: LimitedServer) -> _Plan:
         """Choose the fewest holders whose demand covers the limit, near ones first.
@@ -224,7 +226,7 @@
 
     def _forget(self, now_s: float) -> None:
         for vm, demand in list(self._demands.items()):
-            if now_s - demand.heard_s > ASK_VALID_S:
+            if now_s - demand.heard_s > DEMAND_VALID_S:
                 del self._demands[vm]
         for life, leases in list(self._leases.items()):
             for vm in [vm for vm, found in leases.items() if not _counted(found, now_s)]:
@@ -242,4 +244,4 @@
     return crc32(f"{life}/{vm}".encode())
 
 
-__all__ = ["ASK_VALID_S", "LEASE_S", "EntryDemand", "LimitedServer", "ShareLedger"]
+__all__ = ["DEMAND_VALID_S", "LEASE_S", "EntryDemand", "LimitedServer", "ShareLedger"]
