Let entries without a lease use more of a limit, and lease as much less

Cause: while control was away, or an entry out of touch, all of them together used a twentieth of each limit: a server that names a limit far above what it usually gets was all but lost for the seconds of an election, without need. Change: 0.3 of a limit is shared evenly by entries without a lease; the leader leases less by what entries that do not ask may use.

--- a/src/leadhollow/control/limit_relay.py
+++ b/src/leadhollow/control/limit_relay.py
@@ -14,6 +14,7 @@
 from leadhollow.decide.share_ledger import LEASE_S, LimitedServer, ShareLedger
 from leadhollow.kernel import clocks
 from leadhollow.kernel.gathering_service import GatheringService
+from leadhollow.membership.entry_count import EntryCount
 from leadhollow.membership.instances import Instance
 from leadhollow.membership.limit_news import (
     MOST_REQUESTS,
@@ -68,10 +69,14 @@
         Gives the addresses of all replicas.
     server_of
         Finds a backend server by its life.
+    entries
+        Gives the number of live entries.
     """
 
     __slots__ = (
         "_changed",
+        "_entries",
+        "_entry_count",
         "_lead",
         "_leased_term",
         "_ledger",
@@ -95,6 +100,7 @@
         replicas: Callable[[], list[str]],
         lead: Lead,
         server_of: Callable[[str], Instance | None],
+        entries: Callable[[], int],
         peers: PeerPool,
         handlers: HandlerTable,
     ) -> None:
@@ -106,7 +112,9 @@
         self.table = LimitTable()
         self._changed: set[str] = set()
         self._requests: list[tuple[str, ShareRequest]] = []  # with the replica that passed it on
-        self._ledger = ShareLedger(clock=clocks.elapsed_s)
+        self._entries = entries
+        self._entry_count = EntryCount(clock=clocks.elapsed_s)
+        self._ledger = self._new_ledger()
         self._ledger_term = 0
         self._leased_term = 0  # highest term whose leases were passed on
         self._whole_s: dict[str, float] = {}
@@ -202,8 +210,9 @@
         if since_s is None or now_s < since_s + LEASE_S:
             return
         if term != self._ledger_term:
-            self._ledger = ShareLedger(clock=clocks.elapsed_s)
+            self._ledger = self._new_ledger()
             self._ledger_term = term
+        self._entry_count.take(self._entries())
         servers = self._servers()
         by_replica: dict[str, list[LimitLease]] = {}
         for via, request in requests:
@@ -223,6 +232,9 @@
         for address, leases in by_replica.items():
             self._peers.post(address, LimitLeases(term, leases))
 
+    def _new_ledger(self) -> ShareLedger:
+        return ShareLedger(clock=clocks.elapsed_s, entries=self._entry_count.most)
+
     def _servers(self) -> list[LimitedServer]:
         found = []
         for life, per_s in self.table.limits().items():
--- a/src/leadhollow/decide/send_allowance.py
+++ b/src/leadhollow/decide/send_allowance.py
@@ -6,9 +6,10 @@
 from collections.abc import Callable
 
 LEASED_PART = 0.95  # of a limit, which control leases to the entries that need it
-SPARE_PART = 0.05
-"""Of a limit, which entries without word from control share evenly. The two parts add up to
-the limit, so entries on both sides of a partition may use theirs."""
+SPARE_PART = 0.3
+"""Of a limit, which entries without a lease share evenly, so that a server stays in use while
+control is away. Where only some entries are out of touch, the leader leases as much less as they
+may use."""
 
 TRIAL_PER_S = 0.1
 """Least rate that a limit stands for: a server that gets no request cannot say that its limit is
--- a/src/leadhollow/decide/share_ledger.py
+++ b/src/leadhollow/decide/share_ledger.py
@@ -2,7 +2,8 @@
 
 The leader of the control replicas keeps one ledger. A share is a part of the limit and not a rate,
 so a limit that changes holds at once at all its holders. A share counts until its lease ends, also
-after it was planned away, so shares in use never add up to more than is leased.
+after it was planned away, so shares in use never add up to more than is leased. Entries that do not
+ask use an even part of the limit without a lease; what they may use is not leased to others.
 """
 
 from __future__ import annotations
@@ -10,12 +11,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from zlib import crc32
 
-from leadhollow.decide.send_allowance import LEASED_PART, TRIAL_PER_S
+from leadhollow.decide.send_allowance import LEASED_PART, SPARE_PART, TRIAL_PER_S
 
 LEASE_S = 1.2
 """How long a share holds, counted from when its entry asked. Entries ask several times in it."""
 
-DEMAND_VALID_S = 0.9  # an entry that asks no more has ended, or is out of touch
+DEMAND_VALID_S = 0.6  # an entry that asks no more has ended, or is out of touch
 USABLE_PART = 0.5
 """Part of an entry's demand that may be leased to it while other entries can use the rest: requests
 do not arrive just when a token is free, and other servers are better for some of them."""
@@ -91,11 +92,14 @@
     ----------
     clock
         Gives the time, suspensions included.
+    entries
+        Gives the number of entries that may be live.
     """
 
     __slots__ = (
         "_clock",
         "_demands",
+        "_entries",
         "_leases",
         "_planned_per_s",
         "_planned_s",
@@ -103,8 +107,9 @@
         "_servers",
     )
 
-    def __init__(self, *, clock: Callable[[], float]) -> None:
+    def __init__(self, *, clock: Callable[[], float], entries: Callable[[], int]) -> None:
         self._clock = clock
+        self._entries = entries
         self._demands: dict[str, EntryDemand] = {}
         self._servers: dict[str, LimitedServer] = {}
         self._plans: dict[str, _Plan] = {}
@@ -134,13 +139,21 @@
         return {} if plan is None else dict(plan.shares)
 
     def _lease(self, life: str, vm: str, plan: _Plan, now_s: float) -> float:
-        share = min(plan.shares[vm], LEASED_PART - self._in_use(life, now_s, without=vm))
+        leasable = self._leasable()
+        planned = plan.shares[vm] * leasable / LEASED_PART
+        share = min(planned, leasable - self._in_use(life, now_s, without=vm))
         if share >= LEAST_SHARE:
             own = self._leases.setdefault(life, {}).setdefault(vm, [])
             own[:] = [lease for lease in own if lease[1] > now_s]
             own.append((share, now_s + LEASE_S))
         return share
 
+    def _leasable(self) -> float:
+        """Give the part of a limit that entries which do not ask leave to those that do."""
+        entries = self._entries()
+        silent = max(0, entries - len(self._demands))
+        return LEASED_PART - SPARE_PART * silent / max(1, entries)
+
     def _in_use(self, life: str, now_s: float, *, without: str) -> float:
         leases = self._leases.get(life, {})
         return sum(_counted(found, now_s) for vm, found in leases.items() if vm != without)
--- a/src/leadhollow/experiment/limits.py
+++ b/src/leadhollow/experiment/limits.py
@@ -164,7 +164,7 @@
         self._by_life = {server.life: server for server in self._servers}
         self._entries = [self._new_entry(number) for number in range(pattern.entries)]
         self._leader_table = LimitTable()
-        self._ledger = ShareLedger(clock=self._now_s)
+        self._ledger = ShareLedger(clock=self._now_s, entries=self._count)
         self._leads_from_s = 0.0
 
     def run(self) -> Figures:
@@ -187,6 +187,9 @@
         self._judge()
         return self.figures
 
+    def _count(self) -> int:
+        return len(self._entries)
+
     def _now_s(self) -> float:
         return self._clock.now_s
 
@@ -211,7 +214,7 @@
         for entry in self._entries:
             entry.cut_off = False
         if self._pattern.leader_away:
-            self._ledger = ShareLedger(clock=self._now_s)
+            self._ledger = ShareLedger(clock=self._now_s, entries=self._count)
             self._leads_from_s = self._clock.now_s + LEASE_S
 
     def _arrive(self, place: int) -> None:
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -86,6 +86,7 @@
             replicas=replica().addresses,
             lead=replica().gateway,
             server_of=kernel.get("registry", Registry).table.of_life,
+            entries=kernel.get("registry", Registry).entries,
             peers=process.peers,
             handlers=process.handlers,
         )
--- a/tests/control/test_feed_server.py
+++ b/tests/control/test_feed_server.py
@@ -84,6 +84,7 @@
                 **shared,
                 lead=NoLead(),
                 server_of=self.registry.table.of_life,
+                entries=self.registry.entries,
                 peers=self.peers,
                 handlers=self.handlers,
             ),
--- a/tests/control/test_limit_relay.py
+++ b/tests/control/test_limit_relay.py
@@ -73,6 +73,7 @@
             replicas=lambda: ["one", "two", "three"],
             lead=lead,
             server_of=server_of,
+            entries=lambda: 0,
             peers=self.posts,
             handlers=HandlerTable(),
         )
--- a/tests/control/test_uses_at_size.py
+++ b/tests/control/test_uses_at_size.py
@@ -86,6 +86,7 @@
                 **shared,
                 lead=NoLead(),
                 server_of=self.registry.table.of_life,
+                entries=self.registry.entries,
                 peers=self.posts,
                 handlers=self.handlers,
             ),
--- a/tests/decide/test_limited_fleet.py
+++ b/tests/decide/test_limited_fleet.py
@@ -34,7 +34,7 @@
     def __init__(self, per_s: float) -> None:
         self.now_s = 10.0
         self.per_s = per_s
-        self.ledger = ShareLedger(clock=lambda: self.now_s)
+        self.ledger = ShareLedger(clock=lambda: self.now_s, entries=lambda: 0)
         self.leads_from_s = 0.0
         self.allowances = [self._allowance() for _ in range(ENTRIES)]
         self.suspended_until_s = [0.0] * ENTRIES
@@ -61,7 +61,7 @@
         self.due.append((self.now_s + way_s, entry, share, self.allowances[entry], until_s))
 
     def change_leader(self, away_s: float) -> None:
-        self.ledger = ShareLedger(clock=lambda: self.now_s)
+        self.ledger = ShareLedger(clock=lambda: self.now_s, entries=lambda: 0)
         self.leads_from_s = self.now_s + away_s + LEASE_S
 
     def run(self, time_s: float) -> None:
--- a/tests/decide/test_share_ledger.py
+++ b/tests/decide/test_share_ledger.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leadhollow.decide.send_allowance import LEASED_PART
+from leadhollow.decide.send_allowance import LEASED_PART, SPARE_PART
 from leadhollow.decide.share_ledger import LEASE_S, EntryDemand, LimitedServer, ShareLedger
 
 LIFE = "i-1@0"
@@ -17,7 +17,8 @@
 
     def __init__(self) -> None:
         self.now_s = 50.0
-        self.ledger = ShareLedger(clock=lambda: self.now_s)
+        self.entries = 0
+        self.ledger = ShareLedger(clock=lambda: self.now_s, entries=lambda: self.entries)
 
     def ask(self, vm: str, demand_per_s: float, *servers: LimitedServer, domain: str = "d") -> dict:
         demand = EntryDemand(
@@ -122,3 +123,20 @@
         demands = {f"entry-{number}": 12.0 for number in range(10)}
         leased = Leader().settle(demands, *servers)
         assert all(len(shares) <= 8 for shares in leased.values())
+
+
+class TestEntriesThatDoNotAsk:
+    def test_leave_less_to_lease_than_those_that_do(self):
+        leader = Leader()
+        leader.entries = 10
+        demands = {f"entry-{number}": 12.0 for number in range(6)}
+        leased = held(leader.settle(demands, limited(2.0)))
+        assert sum(leased.values()) == pytest.approx(LEASED_PART - SPARE_PART * 4 / 10)
+
+    def test_leave_all_of_it_once_they_ask_again(self):
+        leader = Leader()
+        leader.entries = 4
+        leader.settle({"a": 30.0}, limited(2.0))
+        demands = {f"entry-{number}": 12.0 for number in range(4)}
+        leased = held(leader.settle(demands, limited(2.0)))
+        assert sum(leased.values()) == pytest.approx(LEASED_PART)
--- a/tests/membership/test_limit_news.py
+++ b/tests/membership/test_limit_news.py
@@ -95,7 +95,7 @@
 class TestCost:
     def test_of_many_limits_fits_into_what_control_may_send_an_entry(self):
         now_s = [NOW_S]
-        ledger = ShareLedger(clock=lambda: now_s[0])
+        ledger = ShareLedger(clock=lambda: now_s[0], entries=lambda: ENTRIES)
         servers = [
             LimitedServer(
                 life=f"i-{number:010x}@1771657612084",
