Take no share of a limit that is no part, and no lease that lasts longer than one

Cause: a lease from a process of another release, or a damaged one, could have bound an entry to a share that is not a number, or for ever. Change: such shares count as none, and a lease counts from now at the latest.

--- a/src/leadhollow/forward/limit_keeper.py
+++ b/src/leadhollow/forward/limit_keeper.py
@@ -142,8 +142,8 @@
     def _on_lease(self, lease: LimitLease) -> None:
         if lease.vm != self._vm:
             return
-        until_s = (lease.asked_ms or 0) / 1000 + LEASE_S
-        shares = {found.life: float(found.share or 0.0) for found in lease.shares or ()}
+        until_s = min((lease.asked_ms or 0) / 1000, clocks.elapsed_s()) + LEASE_S
+        shares = {found.life: found.share for found in lease.shares or () if _is_part(found.share)}
         for server in self._board.all_servers():
             if server.allowance is not None:
                 server.allowance.lease(shares.get(server.instance.life, 0.0), until_s=until_s)
@@ -246,4 +246,9 @@
         )
 
 
+def _is_part(share: float | None) -> bool:
+    """Tell whether a share can be a part of a limit; not a number is none."""
+    return share is not None and 0.0 < share <= 1.0
+
+
 __all__ = ["DemandGauge", "LimitKeeper"]
