--- a/tests/node/site.py
+++ b/tests/node/site.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import itertools
-import random
-import socket
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 
@@ -15,30 +13,14 @@
 from leadhollow.node.process import NodeProcess
 from leadhollow.platform.serve import platform_dialects
 from leadhollow.settings.node import NodeRole, NodeSettings
-from tests.support import eventually
+from tests.support import eventually, free_ports
 
 HOST = "crews.example"
 BEAT_S = 0.05
-_ports = random.Random()
 _attempts = itertools.count(1)
 _hosts = itertools.count(1)
 
 
-def free_port(hosts: Sequence[str]) -> int:
-    """Find a port that is free on all of these addresses, below those of outgoing connections."""
-    while True:
-        port = _ports.randrange(20_000, 30_000)
-        try:
-            for host in hosts:
-                with socket.socket() as probe:
-                    probe.bind((host, port))
-                with socket.socket() as probe:
-                    probe.bind((host, port + 1))
-        except OSError:
-            continue
-        return port
-
-
 def route(prefix: str, service: str) -> dict[str, object]:
     """Describe a public route that may be repeated."""
     return {
@@ -124,9 +106,9 @@
         self.control_host = f"127.0.70.{number}"
         entry_hosts = [f"127.0.{71 + place}.{number}" for place in range(entries)]
         hosts = (self.control_host, *entry_hosts)
-        wire = free_port(hosts)
-        self.operators = f"{self.control_host}:{free_port(hosts)}"
-        callers_port, readiness_port = free_port(hosts), free_port(hosts)
+        wire = free_ports(hosts)
+        self.operators = f"{self.control_host}:{free_ports(hosts)}"
+        callers_port, readiness_port = free_ports(hosts), free_ports(hosts)
         self.all_callers = [f"{host}:{callers_port}" for host in entry_hosts]
         self.callers = self.all_callers[0]
         shared = {
--- a/tests/state/seeded_group.py
+++ b/tests/state/seeded_group.py
@@ -14,9 +14,10 @@
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.server import WireServer
-from tests.support import TOKEN, eventually
+from tests.support import TOKEN, eventually, free_ports
 
-PORTS = (7_400, 7_409)
+PORTS = 10  # of each replica
+HOST_NUMBERS = range(11, 40)  # addresses that replicas of a group may have
 MODEL = "model"
 
 
@@ -32,7 +33,7 @@
             failure_domain=f"domain-{host}",
             role=NodeRole.CONTROL,
             host=host,
-            ports=(group.port, group.port + 9),
+            ports=(group.port, group.port + PORTS - 1),
             seeds=tuple(f"{seed}:1" for seed in group.told_seeds),
             first_start=first_start,
             data_folder=str(self.folder),
@@ -63,10 +64,10 @@
 class SeededGroup:
     """Three seeds, and whatever joins them."""
 
-    def __init__(self, *, folder: Path, port: int) -> None:
+    def __init__(self, *, folder: Path) -> None:
         self.folder = folder
-        self.port = port
         self.seeds = [f"127.0.0.{number}" for number in (11, 12, 13)]
+        self.port = free_ports([f"127.0.0.{number}" for number in HOST_NUMBERS], count=PORTS)
         self.told_seeds = list(self.seeds)  # what settings name; it may change later
         self.nodes: dict[str, SeededNode] = {}
         self._number = 0
--- a/tests/state/test_changing_voters.py
+++ b/tests/state/test_changing_voters.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 
 import pytest
 from result import Err
@@ -16,12 +15,10 @@
 from tests.state.seeded_group import SeededGroup
 from tests.support import eventually
 
-_ports = itertools.count(7_400, 20)
-
 
 @pytest.fixture
 async def group(tmp_path):
-    made = SeededGroup(folder=tmp_path, port=next(_ports))
+    made = SeededGroup(folder=tmp_path)
     await made.start_all()
     yield made
     await made.stop_all()
--- a/tests/support.py
+++ b/tests/support.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import hashlib
+import random
 import shutil
+import socket
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
 from result import Err
@@ -26,6 +28,7 @@
 
 TOKEN = "token-of-the-tests"
 PATIENCE_S = 30.0
+_ports = random.Random()
 
 
 async def eventually(check: Callable[[], object], what: str = "condition") -> object:
@@ -42,6 +45,20 @@
     raise AssertionError(message)
 
 
+def free_ports(hosts: Sequence[str], *, count: int = 2) -> int:
+    """Find the first of some ports that are free on all addresses, below outgoing connections."""
+    while True:
+        first = _ports.randrange(20_000, 30_000)
+        try:
+            for host in hosts:
+                for port in range(first, first + count):
+                    with socket.socket() as probe:
+                        probe.bind((host, port))
+        except OSError:
+            continue
+        return first
+
+
 def row(group: str, *, weight: float = 1.0, **fields: object) -> Row:
     """Make a row with a key of its own."""
     digest = hashlib.sha256(group.encode()).hexdigest()
