Keep the adapter to names, formats and calls

Cause: the adapter remembered which unknown fields and which malformed limits it had logged. Figures: tests of observe, platform, forward and of limits with whole processes pass.

--- a/src/leadhollow/forward/limit_keeper.py
+++ b/src/leadhollow/forward/limit_keeper.py
@@ -9,10 +9,12 @@
 import random
 from typing import Protocol
 
+from leadhollow.codes import Code
 from leadhollow.decide.limit_table import LimitTable
 from leadhollow.decide.send_allowance import SendAllowance
 from leadhollow.decide.server import Server
 from leadhollow.decide.share_ledger import LEASE_S, EntryDemand
+from leadhollow.failure import Failure
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.dialect import AnswerFacts
 from leadhollow.kernel import clocks
@@ -27,6 +29,7 @@
 ASK_S = 0.25  # how often shares are asked for while there is any limit
 WHOLE_PAUSE_S = 1.0  # between two times that everything is told to the same replica
 FORGET_S = 60.0  # after which the limit of a server that is gone is dropped
+MOST_MALFORMED_LOGGED = 64  # servers; one that starts again and again cannot fill the logs
 LOG_PAUSE_S = 1.0  # between two log lines on a limit of the same server that changes
 
 log = get_logger("limits")
@@ -49,6 +52,11 @@
         What this entry says of itself when it asks for shares.
     demand
         Requests that came here.
+
+    Attributes
+    ----------
+    malformed
+        Answers whose limit was no number.
     """
 
     __slots__ = (
@@ -58,12 +66,14 @@
         "_failure_domain",
         "_feed",
         "_logged_s",
+        "_malformed_lives",
         "_mark",
         "_peers",
         "_random",
         "_told",
         "_vm",
         "_whole_s",
+        "malformed",
         "table",
     )
 
@@ -86,6 +96,8 @@
         self._demand = demand
         self._random = random.Random(seed)
         self.table = LimitTable()
+        self.malformed = 0
+        self._malformed_lives: set[str] = set()
         self._changed: set[str] = set()
         self._told = ""  # replica that knows everything
         self._mark = 0  # of the replica's table, as it last said
@@ -109,9 +121,12 @@
             When its request was sent, by the clock with suspensions; None where the server was not
             known to have a limit then.
         """
+        if facts.limit_malformed:
+            self._note_malformed(server)
+            return
         if facts.limit_per_s is None and (server.allowance is None or sent_s is None):
             return
-        if facts.limit_malformed or facts.instance not in (None, server.instance.instance):
+        if facts.instance not in (None, server.instance.instance):
             return
         life = server.instance.life
         if facts.limit_per_s is not None:
@@ -124,6 +139,16 @@
             self._apply(server)
             self.note_change()
 
+    def _note_malformed(self, server: Server) -> None:
+        """Count a limit that is no number, and log the first one of each server."""
+        self.malformed += 1
+        life = server.instance.life
+        if life in self._malformed_lives or len(self._malformed_lives) >= MOST_MALFORMED_LOGGED:
+            return
+        self._malformed_lives.add(life)
+        failure = Failure(code=Code.LIMIT_MALFORMED)
+        log.warning("limit not taken", failure=str(failure), instance=server.instance.instance)
+
     def _on_news(self, news: LimitNews, whole: bool) -> None:
         decoded = decode_limits(news, clocks.elapsed_s())
         if decoded.is_err():
--- a/src/leadhollow/platform/unknown_fields.py
+++ b/src/leadhollow/observe/unknown_fields.py
@@ -1,4 +1,4 @@
-"""Reports fields of the platform's messages that the adapter does not decode."""
+"""Reports fields of messages that nobody decodes."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 SHOWN_CHARACTERS = 64
 
-log = get_logger("platform")
+log = get_logger("fields")
 
 
 class UnknownFields:
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -10,8 +10,7 @@
 from leadhollow.http1.decimals import read_decimal
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead, ResponseHead
-from leadhollow.observe.logs import get_logger
-from leadhollow.platform.unknown_fields import MOST_NAMES, UnknownFields
+from leadhollow.observe.unknown_fields import UnknownFields
 
 ATTEMPT_ID = b"x-attempt-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -48,8 +47,6 @@
 """Fields that callers cannot pass through: they are ours, or belong to this connection."""
 
 
-log = get_logger("platform")
-
 KNOWN_ANSWER_FIELDS = frozenset(
     {
         "at-server",
@@ -77,14 +74,12 @@
 class PlatformCalls:
     """Headers of requests and answers."""
 
-    __slots__ = ("_malformed_limits_of", "_unknown", "malformed_limits")
+    __slots__ = ("_unknown",)
 
     def __init__(self) -> None:
         self._unknown = UnknownFields(
             message="answer", known=KNOWN_ANSWER_FIELDS, unusual={"server-limit"}
         )
-        self._malformed_limits_of: set[str] = set()
-        self.malformed_limits = 0
 
     def read_call(self, head: RequestHead) -> Result[CallFacts, Failure]:
         """Decode what a caller says."""
@@ -135,8 +130,6 @@
         unusual = self._unknown.note_headers(headers, sender=instance)
         limits = headers.get_all(SERVER_LIMIT) if unusual else []
         limit_per_s = read_decimal(limits)
-        if limits and limit_per_s is None:
-            self._note_malformed_limit(instance)
         return AnswerFacts(
             attempt_id=None if attempt_id is None else attempt_id.decode("latin-1"),
             limit_per_s=limit_per_s,
@@ -146,14 +139,6 @@
             instance=instance or None,
         )
 
-    def _note_malformed_limit(self, instance: str) -> None:
-        self.malformed_limits += 1
-        if instance in self._malformed_limits_of or len(self._malformed_limits_of) >= MOST_NAMES:
-            return
-        self._malformed_limits_of.add(instance)
-        failure = Failure(code=Code.LIMIT_MALFORMED)
-        log.warning("limit not taken", failure=str(failure), instance=instance)
-
     def refusal(self, failure: Failure, retry_after_s: float | None) -> Headers:
         """Give the fields of an answer of our own."""
         headers = Headers(items=[(b"Content-Type", b"text/plain")])
--- a/src/leadhollow/platform/control.py
+++ b/src/leadhollow/platform/control.py
@@ -21,8 +21,8 @@
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
 from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
+from leadhollow.observe.unknown_fields import UnknownFields
 from leadhollow.platform.documents import read_configuration
-from leadhollow.platform.unknown_fields import UnknownFields
 from leadhollow.routing.rules import check_table
 
 CONFIGURATION_PATH = "/-/config"
--- a/tests/forward/test_limit_keeper.py
+++ b/tests/forward/test_limit_keeper.py
@@ -130,6 +130,7 @@
             entry.answer(limit_per_s=2.0)
             entry.answer(limit_malformed=True, sent_s=clocks.elapsed_s() + 0.01)
             assert entry.server.allowance.per_s == 2.0
+            assert entry.keeper.malformed == 1
 
         with_entry(work)
 
--- a/tests/platform/test_unknown_fields.py
+++ b/tests/observe/test_unknown_fields.py
@@ -8,8 +8,8 @@
 
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import Framing, ResponseHead
+from leadhollow.observe.unknown_fields import MOST_NAMES, UnknownFields
 from leadhollow.platform.callers import PlatformCalls
-from leadhollow.platform.unknown_fields import MOST_NAMES, UnknownFields
 
 
 @pytest.fixture
@@ -20,7 +20,7 @@
         def warning(self, message: str, **fields: object) -> None:
             found.append({"message": message, **fields})
 
-    monkeypatch.setattr("leadhollow.platform.unknown_fields.log", Recorder())
+    monkeypatch.setattr("leadhollow.observe.unknown_fields.log", Recorder())
     return found
 
 
