Print what a request for shares costs, and share the commands of two laboratories

Change: bench path measures requests for shares at three sizes; one base plays every pattern in every way. The experiment commands print as before, but for a headline of limits.

--- a/src/leadhollow/bench/request_path.py
+++ b/src/leadhollow/bench/request_path.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import statistics
 import time
@@ -18,6 +19,7 @@
 from leadhollow.decide.engine_queue import DECIDE_SHARE, EngineQueue
 from leadhollow.decide.send_allowance import SendAllowance
 from leadhollow.decide.server import Server
+from leadhollow.decide.share_ledger import EntryDemand, LimitedServer, ShareLedger
 from leadhollow.decide.wish import EngineWish, Standing
 from leadhollow.experiment.patterns import ENGINE
 from leadhollow.experiment.view import OneVersion, View
@@ -35,6 +37,8 @@
 
 ENGINES = (3, 10, 39, 102)
 ROUTES = (10, 100, 1_500)
+LIMITED_FLEETS = ((7, 2), (39, 10), (98, 60))  # entries, and servers that name limits
+ASKS_PER_S = 4.0  # of each entry
 DOMAINS = 3
 ROUNDS = 15
 REPEATS = 100  # of one stage in a round
@@ -70,6 +74,14 @@
     told_us: float
 
 
+class ShareCost(msgspec.Struct, frozen=True, kw_only=True):
+    """Time in which the leader answers one request for shares of limits."""
+
+    entries: int
+    limited: int
+    ask_us: float
+
+
 class PathReport(msgspec.Struct, frozen=True, kw_only=True):
     """All figures.
 
@@ -88,6 +100,7 @@
     event_us: float
     routes: list[RouteCost]
     choices: list[ChoiceCost]
+    shares: list[ShareCost]
 
 
 async def run_request_path() -> Result[PathReport, Failure]:
@@ -107,6 +120,7 @@
             event_us=_median_us(partial(splitter.feed, event)),
             routes=[_route_cost(size) for size in ROUTES],
             choices=[_choice_cost(engines) for engines in ENGINES],
+            shares=[_share_cost(*size) for size in LIMITED_FLEETS],
         )
     )
 
@@ -180,6 +194,35 @@
         servers[place].take_told(use, now_s)
 
 
+def _share_cost(entries: int, limited: int) -> ShareCost:
+    """Let all entries ask in turn, at the rate at which they do."""
+    moment = [0.0]
+    ledger = ShareLedger(clock=lambda: moment[0], entries=lambda: entries)
+    servers = [
+        LimitedServer(
+            life=f"i-{number}@0",
+            service="s",
+            failure_domain=f"d{number % DOMAINS}",
+            per_s=1.3,
+        )
+        for number in range(limited)
+    ]
+    turns = itertools.cycle(range(entries))
+
+    def ask() -> None:
+        moment[0] += 1 / (ASKS_PER_S * entries)
+        number = next(turns)
+        demand = EntryDemand(
+            vm=f"entry-{number}",
+            failure_domain=f"d{number % DOMAINS}",
+            per_s={"s": 25.0},
+            heard_s=moment[0],
+        )
+        ledger.ask(demand, servers)
+
+    return ShareCost(entries=entries, limited=limited, ask_us=_median_us(ask))
+
+
 def _unbounded() -> SendAllowance:
     allowance = SendAllowance(
         per_s=1e9, entries=lambda: 1, clock=time.monotonic, source=random.Random(1)
@@ -216,4 +259,4 @@
         work()
 
 
-__all__ = ["ChoiceCost", "PathReport", "RouteCost", "run_request_path"]
+__all__ = ["ChoiceCost", "PathReport", "RouteCost", "ShareCost", "run_request_path"]
--- a/src/leadhollow/cli/experiment_command.py
+++ b/src/leadhollow/cli/experiment_command.py
@@ -13,8 +13,7 @@
 from leadhollow.cli.output import print_failure, print_json, print_table, print_text
 from leadhollow.codes import Code
 from leadhollow.decide.policy import QueuePolicy
-from leadhollow.experiment import limits
-from leadhollow.experiment.crashes import PATTERNS, Figures, Memory, play
+from leadhollow.experiment import crashes, limits
 from leadhollow.experiment.patterns import patterns
 from leadhollow.experiment.runner import Comparison, compare
 from leadhollow.experiment.scenario import Scenario, read_scenario
@@ -62,64 +61,77 @@
         return 0
 
 
-class ExperimentCrashesCommand(Command):
-    """Plays requests that end engines."""
+class _WaysCommand(Command):
+    """Plays every pattern of a laboratory in every way that it knows.
 
-    name = "experiment crashes"
-    description = "Play requests that end their engines, with and without a memory of the fleet."
+    Attributes
+    ----------
+    way
+        What the ways are called in tables and in JSON.
+    headline
+        What the figures are.
+    """
+
+    way = ""
+    headline = ""
     options = [  # noqa: RUF012
         option("seeds", None, "Seeds to play.", flag=False, default=str(DEFAULT_SEEDS)),
         option("json", None, "Print one object on one line.", flag=True),
     ]
 
+    def played(self, seeds: int) -> dict[tuple[str, str], dict[str, float]]:
+        """Play everything; gives the figures by pattern and way."""
+        raise NotImplementedError
+
     def handle(self) -> int:
-        """Play each pattern with each memory, and print the means."""
+        """Play, and print a row for each pattern and way."""
         counted = _count("seeds", self.option("seeds"))
         if counted.is_err():
             return print_failure(counted.unwrap_err())
         seeds = counted.unwrap()
-        played = {
-            (pattern, memory.value): play(pattern, memory, seeds=seeds)
-            for pattern in PATTERNS
-            for memory in Memory
-        }
+        played = self.played(seeds)
         if self.option("json"):
-            print_json([{"pattern": key[0], "memory": key[1], **played[key]} for key in played])
+            print_json([{"pattern": key[0], self.way: key[1], **played[key]} for key in played])
             return 0
-        print_text(f"{seeds} seeds; means of a run, and the most engines that one request ended")
-        figures = list(Figures.__struct_fields__)
+        print_text(f"{seeds} seeds; {self.headline}")
+        figures = list(next(iter(played.values())))
         rows = [(*key, *(found[figure] for figure in figures)) for key, found in played.items()]
-        print_table(("pattern", "memory", *figures), rows)
+        print_table(("pattern", self.way, *figures), rows)
         return 0
 
 
-class ExperimentLimitsCommand(Command):
+class ExperimentCrashesCommand(_WaysCommand):
+    """Plays requests that end engines."""
+
+    name = "experiment crashes"
+    description = "Play requests that end their engines, with and without a memory of the fleet."
+    way = "memory"
+    headline = "means of a run, and the most engines that one request ended"
+
+    def played(self, seeds: int) -> dict[tuple[str, str], dict[str, float]]:
+        """Play each pattern with each memory."""
+        return {
+            (pattern, memory.value): crashes.play(pattern, memory, seeds=seeds)
+            for pattern in crashes.PATTERNS
+            for memory in crashes.Memory
+        }
+
+
+class ExperimentLimitsCommand(_WaysCommand):
     """Plays servers that limit the requests they take."""
 
     name = "experiment limits"
     description = "Play servers that name limits, with several ways of keeping these."
-    options = [  # noqa: RUF012
-        option("seeds", None, "Seeds to play.", flag=False, default=str(DEFAULT_SEEDS)),
-        option("json", None, "Print one object on one line.", flag=True),
-    ]
+    way = "way"
+    headline = "means of a run, and the worst excess over the aim and over the rule"
 
-    def handle(self) -> int:
-        """Play each pattern in each way, and print means and worst figures."""
-        counted = _count("seeds", self.option("seeds"))
-        if counted.is_err():
-            return print_failure(counted.unwrap_err())
-        played = {
-            (pattern, way.value): limits.play(pattern, way, seeds=counted.unwrap())
+    def played(self, seeds: int) -> dict[tuple[str, str], dict[str, float]]:
+        """Play each pattern in each way."""
+        return {
+            (pattern, way.value): limits.play(pattern, way, seeds=seeds)
             for pattern in limits.PATTERNS
             for way in limits.Way
         }
-        if self.option("json"):
-            print_json([{"pattern": key[0], "way": key[1], **played[key]} for key in played])
-            return 0
-        figures = list(next(iter(played.values())))
-        rows = [(*key, *(found[figure] for figure in figures)) for key, found in played.items()]
-        print_table(("pattern", "limit kept by", *figures), rows)
-        return 0
 
 
 def _scenario(name: str) -> Result[Scenario, Failure]:
