--- a/src/leadhollow/cli/experiment_command.py
+++ b/src/leadhollow/cli/experiment_command.py
@@ -13,7 +13,7 @@
 from leadhollow.cli.output import print_failure, print_json, print_table, print_text
 from leadhollow.codes import Code
 from leadhollow.decide.policy import QueuePolicy
-from leadhollow.experiment import crashes, limits
+from leadhollow.experiment import crashes, limit_patterns, limits
 from leadhollow.experiment.patterns import patterns
 from leadhollow.experiment.runner import Comparison, compare
 from leadhollow.experiment.scenario import Scenario, read_scenario
@@ -129,8 +129,8 @@
         """Play each pattern in each way."""
         return {
             (pattern, way.value): limits.play(pattern, way, seeds=seeds)
-            for pattern in limits.PATTERNS
-            for way in limits.Way
+            for pattern in limit_patterns.PATTERNS
+            for way in limit_patterns.Way
         }
 
 
--- /dev/null
+++ b/src/leadhollow/experiment/limit_patterns.py
@@ -0,0 +1,92 @@
+"""Patterns of servers that limit what they take, ways of keeping limits, and what a run gives."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+
+class Way(Enum):
+    """How entries keep a limit."""
+
+    NONE = "not at all"
+    ALONE = "each the whole limit"
+    EVEN = "an even part each"
+    LEASED = "leased shares"
+
+
+class Pattern(msgspec.Struct, frozen=True, kw_only=True):
+    """What entries are asked, what servers limit, and what fails.
+
+    Parameters
+    ----------
+    limited
+        Servers that name a limit, from ``named_s`` to ``lifted_s``.
+    uneven
+        Requests of a busy entry as a multiple of those of a calm one; a fifth of them is busy.
+    lost
+        Entries that end and are replaced by new ones, one a second.
+    cut
+        Part of the entries that is out of touch with control from ``fault_s`` to ``healed_s``.
+    leader_away
+        Whether no leader serves during that time.
+    """
+
+    entries: int = 39
+    domains: int = 3
+    servers: int = 39
+    limited: int = 1
+    limit_per_s: float = 1.3
+    rate_per_s: float = 500.0
+    uneven: float = 4.0
+    lost: int = 0
+    cut: float = 0.0
+    leader_away: bool = False
+    named_s: float = 2.0
+    lifted_s: float = 14.0
+    fault_s: float = 5.0
+    healed_s: float = 9.0
+    length_s: float = 18.0
+
+
+PATTERNS = {
+    "one": Pattern(),
+    "one, few entries": Pattern(entries=3, servers=6, rate_per_s=80.0),
+    "one, many entries": Pattern(entries=98, domains=5, servers=102, rate_per_s=1_200.0),
+    "low": Pattern(limit_per_s=0.2),
+    "high": Pattern(limit_per_s=50.0, rate_per_s=1_200.0),
+    "ten": Pattern(limited=10, limit_per_s=5.0),
+    "all": Pattern(limited=39, limit_per_s=5.0),
+    "entries come and go": Pattern(lost=8, limit_per_s=5.0),
+    "half cut off": Pattern(cut=0.5, limit_per_s=5.0),
+    "no leader": Pattern(leader_away=True, limit_per_s=5.0),
+}
+
+
+class Figures(msgspec.Struct, kw_only=True):
+    """What one run gave.
+
+    Parameters
+    ----------
+    over_aim
+        Most arrivals at one server in any window beyond its limit and two requests.
+    over_rule
+        Most beyond one and a half times the limit in 4 s and five requests.
+    used
+        Part of the limits that was used while they held.
+    refused
+        Requests that found no server with room.
+    full_again_s
+        Time after the limit was lifted until all entries know.
+    """
+
+    over_aim: float = 0.0
+    over_rule: float = 0.0
+    used: float = 0.0
+    refused: int = 0
+    full_again_s: float = 0.0
+    requests: int = 0
+
+
+__all__ = ["PATTERNS", "Figures", "Pattern", "Way"]
--- a/tests/experiment/test_limits.py
+++ b/tests/experiment/test_limits.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from leadhollow.experiment.limits import PATTERNS, Way, play
+from leadhollow.experiment.limit_patterns import PATTERNS, Way
+from leadhollow.experiment.limits import play
 
 SEEDS = 2
 LIGHT = sorted(set(PATTERNS) - {"all"})
