Log what answers say of their servers, and give a reason for each ignored field

What callers saw: nothing. Change: the adapter decodes both into the facts of an answer; entries log the first answer of a life that says it leaves, and its requests for rest, with the state that control had told; decoded and ignored fields are two lists, the second one with reasons, and a test that what is called decoded is read. Answers to earlier requests on a connection are read for it too.

--- a/src/leadhollow/forward/dialect.py
+++ b/src/leadhollow/forward/dialect.py
@@ -140,14 +140,23 @@
         Requests a second that it takes from all entries together; None where it names no limit.
     limit_malformed
         Whether it names a limit that cannot be understood, so that what it said before holds.
+    leaving
+        Whether it says that it is about to end and wants no more requests.
+    rest_s
+        Time for which it wants no more requests from this VM; None where it asks for no rest.
+    rest_malformed
+        Whether it asks for a rest that cannot be understood, so that what it said before holds.
     """
 
     __slots__ = (
         "attempt_id",
         "instance",
+        "leaving",
         "limit_malformed",
         "limit_per_s",
         "not_executed",
+        "rest_malformed",
+        "rest_s",
         "signed",
     )
 
@@ -160,9 +169,15 @@
         instance: str | None = None,
         limit_per_s: float | None = None,
         limit_malformed: bool = False,
+        leaving: bool = False,
+        rest_s: float | None = None,
+        rest_malformed: bool = False,
     ) -> None:
         self.attempt_id = attempt_id
         self.instance = instance
+        self.leaving = leaving
+        self.rest_s = rest_s
+        self.rest_malformed = rest_malformed
         self.limit_per_s = limit_per_s
         self.limit_malformed = limit_malformed
         self.signed = signed
--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 from enum import Enum
+from http import HTTPStatus
 from typing import Protocol
 
 from result import Err, Ok, Result
@@ -110,24 +112,37 @@
         self._connection.close()
 
 
-class LimitListener(Protocol):
-    """Hears of every answer, whatever its status, what its server says of a limit."""
+class AnswerListener(Protocol):
+    """Hears of every answer, whatever its status, what its server says of itself."""
 
     def note_answer(self, server: Server, facts: AnswerFacts, *, sent_s: float | None) -> None:
-        """Take what an answer says of its server's limit."""
+        """Take what an answer says of its server.
+
+        Parameters
+        ----------
+        sent_s
+            When its request was sent, by the clock with suspensions; None where that is not known,
+            or was of no use then.
+        """
         ...
 
 
 class Exchanger:
-    """Makes attempts; all requests to backend servers pass here, and their limits hold here."""
+    """Makes attempts; all requests to backend servers and all their answers pass here.
 
-    __slots__ = ("_dialect", "_limits", "_pool", "stray_answers")
+    Parameters
+    ----------
+    listeners
+        Hear what each answer says of its server, before anybody else reads it.
+    """
+
+    __slots__ = ("_dialect", "_listeners", "_pool", "stray_answers")
 
     def __init__(
-        self, *, dialect: CallDialect, pool: ConnectionPool, limits: LimitListener
+        self, *, dialect: CallDialect, pool: ConnectionPool, listeners: Sequence[AnswerListener]
     ) -> None:
         self._dialect = dialect
-        self._limits = limits
+        self._listeners = listeners
         self._pool = pool
         self.stray_answers = 0
 
@@ -173,13 +188,11 @@
                 await body.send(connection)
             else:
                 sender = asyncio.get_running_loop().create_task(body.send(connection))
-            found = await self._own_answer(connection, attempt_id)
+            found = await self._own_answer(connection, server, attempt_id, limited_sent_s)
             if found.is_err():
                 failure = found.unwrap_err()
                 return Err(AttemptFailure(end=AttemptEnd.UNKNOWN, failure=failure))
-            answer = found.unwrap()
-            facts = self._dialect.read_answer(answer.head)
-            self._limits.note_answer(server, facts, sent_s=limited_sent_s)
+            answer, facts = found.unwrap()
             exchange = Exchange(
                 address=address,
                 connection=connection,
@@ -204,17 +217,27 @@
             self._pool.drop(address)
 
     async def _own_answer(
-        self, connection: ClientConnection, attempt_id: str
-    ) -> Result[Answer, Failure]:
-        """Skip answers that belong to earlier requests on the connection."""
+        self,
+        connection: ClientConnection,
+        server: Server,
+        attempt_id: str,
+        sent_s: float | None,
+    ) -> Result[tuple[Answer, AnswerFacts], Failure]:
+        """Find the answer to a request; those to earlier ones on the connection are skipped.
+
+        What these say of the server holds as well.
+        """
         for _ in range(MOST_STRAY_ANSWERS):
             read = await connection.read_answer()
             if read.is_err():
-                return read
+                return Err(read.unwrap_err())
             answer = read.unwrap()
-            named = self._dialect.read_answer(answer.head).attempt_id
-            if named is None or named == attempt_id or not attempt_id:
-                return Ok(answer)
+            facts = self._dialect.read_answer(answer.head)
+            named = facts.attempt_id
+            own = named is None or named == attempt_id or not attempt_id
+            self._note(server, answer, facts, sent_s if own else None)
+            if own:
+                return Ok((answer, facts))
             self.stray_answers += 1
             log.warning("answer to another request dropped", named=named, expected=attempt_id)
             if answer.head.framing is Framing.UNTIL_CLOSE:
@@ -223,7 +246,17 @@
             if skipped.is_err():
                 return Err(skipped.unwrap_err())
         connection.close()
-        return await connection.read_answer()
+        detail = "only answers to other requests came"
+        return Err(Failure(code=Code.PEER_LOST, detail=detail))
+
+    def _note(
+        self, server: Server, answer: Answer, facts: AnswerFacts, sent_s: float | None
+    ) -> None:
+        """Tell the listeners, unless it may be another incarnation that answered."""
+        if answer.head.status == HTTPStatus.MISDIRECTED_REQUEST and facts.instance is None:
+            return
+        for listener in self._listeners:
+            listener.note_answer(server, facts, sent_s=sent_s)
 
 
 async def _skip(answer: Answer) -> Result[None, Failure]:
@@ -235,4 +268,4 @@
             return Ok(None)
 
 
-__all__ = ["AttemptEnd", "AttemptFailure", "Exchange", "Exchanger", "LimitListener"]
+__all__ = ["AnswerListener", "AttemptEnd", "AttemptFailure", "Exchange", "Exchanger"]
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -17,6 +17,7 @@
 from leadhollow.forward.plain_call import PlainForwarder
 from leadhollow.forward.pool import ConnectionPool
 from leadhollow.forward.readiness import ReadinessListener
+from leadhollow.forward.self_reports import SelfReports
 from leadhollow.forward.service import CallerListener
 from leadhollow.forward.stream_call import StreamForwarder
 from leadhollow.forward.suspect_exchange import SuspectExchange
@@ -94,7 +95,9 @@
             demand=self.budget,
             seed=process.seed,
         )
-        exchanger = Exchanger(dialect=dialect, pool=pool, limits=self.limits)
+        exchanger = Exchanger(
+            dialect=dialect, pool=pool, listeners=(self.limits, SelfReports(board=self.board))
+        )
         self.streams = StreamForwarder(
             board=self.board,
             budget=self.budget,
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from http import HTTPStatus
+
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
@@ -11,6 +13,7 @@
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead, ResponseHead
 from leadhollow.observe.unknown_fields import UnknownFields
+from leadhollow.platform import answer_fields
 
 ATTEMPT_ID = b"x-attempt-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -30,6 +33,8 @@
 INSTANCE_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"  # requests a second that an engine takes from all together
+SERVER_LEAVING = b"server-leaving"
+LEAVES = b"1"
 
 SET_BY_US = frozenset(
     {
@@ -47,30 +52,6 @@
 """Fields that callers cannot pass through: they are ours, or belong to this connection."""
 
 
-KNOWN_ANSWER_FIELDS = frozenset(
-    {
-        "at-server",
-        "cache-control",
-        "connection",
-        "content-encoding",
-        "content-length",
-        "content-type",
-        "date",
-        "keep-alive",
-        "retry-after",
-        "server",
-        "server-limit",
-        "transfer-encoding",
-        "x-attempt-id",
-        "x-instance-id",
-        "x-not-executed",
-        "x-response-signature",
-        "x-weight-versions",
-    }
-)
-"""Fields of engines' answers that are decoded here or in `http1`, or of no use to the product."""
-
-
 class PlatformCalls:
     """Headers of requests and answers."""
 
@@ -78,7 +59,7 @@
 
     def __init__(self) -> None:
         self._unknown = UnknownFields(
-            message="answer", known=KNOWN_ANSWER_FIELDS, unusual={"server-limit"}
+            message="answer", known=answer_fields.KNOWN, unusual=answer_fields.UNUSUAL
         )
 
     def read_call(self, head: RequestHead) -> Result[CallFacts, Failure]:
@@ -130,10 +111,16 @@
         unusual = self._unknown.note_headers(headers, sender=instance)
         limits = headers.get_all(SERVER_LIMIT) if unusual else []
         limit_per_s = read_decimal(limits)
+        turned_away = unusual and head.status == HTTPStatus.SERVICE_UNAVAILABLE
+        rests = headers.get_all(RETRY_AFTER) if turned_away else []
+        rest_s = read_decimal(rests)
         return AnswerFacts(
             attempt_id=None if attempt_id is None else attempt_id.decode("latin-1"),
             limit_per_s=limit_per_s,
             limit_malformed=bool(limits) and limit_per_s is None,
+            leaving=unusual and LEAVES in headers.get_all(SERVER_LEAVING),
+            rest_s=rest_s,
+            rest_malformed=bool(rests) and rest_s is None,
             signed=headers.get(SIGNATURE) is not None,
             not_executed=headers.get(NOT_EXECUTED) is not None,
             instance=instance or None,
--- a/tests/forward/test_silent_connections.py
+++ b/tests/forward/test_silent_connections.py
@@ -31,13 +31,6 @@
         return AnswerFacts(attempt_id=None, signed=True, not_executed=False)
 
 
-class NoLimits:
-    """Hears of limits and does nothing about them."""
-
-    def note_answer(self, server, facts, *, sent_s):
-        return
-
-
 class SilentServer:
     """Answers each request, until the connections that are open go silent."""
 
@@ -77,7 +70,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.pool = ConnectionPool()
-        self.exchanger = Exchanger(dialect=PlainDialect(), pool=self.pool, limits=NoLimits())
+        self.exchanger = Exchanger(dialect=PlainDialect(), pool=self.pool, listeners=())
 
     async def ask(self) -> bytes:
         nothing = IncomingBody(pause=lambda: None, resume=lambda: None)
--- a/tests/observe/test_unknown_fields.py
+++ b/tests/observe/test_unknown_fields.py
@@ -9,6 +9,7 @@
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import Framing, ResponseHead
 from leadhollow.observe.unknown_fields import MOST_NAMES, UnknownFields
+from leadhollow.platform import answer_fields
 from leadhollow.platform.callers import PlatformCalls
 
 
@@ -54,3 +55,22 @@
         for number in range(10 * MOST_NAMES):
             unknown.note_headers(Headers(items=[(b"x-%d" % number, b"")]), sender="i-1")
         assert len(lines) == len(unknown.reported) == MOST_NAMES
+
+
+class TestFieldsOfAnswers:
+    # Guards against: a field of use that passes in silence because it is listed as known.
+    def test_are_decoded_or_ignored_for_a_reason(self):
+        assert not answer_fields.DECODED & answer_fields.IGNORED.keys()
+        assert all(reason.strip() for reason in answer_fields.IGNORED.values())
+        assert answer_fields.UNUSUAL <= answer_fields.DECODED
+
+    def test_that_are_called_decoded_are_read_somewhere(self, project_root):
+        folders = ("platform", "http1")
+        code = "".join(
+            path.read_text(encoding="utf-8")
+            for folder in folders
+            for path in (project_root / "src" / "leadhollow" / folder).glob("*.py")
+            if path.name != "answer_fields.py"
+        )
+        unread = {name for name in answer_fields.DECODED if f'b"{name}"' not in code}
+        assert not unread
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -439,3 +439,59 @@
         facts = self.read()
         assert facts.limit_per_s is None
         assert not facts.limit_malformed
+
+
+def read_repeatedly(status: int, *fields: tuple[bytes, bytes]):
+    calls = PlatformCalls()
+    answer = ResponseHead(
+        status=status, reason=b"", headers=Headers(items=fields), framing=Framing.LENGTH
+    )
+    for _ in range(3):
+        facts = calls.read_answer(answer)
+    return facts
+
+
+class TestLeaving:
+    @pytest.mark.parametrize("status", [200, 429, 500, 503])
+    def test_is_said_by_an_answer_of_any_status(self, status):
+        assert read_repeatedly(status, (b"Server-Leaving", b"1")).leaving
+
+    @pytest.mark.parametrize("value", [b"", b"0", b"yes", b"1" * 10_000])
+    def test_is_said_by_one_value_only(self, value):
+        assert not read_repeatedly(200, (b"Server-Leaving", value)).leaving
+
+
+class TestRest:
+    @pytest.mark.parametrize(
+        ("value", "rest_s"), [(b"0", 0.0), (b"0.05", 0.05), (b"3", 3.0), (b" 600 ", 600.0)]
+    )
+    def test_is_asked_for_in_seconds_by_an_answer_that_turns_away(self, value, rest_s):
+        facts = read_repeatedly(503, (b"Retry-After", value))
+        assert (facts.rest_s, facts.rest_malformed) == (rest_s, False)
+
+    @pytest.mark.parametrize("status", [200, 429, 500])
+    def test_is_not_asked_for_by_another_status(self, status):
+        facts = read_repeatedly(status, (b"Retry-After", b"3"))
+        assert (facts.rest_s, facts.rest_malformed) == (None, False)
+
+    @pytest.mark.parametrize(
+        "values",
+        [
+            (b"",),
+            (b"-1",),
+            (b"nan",),
+            (b"inf",),
+            (b"1e9",),
+            (b"1,5",),
+            (b"Thu, 03 Dec 2026 11:00:00 GMT",),
+            (b"1", b"2"),
+            (b"9" * 10_000,),
+        ],
+    )
+    def test_that_is_no_number_of_seconds_is_told_apart_from_none(self, values):
+        facts = read_repeatedly(503, *[(b"Retry-After", value) for value in values])
+        assert (facts.rest_s, facts.rest_malformed) == (None, True)
+
+    def test_and_leaving_may_come_together(self):
+        facts = read_repeatedly(503, (b"Retry-After", b"3"), (b"Server-Leaving", b"1"))
+        assert (facts.rest_s, facts.leaving) == (3.0, True)
