Send nothing to a server whose own answer says that it leaves

Cause: entries know of a server's leaving from control only. The answers' field was not read, and the one replica that had the farewell was cut off from the others, whom the entries had gone to follow. Class: what a peer says of itself directly counts for less than what a third one says of it. Change: the table of instances joins both words: a life that leaves, by a heartbeat, an answer or another process's word, is never ready again, whatever the number of the record, also where it is not known yet. The entry that reads the answer changes its own table at once, in touch or not; a request that waits for its connection is not sent and moves on, and so is one whose server was dropped meanwhile. The entry tells the replica that it follows, that one all others and all entries, as it does a heartbeat, once a second until the server is gone. Answers to earlier requests count as well; one of another incarnation binds that one. Nothing is sent where nobody leaves.

--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -5,10 +5,11 @@
 from collections import deque
 from collections.abc import Callable
 
+from leadhollow.codes import Code
 from leadhollow.decide.engine_model import READING_SHARE, EngineDemand, EngineModel
 from leadhollow.decide.health import Health
 from leadhollow.decide.send_allowance import SendAllowance
-from leadhollow.membership.instances import Instance, ServedVersion
+from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
 from leadhollow.membership.reporting import SHORTEST_INTERVAL_S, VALID_INTERVALS
 from leadhollow.membership.uses import NO_USE, Use
 from leadhollow.wire.generated.ttypes import LoadRecord
@@ -129,6 +130,8 @@
     ----------
     allowance
         What this entry may send there; None while the server names no limit.
+    dropped
+        Whether it is not known any more; requests that were placed there must not be sent.
     """
 
     __slots__ = (
@@ -142,6 +145,7 @@
         "_unread_tokens",
         "allowance",
         "calls",
+        "dropped",
         "health",
         "instance",
         "report",
@@ -157,6 +161,7 @@
     ) -> None:
         self.instance = instance
         self.allowance: SendAllowance | None = None
+        self.dropped = False
         self.calls: set[OwnCall] = set()
         self._unread_tokens = 0  # of our calls that have no event yet
         self.report: Report | None = None
@@ -175,22 +180,30 @@
         """Requests of this entry that run there."""
         return len(self.calls)
 
+    @property
+    def takes_requests(self) -> bool:
+        """Whether it takes new requests, as far as is known from itself or from others."""
+        return not self.dropped and self.instance.state is InstanceState.READY
+
     def admits(self) -> bool:
         """Tell whether the server's limit leaves room for a request of this entry."""
         return self.allowance is None or self.allowance.admits()
 
-    def may_send(self, call: OwnCall) -> bool:
-        """Tell whether a request that goes there may be sent now; from then on it counts as sent.
+    def claim_send(self, call: OwnCall) -> Code | None:
+        """Claim the right to send a request that was placed here; gives why there is none.
 
-        The server may have named its limit, or another one, after the request was placed.
+        What the server says of itself may have changed after the request was placed. From then on
+        it counts as sent.
         """
+        if not self.takes_requests:
+            return Code.DRAINING
         allowance = self.allowance
         if allowance is not None and call.permit is not allowance:
             if not allowance.take():
-                return False
+                return Code.SERVER_LIMITED
             call.permit = allowance
         call.sent = True
-        return True
+        return None
 
     def add(self, call: OwnCall) -> None:
         """Note a request that goes there."""
--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -6,7 +6,7 @@
 
 from leadhollow.decide.server import Server
 from leadhollow.membership.instance_table import InstanceTable
-from leadhollow.membership.instances import Instance, InstanceState
+from leadhollow.membership.instances import Instance, InstanceState, life_of
 from leadhollow.membership.reporting import VALID_INTERVALS, report_interval_s
 from leadhollow.membership.uses import NO_USE, Use
 from leadhollow.observe.logs import get_logger
@@ -75,7 +75,7 @@
         return [
             server
             for server in self._servers.values()
-            if server.instance.service == service and server.instance.state is InstanceState.READY
+            if server.instance.service == service and server.takes_requests
         ]
 
     def all_servers(self) -> list[Server]:
@@ -124,6 +124,14 @@
         server = self._by_address.get(address)
         return NO_USE if server is None else server.use()
 
+    def note_leaving(self, server: Server) -> None:
+        """Note that a backend server said in an answer that it leaves."""
+        self._table.note_leaving(server.instance.instance, born_ms=server.instance.born_ms)
+
+    def knows(self, instance: str, *, born_ms: int) -> bool:
+        """Tell whether a life of a backend server is known."""
+        return self._table.of_life(life_of(instance, born_ms)) is not None
+
     def wrong_instance(self, instance: str) -> None:
         """Note that another incarnation runs at the address of this one."""
         log.warning("another backend server has the address", instance=instance)
@@ -200,6 +208,7 @@
         server = self._servers.pop(instance, None)
         if server is None:
             return
+        server.dropped = True
         known = self._known(server.instance.service)
         report = log.info if known else log.warning
         report(
--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -35,7 +35,7 @@
 
     NOT_SENT = "not-sent"
     WITHHELD = "withheld"
-    """The backend server's limit left no room; nothing was sent, and nothing is wrong with it."""
+    """What the backend server says of itself left no room; nothing was sent, and it is not ill."""
 
     NOT_EXECUTED = "not-executed"
     UNKNOWN = "unknown"
@@ -170,9 +170,10 @@
             failure = acquired.unwrap_err()
             return Err(AttemptFailure(end=AttemptEnd.NOT_SENT, failure=failure))
         connection = acquired.unwrap()
-        if not server.may_send(running):
+        withheld = server.claim_send(running)
+        if withheld is not None:
             self._pool.release(address, connection)
-            failure = Failure(code=Code.SERVER_LIMITED, detail=server.instance.instance)
+            failure = Failure(code=withheld, detail=server.instance.instance)
             return Err(AttemptFailure(end=AttemptEnd.WITHHELD, failure=failure))
         limited_sent_s = None if server.allowance is None else clocks.elapsed_s()
         sent_s = asyncio.get_running_loop().time()
--- a/src/leadhollow/forward/self_reports.py
+++ b/src/leadhollow/forward/self_reports.py
@@ -1,4 +1,8 @@
-"""What backend servers say of themselves in their answers: that they leave, or want rest."""
+"""What backend servers say of themselves in their answers: that they leave, or want rest.
+
+Such a word counts at once at the entry that reads it, whatever control has told. That a server
+leaves is told to the control replica that is followed, and through it to all.
+"""
 
 from __future__ import annotations
 
@@ -10,22 +14,37 @@
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.dialect import AnswerFacts
 from leadhollow.kernel import clocks
+from leadhollow.kernel.gathering_service import GatheringService
+from leadhollow.membership.control_feed import ControlFeed
 from leadhollow.observe.logs import get_logger
+from leadhollow.wire.generated.ttypes import LeavingLife, LeavingNews
+from leadhollow.wire.peers import PeerPool
 
+GATHER_S = 0.002
+REFRESH_S = 1.0  # how often it is told again who leaves
 MOST_LOGGED = 256  # lives of servers; of one that is dropped from these, a line may come twice
 LOG_PAUSE_S = 1.0  # between two lines on rests of the same server
 
 log = get_logger("self-reports")
 
 
-class SelfReports:
+class SelfReports(GatheringService):
     """Takes what the answers of backend servers say of these."""
 
-    __slots__ = ("_board", "_logged_s")
+    __slots__ = ("_board", "_feed", "_leaving", "_logged_s", "_peers")
 
-    def __init__(self, *, board: ServerBoard) -> None:
+    def __init__(self, *, board: ServerBoard, feed: ControlFeed, peers: PeerPool) -> None:
         self._board = board
+        self._feed = feed
+        self._peers = peers
+        self._leaving: set[tuple[str, int]] = set()  # names and births of lives that said so here
         self._logged_s: OrderedDict[tuple[str, str], float] = OrderedDict()
+        super().__init__(gather_s=GATHER_S, refresh_s=REFRESH_S)
+        feed.on_followed(self._on_followed)
+
+    def refreshes(self) -> bool:
+        """Tell whether any server that is known said that it leaves."""
+        return bool(self._leaving)
 
     def note_answer(self, server: Server, facts: AnswerFacts, *, sent_s: float | None) -> None:
         """Take what an answer says of its server, or of the one that it names."""
@@ -37,13 +56,41 @@
                 return
             server = named
         if facts.leaving:
-            self._log_once(server, "server leaves")
+            self._note_leaving(server)
         if facts.rest_malformed:
             failure = Failure(code=Code.REST_MALFORMED)
             self._log_once(server, "rest not taken", failure=str(failure))
         if facts.rest_s is not None:
             self._log_rest(server, facts.rest_s)
 
+    def _note_leaving(self, server: Server) -> None:
+        life = (server.instance.instance, server.instance.born_ms)
+        if life in self._leaving or not self._board.knows(life[0], born_ms=life[1]):
+            return
+        self._log_once(server, "server leaves")
+        self._leaving.add(life)
+        self._board.note_leaving(server)
+        self.note_change()
+
+    def _on_followed(self) -> None:
+        """Tell a replica that may know nothing of it."""
+        if self._leaving:
+            self.note_change()
+
+    async def _tell(self, *, whole: bool) -> None:
+        self._leaving = {
+            life for life in self._leaving if self._board.knows(life[0], born_ms=life[1])
+        }
+        source = self._feed.source
+        if not self._leaving or not source:
+            return
+        connected = await self._peers.connection(source)
+        if connected.is_err():
+            log.warning("leaving servers not told", failure=str(connected.unwrap_err()))
+            return
+        lives = [LeavingLife(instance, born_ms) for instance, born_ms in sorted(self._leaving)]
+        connected.unwrap().oneway(LeavingNews(lives))
+
     def _log_once(self, server: Server, message: str, **fields: object) -> None:
         """Log what holds for a whole life."""
         if self._logged(server, message) is None:
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -61,6 +61,7 @@
 SuspectsListener = Callable[[SuspectNews, bool], None]
 LimitsListener = Callable[[LimitNews, bool], None]
 LeaseListener = Callable[[LimitLease], None]
+FollowListener = Callable[[], None]
 
 log = get_logger("feed")
 
@@ -86,6 +87,7 @@
         "_decisions_listeners",
         "_engines",
         "_entries",
+        "_follow_listeners",
         "_lease_listeners",
         "_limits_listeners",
         "_load_listeners",
@@ -114,6 +116,7 @@
         self._suspects_listeners: list[SuspectsListener] = []
         self._limits_listeners: list[LimitsListener] = []
         self._lease_listeners: list[LeaseListener] = []
+        self._follow_listeners: list[FollowListener] = []
         self._engines: list[str] = []  # addresses by their numbers on the feed that is followed
         self.catalog = Catalog()
         self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
@@ -169,6 +172,10 @@
         """Call a function with each lease of shares of limits."""
         self._lease_listeners.append(listener)
 
+    def on_followed(self, listener: FollowListener) -> None:
+        """Call a function each time that a replica has told everything, having been chosen."""
+        self._follow_listeners.append(listener)
+
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for replicas at other seeds from now on; known ones are kept."""
         self._replicas.use_seeds(seeds)
@@ -258,6 +265,8 @@
             for listener_of_suspects in self._suspects_listeners:
                 listener_of_suspects(news, bool(update.whole))
         self._take_limits(update)
+        for followed in self._follow_listeners if update.whole else ():
+            followed()
         self._replicas.take(update.replicas)
         self._entries.take(int(update.entries or 0))
         if confirms(update):
--- a/src/leadhollow/membership/instance_table.py
+++ b/src/leadhollow/membership/instance_table.py
@@ -2,7 +2,8 @@
 
 The same table is kept by control replicas, entries and stagers. Records of one incarnation are
 ordered by its life and the number that it counts up with each call, so the order in which they
-arrive does not matter; a life that has ended is never taken again.
+arrive does not matter; a life that has ended is never taken again. That a life leaves may also be
+known from its answers, which have no such number: it is never taken back within that life.
 """
 
 from __future__ import annotations
@@ -11,12 +12,14 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from leadhollow.membership.instances import Instance, InstanceState
+from leadhollow.membership.instances import Instance, InstanceState, life_of
 from leadhollow.observe.logs import get_logger
 
 DEPARTED_KEPT = 4_096
 """Departed incarnations remembered, so that a late call does not bring one back."""
 
+LEAVING_KEPT = 1_024  # lives remembered that leave, also while they are not known
+
 REPLACED_KEPT = 1_024  # incarnations remembered whose address another one took
 
 TAKE_BACK_S = 3.0
@@ -48,6 +51,7 @@
         "_by_address",
         "_departed",
         "_instances",
+        "_leaving",
         "_listeners",
         "_replaced",
         "_take_back_s",
@@ -59,6 +63,7 @@
         self._by_address: dict[str, str] = {}
         self._departed: OrderedDict[str, Instance] = OrderedDict()
         self._replaced: OrderedDict[str, None] = OrderedDict()
+        self._leaving: OrderedDict[str, None] = OrderedDict()
         self.forget_after_s = forget_after_s
         self._take_back_s = max(TAKE_BACK_S, TAKE_BACK_BEATS * heartbeat_s)
         self._listeners: list[Listener] = []
@@ -86,17 +91,19 @@
         self._end_former(heard)
         if heard.instance in self._departed:
             return False
+        if heard.state is InstanceState.DRAINING:
+            self._remember_leaving(heard.life)
+        elif heard.state is InstanceState.READY and heard.life in self._leaving:
+            heard.state = InstanceState.DRAINING
         known = self._instances.get(heard.instance)
         if known is not None:
             known.heard_s = max(known.heard_s, heard.heard_s)
             if heard.sequence < known.sequence:
-                return False
-            if known.state is InstanceState.DRAINING and heard.state is InstanceState.READY:
-                return False  # who leaves does not come back under the same incarnation
+                return self._set_leaving(known)
         if heard.state is InstanceState.GONE:
             return self._depart(heard)
         if known is not None and heard.sequence == known.sequence:
-            return False
+            return self._set_leaving(known)
         if known is not None:
             heard.heard_s = max(known.heard_s, heard.heard_s)
             if heard.says_the_same(known):
@@ -110,6 +117,18 @@
         self._tell(heard)
         return True
 
+    def note_leaving(self, instance: str, *, born_ms: int) -> Instance | None:
+        """Note that a life leaves, as an answer of it said; None where that is no news.
+
+        A life that is not known yet leaves from the first record on.
+        """
+        life = life_of(instance, born_ms)
+        self._remember_leaving(life)
+        known = self.of_life(life)
+        if known is None or not self._set_leaving(known):
+            return None
+        return self._instances[instance]
+
     def leave(self, instance: str, *, born_ms: int = 0) -> Instance | None:
         """Note that an incarnation left, also one that was never heard of; None if known gone.
 
@@ -175,6 +194,19 @@
             self._drop(found.instance)
         return silent
 
+    def _remember_leaving(self, life: str) -> None:
+        self._leaving[life] = None
+        while len(self._leaving) > LEAVING_KEPT:
+            self._leaving.popitem(last=False)
+
+    def _set_leaving(self, known: Instance) -> bool:
+        """Let a life that was ready leave, if it is known to; tells whether that is news."""
+        if known.state is not InstanceState.READY or known.life not in self._leaving:
+            return False
+        left = self._instances[known.instance] = known.leaving()
+        self._tell(left)
+        return True
+
     def _is_former(self, heard: Instance) -> bool:
         """Tell whether a record is of a life before the one that is known."""
         known = self._instances.get(heard.instance) or self._departed.get(heard.instance)
--- a/src/leadhollow/membership/instances.py
+++ b/src/leadhollow/membership/instances.py
@@ -57,6 +57,11 @@
         )
 
 
+def life_of(instance: str, born_ms: int) -> str:
+    """Name a life of a backend server."""
+    return f"{instance}@{born_ms}"
+
+
 class Instance:
     """One incarnation of a backend server.
 
@@ -119,7 +124,23 @@
     @property
     def life(self) -> str:
         """Name of this life: a backend server may start again under its name."""
-        return f"{self.instance}@{self.born_ms}"
+        return life_of(self.instance, self.born_ms)
+
+    def leaving(self) -> Instance:
+        """Give a record of the same life that leaves."""
+        return Instance(
+            instance=self.instance,
+            service=self.service,
+            address=self.address,
+            failure_domain=self.failure_domain,
+            sequence=self.sequence,
+            state=InstanceState.DRAINING,
+            slots=self.slots,
+            served=self.served,
+            heard_s=self.heard_s,
+            cold_until_s=self.cold_until_s,
+            born_ms=self.born_ms,
+        )
 
     def says_the_same(self, other: Instance) -> bool:
         """Tell whether two records differ in nothing but their number and age."""
@@ -165,4 +186,4 @@
         )
 
 
-__all__ = ["Instance", "InstanceState", "ServedVersion"]
+__all__ = ["Instance", "InstanceState", "ServedVersion", "life_of"]
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -52,6 +52,7 @@
         "plain",
         "queue",
         "routes",
+        "self_reports",
         "streams",
         "suspects",
     )
@@ -95,8 +96,9 @@
             demand=self.budget,
             seed=process.seed,
         )
+        self.self_reports = SelfReports(board=self.board, feed=feed, peers=process.peers)
         exchanger = Exchanger(
-            dialect=dialect, pool=pool, listeners=(self.limits, SelfReports(board=self.board))
+            dialect=dialect, pool=pool, listeners=(self.limits, self.self_reports)
         )
         self.streams = StreamForwarder(
             board=self.board,
@@ -184,6 +186,9 @@
     def make_limits() -> Service:
         return kernel.get("dispatching", Dispatching).limits
 
+    def make_self_reports() -> Service:
+        return kernel.get("dispatching", Dispatching).self_reports
+
     def make_prober() -> Service:
         board = kernel.get("dispatching", Dispatching).board
         return PathProber(board=board, pool=kernel.get("pool", ConnectionPool))
@@ -236,6 +241,7 @@
     kernel.register("path-prober", make_prober, needs=("dispatching",))
     kernel.register("use-reporter", make_reporter, needs=("dispatching",))
     kernel.register("limits", make_limits, needs=("dispatching",))
+    kernel.register("self-reports", make_self_reports, needs=("dispatching",))
     kernel.register("suspects", make_suspects, needs=("dispatching",))
     kernel.register("callers", make_callers, needs=("dispatching",))
     kernel.register("readiness", make_readiness, needs=("callers",))
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -70,6 +70,9 @@
 struct LimitShare { 1: string life; 2: double share }
 struct LimitLease { 1: string vm; 2: i64 asked_ms; 3: list<LimitShare> shares }
 struct LimitLeases { 1: i64 term; 2: list<LimitLease> leases }
+// Lives of backend servers that said in an answer that they leave.
+struct LeavingLife { 1: string instance; 2: i64 born_ms }
+struct LeavingNews { 1: list<LeavingLife> lives }
 // takes_packed: items may come as packed_items, msgpack compressed by zlib.
 struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision; 5: bool takes_packed }
 // How long ago a version of weights was named, by steady clocks only: the time of day may jump.
--- a/tests/control/test_registry.py
+++ b/tests/control/test_registry.py
@@ -15,7 +15,12 @@
     VALID_INTERVALS,
     report_interval_s,
 )
-from leadhollow.wire.generated.ttypes import LoadRecord, ServedModel
+from leadhollow.wire.generated.ttypes import (
+    LeavingLife,
+    LeavingNews,
+    LoadRecord,
+    ServedModel,
+)
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 from tests.control.test_feed_server import an_instance
@@ -124,3 +129,18 @@
         await asyncio.sleep(0.01)
         assert registry._take_load(a_load(active=9, born_ms=1_000).record, own=True) is None
         assert registry.loads()[0].record.active == 0
+
+
+class TestLeavingServers:
+    # Guards against: an entry's word that a server leaves ends at the replica that it follows.
+    async def test_that_an_entry_tells_of_are_told_like_heartbeats(self):
+        registry = a_registry(heartbeat_s=1.2)
+        registry.announce(an_instance(heard_s=asyncio.get_running_loop().time()))
+        told: list[InstanceState] = []
+        registry.on_change(lambda instances, _: told.extend(one.state for one in instances))
+        news = LeavingNews([LeavingLife("i-1", 0), LeavingLife("i-9", 0), LeavingLife(None, None)])
+        for _ in range(2):
+            registry._on_leaving(news, None)
+        assert told == [InstanceState.DRAINING]
+        now_s = asyncio.get_running_loop().time()
+        assert [one.state for one in registry._own_instances(now_s)] == [InstanceState.DRAINING]
--- /dev/null
+++ b/tests/membership/test_leaving.py
@@ -0,0 +1,120 @@
+"""A life of a backend server that leaves stays so, whatever is heard and in what order."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leadhollow.membership.instance_table import InstanceTable
+from leadhollow.membership.instances import Instance, InstanceState
+
+NAME = "i-1"
+READY = InstanceState.READY
+LIVES_MS = (0, 10, 20)
+ADDRESS = "10.0.0.1:80"
+
+
+def record(*, born_ms: int, sequence: int, state: InstanceState, name: str = NAME) -> Instance:
+    return Instance(
+        instance=name,
+        service="s",
+        address=ADDRESS,
+        failure_domain="d",
+        sequence=sequence,
+        state=state,
+        slots=4,
+        served=(),
+        heard_s=asyncio.get_running_loop().time(),
+        born_ms=born_ms,
+    )
+
+
+@pytest.fixture
+def table():
+    return InstanceTable(forget_after_s=60.0)
+
+
+lives = st.sampled_from(LIVES_MS)
+events = st.lists(
+    st.one_of(
+        st.tuples(st.just("ready"), lives, st.integers(1, 6)),
+        st.tuples(st.just("draining"), lives, st.integers(1, 6)),
+        st.tuples(st.just("answer"), lives, st.just(0)),
+        st.tuples(st.just("gone"), lives, st.just(0)),
+        st.tuples(st.just("forgotten"), lives, st.just(0)),
+        st.tuples(st.just("other"), lives, st.just(0)),
+    ),
+    max_size=25,
+)
+
+
+def play(table: InstanceTable, event: tuple[str, int, int]) -> None:
+    kind, born_ms, sequence = event
+    match kind:
+        case "ready":
+            table.take(record(born_ms=born_ms, sequence=sequence, state=InstanceState.READY))
+        case "draining":
+            table.take(record(born_ms=born_ms, sequence=sequence, state=InstanceState.DRAINING))
+        case "answer":
+            table.note_leaving(NAME, born_ms=born_ms)
+        case "gone":
+            table.leave(NAME, born_ms=born_ms)
+        case "forgotten":
+            table.forget(NAME)
+        case "other":
+            table.take(record(born_ms=born_ms, sequence=1, state=InstanceState.READY, name="i-2"))
+
+
+class TestLeaving:
+    # Guards against: late news, a lost view or a former life bring a server back that leaves.
+    @settings(max_examples=400, deadline=None)
+    @given(events)
+    def test_is_final_within_a_life(self, played):
+        async def run() -> None:
+            table = InstanceTable(forget_after_s=60.0)
+            told: list[Instance] = []
+            table.on_change(told.append)
+            left: set[int] = set()
+            for event in played:
+                if event[0] in ("draining", "answer"):
+                    left.add(event[1])
+                began = len(told)
+                play(table, event)
+                known = table.get(NAME)
+                assert known is None or known.born_ms not in left or known.state is not READY
+                for heard in told[began:]:
+                    if heard.instance == NAME and heard.born_ms in left:
+                        assert heard.state is not READY
+
+        asyncio.run(run())
+
+    async def test_of_a_life_that_is_not_known_yet_holds_from_its_first_record_on(self, table):
+        assert table.note_leaving(NAME, born_ms=10) is None
+        table.take(record(born_ms=10, sequence=1, state=READY))
+        known = table.get(NAME)
+        assert known is not None
+        assert known.state is InstanceState.DRAINING
+
+    async def test_of_a_former_life_does_not_bind_the_next_one(self, table):
+        table.take(record(born_ms=20, sequence=1, state=READY))
+        assert table.note_leaving(NAME, born_ms=10) is None
+        known = table.get(NAME)
+        assert known is not None
+        assert known.state is READY
+
+    async def test_is_told_once(self, table):
+        table.take(record(born_ms=10, sequence=5, state=READY))
+        left = table.note_leaving(NAME, born_ms=10)
+        assert left is not None
+        assert left.state is InstanceState.DRAINING
+        assert table.note_leaving(NAME, born_ms=10) is None
+
+    async def test_that_another_process_tells_counts_though_its_record_is_older(self, table):
+        table.take(record(born_ms=10, sequence=5, state=READY))
+        assert table.take(record(born_ms=10, sequence=3, state=InstanceState.DRAINING))
+        known = table.get(NAME)
+        assert known is not None
+        assert (known.state, known.sequence) == (InstanceState.DRAINING, 5)
--- a/tests/node/test_leaving_server.py
+++ b/tests/node/test_leaving_server.py
@@ -11,6 +11,7 @@
 from tests.node.load import Load, with_site
 from tests.node.self_reporting import SelfReportingEngine, SelfReportingServer
 from tests.node.site import Site
+from tests.support import eventually
 
 SERVERS = 3
 ENTRIES = 3
@@ -22,6 +23,10 @@
 Work = Callable[[Site, list[SelfReportingServer | SelfReportingEngine]], Awaitable[None]]
 
 
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def on_site(folder: Path, kind: str, work: Work) -> None:
     servers = [
         KINDS[kind](number=number, service="service", run_s=0.02 if number == 0 else SLOW_S)
@@ -49,3 +54,73 @@
             assert set(load.statuses) == {200}
 
         on_site(tmp_path, kind, work)
+
+    # Guards against: only control's word holds for an entry that no control replica tells anything.
+    def test_gets_none_from_an_entry_that_is_out_of_touch_either(self, tmp_path, kind):
+        async def work(site: Site, servers) -> None:
+            await site.control.kernel.kill()
+            async with Load(site=site, entries=[0]) as load:
+                servers[0].leaving = True
+                await asyncio.sleep(1.0)
+            assert servers[0].told_s is not None
+            assert servers[0].arrivals_after(servers[0].told_s + READ_S) == 0
+            assert set(load.statuses) == {200}
+
+        on_site(tmp_path, kind, work)
+
+    # Guards against: entries that read no such answer themselves go on until a heartbeat says so.
+    def test_gets_none_from_other_entries_soon_after(self, tmp_path, kind):
+        async def work(site: Site, servers) -> None:
+            servers[0].leaving = True
+            async with Load(site=site, entries=[0], rate_per_s=200):
+                await eventually(lambda: servers[0].told_s, "an answer that says so")
+            assert servers[0].told_s is not None
+            await asyncio.sleep(max(0.0, servers[0].told_s + SPREAD_S - now_s()))
+            async with Load(site=site, entries=[1, 2]):
+                await asyncio.sleep(0.5)
+            assert servers[0].arrivals_after(servers[0].told_s + SPREAD_S) == 0
+
+        on_site(tmp_path, kind, work)
+
+
+class TestLife:
+    # Guards against: a server that starts again under its name stays out of use.
+    def test_after_one_that_left_is_used(self, tmp_path):
+        async def work(site: Site, servers) -> None:
+            servers[0].leaving = True
+            async with Load(site=site, entries=range(ENTRIES)):
+                await eventually(lambda: servers[0].told_s, "an answer that says so")
+                servers[0].reset()
+                servers[0].born_ms = 1_000
+                await eventually(lambda: len(servers[0].arrivals_s) > 5, "requests")
+
+        on_site(tmp_path, "stream", work)
+
+    # Guards against: a control replica that starts again brings a leaving server back.
+    def test_that_leaves_stays_away_when_control_starts_again(self, tmp_path):
+        async def work(site: Site, servers) -> None:
+            servers[0].leaving = True
+            async with Load(site=site, entries=range(ENTRIES)):
+                await eventually(lambda: servers[0].told_s, "an answer that says so")
+                await asyncio.sleep(SPREAD_S)
+                await site.restart_control()
+                await asyncio.sleep(2.0)
+            assert servers[0].told_s is not None
+            assert servers[0].arrivals_after(servers[0].told_s + SPREAD_S) == 0
+
+        on_site(tmp_path, "plain", work)
+
+    # Guards against: an entry that starts after the answer learns of it by an answer of its own.
+    def test_that_leaves_gets_nothing_from_an_entry_that_starts(self, tmp_path):
+        async def work(site: Site, servers) -> None:
+            servers[0].leaving = True
+            async with Load(site=site, entries=[0, 1]):
+                await eventually(lambda: servers[0].told_s, "an answer that says so")
+            assert servers[0].told_s is not None
+            await site.restart_entry(2)
+            async with Load(site=site, entries=[2]) as load:
+                await eventually(lambda: 200 in load.statuses, "an answer of the new entry")
+                await asyncio.sleep(0.5)
+            assert servers[0].arrivals_after(servers[0].told_s + SPREAD_S) == 0
+
+        on_site(tmp_path, "plain", work)
