Give a server the rest that its 503 asks of this VM

Cause: nobody read Retry-After of an engine; a server that refuses was excluded for that request only, and looks idle to everybody. Class: as for leaving servers, the direct word of a peer was dropped. Change: a rest is kept at the server's life by the clock that counts suspensions, to the latest end of all answers, whatever their order. It holds for choices and, once more, where a request is sent, so that one which waited for its connection moves on and gives its repeat back. Afterwards each entry comes back at a moment of its own within 0.5 s, with one request until that is answered. A rest is no failure: nothing is ejected. Where all servers of a service rest, requests are kept for the first end where that is within their objective, else refused at once with that end as Retry-After, urgent ones first. Malformed values are logged once a life (519).

--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -120,6 +120,7 @@
     LIMIT_MALFORMED = (517, 502, "The backend server named a request limit that is no number.")
     SERVER_LIMITED = (518, 503, "The backend server's request limit left no room; nothing was run.")
     REST_MALFORMED = (519, 502, "The backend server asked for a rest that is no number of seconds.")
+    SERVER_RESTS = (520, 503, "The backend server had asked for rest; nothing was run.")
 
     MANIFEST_INVALID = (601, 400, "A manifest is malformed, or its chunks do not cover the file.")
     CHUNK_MISMATCH = (602, 502, "A chunk does not match its hash.")
--- a/src/leadhollow/decide/comeback.py
+++ b/src/leadhollow/decide/comeback.py
@@ -43,4 +43,21 @@
 """Shortest and longest time of each, by how long its cause lasts."""
 
 
-__all__ = ["Refusal"]
+RANK_STEP_S = 0.15  # by which callers of one rank come back before those of the next
+MOST_RANKS = 3  # that are told apart
+
+
+def after_rest_s(left_s: float, *, rank: int, source: random.Random) -> float:
+    """Choose the time in seconds after which to try again where all servers rest.
+
+    Parameters
+    ----------
+    left_s
+        Time until the first of them takes requests.
+    rank
+        Urgency of the request, 0 first.
+    """
+    return left_s + (min(rank, MOST_RANKS) + source.random()) * RANK_STEP_S
+
+
+__all__ = ["Refusal", "after_rest_s"]
--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -199,6 +199,25 @@
             version=best.version,
         )
 
+    def rest_left_s(self, wish: EngineWish, now_s: float) -> float | None:
+        """Give the time until the first engine takes requests that only its rest keeps from it.
+
+        None where no engine rests that could take the request otherwise.
+        """
+        if wish.service.engine is None:
+            return None
+        layers = wish.service.engine.layers
+        oldest = self._versions.oldest_allowed(wish.model)
+        left_s = [
+            server.rest.left_s()
+            for server in self._board.servers(wish.service.name)
+            if server.rest is not None
+            and server.health.usable(now_s)
+            and server.instance.instance not in wish.excluded
+            and (server.whole_version(wish.model, layers, now_s) or -1) >= oldest
+        ]
+        return min(left_s, default=None)
+
     def _draw(self, found: list[_Usable]) -> list[_Usable]:
         return found if len(found) <= CHOICES else self._random.sample(found, CHOICES)
 
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping
 
 from leadhollow.decide.admission import SURE_MARGIN_S, takes
-from leadhollow.decide.comeback import Refusal
+from leadhollow.decide.comeback import Refusal, after_rest_s
 from leadhollow.decide.engine_choice import EngineChooser, EngineOption
 from leadhollow.decide.policy import QueuePolicy
 from leadhollow.decide.pressure import Decisions, Pressure
@@ -137,9 +137,25 @@
             if placed is not None:
                 self._end(waiter, placed)
                 return waiter
+        self._let_wait(waiter)
+        return waiter
+
+    def _let_wait(self, waiter: Waiter) -> None:
+        """Let a request wait, where engines that rest may take it for the first of them.
+
+        Where even that one is too late it is refused at once, so that its caller learns when.
+        """
+        wish, now_s = waiter.wish, self._clock()
+        if self._chooser.best(wish, now_s, of_all=True) is None:
+            rest_left_s = self._chooser.rest_left_s(wish, now_s)
+            if rest_left_s is not None:
+                until_s = now_s + rest_left_s + PUMP_INTERVAL_S
+                if until_s > max(wish.on_time_s, wish.hold_s):
+                    self._end(waiter, None)
+                    return
+                waiter.until_s = max(waiter.until_s, until_s)
         _insert(self._waiters, waiter)
         self._on_waiting()
-        return waiter
 
     def time_passed(self, waiter: Waiter) -> None:
         """Place, hold or refuse a request whose time to wait is over."""
@@ -200,9 +216,13 @@
 
     def retry_after_s(self, wish: EngineWish) -> float:
         """Give the time after which a refused request should come back."""
-        served = self._chooser.best(wish, self._clock()) is not None
-        refusal = Refusal.OVERLOADED if served else Refusal.NOBODY_SERVES
-        return refusal.after_s(self._random)
+        now_s = self._clock()
+        if self._chooser.best(wish, now_s) is not None:
+            return Refusal.OVERLOADED.after_s(self._random)
+        rest_left_s = self._chooser.rest_left_s(wish, now_s)
+        if rest_left_s is not None:
+            return after_rest_s(rest_left_s, rank=wish.rank, source=self._random)
+        return Refusal.NOBODY_SERVES.after_s(self._random)
 
     def release(self, placement: Placement) -> None:
         """Give a place back."""
--- a/src/leadhollow/decide/retry_budget.py
+++ b/src/leadhollow/decide/retry_budget.py
@@ -48,6 +48,11 @@
         self._repeats.setdefault(service, deque()).append(self._clock())
         return True
 
+    def give_back(self, service: str) -> None:
+        """Give the newest right back, where nothing was sent."""
+        if repeats := self._repeats.get(service):
+            repeats.pop()
+
     def left(self, service: str) -> float:
         """Give the repeats that are left in this window."""
         bounds = self._bounds
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -9,6 +9,7 @@
 from leadhollow.decide.engine_model import READING_SHARE, EngineDemand, EngineModel
 from leadhollow.decide.health import Health
 from leadhollow.decide.send_allowance import SendAllowance
+from leadhollow.decide.server_rest import ServerRest
 from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
 from leadhollow.membership.reporting import SHORTEST_INTERVAL_S, VALID_INTERVALS
 from leadhollow.membership.uses import NO_USE, Use
@@ -130,6 +131,8 @@
     ----------
     allowance
         What this entry may send there; None while the server names no limit.
+    rest
+        Rest that it asked for; None where it asked for none, or has answered since.
     dropped
         Whether it is not known any more; requests that were placed there must not be sent.
     """
@@ -150,6 +153,7 @@
         "instance",
         "report",
         "report_valid_s",
+        "rest",
     )
 
     def __init__(
@@ -161,6 +165,7 @@
     ) -> None:
         self.instance = instance
         self.allowance: SendAllowance | None = None
+        self.rest: ServerRest | None = None
         self.dropped = False
         self.calls: set[OwnCall] = set()
         self._unread_tokens = 0  # of our calls that have no event yet
@@ -186,7 +191,9 @@
         return not self.dropped and self.instance.state is InstanceState.READY
 
     def admits(self) -> bool:
-        """Tell whether the server's limit leaves room for a request of this entry."""
+        """Tell whether its limit and its rest leave room for a request of this entry."""
+        if self.rest is not None and not self.rest.admits():
+            return False
         return self.allowance is None or self.allowance.admits()
 
     def claim_send(self, call: OwnCall) -> Code | None:
@@ -197,6 +204,8 @@
         """
         if not self.takes_requests:
             return Code.DRAINING
+        if self.rest is not None and not self.rest.claim(call):
+            return Code.SERVER_RESTS
         allowance = self.allowance
         if allowance is not None and call.permit is not allowance:
             if not allowance.take():
@@ -207,6 +216,8 @@
 
     def add(self, call: OwnCall) -> None:
         """Note a request that goes there."""
+        if self.rest is not None:
+            self.rest.claim(call)
         if self.allowance is not None and self.allowance.take():
             call.permit = self.allowance
         self.calls.add(call)
@@ -216,6 +227,8 @@
 
     def remove(self, call: OwnCall, now_s: float) -> None:
         """Note that a request ended."""
+        if self.rest is not None:
+            self.rest.give_back(call)
         if call.permit is not None and not call.sent:
             call.permit.give_back()
             call.permit = None
--- /dev/null
+++ b/src/leadhollow/decide/server_rest.py
@@ -0,0 +1,79 @@
+"""The rest that a backend server asks of this VM, and the way back to full use."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Hashable
+
+SPREAD_S = 0.5
+"""Time after the end of a rest within which entries come back, each at a moment of its own: one
+server may have asked all of them at once."""
+
+
+class ServerRest:
+    """Time in which a server gets no requests; afterwards it gets one until that is answered.
+
+    Parameters
+    ----------
+    clock
+        Gives the time, suspensions included.
+    source
+        Of the random part by which entries differ.
+
+    Attributes
+    ----------
+    until_s
+        End of the rest as it was asked for.
+    resumes_s
+        When this entry tries again, not before that end.
+    """
+
+    __slots__ = ("_clock", "_source", "_trial", "resumes_s", "until_s")
+
+    def __init__(self, *, clock: Callable[[], float], source: random.Random) -> None:
+        self._clock = clock
+        self._source = source
+        self._trial: Hashable | None = None
+        self.until_s = float("-inf")
+        self.resumes_s = float("-inf")
+
+    def ask(self, rest_s: float) -> bool:
+        """Take an answer that asks for rest from now on; True where the rest gets longer by it.
+
+        Answers overtake each other, so one that ends sooner changes nothing.
+        """
+        until_s = self._clock() + rest_s
+        if rest_s <= 0 or until_s <= self.until_s:
+            return False
+        self.until_s = until_s
+        self.resumes_s = until_s + self._source.uniform(0, min(SPREAD_S, rest_s))
+        return True
+
+    @property
+    def due(self) -> bool:
+        """Whether the rest is over, so that an answer which asks for none ends it."""
+        return self._clock() >= self.resumes_s
+
+    def left_s(self) -> float:
+        """Give the time until this entry tries again."""
+        return max(0.0, self.resumes_s - self._clock())
+
+    def admits(self) -> bool:
+        """Tell whether a request may go there to find out."""
+        return self.due and self._trial is None
+
+    def claim(self, request: Hashable) -> bool:
+        """Let a request be the one that finds out, if there is no other."""
+        if not self.due:
+            return False
+        if self._trial is None:
+            self._trial = request
+        return self._trial is request
+
+    def give_back(self, request: Hashable) -> None:
+        """Note that a request has ended; another one may find out."""
+        if self._trial is request:
+            self._trial = None
+
+
+__all__ = ["SPREAD_S", "ServerRest"]
--- a/src/leadhollow/decide/wish.py
+++ b/src/leadhollow/decide/wish.py
@@ -52,6 +52,8 @@
     last_attempt
         Whether it may run nowhere else after this, so that an engine which is about to change its
         weights should not get it.
+    rank
+        Urgency among those that are refused together, 0 first.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         "organisation",
         "output_tokens",
         "prompt_tokens",
+        "rank",
         "request_id",
         "service",
         "standing",
@@ -86,7 +89,9 @@
         request_id: str,
         excluded: set[str],
         last_attempt: bool,
+        rank: int = 0,
     ) -> None:
+        self.rank = rank
         self.service = service
         self.model = model
         self.prompt_tokens = prompt_tokens
--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -90,6 +90,13 @@
         """Loop time until which an answer is on time."""
         return self.received_s + self.route.objective_ms / 1000
 
+    @property
+    def rank(self) -> int:
+        """Urgency, 0 first; that of its group goes before that of its route."""
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
     def left_ms(self) -> float:
         """Give what is left of the caller's time, which went on while this machine did not."""
         suspended_s = clocks.suspended_s() - self.suspended_s
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
-from leadhollow.decide.comeback import Refusal
+from leadhollow.decide.comeback import Refusal, after_rest_s
 from leadhollow.decide.retry_budget import RetryBudget
 from leadhollow.decide.server import OwnCall, Server
 from leadhollow.failure import Failure
@@ -26,6 +26,7 @@
 
 HEDGE_SHARE = 0.6  # of the objective; then another server may answer a repeatable request sooner
 MOST_SENDS = 6
+REST_STEP_S = 0.02  # between two looks at servers whose rest is over, while one request finds out
 FAR_PENALTY = 0.5  # a server of another failure domain counts as if it had this much more to do
 
 log = get_logger("plain")
@@ -83,6 +84,8 @@
         while await self._may_try_now(call):
             server = self._choose(call, excluded)
             if server is None:
+                if await self._wait_for_rest(call, excluded):
+                    continue
                 failure = self._nobody(call, failure)
                 break
             if call.sends and not self._budget.take(call.service):
@@ -105,8 +108,41 @@
         elif call.attempts:
             await self._ending.unknown(call, failure)
         else:
-            retry_after_s = Refusal.NO_SERVER.after_s(self._random)
-            await self._ending.not_run(call, failure, retry_after_s=retry_after_s)
+            await self._ending.not_run(call, failure, retry_after_s=self._retry_after_s(call))
+
+    def _retry_after_s(self, call: ForwardedCall) -> float:
+        """Give the time after which a caller should come back whose request did not run."""
+        left_s = self._rest_left_s(call, set())
+        if left_s is not None:
+            return after_rest_s(left_s, rank=call.rank, source=self._random)
+        return Refusal.NO_SERVER.after_s(self._random)
+
+    async def _wait_for_rest(self, call: ForwardedCall, excluded: set[str]) -> bool:
+        """Wait for the first server that rests, where it takes requests while that is of use."""
+        left_s = self._rest_left_s(call, excluded)
+        if left_s is None:
+            return False
+        wait_s = max(left_s, REST_STEP_S)
+        if asyncio.get_running_loop().time() + wait_s > min(call.objective_s, call.deadline_s):
+            return False
+        await asyncio.sleep(wait_s)
+        return True
+
+    def _rest_left_s(self, call: ForwardedCall, excluded: set[str]) -> float | None:
+        """Give the time until the first server takes requests again; None where one does not rest.
+
+        Parameters
+        ----------
+        excluded
+            Servers that must not be tried again.
+        """
+        rests = [
+            server.rest
+            for server in self._board.servers(call.service)
+            if server.instance.instance not in excluded
+        ]
+        left_s = [rest.left_s() for rest in rests if rest is not None]
+        return min(left_s, default=None) if len(left_s) == len(rests) else None
 
     def _nobody(self, call: ForwardedCall, failure: Failure) -> Failure:
         """Say that the service has no server at all; else the last attempt's failure stands."""
@@ -277,6 +313,8 @@
             call.attempts -= 1
         if failed.end is AttemptEnd.WITHHELD:
             call.sends -= 1
+            if call.sends:
+                self._budget.give_back(call.service)
             server.health.note_neutral()
             log.info("server withheld", request=call.request_id, failure=str(failed.failure))
             return
--- a/src/leadhollow/forward/self_reports.py
+++ b/src/leadhollow/forward/self_reports.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import random
 from collections import OrderedDict
 
 from leadhollow.codes import Code
 from leadhollow.decide.server import Server
+from leadhollow.decide.server_rest import ServerRest
 from leadhollow.failure import Failure
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.dialect import AnswerFacts
@@ -31,10 +33,13 @@
 class SelfReports(GatheringService):
     """Takes what the answers of backend servers say of these."""
 
-    __slots__ = ("_board", "_feed", "_leaving", "_logged_s", "_peers")
+    __slots__ = ("_board", "_feed", "_leaving", "_logged_s", "_peers", "_random")
 
-    def __init__(self, *, board: ServerBoard, feed: ControlFeed, peers: PeerPool) -> None:
+    def __init__(
+        self, *, board: ServerBoard, feed: ControlFeed, peers: PeerPool, seed: int
+    ) -> None:
         self._board = board
+        self._random = random.Random(seed)
         self._feed = feed
         self._peers = peers
         self._leaving: set[tuple[str, int]] = set()  # names and births of lives that said so here
@@ -49,6 +54,8 @@
     def note_answer(self, server: Server, facts: AnswerFacts, *, sent_s: float | None) -> None:
         """Take what an answer says of its server, or of the one that it names."""
         if not facts.leaving and facts.rest_s is None and not facts.rest_malformed:
+            if server.rest is not None and server.rest.due:
+                self._end_rest(server)
             return
         if facts.instance not in (None, server.instance.instance):
             named = self._board.server(facts.instance or "")
@@ -60,8 +67,20 @@
         if facts.rest_malformed:
             failure = Failure(code=Code.REST_MALFORMED)
             self._log_once(server, "rest not taken", failure=str(failure))
-        if facts.rest_s is not None:
-            self._log_rest(server, facts.rest_s)
+        if facts.rest_s:
+            self._note_rest(server, facts.rest_s)
+
+    def _note_rest(self, server: Server, rest_s: float) -> None:
+        if server.rest is None:
+            server.rest = ServerRest(clock=clocks.elapsed_s, source=self._random)
+        if server.rest.ask(rest_s):
+            self._log_rest(server, rest_s)
+            self._board.changed()
+
+    def _end_rest(self, server: Server) -> None:
+        server.rest = None
+        log.info("server takes requests again", **_named(server))
+        self._board.changed()
 
     def _note_leaving(self, server: Server) -> None:
         life = (server.instance.instance, server.instance.born_ms)
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -311,6 +311,8 @@
         self._excluded.add(placement.server.instance.instance)
         if failed.end is AttemptEnd.WITHHELD:
             self._call.sends -= 1
+            if self._call.sends:
+                self._forwarder.budget.give_back(self._call.service)
             placement.server.health.note_neutral()
             log.info("engine withheld", request=self._call.request_id, failure=str(failed.failure))
             return
--- a/src/leadhollow/forward/stream_wish.py
+++ b/src/leadhollow/forward/stream_wish.py
@@ -55,6 +55,7 @@
         request_id=call.request_id,
         excluded=excluded,
         last_attempt=call.attempts + 1 >= call.route.attempts,
+        rank=call.rank,
     )
 
 
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -96,7 +96,9 @@
             demand=self.budget,
             seed=process.seed,
         )
-        self.self_reports = SelfReports(board=self.board, feed=feed, peers=process.peers)
+        self.self_reports = SelfReports(
+            board=self.board, feed=feed, peers=process.peers, seed=process.seed
+        )
         exchanger = Exchanger(
             dialect=dialect, pool=pool, listeners=(self.limits, self.self_reports)
         )
--- a/tests/forward/test_exchange.py
+++ b/tests/forward/test_exchange.py
@@ -74,7 +74,7 @@
         self.board = ServerBoard(table=self.table, clock=asyncio.get_running_loop().time)
         self.announce("i-1")
         self.pool = SlowPool()
-        reports = SelfReports(board=self.board, feed=Feed(), peers=None)
+        reports = SelfReports(board=self.board, feed=Feed(), peers=None, seed=1)
         self.exchanger = Exchanger(dialect=PlatformCalls(), pool=self.pool, listeners=(reports,))
         return self
 
--- a/tests/node/test_resting_server.py
+++ b/tests/node/test_resting_server.py
@@ -8,11 +8,13 @@
 
 import pytest
 
-from tests.node.load import Load, with_site
+from tests.node.load import FIELDS, Load, with_site
 from tests.node.self_reporting import SelfReportingEngine, SelfReportingServer
-from tests.node.site import Site
+from tests.node.site import HOST, Site
+from tests.support import eventually
 
 SERVERS = 3
+ENTRIES = 3
 KINDS = {"plain": SelfReportingServer, "stream": SelfReportingEngine}
 READ_S = 0.05  # until an answer that was written has been read
 REST_S = 1.5
@@ -20,6 +22,18 @@
 Work = Callable[[Site, list[SelfReportingServer | SelfReportingEngine]], Awaitable[None]]
 
 
+def now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def asked(site: Site) -> tuple[int, float]:
+    """Send one request; gives status and Retry-After."""
+    headers = {"Host": HOST, "X-Attempt-Id": f"{0xFFFF:016x}", **FIELDS}
+    async with site.http.post(f"http://{site.callers}/ask/a", data=b"x", headers=headers) as answer:
+        await answer.read()
+        return answer.status, float(answer.headers.get("Retry-After", "nan"))
+
+
 def on_site(folder: Path, kind: str, work: Work, *, entries: int = 1) -> None:
     servers = [KINDS[kind](number=number, service="service") for number in range(SERVERS)]
     with_site(
@@ -45,3 +59,102 @@
             assert set(load.statuses) == {200}
 
         on_site(tmp_path, kind, work)
+
+    # Guards against: a server that had rested stays out of use, or only some entries come back.
+    def test_is_used_again_soon_after(self, tmp_path, kind):
+        async def work(site: Site, servers) -> None:
+            resting = servers[0]
+            resting.retry_after = "0.6"
+            async with Load(site=site, entries=range(ENTRIES)):
+                await eventually(lambda: resting.told_s, "a request for rest")
+                await asyncio.sleep(0.3)
+                resting.reset()
+                began_s = now_s()
+                await asyncio.sleep(0.3 + 1.0)
+                resting.arrivals_s.clear()
+                await asyncio.sleep(0.5)
+                assert now_s() - began_s < 2.5
+            assert len(resting.arrivals_s) >= 3
+
+        on_site(tmp_path, kind, work, entries=ENTRIES)
+
+    # Guards against: all that waited for the end of a rest arrive in the same moment.
+    def test_is_tried_by_one_request_of_each_entry_at_first(self, tmp_path, kind):
+        async def work(site: Site, servers) -> None:
+            resting = servers[0]
+            async with Load(site=site, entries=range(ENTRIES)) as load:
+                resting.retry_after = "0.8"
+                await eventually(lambda: resting.told_s, "a request for rest")
+                await asyncio.sleep(0.4)
+                resting.arrivals_s.clear()
+                await asyncio.sleep(1.6)  # some rests, each asked for by a request that tried
+            assert 1 <= len(resting.arrivals_s) <= 3 * ENTRIES
+            assert set(load.statuses) == {200}
+
+        on_site(tmp_path, kind, work, entries=ENTRIES)
+
+    # Guards against: callers held without hope, or told a time at which everybody still rests.
+    def test_and_all_others_too_refuse_at_once_with_the_first_end(self, tmp_path, kind):
+        async def work(site: Site, servers) -> None:
+            for server, rest_s in zip(servers, (5, 3, 4), strict=True):
+                server.retry_after = f"{rest_s}"
+            async with Load(site=site, entries=[0]):
+                await eventually(lambda: all(server.told_s for server in servers), "rests")
+            arrived = sum(len(server.arrivals_s) for server in servers)
+            asked_s = now_s()
+            status, retry_after_s = await asked(site)
+            assert now_s() - asked_s < 0.1
+            assert status == 503
+            assert 2.0 < retry_after_s < 4.0
+            assert sum(len(server.arrivals_s) for server in servers) == arrived
+
+        on_site(tmp_path, kind, work)
+
+    # Guards against: a request refused though a server takes it within its objective.
+    def test_and_all_others_too_keep_a_request_for_an_end_in_time(self, tmp_path, kind):
+        async def work(site: Site, servers) -> None:
+            for server in servers:
+                server.retry_after = "0.25"
+            async with Load(site=site, entries=[0], rate_per_s=20):
+                await eventually(lambda: all(server.told_s for server in servers), "rests")
+            for server in servers:
+                server.reset()
+            status, _ = await asked(site)
+            assert status == 200
+
+        on_site(tmp_path, kind, work)
+
+
+class TestRest:
+    @pytest.mark.parametrize("value", ["", "0", "-1", "nan", "inf", "1e9", "1,5", "9" * 8_000])
+    def test_that_is_no_time_changes_nothing(self, tmp_path, value):
+        async def work(site: Site, servers) -> None:
+            servers[0].retry_after = value
+            async with Load(site=site, entries=[0]) as load:
+                await asyncio.sleep(0.7)
+            assert len(servers[0].arrivals_s) > 3
+            assert set(load.statuses) == {200}
+
+        on_site(tmp_path, "plain", work)
+
+    @pytest.mark.parametrize("status", [429, 500])
+    def test_is_asked_for_by_503_only(self, tmp_path, status):
+        async def work(site: Site, servers) -> None:
+            servers[0].retry_after = "600"
+            servers[0].turned_away_status = status
+            async with Load(site=site, entries=[0]):
+                await eventually(lambda: len(servers[0].arrivals_s) > 3, "requests")
+
+        on_site(tmp_path, "plain", work)
+
+    # Guards against: a new life of a server, at the same address, inherits a long rest.
+    def test_of_a_former_life_is_over(self, tmp_path):
+        async def work(site: Site, servers) -> None:
+            servers[0].retry_after = "600"
+            async with Load(site=site, entries=[0]):
+                await eventually(lambda: servers[0].told_s, "a request for rest")
+                servers[0].reset()
+                servers[0].born_ms = 1_000
+                await eventually(lambda: len(servers[0].arrivals_s) > 5, "requests")
+
+        on_site(tmp_path, "stream", work)
