Tell all entries of a rest, and play engines that turn requests away

Cause: a server that turns everything away asks each entry by itself, at the price of a repeat each, and again after each rest. Change: a rest goes through the followed replica to all entries once. It binds only the entry that was asked: the others prefer other servers while it lasts, and find out with one request where these have no room; an answer of the last second to this entry counts for more. Queue policies of the laboratory may ignore rests, keep them at each entry, or tell them (default). Nothing is sent while nobody rests.

--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -14,6 +14,7 @@
 from leadhollow.control.item_news import ItemNews
 from leadhollow.control.limit_relay import LimitRelay
 from leadhollow.control.registry import Load, Registry
+from leadhollow.control.self_report_relay import SelfReportRelay
 from leadhollow.control.subscriber import Subscriber, wants
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.failure import Failure
@@ -33,6 +34,7 @@
     FeedWatch,
     LimitLease,
     LimitNews,
+    ServerWord,
     ServiceDecisions,
     SuspectNews,
 )
@@ -69,6 +71,7 @@
         "_registry",
         "_replicas",
         "_replicas_s",
+        "_self_reports",
         "_subscribers",
         "_suspects",
         "_uses",
@@ -86,7 +89,9 @@
         naming_times: NamingTimes,
         suspects: SuspectRelay,
         limits: LimitRelay,
+        self_reports: SelfReportRelay,
     ) -> None:
+        self._self_reports = self_reports
         self._suspects = suspects
         self._limits = limits
         self._catalog = catalog
@@ -104,6 +109,7 @@
         registry.on_silence(self._on_silence)
         uses.on_change(self._on_uses)
         suspects.on_change(self._on_suspects)
+        self_reports.on_change(self._on_rests)
         limits.tell_entries(
             on_limits=self._on_limits, on_lease=self._on_lease, on_behind=self._on_behind
         )
@@ -161,6 +167,7 @@
             subscriber.uses.add(self._uses.engines(), (), _now_s())
             subscriber.suspects = everything(self._suspects.table)
             subscriber.limits = self._limits.everything()
+            subscriber.rests = self._self_reports.resting()
         update = self._delta(subscriber)
         update.whole = True
         return update
@@ -205,6 +212,7 @@
             packed_items,
             self._news_of_limits(subscriber),
             self._take_lease(subscriber),
+            self._news_of_rests(subscriber),
         )
 
     def _replicas_now(self, now_s: float) -> list[str]:
@@ -256,6 +264,16 @@
         lease, subscriber.limit_lease = subscriber.limit_lease, None
         return lease
 
+    def _news_of_rests(self, subscriber: Subscriber) -> list[ServerWord] | None:
+        lives, subscriber.rests = subscriber.rests, set()
+        return self._self_reports.news(lives) or None
+
+    def _on_rests(self, lives: set[tuple[str, int]], vm: str) -> None:
+        for subscriber in self._subscribers:
+            if subscriber.role is NodeRole.ENTRY and subscriber.vm != vm:
+                subscriber.rests |= lives
+                subscriber.tell_at(_now_s())
+
     def _on_limits(self, lives: set[str]) -> None:
         for subscriber in self._subscribers:
             if subscriber.role is NodeRole.ENTRY:
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -16,7 +16,7 @@
 from leadhollow.membership.reporting import VALID_INTERVALS, report_interval_s
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
-from leadhollow.wire.generated.ttypes import LeavingNews, LoadRecord, LoadReport, RegistryPush
+from leadhollow.wire.generated.ttypes import LoadRecord, LoadReport, RegistryPush
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 
@@ -148,7 +148,6 @@
         super().__init__(gather_s=FLOOD_PAUSE_S, refresh_s=REFRESH_S)
         handlers.on_oneway(RegistryPush, self._on_push)
         handlers.on_oneway(LoadReport, self._on_load_report)
-        handlers.on_oneway(LeavingNews, self._on_leaving)
 
     def on_change(self, listener: ChangeListener) -> None:
         """Call a function with instances and loads that changed."""
@@ -182,6 +181,14 @@
         if gone is not None:
             self._changed_here(gone)
 
+    def take_leaving(self, instance: str, *, born_ms: int) -> None:
+        """Take what a backend server said in an answer; it counts like an announcement here."""
+        left = self.table.note_leaving(instance, born_ms=born_ms)
+        if left is not None:
+            self._changed_here(left)
+        if self.table.get(instance) is not None:
+            self._heard_here_s[instance] = _now_s()
+
     def loads(self) -> list[Load]:
         """Give the load of each engine that reported lately."""
         return list(self._loads.values())
@@ -266,16 +273,6 @@
         self.note_change()
         self._tell_here([], loads)
 
-    def _on_leaving(self, news: LeavingNews, connection: Connection) -> None:
-        """Take what backend servers said in answers; the word counts like an announcement here."""
-        for life in news.lives or ():
-            instance, born_ms = life.instance or "", int(life.born_ms or 0)
-            left = self.table.note_leaving(instance, born_ms=born_ms)
-            if left is not None:
-                self._changed_here(left)
-            if self.table.get(instance) is not None:
-                self._heard_here_s[instance] = _now_s()
-
     def _take_load(self, record: LoadRecord, *, own: bool) -> Load | None:
         heard_s = _now_s() - (record.age_ms or 0) / 1000
         known = self._loads.get(record.address)
--- /dev/null
+++ b/src/leadhollow/control/self_report_relay.py
@@ -0,0 +1,126 @@
+"""What backend servers said of themselves to some entry, passed on to all others.
+
+That a server leaves goes the way of its heartbeats, through the registry. A rest binds the VM that
+was asked for it; the others are told so that they prefer other servers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from leadhollow.kernel import clocks
+from leadhollow.membership.server_words import MOST_WORDS, check_words, life_key, rest_words
+from leadhollow.observe.logs import get_logger
+from leadhollow.wire.connection import Connection
+from leadhollow.wire.generated.ttypes import ServerWord, ServerWords
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.peers import PeerPool
+
+SAME_REST_S = 0.5
+"""Part of a rest that is not worth telling again: a server asks all entries within some moments,
+and each of them tells."""
+
+log = get_logger("self-reports")
+
+Life = tuple[str, int]
+ChangeListener = Callable[[set[Life], str], None]
+
+
+class LeavingTable(Protocol):
+    """Takes that a life of a backend server leaves."""
+
+    def take_leaving(self, instance: str, *, born_ms: int) -> None:
+        """Take the word of a server that an entry heard."""
+        ...
+
+
+class SelfReportRelay:
+    """Self-reports as one control replica knows them.
+
+    Parameters
+    ----------
+    own_address
+        Where other replicas reach us.
+    replicas
+        Gives the addresses of all replicas.
+    """
+
+    __slots__ = ("_ends_s", "_leaving", "_listeners", "_own_address", "_peers", "_replicas")
+
+    def __init__(
+        self,
+        *,
+        own_address: str,
+        replicas: Callable[[], list[str]],
+        leaving: LeavingTable,
+        peers: PeerPool,
+        handlers: HandlerTable,
+    ) -> None:
+        self._own_address = own_address
+        self._replicas = replicas
+        self._leaving = leaving
+        self._peers = peers
+        self._ends_s: dict[Life, float] = {}  # of rests, by name and birth of the life
+        self._listeners: list[ChangeListener] = []
+        handlers.on_oneway(ServerWords, self._on_words)
+
+    def on_change(self, listener: ChangeListener) -> None:
+        """Call a function with the lives whose rest is news, and the VM that told of it."""
+        self._listeners.append(listener)
+
+    def resting(self) -> set[Life]:
+        """Name the lives that want rest now, and forget the others."""
+        now_s = clocks.elapsed_s()
+        self._ends_s = {life: end_s for life, end_s in self._ends_s.items() if end_s > now_s}
+        return set(self._ends_s)
+
+    def news(self, lives: Iterable[Life]) -> list[ServerWord]:
+        """Encode the rests of some lives, as far as they last."""
+        ends_s = {life: self._ends_s[life] for life in lives if life in self._ends_s}
+        return rest_words(ends_s, clocks.elapsed_s())
+
+    def _on_words(self, words: ServerWords, connection: Connection) -> None:
+        checked = check_words(words)
+        if checked.is_err():
+            log.warning("self-reports not taken", failure=str(checked.unwrap_err()))
+            return
+        changed = set()
+        for word in checked.unwrap():
+            instance, born_ms = life = life_key(word)
+            if word.leaving:
+                self._leaving.take_leaving(instance, born_ms=born_ms)
+            if word.rest_ms and self._take_rest(life, word.rest_ms / 1000):
+                changed.add(life)
+        if not changed:
+            return
+        vm = "" if connection.hello is None else connection.hello.vm
+        for listener in self._listeners:
+            listener(changed, vm)
+        if not words.address:
+            self._pass_on(changed)
+
+    def _pass_on(self, lives: set[Life]) -> None:
+        """Tell the other replicas; what they tell us they have told each other."""
+        news = ServerWords(self._own_address, self.news(lives))
+        for address in self._replicas():
+            if address != self._own_address:
+                self._peers.post(address, news)
+
+    def _take_rest(self, life: Life, rest_s: float) -> bool:
+        """Take a rest; tells whether it lasts much longer than what is known."""
+        now_s = clocks.elapsed_s()
+        known_s = self._ends_s.get(life, now_s)
+        if known_s > now_s and now_s + rest_s - known_s < SAME_REST_S:
+            return False
+        if life not in self._ends_s and not self._has_room():
+            log.warning("rest not passed on: too many servers rest", instance=life[0])
+            return False
+        self._ends_s[life] = now_s + rest_s
+        return True
+
+    def _has_room(self) -> bool:
+        return len(self._ends_s) < MOST_WORDS or len(self.resting()) < MOST_WORDS
+
+
+__all__ = ["SelfReportRelay"]
--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -33,6 +33,10 @@
 RECENT_SHARE = 0.6  # of the time for which reports count; they come three times in it
 SAFE_S = 0.35  # time in which a request begins at a server that is not overloaded
 UNHEARD_MS = 250.0  # a server that does not report is thought this much slower than one that does
+SHUNNED_MS = 400.0
+"""An engine that asked another entry for rest must answer this much sooner than all others: it is
+likely to turn our request away too, which costs a repeat."""
+
 SAME_MOMENT_S = 0.002
 """Time for which engines stay as they were reckoned where nothing is known to have changed; a turn
 of the loop takes less, and predictions are some tens of milliseconds off."""
@@ -98,6 +102,8 @@
     ----------
     far
         Whether it is of another failure domain.
+    shunned
+        Whether it asked another entry for rest.
 
     Attributes
     ----------
@@ -107,12 +113,13 @@
         Time until the first event of a request but for reading its prompt.
     """
 
-    __slots__ = ("demand", "far", "ready_ms", "server", "version")
+    __slots__ = ("demand", "far", "ready_ms", "server", "shunned", "version")
 
     def __init__(self, *, server: Server, version: int, far: bool) -> None:
         self.server = server
         self.version = version
         self.far = far
+        self.shunned = server.rest is not None and server.rest.shunned
         self.demand: EngineDemand | None = None
         self.ready_ms = 0.0
 
@@ -187,6 +194,7 @@
             demand = found.demand or self._reckon(found, wish, model, now_s)
             first_ms = found.ready_ms + demand.pace * read_ms
             rank = first_ms + SPREAD_MS * self._random.random() + (far_ms if found.far else 0.0)
+            rank += SHUNNED_MS if found.shunned else 0.0
             if rank < best_rank:
                 best, best_demand, best_ms, best_rank = found, demand, first_ms, rank
         if best is None or best_demand is None:
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -146,14 +146,13 @@
         Where even that one is too late it is refused at once, so that its caller learns when.
         """
         wish, now_s = waiter.wish, self._clock()
-        if self._chooser.best(wish, now_s, of_all=True) is None:
-            rest_left_s = self._chooser.rest_left_s(wish, now_s)
-            if rest_left_s is not None:
-                until_s = now_s + rest_left_s + PUMP_INTERVAL_S
-                if until_s > max(wish.on_time_s, wish.hold_s):
-                    self._end(waiter, None)
-                    return
-                waiter.until_s = max(waiter.until_s, until_s)
+        rest_left_s = self._chooser.rest_left_s(wish, now_s)
+        if rest_left_s is not None and self._chooser.best(wish, now_s, of_all=True) is None:
+            until_s = now_s + rest_left_s + PUMP_INTERVAL_S
+            if until_s > max(wish.on_time_s, wish.hold_s):
+                self._end(waiter, None)
+                return
+            waiter.until_s = max(waiter.until_s, until_s)
         _insert(self._waiters, waiter)
         self._on_waiting()
 
--- a/src/leadhollow/decide/policy.py
+++ b/src/leadhollow/decide/policy.py
@@ -20,6 +20,10 @@
         Whether what the other entries refused counts in it.
     balances
         Whether an entry that refuses less than the others leaves engines to them.
+    keeps_rests
+        Whether an engine that asked this entry for rest gets none of its requests meanwhile.
+    tells_rests
+        Whether other entries are told of it, and prefer other engines.
     """
 
     holds: bool = True
@@ -27,6 +31,8 @@
     uses_room: bool = True
     shares_pressure: bool = True
     balances: bool = True
+    keeps_rests: bool = True
+    tells_rests: bool = True
 
 
 __all__ = ["QueuePolicy"]
--- a/src/leadhollow/decide/server_rest.py
+++ b/src/leadhollow/decide/server_rest.py
@@ -24,11 +24,14 @@
     ----------
     until_s
         End of the rest as it was asked for.
+    told_until_s
+        End of a rest that the server asked of another entry; this one prefers other servers until
+        then, and finds out with one request where these have no room.
     resumes_s
         When this entry tries again, not before that end.
     """
 
-    __slots__ = ("_clock", "_source", "_trial", "resumes_s", "until_s")
+    __slots__ = ("_clock", "_source", "_trial", "resumes_s", "told_until_s", "until_s")
 
     def __init__(self, *, clock: Callable[[], float], source: random.Random) -> None:
         self._clock = clock
@@ -36,6 +39,7 @@
         self._trial: Hashable | None = None
         self.until_s = float("-inf")
         self.resumes_s = float("-inf")
+        self.told_until_s = float("-inf")
 
     def ask(self, rest_s: float) -> bool:
         """Take an answer that asks for rest from now on; True where the rest gets longer by it.
@@ -49,6 +53,15 @@
         self.resumes_s = until_s + self._source.uniform(0, min(SPREAD_S, rest_s))
         return True
 
+    def hear(self, rest_s: float) -> None:
+        """Take news that the server asked another entry for rest from now on."""
+        self.told_until_s = max(self.told_until_s, self._clock() + rest_s)
+
+    @property
+    def shunned(self) -> bool:
+        """Whether other servers are preferred, as another entry was asked for rest."""
+        return self._clock() < self.told_until_s
+
     @property
     def due(self) -> bool:
         """Whether the rest is over, so that an answer which asks for none ends it."""
--- a/src/leadhollow/experiment/callers.py
+++ b/src/leadhollow/experiment/callers.py
@@ -15,6 +15,10 @@
     ----------
     outcome_s
         Time from its first attempt to the first event; None while there is none.
+    repeats
+        Times that it was sent to one more engine.
+    sent_in_rest
+        Times that it was sent to an engine that had asked its entry for rest.
     """
 
     __slots__ = (
@@ -27,6 +31,8 @@
         "outcome_s",
         "prompt_tokens",
         "refused_again",
+        "repeats",
+        "sent_in_rest",
     )
 
     def __init__(
@@ -41,6 +47,8 @@
         self.outcome_s: float | None = None
         self.done = False
         self.refused_again = False
+        self.repeats = 0
+        self.sent_in_rest = 0
 
 
 def draw_callers(scenario: Scenario, seed: int) -> list[Caller]:
--- a/src/leadhollow/experiment/outcome.py
+++ b/src/leadhollow/experiment/outcome.py
@@ -24,6 +24,8 @@
         What callers got, without that cost.
     on_time, late, refused
         Parts of the requests.
+    repeats, sent_in_rest
+        Sends to one more engine, and to engines that had asked for rest, for each request.
     """
 
     worth: float
@@ -32,6 +34,8 @@
     on_time: float
     late: float
     refused: float
+    repeats: float
+    sent_in_rest: float
 
 
 def judge(callers: Iterable[Caller]) -> Outcome:
@@ -54,6 +58,8 @@
         on_time=on_time / max(1, len(found)),
         late=(served - on_time) / max(1, len(found)),
         refused=(len(found) - served) / max(1, len(found)),
+        repeats=sum(caller.repeats for caller in found) / max(1, len(found)),
+        sent_in_rest=sum(caller.sent_in_rest for caller in found) / max(1, len(found)),
     )
 
 
--- a/src/leadhollow/experiment/patterns.py
+++ b/src/leadhollow/experiment/patterns.py
@@ -116,6 +116,35 @@
             ),
         ),
     ]
+    found += [
+        Scenario(
+            name=f"resting-{name}",
+            engine=ENGINE,
+            kinds=KINDS,
+            domains=WIDE,
+            changes=(
+                Change(at_s=0.0, load=0.6),
+                Change(at_s=6.0, engines_resting=share),
+                Change(at_s=16.0, engines_resting=0.0),
+            ),
+        )
+        for name, share in (("some", 0.34), ("half", 0.5), ("all", 1.0))
+    ]
+    found.append(
+        Scenario(
+            name="resting-in-turn",
+            engine=ENGINE,
+            kinds=KINDS,
+            domains=WIDE,
+            changes=(
+                Change(at_s=0.0, load=0.6),
+                *(
+                    Change(at_s=6.0 + step, engines_resting=0.5 if step % 4 == 0 else 0.0)
+                    for step in range(0, 16, 2)
+                ),
+            ),
+        )
+    )
     return {scenario.name: scenario for scenario in found}
 
 
--- /dev/null
+++ b/src/leadhollow/experiment/rests.py
@@ -0,0 +1,65 @@
+"""Engines that turn requests away and ask for rest, and what entries know of it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from leadhollow.decide.policy import QueuePolicy
+from leadhollow.decide.server import Server
+from leadhollow.decide.server_rest import ServerRest
+from leadhollow.experiment.clock import Clock
+
+GRACE_S = 0.5  # after an engine asked for rest, until what still arrives there counts
+
+
+class EmulatedRests:
+    """Which engines turn away, and the rests that they asked for.
+
+    Parameters
+    ----------
+    rest_s
+        Rest that each asks for.
+    """
+
+    __slots__ = ("_asked", "_clock", "_policy", "_random", "rest_s", "turning_away")
+
+    def __init__(self, *, clock: Clock, policy: QueuePolicy, rest_s: float, seed: int) -> None:
+        self._clock = clock
+        self._policy = policy
+        self._random = random.Random(seed)
+        self._asked: dict[tuple[int, str], float] = {}  # by entry and address: when it was last
+        self.rest_s = rest_s
+        self.turning_away: set[str] = set()
+
+    def in_rest(self, entry: int, address: str) -> bool:
+        """Tell whether a request that arrives from an entry now breaks a rest."""
+        since_s = self._clock.now_s - self._asked.get((entry, address), float("-inf"))
+        return GRACE_S < since_s < self.rest_s
+
+    def ask(self, entry: int, server: Server) -> None:
+        """Let an entry read the answer that asks for rest."""
+        key = (entry, server.instance.address)
+        if not self.in_rest(*key):
+            self._asked[key] = self._clock.now_s
+        if self._policy.keeps_rests:
+            server.rest = server.rest or self._new()
+            server.rest.ask(self.rest_s)
+
+    def tell(self, server: Server) -> None:
+        """Let another entry hear of it."""
+        if self._policy.tells_rests and server.rest is None:
+            server.rest = self._new()
+            server.rest.hear(self.rest_s)
+
+    def answered(self, server: Server) -> None:
+        """Note that a server took a request."""
+        if server.rest is not None and server.rest.due:
+            server.rest = None
+
+    def _new(self) -> ServerRest:
+        clock: Callable[[], float] = lambda: self._clock.now_s  # noqa: E731
+        return ServerRest(clock=clock, source=self._random)
+
+
+__all__ = ["EmulatedRests"]
--- a/src/leadhollow/experiment/runner.py
+++ b/src/leadhollow/experiment/runner.py
@@ -108,6 +108,8 @@
         "on time": outcome.on_time,
         "late": outcome.late,
         "refused": outcome.refused,
+        "repeats": outcome.repeats,
+        "sent in rest": outcome.sent_in_rest,
     }
     found |= {f"domain {name}": share for name, share in outcome.by_domain.items()}
     return found | {f"kind {name}": share for name, share in outcome.by_kind.items()}
--- a/src/leadhollow/experiment/scenario.py
+++ b/src/leadhollow/experiment/scenario.py
@@ -64,11 +64,15 @@
         From then on the arrivals are this many times the usual ones; None leaves them.
     engines_out
         Part of each domain's engines that serve nothing from then on; None leaves them.
+    engines_resting
+        Part of each domain's engines that turn every new request away from then on, and ask for
+        rest; None leaves them.
     """
 
     at_s: float
     load: float | None = None
     engines_out: float | None = None
+    engines_resting: float | None = None
 
 
 class Scenario(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -82,6 +86,8 @@
         Age of what they know of the others' engines; 0 for the same.
     way_ms
         One way between entry and engine, on top of the engine's own times.
+    rest_s
+        Rest that engines ask for.
     length_s
         How long callers arrive; answers are waited for afterwards.
     """
@@ -94,6 +100,7 @@
     view_lag_ms: float = 25.0
     far_view_lag_ms: float = 0.0
     way_ms: float = 4.0
+    rest_s: float = 3.0
     length_s: float = 30.0
 
 
@@ -132,6 +139,8 @@
             return f"domains[{place}]: negative"
         if domain.entries < 1 and domain.share > 0:
             return f"domains[{place}].entries: none for its callers"
+    if scenario.rest_s < 0:
+        return "rest_s: negative"
     if scenario.length_s <= 0:
         return "length_s: must be above 0"
     return ""
--- a/src/leadhollow/experiment/world.py
+++ b/src/leadhollow/experiment/world.py
@@ -17,6 +17,7 @@
 from leadhollow.experiment.callers import Caller, draw_callers
 from leadhollow.experiment.clock import Clock
 from leadhollow.experiment.engine import EmulatedEngine, EngineTask
+from leadhollow.experiment.rests import EmulatedRests
 from leadhollow.experiment.scenario import MS_PER_S, Scenario
 from leadhollow.experiment.view import OneVersion, View
 from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
@@ -27,6 +28,8 @@
 MODEL = "m"
 RETURN_SHARE = 1 / 3  # of the time that is left; callers wait no longer than that
 GATHER_MS = 14.0  # changes within it travel together, in two steps
+MOST_SENDS = 6
+RESUME_WAIT_S = 0.3  # how long a request that was turned away looks for another engine
 SETTLE_S = 8.0  # after the last arrival; every deadline has passed by then
 
 
@@ -54,6 +57,7 @@
     __slots__ = (
         "_dirty",
         "_random",
+        "_rests",
         "_service",
         "_shares_pressure",
         "callers",
@@ -69,6 +73,9 @@
         self._dirty: set[str] = set()
         self.clock = Clock()
         self._random = random.Random(seed)
+        self._rests = EmulatedRests(
+            clock=self.clock, policy=policy, rest_s=scenario.rest_s, seed=seed
+        )
         self._service = ServiceRecord(name=SERVICE, engine=scenario.engine)
         self.engines: dict[str, EmulatedEngine] = {}
         self.entries: list[Entry] = []
@@ -94,6 +101,9 @@
             if change.engines_out is not None:
                 share = change.engines_out
                 self.clock.at(change.at_s, lambda share=share: self._set_out(share))  # type: ignore[misc]
+            if change.engines_resting is not None:
+                resting = change.engines_resting
+                self.clock.at(change.at_s, lambda share=resting: self._set_resting(share))  # type: ignore[misc]
         self._tick()
         self.clock.run(scenario.length_s + SETTLE_S)
 
@@ -227,6 +237,14 @@
                     engine.stop()
                 engine.serving = serving
 
+    def _set_resting(self, share: float) -> None:
+        """Let part of each domain's engines turn away what is new, and no others."""
+        self._rests.turning_away = {
+            f"{domain.name}-{place}"
+            for domain in self.scenario.domains
+            for place in range(round(domain.engines * share))
+        }
+
     def _arrive(self, caller: Caller) -> None:
         entry = self._random.choice(
             [entry for entry in self.entries if entry.domain == caller.domain]
@@ -252,6 +270,9 @@
             excluded=set(),
             last_attempt=False,
         )
+        self._submit(entry, caller, wish)
+
+    def _submit(self, entry: Entry, caller: Caller, wish: EngineWish) -> None:
         waiter = entry.queue.submit(wish)
         if waiter.ended:
             self._placed(entry, caller, waiter)
@@ -274,7 +295,16 @@
         if placement is None:
             self._refused(entry, caller, waiter)
             return
-        engine = self.engines[placement.server.instance.address]
+        address = placement.server.instance.address
+        if address in self._rests.turning_away:
+            place = self.entries.index(entry)
+            caller.sent_in_rest += self._rests.in_rest(place, address)
+            away_ms = 2 * self.scenario.way_ms
+            self.clock.after_ms(
+                away_ms, lambda: self._turned_away(entry, caller, waiter, placement)
+            )
+            return
+        engine = self.engines[address]
         task = EngineTask(
             prompt_tokens=caller.prompt_tokens,
             events=caller.events,
@@ -287,6 +317,31 @@
         )
         self.clock.after_ms(self.scenario.way_ms, lambda: engine.take(task))
 
+    def _turned_away(
+        self, entry: Entry, caller: Caller, waiter: Waiter, placement: Placement
+    ) -> None:
+        """Let an entry read that an engine wants rest, and try another one."""
+        address = placement.server.instance.address
+        place = self.entries.index(entry)
+        self._rests.ask(place, placement.server)
+        for other in self.entries:
+            if other is not entry:
+                server = other.view.by_address[address]
+                near = server.instance.failure_domain == other.domain
+                lag_ms = self.scenario.view_lag_ms
+                lag_ms = lag_ms if near else self.scenario.far_view_lag_ms or lag_ms
+                self.clock.after_ms(lag_ms, lambda server=server: self._rests.tell(server))  # type: ignore[misc]
+        entry.queue.release(placement)
+        wish = waiter.wish
+        wish.excluded.add(address)
+        wish.standing = Standing.RESUMED
+        wish.decide_s = wish.hold_s = self.clock.now_s + RESUME_WAIT_S
+        caller.repeats += 1
+        if len(wish.excluded) >= MOST_SENDS:
+            self._refused(entry, caller, waiter)
+            return
+        self._submit(entry, caller, wish)
+
     def _refused(self, entry: Entry, caller: Caller, waiter: Waiter) -> None:
         if caller.attempts > 1:
             caller.refused_again = True
@@ -300,6 +355,7 @@
     def _first(self, caller: Caller, placement: Placement) -> None:
         now_s = self.clock.now_s
         placement.server.begun(placement.call)
+        self._rests.answered(placement.server)
         took_ms = (now_s - placement.call.placed_s) * MS_PER_S
         placement.server.note_first_event(took_ms - placement.call.predicted_ms, now_s)
         caller.outcome_s = now_s - caller.first_s
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -28,6 +28,7 @@
 MOST_SENDS = 6
 REST_STEP_S = 0.02  # between two looks at servers whose rest is over, while one request finds out
 FAR_PENALTY = 0.5  # a server of another failure domain counts as if it had this much more to do
+SHUNNED_PENALTY = 2.0  # in the same terms, of one that wants rest of another entry
 
 log = get_logger("plain")
 
@@ -217,7 +218,10 @@
         far = server.instance.failure_domain != self._failure_domain
         running = server.own + server.others(now_s, told=told)
         load = running / max(1, server.instance.slots)
-        return load + (FAR_PENALTY if far else 0.0) + self._random.uniform(0, 0.2)
+        penalty = FAR_PENALTY if far else 0.0
+        if server.rest is not None and server.rest.shunned:
+            penalty += SHUNNED_PENALTY
+        return load + penalty + self._random.uniform(0, 0.2)
 
     async def _attempt(
         self, call: ForwardedCall, server: Server
--- a/src/leadhollow/forward/self_reports.py
+++ b/src/leadhollow/forward/self_reports.py
@@ -1,11 +1,13 @@
 """What backend servers say of themselves in their answers: that they leave, or want rest.
 
-Such a word counts at once at the entry that reads it, whatever control has told. That a server
-leaves is told to the control replica that is followed, and through it to all.
+Such a word counts at once at the entry that reads it, whatever control has told. It is told to the
+control replica that is followed, and through it to all: that a server leaves binds every entry, a
+rest makes others prefer other servers.
 """
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import OrderedDict
 
@@ -18,13 +20,18 @@
 from leadhollow.kernel import clocks
 from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.control_feed import ControlFeed
+from leadhollow.membership.server_words import leaving_word, life_key, rest_words
 from leadhollow.observe.logs import get_logger
-from leadhollow.wire.generated.ttypes import LeavingLife, LeavingNews
+from leadhollow.wire.generated.ttypes import ServerWord, ServerWords
 from leadhollow.wire.peers import PeerPool
 
 GATHER_S = 0.002
 REFRESH_S = 1.0  # how often it is told again who leaves
 MOST_LOGGED = 256  # lives of servers; of one that is dropped from these, a line may come twice
+ANSWERED_S = 1.0
+"""Time after an answer of a server to this entry in which it is not heeded that the server wants
+rest of others: what it says here itself counts for more."""
+
 LOG_PAUSE_S = 1.0  # between two lines on rests of the same server
 
 log = get_logger("self-reports")
@@ -33,7 +40,7 @@
 class SelfReports(GatheringService):
     """Takes what the answers of backend servers say of these."""
 
-    __slots__ = ("_board", "_feed", "_leaving", "_logged_s", "_peers", "_random")
+    __slots__ = ("_board", "_feed", "_leaving", "_logged_s", "_peers", "_random", "_rests")
 
     def __init__(
         self, *, board: ServerBoard, feed: ControlFeed, peers: PeerPool, seed: int
@@ -43,9 +50,11 @@
         self._feed = feed
         self._peers = peers
         self._leaving: set[tuple[str, int]] = set()  # names and births of lives that said so here
+        self._rests: dict[tuple[str, int], float] = {}  # ends of those that nobody was told of yet
         self._logged_s: OrderedDict[tuple[str, str], float] = OrderedDict()
         super().__init__(gather_s=GATHER_S, refresh_s=REFRESH_S)
         feed.on_followed(self._on_followed)
+        feed.on_rests(self._on_rests)
 
     def refreshes(self) -> bool:
         """Tell whether any server that is known said that it leaves."""
@@ -54,6 +63,8 @@
     def note_answer(self, server: Server, facts: AnswerFacts, *, sent_s: float | None) -> None:
         """Take what an answer says of its server, or of the one that it names."""
         if not facts.leaving and facts.rest_s is None and not facts.rest_malformed:
+            if facts.signed:
+                server.answered_s = asyncio.get_running_loop().time()
             if server.rest is not None and server.rest.due:
                 self._end_rest(server)
             return
@@ -71,11 +82,29 @@
             self._note_rest(server, facts.rest_s)
 
     def _note_rest(self, server: Server, rest_s: float) -> None:
-        if server.rest is None:
-            server.rest = ServerRest(clock=clocks.elapsed_s, source=self._random)
-        if server.rest.ask(rest_s):
+        rest = self._rest_of(server)
+        if rest.ask(rest_s):
             self._log_rest(server, rest_s)
             self._board.changed()
+            self._rests[server.instance.instance, server.instance.born_ms] = rest.until_s
+            self.note_change()
+
+    def _on_rests(self, words: list[ServerWord]) -> None:
+        """Take rests that were asked of other entries."""
+        now_s = asyncio.get_running_loop().time()
+        for word in words:
+            instance, born_ms = life_key(word)
+            server = self._board.server(instance)
+            if server is None or server.instance.born_ms != born_ms:
+                continue
+            if now_s - server.answered_s > ANSWERED_S:
+                self._rest_of(server).hear(max(0, word.rest_ms or 0) / 1000)
+        self._board.changed()
+
+    def _rest_of(self, server: Server) -> ServerRest:
+        if server.rest is None:
+            server.rest = ServerRest(clock=clocks.elapsed_s, source=self._random)
+        return server.rest
 
     def _end_rest(self, server: Server) -> None:
         server.rest = None
@@ -101,14 +130,19 @@
             life for life in self._leaving if self._board.knows(life[0], born_ms=life[1])
         }
         source = self._feed.source
-        if not self._leaving or not source:
+        if not (self._leaving or self._rests) or not source:
             return
         connected = await self._peers.connection(source)
         if connected.is_err():
-            log.warning("leaving servers not told", failure=str(connected.unwrap_err()))
+            log.warning("self-reports not told", failure=str(connected.unwrap_err()))
             return
-        lives = [LeavingLife(instance, born_ms) for instance, born_ms in sorted(self._leaving)]
-        connected.unwrap().oneway(LeavingNews(lives))
+        connected.unwrap().oneway(ServerWords("", self._words()))
+
+    def _words(self) -> list[ServerWord]:
+        """Give what is to be told; each rest once."""
+        rests, self._rests = self._rests, {}
+        leaving = [leaving_word(*life) for life in sorted(self._leaving)]
+        return leaving + rest_words(rests, clocks.elapsed_s())
 
     def _log_once(self, server: Server, message: str, **fields: object) -> None:
         """Log what holds for a whole life."""
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -34,6 +34,7 @@
     LimitLease,
     LimitNews,
     LoadRecord,
+    ServerWord,
     SuspectNews,
 )
 from leadhollow.wire.peers import PeerPool
@@ -62,6 +63,7 @@
 LimitsListener = Callable[[LimitNews, bool], None]
 LeaseListener = Callable[[LimitLease], None]
 FollowListener = Callable[[], None]
+RestsListener = Callable[[list[ServerWord]], None]
 
 log = get_logger("feed")
 
@@ -94,6 +96,7 @@
         "_peers",
         "_random",
         "_replicas",
+        "_rests_listeners",
         "_settings",
         "_suspects_listeners",
         "_unnamed",
@@ -117,6 +120,7 @@
         self._limits_listeners: list[LimitsListener] = []
         self._lease_listeners: list[LeaseListener] = []
         self._follow_listeners: list[FollowListener] = []
+        self._rests_listeners: list[RestsListener] = []
         self._engines: list[str] = []  # addresses by their numbers on the feed that is followed
         self.catalog = Catalog()
         self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
@@ -172,6 +176,10 @@
         """Call a function with each lease of shares of limits."""
         self._lease_listeners.append(listener)
 
+    def on_rests(self, listener: RestsListener) -> None:
+        """Call a function with rests that backend servers asked of other entries."""
+        self._rests_listeners.append(listener)
+
     def on_followed(self, listener: FollowListener) -> None:
         """Call a function each time that a replica has told everything, having been chosen."""
         self._follow_listeners.append(listener)
@@ -265,6 +273,8 @@
             for listener_of_suspects in self._suspects_listeners:
                 listener_of_suspects(news, bool(update.whole))
         self._take_limits(update)
+        for take_rests in self._rests_listeners if update.rests else ():
+            take_rests(update.rests)
         for followed in self._follow_listeners if update.whole else ():
             followed()
         self._replicas.take(update.replicas)
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -13,6 +13,7 @@
 from leadhollow.control.operators import ControlListener
 from leadhollow.control.registry import Registry
 from leadhollow.control.replica_service import STATE_FOLDER, ReplicaService
+from leadhollow.control.self_report_relay import SelfReportRelay
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.control.version_ages import VersionAges
 from leadhollow.node.process import FORGET_AFTER_S, FORGET_BEATS
@@ -78,6 +79,13 @@
             naming_times=kernel.get("version-ages", VersionAges).times,
             suspects=kernel.get("suspects", SuspectRelay),
             limits=kernel.get("limits", LimitRelay),
+            self_reports=SelfReportRelay(
+                own_address=settings.wire_address,
+                replicas=replica().addresses,
+                leaving=kernel.get("registry", Registry),
+                peers=process.peers,
+                handlers=process.handlers,
+            ),
         )
 
     def make_limits() -> Service:
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -70,15 +70,16 @@
 struct LimitShare { 1: string life; 2: double share }
 struct LimitLease { 1: string vm; 2: i64 asked_ms; 3: list<LimitShare> shares }
 struct LimitLeases { 1: i64 term; 2: list<LimitLease> leases }
-// Lives of backend servers that said in an answer that they leave.
-struct LeavingLife { 1: string instance; 2: i64 born_ms }
-struct LeavingNews { 1: list<LeavingLife> lives }
+// What lives of backend servers said of themselves in answers: that they leave, or the rest that they want of a
+// VM, as what is left of it. The address is that of a replica that passes it on, empty of an entry.
+struct ServerWord { 1: string instance; 2: i64 born_ms; 3: bool leaving; 4: i32 rest_ms }
+struct ServerWords { 1: string address; 2: list<ServerWord> words }
 // takes_packed: items may come as packed_items, msgpack compressed by zlib.
 struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision; 5: bool takes_packed }
 // How long ago a version of weights was named, by steady clocks only: the time of day may jump.
 struct VersionAge { 1: string model; 2: i64 version; 3: i64 age_ms }
 // Field 10 is not sent any more; packed_uses says the same in three bytes an engine.
-struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses; 15: SuspectNews suspects; 16: binary packed_items; 17: LimitNews limits; 18: LimitLease limit_lease }
+struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses; 15: SuspectNews suspects; 16: binary packed_items; 17: LimitNews limits; 18: LimitLease limit_lease; 19: list<ServerWord> rests }
 struct FeedProbe { 1: string vm }
 struct FeedProbeReply { 1: i32 confirmed_age_ms; 2: i64 revision; 3: list<string> replicas }
 struct RegistryPush { 1: string address; 2: list<InstanceRecord> instances; 3: list<LoadRecord> loads; 4: i32 entries; 5: bool whole; 6: list<VersionAge> named }
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -78,7 +78,7 @@
     93: ttypes.SuspectRelease,
     96: ttypes.LimitNews,
     97: ttypes.LimitLeases,
-    98: ttypes.LeavingNews,
+    98: ttypes.ServerWords,
     90: ttypes.PieceWatch,
     91: ttypes.PieceNews,
     94: ttypes.SliceRequest,
--- a/tests/control/test_feed_server.py
+++ b/tests/control/test_feed_server.py
@@ -9,6 +9,7 @@
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.control.limit_relay import LimitRelay
 from leadhollow.control.registry import Registry
+from leadhollow.control.self_report_relay import SelfReportRelay
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.membership.naming_times import NamingTimes
@@ -80,6 +81,9 @@
             handlers=self.handlers,
             naming_times=self.times,
             suspects=SuspectRelay(**shared, peers=self.peers, handlers=self.handlers),
+            self_reports=SelfReportRelay(
+                **shared, leaving=self.registry, peers=self.peers, handlers=self.handlers
+            ),
             limits=LimitRelay(
                 **shared,
                 lead=NoLead(),
--- a/tests/control/test_registry.py
+++ b/tests/control/test_registry.py
@@ -16,8 +16,6 @@
     report_interval_s,
 )
 from leadhollow.wire.generated.ttypes import (
-    LeavingLife,
-    LeavingNews,
     LoadRecord,
     ServedModel,
 )
@@ -138,9 +136,8 @@
         registry.announce(an_instance(heard_s=asyncio.get_running_loop().time()))
         told: list[InstanceState] = []
         registry.on_change(lambda instances, _: told.extend(one.state for one in instances))
-        news = LeavingNews([LeavingLife("i-1", 0), LeavingLife("i-9", 0), LeavingLife(None, None)])
-        for _ in range(2):
-            registry._on_leaving(news, None)
+        for instance in ("i-1", "i-9", "i-1"):
+            registry.take_leaving(instance, born_ms=0)
         assert told == [InstanceState.DRAINING]
         now_s = asyncio.get_running_loop().time()
         assert [one.state for one in registry._own_instances(now_s)] == [InstanceState.DRAINING]
--- a/tests/control/test_uses_at_size.py
+++ b/tests/control/test_uses_at_size.py
@@ -12,6 +12,7 @@
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.control.limit_relay import LimitRelay
 from leadhollow.control.registry import Registry
+from leadhollow.control.self_report_relay import SelfReportRelay
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.membership.naming_times import NamingTimes
@@ -82,6 +83,9 @@
             handlers=self.handlers,
             naming_times=times,
             suspects=SuspectRelay(**shared, peers=self.posts, handlers=self.handlers),
+            self_reports=SelfReportRelay(
+                **shared, leaving=self.registry, peers=self.posts, handlers=self.handlers
+            ),
             limits=LimitRelay(
                 **shared,
                 lead=NoLead(),
--- a/tests/forward/test_exchange.py
+++ b/tests/forward/test_exchange.py
@@ -36,6 +36,9 @@
     def on_followed(self, listener) -> None:
         return
 
+    def on_rests(self, listener) -> None:
+        return
+
 
 class SlowPool:
     """Gives a connection when a test lets it."""
--- a/tests/node/test_resting_server.py
+++ b/tests/node/test_resting_server.py
@@ -158,3 +158,33 @@
                 await eventually(lambda: len(servers[0].arrivals_s) > 5, "requests")
 
         on_site(tmp_path, "stream", work)
+
+    # Guards against: each entry finds out for itself, at the cost of a repeat each.
+    def test_of_another_entry_makes_this_one_prefer_other_servers(self, tmp_path):
+        async def work(site: Site, servers) -> None:
+            servers[0].retry_after = "30"
+            async with Load(site=site, entries=[0]):
+                await eventually(lambda: servers[0].told_s, "a request for rest")
+            await asyncio.sleep(1.0)  # until no entry has an answer of late
+            servers[0].arrivals_s.clear()
+            async with Load(site=site, entries=[1, 2]) as load:
+                await asyncio.sleep(0.7)
+            assert servers[0].arrivals_s == []
+            assert set(load.statuses) == {200}
+
+        on_site(tmp_path, "plain", work, entries=ENTRIES)
+
+    # Guards against: a server that wants rest of one entry only is lost to all.
+    def test_of_another_entry_does_not_bind_this_one(self, tmp_path):
+        async def work(site: Site, servers) -> None:
+            for server in servers:
+                server.retry_after = "30"
+            async with Load(site=site, entries=[0]):
+                await eventually(lambda: all(server.told_s for server in servers), "rests")
+            for server in servers:
+                server.reset()
+            async with Load(site=site, entries=[1]) as load:
+                await asyncio.sleep(0.7)
+            assert set(load.statuses) == {200}
+
+        on_site(tmp_path, "stream", work, entries=ENTRIES)
