Tell replicas without a vote what other replicas hear

What callers saw: requests sent to a server that had left, by entries that follow a replica without a vote (the sixth of six, or one that has just replaced another). Cause: replicas told each other what they hear only as far as voters and seeds; the leader alone knows replicas without a vote, so these heard of what was told at the leader and of nothing else. Class: a list of peers kept for one purpose, the quorum, used for another, who must hear.

--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable
 
+from leadhollow.control.replica_directory import ReplicaDirectory
 from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance, InstanceState
@@ -88,6 +89,8 @@
         Where other replicas reach us.
     replicas
         Gives the addresses of all replicas.
+    directory
+        Told of each replica that is heard.
     forget_after_s
         Silence after which a backend server is dropped.
     heartbeat_s
@@ -99,6 +102,7 @@
     """
 
     __slots__ = (
+        "_directory",
         "_dirty",
         "_dirty_loads",
         "_entries_elsewhere",
@@ -122,6 +126,7 @@
         *,
         own_address: str,
         replicas: Callable[[], list[str]],
+        directory: ReplicaDirectory,
         peers: PeerPool,
         handlers: HandlerTable,
         forget_after_s: float,
@@ -132,6 +137,7 @@
         self._own_address = own_address
         self._own_word_s = max(OWN_WORD_S, OWN_WORD_BEATS * heartbeat_s)
         self._replicas = replicas
+        self._directory = directory
         self._serves = serves
         self._peers = peers
         self._loads: dict[str, Load] = {}
@@ -229,6 +235,7 @@
             self.entries_here,
             whole,
             self._naming_times.ages() if whole else None,
+            self._directory.heard() if whole else None,
         )
         for address in self._replicas():
             if address != self._own_address:
@@ -246,6 +253,7 @@
 
     def _on_push(self, push: RegistryPush, connection: Connection) -> None:
         now_s = _now_s()
+        self._directory.note(push.address, push.heard or ())
         self._entries_elsewhere[push.address] = (int(push.entries or 0), now_s)
         self._naming_times.learn(push.named or ())
         changed = []
--- a/src/leadhollow/control/replica_service.py
+++ b/src/leadhollow/control/replica_service.py
@@ -7,7 +7,9 @@
 
 from result import Err, Ok, Result
 
+from leadhollow.control.replica_directory import ReplicaDirectory
 from leadhollow.failure import Failure
+from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeSettings
 from leadhollow.state.gateway import LeaderGateway
@@ -36,6 +38,7 @@
         "_roster",
         "_seeds",
         "_settings",
+        "directory",
         "gateway",
         "replica",
     )
@@ -47,6 +50,7 @@
         self._seeds = settings.seed_wire_addresses
         self._joining: Joining | None = None
         self._roster: RosterKeeper | None = None
+        self.directory = ReplicaDirectory(clock=clocks.elapsed_s)
         self.replica: Replica
         self.gateway: LeaderGateway
 
@@ -100,7 +104,11 @@
         await self.replica.stop()
 
     def addresses(self) -> list[str]:
-        """Give every address at which a replica may be found, our own included."""
+        """Give every address at which a replica is or may be found, our own included."""
+        return list(dict.fromkeys([*self._rostered(), *self.directory.addresses()]))
+
+    def _rostered(self) -> list[str]:
+        """Give the addresses of voters, seeds and, where we lead, of learners."""
         found = [voter.address for voter in self.replica.voters.voters]
         found += [follower.peer.address for follower in self.replica.leadership.followers()]
         return list(dict.fromkeys([*found, *self._seeds, self._settings.wire_address]))
@@ -114,7 +122,7 @@
             if peer.failure_domain
         }
         domains[self._settings.wire_address] = self._settings.failure_domain
-        return sorted(f"{address} {domains.get(address, '')}" for address in self.addresses())
+        return sorted(f"{address} {domains.get(address, '')}" for address in self._rostered())
 
     def use_seeds(self, seeds: tuple[str, ...]) -> None:
         """Look for replicas at other seeds from now on."""
@@ -129,7 +137,7 @@
         self._joining = Joining(
             replica=self.replica,
             own=own,
-            known=self.addresses,
+            known=self._rostered,
             peers=self._peers,
             handlers=self._handlers,
         )
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -52,6 +52,7 @@
         return Registry(
             own_address=settings.wire_address,
             replicas=replica().addresses,
+            directory=replica().directory,
             peers=process.peers,
             handlers=process.handlers,
             forget_after_s=max(FORGET_AFTER_S, FORGET_BEATS * heartbeat_s),
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -82,7 +82,7 @@
 struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses; 15: SuspectNews suspects; 16: binary packed_items; 17: LimitNews limits; 18: LimitLease limit_lease; 19: list<ServerWord> rests }
 struct FeedProbe { 1: string vm }
 struct FeedProbeReply { 1: i32 confirmed_age_ms; 2: i64 revision; 3: list<string> replicas }
-struct RegistryPush { 1: string address; 2: list<InstanceRecord> instances; 3: list<LoadRecord> loads; 4: i32 entries; 5: bool whole; 6: list<VersionAge> named }
+struct RegistryPush { 1: string address; 2: list<InstanceRecord> instances; 3: list<LoadRecord> loads; 4: i32 entries; 5: bool whole; 6: list<VersionAge> named; 7: list<string> heard }
 struct LoadReport { 1: list<LoadRecord> loads }
 
 // Pieces between stagers.
--- /dev/null
+++ b/tests/control/test_learners.py
@@ -0,0 +1,89 @@
+"""A control replica without a vote hears what is told at any other one."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from leadhollow.control.registry import Registry
+from leadhollow.membership.naming_times import NamingTimes
+from tests.control.test_feed_server import an_instance
+from tests.state.seeded_group import SeededGroup, SeededNode
+from tests.support import eventually
+
+LEARNERS = ("127.0.0.14", "127.0.0.15")
+
+
+def registry_of(node: SeededNode) -> Registry:
+    return Registry(
+        own_address=node.settings.wire_address,
+        replicas=node.service.addresses,
+        directory=node.service.directory,
+        peers=node.peers,
+        handlers=node.handlers,
+        forget_after_s=60.0,
+        heartbeat_s=1.2,
+        naming_times=NamingTimes(clock=asyncio.get_running_loop().time),
+        serves=lambda name: True,
+    )
+
+
+class Group(SeededGroup):
+    """Three voters and two replicas that vote not, each with its backend servers."""
+
+    async def start_registries(self) -> None:
+        await self.start_all()
+        await eventually(self.leader, "a leader")
+        for host in LEARNERS:
+            await self.start(host, first_start=True)
+        self.registries = {host: registry_of(node) for host, node in self.nodes.items()}
+        for registry in self.registries.values():
+            assert (await registry.start()).is_ok()
+
+    async def stop_registries(self) -> None:
+        for registry in self.registries.values():
+            await registry.stop()
+        await self.stop_all()
+
+    def others(self) -> list[str]:
+        """Give the voters that do not lead."""
+        leader = self.leader()
+        assert leader is not None
+        return [host for host in self.seeds if host != leader.host]
+
+
+@pytest.fixture
+async def group(tmp_path):
+    made = Group(folder=tmp_path)
+    await made.start_registries()
+    yield made
+    await made.stop_registries()
+
+
+class TestLearner:
+    # Guards against: entries that follow a replica without a vote send to a server that has left.
+    async def test_hears_what_is_told_at_a_voter_that_does_not_lead(self, group):
+        where = group.others()[0]
+        heard = an_instance(heard_s=asyncio.get_running_loop().time())
+        group.registries[where].announce(heard)
+        for host in LEARNERS:
+            table = group.registries[host].table
+            await eventually(lambda table=table: table.get(heard.instance), "the server")
+        group.registries[where].leave(heard.instance)
+        for host in LEARNERS:
+            table = group.registries[host].table
+            await eventually(lambda table=table: table.get(heard.instance) is None, "its farewell")
+
+    async def test_hears_what_is_told_at_another_learner(self, group):
+        heard = an_instance(heard_s=asyncio.get_running_loop().time())
+        group.registries[LEARNERS[0]].announce(heard)
+        table = group.registries[LEARNERS[1]].table
+        await eventually(lambda: table.get(heard.instance), "the server")
+
+    async def test_that_is_gone_is_told_nothing_any_more(self, group):
+        voter = group.nodes[group.others()[0]]
+        address = group.nodes[LEARNERS[0]].settings.wire_address
+        await eventually(lambda: address in voter.service.addresses(), "its address")
+        await group.registries[LEARNERS[0]].stop()
+        await eventually(lambda: address not in voter.service.addresses(), "a shorter list")
--- a/tests/control/test_registry.py
+++ b/tests/control/test_registry.py
@@ -7,6 +7,7 @@
 import pytest
 
 from leadhollow.control.registry import LOAD_VALID_S, Load, Registry, load_valid_s
+from leadhollow.control.replica_directory import ReplicaDirectory
 from leadhollow.membership.instances import InstanceState
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.membership.reporting import (
@@ -91,6 +92,7 @@
     return Registry(
         own_address="127.0.0.1:1",
         replicas=lambda: [],
+        directory=ReplicaDirectory(clock=asyncio.get_running_loop().time),
         peers=PeerPool(vm="r", failure_domain="d", token=TOKEN, handlers=handlers),
         handlers=handlers,
         forget_after_s=60.0,
--- a/tests/control/test_uses_at_size.py
+++ b/tests/control/test_uses_at_size.py
@@ -12,6 +12,7 @@
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.control.limit_relay import LimitRelay
 from leadhollow.control.registry import Registry
+from leadhollow.control.replica_directory import ReplicaDirectory
 from leadhollow.control.self_report_relay import SelfReportRelay
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.membership.instances import Instance, InstanceState
@@ -66,6 +67,7 @@
         times = NamingTimes(clock=loop.time)
         self.registry = Registry(
             **shared,
+            directory=ReplicaDirectory(clock=asyncio.get_running_loop().time),
             peers=self.posts,
             handlers=self.handlers,
             forget_after_s=60.0,
