Give every peer that asks for patience its time, and tell of engines that leave from beside them

The origin's and the engine's 429 or 503 with Retry-After to stagers and control replicas, the engine's 503 behind a gate, and Server-Leaving in an engine's reports were read by nobody. Change: the one caller of short HTTP exchanges keeps a rest by address, by the clock that counts suspensions, until another life of the engine has it; a gate keeps the rest of its engine for all entries, and lets one attempt find out afterwards; a stager tells control of an engine that leaves, also where no request reaches it, and gives it no pieces or orders. Evidence: tests/http1/test_fetch.py, tests/backend/test_gate.py, tests/staging/test_load_reports.py, test_installer.py, each with a peer that asks; on the source before, the new tests of these files fail. A gate does not take its engine's word that it leaves: open.

--- a/src/leadhollow/backend/dispatches.py
+++ b/src/leadhollow/backend/dispatches.py
@@ -7,7 +7,8 @@
 from result import Err, Ok, Result
 
 from leadhollow.backend.engine_client import AnswerHead, EngineClient
-from leadhollow.backend.engine_limit import LIMIT_FIELD, EngineLimit
+from leadhollow.backend.engine_limit import LIMIT_FIELD
+from leadhollow.backend.engine_rest import REST_FIELD
 from leadhollow.backend.gate import Gate
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
@@ -35,10 +36,10 @@
     """
 
     __slots__ = (
+        "_gate",
         "_headers",
         "_held",
         "_is_events",
-        "_limit",
         "_sent_s",
         "_sequence",
         "_sink",
@@ -46,9 +47,9 @@
         "ended",
     )
 
-    def __init__(self, *, sink: StreamSink, limit: EngineLimit) -> None:
+    def __init__(self, *, sink: StreamSink, gate: Gate) -> None:
         self._sink = sink
-        self._limit = limit
+        self._gate = gate
         self._sent_s = clocks.elapsed_s()
         self._sequence = 0
         self._held = b""
@@ -58,8 +59,9 @@
         self.ended = False
 
     async def head(self, head: AnswerHead) -> None:
-        """Keep status and headers for the first frame, and note a limit that they name."""
-        self._limit.note_answer(head.values(LIMIT_FIELD), sent_s=self._sent_s)
+        """Keep status and headers for the first frame, and note what they say of the engine."""
+        self._gate.limit.note_answer(head.values(LIMIT_FIELD), sent_s=self._sent_s)
+        self._gate.rest.note_answer(head.status, head.values(REST_FIELD))
         self._status = head.status
         self._is_events = head.headers.get("Content-Type", "").startswith(EVENT_STREAM)
         self._headers = {
@@ -152,7 +154,7 @@
             raise
 
     async def _run(self, dispatch: Dispatch, sink: StreamSink) -> Result[Output, Failure]:
-        answer = _WireSink(sink=sink, limit=self._gate.limit)
+        answer = _WireSink(sink=sink, gate=self._gate)
         try:
             ran = await self._engine.run(dispatch, answer)
             return Err(ran.unwrap_err()) if ran.is_err() else answer.finish()
--- /dev/null
+++ b/src/leadhollow/backend/engine_rest.py
@@ -0,0 +1,69 @@
+"""The rest that the engine beside this process asks for when it turns a request away.
+
+All requests to the engine pass its gate, so a rest that is kept here holds for all entries.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Hashable, Sequence
+from http import HTTPStatus
+
+from leadhollow.codes import Code
+from leadhollow.decide.server_rest import ServerRest
+from leadhollow.failure import Failure
+from leadhollow.http1.decimals import read_decimal
+from leadhollow.kernel import clocks
+from leadhollow.observe.logs import get_logger
+
+REST_FIELD = "Retry-After"
+
+log = get_logger("gate")
+
+
+class EngineRest:
+    """Rest of one engine."""
+
+    __slots__ = ("_malformed", "_rest")
+
+    def __init__(self) -> None:
+        self._rest: ServerRest | None = None
+        self._malformed = 0
+
+    def note_answer(self, status: int, values: Sequence[str]) -> None:
+        """Take what an answer asks for.
+
+        Parameters
+        ----------
+        values
+            Of the field, none where the answer asks for no rest.
+        """
+        if status != HTTPStatus.SERVICE_UNAVAILABLE or not values:
+            if self._rest is not None and self._rest.due:
+                self._rest = None
+            return
+        rest_s = read_decimal([value.encode("latin-1", "replace") for value in values])
+        if rest_s is None:
+            self._note_malformed()
+        elif rest_s:
+            if self._rest is None:
+                self._rest = ServerRest(clock=clocks.elapsed_s, source=random.Random())
+            self._rest.ask(rest_s)
+            log.info("engine wants rest", rest_s=rest_s)
+
+    def take(self, attempt: Hashable) -> bool:
+        """Let an attempt go to the engine; after a rest one goes first, until it is answered."""
+        return self._rest is None or self._rest.claim(attempt)
+
+    def end(self, attempt: Hashable) -> None:
+        """Note that an attempt has ended."""
+        if self._rest is not None:
+            self._rest.give_back(attempt)
+
+    def _note_malformed(self) -> None:
+        if not self._malformed:
+            log.warning("rest not taken", failure=str(Failure(code=Code.REST_MALFORMED)))
+        self._malformed += 1
+
+
+__all__ = ["REST_FIELD", "EngineRest"]
--- a/src/leadhollow/backend/gate.py
+++ b/src/leadhollow/backend/gate.py
@@ -8,6 +8,7 @@
 
 from leadhollow.backend.change_signal import ChangeSignal
 from leadhollow.backend.engine_limit import EngineLimit
+from leadhollow.backend.engine_rest import EngineRest
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.kernel import clocks
@@ -47,6 +48,8 @@
     limit
         What the engine says of the requests that it takes; while it leaves no room, entries are
         refused as where no slot is free.
+    rest
+        Rest that the engine asks for; meanwhile entries are refused likewise.
     """
 
     __slots__ = (
@@ -56,6 +59,7 @@
         "in_flight",
         "incarnation",
         "limit",
+        "rest",
         "serving_root",
         "signal",
         "slots",
@@ -67,6 +71,7 @@
         self.signal = signal
         self.incarnation = clocks.wall_ns()
         self.limit = EngineLimit()
+        self.rest = EngineRest()
         self.state = GateState.OPEN
         self.serving_root = ""
         self.in_flight = 0
@@ -98,6 +103,7 @@
     def leave(self, dispatch: Dispatch) -> None:
         """Note that an admitted attempt ended."""
         key = (dispatch.request_id, dispatch.attempt)
+        self.rest.end(key)
         self._attempts[key] = Progress.FINISHED
         self._attempts.move_to_end(key)
         while len(self._attempts) > FINISHED_KEPT:
@@ -155,7 +161,10 @@
             return Failure(code=Code.BACKEND_REFUSED, detail="another version runs here")
         if self.in_flight >= self.slots:
             return Failure(code=Code.SLOTS_FULL)
+        if not self.rest.take(key):
+            return Failure(code=Code.SLOTS_FULL, detail="the engine wants rest")
         if not self.limit.take():
+            self.rest.end(key)
             return Failure(code=Code.SLOTS_FULL, detail="the engine's limit leaves no room")
         return None
 
--- a/src/leadhollow/decide/server_rest.py
+++ b/src/leadhollow/decide/server_rest.py
@@ -81,11 +81,11 @@
             return False
         if self._trial is None:
             self._trial = request
-        return self._trial is request
+        return self._trial == request
 
     def give_back(self, request: Hashable) -> None:
         """Note that a request has ended; another one may find out."""
-        if self._trial is request:
+        if self._trial == request:
             self._trial = None
 
 
--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -11,6 +11,7 @@
 from leadhollow.http1.client_connection import Answer, ClientConnection, open_connection
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead, ResponseHead
+from leadhollow.http1.peer_rests import PeerRests
 from leadhollow.kernel import clocks
 from leadhollow.settings.address import Address
 
@@ -37,17 +38,20 @@
 class HttpCaller:
     """Sends requests to one address after the other, keeping a connection for each in use.
 
+    An address that asked for rest gets nothing until that is over.
+
     Parameters
     ----------
     connect_timeout_s
         Time in which a connection must open.
     """
 
-    __slots__ = ("_connect_timeout_s", "_idle")
+    __slots__ = ("_connect_timeout_s", "_idle", "_rests")
 
     def __init__(self, *, connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, list[ClientConnection]] = {}
+        self._rests = PeerRests()
 
     async def fetch(
         self,
@@ -67,13 +71,23 @@
             No connection, or it broke.
         PEER_TIMEOUT
             No whole answer in time.
+        SERVER_RESTS
+            It asked for rest; nothing was sent.
         """
+        left_s = self._rests.left_s(address)
+        if left_s > 0:
+            detail = f"{address} wants rest for {left_s:.1f} s more"
+            return Err(Failure(code=Code.SERVER_RESTS, detail=detail))
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._exchange(method, address, target, body, content_type)
         except TimeoutError:
             return Err(Failure(code=Code.PEER_TIMEOUT, detail=f"{address}{target}"))
 
+    def forget_rest(self, address: Address) -> None:
+        """Note that another process has an address: what the former one asked for is over."""
+        self._rests.forget(address)
+
     def close(self) -> None:
         """Close idle connections."""
         for connections in self._idle.values():
@@ -100,6 +114,7 @@
             if answered.is_err():
                 return Err(_lost(address, target, answered.unwrap_err()))
             answer = answered.unwrap()
+            self._rests.note_answer(address, answer.head)
             content = await _read_whole(answer)
             if content.is_err():
                 return Err(_lost(address, target, content.unwrap_err()))
--- a/src/leadhollow/platform/answer_fields.py
+++ b/src/leadhollow/platform/answer_fields.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from leadhollow.http1.headers import Headers
+
 DECODED = frozenset(
     {
         "connection",
@@ -33,6 +35,15 @@
 UNUSUAL = frozenset({"retry-after", "server-leaving", "server-limit"})
 """Decoded fields that few answers have, so that others are not searched for them."""
 
+SERVER_LEAVING = b"server-leaving"
+LEAVES = b"1"
+
+
+def says_leaving(headers: Headers) -> bool:
+    """Tell whether an answer says that its engine leaves."""
+    return LEAVES in headers.get_all(SERVER_LEAVING)
+
+
 KNOWN = DECODED | IGNORED.keys()
 
-__all__ = ["DECODED", "IGNORED", "KNOWN", "UNUSUAL"]
+__all__ = ["DECODED", "IGNORED", "KNOWN", "UNUSUAL", "says_leaving"]
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -33,8 +33,6 @@
 INSTANCE_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"  # requests a second that an engine takes from all together
-SERVER_LEAVING = b"server-leaving"
-LEAVES = b"1"
 
 SET_BY_US = frozenset(
     {
@@ -118,7 +116,7 @@
             attempt_id=None if attempt_id is None else attempt_id.decode("latin-1"),
             limit_per_s=limit_per_s,
             limit_malformed=bool(limits) and limit_per_s is None,
-            leaving=unusual and LEAVES in headers.get_all(SERVER_LEAVING),
+            leaving=unusual and answer_fields.says_leaving(headers),
             rest_s=rest_s,
             rest_malformed=bool(rests) and rest_s is None,
             signed=headers.get(SIGNATURE) is not None,
--- a/src/leadhollow/platform/engines.py
+++ b/src/leadhollow/platform/engines.py
@@ -9,6 +9,8 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.http1.messages import ResponseHead
+from leadhollow.platform.answer_fields import says_leaving
 from leadhollow.platform.control import LAST_MS, HeldLayers, HeldModel, read_served
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
 
@@ -60,7 +62,7 @@
         """Give the path of the report."""
         return "/-/report"
 
-    def read_report(self, body: bytes) -> Result[EngineReport, Failure]:
+    def read_report(self, head: ResponseHead, body: bytes) -> Result[EngineReport, Failure]:
         """Decode a report."""
         try:
             document = _reports.decode(body)
@@ -77,6 +79,7 @@
                 memory_tokens=document.kv_total,
                 pace=document.pace,
                 born_ms=document.born,
+                leaving=says_leaving(head.headers),
             )
         )
 
--- a/src/leadhollow/staging/engine_client.py
+++ b/src/leadhollow/staging/engine_client.py
@@ -34,7 +34,8 @@
         answered = await self._fetch("GET", self._dialect.report_target(), REPORT_TIMEOUT_S)
         if answered.is_err():
             return Err(answered.unwrap_err())
-        return self._dialect.read_report(answered.unwrap().body)
+        answer = answered.unwrap()
+        return self._dialect.read_report(answer.head, answer.body)
 
     async def put(self, model: str, index: int, data: bytes) -> Result[None, Failure]:
         """Lay a piece into the stage."""
@@ -65,6 +66,10 @@
         )
         return Ok(None) if answered.is_ok() else Err(answered.unwrap_err())
 
+    def forget_rest(self) -> None:
+        """Note that another life of the engine has begun."""
+        self._http.forget_rest(self._address)
+
     def close(self) -> None:
         """Close idle connections."""
         self._http.close()
--- a/src/leadhollow/staging/engine_dialect.py
+++ b/src/leadhollow/staging/engine_dialect.py
@@ -7,6 +7,7 @@
 from result import Result
 
 from leadhollow.failure import Failure
+from leadhollow.http1.messages import ResponseHead
 from leadhollow.membership.instances import ServedVersion
 
 
@@ -29,12 +30,15 @@
         How much slower than declared it is; 1 is as declared.
     born_ms
         When it started, by its own clock; 0 where it does not say.
+    leaving
+        Whether it says that it is about to end.
     """
 
     __slots__ = (
         "active",
         "born_ms",
         "busy",
+        "leaving",
         "memory_tokens",
         "memory_used_tokens",
         "pace",
@@ -55,7 +59,9 @@
         memory_tokens: int,
         pace: float,
         born_ms: int = 0,
+        leaving: bool = False,
     ) -> None:
+        self.leaving = leaving
         self.served = served
         self.born_ms = born_ms
         self.busy = busy
@@ -94,8 +100,8 @@
         """Give the path of the report."""
         ...
 
-    def read_report(self, body: bytes) -> Result[EngineReport, Failure]:
-        """Decode a report."""
+    def read_report(self, head: ResponseHead, body: bytes) -> Result[EngineReport, Failure]:
+        """Decode a report and what its header fields say of the engine."""
         ...
 
     def put_target(self, model: str, index: int) -> str:
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -152,6 +152,8 @@
     async def _advance(self, model: str) -> None:
         """Do the next step towards the wanted version of a model."""
         report = self._watch.report
+        if report is not None and report.leaving:
+            return
         known = versions_of(self._catalog, model)
         self._idle = self._idle and bool(known) and report is not None
         if not known or (report is None and self._may_hold_stage()):
--- a/src/leadhollow/staging/load_reports.py
+++ b/src/leadhollow/staging/load_reports.py
@@ -7,10 +7,11 @@
 
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.control_feed import ControlFeed
+from leadhollow.membership.server_words import leaving_word
 from leadhollow.observe.logs import get_logger
 from leadhollow.staging.engine_client import LocalEngine
 from leadhollow.staging.engine_dialect import EngineReport
-from leadhollow.wire.generated.ttypes import LoadRecord, LoadReport
+from leadhollow.wire.generated.ttypes import LoadRecord, LoadReport, ServerWords
 from leadhollow.wire.peers import PeerPool
 
 INTERVAL_S = 0.1
@@ -48,6 +49,7 @@
         "_engine",
         "_feed",
         "_interval_s",
+        "_life",
         "_listeners",
         "_path_delay_s",
         "_peers",
@@ -76,6 +78,7 @@
         self._interval_s = interval_s
         self._sent: tuple[object, ...] = ()
         self._sent_s = 0.0
+        self._life = ""  # of the engine, as control last told
         self._listeners: list[Callable[[], None]] = []
         self.report: EngineReport | None = None
         self.switching = False
@@ -88,6 +91,7 @@
 
     async def refresh(self) -> EngineReport | None:
         """Ask the engine now."""
+        self._note_life()
         asked = await self._engine.report()
         if asked.is_err():
             if self.report is not None:
@@ -102,6 +106,20 @@
             listener()
         return self.report
 
+    def _note_life(self) -> None:
+        """Give an engine that has started anew no rest that its former life asked for."""
+        known = self._feed.table.at_address(self._address)
+        if known is not None and known.life != self._life:
+            self._life = known.life
+            self._engine.forget_rest()
+
+    def _leaving(self, report: EngineReport) -> ServerWords | None:
+        """Give the word that the engine leaves, where it says so and control knows its name."""
+        known = self._feed.table.at_address(self._address)
+        if not report.leaving or known is None or known.born_ms != report.born_ms:
+            return None
+        return ServerWords("", [leaving_word(known.instance, known.born_ms)])
+
     async def tell(self) -> None:
         """Report the load to the control replica now."""
         report = self.report
@@ -127,6 +145,9 @@
             report.born_ms,
         )
         connected.unwrap().oneway(LoadReport([record]))
+        leaving = self._leaving(report)
+        if leaving is not None:
+            connected.unwrap().oneway(leaving)
         self._sent_s = asyncio.get_running_loop().time()
 
     async def _work(self) -> None:
@@ -138,6 +159,7 @@
             said = (
                 report.born_ms,
                 report.busy,
+                report.leaving,
                 self.switching,
                 self.staged(),
                 tuple(found.key() for found in report.served),
--- a/tests/backend/test_gate.py
+++ b/tests/backend/test_gate.py
@@ -139,3 +139,30 @@
         gate.limit.note_answer(["2"], sent_s=99.0)
         gate.limit.note_answer(values, sent_s=101.0)
         assert gate.limit.per_s == 2.0
+
+
+class TestRest:
+    # Guards against: each entry goes on to send to an engine that wants rest, behind its gate.
+    async def test_holds_for_all_entries_and_ends_with_one_attempt(self, gate):
+        gate.rest.note_answer(503, ["0.1"])
+        assert gate.enter(dispatch(gate, "a")).code is Code.SLOTS_FULL
+        await asyncio.sleep(0.25)
+        assert gate.enter(dispatch(gate, "b")) is None
+        assert gate.enter(dispatch(gate, "c")).code is Code.SLOTS_FULL
+        gate.rest.note_answer(200, [])
+        assert gate.enter(dispatch(gate, "d")) is None
+
+    async def test_goes_on_where_the_attempt_that_finds_out_breaks(self, gate):
+        gate.rest.note_answer(503, ["0.05"])
+        await asyncio.sleep(0.15)
+        assert gate.enter(dispatch(gate, "a")) is None
+        gate.leave(dispatch(gate, "a"))
+        assert gate.enter(dispatch(gate, "b")) is None
+
+    @pytest.mark.parametrize(
+        ("status", "values"),
+        [(503, []), (503, ["0"]), (503, ["soon"]), (503, ["1", "2"]), (200, ["9"])],
+    )
+    async def test_is_asked_for_by_503_and_a_number_of_seconds_only(self, gate, status, values):
+        gate.rest.note_answer(status, values)
+        assert gate.enter(dispatch(gate)) is None
--- /dev/null
+++ b/tests/http1/test_fetch.py
@@ -0,0 +1,81 @@
+"""Peers that ask for patience get nothing until their time is over."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from leadhollow.codes import Code
+from leadhollow.http1.fetch import HttpCaller
+from leadhollow.settings.address import Address
+
+
+class Peer:
+    """Answers every request alike, and counts them."""
+
+    def __init__(self, answer: bytes) -> None:
+        self.answer = answer
+        self.requests = 0
+        self.caller = HttpCaller()
+
+    async def __aenter__(self) -> Peer:
+        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._listener.sockets[0].getsockname()
+        self.address = Address(host=host, port=port)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.caller.close()
+        self._listener.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                self.requests += 1
+                writer.write(self.answer)
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def ask(self):
+        return await self.caller.fetch("GET", self.address, "/", timeout_s=1.0)
+
+
+def answer(status: str, *fields: str) -> bytes:
+    return "\r\n".join([f"HTTP/1.1 {status}", *fields, "Content-Length: 0", "", ""]).encode()
+
+
+class TestPeerThatAsksForRest:
+    # Guards against: an origin or engine that asked for patience is only asked again.
+    @pytest.mark.parametrize("status", ["503 Away", "429 Busy"])
+    async def test_gets_nothing_until_it_is_over(self, status):
+        async with Peer(answer(status, "Retry-After: 0.3")) as peer:
+            assert (await peer.ask()).unwrap().status == int(status[:3])
+            for _ in range(3):
+                assert (await peer.ask()).unwrap_err().code is Code.SERVER_RESTS
+            assert peer.requests == 1
+            await asyncio.sleep(0.35)
+            assert (await peer.ask()).is_ok()
+            assert peer.requests == 2
+
+    async def test_is_asked_at_once_where_another_process_has_its_address(self):
+        async with Peer(answer("503 Away", "Retry-After: 600")) as peer:
+            await peer.ask()
+            peer.caller.forget_rest(peer.address)
+            assert (await peer.ask()).is_ok()
+
+    @pytest.mark.parametrize(
+        ("status", "value"),
+        [
+            ("200 OK", "600"),
+            ("500 Failed", "600"),
+            ("503 Away", "0"),
+            ("503 Away", "soon"),
+            ("503 Away", "-1"),
+        ],
+    )
+    async def test_is_none_by_another_status_or_value(self, status, value):
+        async with Peer(answer(status, f"Retry-After: {value}")) as peer:
+            await peer.ask()
+            assert (await peer.ask()).is_ok()
+            assert peer.requests == 2
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -24,6 +24,13 @@
 from leadhollow.staging.engine_dialect import LoadOrder
 
 
+def read_report(body: bytes, *fields: tuple[bytes, bytes]):
+    answer = ResponseHead(
+        status=200, reason=b"OK", headers=Headers(items=fields), framing=Framing.LENGTH
+    )
+    return PlatformEngine().read_report(answer, body)
+
+
 def head(method: str = "POST", target: str = "/a/b", **fields: str) -> RequestHead:
     items = [(name.replace("_", "-").encode(), value.encode()) for name, value in fields.items()]
     return RequestHead(method=method.encode(), target=target.encode(), headers=Headers(items=items))
@@ -357,20 +364,20 @@
             "kvTotal": 90000,
             "pace": 1.5,
         }
-        report = PlatformEngine().read_report(json.dumps(body).encode()).unwrap()
+        report = read_report(json.dumps(body).encode()).unwrap()
         assert (report.busy, report.sequence, report.queued, report.active) == (True, 2, 1, 12)
         assert report.pace == 1.5
         assert [served.key() for served in report.served] == [("m", 2, 0, 16)]
 
     def test_without_layers_a_model_is_whole(self):
-        report = PlatformEngine().read_report(b'{"models":[{"name":"m","version":1}]}').unwrap()
+        report = read_report(b'{"models":[{"name":"m","version":1}]}').unwrap()
         assert report.served[0].end_layer > 1_000
 
     def test_without_models_nothing_is_served(self):
-        assert PlatformEngine().read_report(b'{"models":[],"layers":[]}').unwrap().served == ()
+        assert read_report(b'{"models":[],"layers":[]}').unwrap().served == ()
 
     def test_what_is_no_report_gets_a_number(self):
-        assert PlatformEngine().read_report(b"no").unwrap_err().code is Code.ENGINE_FAILED
+        assert read_report(b"no").unwrap_err().code is Code.ENGINE_FAILED
 
     def test_orders_are_written(self):
         order = LoadOrder(model="m", version=2, preempt=True, expected_sequence=3)
@@ -452,6 +459,10 @@
 
 
 class TestLeaving:
+    def test_is_said_by_reports_too(self):
+        assert read_report(b"{}", (b"Server-Leaving", b"1")).unwrap().leaving
+        assert not read_report(b"{}").unwrap().leaving
+
     @pytest.mark.parametrize("status", [200, 429, 500, 503])
     def test_is_said_by_an_answer_of_any_status(self, status):
         assert read_repeatedly(status, (b"Server-Leaving", b"1")).leaving
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -33,6 +33,7 @@
         self.orders: list[LoadOrder] = []
         self.served: tuple[ServedVersion, ...] = ()
         self.ordered_s = 0.0
+        self.leaving = False
         self.spoilt: set[int] = set()  # pieces that turn bad once after they were laid
 
     def report_now(self) -> EngineReport:
@@ -45,6 +46,7 @@
             memory_used_tokens=0,
             memory_tokens=1,
             pace=1.0,
+            leaving=self.leaving,
         )
 
     async def held(self, model):
@@ -255,3 +257,20 @@
             assert [found.number for found in bench.fetched] == [3, 2]
 
         in_loop(work)
+
+
+class TestEngineThatLeaves:
+    # Guards against: pieces and an order for an engine that is about to end.
+    def test_gets_neither_pieces_nor_orders(self):
+        async def work() -> None:
+            bench = Bench()
+            bench.engine.leaving = True
+            bench.name(1)
+            await bench.installer.start()
+            await asyncio.sleep(0.5)
+            assert (bench.engine.orders, bench.engine.puts, bench.fetched) == ([], [], [])
+            bench.engine.leaving = False
+            await eventually(lambda: bench.engine.orders, "an order")
+            await bench.installer.stop()
+
+        in_loop(work)
