--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -14,7 +14,7 @@
 from leadhollow.decide.engine_choice import EngineChooser, EngineOption
 from leadhollow.decide.policy import QueuePolicy
 from leadhollow.decide.pressure import Decisions, Pressure
-from leadhollow.decide.server import OwnCall
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.decide.sources import EngineSource, WeightsRule
 from leadhollow.decide.wish import EngineWish, Placement, Standing
 from leadhollow.observe.logs import get_logger, log_decision
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -2,119 +2,26 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 
 from leadhollow.codes import Code
 from leadhollow.decide.engine_model import READING_SHARE, EngineDemand, EngineModel
 from leadhollow.decide.health import Health
 from leadhollow.decide.send_allowance import SendAllowance
+from leadhollow.decide.server_load import Counts, OwnCall, Report
 from leadhollow.decide.server_rest import ServerRest
 from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
 from leadhollow.membership.reporting import SHORTEST_INTERVAL_S, VALID_INTERVALS
 from leadhollow.membership.uses import NO_USE, Use
 from leadhollow.wire.generated.ttypes import LoadRecord
 
-COUNTS_KEPT = 64
 REPORT_VALID_S = VALID_INTERVALS * SHORTEST_INTERVAL_S  # in a domain of few engines
 LATE_WEIGHT = 0.25  # of the newest first event in the running mean
 LATE_HALF_LIFE_S = 2.0
 USUAL_PATH_MS = 60  # between failure domains, with some pieces of weights in front
-UNEXPLAINED_LEAST = 3  # fewer requests than this that nobody told of are a matter of moments
 PACE_UNIT = 1000  # reports give the pace in thousandths
 
 
-class OwnCall:
-    """A request of this entry that runs at a backend server.
-
-    Attributes
-    ----------
-    reading
-        Whether no event has come yet, so that its prompt may still be read.
-    permit
-        Allowance that its token was taken from, where its server has a limit.
-    sent
-        Whether it was sent, so that its token is used up.
-    """
-
-    __slots__ = (
-        "output_tokens",
-        "permit",
-        "placed_s",
-        "predicted_ms",
-        "prompt_tokens",
-        "reading",
-        "sent",
-    )
-
-    def __init__(
-        self, *, prompt_tokens: int, output_tokens: float, placed_s: float, predicted_ms: float
-    ) -> None:
-        self.prompt_tokens = prompt_tokens
-        self.output_tokens = output_tokens
-        self.placed_s = placed_s
-        self.predicted_ms = predicted_ms
-        self.reading = True
-        self.permit: SendAllowance | None = None
-        self.sent = False
-
-
-class Report:
-    """Last report of an engine's load, and how much of it was known here then.
-
-    Parameters
-    ----------
-    own_then
-        Requests of this entry that ran there.
-    told_then
-        Requests that other entries had told of.
-    """
-
-    __slots__ = ("made_s", "own_then", "record", "told_then")
-
-    def __init__(
-        self, *, record: LoadRecord, made_s: float, own_then: int, told_then: int = 0
-    ) -> None:
-        self.record = record
-        self.made_s = made_s
-        self.own_then = own_then
-        self.told_then = told_then
-
-    @property
-    def others(self) -> int:
-        """Requests of other entries at the time of the report."""
-        found = int(self.record.active or 0) + int(self.record.queued or 0)
-        return max(0, found - self.own_then)
-
-    @property
-    def unexplained(self) -> int:
-        """Requests that no entry in touch told of: of one that is cut off, or has ended."""
-        found = self.others - self.told_then
-        return found if found >= UNEXPLAINED_LEAST else 0
-
-
-class _Counts:
-    """A count and what it lately was."""
-
-    __slots__ = ("_changes",)
-
-    def __init__(self) -> None:
-        self._changes: deque[tuple[float, int]] = deque(maxlen=COUNTS_KEPT)
-
-    def note(self, count: int, now_s: float) -> None:
-        """Take the count from now on."""
-        self._changes.append((now_s, count))
-
-    def at(self, moment_s: float) -> int:
-        """Give the count at an earlier moment."""
-        count = 0
-        for changed_s, found in self._changes:
-            if changed_s > moment_s:
-                break
-            count = found
-        return count
-
-
 class Server:
     """One backend server.
 
@@ -179,8 +86,8 @@
         self._on_use = on_use
         self.report_valid_s = report_valid_s
         self._told = NO_USE
-        self._own_counts = _Counts()
-        self._told_counts = _Counts()
+        self._own_counts = Counts()
+        self._told_counts = Counts()
         self._late_ms = 0.0
         self._late_s = 0.0
 
@@ -369,4 +276,4 @@
         )
 
 
-__all__ = ["OwnCall", "Report", "Server"]
+__all__ = ["Server"]
--- a/src/leadhollow/decide/wish.py
+++ b/src/leadhollow/decide/wish.py
@@ -4,7 +4,8 @@
 
 from enum import IntEnum
 
-from leadhollow.decide.server import OwnCall, Server
+from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.routing.model import ServiceRecord
 
 HOLD_SHARE = 0.3
--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -11,7 +11,8 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
-from leadhollow.decide.server import OwnCall, Server
+from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.failure import Failure
 from leadhollow.forward.dialect import AnswerFacts, CallDialect, Dispatch
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S, ConnectionPool
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -11,7 +11,8 @@
 from leadhollow.codes import Code
 from leadhollow.decide.comeback import Refusal, after_rest_s
 from leadhollow.decide.retry_budget import RetryBudget
-from leadhollow.decide.server import OwnCall, Server
+from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.failure import Failure
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.call import ForwardedCall
--- a/tests/decide/test_server_rest.py
+++ b/tests/decide/test_server_rest.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from leadhollow.codes import Code
-from leadhollow.decide.server import OwnCall, Server
+from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.decide.server_rest import SPREAD_S, ServerRest
 from leadhollow.membership.instances import Instance, InstanceState
 
--- a/tests/forward/test_exchange.py
+++ b/tests/forward/test_exchange.py
@@ -8,7 +8,8 @@
 from result import Ok
 
 from leadhollow.codes import Code
-from leadhollow.decide.server import OwnCall, Server
+from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.dialect import Dispatch
 from leadhollow.forward.exchange import AttemptEnd, Exchanger
--- a/tests/forward/test_silent_connections.py
+++ b/tests/forward/test_silent_connections.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from leadhollow.decide.server import OwnCall, Server
+from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.forward.dialect import AnswerFacts, Dispatch
 from leadhollow.forward.exchange import SILENT_S, Exchanger
 from leadhollow.forward.pool import ConnectionPool
--- a/tests/node/test_server_limit.py
+++ b/tests/node/test_server_limit.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -11,69 +10,30 @@
 
 from leadhollow.node.entry_role import Dispatching
 from tests.node.limiting import LimitingEngine, LimitingServer
-from tests.node.site import Site, route
+from tests.node.load import FIELDS, Load, with_site
+from tests.node.site import Site
 from tests.support import eventually
 
 SERVERS = 4
 ENTRIES = 3
-REQUESTS_PER_S = 60.0
 WINDOW_S = 4.0
 SPREAD_S = 0.5  # until every entry has to know
-FIELDS = {"X-Model": "m", "X-Token-Usage": "10,3"}
 KINDS = {"plain": LimitingServer, "stream": LimitingEngine}
 
 
-def a_route(kind: str) -> dict[str, object]:
-    streams = {"type": "streaming", "resumable": True, "gapTargetMs": 400}
-    return {**route("/ask/", "service"), **(streams if kind == "stream" else {})}
-
-
-class Load:
-    """Requests at a steady rate, to one entry after the other."""
-
-    def __init__(self, *, site: Site, entries: int = ENTRIES) -> None:
-        self.statuses: list[int] = []
-        self._site = site
-        self._entries = itertools.cycle(range(entries))
-        self._requests: set[asyncio.Task[None]] = set()
-        self._task: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> Load:
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *_: object) -> None:
-        assert self._task is not None
-        self._task.cancel()
-        await asyncio.gather(*self._requests, return_exceptions=True)
-
-    async def _run(self) -> None:
-        while True:
-            request = asyncio.create_task(self._send(next(self._entries)))
-            self._requests.add(request)
-            request.add_done_callback(self._requests.discard)
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-
-    async def _send(self, entry: int) -> None:
-        status = await self._site.post("/ask/a", b"good", entry=entry, fields=FIELDS)
-        self.statuses.append(status)
-
-
-def with_site(
+def on_site(
     folder: Path,
     kind: str,
     work: Callable[[Site, list[LimitingServer | LimitingEngine]], Awaitable[None]],
 ) -> None:
-    async def run() -> None:
-        servers = [KINDS[kind](number=number, service="service") for number in range(SERVERS)]
-        async with Site(folder=folder, servers=servers, entries=ENTRIES) as site:
-            await site.put_routes(a_route(kind))
-            for entry in range(ENTRIES):
-                await eventually(lambda entry=entry: served(site, entry), "an answer")
-            await site.pause()
-            await work(site, servers)
-
-    asyncio.run(asyncio.wait_for(run(), 60))
+    servers = [KINDS[kind](number=number, service="service") for number in range(SERVERS)]
+    with_site(
+        folder,
+        kind=kind,
+        servers=servers,
+        entries=ENTRIES,
+        work=lambda site: work(site, servers),
+    )
 
 
 async def served(site: Site, entry: int) -> bool:
@@ -86,7 +46,7 @@
     def test_gets_no_more_than_its_limit_from_all_entries_together(self, tmp_path, kind):
         async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
             limited = servers[0]
-            async with Load(site=site) as load:
+            async with Load(site=site, entries=range(ENTRIES)) as load:
                 await asyncio.sleep(0.5)
                 limited.limit = "1.3"
                 await asyncio.sleep(SPREAD_S + 1.5 * WINDOW_S)
@@ -95,7 +55,7 @@
             assert limited.arrivals.most_in(WINDOW_S, after_s=told_s) <= 1.5 * 1.3 * WINDOW_S + 5
             assert set(load.statuses) == {200}
 
-        with_site(tmp_path, kind, work)
+        on_site(tmp_path, kind, work)
 
 
 class TestLimit:
@@ -103,48 +63,48 @@
         async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
             limited = servers[0]
             limited.limit = "0.5"
-            async with Load(site=site, entries=2):
+            async with Load(site=site, entries=range(2)):
                 await asyncio.sleep(2 * SPREAD_S)
             await site.restart_entry(2)
             await eventually(lambda: served(site, 2), "an answer of the new entry")
             began_s = asyncio.get_running_loop().time()
-            async with Load(site=site):
+            async with Load(site=site, entries=range(ENTRIES)):
                 await asyncio.sleep(WINDOW_S)
             assert limited.arrivals.count(began_s, began_s + WINDOW_S) <= 0.5 * WINDOW_S + 2
 
-        with_site(tmp_path, "plain", work)
+        on_site(tmp_path, "plain", work)
 
     def test_holds_while_the_control_replica_starts_again(self, tmp_path):
         async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
             limited = servers[0]
             limited.limit = "2"
-            async with Load(site=site):
+            async with Load(site=site, entries=range(ENTRIES)):
                 await asyncio.sleep(2 * SPREAD_S)
                 began_s = asyncio.get_running_loop().time()
                 await site.restart_control()
                 await asyncio.sleep(1.5 * WINDOW_S)
             assert limited.arrivals.most_in(WINDOW_S, after_s=began_s) <= 2 * WINDOW_S + 2
 
-        with_site(tmp_path, "stream", work)
+        on_site(tmp_path, "stream", work)
 
     def test_is_used_where_one_entry_has_all_requests(self, tmp_path):
         async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
             limited = servers[0]
             limited.limit = "5"
-            async with Load(site=site, entries=1):
+            async with Load(site=site, entries=range(1)):
                 await asyncio.sleep(2 * SPREAD_S + 1.5)
                 began_s = asyncio.get_running_loop().time()
                 await asyncio.sleep(WINDOW_S)
             arrived = limited.arrivals.count(began_s, began_s + WINDOW_S)
             assert 0.5 * 5 * WINDOW_S <= arrived <= 5 * WINDOW_S + 2
 
-        with_site(tmp_path, "stream", work)
+        on_site(tmp_path, "stream", work)
 
     def test_that_is_named_no_more_is_over(self, tmp_path):
         async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
             limited = servers[0]
             limited.limit = "2"
-            async with Load(site=site):
+            async with Load(site=site, entries=range(ENTRIES)):
                 await asyncio.sleep(3 * SPREAD_S)
                 limited.limit = None
 
@@ -159,29 +119,29 @@
                 await asyncio.sleep(1.0)
             assert limited.arrivals.count(began_s, began_s + 1.0) > 5
 
-        with_site(tmp_path, "stream", work)
+        on_site(tmp_path, "stream", work)
 
     @pytest.mark.parametrize("value", ["", "-1", "nan", "inf", "1e12", "1,3", "9" * 10_000])
     def test_that_is_no_number_changes_nothing(self, tmp_path, value):
         async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
             servers[0].limit = value[:8_000]
-            async with Load(site=site) as load:
+            async with Load(site=site, entries=range(ENTRIES)) as load:
                 await asyncio.sleep(2 * SPREAD_S)
             for entry in site.entries:
                 assert not entry.kernel.get("dispatching", Dispatching).limits.table
             assert set(load.statuses) == {200}
 
-        with_site(tmp_path, "plain", work)
+        on_site(tmp_path, "plain", work)
 
     def test_of_all_servers_refuses_the_rest_with_a_time_to_come_back(self, tmp_path):
         async def work(site: Site, servers: list[LimitingServer | LimitingEngine]) -> None:
             for server in servers:
                 server.limit = "1"
-            async with Load(site=site) as load:
+            async with Load(site=site, entries=range(ENTRIES)) as load:
                 await asyncio.sleep(2 * SPREAD_S)
                 load.statuses.clear()
                 await asyncio.sleep(2.0)
             assert set(load.statuses) <= {200, 503}
             assert 503 in load.statuses
 
-        with_site(tmp_path, "plain", work)
+        on_site(tmp_path, "plain", work)
