Let engines of the soak leave by their answers and ask for rest, and judge both for each entry

The ledger knows the entry of each request and its span without a restart or freeze: LEAVING, nothing arrives from an entry 0.1 s after a caller of it had an answer that says so, in touch or not; REST, nothing from 0.5 s after the 503 until the end, unless a fault had disturbed the moment of the 503.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -12,6 +12,7 @@
 
 from tests.soak.ledger import Ledger, Limit, Run
 from tests.soak.proxy import Proxy
+from tests.soak.self_reports import SelfReport
 from tests.soak.weights import LAYERS, MODEL, PIECES, piece
 
 BEAT_S = 0.4
@@ -66,6 +67,9 @@
         self.state = "ready"
         self.drained_s: float | None = None
         self.limit: Limit | None = None
+        self.rest_s: float | None = None
+        self.leaving = False  # by answers only
+        self._report_of_self = SelfReport(instance="")
         self._ledger = ledger
         self._controls = controls
         self._incarnation = 0
@@ -91,6 +95,9 @@
         self._sequence = self._orders = 0
         self.state, self.drained_s, self.mute, self._busy = "ready", None, False, False
         self.limit = None
+        self.rest_s, self.leaving = None, False
+        self._report_of_self = SelfReport(instance=self.instance)
+        self._ledger.self_reports.append(self._report_of_self)
         self._semaphore = asyncio.Semaphore(self.slots)
         app = web.Application()
         app.router.add_get("/-/report", self._report)
@@ -128,6 +135,20 @@
             self.limit.named_s = self._ledger.now_s()
         return {"Server-Limit": str(self.limit.per_s)}
 
+    def _own_fields(self) -> dict[str, str]:
+        leaving = {"Server-Leaving": "1"} if self.leaving else {}
+        return {**self._limit_fields(), **leaving}
+
+    async def leave_by_answers(self) -> None:
+        """Say in answers only that it leaves, go, and come back as another incarnation."""
+        instance, self.leaving = self.instance, True
+        await asyncio.sleep(DRAIN_S)
+        if self.instance != instance or self._runner is None:
+            return  # another fault ended it meanwhile
+        await self._tell("DELETE")
+        await self.stop()
+        await self.start()
+
     async def leave(self) -> None:
         """Drain as announced, then go."""
         self.state = "draining"
@@ -223,7 +244,13 @@
             return web.Response(status=421, headers=refused)
         if self.limit is not None:
             self.limit.arrivals_s.append(self._ledger.now_s())
-        refused.update(self._limit_fields())
+        refused.update(self._own_fields())
+        sender, now_s = self._ledger.senders[attempt], self._ledger.now_s()
+        self._report_of_self.note_arrival(attempt, sender, now_s)
+        if self.rest_s is not None:
+            self._report_of_self.note_rest(sender, self.rest_s, now_s)
+            refused["Retry-After"] = str(self.rest_s)
+            return web.Response(status=503, headers=refused)
         self._judge_draining(attempt)
         expected = request.headers.get("X-Expect-Version")
         if self.model and (not self.version or self._busy):
@@ -265,8 +292,10 @@
         headers = {
             "X-Attempt-Id": attempt,
             "X-Response-Signature": signature,
-            **self._limit_fields(),
+            **self._own_fields(),
         }
+        if self.leaving:
+            self._report_of_self.leaving_signatures.add(signature)
         if not self.model:
             await asyncio.sleep(WORK_S)
             answer = web.Response(body=signature.encode(), headers=headers)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -5,6 +5,9 @@
 import time
 from collections import defaultdict
 from enum import Enum
+from http import HTTPStatus
+
+from tests.soak.self_reports import SelfReport, Sender
 
 PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
 FAILURE = 500  # statuses from here on are failures of entries or servers
@@ -136,7 +139,17 @@
 class Ledger:
     """Everything that was seen in one run."""
 
-    __slots__ = ("disturbances", "limits", "named", "runs", "tables", "told", "violations")
+    __slots__ = (
+        "disturbances",
+        "limits",
+        "named",
+        "runs",
+        "self_reports",
+        "senders",
+        "tables",
+        "told",
+        "violations",
+    )
 
     def __init__(self) -> None:
         self.runs: dict[str, list[Run]] = defaultdict(list)
@@ -144,6 +157,8 @@
         self.tables: list[Table] = []
         self.named: dict[int, float] = {}  # acknowledgement of each version
         self.limits: list[Limit] = []
+        self.self_reports: list[SelfReport] = []
+        self.senders: dict[str, Sender] = {}  # entry that each request was sent to
         self.disturbances: list[float] = []
         self.violations: list[str] = []
 
@@ -190,6 +205,11 @@
             for limit in self.limits
             if limit.most() > limit.allowed()
         ]
+        passed_on_s = {
+            told.signature: told.told_s for told in self.told if told.status == HTTPStatus.OK
+        }
+        for report in self.self_reports:
+            found += report.judge(passed_on_s, calm=self.calm)
         return found
 
     def _judge_request(self, told: Told) -> list[str]:
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -26,6 +26,11 @@
         What its settings file says.
     folder
         Where settings, log and disk lie.
+
+    Attributes
+    ----------
+    spans
+        Changes each time that it starts, is frozen or wakes: what it was told before may be lost.
     """
 
     def __init__(self, *, settings: dict[str, object], folder: Path) -> None:
@@ -35,6 +40,7 @@
         self.log = self.folder / "log"
         self._process: subprocess.Popen[bytes] | None = None
         self._log_bytes = 0
+        self.spans = 0
 
     @property
     def begun(self) -> bool:
@@ -48,6 +54,7 @@
 
     def start(self) -> None:
         """Start the process with its settings as they are now."""
+        self.spans += 1
         self.folder.mkdir(parents=True, exist_ok=True)
         file = self.folder / "settings.json"
         file.write_text(json.dumps(self.settings))
@@ -68,6 +75,7 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if the process lives."""
+        self.spans += number in (signal.SIGSTOP, signal.SIGCONT)
         if self.running and self._process is not None:
             self._process.send_signal(number)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 CALM_S = 1.0
 GAP_S = (0.2, 1.5)
 LIMIT_S = 7.0  # how long an engine names a limit
+REST_S = 2.5  # how long an engine turns everything away
 RECOVERY_S = 12.0
 PROBES = 8  # requests of each kind by which recovery is judged
 SERVED_SHARE = 0.9
@@ -70,9 +71,9 @@
 
 async def _play(world: World, operator: Operator, callers: Callers, chosen: list[Fault]) -> None:
     ledger = world.ledger
-    limits = asyncio.create_task(_name_limits(world))
+    engines = asyncio.create_task(_report_of_themselves(world))
     background = [
-        limits,
+        engines,
         asyncio.create_task(callers.run()),
         asyncio.create_task(operator.keep_reading()),
     ]
@@ -83,7 +84,8 @@
             await fault(world, operator)
             ledger.disturb()
             await asyncio.sleep(world.random.uniform(*GAP_S))
-        limits.cancel()
+        await _leave_by_answers(world)
+        engines.cancel()
         if not await operator.change(patience_s=RECOVERY_S):
             ledger.break_rule("RECOVER no edit is acknowledged")
         await _recover(world, callers)
@@ -100,6 +102,32 @@
         ledger.break_rule(f"LOST configuration {newest} cannot be read back")
 
 
+async def _report_of_themselves(world: World) -> None:
+    """Let engines limit what they take, and ask for rest, while faults go on."""
+    async with asyncio.TaskGroup() as group:
+        group.create_task(_name_limits(world))
+        group.create_task(_want_rest(world))
+
+
+async def _leave_by_answers(world: World) -> None:
+    """Let an engine leave that nobody but its own answers tells of."""
+    source = random.Random(f"leaves {world.seed}")
+    await source.choice(world.engines).leave_by_answers()
+
+
+async def _want_rest(world: World) -> None:
+    """Let one engine after the other turn everything away for a while."""
+    source = random.Random(f"rests {world.seed}")
+    while True:
+        await asyncio.sleep(source.uniform(0.5, 3.0))
+        engine = source.choice(world.engines)
+        engine.rest_s = source.choice([0.05, 0.8, 2.0])
+        try:
+            await asyncio.sleep(REST_S)
+        finally:
+            engine.rest_s = None
+
+
 async def _name_limits(world: World) -> None:
     """Let one engine after the other limit what it takes, while faults go on.
 
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -17,6 +17,7 @@
     Table,
     Told,
 )
+from tests.soak.self_reports import SelfReport, Sender
 
 START_S = 100.0
 
@@ -194,3 +195,42 @@
 
     def test_do_not_hold_before_entries_could_know(self):
         assert self.judged(5, after_s=-1.0) == []
+
+
+class TestSelfReports:
+    ENTRY = Sender(entry="e", span=1)
+
+    def judged(
+        self, *, said: str, arrived_after_s: float, sender: Sender = ENTRY, disturbed: bool = False
+    ) -> list[str]:
+        ledger = Ledger()
+        report = SelfReport(instance="i-1")
+        ledger.self_reports.append(report)
+        report.note_arrival("a", self.ENTRY, START_S)
+        if said == "leaving":
+            report.leaving_signatures.add("a/i-1")
+            told(ledger, "a", Kind.ORDER, 200)
+            ran(ledger, "a")
+        else:
+            report.note_rest(self.ENTRY, 3.0, START_S)
+        if disturbed:
+            ledger.disturbances.append(START_S)
+        report.note_arrival("b", sender, START_S + arrived_after_s)
+        return rules(ledger)
+
+    @pytest.mark.parametrize(("after_s", "broken"), [(0.05, []), (0.2, ["LEAVING"])])
+    def test_that_say_a_server_leaves_bind_the_entry_that_passed_them_on(self, after_s, broken):
+        assert self.judged(said="leaving", arrived_after_s=after_s) == broken
+        assert self.judged(said="leaving", arrived_after_s=after_s, disturbed=True) == broken
+
+    @pytest.mark.parametrize(
+        ("after_s", "broken"), [(0.4, []), (0.6, ["REST"]), (2.9, ["REST"]), (3.1, [])]
+    )
+    def test_that_ask_for_rest_bind_the_entry_until_its_end(self, after_s, broken):
+        assert self.judged(said="rest", arrived_after_s=after_s) == broken
+        assert self.judged(said="rest", arrived_after_s=after_s, disturbed=True) == []
+
+    @pytest.mark.parametrize("said", ["leaving", "rest"])
+    @pytest.mark.parametrize("sender", [Sender(entry="e", span=2), Sender(entry="f", span=1)])
+    def test_bind_no_other_entry_and_none_that_started_again(self, said, sender):
+        assert self.judged(said=said, arrived_after_s=1.0, sender=sender) == []
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -177,6 +177,7 @@
             wanted=wanted if kind is Kind.STREAM else b"",
         )
         self._ledger.told.append(told)
+        self._ledger.senders[request] = self._world.sender(entry)
         headers = {
             "Host": HOST,
             "Authorization": f"Bearer {KEY}",
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -14,6 +14,7 @@
 from tests.soak.ledger import Ledger
 from tests.soak.programs import Program
 from tests.soak.proxy import Proxy
+from tests.soak.self_reports import Sender
 from tests.soak.weights import Origin
 
 ZONES = ("a", "b", "c")
@@ -69,6 +70,14 @@
         """Give the addresses that take requests."""
         return [str(entry.settings["callers"]) for entry in self.entries]
 
+    def sender(self, callers: str) -> Sender:
+        """Give the entry with an address for callers, and its span without restart or freeze."""
+        for entry in self.entries:
+            if entry.settings["callers"] == callers:
+                return Sender(entry=callers, span=entry.spans)
+        message = f"no entry takes callers at {callers}"
+        raise ValueError(message)
+
     async def start(self) -> None:
         """Start everything, and wait until every entry is ready."""
         for proxy in self.proxies:
