Take the state of servers where it is filtered, not through a property

Listing the servers of a service took 0.35 us more for each by a property; dropped servers are not listed at all. What an answer without self-reports costs: 0.26 us, and 0.2 us more where it is sent (timed by hand in a loop).

--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -96,11 +96,6 @@
         """Requests of this entry that run there."""
         return len(self.calls)
 
-    @property
-    def takes_requests(self) -> bool:
-        """Whether it takes new requests, as far as is known from itself or from others."""
-        return not self.dropped and self.instance.state is InstanceState.READY
-
     def admits(self) -> bool:
         """Tell whether its limit and its rest leave room for a request of this entry."""
         if self.rest is not None and not self.rest.admits():
@@ -113,7 +108,7 @@
         What the server says of itself may have changed after the request was placed. From then on
         it counts as sent.
         """
-        if not self.takes_requests:
+        if self.dropped or self.instance.state is not InstanceState.READY:
             return Code.DRAINING
         if self.rest is not None and not self.rest.claim(call):
             return Code.SERVER_RESTS
--- a/src/leadhollow/forward/board.py
+++ b/src/leadhollow/forward/board.py
@@ -75,7 +75,7 @@
         return [
             server
             for server in self._servers.values()
-            if server.instance.service == service and server.takes_requests
+            if server.instance.service == service and server.instance.state is InstanceState.READY
         ]
 
     def all_servers(self) -> list[Server]:
--- a/src/leadhollow/forward/self_reports.py
+++ b/src/leadhollow/forward/self_reports.py
@@ -40,12 +40,22 @@
 class SelfReports(GatheringService):
     """Takes what the answers of backend servers say of these."""
 
-    __slots__ = ("_board", "_feed", "_leaving", "_logged_s", "_peers", "_random", "_rests")
+    __slots__ = (
+        "_board",
+        "_clock",
+        "_feed",
+        "_leaving",
+        "_logged_s",
+        "_peers",
+        "_random",
+        "_rests",
+    )
 
     def __init__(
         self, *, board: ServerBoard, feed: ControlFeed, peers: PeerPool, seed: int
     ) -> None:
         self._board = board
+        self._clock = asyncio.get_running_loop().time
         self._random = random.Random(seed)
         self._feed = feed
         self._peers = peers
@@ -64,7 +74,7 @@
         """Take what an answer says of its server, or of the one that it names."""
         if not facts.leaving and facts.rest_s is None and not facts.rest_malformed:
             if facts.signed:
-                server.answered_s = asyncio.get_running_loop().time()
+                server.answered_s = self._clock()
             if server.rest is not None and server.rest.due:
                 self._end_rest(server)
             return
@@ -91,7 +101,7 @@
 
     def _on_rests(self, words: list[ServerWord]) -> None:
         """Take rests that were asked of other entries."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._clock()
         for word in words:
             instance, born_ms = life_key(word)
             server = self._board.server(instance)
