Keep a server's request for rest from callers

Cause: where a server's 503 is passed on as its own failure, its Retry-After went with it, and callers stayed away for as long as the server wanted rest of this VM. Change: the adapter names the fields of an answer that are meant for this VM; both ways of passing answers on leave them out.

--- a/src/leadhollow/forward/dialect.py
+++ b/src/leadhollow/forward/dialect.py
@@ -146,6 +146,8 @@
         Time for which it wants no more requests from this VM; None where it asks for no rest.
     rest_malformed
         Whether it asks for a rest that cannot be understood, so that what it said before holds.
+    ours
+        Names of fields that are meant for this VM and not for the caller.
     """
 
     __slots__ = (
@@ -155,6 +157,7 @@
         "limit_malformed",
         "limit_per_s",
         "not_executed",
+        "ours",
         "rest_malformed",
         "rest_s",
         "signed",
@@ -172,7 +175,9 @@
         leaving: bool = False,
         rest_s: float | None = None,
         rest_malformed: bool = False,
+        ours: frozenset[bytes] = frozenset(),
     ) -> None:
+        self.ours = ours
         self.attempt_id = attempt_id
         self.instance = instance
         self.leaving = leaving
--- a/src/leadhollow/forward/passing.py
+++ b/src/leadhollow/forward/passing.py
@@ -4,6 +4,15 @@
 
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.exchange import Exchange
+from leadhollow.http1.headers import Headers
+
+FRAMING_FIELDS = frozenset({b"content-length"})
+
+
+def passed_fields(exchange: Exchange) -> Headers:
+    """Give the fields of an answer that its caller gets, without those that frame the body."""
+    ours = exchange.facts.ours | FRAMING_FIELDS
+    return exchange.answer.head.headers.end_to_end().without(ours)
 
 
 async def pass_on(
@@ -19,7 +28,7 @@
         Whether that is all of it.
     """
     head = exchange.answer.head
-    fields = head.headers.end_to_end().without({b"content-length"})
+    fields = passed_fields(exchange)
     length = len(taken) if whole else head.content_length
     call.reply.start(head.status, fields, reason=head.reason, content_length=length)
     await call.reply.write(taken)
@@ -37,4 +46,4 @@
     exchange.finish()
 
 
-__all__ = ["pass_on"]
+__all__ = ["pass_on", "passed_fields"]
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -13,6 +13,7 @@
 from leadhollow.forward.events import Event, EventSplitter
 from leadhollow.forward.exchange import Exchange
 from leadhollow.forward.fingerprint import shown
+from leadhollow.forward.passing import passed_fields
 from leadhollow.http1.messages import Framing
 from leadhollow.observe.logs import get_logger
 
@@ -128,7 +129,7 @@
         self.begun = True
         head = exchange.answer.head
         length = head.content_length if head.framing is Framing.LENGTH else None
-        fields = head.headers.end_to_end().without({b"content-length"})
+        fields = passed_fields(exchange)
         # a stream that another engine may have to go on with must not declare a length
         length = None if self._call.route.repeatable else length
         self._call.reply.start(head.status, fields, reason=head.reason, content_length=length)
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -34,6 +34,9 @@
 RETRY_AFTER = b"retry-after"
 SERVER_LIMIT = b"server-limit"  # requests a second that an engine takes from all together
 
+REST_FIELDS = frozenset({RETRY_AFTER})
+NO_FIELDS: frozenset[bytes] = frozenset()
+
 SET_BY_US = frozenset(
     {
         AUTHORIZATION,
@@ -119,6 +122,7 @@
             leaving=unusual and answer_fields.says_leaving(headers),
             rest_s=rest_s,
             rest_malformed=bool(rests) and rest_s is None,
+            ours=REST_FIELDS if rests else NO_FIELDS,
             signed=headers.get(SIGNATURE) is not None,
             not_executed=headers.get(NOT_EXECUTED) is not None,
             instance=instance or None,
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -506,3 +506,7 @@
     def test_and_leaving_may_come_together(self):
         facts = read_repeatedly(503, (b"Retry-After", b"3"), (b"Server-Leaving", b"1"))
         assert (facts.rest_s, facts.leaving) == (3.0, True)
+
+    def test_is_ours_and_not_the_callers(self):
+        assert read_repeatedly(503, (b"Retry-After", b"3")).ours == {b"retry-after"}
+        assert read_repeatedly(429, (b"Retry-After", b"3")).ours == frozenset()
