Show operators which servers leave, want rest or limit what they take

Commands that ask one control replica share one base. The relay keeps who told of a leaving server and of a rest.

--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -29,6 +29,7 @@
     QuarantineShowCommand,
 )
 from leadhollow.cli.run_command import CheckCommand, RunCommand
+from leadhollow.cli.servers_command import ServersCommand
 from leadhollow.cli.state_commands import (
     StateBackupCommand,
     StateRestoreCommand,
@@ -71,6 +72,7 @@
     QuarantineListCommand,
     QuarantineShowCommand,
     QuarantineReleaseCommand,
+    ServersCommand,
     StateVerifyCommand,
     StateBackupCommand,
     StateRestoreCommand,
--- a/src/leadhollow/cli/quarantine_commands.py
+++ b/src/leadhollow/cli/quarantine_commands.py
@@ -3,48 +3,19 @@
 from __future__ import annotations
 
 import getpass
-import os
 
-from cleo.commands.command import Command
 from cleo.helpers import argument, option
-from cleo.io.inputs.option import Option
 from result import Err, Ok, Result
 
-from leadhollow.cli.loop import run_async
 from leadhollow.cli.output import print_failure, print_json, print_table, print_text
+from leadhollow.cli.replica_command import ReplicaCommand, json_option, replica_argument
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.wire.generated.ttypes import SuspectNews, SuspectQuery, SuspectRelease, Verdict
-from leadhollow.wire.handlers import HandlerTable
-from leadhollow.wire.messages import Body
-from leadhollow.wire.peers import PeerPool
 
-CALL_TIMEOUT_MS = 2_000
-TOKEN_VARIABLE = "LEADHOLLOW_WIRE_TOKEN"
-DEFAULT_TOKEN = "leadhollow"  # as in the settings of a process that names none
 
-
-class _QuarantineCommand(Command):
-    """A command that asks a control replica."""
-
-    def ask(self, body: Body) -> Result[Body, Failure]:  # type: ignore[override]
-        """Send one call to the replica that the command names."""
-        address = self.argument("replica")
-        token = os.environ.get(TOKEN_VARIABLE, DEFAULT_TOKEN)
-
-        async def talk() -> Result[Body, Failure]:
-            peers = PeerPool(
-                vm=f"operator-{getpass.getuser()}",
-                failure_domain="",
-                token=token,
-                handlers=HandlerTable(),
-            )
-            try:
-                return await peers.call(address, body, timeout_ms=CALL_TIMEOUT_MS)
-            finally:
-                await peers.stop()
-
-        return run_async(talk())
+class _QuarantineCommand(ReplicaCommand):
+    """A command that asks a control replica for its verdicts."""
 
     def verdicts(self) -> Result[tuple[SuspectNews, list[Verdict]], Failure]:
         """Give what the replica knows, and its verdicts."""
@@ -55,23 +26,15 @@
         return Ok((news, list(news.verdicts or ())))
 
 
-def _replica_argument() -> object:
-    return argument("replica", "Address of a control replica's own port, HOST:PORT.")
-
-
-def _json_option() -> Option:
-    return option("json", None, "Print JSON.", flag=True)
-
-
 class QuarantineListCommand(_QuarantineCommand):
     """Lists requests in quarantine."""
 
     name = "quarantine list"
     description = "List the requests that are sent to no server any more."
-    arguments = [_replica_argument()]  # type: ignore[list-item]  # noqa: RUF012
+    arguments = [replica_argument()]  # noqa: RUF012
     options = [  # noqa: RUF012
         option("all", None, "Those that were released too.", flag=True),
-        _json_option(),
+        json_option(),
     ]
 
     def handle(self) -> int:
@@ -104,10 +67,10 @@
     name = "quarantine show"
     description = "Show the servers that ended under a request, and how many others ran there."
     arguments = [  # noqa: RUF012
-        _replica_argument(),  # type: ignore[list-item]
+        replica_argument(),
         argument("fingerprint", "Its first digits; log lines show twelve."),
     ]
-    options = [_json_option()]  # noqa: RUF012
+    options = [json_option()]  # noqa: RUF012
 
     def handle(self) -> int:
         """Print one line a server."""
--- a/src/leadhollow/control/self_report_relay.py
+++ b/src/leadhollow/control/self_report_relay.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from leadhollow.kernel import clocks
 from leadhollow.membership.server_words import MOST_WORDS, check_words, life_key, rest_words
@@ -35,6 +36,20 @@
         ...
 
 
+class Told(NamedTuple):
+    """Who told first that a life leaves, and when."""
+
+    vm: str
+    at_s: float
+
+
+class Rest(NamedTuple):
+    """End of a rest, and the VM that told of it."""
+
+    end_s: float
+    vm: str
+
+
 class SelfReportRelay:
     """Self-reports as one control replica knows them.
 
@@ -44,9 +59,22 @@
         Where other replicas reach us.
     replicas
         Gives the addresses of all replicas.
+
+    Attributes
+    ----------
+    leaving
+        Lives that said in an answer that they leave, as processes that follow this replica told.
     """
 
-    __slots__ = ("_ends_s", "_leaving", "_listeners", "_own_address", "_peers", "_replicas")
+    __slots__ = (
+        "_leaving_table",
+        "_listeners",
+        "_own_address",
+        "_peers",
+        "_replicas",
+        "_rests",
+        "leaving",
+    )
 
     def __init__(
         self,
@@ -59,9 +87,10 @@
     ) -> None:
         self._own_address = own_address
         self._replicas = replicas
-        self._leaving = leaving
+        self._leaving_table = leaving
         self._peers = peers
-        self._ends_s: dict[Life, float] = {}  # of rests, by name and birth of the life
+        self._rests: dict[Life, Rest] = {}  # by name and birth of the life
+        self.leaving: OrderedDict[Life, Told] = OrderedDict()
         self._listeners: list[ChangeListener] = []
         handlers.on_oneway(ServerWords, self._on_words)
 
@@ -72,12 +101,17 @@
     def resting(self) -> set[Life]:
         """Name the lives that want rest now, and forget the others."""
         now_s = clocks.elapsed_s()
-        self._ends_s = {life: end_s for life, end_s in self._ends_s.items() if end_s > now_s}
-        return set(self._ends_s)
+        self._rests = {life: rest for life, rest in self._rests.items() if rest.end_s > now_s}
+        return set(self._rests)
+
+    def rest(self, life: Life) -> Rest | None:
+        """Give the rest of a life, None where it wants none now."""
+        found = self._rests.get(life)
+        return found if found is not None and found.end_s > clocks.elapsed_s() else None
 
     def news(self, lives: Iterable[Life]) -> list[ServerWord]:
         """Encode the rests of some lives, as far as they last."""
-        ends_s = {life: self._ends_s[life] for life in lives if life in self._ends_s}
+        ends_s = {life: self._rests[life].end_s for life in lives if life in self._rests}
         return rest_words(ends_s, clocks.elapsed_s())
 
     def _on_words(self, words: ServerWords, connection: Connection) -> None:
@@ -85,16 +119,16 @@
         if checked.is_err():
             log.warning("self-reports not taken", failure=str(checked.unwrap_err()))
             return
+        vm = "" if connection.hello is None else connection.hello.vm
         changed = set()
         for word in checked.unwrap():
-            instance, born_ms = life = life_key(word)
+            life = life_key(word)
             if word.leaving:
-                self._leaving.take_leaving(instance, born_ms=born_ms)
-            if word.rest_ms and self._take_rest(life, word.rest_ms / 1000):
+                self._take_leaving(life, vm)
+            if word.rest_ms and self._take_rest(life, word.rest_ms / 1000, vm):
                 changed.add(life)
         if not changed:
             return
-        vm = "" if connection.hello is None else connection.hello.vm
         for listener in self._listeners:
             listener(changed, vm)
         if not words.address:
@@ -107,20 +141,27 @@
             if address != self._own_address:
                 self._peers.post(address, news)
 
-    def _take_rest(self, life: Life, rest_s: float) -> bool:
+    def _take_leaving(self, life: Life, vm: str) -> None:
+        self._leaving_table.take_leaving(life[0], born_ms=life[1])
+        if life not in self.leaving:
+            self.leaving[life] = Told(vm=vm, at_s=clocks.elapsed_s())
+        while len(self.leaving) > MOST_WORDS:
+            self.leaving.popitem(last=False)
+
+    def _take_rest(self, life: Life, rest_s: float, vm: str) -> bool:
         """Take a rest; tells whether it lasts much longer than what is known."""
         now_s = clocks.elapsed_s()
-        known_s = self._ends_s.get(life, now_s)
-        if known_s > now_s and now_s + rest_s - known_s < SAME_REST_S:
+        known = self.rest(life)
+        if known is not None and now_s + rest_s - known.end_s < SAME_REST_S:
             return False
-        if life not in self._ends_s and not self._has_room():
+        if life not in self._rests and not self._has_room():
             log.warning("rest not passed on: too many servers rest", instance=life[0])
             return False
-        self._ends_s[life] = now_s + rest_s
+        self._rests[life] = Rest(end_s=now_s + rest_s, vm=vm)
         return True
 
     def _has_room(self) -> bool:
-        return len(self._ends_s) < MOST_WORDS or len(self.resting()) < MOST_WORDS
+        return len(self._rests) < MOST_WORDS or len(self.resting()) < MOST_WORDS
 
 
 __all__ = ["SelfReportRelay"]
--- /dev/null
+++ b/src/leadhollow/control/server_standings.py
@@ -0,0 +1,78 @@
+"""How backend servers stand, for operators: who leaves, wants rest or limits what it takes."""
+
+from __future__ import annotations
+
+from result import Ok, Result
+
+from leadhollow.control.registry import Load, Registry
+from leadhollow.control.self_report_relay import SelfReportRelay
+from leadhollow.decide.limit_table import LimitTable
+from leadhollow.failure import Failure
+from leadhollow.kernel import clocks
+from leadhollow.membership.instances import Instance, InstanceState
+from leadhollow.wire.connection import Connection
+from leadhollow.wire.generated.ttypes import ServerStanding, ServerStandings, StandingQuery
+from leadhollow.wire.handlers import HandlerTable
+
+ITSELF = "itself"  # a heartbeat said so
+NO_LIMIT = -1.0
+NOT_LEAVING = -1
+
+
+class ServerStandingsReader:
+    """Answers what a control replica knows of each backend server."""
+
+    __slots__ = ("_leaving_s", "_limits", "_registry", "_self_reports")
+
+    def __init__(
+        self,
+        *,
+        registry: Registry,
+        self_reports: SelfReportRelay,
+        limits: LimitTable,
+        handlers: HandlerTable,
+    ) -> None:
+        self._registry = registry
+        self._self_reports = self_reports
+        self._limits = limits
+        self._leaving_s: dict[str, float] = {}  # by life: since when it is known to leave
+        registry.on_change(self._on_change)
+        handlers.on_call(StandingQuery, self._on_query)
+
+    def _on_change(self, instances: list[Instance], loads: list[Load]) -> None:
+        for instance in instances:
+            if instance.state is InstanceState.DRAINING:
+                self._leaving_s.setdefault(instance.life, clocks.elapsed_s())
+            elif instance.state is InstanceState.GONE:
+                self._leaving_s.pop(instance.life, None)
+
+    async def _on_query(
+        self, query: StandingQuery, connection: Connection
+    ) -> Result[ServerStandings, Failure]:
+        known = self._registry.table.instances()
+        lives = {instance.life for instance in known}
+        self._leaving_s = {life: at_s for life, at_s in self._leaving_s.items() if life in lives}
+        ordered = sorted(known, key=lambda instance: (instance.service, instance.instance))
+        return Ok(ServerStandings([self._standing(instance) for instance in ordered]))
+
+    def _standing(self, instance: Instance) -> ServerStanding:
+        now_s = clocks.elapsed_s()
+        life = (instance.instance, instance.born_ms)
+        leaving_ms, told_by = NOT_LEAVING, ""
+        if instance.state is InstanceState.DRAINING:
+            leaving_ms = round((now_s - self._leaving_s.get(instance.life, now_s)) * 1000)
+            told = self._self_reports.leaving.get(life)
+            told_by = ITSELF if told is None else told.vm
+        rest = self._self_reports.rest(life)
+        limit_per_s = self._limits.limit(instance.life)
+        return ServerStanding(
+            instance.record(clocks.steady_s()),
+            leaving_ms,
+            told_by,
+            0 if rest is None else round((rest.end_s - now_s) * 1000),
+            "" if rest is None else rest.vm,
+            NO_LIMIT if limit_per_s is None else limit_per_s,
+        )
+
+
+__all__ = ["ITSELF", "NOT_LEAVING", "NO_LIMIT", "ServerStandingsReader"]
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -14,6 +14,7 @@
 from leadhollow.control.registry import Registry
 from leadhollow.control.replica_service import STATE_FOLDER, ReplicaService
 from leadhollow.control.self_report_relay import SelfReportRelay
+from leadhollow.control.server_standings import ServerStandingsReader
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.control.version_ages import VersionAges
 from leadhollow.node.process import FORGET_AFTER_S, FORGET_BEATS
@@ -80,15 +81,26 @@
             naming_times=kernel.get("version-ages", VersionAges).times,
             suspects=kernel.get("suspects", SuspectRelay),
             limits=kernel.get("limits", LimitRelay),
-            self_reports=SelfReportRelay(
-                own_address=settings.wire_address,
-                replicas=replica().addresses,
-                leaving=kernel.get("registry", Registry),
-                peers=process.peers,
-                handlers=process.handlers,
-            ),
+            self_reports=make_self_reports(),
         )
 
+    def make_self_reports() -> SelfReportRelay:
+        registry = kernel.get("registry", Registry)
+        relay = SelfReportRelay(
+            own_address=settings.wire_address,
+            replicas=replica().addresses,
+            leaving=registry,
+            peers=process.peers,
+            handlers=process.handlers,
+        )
+        ServerStandingsReader(
+            registry=registry,
+            self_reports=relay,
+            limits=kernel.get("limits", LimitRelay).table,
+            handlers=process.handlers,
+        )
+        return relay
+
     def make_limits() -> Service:
         return LimitRelay(
             own_address=settings.wire_address,
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -74,6 +74,10 @@
 // VM, as what is left of it. The address is that of a replica that passes it on, empty of an entry.
 struct ServerWord { 1: string instance; 2: i64 born_ms; 3: bool leaving; 4: i32 rest_ms }
 struct ServerWords { 1: string address; 2: list<ServerWord> words }
+// An operator asks a control replica how backend servers stand. Times are ages; a limit below 0 stands for none.
+struct StandingQuery { 1: string operator }
+struct ServerStanding { 1: InstanceRecord instance; 2: i64 leaving_age_ms; 3: string leaving_told_by; 4: i32 rest_ms; 5: string rest_told_by; 6: double limit_per_s }
+struct ServerStandings { 1: list<ServerStanding> servers }
 // takes_packed: items may come as packed_items, msgpack compressed by zlib.
 struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision; 5: bool takes_packed }
 // How long ago a version of weights was named, by steady clocks only: the time of day may jump.
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -79,6 +79,8 @@
     96: ttypes.LimitNews,
     97: ttypes.LimitLeases,
     98: ttypes.ServerWords,
+    99: ttypes.StandingQuery,
+    100: ttypes.ServerStandings,
     90: ttypes.PieceWatch,
     91: ttypes.PieceNews,
     94: ttypes.SliceRequest,
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -29,7 +29,7 @@
     def test_lists_every_command(self):
         listed = run("--help") and run("list").stdout
         commands = ("run", "check", "demo", "status", "table set", "model rollout", "drain")
-        for command in (*commands, "quarantine list", "quarantine show", "quarantine release"):
+        for command in (*commands, "quarantine list", "quarantine release", "servers"):
             assert command in listed
 
     def test_of_a_command_says_what_it_does(self):
