--- a/tests/node/self_reporting.py
+++ b/tests/node/self_reporting.py
@@ -16,6 +16,8 @@
     ----------
     leaving
         Whether every answer says that the server leaves.
+    draining
+        Whether its heartbeats say so.
     retry_after
         Value of the field in answers that turn requests away; None while none is turned away.
     turned_away_status
@@ -29,6 +31,7 @@
     def __init__(self, *, number: int, service: str, run_s: float = 0.02) -> None:
         super().__init__(number=number, service=service, farm=Farm())  # type: ignore[call-arg]
         self.leaving = False
+        self.draining = False
         self.retry_after: str | None = None
         self.turned_away_status = 503
         self.arrivals_s: list[float] = []
@@ -46,6 +49,10 @@
         self.told_s = None
         self.arrivals_s.clear()
 
+    def heartbeat(self) -> dict[str, object]:
+        said: dict[str, object] = super().heartbeat()  # type: ignore[misc]
+        return {**said, "state": "draining" if self.draining else "ready"}
+
     def _own_fields(self) -> dict[str, str]:
         if not self.leaving and self.retry_after is None:
             return {}
--- a/tests/node/test_leaving_server.py
+++ b/tests/node/test_leaving_server.py
@@ -10,7 +10,7 @@
 
 from tests.node.load import Load, with_site
 from tests.node.self_reporting import SelfReportingEngine, SelfReportingServer
-from tests.node.site import Site
+from tests.node.site import BEAT_S, Site
 from tests.support import eventually
 
 SERVERS = 3
@@ -83,6 +83,29 @@
         on_site(tmp_path, kind, work)
 
 
+class TestWayToLeave:
+    # Guards against: one of the ways in which servers say that they leave is not heard by entries.
+    @pytest.mark.parametrize("way", ["state", "farewell", "answers", "all"])
+    def test_is_heard_by_all_entries_soon(self, tmp_path, way):
+        async def work(site: Site, servers) -> None:
+            async with Load(site=site, entries=range(ENTRIES)) as load:
+                await asyncio.sleep(0.3)
+                servers[0].draining = way in ("state", "all")
+                servers[0].leaving = way in ("answers", "all")
+                await asyncio.sleep(2 * BEAT_S)  # until a heartbeat has said so
+                if way in ("farewell", "all"):
+                    servers[0].silent = True
+                    await site.leave(servers[0])
+                if way == "answers":
+                    await eventually(lambda: servers[0].told_s, "an answer that says so")
+                told_s = now_s()
+                await asyncio.sleep(SPREAD_S + 0.5)
+            assert servers[0].arrivals_after(told_s + SPREAD_S) == 0
+            assert set(load.statuses) == {200}
+
+        on_site(tmp_path, "plain", work)
+
+
 class TestLife:
     # Guards against: a server that starts again under its name stays out of use.
     def test_after_one_that_left_is_used(self, tmp_path):
