Remember that a life leaves also where a newer one is known, and for as long as it is known itself

Found by the property test (any order of records, answers, farewells and lost views), once in many runs: a record that a former life leaves was dropped before it was remembered, so that life could come back as ready after its successor had been forgotten. And the limit on remembered lives could let a server that leaves for long come back, which the rule before did not. Change: it is remembered first, and a known life that leaves stays so whatever is remembered.

--- a/src/leadhollow/membership/instance_table.py
+++ b/src/leadhollow/membership/instance_table.py
@@ -86,16 +86,16 @@
             Whether it says something new; an older one, or one of an incarnation that has left,
             does not.
         """
+        if heard.state is InstanceState.DRAINING:
+            self._remember_leaving(heard.life)
         if self._is_former(heard):
             return False
         self._end_former(heard)
         if heard.instance in self._departed:
             return False
-        if heard.state is InstanceState.DRAINING:
-            self._remember_leaving(heard.life)
-        elif heard.state is InstanceState.READY and heard.life in self._leaving:
-            heard.state = InstanceState.DRAINING
         known = self._instances.get(heard.instance)
+        if heard.state is InstanceState.READY and self._leaves(heard.life, known):
+            heard.state = InstanceState.DRAINING
         if known is not None:
             known.heard_s = max(known.heard_s, heard.heard_s)
             if heard.sequence < known.sequence:
@@ -194,6 +194,12 @@
             self._drop(found.instance)
         return silent
 
+    def _leaves(self, life: str, known: Instance | None) -> bool:
+        """Tell whether a life is known to leave, also where too many others have left since."""
+        if life in self._leaving:
+            return True
+        return known is not None and known.state is InstanceState.DRAINING
+
     def _remember_leaving(self, life: str) -> None:
         self._leaving[life] = None
         while len(self._leaving) > LEAVING_KEPT:
@@ -270,4 +276,4 @@
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["InstanceTable"]
+__all__ = ["LEAVING_KEPT", "InstanceTable"]
--- a/tests/membership/test_leaving.py
+++ b/tests/membership/test_leaving.py
@@ -5,10 +5,10 @@
 import asyncio
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from leadhollow.membership.instance_table import InstanceTable
+from leadhollow.membership.instance_table import LEAVING_KEPT, InstanceTable
 from leadhollow.membership.instances import Instance, InstanceState
 
 NAME = "i-1"
@@ -72,6 +72,7 @@
     # Guards against: late news, a lost view or a former life bring a server back that leaves.
     @settings(max_examples=400, deadline=None)
     @given(events)
+    @example([("ready", 20, 1), ("draining", 10, 1), ("forgotten", 0, 0), ("ready", 10, 1)])
     def test_is_final_within_a_life(self, played):
         async def run() -> None:
             table = InstanceTable(forget_after_s=60.0)
@@ -118,3 +119,14 @@
         known = table.get(NAME)
         assert known is not None
         assert (known.state, known.sequence) == (InstanceState.DRAINING, 5)
+
+    # Guards against: a server that leaves for long is taken back once many others have left.
+    async def test_holds_though_more_lives_have_left_than_are_remembered(self, table):
+        table.take(record(born_ms=10, sequence=1, state=READY))
+        table.note_leaving(NAME, born_ms=10)
+        for number in range(LEAVING_KEPT):
+            table.note_leaving(f"other-{number}", born_ms=0)
+        table.take(record(born_ms=10, sequence=2, state=READY))
+        known = table.get(NAME)
+        assert known is not None
+        assert known.state is InstanceState.DRAINING
