Let no answer of another incarnation end a server's rest

Cause: an answer that asks for nothing ended a rest that was due before it was looked at who had answered. Change: whose answer it is comes first. Evidence: tests/forward/test_exchange.py, failing before.

--- a/src/leadhollow/forward/self_reports.py
+++ b/src/leadhollow/forward/self_reports.py
@@ -72,17 +72,14 @@
 
     def note_answer(self, server: Server, facts: AnswerFacts, *, sent_s: float | None) -> None:
         """Take what an answer says of its server, or of the one that it names."""
-        if not facts.leaving and facts.rest_s is None and not facts.rest_malformed:
-            if facts.signed:
-                server.answered_s = self._clock()
-            if server.rest is not None and server.rest.due:
-                self._end_rest(server)
-            return
         if facts.instance not in (None, server.instance.instance):
             named = self._board.server(facts.instance or "")
             if named is None:
                 return
             server = named
+        if not facts.leaving and facts.rest_s is None and not facts.rest_malformed:
+            self._note_ordinary(server, facts)
+            return
         if facts.leaving:
             self._note_leaving(server)
         if facts.rest_malformed:
@@ -91,6 +88,13 @@
         if facts.rest_s:
             self._note_rest(server, facts.rest_s)
 
+    def _note_ordinary(self, server: Server, facts: AnswerFacts) -> None:
+        """Note an answer that asks for nothing: a rest that is due is over by it."""
+        if facts.signed:
+            server.answered_s = self._clock()
+        if server.rest is not None and server.rest.due:
+            self._end_rest(server)
+
     def _note_rest(self, server: Server, rest_s: float) -> None:
         rest = self._rest_of(server)
         if rest.ask(rest_s):
--- a/tests/forward/test_exchange.py
+++ b/tests/forward/test_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import pytest
 from result import Ok
@@ -10,6 +11,7 @@
 from leadhollow.codes import Code
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_load import OwnCall
+from leadhollow.decide.server_rest import ServerRest
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.dialect import Dispatch
 from leadhollow.forward.exchange import AttemptEnd, Exchanger
@@ -182,3 +184,13 @@
     async def test_of_an_incarnation_without_a_name_binds_nobody(self):
         bench = await self.heard(answer("Server-Leaving: 1", status="421 Misdirected"))
         assert not self.leaves(bench, "i-1")
+
+    # Guards against: the answer of a server at the same address ends the rest of another one.
+    async def test_of_another_incarnation_ends_no_rest(self):
+        async with Bench(answer("X-Instance-Id: i-2", status="421 Misdirected")) as bench:
+            bench.announce("i-2", address="127.0.0.1:1")
+            rest = bench.server.rest = ServerRest(clock=lambda: 0.0, source=random.Random(1))
+            rest.hear(3.0)
+            bench.pool.open.set()
+            (await bench.ask()).unwrap().abort()
+            assert bench.server.rest is rest
