--- a/src/leadhollow/platform/answer_fields.py
+++ b/src/leadhollow/platform/answer_fields.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from leadhollow.http1.headers import Headers
-
 DECODED = frozenset(
     {
         "connection",
@@ -35,15 +33,6 @@
 UNUSUAL = frozenset({"retry-after", "server-leaving", "server-limit"})
 """Decoded fields that few answers have, so that others are not searched for them."""
 
-SERVER_LEAVING = b"server-leaving"
-LEAVES = b"1"
-
-
-def says_leaving(headers: Headers) -> bool:
-    """Tell whether an answer says that its engine leaves."""
-    return LEAVES in headers.get_all(SERVER_LEAVING)
-
-
 KNOWN = DECODED | IGNORED.keys()
 
-__all__ = ["DECODED", "IGNORED", "KNOWN", "UNUSUAL", "says_leaving"]
+__all__ = ["DECODED", "IGNORED", "KNOWN", "UNUSUAL"]
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -14,6 +14,7 @@
 from leadhollow.http1.messages import RequestHead, ResponseHead
 from leadhollow.observe.unknown_fields import UnknownFields
 from leadhollow.platform import answer_fields
+from leadhollow.platform.leaving import says_leaving
 
 ATTEMPT_ID = b"x-attempt-id"
 DEADLINE_MS = b"x-deadline-ms"
@@ -119,7 +120,7 @@
             attempt_id=None if attempt_id is None else attempt_id.decode("latin-1"),
             limit_per_s=limit_per_s,
             limit_malformed=bool(limits) and limit_per_s is None,
-            leaving=unusual and answer_fields.says_leaving(headers),
+            leaving=unusual and says_leaving(headers),
             rest_s=rest_s,
             rest_malformed=bool(rests) and rest_s is None,
             ours=REST_FIELDS if rests else NO_FIELDS,
--- a/src/leadhollow/platform/engines.py
+++ b/src/leadhollow/platform/engines.py
@@ -10,8 +10,8 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.http1.messages import ResponseHead
-from leadhollow.platform.answer_fields import says_leaving
 from leadhollow.platform.control import LAST_MS, HeldLayers, HeldModel, read_served
+from leadhollow.platform.leaving import says_leaving
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
 
 
