Keep services at work where a connection is lost in the moment in which they post to it

Cause: where a transport is lost, its reader knows one turn of the loop later; a write in that turn raises a RuntimeError, which ended the task of the service that posted. A control replica that was cut off from others for some seconds told them nothing of backend servers any more, for good, and no line said so, since nobody waits for a service's task. Class: an error that nobody waits for ends work that nobody misses. HTTP connections learn of the loss in the same turn.

--- a/src/leadhollow/wire/connection.py
+++ b/src/leadhollow/wire/connection.py
@@ -74,10 +74,16 @@
 
     def write(self, frame: Frame) -> None:
         """Queue one frame; frames written in one loop turn leave together."""
-        if not self.closed.is_set():
-            encoded = encode_frame(frame)
-            self._handlers.traffic.sent(type(frame.body), len(encoded))
+        if self.closed.is_set():
+            return
+        encoded = encode_frame(frame)
+        try:
             self._writer.write(encoded)
+        except RuntimeError as error:  # lost in this turn of the loop; its reader knows in the next
+            log.info("connection ended", peer=self.peer_name, failure=str(error))
+            self.close()
+            return
+        self._handlers.traffic.sent(type(frame.body), len(encoded))
 
     @property
     def backlog_bytes(self) -> int:
--- a/src/leadhollow/wire/peers.py
+++ b/src/leadhollow/wire/peers.py
@@ -8,6 +8,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure, failure_from_number
+from leadhollow.observe.logs import get_logger
 from leadhollow.settings.address import Address
 from leadhollow.wire.codec import Frame
 from leadhollow.wire.connection import Connection
@@ -19,6 +20,8 @@
 DIAL_TIMEOUT_MS = 1_000
 REDIAL_PAUSE_S = 0.2
 
+log = get_logger("peers")
+
 
 class PeerPool:
     """Dials peers on demand and keeps one connection for each.
@@ -39,6 +42,7 @@
         "_hello",
         "_locks",
         "_tasks",
+        "_unreachable",
         "cut_addresses",
     )
 
@@ -50,6 +54,7 @@
         self._locks: dict[str, asyncio.Lock] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._closed = False
+        self._unreachable: set[str] = set()  # of which this was logged
         self.cut_addresses: set[str] = set()  # fault switch of tests: these cannot be dialled
 
     async def connection(self, address: str) -> Result[Connection, Failure]:
@@ -76,10 +81,19 @@
             dialled = await self._dial(address)
             if dialled.is_err():
                 self._failed_until_s[address] = now_s + REDIAL_PAUSE_S
+                self._note_unreachable(address, dialled.unwrap_err())
                 return dialled
             self._connections[address] = dialled.unwrap()
+            if address in self._unreachable:
+                self._unreachable.discard(address)
+                log.info("peer reached again", address=address)
             return dialled
 
+    def _note_unreachable(self, address: str, failure: Failure) -> None:
+        if address not in self._unreachable:
+            self._unreachable.add(address)
+            log.info("peer not reached", address=address, failure=str(failure))
+
     async def call(self, address: str, body: Body, *, timeout_ms: float) -> Result[Body, Failure]:
         """Send one request to an address and wait for its answer."""
         connected = await self.connection(address)
