Ask one question of which engines could take a request, whether they rest or not

Read again: the wait for the end of a rest had its own list of what an engine must be, without a change of weights, the time left for old weights, and with a version 0 taken for none. What callers saw: requests kept for an engine that was changing its weights, which could not take them. Change: both ask the same question. Evidence: tests/decide/test_engine_queue.py, rests without network; the one with a switching engine failed before.

--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -212,17 +212,16 @@
 
         None where no engine rests that could take the request otherwise.
         """
-        if wish.service.engine is None:
+        spec = wish.service.engine
+        if spec is None:
             return None
-        layers = wish.service.engine.layers
         oldest = self._versions.oldest_allowed(wish.model)
         left_s = [
             server.rest.left_s()
             for server in self._board.servers(wish.service.name)
             if server.rest is not None
-            and server.health.usable(now_s)
             and server.instance.instance not in wish.excluded
-            and (server.whole_version(wish.model, layers, now_s) or -1) >= oldest
+            and self._version_to_take(server, wish.model, spec, oldest, now_s) is not None
         ]
         return min(left_s, default=None)
 
@@ -275,16 +274,33 @@
         oldest = self._versions.oldest_allowed(model)
         found = self._known[service, model] = []
         for server in self._board.servers(service):
-            if not server.health.usable(now_s) or not server.admits():
-                continue
-            version = server.whole_version(model, spec.layers, now_s)
-            if version is None or version < oldest or server.switching(now_s):
+            if not server.admits():
                 continue
-            if self._begins_in_time(model, server, version, now_s):
+            version = self._version_to_take(server, model, spec, oldest, now_s)
+            if version is not None:
                 far = server.instance.failure_domain != self._failure_domain
                 found.append(_Usable(server=server, version=version, far=far))
         return found
 
+    def _version_to_take(
+        self, server: Server, model: str, spec: EngineSpec, oldest: int, now_s: float
+    ) -> int | None:
+        """Give the weights on which a server could begin a request now, None where it could not.
+
+        What it admits of this entry's requests is not asked here.
+
+        Parameters
+        ----------
+        oldest
+            Lowest version that a request may begin on.
+        """
+        if not server.health.usable(now_s) or server.switching(now_s):
+            return None
+        version = server.whole_version(model, spec.layers, now_s)
+        if version is None or version < oldest:
+            return None
+        return version if self._begins_in_time(model, server, version, now_s) else None
+
     def _begins_in_time(self, model: str, server: Server, version: int, now_s: float) -> bool:
         """Tell whether a request will surely begin before the server's weights are too old."""
         left_s = self._versions.begin_by_s(model, version) - now_s
--- a/tests/decide/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Awaitable, Callable
 
@@ -12,6 +13,7 @@
 from leadhollow.decide.engine_queue import MOST_HELD, EngineQueue
 from leadhollow.decide.pressure import Pressure
 from leadhollow.decide.server import Server
+from leadhollow.decide.server_rest import ServerRest
 from leadhollow.decide.wish import EngineWish, Placement, Standing
 from leadhollow.forward.board import ServerBoard
 from leadhollow.forward.places import place
@@ -578,3 +580,74 @@
             assert (await placed(group, a_wish(last_attempt=True))).server is new
 
         in_loop(work)
+
+
+class TestRests:
+    """Engines that asked this entry, or another one, for rest."""
+
+    @staticmethod
+    def resting(group: Group, name: str, rest_s: float, **load: int) -> Server:
+        server = group.engine(name, **({"active": 0, "queued": 0} | load))
+        clock = asyncio.get_running_loop().time
+        server.rest = ServerRest(clock=clock, source=random.Random(1))
+        server.rest.ask(rest_s)
+        return server
+
+    @staticmethod
+    async def refused_after_s(group: Group, wish: EngineWish) -> float:
+        began_s = asyncio.get_running_loop().time()
+        found = await place(group.queue, wish)
+        assert found.unwrap_err().code is Code.NO_CAPACITY
+        return asyncio.get_running_loop().time() - began_s
+
+    def test_that_all_last_too_long_refuse_at_once_and_name_the_first_end(self):
+        async def work() -> None:
+            group = Group()
+            self.resting(group, "long", 9.0)
+            self.resting(group, "short", 3.0)
+            wish = a_wish(decide_s=0.5)
+            assert await self.refused_after_s(group, wish) < 0.2
+            urgent_s = group.queue.retry_after_s(a_wish(rank=0))
+            later_s = group.queue.retry_after_s(a_wish(rank=3))
+            assert 3.0 <= urgent_s < later_s < 4.5
+
+        in_loop(work)
+
+    def test_that_end_in_time_are_waited_for(self):
+        async def work() -> None:
+            group = Group()
+            engine = self.resting(group, "short", 0.1)
+            wish = a_wish(on_time_s=2.0, decide_s=0.01)
+            waiting = asyncio.create_task(place(group.queue, wish))
+            await asyncio.sleep(0.3)
+            group.queue.pump()
+            assert (await waiting).unwrap().server is engine
+
+        in_loop(work)
+
+    # Guards against: a request kept for the end of a rest whose engine could not take it anyway.
+    @pytest.mark.parametrize("load", [{"switching": True}, {"models": []}])
+    def test_of_engines_that_could_not_take_the_request_anyway_count_for_nothing(self, load):
+        async def work() -> None:
+            group = Group()
+            self.resting(group, "other", 0.1, **load)
+            wish = a_wish(on_time_s=2.0, decide_s=0.05)
+            assert 0.04 < await self.refused_after_s(group, wish) < 0.5
+            assert group.queue.retry_after_s(wish) >= 1.0
+
+        in_loop(work)
+
+    def test_that_an_engine_asked_of_another_entry_make_others_preferred(self):
+        async def work() -> None:
+            group = Group()
+            shunned = group.engine("shunned", active=0, queued=0)
+            shunned.rest = ServerRest(
+                clock=asyncio.get_running_loop().time, source=random.Random(1)
+            )
+            shunned.rest.hear(60.0)
+            busy = group.engine("busy", active=3, queued=0)
+            assert (await placed(group)).server is busy
+            group.report(busy, active=4, queued=40)
+            assert (await placed(group)).server is shunned
+
+        in_loop(work)
