--- a/src/leadhollow/experiment/world.py
+++ b/src/leadhollow/experiment/world.py
@@ -11,39 +11,27 @@
 
 from leadhollow.decide.engine_queue import DECIDE_SHARE, PUMP_INTERVAL_S, EngineQueue, Waiter
 from leadhollow.decide.policy import QueuePolicy
-from leadhollow.decide.pressure import Decisions
 from leadhollow.decide.server import Server
 from leadhollow.decide.wish import HOLD_SHARE, EngineWish, Placement, Standing
 from leadhollow.experiment.callers import Caller, draw_callers
 from leadhollow.experiment.clock import Clock
 from leadhollow.experiment.engine import EmulatedEngine, EngineTask
+from leadhollow.experiment.entry import SERVICE, Entry
+from leadhollow.experiment.relay import EmulatedRelay
 from leadhollow.experiment.rests import EmulatedRests
 from leadhollow.experiment.scenario import MS_PER_S, Scenario
 from leadhollow.experiment.view import OneVersion, View
 from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
-from leadhollow.membership.uses import NO_USE, Use
+from leadhollow.membership.uses import NO_USE
 from leadhollow.routing.model import ServiceRecord
 
-SERVICE = "models"
 MODEL = "m"
 RETURN_SHARE = 1 / 3  # of the time that is left; callers wait no longer than that
-GATHER_MS = 14.0  # changes within it travel together, in two steps
 MOST_SENDS = 6
 RESUME_WAIT_S = 0.3  # how long a request that was turned away looks for another engine
 SETTLE_S = 8.0  # after the last arrival; every deadline has passed by then
 
 
-class Entry:
-    """One entry: the product's queue before its own view of the engines."""
-
-    __slots__ = ("domain", "queue", "view")
-
-    def __init__(self, *, domain: str, view: View, queue: EngineQueue) -> None:
-        self.domain = domain
-        self.view = view
-        self.queue = queue
-
-
 class World:
     """One run of a scenario.
 
@@ -55,11 +43,10 @@
     """
 
     __slots__ = (
-        "_dirty",
         "_random",
+        "_relay",
         "_rests",
         "_service",
-        "_shares_pressure",
         "callers",
         "clock",
         "engines",
@@ -69,8 +56,6 @@
 
     def __init__(self, *, scenario: Scenario, policy: QueuePolicy, seed: int) -> None:
         self.scenario = scenario
-        self._shares_pressure = policy.shares_pressure
-        self._dirty: set[str] = set()
         self.clock = Clock()
         self._random = random.Random(seed)
         self._rests = EmulatedRests(
@@ -79,6 +64,12 @@
         self._service = ServiceRecord(name=SERVICE, engine=scenario.engine)
         self.engines: dict[str, EmulatedEngine] = {}
         self.entries: list[Entry] = []
+        self._relay = EmulatedRelay(
+            clock=self.clock,
+            scenario=scenario,
+            entries=self.entries,
+            shares_pressure=policy.shares_pressure,
+        )
         self.callers = draw_callers(scenario, seed)
         domains = {}
         for domain in scenario.domains:
@@ -139,7 +130,7 @@
                     ),
                     heard_s=0.0,
                 ),
-                on_use=self._tell,
+                on_use=self._relay.tell,
             )
         queue = EngineQueue(
             board=view,
@@ -151,76 +142,6 @@
         )
         self.entries.append(Entry(domain=name, view=view, queue=queue))
 
-    def _tell(self, address: str) -> None:
-        """Let all entries know, a little later, what others have at an engine."""
-        if not self._dirty:
-            self.clock.after_ms(GATHER_MS, self._send)
-        self._dirty.add(address)
-
-    def _send(self) -> None:
-        """Pass on what changed, all together, as it is now."""
-        changed = {}
-        for address in self._dirty:
-            uses = [entry.view.by_address[address].use() for entry in self.entries]
-            changed[address] = (
-                uses,
-                sum(use.requests for use in uses),
-                sum(use.unread_tokens for use in uses),
-            )
-        self._dirty.clear()
-        told = self._decisions_of_others()
-        near_ms = self.scenario.view_lag_ms
-        far_ms = self.scenario.far_view_lag_ms or near_ms
-        if far_ms == near_ms:
-            self._hear_after(near_ms, changed, told, inside=None)
-            return
-        self._hear_after(near_ms, changed, told, inside=True)
-        self._hear_after(far_ms, changed, told, inside=False)
-
-    def _hear_after(
-        self,
-        lag_ms: float,
-        changed: dict[str, tuple[list[Use], int, int]],
-        told: list[dict[str, Decisions]],
-        *,
-        inside: bool | None,
-    ) -> None:
-        """Let entries hear of engines inside or outside their failure domain; None for both."""
-        self.clock.after_ms(lag_ms - GATHER_MS, lambda: self._hear(changed, told, inside))
-
-    def _hear(
-        self,
-        changed: dict[str, tuple[list[Use], int, int]],
-        told: list[dict[str, Decisions]],
-        inside: bool | None,
-    ) -> None:
-        for place, entry in enumerate(self.entries):
-            for address, (uses, requests, unread) in changed.items():
-                server = entry.view.by_address[address]
-                if inside is not None and inside != (
-                    server.instance.failure_domain == entry.domain
-                ):
-                    continue
-                own = uses[place]
-                others = Use(
-                    requests=requests - own.requests, unread_tokens=unread - own.unread_tokens
-                )
-                server.take_told(others, self.clock.now_s)
-            if self._shares_pressure:
-                entry.queue.take_decisions(told[place])
-            if entry.queue.waiting:
-                entry.view.changed()
-
-    def _decisions_of_others(self) -> list[dict[str, Decisions]]:
-        """Give what all others decided lately, for each entry: the sum without its own part."""
-        found = [entry.queue.decisions().get(SERVICE, Decisions()) for entry in self.entries]
-        made = sum(own.made for own in found)
-        refused = sum(own.refused for own in found)
-        return [
-            {SERVICE: Decisions(made=made - own.made, refused=refused - own.refused)}
-            for own in found
-        ]
-
     def _set_out(self, share: float) -> None:
         """Take part of each domain's engines out, or bring all back."""
         for domain in self.scenario.domains:
@@ -324,13 +245,7 @@
         address = placement.server.instance.address
         place = self.entries.index(entry)
         self._rests.ask(place, placement.server)
-        for other in self.entries:
-            if other is not entry:
-                server = other.view.by_address[address]
-                near = server.instance.failure_domain == other.domain
-                lag_ms = self.scenario.view_lag_ms
-                lag_ms = lag_ms if near else self.scenario.far_view_lag_ms or lag_ms
-                self.clock.after_ms(lag_ms, lambda server=server: self._rests.tell(server))  # type: ignore[misc]
+        self._relay.tell_rest(entry, address, self._rests.tell)
         entry.queue.release(placement)
         wish = waiter.wish
         wish.excluded.add(address)
