--- a/src/leadhollow/bench/request_path.py
+++ b/src/leadhollow/bench/request_path.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import random
 import statistics
@@ -24,16 +25,23 @@
 from leadhollow.experiment.patterns import ENGINE
 from leadhollow.experiment.view import OneVersion, View
 from leadhollow.failure import Failure
+from leadhollow.forward.board import ServerBoard
+from leadhollow.forward.dialect import AnswerFacts
 from leadhollow.forward.events import EventSplitter
 from leadhollow.forward.fingerprint import fingerprint_of
 from leadhollow.forward.request_body import RequestBody
+from leadhollow.forward.self_reports import SelfReports
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
+from leadhollow.membership.control_feed import FollowListener, RestsListener
+from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
 from leadhollow.membership.packed_uses import pack_uses, unpack_uses
 from leadhollow.membership.uses import Use
 from leadhollow.routing.model import ServiceRecord
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.peers import PeerPool
 
 ENGINES = (3, 10, 39, 102)
 ROUTES = (10, 100, 1_500)
@@ -93,11 +101,14 @@
         Head of a request for a backend server, as bytes.
     event_us
         One event of a stream.
+    answer_us
+        What an answer says of its server is looked for, and there is nothing.
     """
 
     fingerprint_us: float
     head_us: float
     event_us: float
+    answer_us: float
     routes: list[RouteCost]
     choices: list[ChoiceCost]
     shares: list[ShareCost]
@@ -118,6 +129,7 @@
             fingerprint_us=_median_us(partial(fingerprint_of, head, body, organisation="group")),
             head_us=_median_us(head.encode),
             event_us=_median_us(partial(splitter.feed, event)),
+            answer_us=_answer_us(),
             routes=[_route_cost(size) for size in ROUTES],
             choices=[_choice_cost(engines) for engines in ENGINES],
             shares=[_share_cost(*size) for size in LIMITED_FLEETS],
@@ -185,6 +197,30 @@
     queue.release(waiter.placement)
 
 
+class _NoFeed:
+    """Nobody is followed, and nothing is heard."""
+
+    source = ""
+
+    def on_followed(self, listener: FollowListener) -> None:
+        return
+
+    def on_rests(self, listener: RestsListener) -> None:
+        return
+
+
+def _answer_us() -> float:
+    clock = asyncio.get_running_loop().time
+    reports = SelfReports(
+        board=ServerBoard(table=InstanceTable(forget_after_s=1.0), clock=clock),
+        feed=_NoFeed(),
+        peers=PeerPool(vm="bench", failure_domain="d", token="", handlers=HandlerTable()),
+        seed=1,
+    )
+    facts = AnswerFacts(attempt_id="a", signed=True, not_executed=False)
+    return _median_us(partial(reports.note_answer, _server(0), facts, sent_s=None))
+
+
 def _take_told(servers: list[Server]) -> None:
     now_s = time.monotonic()
     packed = pack_uses(
--- a/src/leadhollow/experiment/patterns.py
+++ b/src/leadhollow/experiment/patterns.py
@@ -50,101 +50,96 @@
 )
 
 
+MANY = (
+    Domain(name="a", entries=13, engines=8, share=0.33),
+    Domain(name="b", entries=13, engines=8, share=0.38),
+    Domain(name="c", entries=13, engines=7, share=0.29),
+)
+
+MANY_FAR_LAG_MS = 330.0  # of views between failure domains, where there are many entries
+
+
+def _pattern(
+    name: str,
+    *changes: Change,
+    domains: tuple[Domain, ...] = WIDE,
+    length_s: float = 30.0,
+    far_view_lag_ms: float = 0.0,
+) -> Scenario:
+    return Scenario(
+        name=name,
+        engine=ENGINE,
+        kinds=KINDS,
+        domains=domains,
+        changes=changes,
+        length_s=length_s,
+        far_view_lag_ms=far_view_lag_ms,
+    )
+
+
+def _resting(share: float) -> tuple[Change, ...]:
+    """Let part of the engines turn requests away for ten seconds."""
+    return (
+        Change(at_s=0.0, load=0.6),
+        Change(at_s=6.0, engines_resting=share),
+        Change(at_s=16.0, engines_resting=0.0),
+    )
+
+
+def _resting_in_turn(load: float) -> tuple[Change, ...]:
+    """Let half of the engines turn requests away for two seconds in four."""
+    steps = range(0, 16, 2)
+    turns = [
+        Change(at_s=6.0 + step, engines_resting=0.5 if step % 4 == 0 else 0.0) for step in steps
+    ]
+    return (Change(at_s=0.0, load=load), *turns)
+
+
 def patterns() -> dict[str, Scenario]:
     """Give all patterns by name."""
     found = [
-        Scenario(
-            name="usual",
-            engine=ENGINE,
-            kinds=KINDS,
-            domains=WIDE,
-            changes=(Change(at_s=0, load=0.85),),
-        ),
-        Scenario(name="overload", engine=ENGINE, kinds=KINDS, domains=UNEVEN),
-        Scenario(
-            name="double",
-            engine=ENGINE,
-            kinds=KINDS,
-            domains=UNEVEN,
-            changes=(Change(at_s=0, load=1.6),),
+        _pattern("usual", Change(at_s=0, load=0.85)),
+        _pattern("overload", domains=UNEVEN),
+        _pattern("double", Change(at_s=0, load=1.6), domains=UNEVEN),
+        _pattern(
+            "outage",
+            Change(at_s=0.0, load=0.9),
+            Change(at_s=8.0, engines_out=1.0),
+            Change(at_s=13.0, engines_out=0.0),
         ),
-        Scenario(
-            name="outage",
-            engine=ENGINE,
-            kinds=KINDS,
-            domains=WIDE,
-            changes=(
-                Change(at_s=0.0, load=0.9),
-                Change(at_s=8.0, engines_out=1.0),
-                Change(at_s=13.0, engines_out=0.0),
-            ),
-        ),
-        Scenario(
-            name="blink",
-            engine=ENGINE,
-            kinds=KINDS,
-            domains=WIDE,
+        _pattern(
+            "blink",
+            Change(at_s=0.0, load=1.0),
+            Change(at_s=6.0, engines_out=1.0),
+            Change(at_s=7.5, engines_out=0.0),
             length_s=20.0,
-            changes=(
-                Change(at_s=0.0, load=1.0),
-                Change(at_s=6.0, engines_out=1.0),
-                Change(at_s=7.5, engines_out=0.0),
-            ),
         ),
-        Scenario(
-            name="half-out",
-            engine=ENGINE,
-            kinds=KINDS,
-            domains=WIDE,
-            changes=(
-                Change(at_s=0.0, load=0.9),
-                Change(at_s=8.0, engines_out=0.5),
-                Change(at_s=13.0, engines_out=0.0),
-            ),
+        _pattern(
+            "half-out",
+            Change(at_s=0.0, load=0.9),
+            Change(at_s=8.0, engines_out=0.5),
+            Change(at_s=13.0, engines_out=0.0),
         ),
-        Scenario(
-            name="ramp",
-            engine=ENGINE,
-            kinds=KINDS,
-            domains=WIDE,
-            changes=(
-                Change(at_s=0.0, engines_out=0.4, load=0.55),
-                Change(at_s=3.0, load=0.7),
-                Change(at_s=4.5, load=0.85),
-                Change(at_s=6.0, load=1.0),
-                Change(at_s=9.0, engines_out=0.0),
-            ),
+        _pattern(
+            "ramp",
+            Change(at_s=0.0, engines_out=0.4, load=0.55),
+            Change(at_s=3.0, load=0.7),
+            Change(at_s=4.5, load=0.85),
+            Change(at_s=6.0, load=1.0),
+            Change(at_s=9.0, engines_out=0.0),
+        ),
+        _pattern("resting-some", *_resting(0.34)),
+        _pattern("resting-half", *_resting(0.5)),
+        _pattern("resting-all", *_resting(1.0)),
+        _pattern("resting-in-turn", *_resting_in_turn(0.6)),
+        _pattern(
+            "resting-many",
+            *_resting_in_turn(1.4),
+            domains=MANY,
+            length_s=16.0,
+            far_view_lag_ms=MANY_FAR_LAG_MS,
         ),
     ]
-    found += [
-        Scenario(
-            name=f"resting-{name}",
-            engine=ENGINE,
-            kinds=KINDS,
-            domains=WIDE,
-            changes=(
-                Change(at_s=0.0, load=0.6),
-                Change(at_s=6.0, engines_resting=share),
-                Change(at_s=16.0, engines_resting=0.0),
-            ),
-        )
-        for name, share in (("some", 0.34), ("half", 0.5), ("all", 1.0))
-    ]
-    found.append(
-        Scenario(
-            name="resting-in-turn",
-            engine=ENGINE,
-            kinds=KINDS,
-            domains=WIDE,
-            changes=(
-                Change(at_s=0.0, load=0.6),
-                *(
-                    Change(at_s=6.0 + step, engines_resting=0.5 if step % 4 == 0 else 0.0)
-                    for step in range(0, 16, 2)
-                ),
-            ),
-        )
-    )
     return {scenario.name: scenario for scenario in found}
 
 
--- a/src/leadhollow/forward/self_reports.py
+++ b/src/leadhollow/forward/self_reports.py
@@ -10,6 +10,7 @@
 import asyncio
 import random
 from collections import OrderedDict
+from typing import Protocol
 
 from leadhollow.codes import Code
 from leadhollow.decide.server import Server
@@ -19,7 +20,7 @@
 from leadhollow.forward.dialect import AnswerFacts
 from leadhollow.kernel import clocks
 from leadhollow.kernel.gathering_service import GatheringService
-from leadhollow.membership.control_feed import ControlFeed
+from leadhollow.membership.control_feed import FollowListener, RestsListener
 from leadhollow.membership.server_words import leaving_word, rest_word
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.generated.ttypes import ServerWord, ServerWords
@@ -37,6 +38,23 @@
 log = get_logger("self-reports")
 
 
+class RestFeed(Protocol):
+    """What is heard of other entries through control."""
+
+    @property
+    def source(self) -> str:
+        """Address of the replica that is followed, empty while there is none."""
+        ...
+
+    def on_followed(self, listener: FollowListener) -> None:
+        """Call a function each time that a replica has told everything."""
+        ...
+
+    def on_rests(self, listener: RestsListener) -> None:
+        """Call a function with rests that backend servers asked of other entries."""
+        ...
+
+
 class SelfReports(GatheringService):
     """Takes what the answers of backend servers say of these."""
 
@@ -51,9 +69,7 @@
         "_rests",
     )
 
-    def __init__(
-        self, *, board: ServerBoard, feed: ControlFeed, peers: PeerPool, seed: int
-    ) -> None:
+    def __init__(self, *, board: ServerBoard, feed: RestFeed, peers: PeerPool, seed: int) -> None:
         self._board = board
         self._clock = asyncio.get_running_loop().time
         self._random = random.Random(seed)
@@ -189,4 +205,4 @@
     }
 
 
-__all__ = ["SelfReports"]
+__all__ = ["RestFeed", "SelfReports"]
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -341,4 +341,4 @@
         return Err(Failure(code=Code.FRAME_MALFORMED, detail=str(error)))
 
 
-__all__ = ["ControlFeed"]
+__all__ = ["ControlFeed", "FollowListener", "RestsListener"]
