Read whole bodies, decimals of text and set-ups of tests in one place each

Read again: two loops that read a whole body, two encodings of a library's text for the same decimal, three set-ups of a site with servers. Change: one each. Of behaviour only the code of an answer that is too large: 405 (body too large) as for requests, before 701, which is of frames. Evidence: tests/http1/test_fetch.py reads whole, too large and broken bodies; the tests of limits, rests and leaving servers as before.

--- a/src/leadhollow/backend/engine_limit.py
+++ b/src/leadhollow/backend/engine_limit.py
@@ -12,7 +12,7 @@
 from leadhollow.decide.limit_table import LimitTable
 from leadhollow.decide.send_allowance import SendAllowance
 from leadhollow.failure import Failure
-from leadhollow.http1.decimals import read_decimal
+from leadhollow.http1.decimals import read_decimal_text
 from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 
@@ -47,7 +47,7 @@
         sent_s
             When the request was sent, by the clock with suspensions.
         """
-        per_s = read_decimal([value.encode("latin-1", "replace") for value in values])
+        per_s = read_decimal_text(values)
         if per_s is not None:
             changed = self._table.name(ENGINE, per_s=per_s, received_s=clocks.elapsed_s())
         elif values:
--- a/src/leadhollow/backend/engine_rest.py
+++ b/src/leadhollow/backend/engine_rest.py
@@ -12,7 +12,7 @@
 from leadhollow.codes import Code
 from leadhollow.decide.server_rest import ServerRest
 from leadhollow.failure import Failure
-from leadhollow.http1.decimals import read_decimal
+from leadhollow.http1.decimals import read_decimal_text
 from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 
@@ -42,7 +42,7 @@
             if self._rest is not None and self._rest.due:
                 self._rest = None
             return
-        rest_s = read_decimal([value.encode("latin-1", "replace") for value in values])
+        rest_s = read_decimal_text(values)
         if rest_s is None:
             self._note_malformed()
         elif rest_s:
--- a/src/leadhollow/control/operators.py
+++ b/src/leadhollow/control/operators.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from result import Err, Ok, Result
+from result import Result
 
 from leadhollow.codes import Code
 from leadhollow.control.calls import (
@@ -72,7 +72,7 @@
         await self._server.stop()
 
     async def _handle(self, request: IncomingRequest, reply: ReplyWriter) -> None:
-        read = await read_whole(request, LARGEST_BODY_BYTES)
+        read = await request.body.read_whole(LARGEST_BODY_BYTES)
         if read.is_err():
             await self._send(reply, self._dialect.refused(read.unwrap_err()))
             return
@@ -128,27 +128,4 @@
         await reply.send(answer.status, answer.headers, answer.body)
 
 
-async def read_whole(request: IncomingRequest, limit_bytes: int) -> Result[bytes, Failure]:
-    """Read a request's whole body.
-
-    Errors
-    ------
-    BODY_TOO_LARGE
-        It is larger than the limit.
-    """
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        read = await request.body.read()
-        if read.is_err():
-            return Err(read.unwrap_err())
-        data = read.unwrap()
-        if not data:
-            return Ok(b"".join(parts))
-        parts.append(data)
-        size += len(data)
-        if size > limit_bytes:
-            return Err(Failure(code=Code.BODY_TOO_LARGE, detail=f"more than {limit_bytes} bytes"))
-
-
-__all__ = ["ControlListener", "read_whole"]
+__all__ = ["ControlListener"]
--- a/src/leadhollow/http1/body.py
+++ b/src/leadhollow/http1/body.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from leadhollow.codes import Code
 from leadhollow.failure import Failure
 
 PAUSE_ABOVE_BYTES = 256 * 1024  # a fast sender waits once this much is unread
@@ -88,6 +89,29 @@
             self._resume()
         return Ok(data)
 
+    async def read_whole(self, limit_bytes: int) -> Result[bytes, Failure]:
+        """Give all that comes.
+
+        Errors
+        ------
+        BODY_TOO_LARGE
+            It is larger than the limit.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            read = await self.read()
+            if read.is_err():
+                return read
+            data = read.unwrap()
+            if not data:
+                return Ok(b"".join(parts))
+            parts.append(data)
+            size += len(data)
+            if size > limit_bytes:
+                detail = f"more than {limit_bytes} bytes"
+                return Err(Failure(code=Code.BODY_TOO_LARGE, detail=detail))
+
     def discard(self) -> None:
         """Drop what is held and let the socket be read on."""
         self._pieces.clear()
--- a/src/leadhollow/http1/decimals.py
+++ b/src/leadhollow/http1/decimals.py
@@ -15,4 +15,9 @@
     return float(values[0])
 
 
-__all__ = ["read_decimal"]
+def read_decimal_text(values: Sequence[str]) -> float | None:
+    """Decode values that a library has made text of."""
+    return read_decimal([value.encode("latin-1", "replace") for value in values])
+
+
+__all__ = ["read_decimal", "read_decimal_text"]
--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -8,7 +8,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.http1.client_connection import Answer, ClientConnection, open_connection
+from leadhollow.http1.client_connection import ClientConnection, open_connection
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead, ResponseHead
 from leadhollow.http1.peer_rests import PeerRests
@@ -115,7 +115,7 @@
                 return Err(_lost(address, target, answered.unwrap_err()))
             answer = answered.unwrap()
             self._rests.note_answer(address, answer.head)
-            content = await _read_whole(answer)
+            content = await answer.body.read_whole(LARGEST_ANSWER_BYTES)
             if content.is_err():
                 return Err(_lost(address, target, content.unwrap_err()))
             done = True
@@ -144,22 +144,6 @@
             connection.close()
 
 
-async def _read_whole(answer: Answer) -> Result[bytes, Failure]:
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        read = await answer.body.read()
-        if read.is_err():
-            return Err(read.unwrap_err())
-        data = read.unwrap()
-        if not data:
-            return Ok(b"".join(parts))
-        parts.append(data)
-        size += len(data)
-        if size > LARGEST_ANSWER_BYTES:
-            return Err(Failure(code=Code.FRAME_TOO_LARGE, detail="the answer is too large"))
-
-
 def _lost(address: Address, target: str, failure: Failure) -> Failure:
     return Failure(code=Code.PEER_LOST, detail=f"{address}{target}: {failure.detail}")
 
--- a/tests/cli/test_servers_command.py
+++ b/tests/cli/test_servers_command.py
@@ -20,7 +20,7 @@
     def test_that_leave_or_rest_are_listed_with_who_told(self, tmp_path):
         servers = [SelfReportingServer(number=number, service="service") for number in range(3)]
 
-        async def work(site: Site) -> None:
+        async def work(site: Site, _: object) -> None:
             replica = site._control_settings.wire_address
             assert json.loads((await ask(replica, "--json")).stdout) == []
             assert (await ask(replica, "--all")).stdout.count("ready") == 3
--- a/tests/http1/test_fetch.py
+++ b/tests/http1/test_fetch.py
@@ -7,6 +7,8 @@
 import pytest
 
 from leadhollow.codes import Code
+from leadhollow.failure import Failure
+from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.fetch import HttpCaller
 from leadhollow.settings.address import Address
 
@@ -79,3 +81,26 @@
             await peer.ask()
             assert (await peer.ask()).is_ok()
             assert peer.requests == 2
+
+
+class TestWholeBody:
+    async def feed(self, *pieces: bytes) -> IncomingBody:
+        body = IncomingBody(pause=lambda: None, resume=lambda: None)
+        for piece in pieces:
+            body.feed(piece)
+        body.finish()
+        return body
+
+    async def test_is_all_that_came(self):
+        body = await self.feed(b"ab", b"c")
+        assert (await body.read_whole(3)).unwrap() == b"abc"
+
+    async def test_that_is_larger_than_allowed_is_refused(self):
+        body = await self.feed(b"ab", b"c")
+        assert (await body.read_whole(2)).unwrap_err().code is Code.BODY_TOO_LARGE
+
+    async def test_that_ends_too_early_is_no_body(self):
+        body = IncomingBody(pause=lambda: None, resume=lambda: None)
+        body.feed(b"ab")
+        body.fail(Failure(code=Code.PEER_LOST))
+        assert (await body.read_whole(9)).unwrap_err().code is Code.PEER_LOST
--- a/tests/node/load.py
+++ b/tests/node/load.py
@@ -6,6 +6,7 @@
 import itertools
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
+from typing import Any
 
 from tests.node.site import PlainServer, Site, route
 from tests.support import eventually
@@ -69,9 +70,9 @@
     kind: str,
     servers: Sequence[PlainServer],
     entries: int,
-    work: Callable[[Site], Awaitable[None]],
+    work: Callable[[Site, Sequence[Any]], Awaitable[None]],
 ) -> None:
-    """Run a test on a site whose entries all serve."""
+    """Run a test on a site whose entries all serve; it gets the site and its servers."""
 
     async def served(site: Site, entry: int) -> bool:
         return await site.post("/ask/a", b"good", entry=entry, fields=FIELDS) == 200
@@ -82,7 +83,7 @@
             for entry in range(entries):
                 await eventually(lambda entry=entry: served(site, entry), "an answer")
             await site.pause()
-            await work(site)
+            await work(site, servers)
 
     asyncio.run(asyncio.wait_for(run(), TEST_TIMEOUT_S))
 
--- a/tests/node/test_leaving_server.py
+++ b/tests/node/test_leaving_server.py
@@ -32,13 +32,7 @@
         KINDS[kind](number=number, service="service", run_s=0.02 if number == 0 else SLOW_S)
         for number in range(SERVERS)
     ]
-    with_site(
-        folder,
-        kind=kind,
-        servers=servers,
-        entries=ENTRIES,
-        work=lambda site: work(site, servers),
-    )
+    with_site(folder, kind=kind, servers=servers, entries=ENTRIES, work=work)
 
 
 @pytest.mark.parametrize("kind", sorted(KINDS))
--- a/tests/node/test_resting_server.py
+++ b/tests/node/test_resting_server.py
@@ -36,13 +36,7 @@
 
 def on_site(folder: Path, kind: str, work: Work, *, entries: int = 1) -> None:
     servers = [KINDS[kind](number=number, service="service") for number in range(SERVERS)]
-    with_site(
-        folder,
-        kind=kind,
-        servers=servers,
-        entries=entries,
-        work=lambda site: work(site, servers),
-    )
+    with_site(folder, kind=kind, servers=servers, entries=entries, work=work)
 
 
 @pytest.mark.parametrize("kind", sorted(KINDS))
--- a/tests/node/test_server_limit.py
+++ b/tests/node/test_server_limit.py
@@ -27,13 +27,7 @@
     work: Callable[[Site, list[LimitingServer | LimitingEngine]], Awaitable[None]],
 ) -> None:
     servers = [KINDS[kind](number=number, service="service") for number in range(SERVERS)]
-    with_site(
-        folder,
-        kind=kind,
-        servers=servers,
-        entries=ENTRIES,
-        work=lambda site: work(site, servers),
-    )
+    with_site(folder, kind=kind, servers=servers, entries=ENTRIES, work=work)
 
 
 async def served(site: Site, entry: int) -> bool:
