Say for each request that ends early why it ended, and when the loop was held up

A caller's end, an end by our own stop and an answer of a plain service that broke off left no line of their request, and a line of a broken stream did not say whether the engine was silent or this process did not run. The hypotheses of the cut streams could not be told apart.

Each end now leaves "request ended without an answer" with one reason of a closed list, the backend server that was asked last, how long it was silent and how long the loop was held up meanwhile. Nothing is decided by it yet.

--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -6,7 +6,7 @@
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.messages import RequestHead
 from leadhollow.http1.reply import ReplyWriter
-from leadhollow.kernel import clocks
+from leadhollow.kernel import clocks, hearing
 from leadhollow.routing.model import Organisation, Route
 
 
@@ -28,15 +28,22 @@
         Backend servers that may have begun to work on it.
     sends
         Times that it was sent, refused ones included.
+    engine
+        Backend server that was asked last; empty before.
+    heard_s
+        Loop time at which it was asked, or was last heard from.
     """
 
     __slots__ = (
         "attempts",
         "body",
         "deadline_s",
+        "engine",
         "facts",
         "fingerprint",
         "head",
+        "heard_s",
+        "held_before_s",
         "organisation",
         "received_s",
         "reply",
@@ -74,6 +81,9 @@
             self.deadline_s = min(self.deadline_s, received_s + facts.deadline_ms / 1000)
         self.attempts = 0
         self.sends = 0
+        self.engine = ""
+        self.heard_s = received_s
+        self.held_before_s = hearing.clock().held_s()
 
     @property
     def request_id(self) -> str:
@@ -97,6 +107,19 @@
             return self.organisation.priority
         return self.route.priority
 
+    def note_asked(self, instance: str) -> None:
+        """Note that a backend server is sent the request now."""
+        self.engine = instance
+        self.heard_s = clocks.steady_s()
+
+    def silent_s(self) -> float:
+        """Give the time since the backend server was asked or last heard from."""
+        return clocks.steady_s() - self.heard_s
+
+    def held_s(self) -> float:
+        """Give the time for which this process was held up since the request came."""
+        return hearing.clock().held_s() - self.held_before_s
+
     def left_ms(self) -> float:
         """Give what is left of the caller's time, which went on while this machine did not."""
         suspended_s = clocks.suspended_s() - self.suspended_s
--- a/src/leadhollow/forward/ending.py
+++ b/src/leadhollow/forward/ending.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
+from enum import Enum
 from http import HTTPStatus
 
 from leadhollow.codes import Code
@@ -20,13 +22,32 @@
 log = get_logger("ending")
 
 
+class EndReason(Enum):
+    """Why a request ended without the whole answer of a backend server; there is no other reason."""
+
+    NOT_TAKEN = "no backend server took it"
+    ENGINE_ENDED = "its backend server ended it"
+    ROUTE_TIMEOUT = "the route's timeout came"
+    CALLER_DEADLINE = "its caller's deadline came"
+    CALLER_LEFT = "its caller left"
+    STOPPED = "this process stopped"
+    QUARANTINED = "it is in quarantine"
+
+
 class Ending:
-    """Writes answers of our own; what may have run is never called not run."""
+    """Writes answers of our own; what may have run is never called not run.
+
+    Attributes
+    ----------
+    cut
+        Answers that had begun and were not finished, by the reason.
+    """
 
-    __slots__ = ("_dialect",)
+    __slots__ = ("_dialect", "cut")
 
     def __init__(self, *, dialect: CallDialect) -> None:
         self._dialect = dialect
+        self.cut: Counter[EndReason] = Counter()
 
     async def not_run(
         self, call: ForwardedCall, failure: Failure, *, retry_after_s: float | None
@@ -41,6 +62,19 @@
         """Say that the request failed and may have run."""
         await self._send(call, UNKNOWN_STATUS, failure, None)
 
+    def broken_off(self, call: ForwardedCall, failure: Failure) -> None:
+        """Break an answer off whose backend server did not finish it."""
+        self._note(call, EndReason.ENGINE_ENDED, failure)
+        call.reply.abort()
+
+    def caller_left(self, call: ForwardedCall) -> None:
+        """Note a request whose caller closed its connection."""
+        self._note(call, EndReason.CALLER_LEFT)
+
+    def stopped(self, call: ForwardedCall) -> None:
+        """Note a request that this process could not finish before it had to stop."""
+        self._note(call, EndReason.STOPPED)
+
     async def quarantined(self, call: ForwardedCall) -> None:
         """Answer a request that is sent to no server any more.
 
@@ -64,27 +98,53 @@
         status: HTTPStatus,
         failure: Failure,
         retry_after_s: float | None,
+    ) -> None:
+        self._note(call, _reason(call, failure), failure, status, retry_after_s)
+        if call.reply.started:
+            call.reply.abort()  # an answer has begun: it must not look complete
+            return
+        headers = self._dialect.refusal(failure, retry_after_s)
+        body = f"{int(failure.code)} {failure.code.title}\n".encode()
+        await call.reply.send(status, headers, body)
+
+    def _note(
+        self,
+        call: ForwardedCall,
+        reason: EndReason,
+        failure: Failure | None = None,
+        status: HTTPStatus | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         waited_s = asyncio.get_running_loop().time() - call.received_s
+        if call.reply.started:
+            self.cut[reason] += 1
         log.info(
             "request ended without an answer",
             request=call.request_id,
+            reason=reason.value,
+            begun=call.reply.started,
             fingerprint=shown(call.fingerprint),
             route=call.route.name,
-            status=int(status),
-            code=int(failure.code),
-            detail=failure.detail,
+            status=None if status is None else int(status),
+            code=None if failure is None else int(failure.code),
+            detail="" if failure is None else failure.detail,
+            instance=call.engine,
             attempts=call.attempts,
             sends=call.sends,
             after_ms=round(waited_s * 1000),
+            silent_ms=round(call.silent_s() * 1000),
+            held_up_ms=round(call.held_s() * 1000),
             retry_after_s=None if retry_after_s is None else round(retry_after_s, 2),
         )
-        if call.reply.started:
-            call.reply.abort()  # an answer has begun: it must not look complete
-            return
-        headers = self._dialect.refusal(failure, retry_after_s)
-        body = f"{int(failure.code)} {failure.code.title}\n".encode()
-        await call.reply.send(status, headers, body)
 
 
-__all__ = ["NOT_RUN_STATUS", "TIMEOUT_STATUS", "UNKNOWN_STATUS", "Ending"]
+def _reason(call: ForwardedCall, failure: Failure) -> EndReason:
+    if failure.code is Code.REQUEST_QUARANTINED:
+        return EndReason.QUARANTINED
+    if failure.code is Code.DEADLINE_PASSED:
+        by_route = call.deadline_s >= call.timeout_s
+        return EndReason.ROUTE_TIMEOUT if by_route else EndReason.CALLER_DEADLINE
+    return EndReason.ENGINE_ENDED if call.attempts else EndReason.NOT_TAKEN
+
+
+__all__ = ["NOT_RUN_STATUS", "TIMEOUT_STATUS", "UNKNOWN_STATUS", "EndReason", "Ending"]
--- a/src/leadhollow/forward/passing.py
+++ b/src/leadhollow/forward/passing.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from result import Err, Ok, Result
+
+from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.exchange import Exchange
 from leadhollow.http1.headers import Headers
+from leadhollow.kernel import clocks
 
 FRAMING_FIELDS = frozenset({b"content-length"})
 
@@ -17,8 +21,8 @@
 
 async def pass_on(
     call: ForwardedCall, exchange: Exchange, *, taken: bytes = b"", whole: bool = False
-) -> None:
-    """Pass an answer on as it comes; one that breaks off cannot look complete.
+) -> Result[None, Failure]:
+    """Pass an answer on as it comes.
 
     Parameters
     ----------
@@ -26,6 +30,11 @@
         What was read of its body before.
     whole
         Whether that is all of it.
+
+    Errors
+    ------
+    BACKEND_LOST
+        It broke off; what the caller has got of it must not look complete.
     """
     head = exchange.answer.head
     fields = passed_fields(exchange)
@@ -35,15 +44,16 @@
     while not whole:
         read = await exchange.read()
         if read.is_err():
-            call.reply.abort()
             exchange.abort()
-            return
+            return Err(read.unwrap_err())
+        call.heard_s = clocks.steady_s()
         data = read.unwrap()
         if not data:
             break
         await call.reply.write(data)
     call.reply.finish()
     exchange.finish()
+    return Ok(None)
 
 
 __all__ = ["pass_on", "passed_fields"]
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -100,11 +100,11 @@
                 continue
             answer = attempted.unwrap()
             if answer.good or not (answer.own_failure and self._may_try(call)):
-                await pass_on(call, answer.exchange, taken=answer.data, whole=answer.whole)
+                await self._pass_on(call, answer)
                 return
             fallback = answer
         if fallback is not None and fallback.exchange.facts.signed:
-            await pass_on(call, fallback.exchange, taken=fallback.data, whole=fallback.whole)
+            await self._pass_on(call, fallback)
         elif self._suspects.quarantine.holds(call):
             await self._ending.quarantined(call)
         elif call.attempts:
@@ -112,6 +112,11 @@
         else:
             await self._ending.not_run(call, failure, retry_after_s=self._retry_after_s(call))
 
+    async def _pass_on(self, call: ForwardedCall, answer: WholeAnswer) -> None:
+        passed = await pass_on(call, answer.exchange, taken=answer.data, whole=answer.whole)
+        if passed.is_err():
+            self._ending.broken_off(call, passed.unwrap_err())
+
     def _retry_after_s(self, call: ForwardedCall) -> float:
         """Give the time after which a caller should come back whose request did not run."""
         left_s = self._rest_left_s(call, set())
@@ -232,6 +237,7 @@
         server.add(running)
         server.health.note_start(loop.time())
         call.sends += 1
+        call.note_asked(server.instance.instance)
         try:
             return await self._exchange(call, server, running)
         finally:
--- a/src/leadhollow/forward/service.py
+++ b/src/leadhollow/forward/service.py
@@ -51,6 +51,7 @@
     __slots__ = (
         "_chooser",
         "_closed",
+        "_cutting",
         "_dialect",
         "_ending",
         "_plain",
@@ -89,6 +90,7 @@
         self._server = HttpServer(address=address, handler=self._handle, limits=self._limits)
         self.stopping = False
         self._closed = False
+        self._cutting = False
         super().__init__()
 
     async def start(self) -> Result[None, Failure]:
@@ -108,6 +110,7 @@
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
+        self._cutting = True
         await self._server.stop()
 
     def _limits(self) -> HttpLimits:
@@ -129,6 +132,19 @@
             await self._refuse(request, reply, checked.unwrap_err())
             return
         call = checked.unwrap()
+        try:
+            await self._forward(call)
+        except asyncio.CancelledError:
+            if self._cutting:
+                self._ending.stopped(call)
+            else:
+                self._ending.caller_left(call)
+            raise
+        except Exception:
+            log.exception("request ended by an error", request=call.request_id)
+            raise
+
+    async def _forward(self, call: ForwardedCall) -> None:
         if self._suspects.quarantine.holds(call):
             await self._ending.quarantined(call)
             return
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -199,6 +199,7 @@
     async def _send(self, placement: Placement) -> bool:
         call = self._call
         instance = placement.server.instance
+        call.note_asked(instance.instance)
         dispatch = call.dispatch(
             instance=instance.instance,
             version=placement.expected_version,
@@ -279,7 +280,9 @@
             return False
         if not exchange.facts.signed and exchange.status < HTTPStatus.BAD_REQUEST:
             return False
-        await pass_on(call, exchange)
+        passed = await pass_on(call, exchange)
+        if passed.is_err():
+            self._forwarder.ending.broken_off(call, passed.unwrap_err())
         return True
 
     def _lost(self, placement: Placement, failure: Failure) -> None:
@@ -300,6 +303,8 @@
             address=placement.server.instance.address,
             last_event_id=self._relay.last_id,
             failure=str(failure),
+            silent_ms=round(self._call.silent_s() * 1000),
+            held_up_ms=round(self._call.held_s() * 1000),
         )
 
     def _note_failure(self, placement: Placement, failed: AttemptFailure) -> None:
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -97,6 +97,7 @@
 
     def _note_pause(self) -> None:
         now_s = asyncio.get_running_loop().time()
+        self._call.heard_s = now_s
         if self._last_event_s:
             self._longest_pause_s = max(self._longest_pause_s, now_s - self._last_event_s)
         self._last_event_s = now_s
--- a/src/leadhollow/process.py
+++ b/src/leadhollow/process.py
@@ -11,6 +11,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.kernel import hearing
 from leadhollow.kernel.kernel import Kernel
 from leadhollow.membership.catalog_feed import CatalogFeed
 from leadhollow.observe.metrics import Metrics
@@ -57,6 +58,7 @@
 
     async def start(self) -> Result[None, Failure]:
         """Start all services."""
+        hearing.clock()  # holds are noted from the first moment on
         return await self.kernel.start()
 
     async def stop(self) -> bool:
