--- /dev/null
+++ b/tests/node/test_lost_streams.py
@@ -0,0 +1,100 @@
+"""The incident of the streams that ended before their engine had ended them.
+
+Seen: callers got the head and some events of a stream and then a closed connection, while the engine
+went on writing.
+
+How it came about: an engine that wrote nothing for 0.8 s was taken for lost and its stream broken off.
+The 0.8 s were measured by the entry's own timer, which is due before its sockets are read where the
+entry itself was held up.
+
+Cause: a deadline kept by one's own clock was read as a fact about someone else.
+
+Proof: a control replica and an entry as whole processes, engines on loops of their own, and an entry
+whose loop stands still while they write.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from tests.node.site import Site
+from tests.node.streaming import (
+    Script,
+    StreamClient,
+    StreamingEngine,
+    hold,
+    streaming_route,
+    streams,
+)
+from tests.support import eventually
+
+LOOPS = {"uvloop": uvloop.new_event_loop}
+STREAMS = 20
+LONG = Script(events=12, pause_s=0.1)
+HELD_AFTER_S = 0.35  # when some events have come, and others are still to come
+
+
+def with_engines(
+    folder: Path,
+    work: Callable[[Site, list[StreamingEngine]], Awaitable[None]],
+    *,
+    engines: int = 1,
+    resumable: bool = False,
+    loop: str = "uvloop",
+) -> None:
+    """Run a test on a site whose entry has answered once; it gets the site and its engines."""
+    servers = [
+        StreamingEngine(instance=f"i-{number}", script=Script()) for number in range(engines)
+    ]
+
+    async def serves(site: Site) -> bool:
+        client = await StreamClient(address=site.callers).run()
+        return client.whole and client.status == 200
+
+    async def run() -> None:
+        async with Site(folder=folder, servers=servers) as site:
+            await site.put_routes(streaming_route(resumable=resumable))
+            await eventually(lambda: serves(site), "a whole stream")
+            await site.pause()
+            for server in servers:
+                server.runs.clear()
+            await work(site, servers)
+
+    with asyncio.Runner(loop_factory=LOOPS[loop]) as runner:
+        runner.run(asyncio.wait_for(run(), 60))
+
+
+class TestEngineThatIsSilent:
+    # Guards against: an engine's silence ends an answer that has begun.
+    def test_ends_no_stream_that_cannot_be_resumed(self, tmp_path):
+        async def work(site: Site, servers: list[StreamingEngine]) -> None:
+            servers[0].script = Script(pauses_s={3: 1.3})
+            (client,) = await streams(site.callers, 1)
+            assert (client.status, client.event_ids, client.whole) == (200, [*range(6)], True)
+            assert [run.broken for run in servers[0].runs] == [False]
+
+        with_engines(tmp_path, work)
+
+
+@pytest.mark.parametrize("loop", sorted(LOOPS))
+class TestEntryThatIsHeldUp:
+    # Guards against: the time in which an entry did not run is taken for the silence of its engines.
+    @pytest.mark.parametrize("hold_s", [1.0, 2.5])
+    def test_cuts_no_stream(self, tmp_path, hold_s, loop):
+        async def work(site: Site, servers: list[StreamingEngine]) -> None:
+            servers[0].script = LONG
+
+            async def meanwhile() -> None:
+                await asyncio.sleep(HELD_AFTER_S)
+                hold(hold_s)
+
+            clients = await streams(site.callers, STREAMS, meanwhile)
+            assert sum(client.whole for client in clients) == STREAMS
+            assert all(client.event_ids == [*range(12)] for client in clients)
+
+        with_engines(tmp_path, work, loop=loop)
