Count only time in which an entry could hear as silence of its engines

Callers saw streams that ended in the middle while their engines wrote on. The patience with an engine ran by the loop's own timers, and a timer that is due runs before the sockets are read: an entry that was held up for a second broke all of its streams off at once, marked all of their engines and spent the repeats that all entries share, with the events lying in its sockets.

Patience with an engine now goes by the clock of the loop, which stands still while the loop does (kernel/hearing.py); a deadline of the request, where the loop was held up when it came, lets what had arrived be read first.

--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -23,6 +23,7 @@
 from leadhollow.forward.plain_answer import WholeAnswer, first_good, take_whole
 from leadhollow.forward.suspect_exchange import SuspectExchange
 from leadhollow.http1.messages import Framing
+from leadhollow.kernel.hearing import deadline_at
 from leadhollow.observe.logs import get_logger, log_decision
 
 HEDGE_SHARE = 0.6  # of the objective; then another server may answer a repeatable request sooner
@@ -70,7 +71,7 @@
         """Forward one request to its end."""
         quarantine = self._suspects.quarantine
         try:
-            async with asyncio.timeout_at(call.deadline_s) as limit:
+            async with deadline_at(call.deadline_s) as limit:
                 with quarantine.running(call, limit):
                     await self._run(call)
         except TimeoutError:
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -23,6 +23,8 @@
 from leadhollow.forward.stream_wish import stream_wish
 from leadhollow.forward.suspect_exchange import SuspectExchange
 from leadhollow.http1.messages import Framing
+from leadhollow.kernel import hearing
+from leadhollow.kernel.hearing import deadline_at, heard_timeout
 from leadhollow.observe.logs import get_logger
 from leadhollow.routing.model import ServiceRecord
 
@@ -131,7 +133,7 @@
         call = self._call
         quarantine = self._forwarder.suspects.quarantine
         try:
-            async with asyncio.timeout_at(call.deadline_s) as limit:
+            async with deadline_at(call.deadline_s) as limit:
                 with quarantine.running(call, limit):
                     while not await self._attempt():
                         pass
@@ -206,10 +208,10 @@
             last_event_id=self._relay.last_id,
         )
         call.attempts += 1  # taken back where it is certain that nothing ran
-        first_by_s = self._first_event_by(placement)
+        first_by_heard_s = self._first_event_by(placement)
         near_bound = placement.begin_by_s - asyncio.get_running_loop().time() < NEAR_BOUND_S
         try:
-            async with asyncio.timeout_at(first_by_s) as limit:
+            async with heard_timeout(first_by_heard_s - hearing.heard_s()) as limit:
                 began = await self._forwarder.exchanger.begin(
                     server=placement.server,
                     running=placement.call,
@@ -231,22 +233,22 @@
             return False
         exchange = began.unwrap()
         try:
-            return await self._take_answer(placement, exchange, first_by_s)
+            return await self._take_answer(placement, exchange, first_by_heard_s)
         finally:
             exchange.abort()
 
     def _first_event_by(self, placement: Placement) -> float:
-        """Give the loop time after which an engine that is silent is taken for lost."""
-        now_s = asyncio.get_running_loop().time()
+        """Give the time, by what can be heard, after which a silent engine is taken for lost."""
+        left_s = placement.begin_by_s - asyncio.get_running_loop().time()
         patience_s = max(
             self._call.route.objective_ms / 1000,
             FIRST_EVENT_FACTOR * placement.call.predicted_ms / 1000,
             SHORTEST_STALL_S,
         )
-        return min(now_s + patience_s, placement.begin_by_s)
+        return hearing.heard_s() + min(patience_s, left_s)
 
     async def _take_answer(
-        self, placement: Placement, exchange: Exchange, first_by_s: float
+        self, placement: Placement, exchange: Exchange, first_by_heard_s: float
     ) -> bool:
         call = self._call
         if exchange.facts.not_executed or exchange.status == HTTPStatus.MISDIRECTED_REQUEST:
@@ -254,7 +256,7 @@
             return False
         if exchange.status != HTTPStatus.OK or not exchange.facts.signed:
             return await self._take_failure(placement, exchange)
-        relayed = await self._relay.run(placement, exchange, first_by_s)
+        relayed = await self._relay.run(placement, exchange, first_by_heard_s)
         if relayed.is_err():
             self._lost(placement, relayed.unwrap_err())
             return False
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -15,6 +15,8 @@
 from leadhollow.forward.fingerprint import shown
 from leadhollow.forward.passing import passed_fields
 from leadhollow.http1.messages import Framing
+from leadhollow.kernel import hearing
+from leadhollow.kernel.hearing import heard_timeout
 from leadhollow.observe.logs import get_logger
 
 STALL_FACTOR = 2.0  # of the pause that a route calls on time; then the stream is taken for dead
@@ -52,7 +54,7 @@
         self.last_id = call.facts.last_event_id
 
     async def run(
-        self, placement: Placement, exchange: Exchange, first_by_s: float
+        self, placement: Placement, exchange: Exchange, first_by_heard_s: float
     ) -> Result[None, Failure]:
         """Pass whole events on until the stream ends.
 
@@ -65,10 +67,10 @@
         """
         call = self._call
         splitter = EventSplitter()
-        wait_until_s = first_by_s
+        until_heard_s = first_by_heard_s
         while True:
             try:
-                async with asyncio.timeout_at(wait_until_s) as limit:
+                async with heard_timeout(until_heard_s - hearing.heard_s()) as limit:
                     read = await exchange.read()
             except TimeoutError:
                 if not limit.expired():
@@ -93,7 +95,7 @@
             self._begin_reply(exchange)
             await call.reply.write(b"".join(event.data for event in events))
             self._note_pause()
-            wait_until_s = asyncio.get_running_loop().time() + self._stall_s()
+            until_heard_s = hearing.heard_s() + self._stall_s()
 
     def _note_pause(self) -> None:
         now_s = asyncio.get_running_loop().time()
--- a/tests/node/test_lost_streams.py
+++ b/tests/node/test_lost_streams.py
@@ -33,7 +33,7 @@
 )
 from tests.support import eventually
 
-LOOPS = {"uvloop": uvloop.new_event_loop}
+LOOPS = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
 STREAMS = 20
 LONG = Script(events=12, pause_s=0.1)
 HELD_AFTER_S = 0.35  # when some events have come, and others are still to come
@@ -69,6 +69,10 @@
         runner.run(asyncio.wait_for(run(), 60))
 
 
+def all_runs(servers: list[StreamingEngine]) -> int:
+    return sum(len(server.runs) for server in servers)
+
+
 class TestEngineThatIsSilent:
     # Guards against: an engine's silence ends an answer that has begun.
     def test_ends_no_stream_that_cannot_be_resumed(self, tmp_path):
@@ -98,3 +102,51 @@
             assert all(client.event_ids == [*range(12)] for client in clients)
 
         with_engines(tmp_path, work, loop=loop)
+
+    # Guards against: a hold spends the repeats that all entries share, on answers that had come.
+    def test_spends_no_repeats(self, tmp_path, loop):
+        async def work(site: Site, servers: list[StreamingEngine]) -> None:
+            for server in servers:
+                server.script = LONG
+
+            async def meanwhile() -> None:
+                await asyncio.sleep(HELD_AFTER_S)
+                hold(1.5)
+
+            clients = await streams(site.callers, STREAMS, meanwhile)
+            assert sum(client.whole for client in clients) == STREAMS
+            assert all_runs(servers) == STREAMS
+
+        with_engines(tmp_path, work, engines=3, resumable=True, loop=loop)
+
+    def test_keeps_requests_whose_first_event_came_meanwhile(self, tmp_path, loop):
+        async def work(site: Site, servers: list[StreamingEngine]) -> None:
+            servers[0].script = Script(pauses_s={0: 0.5})
+
+            async def meanwhile() -> None:
+                await asyncio.sleep(0.2)
+                hold(1.5)
+
+            clients = await streams(site.callers, STREAMS, meanwhile)
+            assert [client.status for client in clients] == [200] * STREAMS
+            assert sum(client.whole for client in clients) == STREAMS
+
+        with_engines(tmp_path, work, loop=loop)
+
+    # Guards against: a hold of the entry puts sound engines out of use.
+    def test_marks_no_engine(self, tmp_path, loop):
+        async def work(site: Site, servers: list[StreamingEngine]) -> None:
+            for server in servers:
+                server.script = LONG
+
+            async def meanwhile() -> None:
+                await asyncio.sleep(HELD_AFTER_S)
+                hold(1.5)
+
+            await streams(site.callers, STREAMS, meanwhile)
+            board = site.entry.kernel.get("dispatching", object).board
+            now_s = asyncio.get_running_loop().time()
+            assert all(server.health.usable(now_s) for server in board.all_servers())
+            assert not any(server.health.ejected(now_s) for server in board.all_servers())
+
+        with_engines(tmp_path, work, engines=3, resumable=True, loop=loop)
