Let only the request that finds out end a server's rest

An answer that asks for no rest ended a rest that was due, also one to a request that was sent before the server had asked, and so could be read late. Now the answer has to be that of the one request that was let through to find out. The second of grace in which an entry did not heed what others were told went by the entry's own clock; it is gone, and news of a rest count for 5 s at most, since a server may have meant the other entry alone.

--- a/src/leadhollow/backend/dispatches.py
+++ b/src/leadhollow/backend/dispatches.py
@@ -9,7 +9,7 @@
 from leadhollow.backend.engine_client import AnswerHead, EngineClient
 from leadhollow.backend.engine_limit import LIMIT_FIELD
 from leadhollow.backend.engine_rest import REST_FIELD
-from leadhollow.backend.gate import Gate
+from leadhollow.backend.gate import AttemptKey, Gate, key_of
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.kernel import clocks
@@ -36,6 +36,7 @@
     """
 
     __slots__ = (
+        "_attempt",
         "_gate",
         "_headers",
         "_held",
@@ -47,7 +48,8 @@
         "ended",
     )
 
-    def __init__(self, *, sink: StreamSink, gate: Gate) -> None:
+    def __init__(self, *, sink: StreamSink, gate: Gate, attempt: AttemptKey) -> None:
+        self._attempt = attempt
         self._sink = sink
         self._gate = gate
         self._sent_s = clocks.elapsed_s()
@@ -61,7 +63,7 @@
     async def head(self, head: AnswerHead) -> None:
         """Keep status and headers for the first frame, and note what they say of the engine."""
         self._gate.limit.note_answer(head.values(LIMIT_FIELD), sent_s=self._sent_s)
-        self._gate.rest.note_answer(head.status, head.values(REST_FIELD))
+        self._gate.rest.note_answer(self._attempt, head.status, head.values(REST_FIELD))
         self._status = head.status
         self._is_events = head.headers.get("Content-Type", "").startswith(EVENT_STREAM)
         self._headers = {
@@ -154,7 +156,7 @@
             raise
 
     async def _run(self, dispatch: Dispatch, sink: StreamSink) -> Result[Output, Failure]:
-        answer = _WireSink(sink=sink, gate=self._gate)
+        answer = _WireSink(sink=sink, gate=self._gate, attempt=key_of(dispatch))
         try:
             ran = await self._engine.run(dispatch, answer)
             return Err(ran.unwrap_err()) if ran.is_err() else answer.finish()
--- a/src/leadhollow/backend/engine_rest.py
+++ b/src/leadhollow/backend/engine_rest.py
@@ -30,8 +30,8 @@
         self._rest: ServerRest | None = None
         self._malformed = 0
 
-    def note_answer(self, status: int, values: Sequence[str]) -> None:
-        """Take what an answer asks for.
+    def note_answer(self, attempt: Hashable, status: int, values: Sequence[str]) -> None:
+        """Take what the answer to an attempt asks for.
 
         Parameters
         ----------
@@ -39,7 +39,7 @@
             Of the field, none where the answer asks for no rest.
         """
         if status != HTTPStatus.SERVICE_UNAVAILABLE or not values:
-            if self._rest is not None and self._rest.due:
+            if self._rest is not None and self._rest.ended_by(attempt):
                 self._rest = None
             return
         rest_s = read_decimal_text(values)
--- a/src/leadhollow/backend/gate.py
+++ b/src/leadhollow/backend/gate.py
@@ -18,6 +18,9 @@
 FINISHED_KEPT = 100_000
 
 
+AttemptKey = tuple[str, int]
+
+
 class GateState(Enum):
     """Whether new work is taken."""
 
@@ -75,8 +78,8 @@
         self.state = GateState.OPEN
         self.serving_root = ""
         self.in_flight = 0
-        self._attempts: OrderedDict[tuple[str, int], Progress] = OrderedDict()
-        self._tombstones: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self._attempts: OrderedDict[AttemptKey, Progress] = OrderedDict()
+        self._tombstones: OrderedDict[AttemptKey, None] = OrderedDict()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -89,7 +92,7 @@
             A refusal confirms that this attempt was not run and never will be.
         """
         refusal = self._refusal(dispatch)
-        key = (dispatch.request_id, dispatch.attempt)
+        key = key_of(dispatch)
         if refusal is not None:
             if refusal.code is not Code.DUPLICATE_ATTEMPT:
                 self._bury(key)
@@ -102,7 +105,7 @@
 
     def leave(self, dispatch: Dispatch) -> None:
         """Note that an admitted attempt ended."""
-        key = (dispatch.request_id, dispatch.attempt)
+        key = key_of(dispatch)
         self.rest.end(key)
         self._attempts[key] = Progress.FINISHED
         self._attempts.move_to_end(key)
@@ -148,7 +151,7 @@
         await self._idle.wait()
 
     def _refusal(self, dispatch: Dispatch) -> Failure | None:
-        key = (dispatch.request_id, dispatch.attempt)
+        key = key_of(dispatch)
         if dispatch.incarnation != self.incarnation:
             return Failure(code=Code.INCARNATION_OLD)
         if key in self._tombstones:
@@ -168,10 +171,15 @@
             return Failure(code=Code.SLOTS_FULL, detail="the engine's limit leaves no room")
         return None
 
-    def _bury(self, key: tuple[str, int]) -> None:
+    def _bury(self, key: AttemptKey) -> None:
         self._tombstones[key] = None
         while len(self._tombstones) > TOMBSTONES_KEPT:
             self._tombstones.popitem(last=False)
 
 
-__all__ = ["Gate", "GateState", "Progress"]
+def key_of(dispatch: Dispatch) -> AttemptKey:
+    """Give what tells an attempt from all others."""
+    return dispatch.request_id, dispatch.attempt
+
+
+__all__ = ["AttemptKey", "Gate", "GateState", "Progress", "key_of"]
--- a/src/leadhollow/bench/request_path.py
+++ b/src/leadhollow/bench/request_path.py
@@ -218,7 +218,7 @@
         seed=1,
     )
     facts = AnswerFacts(attempt_id="a", signed=True, not_executed=False)
-    return _median_us(partial(reports.note_answer, _server(0), facts, sent_s=None))
+    return _median_us(partial(reports.note_answer, _server(0), facts, sent_s=None, call=None))
 
 
 def _take_told(servers: list[Server]) -> None:
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -39,9 +39,7 @@
     allowance
         What this entry may send there; None while the server names no limit.
     rest
-        Rest that it asked for; None where it asked for none, or has answered since.
-    answered_s
-        Loop time of its last answer to a request that it had run.
+        Rest that it asked for; None where it asked for none, or has answered a request since.
     dropped
         Whether it is not known any more; requests that were placed there must not be sent.
     """
@@ -56,7 +54,6 @@
         "_told_counts",
         "_unread_tokens",
         "allowance",
-        "answered_s",
         "calls",
         "dropped",
         "health",
@@ -76,7 +73,6 @@
         self.instance = instance
         self.allowance: SendAllowance | None = None
         self.rest: ServerRest | None = None
-        self.answered_s = float("-inf")
         self.dropped = False
         self.calls: set[OwnCall] = set()
         self._unread_tokens = 0  # of our calls that have no event yet
--- a/src/leadhollow/decide/server_rest.py
+++ b/src/leadhollow/decide/server_rest.py
@@ -5,6 +5,10 @@
 import random
 from collections.abc import Callable, Hashable
 
+LONGEST_TOLD_S = 5.0
+"""Time for which news count that a server wants rest of another entry: it may have meant that one
+alone, or for longer than it needs."""
+
 SPREAD_S = 0.5
 """Time after the end of a rest within which entries come back, each at a moment of its own: one
 server may have asked all of them at once."""
@@ -55,7 +59,8 @@
 
     def hear(self, rest_s: float) -> None:
         """Take news that the server asked another entry for rest from now on."""
-        self.told_until_s = max(self.told_until_s, self._clock() + rest_s)
+        told_until_s = self._clock() + min(rest_s, LONGEST_TOLD_S)
+        self.told_until_s = max(self.told_until_s, told_until_s)
 
     @property
     def shunned(self) -> bool:
@@ -64,7 +69,7 @@
 
     @property
     def due(self) -> bool:
-        """Whether the rest is over, so that an answer which asks for none ends it."""
+        """Whether the rest is over, so that a request may find out."""
         return self._clock() >= self.resumes_s
 
     def left_s(self) -> float:
@@ -83,10 +88,17 @@
             self._trial = request
         return self._trial == request
 
+    def ended_by(self, request: Hashable) -> bool:
+        """Tell whether an answer that asks for no rest ends this one.
+
+        That of a request which was sent before the server asked says nothing.
+        """
+        return self.due and self._trial == request
+
     def give_back(self, request: Hashable) -> None:
         """Note that a request has ended; another one may find out."""
         if self._trial == request:
             self._trial = None
 
 
-__all__ = ["SPREAD_S", "ServerRest"]
+__all__ = ["LONGEST_TOLD_S", "SPREAD_S", "ServerRest"]
--- a/src/leadhollow/experiment/rests.py
+++ b/src/leadhollow/experiment/rests.py
@@ -7,6 +7,7 @@
 
 from leadhollow.decide.policy import QueuePolicy
 from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.decide.server_rest import ServerRest
 from leadhollow.experiment.clock import Clock
 
@@ -48,13 +49,13 @@
 
     def tell(self, server: Server) -> None:
         """Let another entry hear of it."""
-        if self._policy.tells_rests and server.rest is None:
-            server.rest = self._new()
+        if self._policy.tells_rests:
+            server.rest = server.rest or self._new()
             server.rest.hear(self.rest_s)
 
-    def answered(self, server: Server) -> None:
+    def answered(self, server: Server, call: OwnCall) -> None:
         """Note that a server took a request."""
-        if server.rest is not None and server.rest.due:
+        if server.rest is not None and server.rest.ended_by(call):
             server.rest = None
 
     def _new(self) -> ServerRest:
--- a/src/leadhollow/experiment/world.py
+++ b/src/leadhollow/experiment/world.py
@@ -270,7 +270,7 @@
     def _first(self, caller: Caller, placement: Placement) -> None:
         now_s = self.clock.now_s
         placement.server.begun(placement.call)
-        self._rests.answered(placement.server)
+        self._rests.answered(placement.server, placement.call)
         took_ms = (now_s - placement.call.placed_s) * MS_PER_S
         placement.server.note_first_event(took_ms - placement.call.predicted_ms, now_s)
         caller.outcome_s = now_s - caller.first_s
--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -116,7 +116,14 @@
 class AnswerListener(Protocol):
     """Hears of every answer, whatever its status, what its server says of itself."""
 
-    def note_answer(self, server: Server, facts: AnswerFacts, *, sent_s: float | None) -> None:
+    def note_answer(
+        self,
+        server: Server,
+        facts: AnswerFacts,
+        *,
+        sent_s: float | None,
+        call: OwnCall | None,
+    ) -> None:
         """Take what an answer says of its server.
 
         Parameters
@@ -124,6 +131,8 @@
         sent_s
             When its request was sent, by the clock with suspensions; None where that is not known,
             or was of no use then.
+        call
+            Request that it answers; None where that is an earlier one on the connection.
         """
         ...
 
@@ -190,7 +199,9 @@
                 await body.send(connection)
             else:
                 sender = asyncio.get_running_loop().create_task(body.send(connection))
-            found = await self._own_answer(connection, server, attempt_id, limited_sent_s)
+            found = await self._own_answer(
+                connection, server, attempt_id, sent_s=limited_sent_s, call=running
+            )
             if found.is_err():
                 failure = found.unwrap_err()
                 return Err(AttemptFailure(end=AttemptEnd.UNKNOWN, failure=failure))
@@ -223,7 +234,9 @@
         connection: ClientConnection,
         server: Server,
         attempt_id: str,
+        *,
         sent_s: float | None,
+        call: OwnCall,
     ) -> Result[tuple[Answer, AnswerFacts], Failure]:
         """Find the answer to a request; those to earlier ones on the connection are skipped.
 
@@ -237,7 +250,10 @@
             facts = self._dialect.read_answer(answer.head)
             named = facts.attempt_id
             own = named is None or named == attempt_id or not attempt_id
-            self._note(server, answer, facts, sent_s if own else None)
+            if own:
+                self._note(server, answer, facts, sent_s=sent_s, call=call)
+            else:
+                self._note(server, answer, facts, sent_s=None, call=None)
             if own:
                 return Ok((answer, facts))
             self.stray_answers += 1
@@ -252,13 +268,19 @@
         return Err(Failure(code=Code.PEER_LOST, detail=detail))
 
     def _note(
-        self, server: Server, answer: Answer, facts: AnswerFacts, sent_s: float | None
+        self,
+        server: Server,
+        answer: Answer,
+        facts: AnswerFacts,
+        *,
+        sent_s: float | None,
+        call: OwnCall | None,
     ) -> None:
         """Tell the listeners, unless it may be another incarnation that answered."""
         if answer.head.status == HTTPStatus.MISDIRECTED_REQUEST and facts.instance is None:
             return
         for listener in self._listeners:
-            listener.note_answer(server, facts, sent_s=sent_s)
+            listener.note_answer(server, facts, sent_s=sent_s, call=call)
 
 
 async def _skip(answer: Answer) -> Result[None, Failure]:
--- a/src/leadhollow/forward/limit_keeper.py
+++ b/src/leadhollow/forward/limit_keeper.py
@@ -13,6 +13,7 @@
 from leadhollow.decide.limit_table import LimitTable
 from leadhollow.decide.send_allowance import SendAllowance
 from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.decide.share_ledger import LEASE_S, EntryDemand
 from leadhollow.failure import Failure
 from leadhollow.forward.board import ServerBoard
@@ -112,7 +113,14 @@
         """Tell whether any limit is in force."""
         return bool(self.table.limits())
 
-    def note_answer(self, server: Server, facts: AnswerFacts, *, sent_s: float | None) -> None:
+    def note_answer(
+        self,
+        server: Server,
+        facts: AnswerFacts,
+        *,
+        sent_s: float | None,
+        call: OwnCall | None = None,
+    ) -> None:
         """Take what an answer says of its server's limit.
 
         Parameters
--- a/src/leadhollow/forward/self_reports.py
+++ b/src/leadhollow/forward/self_reports.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections import OrderedDict
 from typing import Protocol
 
 from leadhollow.codes import Code
 from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
 from leadhollow.decide.server_rest import ServerRest
 from leadhollow.failure import Failure
 from leadhollow.forward.board import ServerBoard
@@ -29,10 +29,6 @@
 GATHER_S = 0.002
 REFRESH_S = 1.0  # how often it is told again who leaves
 MOST_LOGGED = 256  # lives of servers; of one that is dropped from these, a line may come twice
-ANSWERED_S = 1.0
-"""Time after an answer of a server to this entry in which it is not heeded that the server wants
-rest of others: what it says here itself counts for more."""
-
 LOG_PAUSE_S = 1.0  # between two lines on rests of the same server
 
 log = get_logger("self-reports")
@@ -60,7 +56,6 @@
 
     __slots__ = (
         "_board",
-        "_clock",
         "_feed",
         "_leaving",
         "_logged_s",
@@ -71,7 +66,6 @@
 
     def __init__(self, *, board: ServerBoard, feed: RestFeed, peers: PeerPool, seed: int) -> None:
         self._board = board
-        self._clock = asyncio.get_running_loop().time
         self._random = random.Random(seed)
         self._feed = feed
         self._peers = peers
@@ -86,7 +80,14 @@
         """Tell whether any server that is known said that it leaves."""
         return bool(self._leaving)
 
-    def note_answer(self, server: Server, facts: AnswerFacts, *, sent_s: float | None) -> None:
+    def note_answer(
+        self,
+        server: Server,
+        facts: AnswerFacts,
+        *,
+        sent_s: float | None,
+        call: OwnCall | None,
+    ) -> None:
         """Take what an answer says of its server, or of the one that it names."""
         if facts.instance not in (None, server.instance.instance):
             named = self._board.server(facts.instance or "")
@@ -94,7 +95,8 @@
                 return
             server = named
         if not facts.leaving and facts.rest_s is None and not facts.rest_malformed:
-            self._note_ordinary(server, facts)
+            if server.rest is not None and server.rest.ended_by(call):
+                self._end_rest(server)
             return
         if facts.leaving:
             self._note_leaving(server)
@@ -104,13 +106,6 @@
         if facts.rest_s:
             self._note_rest(server, facts.rest_s)
 
-    def _note_ordinary(self, server: Server, facts: AnswerFacts) -> None:
-        """Note an answer that asks for nothing: a rest that is due is over by it."""
-        if facts.signed:
-            server.answered_s = self._clock()
-        if server.rest is not None and server.rest.due:
-            self._end_rest(server)
-
     def _note_rest(self, server: Server, rest_s: float) -> None:
         rest = self._rest_of(server)
         if rest.ask(rest_s):
@@ -121,10 +116,9 @@
 
     def _on_rests(self, words: list[ServerWord]) -> None:
         """Take rests that were asked of other entries."""
-        now_s = self._clock()
         for word in words:
             server = self._board.of_life(word.life or "")
-            if server is not None and now_s - server.answered_s > ANSWERED_S:
+            if server is not None:
                 self._rest_of(server).hear(max(0, word.rest_ms or 0) / 1000)
         self._board.changed()
 
--- a/tests/backend/test_gate.py
+++ b/tests/backend/test_gate.py
@@ -144,16 +144,18 @@
 class TestRest:
     # Guards against: each entry goes on to send to an engine that wants rest, behind its gate.
     async def test_holds_for_all_entries_and_ends_with_one_attempt(self, gate):
-        gate.rest.note_answer(503, ["0.1"])
+        gate.rest.note_answer(("r", 1), 503, ["0.1"])
         assert gate.enter(dispatch(gate, "a")).code is Code.SLOTS_FULL
         await asyncio.sleep(0.25)
         assert gate.enter(dispatch(gate, "b")) is None
         assert gate.enter(dispatch(gate, "c")).code is Code.SLOTS_FULL
-        gate.rest.note_answer(200, [])
+        gate.rest.note_answer(("earlier", 1), 200, [])
+        assert gate.enter(dispatch(gate, "c2")).code is Code.SLOTS_FULL
+        gate.rest.note_answer(("b", 1), 200, [])
         assert gate.enter(dispatch(gate, "d")) is None
 
     async def test_goes_on_where_the_attempt_that_finds_out_breaks(self, gate):
-        gate.rest.note_answer(503, ["0.05"])
+        gate.rest.note_answer(("r", 1), 503, ["0.05"])
         await asyncio.sleep(0.15)
         assert gate.enter(dispatch(gate, "a")) is None
         gate.leave(dispatch(gate, "a"))
@@ -164,5 +166,5 @@
         [(503, []), (503, ["0"]), (503, ["soon"]), (503, ["1", "2"]), (200, ["9"])],
     )
     async def test_is_asked_for_by_503_and_a_number_of_seconds_only(self, gate, status, values):
-        gate.rest.note_answer(status, values)
+        gate.rest.note_answer(("r", 1), status, values)
         assert gate.enter(dispatch(gate)) is None
--- a/tests/decide/test_server_rest.py
+++ b/tests/decide/test_server_rest.py
@@ -10,7 +10,7 @@
 from leadhollow.codes import Code
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_load import OwnCall
-from leadhollow.decide.server_rest import SPREAD_S, ServerRest
+from leadhollow.decide.server_rest import LONGEST_TOLD_S, SPREAD_S, ServerRest
 from leadhollow.membership.instances import Instance, InstanceState
 
 
@@ -109,3 +109,23 @@
             ends_s.add(round(rest.resumes_s, 2))
             assert 3.0 <= rest.resumes_s <= 3.0 + SPREAD_S
         assert len(ends_s) > 20
+
+    # Guards against: an answer that comes late brings a server back that has asked for rest since.
+    def test_is_ended_by_the_request_that_found_out_only(self):
+        bench = Bench()
+        earlier, first = bench.call(), bench.call()
+        bench.rest.ask(1.0)
+        assert not bench.rest.ended_by(earlier)
+        bench.now_s += 1.0 + SPREAD_S
+        bench.server.add(first)
+        assert not bench.rest.ended_by(earlier)
+        assert bench.rest.ended_by(first)
+
+    def test_of_another_entry_counts_for_a_while(self):
+        bench = Bench()
+        bench.rest.hear(600.0)
+        assert bench.rest.admits()
+        bench.now_s += LONGEST_TOLD_S - 0.1
+        assert bench.rest.shunned
+        bench.now_s += 0.2
+        assert not bench.rest.shunned
--- a/tests/forward/test_self_report_fleet.py
+++ b/tests/forward/test_self_report_fleet.py
@@ -86,10 +86,14 @@
         self.fleet.on_their_way.append((self, words))
 
     def hear(self, **facts: object) -> None:
+        """Take the answer to a request that was sent now, or before where none may be."""
         server = self.board.server(NAME)
         if server is not None:
+            call = OwnCall(prompt_tokens=0, output_tokens=0, placed_s=0.0, predicted_ms=0.0)
+            server.claim_send(call)
             said = AnswerFacts(attempt_id=None, signed=True, not_executed=False, **facts)
-            self.reports.note_answer(server, said, sent_s=None)
+            self.reports.note_answer(server, said, sent_s=None, call=call)
+            server.remove(call, 0.0)
 
     def may_send(self) -> bool:
         server = self.board.server(NAME)
--- a/tests/node/test_resting_server.py
+++ b/tests/node/test_resting_server.py
@@ -17,6 +17,7 @@
 ENTRIES = 3
 KINDS = {"plain": SelfReportingServer, "stream": SelfReportingEngine}
 READ_S = 0.05  # until an answer that was written has been read
+SPREAD_S = 0.2  # until all entries in touch know
 REST_S = 1.5
 OBJECTIVE_S = 1.0  # of the route; a request that is kept for an end is kept until then
 
@@ -155,10 +156,12 @@
     # Guards against: each entry finds out for itself, at the cost of a repeat each.
     def test_of_another_entry_makes_this_one_prefer_other_servers(self, tmp_path):
         async def work(site: Site, servers) -> None:
+            async with Load(site=site, entries=range(ENTRIES)):
+                await eventually(lambda: len(servers[0].arrivals_s) > 10, "answers everywhere")
             servers[0].retry_after = "30"
             async with Load(site=site, entries=[0]):
                 await eventually(lambda: servers[0].told_s, "a request for rest")
-            await asyncio.sleep(1.0)  # until no entry has an answer of late
+            await asyncio.sleep(SPREAD_S)
             servers[0].arrivals_s.clear()
             async with Load(site=site, entries=[1, 2]) as load:
                 await asyncio.sleep(0.7)
