Look for a successor of a broken stream for as long as its caller waits

The time to look was that of a request that may come late, 0.3 s.

A stream that was begun is held beyond its decision for as long as its caller waits (the longest of 2 s, four objectives and eight pauses, and its deadline), however great the pressure is and also where no engine serves, and goes before new requests when room comes. Before the first event nothing changes.

An engine that comes 1.2 s after the break: 3 of 6 events before, whole now (tests/node/test_lost_streams.py, tests/decide/test_engine_queue.py).

--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -28,7 +28,7 @@
 time: pressure is what refusals of the last seconds say, and engines that have just come, or come
 back, would stand half empty for as long."""
 
-MOST_HELD = 64  # requests that an entry holds beyond their decision
+MOST_HELD = 64  # requests that came back which an entry holds beyond their decision
 HOPELESS = 0.5
 """Pressure from which nobody is held: few would get room in time, and a caller that waits in vain
 would rather have heard at once."""
@@ -189,9 +189,16 @@
         waiter.on_end()
 
     def _holds(self, wish: EngineWish) -> bool:
-        """Tell whether a request that came back is likely to get room that is left over."""
+        """Tell whether a request is kept: one that came back if it is likely to get room.
+
+        One that was begun has nothing to lose by waiting for as long as its caller does.
+        """
         now_s = self._clock()
-        if not self._policy.holds or wish.hold_s <= now_s or len(self._held) >= MOST_HELD:
+        if wish.hold_s <= now_s:
+            return False
+        if wish.standing is Standing.RESUMED:
+            return True
+        if not self._policy.holds or len(self._held) >= MOST_HELD:
             return False
         if self._pressure_of(wish.service).level(now_s) >= HOPELESS:
             return False
@@ -246,10 +253,14 @@
     def pump_held(self) -> None:
         """Place those that are held, one after the other while there is room left over.
 
-        Called now and then, and ended at the first that finds no room: they differ little.
+        Called now and then, and ended at the first that finds no room: they differ little. Those
+        that were begun come first, before new requests too, and each rules out other engines.
         """
         for waiter in list(self._held):
-            placed = None if self._waiters else self._try(waiter.wish, late=True)
+            begun = waiter.wish.standing is Standing.RESUMED
+            placed = self._try(waiter.wish, late=True) if begun or not self._waiters else None
+            if placed is None and begun:
+                continue
             if placed is None:
                 return
             self._held.remove(waiter)
--- a/src/leadhollow/decide/wish.py
+++ b/src/leadhollow/decide/wish.py
@@ -44,8 +44,8 @@
     decide_s
         Loop time at which it is placed late or refused.
     hold_s
-        Loop time until which one whose caller will not come again is kept for room that is left
-        over, late as it will be; not before ``decide_s``.
+        Loop time until which one whose caller will not come again, or that was begun, is kept for
+        room that is left over, late as it will be; not before ``decide_s``.
     standing
         Who goes before whom.
     excluded
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -252,7 +252,7 @@
             self._service,
             now_s=asyncio.get_running_loop().time(),
             came_back=self._came_back,
-            begun=self._relay.begun,
+            last_event_s=self._relay.last_event_s,
             excluded=self._excluded,
         )
 
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -30,6 +30,8 @@
     ----------
     begun
         Whether the caller has got the head of the answer.
+    last_event_s
+        Loop time at which the caller got its last event; None where it has got none.
     last_id
         Number of the last event that was passed on, or after which the caller asked to go on.
     heard_s
@@ -46,10 +48,10 @@
         "_call",
         "_clock",
         "_first_event_s",
-        "_last_event_s",
         "_longest_pause_s",
         "begun",
         "heard_s",
+        "last_event_s",
         "last_id",
         "on_progress",
         "source",
@@ -60,10 +62,10 @@
         self._call = call
         self._clock = hearing.clock()
         self._first_event_s = 0.0
-        self._last_event_s = 0.0
         self._longest_pause_s = 0.0
         self.begun = False
         self.heard_s = self._clock.heard_s()
+        self.last_event_s: float | None = None
         self.last_id = call.facts.last_event_id
         self.on_progress: Callable[[], None] | None = None
         self.source: EventSource | None = None
@@ -115,9 +117,9 @@
         now_s = asyncio.get_running_loop().time()
         self._call.heard_s = now_s
         self.heard_s = self._clock.heard_s()
-        if self._last_event_s:
-            self._longest_pause_s = max(self._longest_pause_s, now_s - self._last_event_s)
-        self._last_event_s = now_s
+        if self.last_event_s is not None:
+            self._longest_pause_s = max(self._longest_pause_s, now_s - self.last_event_s)
+        self.last_event_s = now_s
 
     def _in_order(self, events: list[Event]) -> bool:
         """Check that events follow on each other without a gap or a repeat."""
--- a/src/leadhollow/forward/stream_wish.py
+++ b/src/leadhollow/forward/stream_wish.py
@@ -5,10 +5,18 @@
 from leadhollow.decide.engine_queue import DECIDE_SHARE
 from leadhollow.decide.wish import HOLD_SHARE, EngineWish, Standing
 from leadhollow.forward.call import ForwardedCall
-from leadhollow.routing.model import ServiceRecord
+from leadhollow.routing.model import Route, ServiceRecord
 
 RESUME_WAIT_S = 0.3  # how long a broken stream may look for an engine without being late for it
 
+CALLER_GAP_S = 2.0
+CALLER_GAP_OBJECTIVES = 4
+CALLER_GAP_PAUSES = 8
+"""A caller gives a stream up after the longest of these without an event: a time, and multiples of
+its route's objective and of the pause that the route calls on time."""
+
+LAST_RESUME_S = 0.2  # before that, an engine could hardly bring the next event in time
+
 
 def stream_wish(
     call: ForwardedCall,
@@ -16,7 +24,7 @@
     *,
     now_s: float,
     came_back: bool,
-    begun: bool,
+    last_event_s: float | None,
     excluded: set[str],
 ) -> EngineWish:
     """Make the wish of a stream's next attempt.
@@ -25,8 +33,8 @@
     ----------
     came_back
         Whether its caller was refused before.
-    begun
-        Whether the caller has got the head of its answer.
+    last_event_s
+        Loop time at which the caller got its last event; None where it has got none.
     excluded
         Incarnations that must not be tried again.
     """
@@ -41,13 +49,16 @@
     hold_s = decide_s
     if standing is Standing.CAME_BACK:
         hold_s += HOLD_SHARE * (call.deadline_s - decide_s)
+    if last_event_s is not None:
+        caller_leaves_s = min(call.deadline_s, last_event_s + _caller_gap_s(call.route))
+        hold_s = max(decide_s, caller_leaves_s - LAST_RESUME_S)
     return EngineWish(
         service=service,
         model=call.facts.model,
         prompt_tokens=call.facts.prompt_tokens,
         output_tokens=_expected_output(call),
         objective_s=objective_s,
-        on_time_s=now_s + objective_s if begun else call.objective_s,
+        on_time_s=call.objective_s if last_event_s is None else now_s + objective_s,
         decide_s=decide_s,
         hold_s=hold_s,
         standing=standing,
@@ -59,6 +70,15 @@
     )
 
 
+def _caller_gap_s(route: Route) -> float:
+    """Give the time without an event after which callers of a route leave."""
+    return max(
+        CALLER_GAP_S,
+        CALLER_GAP_OBJECTIVES * route.objective_ms / 1000,
+        CALLER_GAP_PAUSES * route.pause_objective_ms / 1000,
+    )
+
+
 def _expected_output(call: ForwardedCall) -> float:
     if call.facts.output_hint_tokens is not None:
         return min(call.facts.output_hint_tokens, float(call.facts.output_tokens))
--- a/tests/decide/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -121,6 +121,12 @@
     return EngineWish(**(values | changes))
 
 
+def a_begun_wish(*, hold_s: float = 5.0) -> EngineWish:
+    """Make the wish of a stream whose engine broke off after some events."""
+    now_s = asyncio.get_running_loop().time()
+    return a_wish(on_time_s=0.01, decide_s=0.01, hold_s=now_s + hold_s, standing=Standing.RESUMED)
+
+
 def a_last_wish() -> EngineWish:
     """Make the wish of a caller that was refused before and will not come again."""
     now_s = asyncio.get_running_loop().time()
@@ -416,6 +422,44 @@
 
         in_loop(work)
 
+    # Guards against: a broken stream is given up while its caller still waits for the next event.
+    def test_a_stream_that_was_begun_waits_for_an_engine_that_comes(self):
+        async def work() -> None:
+            group = Group()
+            holding = asyncio.create_task(place(group.queue, a_begun_wish()))
+            await asyncio.sleep(0.1)
+            assert not holding.done()
+            server = group.engine("comes", active=0, queued=0)
+            group.queue.pump_held()
+            assert (await holding).unwrap().server is server
+
+        in_loop(work)
+
+    def test_a_stream_that_was_begun_goes_before_new_requests(self):
+        async def work() -> None:
+            group = Group()
+            server = group.engine("full", active=4, queued=9)
+            holding = asyncio.create_task(place(group.queue, a_begun_wish()))
+            await asyncio.sleep(0.05)
+            new = asyncio.create_task(place(group.queue, a_wish(on_time_s=0.1, decide_s=5.0)))
+            await asyncio.sleep(0.01)
+            group.report(server, active=4, queued=0, pace_permille=9_000)
+            group.queue.pump_held()
+            assert (await holding).unwrap().server is server
+            assert not new.done()
+            new.cancel()
+
+        in_loop(work)
+
+    def test_a_stream_that_was_begun_is_given_up_in_time(self):
+        async def work() -> None:
+            group = Group()
+            found = await place(group.queue, a_begun_wish(hold_s=0.1))
+            assert found.unwrap_err().code is Code.NO_CAPACITY
+            assert group.queue.waiting == 0
+
+        in_loop(work)
+
     def test_only_so_many_are_held(self):
         async def work() -> None:
             group = Group()
--- a/tests/node/test_lost_streams.py
+++ b/tests/node/test_lost_streams.py
@@ -130,6 +130,35 @@
         with_engines(tmp_path, work)
 
 
+class TestEngineThatBreaksOff:
+    # Guards against: a broken stream is given up while its caller still waits for the next event.
+    def test_is_followed_by_one_that_comes_while_the_caller_waits(self, tmp_path):
+        async def work(site: Site, servers: list[StreamingEngine]) -> None:
+            first, second = servers
+            await site.leave(second)
+            second.silent = True
+            await site.pause()
+            first.script = Script(ends_after=3)
+            running = asyncio.create_task(streams(site.callers, 1))
+            await eventually(lambda: len(first.runs) == 1, "an engine at work")
+            await asyncio.sleep(1.2)
+            second.instance = "i-later"
+            second.silent = False
+            (client,) = await running
+            assert (client.event_ids, client.whole) == ([*range(6)], True)
+
+        with_engines(tmp_path, work, engines=2, resumable=True)
+
+    def test_ends_a_stream_for_which_there_is_no_other(self, tmp_path):
+        async def work(site: Site, servers: list[StreamingEngine]) -> None:
+            servers[0].script = Script(ends_after=3)
+            (client,) = await streams(site.callers, 1)
+            assert (client.event_ids, client.whole) == ([0, 1, 2], False)
+            assert client.ended_after_s < 5.0
+
+        with_engines(tmp_path, work, resumable=True)
+
+
 @pytest.mark.parametrize("loop", sorted(LOOPS))
 class TestEntryThatIsHeldUp:
     # Guards against: time in which an entry did not run is taken for the silence of its engines.
