Let a broken stream go on in another failure domain where that can be

An engine of a failure domain in which another one broke the request off must now answer 400 ms sooner than all others.

Which engines a request was at, and which domains lost it, is one thing now (TriedEngines). tests/decide/test_engine_queue.py: the near engine was chosen before.

--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -37,6 +37,10 @@
 """An engine that asked another entry for rest must answer this much sooner than all others: it is
 likely to turn our request away too, which costs a repeat."""
 
+LOST_DOMAIN_MS = 400.0
+"""An engine must answer this much sooner than all others where one of its failure domain has broken
+the same request off: what ended that one is likely to be there still."""
+
 SAME_MOMENT_S = 0.002
 """Time for which engines stay as they were reckoned where nothing is known to have changed; a turn
 of the loop takes less, and predictions are some tens of milliseconds off."""
@@ -195,6 +199,8 @@
             first_ms = found.ready_ms + demand.pace * read_ms
             rank = first_ms + SPREAD_MS * self._random.random() + (far_ms if found.far else 0.0)
             rank += SHUNNED_MS if found.shunned else 0.0
+            if wish.lost_domains and found.server.instance.failure_domain in wish.lost_domains:
+                rank += LOST_DOMAIN_MS
             if rank < best_rank:
                 best, best_demand, best_ms, best_rank = found, demand, first_ms, rank
         if best is None or best_demand is None:
--- a/src/leadhollow/decide/wish.py
+++ b/src/leadhollow/decide/wish.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from enum import IntEnum
 
 from leadhollow.decide.server import Server
@@ -50,6 +51,8 @@
         Who goes before whom.
     excluded
         Incarnations that must not be tried again.
+    lost_domains
+        Failure domains in which an engine broke the request off.
     last_attempt
         Whether it may run nowhere else after this, so that an engine which is about to change its
         weights should not get it.
@@ -62,6 +65,7 @@
         "excluded",
         "hold_s",
         "last_attempt",
+        "lost_domains",
         "model",
         "objective_s",
         "on_time_s",
@@ -91,7 +95,9 @@
         excluded: set[str],
         last_attempt: bool,
         rank: int = 0,
+        lost_domains: Collection[str] = (),
     ) -> None:
+        self.lost_domains = lost_domains
         self.rank = rank
         self.service = service
         self.model = model
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -52,13 +52,31 @@
         self.suspects = suspects
 
 
+class TriedEngines:
+    """Engines that did not bring one request to its end.
+
+    Attributes
+    ----------
+    instances
+        Their incarnations.
+    lost_domains
+        Failure domains of those that broke it off.
+    """
+
+    __slots__ = ("instances", "lost_domains")
+
+    def __init__(self) -> None:
+        self.instances: set[str] = set()
+        self.lost_domains: set[str] = set()
+
+
 class StreamAttempt:
     """A place at an engine, and what comes of it.
 
     Parameters
     ----------
-    excluded
-        Incarnations that the request must not go to again; this one joins them if it fails.
+    tried
+        Where the request must not go again; this engine joins them if it fails.
 
     Attributes
     ----------
@@ -70,9 +88,9 @@
 
     __slots__ = (
         "_call",
-        "_excluded",
         "_noted",
         "_parts",
+        "_tried",
         "failed_answer",
         "placement",
         "source",
@@ -84,11 +102,11 @@
         parts: StreamParts,
         call: ForwardedCall,
         placement: Placement,
-        excluded: set[str],
+        tried: TriedEngines,
     ) -> None:
         self._parts = parts
         self._call = call
-        self._excluded = excluded
+        self._tried = tried
         self._noted = False
         self.placement = placement
         self.source: EventSource | None = None
@@ -170,7 +188,8 @@
 
     def note_lost(self, failure: Failure) -> None:
         """Note an engine that was sent the request and did not bring it to its end."""
-        self._excluded.add(self.instance)
+        self._tried.instances.add(self.instance)
+        self._tried.lost_domains.add(self.placement.server.instance.failure_domain)
         self._learn_failure()
         log.warning("stream broken", **self._fields(), failure=str(failure))
 
@@ -201,7 +220,7 @@
 
     def _note_failed_answer(self, exchange: Exchange) -> Failure:
         self.placement.server.health.note_failure(asyncio.get_running_loop().time())
-        self._excluded.add(self.instance)
+        self._tried.instances.add(self.instance)
         self.failed_answer = exchange
         log.warning(
             "engine failed",
@@ -217,7 +236,7 @@
             self.note_lost(failed.failure)
             return failed.failure
         self._call.attempts -= 1
-        self._excluded.add(self.instance)
+        self._tried.instances.add(self.instance)
         health = self.placement.server.health
         if failed.end is AttemptEnd.WITHHELD:
             self._call.sends -= 1
@@ -239,7 +258,7 @@
     def _note_refused(self, exchange: Exchange) -> Failure:
         """Take an engine's word that it did not run the request."""
         self._call.attempts -= 1
-        self._excluded.add(self.instance)
+        self._tried.instances.add(self.instance)
         self.placement.server.health.note_neutral()
         if exchange.facts.instance not in (None, self.instance):
             self._parts.board.wrong_instance(self.instance)
@@ -253,4 +272,4 @@
         return Failure(code=Code.BACKEND_REFUSED, detail=f"status {exchange.status}")
 
 
-__all__ = ["SHORTEST_STALL_S", "StreamAttempt", "StreamParts"]
+__all__ = ["StreamAttempt", "StreamParts", "TriedEngines"]
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -17,7 +17,7 @@
 from leadhollow.forward.places import place
 from leadhollow.forward.second_engine import SecondEngine
 from leadhollow.forward.silence import SilenceWatch
-from leadhollow.forward.stream_attempt import StreamAttempt, StreamParts
+from leadhollow.forward.stream_attempt import StreamAttempt, StreamParts, TriedEngines
 from leadhollow.forward.stream_relay import StreamRelay
 from leadhollow.forward.stream_wish import stream_wish
 from leadhollow.kernel.hearing import DeadlineTimer, deadline_at
@@ -62,13 +62,13 @@
         "_call",
         "_came_back",
         "_ending",
-        "_excluded",
         "_failure",
         "_parts",
         "_quarantine",
         "_relay",
         "_second",
         "_service",
+        "_tried",
     )
 
     def __init__(
@@ -86,7 +86,7 @@
         self._call = call
         self._service = service
         self._quarantine = parts.suspects.quarantine
-        self._excluded: set[str] = set()
+        self._tried = TriedEngines()
         self._failure = Failure(code=Code.NO_CAPACITY)
         self._relay = StreamRelay(call=call)
         self._second = SecondEngine(relay=self._relay, place=self._place)
@@ -144,9 +144,7 @@
             self._failure = Failure(code=Code.RETRIES_EXHAUSTED)
             return None
         call.sends += 1
-        return StreamAttempt(
-            parts=self._parts, call=call, placement=placement, excluded=self._excluded
-        )
+        return StreamAttempt(parts=self._parts, call=call, placement=placement, tried=self._tried)
 
     @contextmanager
     def _watched(self, attempt: StreamAttempt, scope: asyncio.Timeout) -> Iterator[None]:
@@ -171,7 +169,7 @@
             if self._relay.writing:
                 return  # its caller is slow, the engine may not be
             attempt.note_silent()
-            self._excluded.add(attempt.instance)
+            self._tried.instances.add(attempt.instance)
             if self._may_try():
                 self._second.ask(self._call.request_id, end)
 
@@ -253,7 +251,8 @@
             now_s=asyncio.get_running_loop().time(),
             came_back=self._came_back,
             last_event_s=self._relay.last_event_s,
-            excluded=self._excluded,
+            excluded=self._tried.instances,
+            lost_domains=self._tried.lost_domains,
         )
 
 
--- a/src/leadhollow/forward/stream_wish.py
+++ b/src/leadhollow/forward/stream_wish.py
@@ -26,6 +26,7 @@
     came_back: bool,
     last_event_s: float | None,
     excluded: set[str],
+    lost_domains: set[str],
 ) -> EngineWish:
     """Make the wish of a stream's next attempt.
 
@@ -37,6 +38,8 @@
         Loop time at which the caller got its last event; None where it has got none.
     excluded
         Incarnations that must not be tried again.
+    lost_domains
+        Failure domains in which an engine broke it off.
     """
     objective_s = call.route.objective_ms / 1000
     if call.sends:
@@ -67,6 +70,7 @@
         excluded=excluded,
         last_attempt=call.attempts + 1 >= call.route.attempts,
         rank=call.rank,
+        lost_domains=lost_domains,
     )
 
 
--- a/tests/decide/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -162,6 +162,26 @@
 
         in_loop(work)
 
+    # Guards against: a stream spends its last attempt where the first one was lost.
+    def test_an_engine_of_a_domain_in_which_one_was_lost_goes_last(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("near", active=0, queued=0)
+            far = group.engine("far", domain="b", active=0, queued=0)
+            wish = a_wish(standing=Standing.RESUMED, lost_domains={"a"})
+            assert (await placed(group, wish)).server is far
+
+        in_loop(work)
+
+    def test_an_engine_of_such_a_domain_goes_before_none(self):
+        async def work() -> None:
+            group = Group()
+            near = group.engine("near", active=0, queued=0)
+            wish = a_wish(standing=Standing.RESUMED, lost_domains={"a"})
+            assert (await placed(group, wish)).server is near
+
+        in_loop(work)
+
     def test_an_engine_behind_a_slow_path_goes_last(self):
         async def work() -> None:
             group = Group()
