Let a stop wait for answers that their callers still read

Found while looking for other ways in which an answer ends before its end: an answer whose last bytes were written, but not read by a slow caller yet, counted as ended, and a stop of the process dropped them. A connection with unsent bytes now counts as busy until the end of the grace.

--- a/src/leadhollow/http1/server.py
+++ b/src/leadhollow/http1/server.py
@@ -45,8 +45,8 @@
 
     @property
     def busy_count(self) -> int:
-        """Connections on which a request is being answered."""
-        return sum(1 for connection in self._connections if connection.busy)
+        """Connections on which a request is being answered, or an answer is still being read."""
+        return sum(1 for connection in self._connections if connection.busy or connection.unsent)
 
     async def start(self) -> Result[None, Failure]:
         """Open the listener.
--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -246,8 +246,13 @@
         if not self.busy and not self._requests and not self._in_head and self._transport:
             self._transport.close()
 
+    @property
+    def unsent(self) -> bool:
+        """Whether bytes of an answer wait for the caller to read."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def cut(self) -> None:
-        """End at once."""
+        """End at once; what the caller has not read is dropped."""
         if self._transport is not None:
             self._transport.abort()
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -227,3 +227,33 @@
         assert await caller.read_to_end() == b""
         with pytest.raises(OSError):
             await RawCaller.connect(server.address)
+
+    # Guards against: a stop drops the rest of an answer that its caller has not read yet.
+    async def test_waits_for_a_caller_that_reads_slowly(self):
+        sent = 0
+
+        async def handle(request: IncomingRequest, reply: ReplyWriter) -> None:
+            nonlocal sent
+            reply.start(200, Headers())
+            while not any(connection.unsent for connection in server._connections):
+                await reply.write(bytes(4096))
+                sent += 4096
+            reply.finish()
+
+        server = HttpServer(address=Address(host="127.0.0.1", port=0), handler=handle)
+        assert (await server.start()).is_ok()
+        reader, writer = await asyncio.open_connection(server.address.host, server.address.port)
+        writer.transport.pause_reading()
+        writer.write(b"GET / HTTP/1.0\r\nHost: x\r\n\r\n")
+        await eventually(lambda: sent and not any(one.busy for one in server._connections))
+
+        async def read() -> bytes:
+            await asyncio.sleep(0.3)
+            writer.transport.resume_reading()
+            return await reader.read()
+
+        reading = asyncio.create_task(read())
+        assert await server.wait_idle(asyncio.get_running_loop().time() + 10.0)
+        await server.stop()
+        assert len(await reading) > sent
+        writer.close()
