Keep asking for another engine where one attempt at it ended by an error

An error while another engine was asked beside a silent one would have ended the caller's request as well. The clock of a loop keeps no reference to the loop, so that a closed one goes.

--- a/src/leadhollow/forward/second_engine.py
+++ b/src/leadhollow/forward/second_engine.py
@@ -59,9 +59,9 @@
             return None
         self._on_first = _nothing
         self._relay.on_progress = None
-        attempt = await task
+        await asyncio.wait([task])
         self._task = None
-        return attempt
+        return None if task.cancelled() or task.exception() else task.result()
 
     def let_go(self) -> None:
         """Let the engine stop, where one was asked: the first one went on, or nobody reads on."""
--- a/src/leadhollow/kernel/hearing.py
+++ b/src/leadhollow/kernel/hearing.py
@@ -16,6 +16,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+from leadhollow.kernel.clocks import steady_s
 from leadhollow.observe.logs import get_logger
 
 TICK_S = 0.1
@@ -39,10 +40,10 @@
         How often it was, by the bounds of ``HOLD_BOUNDS_S``; the last one is beyond all of them.
     """
 
-    __slots__ = ("_heard_s", "_held_s", "_loop", "_ticked_s", "holds")
+    __slots__ = ("_heard_s", "_held_s", "_ticked_s", "holds")
 
-    def __init__(self, *, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
         self._ticked_s = loop.time()
         self._heard_s = 0.0
         self._held_s = 0.0
@@ -51,21 +52,22 @@
 
     def heard_s(self) -> float:
         """Give the time in which the loop could hear; only differences mean something."""
-        return self._heard_s + min(self._loop.time() - self._ticked_s, LONGEST_STEP_S)
+        return self._heard_s + min(steady_s() - self._ticked_s, LONGEST_STEP_S)
 
     def held_s(self) -> float:
         """Give the time for which the loop was held up, in all."""
-        return self._held_s + max(0.0, self._loop.time() - self._ticked_s - LONGEST_STEP_S)
+        return self._held_s + max(0.0, steady_s() - self._ticked_s - LONGEST_STEP_S)
 
     def _tick(self) -> None:
-        now_s = self._loop.time()
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
         beyond_s = now_s - self._ticked_s - LONGEST_STEP_S
         self._heard_s = self.heard_s()
         self._held_s = self.held_s()
         self._ticked_s = now_s
         if beyond_s > 0:
             self._note_hold(beyond_s + LONGEST_STEP_S - TICK_S)
-        self._loop.call_later(TICK_S, self._tick)
+        loop.call_later(TICK_S, self._tick)
 
     def _note_hold(self, hold_s: float) -> None:
         self.holds[sum(hold_s > bound_s for bound_s in HOLD_BOUNDS_S)] += 1
@@ -163,7 +165,7 @@
     loop = asyncio.get_running_loop()
     found = _clocks.get(loop)
     if found is None:
-        found = _clocks[loop] = HearingClock(loop=loop)
+        found = _clocks[loop] = HearingClock()
     return found
 
 
