--- a/src/leadhollow/explain/losses.py
+++ b/src/leadhollow/explain/losses.py
@@ -9,8 +9,10 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable
 from enum import Enum
+from http import HTTPStatus
 
 from leadhollow.explain.records import LogRecord
+from leadhollow.forward.end_reason import EndReason
 
 WAITED_MS = 20.0  # between a request and the choice of its engine, from which it counts as waiting
 FAULT_MS = 100.0  # by which a first event is later than predicted, from which the prediction erred
@@ -35,7 +37,16 @@
 class _Attempt:
     """What the log of one entry says of one attempt."""
 
-    __slots__ = ("after_ms", "chosen_s", "code", "engine_ms", "predicted_ms", "seen_s", "status")
+    __slots__ = (
+        "after_ms",
+        "chosen_s",
+        "code",
+        "engine_ms",
+        "left",
+        "predicted_ms",
+        "seen_s",
+        "status",
+    )
 
     def __init__(self, *, seen_s: float) -> None:
         self.seen_s = seen_s
@@ -43,6 +54,7 @@
         self.predicted_ms = 0.0
         self.engine_ms: float | None = None
         self.after_ms: float | None = None
+        self.left = False  # by its caller
         self.status: int | None = None
         self.code: int | None = None
 
@@ -123,7 +135,8 @@
             attempt.after_ms = _number(record, "after_ms")
             attempt.engine_ms = _number(record, "engine_ms")
         case "request ended without an answer":
-            attempt.status = int(_number(record, "status"))
+            attempt.left = record.fields.get("reason") == EndReason.CALLER_LEFT.value
+            attempt.status = int(_number(record, "status") or HTTPStatus.BAD_GATEWAY)
             attempt.code = int(_number(record, "code"))
             if attempt.after_ms is None:
                 attempt.seen_s = record.time_s
@@ -132,6 +145,8 @@
 
 def _loss(attempt: _Attempt, objective_ms: float, serving: set[int]) -> Loss | None:
     """Give why an attempt earned less than it could; None where it did not."""
+    if attempt.left:
+        return None
     if attempt.status is not None:
         return _ending(attempt, serving)
     if attempt.engine_ms is None or attempt.after_ms is None or attempt.after_ms <= objective_ms:
--- /dev/null
+++ b/src/leadhollow/forward/end_reason.py
@@ -0,0 +1,20 @@
+"""Why requests end without the whole answer of a backend server."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class EndReason(Enum):
+    """Why a request ended without the whole answer of a backend server; the list is closed."""
+
+    NOT_TAKEN = "no backend server took it"
+    ENGINE_ENDED = "its backend server ended it"
+    ROUTE_TIMEOUT = "the route's timeout came"
+    CALLER_DEADLINE = "its caller's deadline came"
+    CALLER_LEFT = "its caller left"
+    STOPPED = "this process stopped"
+    QUARANTINED = "it is in quarantine"
+
+
+__all__ = ["EndReason"]
--- a/src/leadhollow/forward/ending.py
+++ b/src/leadhollow/forward/ending.py
@@ -4,13 +4,13 @@
 
 import asyncio
 from collections import Counter
-from enum import Enum
 from http import HTTPStatus
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.dialect import CallDialect
+from leadhollow.forward.end_reason import EndReason
 from leadhollow.forward.fingerprint import shown
 from leadhollow.observe.logs import get_logger
 
@@ -22,18 +22,6 @@
 log = get_logger("ending")
 
 
-class EndReason(Enum):
-    """Why a request ended without the whole answer of a backend server; the list is closed."""
-
-    NOT_TAKEN = "no backend server took it"
-    ENGINE_ENDED = "its backend server ended it"
-    ROUTE_TIMEOUT = "the route's timeout came"
-    CALLER_DEADLINE = "its caller's deadline came"
-    CALLER_LEFT = "its caller left"
-    STOPPED = "this process stopped"
-    QUARANTINED = "it is in quarantine"
-
-
 class Ending:
     """Writes answers of our own; what may have run is never called not run.
 
@@ -147,4 +135,4 @@
     return EndReason.ENGINE_ENDED if call.attempts else EndReason.NOT_TAKEN
 
 
-__all__ = ["NOT_RUN_STATUS", "TIMEOUT_STATUS", "UNKNOWN_STATUS", "EndReason", "Ending"]
+__all__ = ["NOT_RUN_STATUS", "TIMEOUT_STATUS", "UNKNOWN_STATUS", "Ending"]
--- a/tests/explain/test_losses.py
+++ b/tests/explain/test_losses.py
@@ -6,6 +6,7 @@
 
 from leadhollow.explain.losses import Loss, divide_losses
 from leadhollow.explain.records import LogRecord
+from leadhollow.forward.end_reason import EndReason
 
 OBJECTIVE_MS = 400.0
 
@@ -27,6 +28,16 @@
     return line(time_s, message, request="r", status=status, code=404, after_ms=after_ms)
 
 
+def left(time_s: float) -> LogRecord:
+    message, reason = "request ended without an answer", EndReason.CALLER_LEFT.value
+    return line(time_s, message, request="r", status=None, code=None, reason=reason)
+
+
+def cut(time_s: float) -> LogRecord:
+    message, reason = "request ended without an answer", EndReason.STOPPED.value
+    return line(time_s, message, request="r", status=None, code=None, reason=reason)
+
+
 class TestCauses:
     @pytest.mark.parametrize(
         ("lines", "loss"),
@@ -49,6 +60,8 @@
             ([chosen(1.0), ended(3.0, 502, after_ms=2_000)], Loss.BROKEN),
             ([chosen(1.0), ended(7.0, 504, after_ms=6_000)], Loss.TIMED_OUT),
             ([ended(1.0, 418)], Loss.OTHER),
+            ([chosen(1.0), left(2.0)], None),
+            ([chosen(1.0), cut(2.0)], Loss.BROKEN),
         ],
     )
     def test_are_told_from_what_entries_log(self, lines, loss):
--- a/tests/explain/test_story.py
+++ b/tests/explain/test_story.py
@@ -66,6 +66,14 @@
         story = tell_story("r1", records())
         assert [round(line.after_s, 3) for line in story] == [-5.0, -1.0, 0.0, 0.9]
 
+    def test_tells_what_befell_its_process_meanwhile_and_no_other(self):
+        held = line(105.7, "loop", "loop was held up", for_s=0.7)
+        elsewhere = line(105.7 + AHEAD_S, "loop", "loop was held up", for_s=0.9)
+        found = [*records(), *read_records("entry.log", [held])]
+        found += read_records("control.log", [elsewhere])
+        told = [line.record.fields.get("for_s") for line in tell_story("r1", found)]
+        assert [for_s for for_s in told if for_s is not None] == [0.7]
+
     def test_is_empty_for_an_unknown_request(self):
         assert tell_story("r9", records()) == []
 
