Write log lines without waiting for their reader

Cause: standard error was written through a blocking text stream. With a log whose reader stands still, the pipe of 64 KiB was full after some 450 lines, and the whole process stopped for good, in the middle of a write, with all its callers.

Change: a process that serves replaces sys.stderr by a stream over LineOutput. Uncaught exceptions and all else that is written to sys.stderr go the same way. Commands on a terminal keep their own stream.

Conclusion: a log that nobody reads costs its lines, no longer the process.

--- a/src/leadhollow/cli/bench_command.py
+++ b/src/leadhollow/cli/bench_command.py
@@ -16,7 +16,7 @@
 from leadhollow.cli.output import print_failure, print_json, print_text
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.observe.logs import LogFormat, configure_logs
+from leadhollow.observe.logs import LogFormat, configure_command_logs
 from leadhollow.state.records import Policy
 
 POLICIES = {"time": "least-time", "origin": "fewest-origin-bytes"}
@@ -49,7 +49,7 @@
 
     def handle(self) -> int:
         """Run the measurement and print what it found."""
-        configure_logs(log_format=LogFormat.TEXT, level="error")
+        configure_command_logs(log_format=LogFormat.TEXT, level="error")
         try:
             work = self.measure()
         except ValueError as error:
--- a/src/leadhollow/cli/demo_command.py
+++ b/src/leadhollow/cli/demo_command.py
@@ -17,7 +17,7 @@
 from leadhollow.demo.report import DemoReport, readable
 from leadhollow.demo.story import Story
 from leadhollow.failure import Failure
-from leadhollow.observe.logs import LogFormat, configure_logs
+from leadhollow.observe.logs import LogFormat, configure_command_logs
 
 
 class DemoCommand(Command):
@@ -42,7 +42,7 @@
 
     def handle(self) -> int:
         """Run the demonstration."""
-        configure_logs(log_format=LogFormat.TEXT, level=self.option("log-level"))
+        configure_command_logs(log_format=LogFormat.TEXT, level=self.option("log-level"))
         model = self.option("model")
         model_path = None if model is None else Path(model)
         if model_path is not None and not model_path.is_file():
--- a/src/leadhollow/observe/logs.py
+++ b/src/leadhollow/observe/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import atexit
 import logging as standard_logging
 import sys
 import time
@@ -11,6 +12,9 @@
 from absl import flags
 from absl import logging as absl_logging
 
+from leadhollow.observe.line_output import LineOutput, LineStream
+from leadhollow.observe.outlets import open_outlet
+
 
 class LogFormat(Enum):
     """How records are printed."""
@@ -89,7 +93,9 @@
 
 
 def configure_logs(*, log_format: LogFormat, level: str) -> None:
-    """Send records of this process to standard error.
+    """Send records of a process that serves to standard error, without waiting for its reader.
+
+    All else that is written to ``sys.stderr`` goes the same way, such as an uncaught exception.
 
     Parameters
     ----------
@@ -98,6 +104,16 @@
     level
         ``debug``, ``info``, ``warning`` or ``error``.
     """
+    if sys.stderr is not None:
+        descriptor = sys.stderr.fileno()
+        output = LineOutput(outlet=open_outlet(descriptor), notice=_dropped_notice)
+        atexit.register(output.finish)
+        sys.stderr = LineStream(output=output, descriptor=descriptor)
+    configure_command_logs(log_format=log_format, level=level)
+
+
+def configure_command_logs(*, log_format: LogFormat, level: str) -> None:
+    """Send records of a command to standard error as it is."""
     flags.FLAGS.mark_as_parsed()  # absl warns on standard error of records before its flags
     handler = absl_logging.get_absl_handler()
     handler.setFormatter(_FieldFormatter(log_format))
@@ -107,6 +123,22 @@
     absl_logging.set_stderrthreshold(level)
 
 
+def _dropped_notice(count: int) -> bytes:
+    """Render the line that stands for lines that were dropped."""
+    logger = absl_logging.get_absl_logger()
+    record = logger.makeRecord(
+        logger.name,
+        standard_logging.WARNING,
+        __file__,
+        0,
+        "log lines dropped",
+        (),
+        None,
+        extra={"component": "logs", "fields": {"count": count}},
+    )
+    return f"{absl_logging.get_absl_handler().format(record)}\n".encode()
+
+
 def log_decision(decision: str, **fields: object) -> None:
     """Write the line of one routing or placement decision."""
     _decisions.info(decision, **fields)
@@ -114,4 +146,11 @@
 
 _decisions = get_logger("decision")
 
-__all__ = ["LogFormat", "Logger", "configure_logs", "get_logger", "log_decision"]
+__all__ = [
+    "LogFormat",
+    "Logger",
+    "configure_command_logs",
+    "configure_logs",
+    "get_logger",
+    "log_decision",
+]
--- a/tests/contract/environment.py
+++ b/tests/contract/environment.py
@@ -9,13 +9,13 @@
 import aiohttp
 import uvloop
 
-from leadhollow.observe.logs import LogFormat, configure_logs
+from leadhollow.observe.logs import LogFormat, configure_command_logs
 from leadhollow.standin.site import Site, SitePlan
 from tests.contract.steps.world import World
 
 
 def before_all(context):
-    configure_logs(log_format=LogFormat.TEXT, level="fatal")
+    configure_command_logs(log_format=LogFormat.TEXT, level="fatal")
     context.loop = uvloop.new_event_loop()
     asyncio.set_event_loop(context.loop)
 
