Let input be read where a hold uses up the last of a patience

Up to 0.2 s of a hold count as heard, so a timer for a peer that had less than that left came due in the hold, and ran before what had arrived was passed on. A HeardTimer that comes late by over 20 ms now looks again after the time in which arrived input is read. The tick read the loop's time twice and counted what was between the readings twice; it reads once, so the clock cannot gain on the loop's time.

New for other waits: heard_since_s, the part of a past span in which the loop could hear, for silences judged by subtraction, and heard_wait, which waits for tasks without ending them. The two scopes are classes and no generators any more.

Input that came 0.3 s into a patience of 0.4 s, then a hold of 0.5 s, read by a task that passes it on: TimeoutError on asyncio and uvloop before, read on both now.

--- a/src/leadhollow/kernel/hearing.py
+++ b/src/leadhollow/kernel/hearing.py
@@ -13,8 +13,10 @@
 import asyncio
 import math
 import weakref
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections import deque
+from collections.abc import Callable, Collection
+from types import TracebackType
+from typing import Any
 
 from leadhollow.kernel.clocks import steady_s
 from leadhollow.observe.logs import get_logger
@@ -24,8 +26,10 @@
 """Most that the clock goes on between two rounds of the loop. What is beyond it counts as held up;
 within it everything that arrived is read in time anyway."""
 
+LATE_S = 0.02  # by which a timer comes later where something may have arrived that is not read yet
 INPUT_S = 0.05  # until what arrived while the loop was held up has been read and passed on
 SHOWN_HOLD_S = 0.5  # shorter holds are counted without a line of their own
+HOLDS_KEPT = 256  # a process that is held up all the time remembers a minute of it
 HOLD_BOUNDS_S = (0.2, 0.5, 1.0, 2.0, 5.0)  # of the classes in which holds are counted
 
 log = get_logger("loop")
@@ -40,13 +44,14 @@
         How often it was, by the bounds of ``HOLD_BOUNDS_S``; the last one is beyond all of them.
     """
 
-    __slots__ = ("_heard_s", "_held_s", "_ticked_s", "holds")
+    __slots__ = ("_heard_s", "_held", "_held_s", "_ticked_s", "holds")
 
     def __init__(self) -> None:
         loop = asyncio.get_running_loop()
         self._ticked_s = loop.time()
-        self._heard_s = 0.0
+        self._heard_s = self._ticked_s
         self._held_s = 0.0
+        self._held: deque[tuple[float, float]] = deque(maxlen=HOLDS_KEPT)  # from when, until when
         self.holds = [0] * (len(HOLD_BOUNDS_S) + 1)
         loop.call_later(TICK_S, self._tick)
 
@@ -58,15 +63,28 @@
         """Give the time for which the loop was held up, in all."""
         return self._held_s + max(0.0, steady_s() - self._ticked_s - LONGEST_STEP_S)
 
+    def heard_since_s(self, since_s: float) -> float:
+        """Give for how long the loop could hear since a loop time."""
+        now_s = steady_s()
+        held_s = max(0.0, now_s - max(since_s, self._ticked_s + LONGEST_STEP_S))
+        for from_s, until_s in reversed(self._held):
+            if until_s <= since_s:
+                break
+            held_s += until_s - max(from_s, since_s)
+        return now_s - since_s - held_s
+
     def _tick(self) -> None:
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        beyond_s = now_s - self._ticked_s - LONGEST_STEP_S
-        self._heard_s = self.heard_s()
-        self._held_s = self.held_s()
+        step_s = now_s - self._ticked_s
+        beyond_s = step_s - LONGEST_STEP_S
+        self._heard_s += min(step_s, LONGEST_STEP_S)
+        if beyond_s > 0:
+            self._held_s += beyond_s
+            self._held.append((self._ticked_s + LONGEST_STEP_S, now_s))
         self._ticked_s = now_s
         if beyond_s > 0:
-            self._note_hold(beyond_s + LONGEST_STEP_S - TICK_S)
+            self._note_hold(step_s - TICK_S)
         loop.call_later(TICK_S, self._tick)
 
     def _note_hold(self, hold_s: float) -> None:
@@ -76,9 +94,12 @@
 
 
 class HeardTimer:
-    """Calls back once a time has passed in which this process could hear."""
+    """Calls back once a time has passed in which this process could hear.
+
+    Where it comes late, what had arrived by then is read first.
+    """
 
-    __slots__ = ("_callback", "_clock", "_due_s", "_handle", "_loop")
+    __slots__ = ("_callback", "_clock", "_due_s", "_handle", "_look_s", "_loop", "_put_off")
 
     def __init__(
         self,
@@ -89,19 +110,27 @@
         self._loop = asyncio.get_running_loop()
         self._clock = clock()
         self._callback = callback
+        self._put_off = False  # once only: a loop that is late each time must come to an end too
         self._due_s = self._clock.heard_s() + delay_s
-        self._handle = self._loop.call_later(max(0.0, delay_s), self._look)
+        self._look_again(max(0.0, delay_s))
 
     def cancel(self) -> None:
         """Call back no more."""
         self._handle.cancel()
 
+    def _look_again(self, delay_s: float) -> None:
+        self._look_s = self._loop.time() + delay_s
+        self._handle = self._loop.call_at(self._look_s, self._look)
+
     def _look(self) -> None:
         left_s = self._due_s - self._clock.heard_s()
-        if left_s <= 0:
-            self._callback()
+        if left_s > 0:
+            self._look_again(left_s)
+        elif self._loop.time() - self._look_s > LATE_S and not self._put_off:
+            self._put_off = True
+            self._look_again(INPUT_S)
         else:
-            self._handle = self._loop.call_later(left_s, self._look)
+            self._callback()
 
 
 class DeadlineTimer:
@@ -133,31 +162,102 @@
             self._callback()
 
 
-@asynccontextmanager
-async def heard_timeout(delay_s: float) -> AsyncIterator[asyncio.Timeout]:
-    """Bound a wait for a peer, like ``asyncio.timeout``, by the time in which it could be heard."""
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout(None) as limit:
-        timer = HeardTimer(delay_s=delay_s, callback=lambda: limit.reschedule(loop.time()))
-        try:
-            yield limit
-        finally:
-            timer.cancel()
+class _Bounded:
+    """Scope that ends when its timer calls back, like that of ``asyncio.timeout``."""
+
+    __slots__ = ("_limit", "_loop", "_timer")
+
+    _timer: DeadlineTimer | HeardTimer
+
+    async def __aenter__(self) -> asyncio.Timeout:
+        self._loop = asyncio.get_running_loop()
+        self._limit = asyncio.timeout(None)
+        await self._limit.__aenter__()
+        self._timer = self._start(self._end)
+        return self._limit
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._timer.cancel()
+        await self._limit.__aexit__(kind, error, trace)
+
+    def _start(self, callback: Callable[[], None]) -> DeadlineTimer | HeardTimer:
+        raise NotImplementedError
+
+    def _end(self) -> None:
+        self._limit.reschedule(self._loop.time())
+
+
+class heard_timeout(_Bounded):  # noqa: N801 (used like asyncio.timeout)
+    """Bound a wait for a peer, like ``asyncio.timeout``, by the time in which it could be heard.
+
+    Parameters
+    ----------
+    delay_s
+        None for no bound.
+    """
+
+    __slots__ = ("_delay_s",)
 
+    def __init__(self, delay_s: float | None) -> None:
+        self._delay_s = math.inf if delay_s is None else delay_s
 
-@asynccontextmanager
-async def deadline_at(when_s: float) -> AsyncIterator[asyncio.Timeout]:
+    def _start(self, callback: Callable[[], None]) -> DeadlineTimer | HeardTimer:
+        if math.isinf(self._delay_s):
+            return DeadlineTimer(when_s=math.inf, callback=callback)
+        return HeardTimer(delay_s=self._delay_s, callback=callback)
+
+
+class deadline_at(_Bounded):  # noqa: N801 (used like asyncio.timeout_at)
     """Bound some work by a loop time, like ``asyncio.timeout_at``.
 
     Where the loop was held up when the time came, what had arrived by then is taken first.
     """
-    loop = asyncio.get_running_loop()
-    async with asyncio.timeout(None) as limit:
-        timer = DeadlineTimer(when_s=when_s, callback=lambda: limit.reschedule(loop.time()))
-        try:
-            yield limit
-        finally:
-            timer.cancel()
+
+    __slots__ = ("_when_s",)
+
+    def __init__(self, when_s: float) -> None:
+        self._when_s = when_s
+
+    def _start(self, callback: Callable[[], None]) -> DeadlineTimer | HeardTimer:
+        return DeadlineTimer(when_s=self._when_s, callback=callback)
+
+
+async def heard_wait(tasks: Collection[asyncio.Future[Any]], delay_s: float) -> bool:
+    """Wait until the first of some tasks is done, like ``asyncio.wait``; they go on.
+
+    Parameters
+    ----------
+    delay_s
+        How long to wait, of the time in which peers could be heard.
+
+    Returns
+    -------
+    bool
+        Whether any of them is done.
+    """
+    if any(task.done() for task in tasks):
+        return True
+    woken = asyncio.get_running_loop().create_future()
+
+    def wake(_: object = None) -> None:
+        if not woken.done():
+            woken.set_result(None)
+
+    timer = HeardTimer(delay_s=delay_s, callback=wake)
+    for task in tasks:
+        task.add_done_callback(wake)
+    try:
+        await woken
+    finally:
+        timer.cancel()
+        for task in tasks:
+            task.remove_done_callback(wake)
+    return any(task.done() for task in tasks)
 
 
 def clock() -> HearingClock:
@@ -174,6 +274,14 @@
     return clock().heard_s()
 
 
+def heard_since_s(since_s: float) -> float:
+    """Give for how long the running loop could hear since a loop time.
+
+    It is what a silence is judged by; ages that others are told go on while we are held up.
+    """
+    return clock().heard_since_s(since_s)
+
+
 _clocks: weakref.WeakKeyDictionary[asyncio.AbstractEventLoop, HearingClock] = (
     weakref.WeakKeyDictionary()
 )
@@ -185,5 +293,7 @@
     "clock",
     "deadline_at",
     "heard_s",
+    "heard_since_s",
     "heard_timeout",
+    "heard_wait",
 ]
--- a/tests/kernel/test_hearing.py
+++ b/tests/kernel/test_hearing.py
@@ -5,11 +5,13 @@
 import time
 
 import pytest
+import uvloop
 
 from leadhollow.kernel import hearing
-from leadhollow.kernel.hearing import HeardTimer, deadline_at, heard_timeout
+from leadhollow.kernel.hearing import HeardTimer, deadline_at, heard_timeout, heard_wait
 
 HOLDS_S = (0.5, 1.0)
+LOOPS = (asyncio.new_event_loop, uvloop.new_event_loop)
 
 
 async def settle() -> None:
@@ -44,6 +46,27 @@
         assert clock.held_s() >= 0.4
         assert clock.holds[2] == 1  # between a half and a whole second
 
+    async def test_never_goes_faster_than_the_loops_time(self):
+        await settle()
+        began_s, began_heard_s = asyncio.get_running_loop().time(), hearing.heard_s()
+        for _ in range(4):
+            time.sleep(0.15)
+            await asyncio.sleep(0.02)
+        heard_s = hearing.heard_s() - began_heard_s
+        assert heard_s <= asyncio.get_running_loop().time() - began_s
+
+    @pytest.mark.parametrize("hold_s", HOLDS_S)
+    async def test_tells_for_how_long_it_could_hear_since_a_loop_time(self, hold_s):
+        await settle()
+        before_s = asyncio.get_running_loop().time()
+        time.sleep(hold_s)
+        assert hearing.heard_since_s(before_s) <= hearing.LONGEST_STEP_S + 0.1
+        await asyncio.sleep(hearing.TICK_S)
+        after_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(0.05)
+        assert hearing.heard_since_s(before_s) <= hearing.LONGEST_STEP_S + 0.4
+        assert 0.04 <= hearing.heard_since_s(after_s) <= asyncio.get_running_loop().time() - after_s
+
     async def test_is_one_for_all_of_a_loop(self):
         assert hearing.clock() is hearing.clock()
 
@@ -62,6 +85,34 @@
         writer.close()
         peer.close()
 
+    # Guards against: the part of a hold that counts as heard is the rest of somebody's patience.
+    @pytest.mark.parametrize("new_loop", LOOPS)
+    def test_lets_input_be_read_that_came_in_the_last_of_a_patience(self, new_loop):
+        async def wait() -> bytes:
+            await settle()
+            reader, writer, peer = await _connected()
+            passed_on: asyncio.Queue[bytes] = asyncio.Queue()
+            passing = asyncio.create_task(_pass_on(reader, passed_on))
+            began_s = asyncio.get_running_loop().time()
+            async with heard_timeout(0.4):
+                while asyncio.get_running_loop().time() - began_s < 0.3:
+                    await asyncio.sleep(0.02)
+                peer.send(b"x")
+                time.sleep(0.5)
+                data = await passed_on.get()
+            passing.cancel()
+            writer.close()
+            peer.close()
+            return data
+
+        with asyncio.Runner(loop_factory=new_loop) as runner:
+            assert runner.run(wait()) == b"x"
+
+    async def test_without_a_time_bounds_nothing(self):
+        async with heard_timeout(None) as limit:
+            await asyncio.sleep(0.02)
+        assert not limit.expired()
+
     async def test_ends_a_wait_for_a_peer_that_is_silent(self):
         with pytest.raises(TimeoutError):
             async with heard_timeout(0.15) as limit:
@@ -122,6 +173,41 @@
         await asyncio.sleep(0.3)
         assert called == ["kept"]
 
+    # Guards against: a wait for a peer never ends where each round of the loop takes long.
+    async def test_calls_back_on_a_loop_that_is_always_late(self):
+        called = asyncio.Event()
+        HeardTimer(delay_s=0.1, callback=called.set)
+        for _ in range(60):
+            time.sleep(0.04)
+            await asyncio.sleep(0)
+        assert called.is_set()
+
+
+class TestHeardWait:
+    async def test_ends_with_the_first_that_is_done(self):
+        quick = asyncio.create_task(asyncio.sleep(0.02))
+        slow = asyncio.create_task(asyncio.sleep(5.0))
+        assert await heard_wait({quick, slow}, 3.0)
+        assert quick.done() and not slow.done()
+        slow.cancel()
+
+    async def test_lets_what_it_waits_for_go_on(self):
+        slow = asyncio.create_task(asyncio.sleep(0.3))
+        assert not await heard_wait({slow}, 0.05)
+        await slow
+
+    async def test_sees_what_arrived_in_a_hold(self):
+        await settle()
+        reader, writer, peer = await _connected()
+        read = asyncio.create_task(reader.read(10))
+        waits = asyncio.create_task(heard_wait({read}, 0.4))
+        await asyncio.sleep(0.05)
+        peer.send(b"x")
+        time.sleep(1.0)
+        assert await waits
+        writer.close()
+        peer.close()
+
 
 async def _connected() -> tuple[asyncio.StreamReader, asyncio.StreamWriter, socket.socket]:
     ours, peer = socket.socketpair()
@@ -130,6 +216,12 @@
     return reader, writer, peer
 
 
+async def _pass_on(reader: asyncio.StreamReader, taken: asyncio.Queue[bytes]) -> None:
+    while data := await reader.read(10):
+        await asyncio.sleep(0)
+        taken.put_nowait(data)
+
+
 async def _read(reader: asyncio.StreamReader, patience_s: float) -> bytes:
     async with heard_timeout(patience_s):
         return await reader.read(10)
