Give up no peer for time in which we could not hear it

After a hold of our own the timers ran before the sockets were read: calls to replicas ended as PEER_TIMEOUT, entries and stagers left the control replica that they followed, and peers that had answered a greeting counted as unreachable. They go by the heard clock now. The model of a configuration's way gives each host a clock of its own.

--- a/src/leadhollow/wire/connection.py
+++ b/src/leadhollow/wire/connection.py
@@ -10,6 +10,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure, failure_from_number
+from leadhollow.kernel.hearing import heard_s, heard_timeout
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.codec import LENGTH, MAXIMUM_FRAME_BYTES, Frame, decode_frame, encode_frame
 from leadhollow.wire.generated.ttypes import Hello
@@ -91,13 +92,13 @@
         return 0 if self.closed.is_set() else self._writer.transport.get_write_buffer_size()
 
     def part_age_s(self) -> float | None:
-        """Give how long ago the last bytes of an unfinished frame came; None where there is none.
+        """Give the heard time since the last bytes of an unfinished frame; None without one.
 
         While that is short a large frame is on its way, and the peer is not silent.
         """
         if self._part_s is None or self.closed.is_set():
             return None
-        return asyncio.get_running_loop().time() - self._part_s
+        return heard_s() - self._part_s
 
     async def drain(self) -> None:
         """Wait until the socket takes more."""
@@ -116,7 +117,7 @@
         PEER_LOST
             The connection ended first.
         PEER_TIMEOUT
-            No answer in time; a late one is dropped.
+            No answer in the time in which it could be heard; a late one is dropped.
         """
         if self.closed.is_set():
             return Err(Failure(code=Code.PEER_LOST))
@@ -125,7 +126,7 @@
         self._calls[call_id] = answer
         self.write(Frame(kind=FrameKind.REQUEST, call_id=call_id, body=body))
         try:
-            async with asyncio.timeout(timeout_ms / 1000):
+            async with heard_timeout(timeout_ms / 1000):
                 frame = await answer
         except TimeoutError:
             return Err(Failure(code=Code.PEER_TIMEOUT))
@@ -162,7 +163,7 @@
             while data := await self._read_some():
                 buffer += data
                 failure = self._take_frames(buffer)
-                self._part_s = asyncio.get_running_loop().time() if buffer else None
+                self._part_s = heard_s() if buffer else None
                 if failure is not None:
                     log.warning("connection ended", peer=self.peer_name, failure=str(failure))
                     break
--- a/src/leadhollow/wire/streams.py
+++ b/src/leadhollow/wire/streams.py
@@ -9,6 +9,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure, failure_from_number
+from leadhollow.kernel.hearing import heard_timeout
 from leadhollow.wire.codec import Frame
 from leadhollow.wire.messages import Body, FrameKind
 
@@ -62,7 +63,7 @@
         wait_s = silence_s
         while True:
             try:
-                async with asyncio.timeout(wait_s):
+                async with heard_timeout(wait_s):
                     return await self._queue.get()
             except TimeoutError:
                 part_age_s = self._connection.part_age_s()
--- a/tests/config_path/site.py
+++ b/tests/config_path/site.py
@@ -22,7 +22,7 @@
 from leadhollow.control.version_ages import VersionAges
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
-from leadhollow.kernel import clocks
+from leadhollow.kernel import clocks, hearing
 from leadhollow.membership.control_feed import ControlFeed
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.node.entry_role import Dispatching
@@ -60,6 +60,7 @@
         self.processes: dict[str, NodeProcess] = {}
         self._listeners: dict[str, ControlListener] = {}
         self._contexts: dict[str, contextvars.Context] = {}
+        self._hearing: dict[str, hearing.HearingClock] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._names = 0
         self._patches = [
@@ -68,6 +69,7 @@
             mock.patch.object(os, "fsync", self.disks.fsync),
             mock.patch.object(os, "replace", self.disks.replace),
             mock.patch.object(secrets, "token_hex", self._name),
+            mock.patch.object(hearing, "clock", self._hearing_clock),
         ]
         if isinstance(self.loop, SuspendingLoop):
             self.loop.on_wake = self._on_wake
@@ -180,6 +182,13 @@
         assert isinstance(self.loop, SuspendingLoop)
         return self.loop.slept_s.get(here.get(), 0.0)
 
+    def _hearing_clock(self) -> hearing.HearingClock:
+        """Give the clock of the host that runs now: one that stands still holds up no other."""
+        host = here.get()
+        if host not in self._hearing:
+            self._hearing[host] = hearing.HearingClock(loop=self.loop)
+        return self._hearing[host]
+
     def _on_wake(self, host: str, span_s: float) -> None:
         """See what a host believes in the moment in which it goes on."""
         if host in self.processes:
