Measure the wait for the reader of the last lines by the shared clocks

No module but kernel/clocks.py reads a clock of the system; the test that keeps it so failed on the wait of a process that ends for its log's reader.

--- a/src/leadhollow/observe/line_output.py
+++ b/src/leadhollow/observe/line_output.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from leadhollow.kernel.clocks import boot_s
 from leadhollow.observe.outlets import Outlet
 
 HELD_BYTES = 256 * 1024  # most that waits for the reader
@@ -79,10 +80,10 @@
 
     def finish(self) -> None:
         """Write what is held back; a reader that takes nothing is waited for only so long."""
-        deadline_s = time.monotonic() + LAST_LINES_S
+        deadline_s = boot_s() + LAST_LINES_S
         with self._lock:
             self._drain()
-            while self._waiting and not self._failed and time.monotonic() < deadline_s:
+            while self._waiting and not self._failed and boot_s() < deadline_s:
                 time.sleep(LAST_RETRY_S)
                 self._drain()
 
