Let a stream that was lost in another domain go on in our own

Where an engine of another domain broke the request off, all engines out of our own must now answer 400 ms sooner.

The new case of tests/decide/test_engine_queue.py failed before.

--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Collection
 
 from leadhollow.decide.engine_model import EngineDemand, EngineModel
 from leadhollow.decide.server import Server
@@ -38,8 +39,8 @@
 likely to turn our request away too, which costs a repeat."""
 
 LOST_DOMAIN_MS = 400.0
-"""An engine must answer this much sooner than all others where one of its failure domain has broken
-the same request off: what ended that one is likely to be there still."""
+"""An engine must answer this much sooner than all others where what ended the same request before
+is likely to be there too: in that failure domain, and on the way out of our own."""
 
 SAME_MOMENT_S = 0.002
 """Time for which engines stay as they were reckoned where nothing is known to have changed; a turn
@@ -199,7 +200,7 @@
             first_ms = found.ready_ms + demand.pace * read_ms
             rank = first_ms + SPREAD_MS * self._random.random() + (far_ms if found.far else 0.0)
             rank += SHUNNED_MS if found.shunned else 0.0
-            if wish.lost_domains and found.server.instance.failure_domain in wish.lost_domains:
+            if wish.lost_domains and self._shares_fault(found, wish.lost_domains):
                 rank += LOST_DOMAIN_MS
             if rank < best_rank:
                 best, best_demand, best_ms, best_rank = found, demand, first_ms, rank
@@ -213,6 +214,12 @@
             version=best.version,
         )
 
+    def _shares_fault(self, found: _Usable, lost_domains: Collection[str]) -> bool:
+        """Tell whether what ended a request in other domains may end it at this engine too."""
+        if found.server.instance.failure_domain in lost_domains:
+            return True
+        return found.far and any(domain != self._failure_domain for domain in lost_domains)
+
     def rest_left_s(self, wish: EngineWish, now_s: float) -> float | None:
         """Give the time until the first engine takes requests that only its rest keeps from it.
 
--- a/tests/decide/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -173,6 +173,17 @@
 
         in_loop(work)
 
+    # Guards against: a stream that was lost beyond a cut goes on in another domain beyond it.
+    def test_an_engine_of_a_third_domain_goes_after_our_own_where_a_far_one_was_lost(self):
+        async def work() -> None:
+            group = Group()
+            group.engine("far", domain="c", active=0, queued=0)
+            near = group.engine("near", active=4, queued=1)
+            wish = a_wish(standing=Standing.RESUMED, lost_domains={"b"})
+            assert (await placed(group, wish)).server is near
+
+        in_loop(work)
+
     def test_an_engine_of_such_a_domain_goes_before_none(self):
         async def work() -> None:
             group = Group()
