Lose metrics rather than wait for a full socket

Cause: statsd's datagram socket blocks. Where its queue is full, as on a link that is slow or squeezed, each counter waits on the event loop until there is room.

Change: the socket does not block; what finds it full is lost, as datagrams may be.

Conclusion: metrics only inform and may not hold up what they count.

--- a/src/leadhollow/observe/metrics.py
+++ b/src/leadhollow/observe/metrics.py
@@ -16,6 +16,8 @@
         self._client = (
             None if sink is None else StatsClient(host=sink.host, port=sink.port, prefix=prefix)
         )
+        if self._client is not None:  # a full socket loses the datagram, it does not wait
+            self._client._sock.setblocking(False)
 
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter."""
