Read manifests for others beside the event loop

Cause: chunks were read in a thread, the manifest on the loop. A disk that hangs for seconds held up the process that passes the streams of its engine.

Change: the manifest is read and hashed in a thread too.

Figures: a read that ends only once the loop has gone round: before, it waits for its patience of 2 s on the loop's own thread; now it ends.

Conclusion: no file of a version is read on the loop any more while requests pass.

--- a/src/leadhollow/weights/exchange.py
+++ b/src/leadhollow/weights/exchange.py
@@ -75,7 +75,7 @@
         self, request: ChunkRequest, connection: Connection
     ) -> Result[ChunkReply, Failure]:
         if request.index == MANIFEST_INDEX:
-            encoded = self._store.encoded_manifest(request.root)
+            encoded = await asyncio.to_thread(self._store.encoded_manifest, request.root)
             if encoded is None:
                 return Err(Failure(code=Code.CHUNK_UNKNOWN, detail="no such manifest"))
             return Ok(ChunkReply(encoded))
--- a/tests/support.py
+++ b/tests/support.py
@@ -7,6 +7,7 @@
 import random
 import shutil
 import socket
+import threading
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
@@ -45,6 +46,24 @@
     raise AssertionError(message)
 
 
+class BlockingWork:
+    """Stands for work that blocks its thread until the event loop has gone round.
+
+    Attributes
+    ----------
+    held_up_loop
+        Whether the loop did not: it was the loop's own thread that waited.
+    """
+
+    def __init__(self) -> None:
+        self._went_round = threading.Event()
+        self.held_up_loop = False
+        asyncio.get_running_loop().call_later(0.05, self._went_round.set)
+
+    def __call__(self) -> None:
+        self.held_up_loop = not self._went_round.wait(2.0)
+
+
 def free_ports(hosts: Sequence[str], *, count: int = 2) -> int:
     """Find the first of some ports that are free on all addresses, below outgoing connections."""
     while True:
