Start and stop a replica without waiting for its disk on the loop

Cause: the identity was read, or written and synced, on the event loop at the start, and the end of the disk's thread was waited for there at the stop. A disk that hangs held up the connections that the process has besides.

Conclusion: a replica touches its disk only beside the loop.

--- a/src/leadhollow/control/replica_service.py
+++ b/src/leadhollow/control/replica_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import zlib
 from pathlib import Path
 
@@ -58,7 +59,8 @@
         """Read or make the identity, open the log and join the others."""
         settings = self._settings
         folder = Path(settings.data_folder or ".") / STATE_FOLDER
-        loaded = load_identity(
+        loaded = await asyncio.to_thread(
+            load_identity,
             folder,
             own_address=settings.wire_address,
             seeds=tuple(seed_voter(address) for address in self._seeds),
--- a/src/leadhollow/control/suspect_relay.py
+++ b/src/leadhollow/control/suspect_relay.py
@@ -104,7 +104,7 @@
         await super().stop()
         if self._saving is not None:
             await asyncio.wait([self._saving])
-        self._disk.close()
+        await self._disk.end()
 
     def on_change(self, listener: Callable[[Changed], None]) -> None:
         """Call a function with what is news here."""
--- a/src/leadhollow/state/disk_thread.py
+++ b/src/leadhollow/state/disk_thread.py
@@ -45,9 +45,19 @@
         self._pending -= 1
         self._busy_since_s = asyncio.get_running_loop().time() if self._pending else None
 
+    async def end(self) -> None:
+        """Wait for the work in progress while the loop goes on, and end the thread."""
+        if self._pending:
+            await self.run(_nothing)
+        self.close()
+
     def close(self) -> None:
-        """Wait for the work in progress and end the thread."""
+        """End the thread; waits for work in progress."""
         self._executor.shutdown(wait=True)
 
 
+def _nothing() -> None:
+    return
+
+
 __all__ = ["DiskThread"]
--- a/src/leadhollow/state/replica.py
+++ b/src/leadhollow/state/replica.py
@@ -188,7 +188,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._state.steps.idle()
-        self._state.disk.close()
+        await self._state.disk.end()
         self._state.store.close()
 
     def ready(self) -> bool:
