Delete old versions of weights beside the event loop

Cause: the files of a version that is needed no more were deleted on the event loop, through which the streams of the engine pass.

Change: its folder is renamed at once, so that the version may be fetched anew, and its files are deleted in a thread. What a crash leaves is deleted at the next start, and a delete that fails is logged instead of ending the installer.

Conclusion: the loop of a backend server waits for no file any more.

--- a/src/leadhollow/backend/installer.py
+++ b/src/leadhollow/backend/installer.py
@@ -15,7 +15,7 @@
 from leadhollow.state.catalog import Catalog
 from leadhollow.weights.fetch import Fetch, FetchTools
 from leadhollow.weights.origin import OriginReader
-from leadhollow.weights.store import StoredVersion
+from leadhollow.weights.store import StoredVersion, delete_version
 from leadhollow.weights.tracker_choice import domain_lease_name
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import Done, Order
@@ -41,6 +41,7 @@
 
     __slots__ = (
         "_catalog",
+        "_deleting",
         "_desired",
         "_engine",
         "_failure_domain",
@@ -85,6 +86,7 @@
         self._origin_reader: OriginReader | None = None
         self._origin_bytes_before = 0
         self._recent_roots: list[str] = []
+        self._deleting: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
         self._switching = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -277,7 +279,11 @@
             self._recent_roots.remove(root)
         self._recent_roots.append(root)
         for old in self._recent_roots[:-VERSIONS_KEPT]:
-            self._tools.store.remove(old)
+            folder = self._tools.store.forget(old)
+            if folder is not None:
+                deleting = asyncio.create_task(asyncio.to_thread(delete_version, folder))
+                self._deleting.add(deleting)
+                deleting.add_done_callback(self._deleting.discard)
         del self._recent_roots[:-VERSIONS_KEPT]
 
 
--- a/src/leadhollow/weights/store.py
+++ b/src/leadhollow/weights/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import shutil
 import threading
 from pathlib import Path
 
@@ -19,6 +20,7 @@
 MANIFEST_FILE = "manifest"
 PROGRESS_FILE = "progress"
 COMPLETE_FILE = "complete"
+GONE = ".gone-"  # in the name of a folder that is to be deleted
 HEX_DIGITS = frozenset("0123456789abcdef")
 
 log = get_logger("chunk-store")
@@ -149,10 +151,11 @@
         Holds a folder for each root hash and nothing else.
     """
 
-    __slots__ = ("_folder", "_versions")
+    __slots__ = ("_folder", "_forgotten", "_versions")
 
     def __init__(self, *, folder: Path) -> None:
         self._folder = folder
+        self._forgotten = 0  # versions since the start
         self._versions: dict[str, StoredVersion] = {}
 
     def version(self, root: str) -> StoredVersion | None:
@@ -168,6 +171,9 @@
         if not self._folder.is_dir():
             return
         for folder in sorted(self._folder.iterdir()):
+            if GONE in folder.name:
+                delete_version(folder)
+                continue
             encoded = read_file(folder / MANIFEST_FILE).unwrap_or(None)
             if encoded is None or not valid_root(folder.name):
                 continue
@@ -212,15 +218,24 @@
         encoded = read_file(self._folder / root / MANIFEST_FILE).unwrap_or(None)
         return encoded if encoded is not None and root_of(encoded) == root else None
 
-    def remove(self, root: str) -> None:
-        """Delete a version and its files."""
+    def forget(self, root: str) -> Path | None:
+        """Forget a version, which may then be fetched anew.
+
+        Returns
+        -------
+        Path or None
+            Where its files lie now, for :func:`delete_version`; None where there are none.
+        """
         stored = self._versions.pop(root, None)
         if stored is None:
-            return
+            return None
         stored.close()
-        for name in (COMPLETE_FILE, PROGRESS_FILE, MANIFEST_FILE, DATA_FILE):
-            (stored.folder / name).unlink(missing_ok=True)
-        stored.folder.rmdir()
+        self._forgotten += 1
+        try:
+            return stored.folder.rename(stored.folder.with_name(f"{root}{GONE}{self._forgotten}"))
+        except OSError as error:
+            log.warning("version not deleted", folder=root, error=str(error))
+            return None
 
     def close(self) -> None:
         """Close all files."""
@@ -228,9 +243,17 @@
             stored.close()
 
 
+def delete_version(folder: Path) -> None:
+    """Delete the files of a forgotten version; a large one takes its time."""
+    try:
+        shutil.rmtree(folder)
+    except OSError as error:  # what is left is tried again at the next start
+        log.warning("version not deleted", folder=folder.name, error=str(error))
+
+
 def valid_root(root: str) -> bool:
     """Tell whether a text is a root hash, and so safe as a folder's name."""
     return len(root) == 64 and set(root) <= HEX_DIGITS
 
 
-__all__ = ["ChunkStore", "StoredVersion", "valid_root"]
+__all__ = ["ChunkStore", "StoredVersion", "delete_version", "valid_root"]
--- a/tests/weights/test_manifest.py
+++ b/tests/weights/test_manifest.py
@@ -19,7 +19,7 @@
     encode_manifest,
     root_of,
 )
-from leadhollow.weights.store import DATA_FILE, ChunkStore
+from leadhollow.weights.store import DATA_FILE, ChunkStore, delete_version
 
 DATA = bytes(range(256)) * 40
 
@@ -137,6 +137,29 @@
         assert stored.finish().unwrap_err().code is Code.ROOT_MISMATCH
         assert list(stored.held.missing()) == [7]
 
+    # Guards against: deleting a large version holds up the event loop.
+    def test_a_forgotten_version_may_come_again_while_it_is_deleted(self, tmp_path, manifest):
+        store, stored = self.opened(tmp_path, manifest)
+        self.fill(stored, manifest)
+        folder = store.forget(stored.root)
+        assert store.version(stored.root) is None
+        assert (folder / DATA_FILE).read_bytes() == DATA  # deleting it is left to a thread
+        encoded = encode_manifest(manifest)
+        again = store.open_version(stored.root, encoded).unwrap()
+        assert list(again.held.missing()) == list(range(manifest.chunk_count))
+        delete_version(folder)
+        assert list((tmp_path / "store").iterdir()) == [again.folder]
+
+    def test_what_a_crash_left_to_delete_is_deleted_at_the_next_start(self, tmp_path, manifest):
+        store, stored = self.opened(tmp_path, manifest)
+        store.forget(stored.root)
+        again = ChunkStore(folder=tmp_path / "store")
+        again.open_all()
+        assert list((tmp_path / "store").iterdir()) == []
+
+    def test_a_version_that_is_not_known_leaves_nothing_to_delete(self, tmp_path):
+        assert ChunkStore(folder=tmp_path / "store").forget("0" * 64) is None
+
     @pytest.mark.parametrize("root", ["../../etc", "", "A" * 64, "0" * 63])
     def test_a_root_that_is_no_hash_is_refused(self, tmp_path, manifest, root):
         store = ChunkStore(folder=tmp_path / "store")
