Judge other replicas by the time in which they could be heard

Patience with a leader, with followers and with our own disk went by clocks that go on in a hold. Replicas that stood still together, as on a machine that is kept busy, each took the others for lost before heartbeats were read: they elected a leader though theirs lived, and a leader could replace voters or step down because of a disk whose answer it had not taken.

Election, step-down, a silent voter's age and the disk's go by the heard clock now, and the watch looks only after what arrived in a hold is read. What others rely on is as before: a lease, whether a leader was heard where a vote is asked for, and confirmations end by the clock with suspensions; a leader that stood still believes in no lease until a majority answers anew. Waits can only become longer by it.

--- a/src/leadhollow/control/replica_service.py
+++ b/src/leadhollow/control/replica_service.py
@@ -10,7 +10,7 @@
 
 from leadhollow.control.replica_directory import ReplicaDirectory
 from leadhollow.failure import Failure
-from leadhollow.kernel import clocks
+from leadhollow.kernel import clocks, hearing
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeSettings
 from leadhollow.state.gateway import LeaderGateway
@@ -51,7 +51,7 @@
         self._seeds = settings.seed_wire_addresses
         self._joining: Joining | None = None
         self._roster: RosterKeeper | None = None
-        self.directory = ReplicaDirectory(clock=clocks.elapsed_s)
+        self.directory = ReplicaDirectory(clock=_heard_s)
         self.replica: Replica
         self.gateway: LeaderGateway
 
@@ -150,4 +150,9 @@
         return Ok(None)
 
 
+def _heard_s() -> float:
+    """Give the time in which we could hear, with suspensions: others are gone after a long one."""
+    return hearing.heard_s() + clocks.suspended_s()
+
+
 __all__ = ["STATE_FOLDER", "ReplicaService"]
--- a/src/leadhollow/kernel/hearing.py
+++ b/src/leadhollow/kernel/hearing.py
@@ -260,6 +260,11 @@
     return any(task.done() for task in tasks)
 
 
+async def heard_sleep(delay_s: float) -> None:
+    """Sleep for a time in which peers could be heard; what arrived in a hold is read first."""
+    await heard_wait((), delay_s)
+
+
 def clock() -> HearingClock:
     """Give the clock of the running loop; it begins with the first look at it."""
     loop = asyncio.get_running_loop()
@@ -294,6 +299,7 @@
     "deadline_at",
     "heard_s",
     "heard_since_s",
+    "heard_sleep",
     "heard_timeout",
     "heard_wait",
 ]
--- a/src/leadhollow/state/leadership.py
+++ b/src/leadhollow/state/leadership.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.kernel import hearing
+from leadhollow.kernel.hearing import heard_timeout
 from leadhollow.observe.logs import get_logger
 from leadhollow.state.commands import Command, TermStart, encode
 from leadhollow.state.log_store import Entry
@@ -52,16 +55,34 @@
     ----------
     next_index
         First entry to send.
+
+    Attributes
+    ----------
+    acknowledged_s
+        When the last request was sent that it answered, by the clock of leads.
+    answered_s
+        The same by the heard clock.
+    asked_s
+        Heard time at which it last asked to learn.
     """
 
-    __slots__ = ("acknowledged_s", "asked_s", "match", "next_index", "peer", "task")
+    __slots__ = (
+        "acknowledged_s",
+        "answered_s",
+        "asked_s",
+        "match",
+        "next_index",
+        "peer",
+        "task",
+    )
 
     def __init__(self, *, peer: Voter, next_index: int) -> None:
         self.peer = peer
         self.next_index = next_index
         self.match = 0
-        self.acknowledged_s = 0.0  # when the last request was sent that it answered
-        self.asked_s = 0.0  # when it last asked to learn
+        self.acknowledged_s = 0.0
+        self.answered_s = 0.0
+        self.asked_s = 0.0
         self.task: asyncio.Task[None] | None = None
 
 
@@ -70,6 +91,7 @@
 
     __slots__ = (
         "_followers",
+        "_heard_since_s",
         "_proposals",
         "_round_waiters",
         "_state",
@@ -90,6 +112,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._transferring = False
         self.since_s = 0.0
+        self._heard_since_s = 0.0  # the same by the heard clock
         state.on_step_down(self.end)
         state.on_voters_changed(self.match_followers)
 
@@ -101,7 +124,10 @@
         return now_s() < self._majority_acknowledged_s() + state.election_timeout_s
 
     def check(self, timeout_s: float) -> None:
-        """Step down where no majority has answered for long, or our own disk hangs."""
+        """Step down where no majority has answered for long, or our own disk hangs.
+
+        Being held up ends the lease; that nobody answers is judged by the time we could hear.
+        """
         state = self._state
         if state.disk.busy_s > DISK_STALL_S:
             log.warning("leader steps down, its disk hangs", busy_s=round(state.disk.busy_s, 3))
@@ -109,7 +135,7 @@
         elif not state.is_voter and state.commit_index >= state.voters.current.index:
             log.info("leader steps down, it votes no more", term=state.term)
             state.become_follower("")
-        elif not self.lease_valid() and now_s() > self.since_s + timeout_s:
+        elif not self.lease_valid() and self._unanswered(timeout_s):
             log.warning("leader steps down, no majority answers", term=state.term)
             state.become_follower("")
 
@@ -154,7 +180,7 @@
         self._answer_rounds()
         self._wake_all_followers()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with heard_timeout(timeout_s):
                 leads = await confirmed
         except TimeoutError:
             return Err(Failure(code=Code.NO_MAJORITY))
@@ -168,7 +194,7 @@
         if follower is None:
             log.info("learner found", replica=peer.replica, address=peer.address)
             follower = self._add_follower(peer)
-        follower.asked_s = now_s()
+        follower.asked_s = hearing.heard_s()
 
     def followers(self) -> list[Follower]:
         """Give what is known of the other replicas."""
@@ -177,8 +203,8 @@
     def silence_s(self, replica: str) -> float:
         """Tell for how long a replica has not answered; at most as long as we lead."""
         follower = self._followers.get(replica)
-        heard_s = 0.0 if follower is None else follower.acknowledged_s
-        return now_s() - max(heard_s, self.since_s)
+        answered_s = 0.0 if follower is None else follower.answered_s
+        return hearing.heard_s() - max(answered_s, self._heard_since_s)
 
     async def hand_over(self, timeout_s: float) -> bool:
         """Let a caught-up voter lead in our place; True once somebody else leads."""
@@ -205,6 +231,7 @@
         state.role = ReplicaRole.LEADER
         state.leader_vm = state.vm
         self.since_s = now_s()
+        self._heard_since_s = hearing.heard_s()
         self._transferring = False
         self._followers = {}
         self._proposals = []
@@ -260,7 +287,7 @@
             if voter.replica not in self._followers:
                 self._add_follower(voter)
         for replica, follower in list(self._followers.items()):
-            asks = now_s() - follower.asked_s < LEARNER_FORGOTTEN_S
+            asks = hearing.heard_s() - follower.asked_s < LEARNER_FORGOTTEN_S
             if replica not in self._state.voters.current and not asks:
                 del self._followers[replica]
                 if follower.task is not None:
@@ -320,7 +347,7 @@
         """Keep one follower up to date; the one task of that peer."""
         while self._leads(term):
             wake = self._wake_followers
-            sent_s = now_s()
+            sent_s, sent_heard_s = now_s(), hearing.heard_s()
             reply = await self._send(follower, term)
             if not self._leads(term):
                 return
@@ -329,6 +356,7 @@
                     await self._state.learn_term(reply.term)
                     return
                 follower.acknowledged_s = sent_s
+                follower.answered_s = sent_heard_s
                 self._answer_rounds()
                 self._note_match(follower, reply, term)
                 if follower.next_index <= self._state.store.last_index:
@@ -383,11 +411,23 @@
 
     def _majority_acknowledged_s(self) -> float:
         """Give the time since which a majority of the voters is known to follow us."""
+        return self._majority_s(now_s(), lambda follower: follower.acknowledged_s)
+
+    def _unanswered(self, timeout_s: float) -> bool:
+        """Tell whether a majority was silent for as long as we could have heard it."""
+        heard_s = hearing.heard_s()
+        if heard_s <= self._heard_since_s + timeout_s:
+            return False
+        answered_s = self._majority_s(heard_s, lambda follower: follower.answered_s)
+        return self._transferring or heard_s >= answered_s + self._state.election_timeout_s
+
+    def _majority_s(self, own_s: float, told_s: Callable[[Follower], float]) -> float:
+        """Give the latest time that a majority of the voters has reached."""
         state = self._state
-        times = [now_s()] if state.is_voter else []
+        times = [own_s] if state.is_voter else []
         for voter in state.others:
             follower = self._followers.get(voter.replica)
-            times.append(0.0 if follower is None else follower.acknowledged_s)
+            times.append(0.0 if follower is None else told_s(follower))
         times.sort(reverse=True)
         needed = quorum_size(len(state.voters.current))
         return times[needed - 1] if len(times) >= needed else 0.0
--- a/src/leadhollow/state/replica_state.py
+++ b/src/leadhollow/state/replica_state.py
@@ -9,7 +9,7 @@
 from result import Result
 
 from leadhollow.failure import Failure
-from leadhollow.kernel import clocks
+from leadhollow.kernel import clocks, hearing
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.model import StateSettings
 from leadhollow.state.commands import AnyAnswer
@@ -58,6 +58,14 @@
     named
         Whether the settings name all replicas, so that the set never changes; a replica that
         lost its disk then keeps its name, and may not vote until it has caught up.
+
+    Attributes
+    ----------
+    heard_s
+        Heard time at which a leader or a candidate was last given time to lead: what our patience
+        with them is measured by.
+    leader_heard_s
+        When a leader was last heard, by the clock of leads: what others rely on.
     """
 
     __slots__ = (
@@ -224,7 +232,7 @@
         if written.is_err():
             return
         self.failed = False
-        self.heard_s = now_s()
+        self.heard_s = hearing.heard_s()
         log.warning("replica takes part again", replica=self.vm, last_index=self.store.last_index)
 
 
