Close on no caller whose request came while we were held up

The timers of a slow head and of an idle connection ran before the socket was read, so a hold longer than them refused a head whose rest had come with 408, and closed a kept connection on a request that had come. Both go by the heard clock, and so does the time that a caller gets to read an early answer. A connection looks for idleness when it may have come; requests set no timer any more unless their head arrives in pieces.

Hold of 1.2 s, both timeouts 0.5 s, asyncio and uvloop: 408 and closed before (four tests fail), answered with 200 now.

--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -16,6 +16,8 @@
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
 from leadhollow.http1.reply import ReplyWriter
+from leadhollow.kernel import hearing
+from leadhollow.kernel.hearing import HeardTimer, HearingClock, heard_timeout
 from leadhollow.observe.logs import get_logger
 
 LINGER_S = 1.0  # time a caller gets to read an early answer before its unread bytes reset it
@@ -34,7 +36,8 @@
     header_timeout_ms
         Time between the first byte of a request and the end of its head.
     idle_timeout_ms
-        Time that a connection without a request stays open.
+        Time that a connection without a request stays open. Both count only while we could hear
+        the caller.
     """
 
     __slots__ = ("body_bytes", "header_bytes", "header_timeout_ms", "idle_timeout_ms")
@@ -90,6 +93,7 @@
     """
 
     __slots__ = (
+        "_clock",
         "_closing",
         "_connections",
         "_current",
@@ -98,6 +102,9 @@
         "_head_bytes",
         "_header_timer",
         "_headers",
+        "_idle_since_s",
+        "_idle_timer",
+        "_idled",
         "_in_head",
         "_limits",
         "_parser",
@@ -132,7 +139,11 @@
         self._headers = Headers()
         self._head_bytes = 0
         self._in_head = False
-        self._header_timer: asyncio.TimerHandle | None = None
+        self._header_timer: HeardTimer | None = None
+        self._clock: HearingClock = hearing.clock()
+        self._idle_since_s: float | None = None  # while no request is read or answered
+        self._idle_timer: HeardTimer | None = None
+        self._idled = False
         self._wake = asyncio.Event()
         self._drained = asyncio.Event()
         self._drained.set()
@@ -146,6 +157,7 @@
         self._transport = socket_transport
         self._connections.add(self)
         self._task = asyncio.get_running_loop().create_task(self._run(socket_transport))
+        self._watch_idle(self._idle_s())
 
     def data_received(self, data: bytes) -> None:
         """Parse what arrived."""
@@ -162,6 +174,10 @@
             self._refuse(HTTPStatus.BAD_REQUEST)
         if self._in_head and self._head_bytes > self._limits().header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        if self._in_head and self._header_timer is None:
+            self._header_timer = HeardTimer(
+                delay_s=self._limits().header_timeout_ms / 1000, callback=self._on_slow_head
+            )
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as left."""
@@ -171,6 +187,8 @@
         """Cancel the request in progress: nobody waits for its answer."""
         self._connections.discard(self)
         self._stop_header_timer()
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
         if self._task is not None:
             self._task.cancel()
 
@@ -189,8 +207,6 @@
         self._target = b""
         self._headers = Headers()
         self._in_head = True
-        delay_s = self._limits().header_timeout_ms / 1000
-        self._header_timer = asyncio.get_running_loop().call_later(delay_s, self._on_slow_head)
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the target."""
@@ -282,18 +298,33 @@
     async def _wait_request(self) -> bool:
         """Wait for the next request; False where the connection ends without one."""
         while not self._requests:
-            if self._refusal is not None:
+            if self._refusal is not None or (self._idled and not self._in_head):
                 return False
+            self._idled = False
             self._wake.clear()
-            idle_s = self._limits().idle_timeout_ms / 1000
-            try:
-                async with asyncio.timeout(idle_s):
-                    await self._wake.wait()
-            except TimeoutError:
-                if not self._in_head:
-                    return False
+            self._idle_since_s = self._clock.heard_s()
+            await self._wake.wait()
+            self._idle_since_s = None
+        self._idled = False
         return True
 
+    def _idle_s(self) -> float:
+        return self._limits().idle_timeout_ms / 1000
+
+    def _watch_idle(self, delay_s: float) -> None:
+        """Look later whether the connection is idle: requests set no timer of their own."""
+        self._idle_timer = HeardTimer(delay_s=delay_s, callback=self._look_idle)
+
+    def _look_idle(self) -> None:
+        if self._idle_since_s is None or self._in_head:
+            self._watch_idle(self._idle_s())
+            return
+        left_s = self._idle_s() - (self._clock.heard_s() - self._idle_since_s)
+        if left_s <= 0:
+            self._idled = True
+            self._wake.set()
+        self._watch_idle(left_s if left_s > 0 else self._idle_s())
+
     async def _serve(self, transport: asyncio.Transport, request: IncomingRequest) -> bool:
         """Answer one request; True where the connection must end."""
         reply = ReplyWriter(
@@ -330,7 +361,7 @@
         if request.body.ended:
             return
         try:
-            async with asyncio.timeout(LINGER_S):
+            async with heard_timeout(LINGER_S):
                 await self._skip_body(request)
         except TimeoutError:
             return
