Call no backend server silent for time in which we could not hear it

A request that waits for a place until a time of its own still ends then, after what arrived is read.

--- a/src/leadhollow/forward/places.py
+++ b/src/leadhollow/forward/places.py
@@ -10,6 +10,7 @@
 from leadhollow.decide.engine_queue import EngineQueue, Waiter
 from leadhollow.decide.wish import EngineWish, Placement
 from leadhollow.failure import Failure
+from leadhollow.kernel.hearing import deadline_at
 
 
 async def place(queue: EngineQueue, wish: EngineWish) -> Result[Placement, Failure]:
@@ -37,7 +38,7 @@
     ended = asyncio.Event()
     waiter.on_end = ended.set
     try:
-        async with asyncio.timeout_at(waiter.until_s):
+        async with deadline_at(waiter.until_s):
             await ended.wait()
     except TimeoutError:
         queue.time_passed(waiter)  # it may have ended in the same turn of the loop
--- a/src/leadhollow/forward/plain_call.py
+++ b/src/leadhollow/forward/plain_call.py
@@ -23,7 +23,7 @@
 from leadhollow.forward.plain_answer import WholeAnswer, first_good, take_whole
 from leadhollow.forward.suspect_exchange import SuspectExchange
 from leadhollow.http1.messages import Framing
-from leadhollow.kernel.hearing import deadline_at
+from leadhollow.kernel.hearing import deadline_at, heard_wait
 from leadhollow.observe.logs import get_logger, log_decision
 
 HEDGE_SHARE = 0.6  # of the objective; then another server may answer a repeatable request sooner
@@ -180,13 +180,12 @@
         tasks = {first}
         try:
             hedge_s = call.received_s + HEDGE_SHARE * call.route.objective_ms / 1000
-            if self._may_hedge(call):
-                await asyncio.wait(tasks, timeout=max(0.0, hedge_s - loop.time()))
-                if not first.done():
-                    second = self._choose(call, excluded)
-                    if second is not None and self._budget.take(call.service):
-                        excluded.add(second.instance.instance)
-                        tasks.add(loop.create_task(self._attempt(call, second)))
+            patience_s = max(0.0, hedge_s - loop.time())
+            if self._may_hedge(call) and not await heard_wait(tasks, patience_s):
+                second = self._choose(call, excluded)
+                if second is not None and self._budget.take(call.service):
+                    excluded.add(second.instance.instance)
+                    tasks.add(loop.create_task(self._attempt(call, second)))
             return await first_good(tasks)
         finally:
             for task in tasks:
--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
@@ -13,6 +11,7 @@
 from leadhollow.http1.messages import RequestHead, ResponseHead
 from leadhollow.http1.peer_rests import PeerRests
 from leadhollow.kernel import clocks
+from leadhollow.kernel.hearing import heard_timeout
 from leadhollow.settings.address import Address
 
 LARGEST_ANSWER_BYTES = 16 * 1024 * 1024
@@ -70,7 +69,7 @@
         PEER_LOST
             No connection, or it broke.
         PEER_TIMEOUT
-            No whole answer in time.
+            No whole answer in the time in which it could be heard.
         SERVER_RESTS
             It asked for rest; nothing was sent.
         """
@@ -79,7 +78,7 @@
             detail = f"{address} wants rest for {left_s:.1f} s more"
             return Err(Failure(code=Code.SERVER_RESTS, detail=detail))
         try:
-            async with asyncio.timeout(timeout_s):
+            async with heard_timeout(timeout_s):
                 return await self._exchange(method, address, target, body, content_type)
         except TimeoutError:
             return Err(Failure(code=Code.PEER_TIMEOUT, detail=f"{address}{target}"))
