Forget nobody whose news lay unread in a hold of our own

Silences were judged by subtracting loop times. After a hold the look for silent ones ran before the sockets were read: a control replica forgot servers, dropped what all entries have at engines (1.6 s, so that full engines seemed empty) and told its watchers so; a follower found no replica whose answers had come, and dropped servers it had not been told of again; judges of requests that end servers went by news that were not complete.

Silence is now the part of the time since the last word in which we could hear; ages that others are told are as before. Probes of replicas and judgements come after what arrived in a hold is read. Two tests give forget_silent the time by which to judge instead of a point in time; one private function lost its argument.

--- a/src/leadhollow/control/engine_uses.py
+++ b/src/leadhollow/control/engine_uses.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 
 from leadhollow.decide.pressure import Decisions
+from leadhollow.kernel import hearing
 from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.uses import (
     NO_USE,
@@ -184,11 +185,17 @@
         self.note_change()
         self._tell_here(changed, vm)
 
-    def forget_silent(self, now_s: float) -> None:
-        """Drop what was told too long ago."""
+    def forget_silent(self, *, silence_s: Callable[[float], float]) -> None:
+        """Drop what was told too long ago.
+
+        Parameters
+        ----------
+        silence_s
+            Gives for how long whoever told something last at a time has been silent.
+        """
         for tellers, sums in ((self._entries, self._here), (self._tellers, self._elsewhere)):
             for name, teller in list(tellers.items()):
-                if now_s - teller.heard_s > VALID_S:
+                if silence_s(teller.heard_s) > VALID_S:
                     del tellers[name]
                     self._tell_here(self._drop(teller, sums), "")
 
@@ -199,7 +206,7 @@
     async def _tell(self, *, whole: bool) -> None:
         """Tell the other replicas the sums over the entries that report here."""
         if whole:
-            self.forget_silent(asyncio.get_running_loop().time())
+            self.forget_silent(silence_s=hearing.heard_since_s)
         dirty, self._dirty = self._dirty, set()
         if whole:
             dirty = self._here.addresses()
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from leadhollow.control.replica_directory import ReplicaDirectory
+from leadhollow.kernel import hearing
 from leadhollow.kernel.gathering_service import GatheringService
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance, InstanceState
@@ -202,11 +203,10 @@
 
     def entries(self) -> int:
         """Count the live entries of the whole system, as far as known."""
-        now_s = _now_s()
         elsewhere = [
             count
             for count, heard_s in self._entries_elsewhere.values()
-            if now_s - heard_s < ENTRIES_VALID_S
+            if hearing.heard_since_s(heard_s) < ENTRIES_VALID_S
         ]
         return self.entries_here + sum(elsewhere)
 
@@ -223,7 +223,7 @@
         dirty_loads, self._dirty_loads = self._dirty_loads, set()
         instances = list(dirty.values())
         if whole:
-            instances += [found for found in self._own_instances(now_s) if found not in instances]
+            instances += [found for found in self._own_instances() if found not in instances]
             instances += [gone for gone in self.table.departed()[-32:] if gone not in instances]
             dirty_loads = {address for address, load in self._loads.items() if load.own}
         loads = [
@@ -242,12 +242,12 @@
             if address != self._own_address:
                 self._peers.post(address, push)
 
-    def _own_instances(self, now_s: float) -> list[Instance]:
+    def _own_instances(self) -> list[Instance]:
         """Give the backend servers that were heard here lately."""
         self._heard_here_s = {
             instance: heard_s
             for instance, heard_s in self._heard_here_s.items()
-            if now_s - heard_s < self._own_word_s
+            if hearing.heard_since_s(heard_s) < self._own_word_s
         }
         found = [self.table.get(instance) for instance in self._heard_here_s]
         return [instance for instance in found if instance is not None]
@@ -314,14 +314,15 @@
             listener(instances, loads)
 
     def _forget(self) -> None:
-        now_s = _now_s()
-        silent = [found.instance for found in self.table.forget_silent(now_s)]
+        silent = [
+            found.instance for found in self.table.forget_silent(silence_s=hearing.heard_since_s)
+        ]
         if silent:
             for listener in self._silence_listeners:
                 listener(silent)
         valid_s = load_valid_s(len(self._loads))
         for address, load in list(self._loads.items()):
-            if now_s - load.heard_s > valid_s:
+            if hearing.heard_since_s(load.heard_s) > valid_s:
                 del self._loads[address]
 
 
--- a/src/leadhollow/control/suspect_relay.py
+++ b/src/leadhollow/control/suspect_relay.py
@@ -21,6 +21,7 @@
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.failure import Failure
 from leadhollow.kernel.gathering_service import GatheringService
+from leadhollow.kernel.hearing import HeardTimer
 from leadhollow.membership.suspect_news import Changed, encode_news, everything, take_news
 from leadhollow.observe.logs import get_logger
 from leadhollow.state.disk_thread import DiskThread
@@ -158,7 +159,7 @@
         if not self._judging:
             self._judging = True
             wait_s = self.table.settled_in_s() + JUDGE_MARGIN_S
-            asyncio.get_running_loop().call_later(wait_s, self._judge)
+            HeardTimer(delay_s=wait_s, callback=self._judge)
 
     def _judge(self) -> None:
         self._judging = False
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -10,6 +10,7 @@
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.fingerprint import shown
+from leadhollow.kernel.hearing import heard_sleep
 from leadhollow.observe.logs import get_logger
 
 VERDICT_S = 0.13
@@ -45,7 +46,7 @@
         before anybody can judge. Who rode along waits too, as far as two ends speak against it.
         """
         if call.sends and len(self.table.lives_of(call.fingerprint)) + 1 >= ENDS_TO_QUARANTINE:
-            await asyncio.sleep(VERDICT_S)
+            await heard_sleep(VERDICT_S)
 
     @contextmanager
     def running(self, call: ForwardedCall, limit: asyncio.Timeout) -> Iterator[None]:
--- a/src/leadhollow/forward/suspect_exchange.py
+++ b/src/leadhollow/forward/suspect_exchange.py
@@ -15,6 +15,7 @@
 from leadhollow.forward.pool import ConnectionPool
 from leadhollow.forward.quarantine import Quarantine
 from leadhollow.kernel.gathering_service import GatheringService
+from leadhollow.kernel.hearing import HeardTimer
 from leadhollow.membership.control_feed import ControlFeed
 from leadhollow.membership.suspect_news import Changed, encode_news, everything, take_news
 from leadhollow.observe.logs import get_logger
@@ -99,7 +100,7 @@
         if self.table.take_end(end):
             self._changed.lives.add(end.life)
             self.note_change()
-            asyncio.get_running_loop().call_later(ALONE_SETTLE_S, self._judge_alone)
+            HeardTimer(delay_s=ALONE_SETTLE_S, callback=self._judge_alone)
 
     def _judge_alone(self) -> None:
         if self._feed.source:
--- a/src/leadhollow/membership/applied_reports.py
+++ b/src/leadhollow/membership/applied_reports.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from leadhollow.kernel.hearing import heard_s
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.applied import AppliedRevisions
 from leadhollow.membership.catalog_feed import CatalogFeed
@@ -44,15 +45,15 @@
         handlers.on_oneway(AppliedReport, self._on_applied)
 
     def _on_applied(self, report: AppliedReport, connection: Connection) -> None:
-        self._applied.note(vm=report.vm, revision=report.revision, now_s=_now_s())
+        self._applied.note(vm=report.vm, revision=report.revision, now_s=heard_s())
 
     async def _work(self) -> None:
         last: DomainApplied | None = None
         while True:
             self._applied.note(
-                vm=self._settings.vm, revision=self._feed.catalog.revision, now_s=_now_s()
+                vm=self._settings.vm, revision=self._feed.catalog.revision, now_s=heard_s()
             )
-            self._applied.forget_silent(_now_s())
+            self._applied.forget_silent(heard_s())
             report = self._report()
             if not _same_revisions(last, report):
                 await self._send(report)
@@ -93,8 +94,4 @@
     return (last.revision, last.behind) == (report.revision, report.behind)
 
 
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
-
-
 __all__ = ["AppliedReporter"]
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -12,7 +12,7 @@
 from leadhollow.codes import Code
 from leadhollow.decide.pressure import Decisions
 from leadhollow.failure import Failure
-from leadhollow.kernel import clocks
+from leadhollow.kernel import clocks, hearing
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.entry_count import EntryCount
 from leadhollow.membership.instance_table import InstanceTable
@@ -291,8 +291,9 @@
         for record in records:
             self.table.take(Instance.from_record(record, now_s))
         named = [record.instance for record in records]
-        self._unnamed.take(named, update.silent or (), whole=bool(update.whole), now_s=now_s)
-        self._unnamed.forget(now_s)
+        heard_s = hearing.heard_s()
+        self._unnamed.take(named, update.silent or (), whole=bool(update.whole), now_s=heard_s)
+        self._unnamed.forget(heard_s)
 
     def _note_named(self, items: list[CatalogItem]) -> None:
         for item in items:
--- a/src/leadhollow/membership/domain_service.py
+++ b/src/leadhollow/membership/domain_service.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.failure import Failure
+from leadhollow.kernel.hearing import heard_s
 from leadhollow.membership.applied import AppliedRevisions
 from leadhollow.membership.members import Member, MemberTable
 from leadhollow.membership.summaries import Summaries
@@ -94,25 +95,25 @@
     async def _on_announcement(
         self, announcement: Announcement, connection: Connection
     ) -> Result[Done, Failure]:
-        refusal = self.members.announce(announcement, connection, _now_s())
+        refusal = self.members.announce(announcement, connection, heard_s())
         if refusal is not None:
             return Err(refusal)
         if announcement.leaving:
             self._applied.forget(announcement.vm)
         else:
             self._applied.note(
-                vm=announcement.vm, revision=announcement.applied_revision or 0, now_s=_now_s()
+                vm=announcement.vm, revision=announcement.applied_revision or 0, now_s=heard_s()
             )
         self._spread()
         return Ok(Done())
 
     def _on_heartbeat(self, heartbeat: Heartbeat, connection: Connection) -> None:
-        member = self.members.heartbeat(heartbeat, connection, _now_s())
+        member = self.members.heartbeat(heartbeat, connection, heard_s())
         if member is None:
             connection.close()  # the sender connects and announces itself again
             return
         self._applied.note(
-            vm=member.announcement.vm, revision=heartbeat.applied_revision or 0, now_s=_now_s()
+            vm=member.announcement.vm, revision=heartbeat.applied_revision or 0, now_s=heard_s()
         )
 
     async def _on_view_watch(self, request: ViewWatch, sink: StreamSink) -> Result[None, Failure]:
@@ -177,12 +178,8 @@
     async def _watch_silence(self) -> None:
         while True:
             await asyncio.sleep(SILENCE_CHECK_S)
-            self.members.check_silence(_now_s())
+            self.members.check_silence(heard_s())
             self._spread()
 
 
-def _now_s() -> float:
-    return asyncio.get_running_loop().time()
-
-
 __all__ = ["DomainService"]
--- a/src/leadhollow/membership/instance_table.py
+++ b/src/leadhollow/membership/instance_table.py
@@ -176,19 +176,25 @@
         """Give the incarnations of a service that have not left."""
         return [found for found in self._instances.values() if found.service == service]
 
-    def forget_silent(self, now_s: float) -> list[Instance]:
-        """Drop incarnations that nobody has heard for long; they may come back."""
+    def forget_silent(self, *, silence_s: Callable[[float], float]) -> list[Instance]:
+        """Drop incarnations that nobody has heard for long; they may come back.
+
+        Parameters
+        ----------
+        silence_s
+            Gives for how long whoever was heard last at a time has been silent.
+        """
         silent = [
             found
             for found in self._instances.values()
-            if now_s - found.heard_s > self.forget_after_s
+            if silence_s(found.heard_s) > self.forget_after_s
         ]
         for found in silent:
             log.info(
                 "backend server forgotten",
                 instance=found.instance,
                 address=found.address,
-                silent_s=round(now_s - found.heard_s, 1),
+                silent_s=round(silence_s(found.heard_s), 1),
             )
             self._drop(found.instance)
         return silent
--- a/src/leadhollow/membership/replica_choice.py
+++ b/src/leadhollow/membership/replica_choice.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from leadhollow.kernel.hearing import heard_s, heard_wait
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.node import NodeSettings
 from leadhollow.wire.generated.ttypes import FeedProbe, FeedProbeReply, FeedUpdate
@@ -82,19 +83,17 @@
         loop = asyncio.get_running_loop()
         tasks = {loop.create_task(self._probe(address)): address for address in addresses}
         answers: dict[str, FeedProbeReply] = {}
-        deadline_s = loop.time() + self._probe_timeout_ms() / 1000
-        pending = set(tasks)
-        while pending and loop.time() < deadline_s:
-            left_s = max(0.0, deadline_s - loop.time())
-            done, pending = await asyncio.wait(
-                pending, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
-            )
+        deadline_s = heard_s() + self._probe_timeout_ms() / 1000
+        pending = list(tasks)
+        while pending and await heard_wait(pending, max(0.0, deadline_s - heard_s())):
+            done = [task for task in pending if task.done()]
+            pending = [task for task in pending if not task.done()]
             for task in done:
                 answer = task.result()
                 if answer is not None:
                     answers[tasks[task]] = answer
                     if confirms(answer):
-                        deadline_s = min(deadline_s, loop.time() + BETTER_PAUSE_S)
+                        deadline_s = min(deadline_s, heard_s() + BETTER_PAUSE_S)
         for task in pending:
             task.cancel()
         return answers
--- a/tests/control/test_engine_uses.py
+++ b/tests/control/test_engine_uses.py
@@ -133,7 +133,8 @@
             await eventually(lambda: one.uses.total(FIRST) == use(2))
             changes: list[set[str]] = []
             one.uses.on_change(lambda engines, vm: changes.append(engines))
-            one.uses.forget_silent(asyncio.get_running_loop().time() + VALID_S + 0.1)
+            late_s = asyncio.get_running_loop().time() + VALID_S + 0.1
+            one.uses.forget_silent(silence_s=lambda heard_s: late_s - heard_s)
             assert one.uses.total(FIRST) == use(0)
             assert {FIRST} in changes
             await peers.stop()
--- a/tests/control/test_registry.py
+++ b/tests/control/test_registry.py
@@ -84,7 +84,7 @@
         registry = a_registry(heartbeat_s=self.BEAT_S)
         now_s = asyncio.get_running_loop().time()
         registry.announce(an_instance(heard_s=now_s - self.BEAT_S - 1))
-        assert [found.instance for found in registry._own_instances(now_s)] == ["i-1"]
+        assert [found.instance for found in registry._own_instances()] == ["i-1"]
 
 
 def a_registry(*, heartbeat_s: float) -> Registry:
@@ -141,5 +141,4 @@
         for life in ("i-1@0", "i-9@0", "i-1@0"):
             registry.take_leaving(life)
         assert told == [InstanceState.DRAINING]
-        now_s = asyncio.get_running_loop().time()
-        assert [one.state for one in registry._own_instances(now_s)] == [InstanceState.DRAINING]
+        assert [one.state for one in registry._own_instances()] == [InstanceState.DRAINING]
--- /dev/null
+++ b/tests/membership/test_held_up.py
@@ -0,0 +1,83 @@
+"""A process that was held up takes no replica, server or failure domain for lost."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from result import Ok
+
+from leadhollow.kernel import hearing
+from leadhollow.membership import summaries
+from leadhollow.membership.replica_choice import ReplicaChoice
+from leadhollow.membership.summaries import Summaries
+from leadhollow.settings.address import Address
+from leadhollow.settings.node import NodeRole, NodeSettings
+from leadhollow.wire.generated.ttypes import DomainSummary, FeedProbe, FeedProbeReply
+from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.peers import PeerPool
+from leadhollow.wire.server import WireServer
+from tests.other_loop import LOOPS, OtherLoop, hold_up, run_on
+from tests.support import TOKEN
+
+HOLD_S = 1.5
+
+
+class TestReplicaChoice:
+    # Guards against: no control replica is found though their answers lay in the socket.
+    @pytest.mark.parametrize("loop_name", LOOPS)
+    def test_takes_answers_that_came_in_a_hold(self, loop_name):
+        async def answer(request, connection):
+            await asyncio.sleep(0.1)
+            return Ok(FeedProbeReply(0, 1, []))
+
+        handlers = HandlerTable()
+        handlers.on_call(FeedProbe, answer)
+        server = WireServer(
+            address=Address(host="127.0.0.1", port=0), token=TOKEN, handlers=handlers
+        )
+
+        async def work(address: str) -> None:
+            settings = NodeSettings(
+                vm="a",
+                region="r",
+                failure_domain="d",
+                role=NodeRole.ENTRY,
+                host="127.0.0.1",
+                ports=(1, 10),
+                seeds=(address,),
+                callers="127.0.0.1:2",
+                readiness="127.0.0.1:3",
+            )
+            peers = PeerPool(vm="a", failure_domain="d", token=TOKEN, handlers=HandlerTable())
+            choice = ReplicaChoice(settings=settings, peers=peers, begun=lambda: True)
+            choice.take([f"{address} d"])
+            assert (await peers.connection(address)).is_ok()
+            choosing = asyncio.create_task(choice.choose())
+            await hold_up(HOLD_S)
+            assert await choosing == address
+            await peers.stop()
+
+        with OtherLoop() as elsewhere:
+            assert elsewhere.run(server.start()).is_ok()
+            run_on(loop_name, lambda: work(str(server.address)))
+            elsewhere.run(server.stop())
+
+
+class TestSummaries:
+    # Guards against: a failure domain counts as lost whose summaries lay in the socket.
+    async def test_hold_no_domain_for_lost(self, monkeypatch):
+        monkeypatch.setattr(summaries, "VALID_S", 0.8)
+        monkeypatch.setattr(summaries, "CHECK_S", 0.02)
+        kept = Summaries(handlers=HandlerTable())
+        await kept.start()
+        hearing.clock()
+        await kept._on_summary(DomainSummary("d", 1, [], 1, "s", 0, False), None)
+        time.sleep(HOLD_S)
+        await asyncio.sleep(0.1)
+        heard = [summary.failure_domain for summary in kept.fresh()]
+        await asyncio.sleep(1.0)
+        later = [summary.failure_domain for summary in kept.fresh()]
+        await kept.stop()
+        assert (heard, later) == (["d"], [])
--- a/tests/membership/test_instances.py
+++ b/tests/membership/test_instances.py
@@ -203,7 +203,10 @@
 class TestSilence:
     def test_drops_an_incarnation_that_may_come_back(self, table):
         table.take(said(heard_s=100.0))
-        assert [found.instance for found in table.forget_silent(111.0)] == ["i-1"]
+        assert [
+            found.instance
+            for found in table.forget_silent(silence_s=lambda heard_s: 111.0 - heard_s)
+        ] == ["i-1"]
         assert table.instances() == []
         assert table.take(said(sequence=2, heard_s=112.0))
 
