Take nobody for slow while a stager itself was held up

After a hold all sources were late at once: they were left alone for 1.5 s, the origin or others were asked again, and the link's share was cut. Time that a server of pieces waits on behalf of others, the age of weights and the bounds of versions are as before.

--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -3,7 +3,8 @@
 A few slices of pieces are on their way at any time, each from another sender, so that our link is
 full and no sender's link stands idle. What does not come is asked of another one that holds it.
 Slices are asked for one by one: sent unasked, those of several senders would queue at our link,
-and every request for the engine on this VM behind them.
+and every request for the engine on this VM behind them. All times here are heard ones: others are
+not late because we were.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.kernel.hearing import heard_s
 from leadhollow.observe.logs import get_logger
 from leadhollow.staging.choice import Origin, SourceChoice
 from leadhollow.staging.news import news_pause_s
@@ -145,7 +147,7 @@
         self._window = window
         self._from_origin: asyncio.Queue[int] = asyncio.Queue()
         self._wake = asyncio.Event()
-        self._started_s = asyncio.get_running_loop().time()
+        self._started_s = heard_s()
         self._follow_s = 0.0
         self._unfollowed: list[Stager] = []  # take part, and their word is not needed
         self._turn = 0
@@ -153,7 +155,8 @@
     async def run(self) -> None:
         """Fetch until every piece is here."""
         loop = asyncio.get_running_loop()
-        self._started_s = loop.time()
+        began_s = loop.time()
+        self._started_s = heard_s()
         tasks = [loop.create_task(self._read_origin()) for _ in range(ORIGIN_READERS)]
         tasks.append(loop.create_task(self._keep_planning()))
         tasks.append(loop.create_task(self._keep_reporting()))
@@ -170,13 +173,13 @@
             "version complete",
             model=self.version.model,
             number=self.version.number,
-            seconds=round(loop.time() - self._started_s, 2),
+            seconds=round(loop.time() - began_s, 2),
             origin_bytes=self._origin.bytes_read,
         )
 
     def blocked(self) -> bool:
         """Tell whether nobody holds some of the pieces and the origin does not answer."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = heard_s()
         return self._choice.blocked(list(self.version.held.missing()), now_s)
 
     async def _keep_reporting(self) -> None:
@@ -209,7 +212,7 @@
 
     def _follow_stagers(self) -> None:
         """Watch the stagers whose word is needed, and forget those that are not there any more."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = heard_s()
         if self._sources and now_s < self._follow_s:
             return
         self._follow_s = now_s + FOLLOW_INTERVAL_S
@@ -244,13 +247,13 @@
 
     def _knows_others(self) -> bool:
         """Tell whether it is known who takes part; the origin must not be asked by everybody."""
-        if asyncio.get_running_loop().time() - self._started_s > MEET_S:
+        if heard_s() - self._started_s > MEET_S:
             return True
         return bool(self._sources) and all(source.tried for source in self._sources.values())
 
     def _plan(self) -> None:
         """Order missing pieces that somebody holds, as far as our link goes."""
-        now_s = asyncio.get_running_loop().time()
+        now_s = heard_s()
         if not self._stager_room() and not self._origin_room():
             return
         missing = [index for index in self.version.held.missing() if index not in self._ordered]
@@ -265,7 +268,7 @@
     def _order_from_stager(self, index: int, source: PieceSource) -> None:
         if not self._stager_room():
             return
-        now_s = asyncio.get_running_loop().time()
+        now_s = heard_s()
         self._ordered[index] = source
         self._ordered_s[index] = now_s
         source.order(index, now_s)
@@ -274,7 +277,7 @@
     def _order_from_origin(self, index: int) -> None:
         if self._origin_room():
             if not self._on_order_at_origin():
-                self._origin_progress_s = asyncio.get_running_loop().time()
+                self._origin_progress_s = heard_s()
             self._ordered[index] = None
             self._from_origin.put_nowait(index)
 
@@ -284,7 +287,7 @@
             return False
         at_origin = self._on_order_at_origin()
         from_stagers = len(self._ordered) - at_origin
-        silent_s = asyncio.get_running_loop().time() - self._origin_progress_s
+        silent_s = heard_s() - self._origin_progress_s
         coming = at_origin if silent_s < ORIGIN_SILENT_S else 0
         return self._window.stager_room(from_stagers=from_stagers, from_origin=coming)
 
@@ -341,7 +344,7 @@
 
         Not where our own link is slow: then all sources are.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = heard_s()
         overdue = now_s - self._ordered_s[index] > OVERDUE_S
         if not overdue or self._window.link_slow:
             return False
@@ -375,10 +378,9 @@
             self._turn,
             PATIENCE_MS,
         )
-        loop = asyncio.get_running_loop()
-        asked_s = loop.time()
+        asked_s = heard_s()
         answered = await connected.unwrap().call(request, timeout_ms=PATIENCE_MS + TRAVEL_MS)
-        now_s = loop.time()
+        now_s = heard_s()
         if answered.is_err():
             self._note_failed(source, index, answered.unwrap_err(), now_s)
             return False
@@ -443,7 +445,7 @@
             index = await self._from_origin.get()
             if index not in version.held:
                 data = await self._origin.piece(version.model, version.number, index)
-                now_s = asyncio.get_running_loop().time()
+                now_s = heard_s()
                 self._origin_progress_s = now_s
                 if data is None:
                     self._choice.origin_failed(now_s)
