Measure demands and applied revisions of entries by one clock

The record of which revision each daemon runs is judged by the heard clock now; the allocator wrote it by the loop's time, which runs ahead of that after holds, so a daemon that was gone would have been counted for as much longer. Its demands are measured by the same clock: they are not dropped, and no share grows, for time in which an entry could not be heard. A turn in the queue that ends by the caller's deadline ends after what arrived in a hold is read.

tests/placement, tests/entry and tests/weights pass.

--- a/src/leadhollow/entry/scheduler.py
+++ b/src/leadhollow/entry/scheduler.py
@@ -12,6 +12,7 @@
 from leadhollow.entry.router import Choice
 from leadhollow.entry.share import GroupShareLimits
 from leadhollow.failure import Failure
+from leadhollow.kernel.hearing import deadline_at
 from leadhollow.settings.model import QueueOrder
 
 
@@ -140,7 +141,7 @@
             queue.waiting.append(waiter)
         self.pump()
         try:
-            async with asyncio.timeout_at(deadline_s):
+            async with deadline_at(deadline_s):
                 return await waiter.future
         except TimeoutError:
             return Err(Failure(code=Code.DEADLINE_PASSED))
--- a/src/leadhollow/placement/allocator.py
+++ b/src/leadhollow/placement/allocator.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.kernel.hearing import heard_s
 from leadhollow.membership.applied import AppliedRevisions
 from leadhollow.observe.logs import get_logger
 from leadhollow.placement.domain_lease import DomainLease
@@ -71,7 +70,7 @@
     async def _on_demand(
         self, report: DemandReport, connection: Connection
     ) -> Result[ShareLease, Failure]:
-        now_s = asyncio.get_running_loop().time()
+        now_s = heard_s()
         self._applied.note(vm=report.vm, revision=report.applied_revision or 0, now_s=now_s)
         if not self._lease.valid:
             return Err(Failure(code=Code.ALLOCATOR_ABSENT))
