Make the model's clock of each host as the heard clock is made now

The heard clock takes the running loop; the model of a configuration's way still gave it one, and every run ended by a TypeError, so that each planted fault counted as found.

--- a/tests/config_path/site.py
+++ b/tests/config_path/site.py
@@ -186,7 +186,7 @@
         """Give the clock of the host that runs now: one that stands still holds up no other."""
         host = here.get()
         if host not in self._hearing:
-            self._hearing[host] = hearing.HearingClock(loop=self.loop)
+            self._hearing[host] = hearing.HearingClock()
         return self._hearing[host]
 
     def _on_wake(self, host: str, span_s: float) -> None:
