Let one attempt own a stream at a time, and judge engines by what they sent

A review of the stream's path, by somebody who had not seen it, found and showed by trials: an engine that was let go while it was tried stayed out of use; a begun answer was cut where its first event came in the turn of its weights' bound; a place and a connection leaked where the second engine won in that turn; a hung second engine kept a third from being asked; a slow caller, and a hold of our own, were learnt as the engine's fault; an engine that was only dialled used up the last attempt; an engine's own failure was lost; events before a gap in a batch were lost; an event without an end was bounded by nothing, and searched again from its beginning with each piece.

The relay now names the attempt whose events are passed on, and whoever does not own the stream passes nothing on. Silence is measured from the last byte of an engine, or from when the caller had taken what came before; lateness by what could be heard.

--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -29,6 +29,7 @@
 back, would stand half empty for as long."""
 
 MOST_HELD = 64  # requests that came back which an entry holds beyond their decision
+MOST_TRIED = 16  # streams that were begun which find no room, before the others are not looked at
 HOPELESS = 0.5
 """Pressure from which nobody is held: few would get room in time, and a caller that waits in vain
 would rather have heard at once."""
@@ -256,12 +257,14 @@
         Called now and then, and ended at the first that finds no room: they differ little. Those
         that were begun come first, before new requests too, and each rules out other engines.
         """
+        failed = 0
         for waiter in list(self._held):
             begun = waiter.wish.standing is Standing.RESUMED
             placed = self._try(waiter.wish, late=True) if begun or not self._waiters else None
-            if placed is None and begun:
-                continue
             if placed is None:
+                failed += 1
+                if begun and failed < MOST_TRIED:
+                    continue
                 return
             self._held.remove(waiter)
             self._end(waiter, placed)
--- a/src/leadhollow/forward/event_source.py
+++ b/src/leadhollow/forward/event_source.py
@@ -6,8 +6,9 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.forward.events import Event, EventSplitter
+from leadhollow.forward.events import LARGEST_EVENT_BYTES, Event, EventSplitter
 from leadhollow.forward.exchange import Exchange
+from leadhollow.kernel import hearing
 
 
 class EventSource:
@@ -17,14 +18,21 @@
     ----------
     exchange
         A successful answer of an engine.
+
+    Attributes
+    ----------
+    heard_s
+        When bytes last came, by the clock of what could be heard.
     """
 
-    __slots__ = ("_kept", "_splitter", "exchange")
+    __slots__ = ("_clock", "_kept", "_splitter", "exchange", "heard_s")
 
     def __init__(self, *, exchange: Exchange) -> None:
         self.exchange = exchange
         self._splitter = EventSplitter()
         self._kept: list[Event] | None = None
+        self._clock = hearing.clock()
+        self.heard_s = self._clock.heard_s()
 
     async def read(self) -> Result[list[Event], Failure]:
         """Give the next events, none at the end of the answer.
@@ -33,6 +41,8 @@
         ------
         BACKEND_LOST
             The engine broke off, or ended within an event.
+        ENGINE_FAILED
+            An event is too large.
         """
         if self._kept is not None:
             kept, self._kept = self._kept, None
@@ -44,9 +54,12 @@
             data = read.unwrap()
             if not data:
                 return self._ended()
+            self.heard_s = self._clock.heard_s()
             events = self._splitter.feed(data)
             if events:
                 return Ok(events)
+            if self._splitter.held > LARGEST_EVENT_BYTES:
+                return Err(Failure(code=Code.ENGINE_FAILED, detail="an event is too large"))
 
     def keep(self, events: list[Event]) -> None:
         """Give these events once more with the next read."""
--- a/src/leadhollow/forward/events.py
+++ b/src/leadhollow/forward/events.py
@@ -28,35 +28,41 @@
 class EventSplitter:
     """Cuts bytes into whole events; what is no whole event yet is kept back."""
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_buffer", "_searched")
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0  # bytes in which no event ends
 
     @property
     def rest(self) -> bytes:
         """Bytes of an event that is not whole."""
-        return self._buffer
+        return bytes(self._buffer)
+
+    @property
+    def held(self) -> int:
+        """How many these are."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
         """Take bytes and give the events that they complete."""
-        buffer = self._buffer + data
+        buffer = self._buffer
+        buffer += data
         events = []
-        while True:
-            end = _event_end(buffer)
-            if end < 0:
-                break
-            part, buffer = buffer[:end], buffer[end:]
+        while (end := _event_end(buffer, self._searched)) >= 0:
+            part = bytes(buffer[:end])
+            del buffer[:end]
+            self._searched = 0
             events.append(Event(data=part, event_id=_event_id(part)))
-        self._buffer = buffer
+        self._searched = max(0, len(buffer) - len(CARRIAGE_EVENT_END) + 1)
         return events
 
 
-def _event_end(buffer: bytes) -> int:
+def _event_end(buffer: bytearray, from_byte: int) -> int:
     ends = [
         position + len(mark)
         for mark in (EVENT_END, CARRIAGE_EVENT_END)
-        if (position := buffer.find(mark)) >= 0
+        if (position := buffer.find(mark, from_byte)) >= 0
     ]
     return min(ends, default=-1)
 
--- a/src/leadhollow/forward/second_engine.py
+++ b/src/leadhollow/forward/second_engine.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 
+from leadhollow.forward.silence import SilenceWatch
 from leadhollow.forward.stream_attempt import StreamAttempt
 from leadhollow.forward.stream_relay import StreamRelay
 from leadhollow.kernel.hearing import deadline_at
@@ -22,12 +24,15 @@
     ----------
     place
         Finds a place at another engine; None where the request may not be sent to one.
+    may_ask
+        Tells whether the request may be sent once more.
     """
 
-    __slots__ = ("_attempt", "_on_first", "_place", "_relay", "_task")
+    __slots__ = ("_may_ask", "_on_first", "_place", "_relay", "_task")
 
-    def __init__(self, *, relay: StreamRelay, place: Placer) -> None:
+    def __init__(self, *, relay: StreamRelay, place: Placer, may_ask: Callable[[], bool]) -> None:
         self._relay = relay
+        self._may_ask = may_ask
         self._place = place
         self._task: asyncio.Task[StreamAttempt | None] | None = None
         self._on_first: Callable[[], None] = _nothing
@@ -85,29 +90,34 @@
             self._relay.on_progress = None
 
     async def _run(self, request: str) -> StreamAttempt | None:
+        passed = self._relay.passed
         while (attempt := await self._place()) is not None:
-            taken = False
+            chosen = False
             try:
-                taken = await self._first_event(attempt)
+                found = await self._first_events(attempt)
+                if self._relay.passed != passed:
+                    return None  # the first one went on
+                if found:
+                    log.info("another engine goes on", request=request, instance=attempt.instance)
+                    self._relay.owner = attempt
+                    self._on_first()
+                    chosen = True
+                    return attempt
             finally:
-                if not taken:
+                if not chosen:
                     attempt.close()
-            if taken:
-                log.info("another engine goes on", request=request, instance=attempt.instance)
-                self._on_first()
-                return attempt
         return None
 
-    async def _first_event(self, attempt: StreamAttempt) -> bool:
-        """Wait for the next event of another engine; True where the stream goes on with it."""
-        base_id = self._relay.last_id
+    async def _first_events(self, attempt: StreamAttempt) -> bool:
+        """Wait for the next events of another engine; True where they have come, or its end."""
         try:
             async with deadline_at(attempt.placement.begin_by_s) as limit:
-                opened = await attempt.open(last_event_id=base_id)
-                if opened.is_err():
-                    return False
-                source = opened.unwrap()
-                read = await source.read()
+                with self._watched(attempt, limit):
+                    opened = await attempt.open(last_event_id=self._relay.last_id)
+                    if opened.is_err():
+                        return False
+                    source = opened.unwrap()
+                    read = await source.read()
         except TimeoutError:
             if not limit.expired():
                 raise
@@ -115,12 +125,26 @@
         if read.is_err():
             attempt.note_lost(read.unwrap_err())
             return False
-        if self._relay.last_id != base_id or self._relay.writing:
-            return False
         source.keep(read.unwrap())
-        self._relay.source = source
         return True
 
+    @contextmanager
+    def _watched(self, attempt: StreamAttempt, limit: asyncio.Timeout) -> Iterator[None]:
+        """Give an engine up that is silent too, where the request may be sent to one more."""
+
+        def silent() -> None:
+            attempt.note_silent()
+            if self._may_ask() and not limit.expired():
+                limit.reschedule(asyncio.get_running_loop().time())
+
+        watch = SilenceWatch(
+            heard_s=attempt.heard_s, patience_s=attempt.first_event_patience_s, on_silent=silent
+        )
+        try:
+            yield
+        finally:
+            watch.stop()
+
 
 def _nothing() -> None:
     return
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -20,6 +20,7 @@
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S
 from leadhollow.forward.suspect_exchange import SuspectExchange
 from leadhollow.http1.messages import Framing
+from leadhollow.kernel import hearing
 from leadhollow.observe.logs import get_logger
 
 NEAR_BOUND_S = 3.0  # before weights become too old, a request must not be held up on its way
@@ -53,12 +54,12 @@
 
 
 class TriedEngines:
-    """Engines that did not bring one request to its end.
+    """Engines that one request is not sent to again.
 
     Attributes
     ----------
     instances
-        Their incarnations.
+        Incarnations of those that failed it, and of those that it was silent at.
     lost_domains
         Failure domains of those that broke it off.
     """
@@ -80,6 +81,8 @@
 
     Attributes
     ----------
+    asked_s
+        When it was asked, by the clock of what could be heard.
     source
         Its answer; None before that.
     failed_answer
@@ -88,9 +91,11 @@
 
     __slots__ = (
         "_call",
+        "_judged",
         "_noted",
         "_parts",
         "_tried",
+        "asked_s",
         "failed_answer",
         "placement",
         "source",
@@ -107,7 +112,9 @@
         self._parts = parts
         self._call = call
         self._tried = tried
+        self._judged = False  # whether anything was learnt of the engine's health
         self._noted = False
+        self.asked_s = hearing.heard_s()
         self.placement = placement
         self.source: EventSource | None = None
         self.failed_answer: Exchange | None = None
@@ -127,6 +134,7 @@
         """
         call, placement = self._call, self.placement
         call.note_asked(self.instance)
+        self.asked_s = hearing.heard_s()
         dispatch = call.dispatch(
             instance=self.instance,
             version=placement.expected_version,
@@ -134,16 +142,21 @@
         )
         call.attempts += 1  # taken back where it is certain that nothing ran
         near_bound = placement.begin_by_s - asyncio.get_running_loop().time() < NEAR_BOUND_S
-        began = await self._parts.exchanger.begin(
-            server=placement.server,
-            running=placement.call,
-            head=call.head,
-            body=call.body,
-            attempt_id=call.request_id,
-            dispatch=dispatch,
-            fresh=not call.route.repeatable or near_bound,
-            connect_timeout_s=QUICK_CONNECT_S if near_bound else CONNECT_TIMEOUT_S,
-        )
+        try:
+            began = await self._parts.exchanger.begin(
+                server=placement.server,
+                running=placement.call,
+                head=call.head,
+                body=call.body,
+                attempt_id=call.request_id,
+                dispatch=dispatch,
+                fresh=not call.route.repeatable or near_bound,
+                connect_timeout_s=QUICK_CONNECT_S if near_bound else CONNECT_TIMEOUT_S,
+            )
+        except asyncio.CancelledError:
+            if not placement.call.sent:
+                self._take_back()
+            raise
         if began.is_err():
             return Err(self._note_failure(began.unwrap_err()))
         exchange = began.unwrap()
@@ -158,8 +171,14 @@
         """Give the place back, and let the engine stop where it still works."""
         if self.source is not None:
             self.source.exchange.abort()
+        if not self._judged:
+            self.placement.server.health.note_neutral()
         self._parts.queue.release(self.placement)
 
+    def heard_s(self) -> float:
+        """Give when the engine was asked or last heard, by the clock of what could be heard."""
+        return self.asked_s if self.source is None else self.source.heard_s
+
     def first_event_patience_s(self) -> float:
         """Give the silence that is expected before the first event."""
         return max(
@@ -177,12 +196,17 @@
     def note_whole(self) -> None:
         """Note that the stream came to its end."""
         assert self.source is not None
+        self._judged = True
         self.placement.server.health.note_success()
         if self.source.exchange.answer.head.framing is not Framing.UNTIL_CLOSE:
             self._parts.suspects.note_good(self.placement.server, self._call.fingerprint)
 
     def note_silent(self) -> None:
         """Note an engine that writes nothing; new requests should rather go elsewhere."""
+        self._tried.instances.add(self.instance)
+        if self._noted:
+            return
+        self._parts.suspects.note_broken(self.placement.server, self._call.fingerprint)
         self._learn_failure()
         log.warning("engine is silent", **self._fields())
 
@@ -190,6 +214,7 @@
         """Note an engine that was sent the request and did not bring it to its end."""
         self._tried.instances.add(self.instance)
         self._tried.lost_domains.add(self.placement.server.instance.failure_domain)
+        self._parts.suspects.note_broken(self.placement.server, self._call.fingerprint)
         self._learn_failure()
         log.warning("stream broken", **self._fields(), failure=str(failure))
 
@@ -197,12 +222,11 @@
         """Take one failure into account, whether it shows as silence or as an end or as both."""
         if self._noted:
             return
-        self._noted = True
+        self._noted = self._judged = True
         server, now_s = self.placement.server, asyncio.get_running_loop().time()
-        self._parts.suspects.note_broken(server, self._call.fingerprint)
         server.note_broken(now_s)
         if self.placement.call.reading:
-            late_ms = (now_s - self.placement.call.placed_s) * 1000
+            late_ms = hearing.heard_since_s(self.placement.call.placed_s) * 1000
             late_ms -= self.placement.call.predicted_ms
             server.note_first_event(max(0.0, late_ms), now_s)
 
@@ -219,6 +243,7 @@
         }
 
     def _note_failed_answer(self, exchange: Exchange) -> Failure:
+        self._judged = True
         self.placement.server.health.note_failure(asyncio.get_running_loop().time())
         self._tried.instances.add(self.instance)
         self.failed_answer = exchange
@@ -235,18 +260,15 @@
         if failed.may_have_run:
             self.note_lost(failed.failure)
             return failed.failure
-        self._call.attempts -= 1
         self._tried.instances.add(self.instance)
-        health = self.placement.server.health
         if failed.end is AttemptEnd.WITHHELD:
-            self._call.sends -= 1
-            if self._call.sends:
-                self._parts.budget.give_back(self._call.service)
-            health.note_neutral()
+            self._take_back()
             log.info("engine withheld", request=self._call.request_id, failure=str(failed.failure))
             return failed.failure
+        self._call.attempts -= 1
         if failed.end is AttemptEnd.NOT_SENT:
-            health.note_unreachable(asyncio.get_running_loop().time())
+            self._judged = True
+            self.placement.server.health.note_unreachable(asyncio.get_running_loop().time())
         log.warning(
             "attempt not sent",
             request=self._call.request_id,
@@ -255,11 +277,17 @@
         )
         return failed.failure
 
+    def _take_back(self) -> None:
+        """Count the attempt no more, since nothing of it was sent."""
+        self._call.attempts -= 1
+        self._call.sends -= 1
+        if self._call.sends:
+            self._parts.budget.give_back(self._call.service)
+
     def _note_refused(self, exchange: Exchange) -> Failure:
         """Take an engine's word that it did not run the request."""
         self._call.attempts -= 1
         self._tried.instances.add(self.instance)
-        self.placement.server.health.note_neutral()
         if exchange.facts.instance not in (None, self.instance):
             self._parts.board.wrong_instance(self.instance)
         log.info(
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -63,6 +63,7 @@
         "_came_back",
         "_ending",
         "_failure",
+        "_next",
         "_parts",
         "_quarantine",
         "_relay",
@@ -89,7 +90,8 @@
         self._tried = TriedEngines()
         self._failure = Failure(code=Code.NO_CAPACITY)
         self._relay = StreamRelay(call=call)
-        self._second = SecondEngine(relay=self._relay, place=self._place)
+        self._second = SecondEngine(relay=self._relay, place=self._place, may_ask=self._may_try)
+        self._next: StreamAttempt | None = None  # asked beside the last one, and at work
 
     async def run(self) -> None:
         """Try engines until the stream is complete or given up."""
@@ -106,13 +108,17 @@
                 await self._ending.timed_out(call)
         finally:
             self._second.let_go()
+            if self._next is not None:
+                self._next.close()
 
     async def _attempt(self) -> bool:
         """Let one engine run the request; True where the request has its ending."""
-        attempt = await self._second.take() or await self._place()
+        attempt, self._next = self._next, None
+        attempt = attempt or await self._second.take() or await self._place()
         if attempt is None:
             await self._give_up()
             return True
+        self._relay.owner = attempt
         try:
             async with asyncio.timeout(None) as scope:
                 with self._watched(attempt, scope):
@@ -120,7 +126,7 @@
         except TimeoutError:
             if not scope.expired():
                 raise
-            if not self._goes_on_elsewhere(attempt):
+            if self._relay.owner is None:
                 detail = "no event before its weights became too old"
                 self._lost(attempt, Failure(code=Code.BACKEND_LOST, detail=detail))
             return False
@@ -159,24 +165,25 @@
         loop = asyncio.get_running_loop()
 
         def end() -> None:
-            scope.reschedule(loop.time())
+            if not scope.expired():
+                scope.reschedule(loop.time())
 
         def too_old() -> None:
-            if attempt.placement.call.reading:
+            if attempt.placement.call.reading and self._relay.owner is attempt:
+                self._relay.owner = None  # what it brings from now on is not passed on
                 end()
 
+        def heard_s() -> float:
+            return max(attempt.heard_s(), self._relay.taken_s)
+
         def silent() -> None:
             if self._relay.writing:
                 return  # its caller is slow, the engine may not be
             attempt.note_silent()
-            self._tried.instances.add(attempt.instance)
             if self._may_try():
                 self._second.ask(self._call.request_id, end)
 
-        self._relay.note_asked()
-        watch = SilenceWatch(
-            heard_s=lambda: self._relay.heard_s, patience_s=attempt.patience_s, on_silent=silent
-        )
+        watch = SilenceWatch(heard_s=heard_s, patience_s=attempt.patience_s, on_silent=silent)
         bound = DeadlineTimer(when_s=attempt.placement.begin_by_s, callback=too_old)
         try:
             yield
@@ -186,27 +193,27 @@
 
     async def _take(self, attempt: StreamAttempt) -> bool:
         """Pass on what an engine answers; True where the request has its ending."""
-        self._relay.source = attempt.source
         if attempt.source is None:
             opened = await attempt.open(last_event_id=self._relay.last_id)
-            if self._goes_on_elsewhere(attempt):
-                return False
             if opened.is_err():
                 self._failure = opened.unwrap_err()
                 return await self._take_failure(attempt)
         assert attempt.source is not None
-        relayed = await self._relay.run(attempt.placement, attempt.source)
+        relayed = await self._relay.run(attempt, attempt.placement, attempt.source)
         if relayed.is_ok():
             attempt.note_whole()
             return True
-        if not self._goes_on_elsewhere(attempt):
+        if self._relay.owner is attempt:
             self._lost(attempt, relayed.unwrap_err())
         return False
 
     async def _take_failure(self, attempt: StreamAttempt) -> bool:
         """Pass on an engine's own failure, unless another engine may try."""
         exchange = attempt.failed_answer
-        if exchange is None or self._second.asked or self._may_try() or self._relay.begun:
+        if exchange is None or self._may_try() or self._relay.begun:
+            return False
+        self._next = await self._second.take()
+        if self._next is not None:
             return False
         if not exchange.facts.signed and exchange.status < HTTPStatus.BAD_REQUEST:
             return False
@@ -215,11 +222,6 @@
             self._ending.broken_off(self._call, passed.unwrap_err())
         return True
 
-    def _goes_on_elsewhere(self, attempt: StreamAttempt) -> bool:
-        """Tell whether the answer of another engine was chosen to go on with."""
-        chosen = self._relay.source
-        return chosen is not None and chosen is not attempt.source
-
     def _lost(self, attempt: StreamAttempt, failure: Failure) -> None:
         self._failure = failure
         attempt.note_lost(failure)
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -34,14 +34,16 @@
         Loop time at which the caller got its last event; None where it has got none.
     last_id
         Number of the last event that was passed on, or after which the caller asked to go on.
-    heard_s
-        When an engine was last asked or heard, by the clock of what could be heard.
+    passed
+        How often events were passed on.
+    taken_s
+        When the caller last took what was passed on, by the clock of what could be heard.
     writing
         Whether events wait for the caller to read.
-    source
-        Answer that goes on now; events of any other one are dropped.
+    owner
+        The attempt whose events are passed on; what any other one brings is dropped.
     on_progress
-        Called with each event that is passed on.
+        Called each time before events are passed on.
     """
 
     __slots__ = (
@@ -50,11 +52,12 @@
         "_first_event_s",
         "_longest_pause_s",
         "begun",
-        "heard_s",
         "last_event_s",
         "last_id",
         "on_progress",
-        "source",
+        "owner",
+        "passed",
+        "taken_s",
         "writing",
     )
 
@@ -64,36 +67,34 @@
         self._first_event_s = 0.0
         self._longest_pause_s = 0.0
         self.begun = False
-        self.heard_s = self._clock.heard_s()
         self.last_event_s: float | None = None
         self.last_id = call.facts.last_event_id
         self.on_progress: Callable[[], None] | None = None
-        self.source: EventSource | None = None
+        self.owner: object | None = None
+        self.passed = 0
+        self.taken_s = 0.0
         self.writing = False
 
-    def note_asked(self) -> None:
-        """Note that an engine is asked now: its silence begins."""
-        self.heard_s = self._clock.heard_s()
-
-    async def run(self, placement: Placement, source: EventSource) -> Result[None, Failure]:
-        """Pass whole events on until the stream ends, or another answer goes on with it.
+    async def run(
+        self, attempt: object, placement: Placement, source: EventSource
+    ) -> Result[None, Failure]:
+        """Pass whole events on until the stream ends, or the attempt does not own it any more.
 
         Errors
         ------
         BACKEND_LOST
             The engine broke off, or ended within an event; or another one goes on.
         ENGINE_FAILED
-            Its events are out of order.
+            Its events are out of order, or too large.
         """
         call = self._call
-        self.source = source
+        call.engine = placement.server.instance.instance
         while True:
             read = await source.read()
+            if self.owner is not attempt:
+                return Err(Failure(code=Code.BACKEND_LOST, detail="another engine goes on"))
             if read.is_err():
                 return Err(read.unwrap_err())
-            if self.source is not source:
-                detail = "another engine goes on with the stream"
-                return Err(Failure(code=Code.BACKEND_LOST, detail=detail))
             events = read.unwrap()
             if not events:
                 self._finish(placement, source.exchange)
@@ -105,30 +106,33 @@
                 placement.server.begun(placement.call)
                 placement.server.health.note_begun()
                 self._note_first_event(placement)
+            self.passed += 1
+            if self.on_progress is not None:
+                self.on_progress()
             self._begin_reply(source.exchange)
             self._note_pause()
             self.writing = True
             await call.reply.write(b"".join(event.data for event in events))
             self.writing = False
-            if self.on_progress is not None:
-                self.on_progress()
+            self.taken_s = self._clock.heard_s()
 
     def _note_pause(self) -> None:
         now_s = asyncio.get_running_loop().time()
         self._call.heard_s = now_s
-        self.heard_s = self._clock.heard_s()
         if self.last_event_s is not None:
             self._longest_pause_s = max(self._longest_pause_s, now_s - self.last_event_s)
         self.last_event_s = now_s
 
     def _in_order(self, events: list[Event]) -> bool:
         """Check that events follow on each other without a gap or a repeat."""
+        last_id = self.last_id
         for event in events:
             if event.event_id is None:
                 continue
-            if self.last_id is not None and event.event_id != self.last_id + 1:
+            if last_id is not None and event.event_id != last_id + 1:
                 return False
-            self.last_id = event.event_id
+            last_id = event.event_id
+        self.last_id = last_id
         return True
 
     def _finish(self, placement: Placement, exchange: Exchange) -> None:
@@ -151,7 +155,7 @@
     def _note_first_event(self, placement: Placement) -> None:
         now_s = asyncio.get_running_loop().time()
         self._first_event_s = self._first_event_s or now_s
-        took_ms = (now_s - placement.call.placed_s) * 1000
+        took_ms = self._clock.heard_since_s(placement.call.placed_s) * 1000
         placement.server.note_first_event(took_ms - placement.call.predicted_ms, now_s)
         log.info(
             "first event",
--- /dev/null
+++ b/tests/forward/stream_world.py
@@ -0,0 +1,271 @@
+"""One stream of one caller before engines of a test, without a network and without a queue."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Sequence
+from contextlib import contextmanager
+from types import SimpleNamespace
+from typing import Any
+
+from result import Err, Ok
+
+from leadhollow.codes import Code
+from leadhollow.decide.health import Health
+from leadhollow.decide.server_load import OwnCall
+from leadhollow.decide.wish import Placement
+from leadhollow.failure import Failure
+from leadhollow.forward.call import ForwardedCall
+from leadhollow.forward.exchange import AttemptEnd, AttemptFailure
+from leadhollow.forward.stream_attempt import StreamParts
+from leadhollow.forward.stream_call import _StreamRun
+from leadhollow.http1.headers import Headers
+from leadhollow.http1.messages import Framing
+
+BROKEN = Failure(code=Code.BACKEND_LOST)
+
+
+def event(number: int) -> bytes:
+    return b"id: %d\ndata: x\n\n" % number
+
+
+class FakeReply:
+    """What the caller got; it takes no more while ``gate`` is not set."""
+
+    def __init__(self) -> None:
+        self.started = False
+        self.finished = False
+        self.data = b""
+        self.gate: asyncio.Event | None = None
+
+    def start(self, *_: Any, **__: Any) -> None:
+        self.started = True
+
+    async def write(self, data: bytes) -> None:
+        self.data += data
+        if self.gate is not None:
+            await self.gate.wait()
+
+    def finish(self) -> None:
+        self.finished = True
+
+    def abort(self) -> None:
+        """The connection ends."""
+
+
+class FakeExchange:
+    """An answer that a test writes; None breaks it off, ``b""`` ends it."""
+
+    def __init__(self, *, status: int = 200) -> None:
+        self.status = status
+        self.closed = False
+        self.facts = SimpleNamespace(
+            not_executed=False, signed=True, instance=None, ours=frozenset()
+        )
+        head = SimpleNamespace(
+            status=status,
+            reason=b"",
+            framing=Framing.CHUNKED,
+            content_length=None,
+            headers=Headers(),
+        )
+        self.answer = SimpleNamespace(head=head)
+        self._parts: asyncio.Queue[bytes | None] = asyncio.Queue()
+
+    def write(self, data: bytes | None) -> None:
+        self._parts.put_nowait(data)
+
+    async def read(self) -> Any:
+        data = await self._parts.get()
+        return Err(BROKEN) if data is None else Ok(data)
+
+    def finish(self) -> None:
+        self.closed = True
+
+    def abort(self) -> None:
+        self.closed = True
+
+
+class FakeServer:
+    """What is learnt of an engine."""
+
+    def __init__(self, name: str) -> None:
+        self.instance = SimpleNamespace(instance=name, failure_domain="a", address=name)
+        self.health = Health()
+        self.late_ms: list[float] = []
+        self.broken = 0
+
+    def begun(self, call: OwnCall) -> None:
+        call.reading = False
+
+    def note_first_event(self, late_ms: float, _: float) -> None:
+        self.late_ms.append(late_ms)
+
+    def note_broken(self, _: float) -> None:
+        self.broken += 1
+
+
+class StreamWorld:
+    """A stream, the engines that it may go to in order, and what became of both.
+
+    Attributes
+    ----------
+    sent, resumed_after
+        Engines that it was sent to, and the event after which each one was to go on.
+    released
+        Engines whose places were given back.
+    endings
+        Answers of our own.
+    connect_s, begin_by_s
+        For each engine the time until there is a connection, and the loop time until which its
+        first event must have come.
+    """
+
+    def __init__(
+        self,
+        *,
+        engines: Sequence[str] = ("A", "B", "C"),
+        attempts: int = 2,
+        repeatable: bool = True,
+        deadline_s: float = 4.0,
+    ) -> None:
+        self.servers = {name: FakeServer(name) for name in engines}
+        self.answers: dict[str, FakeExchange] = {}
+        self.sent: list[str] = []
+        self.resumed_after: list[int | None] = []
+        self.released: list[str] = []
+        self.endings: list[str] = []
+        self.connect_s: dict[str, float] = {}
+        self.begin_by_s: dict[str, float] = {}
+        self.failing: set[str] = set()
+        self.failed_status: dict[str, int] = {}
+        self.reply = FakeReply()
+        self._asked: set[str] = set()
+        self.call = self._make_call(attempts, repeatable, deadline_s)
+        quarantine = SimpleNamespace(
+            running=_running, holds=lambda _: False, wait_for_verdict=_nothing
+        )
+        parts = StreamParts(
+            board=SimpleNamespace(),  # type: ignore[arg-type]
+            budget=SimpleNamespace(take=lambda _: True, give_back=lambda _: None),  # type: ignore[arg-type]
+            exchanger=SimpleNamespace(begin=self._begin),  # type: ignore[arg-type]
+            queue=self,  # type: ignore[arg-type]
+            suspects=SimpleNamespace(  # type: ignore[arg-type]
+                quarantine=quarantine,
+                note_broken=lambda *_: None,
+                note_good=lambda *_: None,
+            ),
+        )
+        service = SimpleNamespace(name="s", engine=SimpleNamespace())
+        self.run = _StreamRun(
+            parts=parts,
+            ending=SimpleNamespace(  # type: ignore[arg-type]
+                **{name: self._ending(name) for name in ("unknown", "timed_out", "not_run")}
+            ),
+            call=self.call,
+            service=service,  # type: ignore[arg-type]
+            came_back=False,
+        )
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> asyncio.Task[None]:
+        self.task = asyncio.create_task(self.run.run())
+        return self.task
+
+    @property
+    def leaks(self) -> list[str]:
+        """Engines whose place or connection is still held."""
+        places = sorted(set(self._asked) - set(self.released))
+        return places + [name for name, answer in self.answers.items() if not answer.closed]
+
+    # what the stream asks of the queue
+
+    def submit(self, wish: Any) -> Any:
+        name = next((one for one in self.servers if one not in wish.excluded | self._asked), None)
+        placement = None
+        if name is not None:
+            self._asked.add(name)
+            loop = asyncio.get_running_loop()
+            self.servers[name].health.note_start(loop.time())
+            placement = Placement(
+                server=self.servers[name],  # type: ignore[arg-type]
+                call=OwnCall(
+                    prompt_tokens=10, output_tokens=10, placed_s=loop.time(), predicted_ms=50.0
+                ),
+                version=1,
+                expected_version=None,
+                begin_by_s=self.begin_by_s.get(name, math.inf),
+            )
+        return SimpleNamespace(ended=True, placement=placement, until_s=0.0)
+
+    def release(self, placement: Placement) -> None:
+        self.released.append(placement.server.instance.instance)
+
+    def withdraw(self, _: Any) -> None:
+        """Nobody waits."""
+
+    def retry_after_s(self, _: Any) -> float:
+        return 1.0
+
+    # engines
+
+    async def _begin(self, *, server: FakeServer, running: OwnCall, dispatch: Any, **_: Any) -> Any:
+        name = server.instance.instance
+        await asyncio.sleep(self.connect_s.get(name, 0.0))
+        running.sent = True
+        self.sent.append(name)
+        self.resumed_after.append(dispatch.last_event_id)
+        if name in self.failing:
+            return Err(AttemptFailure(end=AttemptEnd.UNKNOWN, failure=BROKEN))
+        answer = self.answers[name] = FakeExchange(status=self.failed_status.get(name, 200))
+        return Ok(answer)
+
+    def _ending(self, name: str) -> Any:
+        async def end(*_: Any, **__: Any) -> None:
+            self.endings.append(name)
+
+        return end
+
+    def _make_call(self, attempts: int, repeatable: bool, deadline_s: float) -> ForwardedCall:
+        route = SimpleNamespace(
+            name="r",
+            attempts=attempts,
+            repeatable=repeatable,
+            timeout_ms=deadline_s * 1000,
+            objective_ms=500,
+            pause_objective_ms=400,
+            priority=0,
+        )
+        facts = SimpleNamespace(
+            attempt_id="r1",
+            deadline_ms=None,
+            last_event_id=None,
+            model="m",
+            prompt_tokens=10,
+            output_tokens=10,
+            output_hint_tokens=None,
+        )
+        return ForwardedCall(
+            head=SimpleNamespace(),  # type: ignore[arg-type]
+            body=SimpleNamespace(whole=True),  # type: ignore[arg-type]
+            facts=facts,  # type: ignore[arg-type]
+            route=route,  # type: ignore[arg-type]
+            service="s",
+            organisation=None,
+            reply=self.reply,  # type: ignore[arg-type]
+            received_s=asyncio.get_running_loop().time(),
+            fingerprint=b"12345678",
+        )
+
+
+@contextmanager
+def _running(*_: Any):
+    yield
+
+
+async def _nothing(*_: Any) -> None:
+    return
+
+
+__all__ = ["FakeExchange", "FakeServer", "StreamWorld", "event"]
