--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,22 +8,34 @@
 import shutil
 import sys
 import tempfile
+from collections.abc import Coroutine
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 from tests.soak.run import Verdict, soak
+from tests.soak.stream_play import soak_streams
 
 
-def play(seed: int, faults: int, keep: str) -> Verdict:
+def play(seed: int, options: argparse.Namespace) -> Verdict:
     """Play one seed in a process of its own."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    verdict: Verdict = asyncio.run(soak(seed=seed, folder=folder, faults=faults))
-    if verdict.violations and keep:
-        shutil.copytree(folder, Path(keep) / f"seed-{seed}", dirs_exist_ok=True)
+    verdict: Verdict = asyncio.run(_soak(seed, folder, options))
+    if verdict.violations and options.keep:
+        kept = Path(options.keep) / f"seed-{seed}"
+        shutil.copytree(folder, kept, dirs_exist_ok=True)
+        (kept / "violations").write_text("\n".join(verdict.violations))
     shutil.rmtree(folder, ignore_errors=True)
     return verdict
 
 
+def _soak(seed: int, folder: Path, options: argparse.Namespace) -> Coroutine[None, None, Verdict]:
+    if options.streams_s:
+        return soak_streams(
+            seed=seed, folder=folder, seconds=options.streams_s, log_readers=options.log_readers
+        )
+    return soak(seed=seed, folder=folder, faults=options.faults)
+
+
 def main() -> int:
     """Play all seeds; the exit code tells whether every promise held."""
     parser = argparse.ArgumentParser()
@@ -32,13 +44,23 @@
     parser.add_argument("--faults", type=int, default=4)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--keep", default="", help="folder for the logs of failed seeds")
+    parser.add_argument(
+        "--streams",
+        type=float,
+        default=0,
+        metavar="S",
+        dest="streams_s",
+        help="play the soak of streams instead, for so many seconds a seed",
+    )
+    parser.add_argument(
+        "--log-readers", action="store_true", help="let readers of entries' logs stand still"
+    )
     options = parser.parse_args()
     seeds = range(options.first, options.first + options.seeds)
     failed = 0
     lost: collections.Counter[str] = collections.Counter()
     with ProcessPoolExecutor(options.jobs) as pool:
-        count = len(seeds)
-        rows = pool.map(play, seeds, [options.faults] * count, [options.keep] * count)
+        rows = pool.map(play, seeds, [options] * len(seeds))
         for row in rows:
             failed += bool(row.violations)
             lost.update(row.columns)
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -11,8 +11,11 @@
 from aiohttp import web
 
 from tests.soak.ledger import Ledger, Limit, Run
-from tests.soak.proxy import Proxy
+from tests.soak.proxy import Path, Proxy
 from tests.soak.self_reports import SelfReport
+from tests.soak.stream_engine import PlannedStream
+from tests.soak.stream_plan import Planner
+from tests.soak.stream_records import StreamRun
 from tests.soak.weights import LAYERS, MODEL, PIECES, piece
 
 BEAT_S = 0.4
@@ -41,6 +44,8 @@
     ----------
     mute
         Whether it takes requests and answers none.
+    planner
+        Decides what becomes of each stream; None where each is written at once and whole.
     """
 
     def __init__(
@@ -69,6 +74,7 @@
         self.limit: Limit | None = None
         self.rest_s: float | None = None
         self.leaving = False  # by answers only
+        self.planner: Planner | None = None
         self._report_of_self = SelfReport(instance="")
         self._ledger = ledger
         self._controls = controls
@@ -121,6 +127,13 @@
         if self.model:
             self.version = 0
 
+    async def bring_back(self) -> None:
+        """Let it serve undisturbed, whatever state it is in."""
+        self.mute = False
+        self.proxy.path = Path.OPEN
+        if self._runner is None:
+            await self.start()
+
     def name_limit(self, per_s: float | None) -> None:
         """Name a limit in all answers from now on, or none."""
         self.limit = None
@@ -267,6 +280,8 @@
             async with self._semaphore:
                 while self.mute:
                     await asyncio.sleep(0.05)
+                if self.planner is not None:
+                    return await self._run_planned(request, attempt, self.planner)
                 return await self._run(request, attempt, body)
         finally:
             self._running.discard(task)
@@ -318,6 +333,35 @@
         self._note_end(run, request)
         return response
 
+    async def _run_planned(
+        self, request: web.Request, attempt: str, planner: Planner
+    ) -> web.StreamResponse:
+        headers = {
+            "X-Attempt-Id": attempt,
+            "X-Response-Signature": f"{attempt}/{self.instance}",
+            "Content-Type": "text/event-stream",
+        }
+        answer = web.StreamResponse(headers=headers)
+        if request.transport is None or request.transport.is_closing():
+            return answer  # the caller left before it could run
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        events = int(request.match_info["path"].rpartition("/")[2])
+        run = StreamRun(
+            request=attempt,
+            instance=self.instance,
+            version=self.version,
+            began_s=self._ledger.now_s(),
+            number=len(self._ledger.runs[attempt]),
+            proxy=self.proxy,
+        )
+        run.last = first - 1
+        self._ledger.runs[attempt].append(run)
+        plan = planner.plan(attempt, first, events)
+        await PlannedStream(
+            run=run, plan=plan, request=request, answer=answer, numbers=range(first, events + 1)
+        ).write()
+        return answer
+
     def _note_end(self, run: Run, request: web.Request) -> None:
         """Note that the whole answer is there, unless nobody takes it any more."""
         self._note_cut(run, request)
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -12,6 +12,8 @@
 import sys
 from pathlib import Path
 
+from tests.soak.log_reader import LogReader
+from tests.soak.program_record import ProgramRecord
 from tests.support import PATIENCE_S
 
 UNLIMITED = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
@@ -31,6 +33,10 @@
     ----------
     spans
         Changes each time that it starts, is frozen or wakes: what it was told before may be lost.
+    record
+        What befell it.
+    log_reader
+        Reads its log through a pipe; None where the process writes the file itself.
     """
 
     def __init__(self, *, settings: dict[str, object], folder: Path) -> None:
@@ -41,6 +47,8 @@
         self._process: subprocess.Popen[bytes] | None = None
         self._log_bytes = 0
         self.spans = 0
+        self.record = ProgramRecord()
+        self.log_reader: LogReader | None = None
 
     @property
     def begun(self) -> bool:
@@ -53,7 +61,9 @@
         return self._process is not None and self._process.poll() is None
 
     def start(self) -> None:
-        """Start the process with its settings as they are now."""
+        """Start the process with its settings as they are now, unless it runs."""
+        if self.running:
+            return
         self.spans += 1
         self.folder.mkdir(parents=True, exist_ok=True)
         file = self.folder / "settings.json"
@@ -65,17 +75,22 @@
         }
         self._log_bytes = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
+            output = log if self.log_reader is None else self.log_reader.open(self.log)
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "leadhollow", "platform"],
                 env=environment,
-                stdout=log,
-                stderr=log,
+                stdout=output,
+                stderr=output,
             )
+        if self.log_reader is not None:
+            self.log_reader.begun()
         self.settings["first_start"] = False
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal, if the process lives."""
         self.spans += number in (signal.SIGSTOP, signal.SIGCONT)
+        if number is signal.SIGCONT or self.running:
+            self.record.note(number)
         if self.running and self._process is not None:
             self._process.send_signal(number)
 
@@ -94,6 +109,17 @@
         process.kill()
         return False
 
+    def bring_back(self) -> None:
+        """Let the process run undisturbed, whatever state it is in."""
+        self.send(signal.SIGCONT)
+        self.confine(os.sched_getaffinity(0))
+        self.start()
+
+    def confine(self, processors: set[int]) -> None:
+        """Let the process run on some of the machine's processors only."""
+        if self.running and self._process is not None:
+            os.sched_setaffinity(self._process.pid, processors)
+
     def wipe(self) -> None:
         """Lose the disk; the process must be down."""
         folder = self.settings.get("data_folder")
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -6,8 +6,11 @@
 import contextlib
 import socket
 import struct
+import time
 from enum import Enum
 
+from tests.soak.spans import Spans
+
 CHUNK_BYTES = 16 * 1024
 SLOW_S = 0.25
 ABORT_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -26,15 +29,19 @@
 
     Attributes
     ----------
-    path
-        May be changed at any moment; connections that stand feel it too.
+    harmed
+        When it was not open.
+    resets
+        How often its connections were reset.
     """
 
     def __init__(self, *, host: str, port: int, target_port: int) -> None:
         self.host = host
         self.port = port
         self.target_port = target_port
-        self.path = Path.OPEN
+        self.harmed = Spans()
+        self.resets = 0
+        self._path = Path.OPEN
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -43,6 +50,18 @@
         """Where others reach the stand-in."""
         return f"{self.host}:{self.port}"
 
+    @property
+    def path(self) -> Path:
+        """May be changed at any moment; connections that stand feel it too."""
+        return self._path
+
+    @path.setter
+    def path(self, path: Path) -> None:
+        self._path = path
+        self.harmed.end(time.monotonic())
+        if path is not Path.OPEN:
+            self.harmed.begin(time.monotonic())
+
     async def start(self) -> None:
         """Open the listener."""
         self._server = await asyncio.start_server(self._pass_on, self.host, self.port)
@@ -55,6 +74,7 @@
 
     def reset(self) -> None:
         """Reset all connections that stand."""
+        self.resets += 1
         for writer in list(self._writers):
             sock = writer.get_extra_info("socket")
             with contextlib.suppress(OSError):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -88,12 +88,18 @@
         engines.cancel()
         if not await operator.change(patience_s=RECOVERY_S):
             ledger.break_rule("RECOVER no edit is acknowledged")
-        await _recover(world, callers)
+        await recover(world, callers)
     finally:
         for task in background:
             task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await task
+    await judge_end(world, operator)
+
+
+async def judge_end(world: World, operator: Operator) -> None:
+    """Note processes that ended by themselves, and a configuration that was lost."""
+    ledger = world.ledger
     for program in world.programs:
         if not program.running:
             ledger.break_rule(f"ENDED {program.vm} ended by itself")
@@ -146,7 +152,7 @@
         await asyncio.sleep(source.uniform(0.2, 2.0))
 
 
-async def _recover(world: World, callers: Callers) -> None:
+async def recover(world: World, callers: Callers) -> None:
     deadline_s = world.ledger.now_s() + RECOVERY_S
     while await callers.served_share(PROBES) < SERVED_SHARE:
         if world.ledger.now_s() > deadline_s:
@@ -163,4 +169,4 @@
     return False
 
 
-__all__ = ["Verdict", "soak"]
+__all__ = ["CALM_S", "RECOVERY_S", "Verdict", "judge_end", "recover", "soak"]
--- /dev/null
+++ b/tests/soak/stream_play.py
@@ -0,0 +1,144 @@
+"""One run of the soak of streams: series of faults overlap while engines pause and end."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from http import HTTPStatus
+from pathlib import Path
+
+from tests.soak.log_reader import LogReader
+from tests.soak.run import CALM_S, RECOVERY_S, Verdict, judge_end, recover
+from tests.soak.stream_callers import StreamCallers
+from tests.soak.stream_faults import ALWAYS, BY_CHANCE, Series, readers
+from tests.soak.stream_judge import StreamJudge
+from tests.soak.stream_plan import Planner
+from tests.soak.stream_records import StreamRun, StreamTold, end_lines
+from tests.soak.traffic import Callers, Operator
+from tests.soak.world import World
+
+SERIES_SHARE = 0.6
+ENGINE_SLOTS = 16
+
+
+async def soak_streams(
+    *, seed: int, folder: Path, seconds: float, log_readers: bool = False
+) -> Verdict:
+    """Play one seed for some seconds of faults."""
+    source = random.Random(f"series {seed}")
+    chosen = [*ALWAYS, *(series for series in BY_CHANCE if source.random() < SERIES_SHARE)]
+    world = World(seed=seed, folder=folder)
+    _prepare(world, log_readers=log_readers)
+    if log_readers:
+        chosen.append(readers)
+    operator = Operator(world=world)
+    callers = StreamCallers(world=world)
+    try:
+        await world.start()
+        if not await operator.change() or not await world.ready():
+            world.ledger.break_rule("START the deployment did not become ready")
+        else:
+            await _play(world, operator, callers, chosen, seconds)
+    finally:
+        await world.stop()
+    return _verdict(world, callers.told, [series.__name__ for series in chosen])
+
+
+def _prepare(world: World, *, log_readers: bool) -> None:
+    for engine in world.engines:
+        engine.slots = ENGINE_SLOTS
+        engine.planner = Planner(seed=world.seed)
+    for entry in world.entries:
+        entry.log_reader = LogReader() if log_readers else None
+
+
+async def _play(
+    world: World,
+    operator: Operator,
+    callers: StreamCallers,
+    chosen: list[Series],
+    seconds: float,
+) -> None:
+    crowd = asyncio.create_task(callers.run())
+    await asyncio.sleep(CALM_S)
+    world.ledger.disturb()
+    await _befall(world, operator, chosen, seconds)
+    callers.asking = False
+    await crowd
+    world.ledger.disturb()
+    for engine in world.engines:
+        engine.planner = None
+    if not await operator.change(patience_s=RECOVERY_S):
+        world.ledger.break_rule("RECOVER no edit is acknowledged")
+    await recover(world, Callers(world=world))
+    await judge_end(world, operator)
+
+
+async def _befall(world: World, operator: Operator, chosen: list[Series], seconds: float) -> None:
+    """Let all series go on beside each other, and bring everything back afterwards."""
+    tasks = [
+        asyncio.create_task(
+            series(world, operator, random.Random(f"{series.__name__} {world.seed}"))
+        )
+        for series in chosen
+    ]
+    await asyncio.wait(tasks, timeout=seconds, return_when=asyncio.FIRST_EXCEPTION)
+    for task in tasks:
+        task.cancel()
+    results = await asyncio.gather(*tasks, return_exceptions=True)
+    for result in results:
+        if isinstance(result, Exception):
+            raise result
+    await _bring_back(world)
+
+
+async def _bring_back(world: World) -> None:
+    for program in world.programs:
+        program.bring_back()
+    for backend in (*world.engines, *world.services):
+        await backend.bring_back()
+
+
+def _verdict(world: World, streams: list[StreamTold], series: list[str]) -> Verdict:
+    violations = world.ledger.judge() + _judge(world, streams)
+    return Verdict(
+        seed=world.seed,
+        faults=series,
+        asked=len(streams),
+        served=sum(told.whole and told.status == 200 for told in streams),
+        violations=violations,
+        columns=_columns(streams) | _reasons(world),
+    )
+
+
+def _columns(streams: list[StreamTold]) -> dict[str, int]:
+    begun = [told for told in streams if told.status == HTTPStatus.OK]
+    left = sum(told.left for told in begun)
+    return {
+        "streams that began": len(begun),
+        "whole": sum(told.whole for told in begun),
+        "left by their callers": left,
+        "ended by entries": sum(not told.whole and not told.left for told in begun),
+    }
+
+
+def _reasons(world: World) -> dict[str, int]:
+    """Count the lines of answers that had begun, by their reason."""
+    lines = end_lines([entry.log for entry in world.entries])
+    return Counter(line.reason.value for found in lines.values() for line in found if line.begun)
+
+
+def _judge(world: World, streams: list[StreamTold]) -> list[str]:
+    entries = {str(entry.settings["callers"]): entry for entry in world.entries}
+    lines = end_lines([entry.log for entry in world.entries])
+    found = []
+    for told in streams:
+        runs = [run for run in world.ledger.runs[told.request] if isinstance(run, StreamRun)]
+        record = entries[told.entry].record
+        judge = StreamJudge(told=told, runs=runs, lines=lines[told.request], entry=record)
+        found += judge.judge()
+    return found
+
+
+__all__ = ["soak_streams"]
--- /dev/null
+++ b/tests/soak/stream_records.py
@@ -0,0 +1,197 @@
+"""What engines, callers and entries saw of streams."""
+
+from __future__ import annotations
+
+import json
+from collections import defaultdict
+from enum import Enum
+from pathlib import Path
+from typing import NamedTuple
+
+from leadhollow.forward.ending import EndReason
+from tests.soak.ledger import Run
+from tests.soak.proxy import Proxy
+from tests.soak.spans import Spans
+
+ENDED_LINE = "request ended without an answer"
+RUN_MARK = "/run-"
+
+
+class RunEnd(Enum):
+    """How an engine's run ended."""
+
+    WHOLE = "wrote everything"
+    SHORT = "ended cleanly in the middle"
+    BROKE_OFF = "broke off"
+    ENDED = "the engine ended, or changed its weights"
+    LET_GO = "its connection was closed"
+
+
+OWN_ENDS = frozenset({RunEnd.SHORT, RunEnd.BROKE_OFF, RunEnd.ENDED})
+
+
+class StreamRun(Run):
+    """A stream that an engine began to write.
+
+    Attributes
+    ----------
+    number
+        Its place among the runs of the request, from 0; each of its events names it.
+    last
+        Last event that it wrote whole.
+    over_s
+        When it ended; None while it goes on.
+    path_broken
+        Whether the connections to its engine were reset while it went on.
+    """
+
+    __slots__ = ("_proxy", "_resets", "end", "last", "number", "over_s", "path_broken")
+
+    def __init__(
+        self,
+        *,
+        request: str,
+        instance: str,
+        version: int,
+        began_s: float,
+        number: int,
+        proxy: Proxy,
+    ) -> None:
+        super().__init__(
+            request=request, instance=instance, service="models", version=version, began_s=began_s
+        )
+        self.number = number
+        self._proxy = proxy
+        self._resets = proxy.resets
+        self.last = 0
+        self.end: RunEnd | None = None
+        self.over_s: float | None = None
+        self.path_broken = False
+
+    @property
+    def path(self) -> Spans:
+        """When the way to its engine was disturbed."""
+        return self._proxy.harmed
+
+    @property
+    def ended_itself(self) -> bool:
+        """Whether the engine, or the way to it, ended the run."""
+        return self.end in OWN_ENDS or self.path_broken
+
+    def note_end(self, end: RunEnd, now_s: float) -> None:
+        """Note how it ended, once."""
+        if self.end is None:
+            self.end, self.over_s = end, now_s
+            self.path_broken = self._proxy.resets > self._resets
+
+
+class Heard(NamedTuple):
+    """An event that a caller got."""
+
+    number: int
+    run: int
+    at_s: float
+
+
+class StreamTold:
+    """What a caller saw of its stream.
+
+    Attributes
+    ----------
+    left
+        Whether it closed the connection itself.
+    whole
+        Whether the answer ended as complete.
+    told_s
+        When it ended, for this caller.
+    """
+
+    __slots__ = (
+        "deadline_s",
+        "entry",
+        "events",
+        "heard",
+        "left",
+        "request",
+        "resumable",
+        "sent_s",
+        "status",
+        "strange",
+        "told_s",
+        "whole",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: str,
+        entry: str,
+        resumable: bool,
+        events: int,
+        sent_s: float,
+        deadline_s: float | None = None,
+    ) -> None:
+        self.request = request
+        self.entry = entry
+        self.resumable = resumable
+        self.events = events
+        self.sent_s = sent_s
+        self.deadline_s = deadline_s
+        self.told_s = sent_s
+        self.status = 0
+        self.heard: list[Heard] = []
+        self.strange = b""  # bytes that are no event of this request
+        self.left = False
+        self.whole = False
+
+    @property
+    def last_s(self) -> float:
+        """When it last heard something."""
+        return self.heard[-1].at_s if self.heard else self.sent_s
+
+    def hear(self, event: bytes, now_s: float) -> None:
+        """Note an event."""
+        first, _, second = event.decode(errors="replace").strip().partition("\n")
+        start = f"data: {self.request}{RUN_MARK}"
+        number, run = first.removeprefix("id: "), second.removeprefix(start)
+        if first.startswith("id: ") and second.startswith(start) and number.isdigit():
+            self.heard.append(Heard(int(number), int(run), now_s))
+        else:
+            self.strange = self.strange or event
+
+
+class EndLine(NamedTuple):
+    """An entry's line of a request that it ended."""
+
+    reason: EndReason
+    begun: bool
+    instance: str
+
+
+def event_of(run: StreamRun, number: int) -> bytes:
+    """Give one event of a run."""
+    return f"id: {number}\ndata: {run.request}{RUN_MARK}{run.number}\n\n".encode()
+
+
+def end_lines(logs: list[Path]) -> dict[str, list[EndLine]]:
+    """Read the lines of requests that entries ended, by request."""
+    found: dict[str, list[EndLine]] = defaultdict(list)
+    for log in logs:
+        for text in log.read_text(errors="replace").splitlines():
+            if ENDED_LINE in text and text.startswith("{") and text.endswith("}"):
+                line = json.loads(text)
+                reason = EndReason(line["reason"])
+                end = EndLine(reason, bool(line["begun"]), str(line["instance"]))
+                found[str(line["request"])].append(end)
+    return found
+
+
+__all__ = [
+    "EndLine",
+    "Heard",
+    "RunEnd",
+    "StreamRun",
+    "StreamTold",
+    "end_lines",
+    "event_of",
+]
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -10,6 +10,7 @@
 
 from tests.soak.backend import event
 from tests.soak.ledger import Kind, Ledger, Table, Told
+from tests.soak.stream_judge import ATTEMPTS, TIMEOUT_S
 from tests.soak.weights import LAYERS, MODEL, PIECE_BYTES, PIECES
 from tests.soak.world import World
 
@@ -19,6 +20,7 @@
 PAUSE_S = 0.06
 CALLERS = 10
 OPERATOR_TIMEOUT_S = 1.5
+STREAMS = {"once": False, "more": True}  # by whether they may be resumed
 KINDS = {Kind.ORDER: "non_idempotent", Kind.LOOKUP: "idempotent", Kind.STREAM: "streaming"}
 
 
@@ -40,6 +42,21 @@
         }
         for kind, wire_type in KINDS.items()
     ]
+    routes += [
+        {
+            "name": f"r-{name}",
+            "host": HOST,
+            "pathPrefix": f"/{name}/",
+            "type": "streaming",
+            "timeoutMs": round(1000 * TIMEOUT_S),
+            "targetLatencyMs": 600,
+            "service": "models",
+            "maxAttempts": ATTEMPTS,
+            "resumable": resumable,
+            "gapTargetMs": 400,
+        }
+        for name, resumable in STREAMS.items()
+    ]
     engine = {
         "slots": 8,
         "models": [{"name": MODEL, "warmS": 0.2}],
@@ -204,4 +221,4 @@
             told.status = answer.status
 
 
-__all__ = ["Callers", "Operator", "table_body"]
+__all__ = ["HOST", "KEY", "Callers", "Operator", "table_body"]
