--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,6 +15,7 @@
 from tests.soak.programs import Program
 from tests.soak.proxy import Proxy
 from tests.soak.self_reports import Sender
+from tests.soak.spans import Spans
 from tests.soak.weights import Origin
 
 ZONES = ("a", "b", "c")
@@ -35,6 +36,7 @@
         self.seed = seed
         self.random = random.Random(seed)
         self.ledger = Ledger()
+        self.own_holds = Spans()  # when the soak itself did not run
         self.origin = Origin(seed=seed)
         self.folder = folder
         self._network = 20 + seed % 200
