--- a/tests/soak/stream_engine.py
+++ b/tests/soak/stream_engine.py
@@ -81,6 +81,7 @@
             await self._pause(self._plan.drip_s)
         await self._answer.write(event[half:])
         self._run.last = number
+        self._run.wrote_s.append(time.monotonic())
 
     async def _tear(self, number: int) -> RunEnd:
         event = event_of(self._run, number)
--- a/tests/soak/stream_judge.py
+++ b/tests/soak/stream_judge.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
@@ -19,6 +20,7 @@
 STOP_MARGIN_S = 1.0  # of the grace, for closing and exiting
 TIME_SLACK_S = 0.3  # between the clocks' readings of callers, engines and entries
 LET_GO_S = 0.5
+SHORTEST_SILENCE_S = 0.8  # after which another engine may be asked beside
 LINE_S = 1.0  # until the line of an end is written
 CROSSING_S = 0.15  # an event may be on its way while another engine is asked
 
@@ -53,7 +55,7 @@
 
     def judge(self) -> list[str]:
         """Give every broken promise."""
-        found = [*self._events(), *self._attempts(), *self._runs_let_go()]
+        found = [*self._events(), *self._attempts(), *self._hasty(), *self._runs_let_go()]
         if self._told.whole and self._told.status == HTTPStatus.OK:
             found += self._completeness()
         else:
@@ -105,6 +107,22 @@
             found.append(f"DENIED whole, but its line says: {self._lines[0].reason.value}")
         return found
 
+    def _hasty(self) -> list[str]:
+        """Find engines that were asked beside one that had just written an event."""
+        found = []
+        for earlier, later in itertools.combinations(self._runs, 2):
+            wrote_s = [at_s for at_s in earlier.wrote_s if at_s < later.began_s]
+            if not wrote_s or (earlier.over_s or math.inf) < later.began_s or earlier.path_broken:
+                continue
+            silent_s = later.began_s - wrote_s[-1]
+            seen_s = silent_s + TIME_SLACK_S
+            disturbed = any(
+                spans.touch(wrote_s[-1], later.began_s) for spans in (earlier.path, self._own_holds)
+            )
+            if seen_s < SHORTEST_SILENCE_S and not disturbed:
+                found.append(f"HASTY run {later.number} beside {earlier.number}, {silent_s:.2f} s")
+        return found
+
     def _runs_let_go(self) -> list[str]:
         """Find engines that went on though nobody needed them any more."""
         found = []
--- a/tests/soak/stream_records.py
+++ b/tests/soak/stream_records.py
@@ -39,13 +39,15 @@
         Its place among the runs of the request, from 0; each of its events names it.
     last
         Last event that it wrote whole.
+    wrote_s
+        When it wrote each of its events.
     over_s
         When it ended; None while it goes on.
     path_broken
         Whether the connections to its engine were reset while it went on.
     """
 
-    __slots__ = ("_proxy", "_resets", "end", "last", "number", "over_s", "path_broken")
+    __slots__ = ("_proxy", "_resets", "end", "last", "number", "over_s", "path_broken", "wrote_s")
 
     def __init__(
         self,
@@ -64,6 +66,7 @@
         self._proxy = proxy
         self._resets = proxy.resets
         self.last = 0
+        self.wrote_s: list[float] = []
         self.end: RunEnd | None = None
         self.over_s: float | None = None
         self.path_broken = False
--- a/tests/soak/test_stream_judge.py
+++ b/tests/soak/test_stream_judge.py
@@ -342,6 +342,31 @@
         assert case.rules() == ["GONE"]
 
 
+class TestSecondEngines:
+    def case(self, silent_s: float) -> Case:
+        case = Case(resumable=True)
+        first = case.ran(end=RunEnd.LET_GO, over_s=SENT_S + 1.25, last=2)
+        case.ran(over_s=SENT_S + 1.6)
+        first.wrote_s = [SENT_S + 0.2, case.runs[1].began_s - silent_s]
+        case.heard(1, 2)
+        case.heard(3, 4, run=1)
+        return case
+
+    @pytest.mark.parametrize(("silent_s", "broken"), [(0.9, []), (0.1, ["HASTY"])])
+    def test_are_asked_beside_engines_that_are_silent(self, silent_s, broken):
+        assert self.case(silent_s).rules() == broken
+
+    def test_may_be_asked_beside_one_that_wrote_when_the_way_to_it_was_cut(self):
+        case = self.case(0.1)
+        case.runs[0].path.add(SENT_S + 0.2, SENT_S + 1.2)
+        assert case.rules() == []
+
+    def test_may_follow_one_that_wrote_and_ended(self):
+        case = self.case(0.1)
+        case.runs[0].end, case.runs[0].over_s = RunEnd.BROKE_OFF, SENT_S + 1.05
+        assert case.rules() == []
+
+
 class TestAttempts:
     def test_are_one_where_a_stream_may_not_be_resumed(self):
         case = Case()
