--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -30,9 +30,7 @@
 
 def _soak(seed: int, folder: Path, options: argparse.Namespace) -> Coroutine[None, None, Verdict]:
     if options.streams_s:
-        return soak_streams(
-            seed=seed, folder=folder, seconds=options.streams_s, log_readers=options.log_readers
-        )
+        return soak_streams(seed=seed, folder=folder, seconds=options.streams_s)
     return soak(seed=seed, folder=folder, faults=options.faults)
 
 
@@ -52,9 +50,6 @@
         dest="streams_s",
         help="play the soak of streams instead, for so many seconds a seed",
     )
-    parser.add_argument(
-        "--log-readers", action="store_true", help="let readers of entries' logs stand still"
-    )
     options = parser.parse_args()
     seeds = range(options.first, options.first + options.seeds)
     failed = 0
--- a/tests/soak/program_record.py
+++ b/tests/soak/program_record.py
@@ -15,16 +15,19 @@
     ----------
     held
         When it was stopped, or had to share its processors with many.
+    unread
+        When nobody read its log: lines may wait, and are lost where it is killed.
     killed_s, stopped_s
         When it was sent SIGKILL and SIGTERM.
     stopping
         Whether it was sent SIGTERM since its last start.
     """
 
-    __slots__ = ("held", "killed_s", "stopped_s", "stopping")
+    __slots__ = ("held", "killed_s", "stopped_s", "stopping", "unread")
 
     def __init__(self) -> None:
         self.held = Spans()
+        self.unread = Spans()
         self.killed_s: list[float] = []
         self.stopped_s: list[float] = []
         self.stopping = False
--- a/tests/soak/stream_faults.py
+++ b/tests/soak/stream_faults.py
@@ -120,17 +120,17 @@
     """Whoever reads an entry's log stops for a while."""
     while True:
         await asyncio.sleep(source.uniform(*BETWEEN_SIGNALS_S))
-        reader = source.choice(world.entries).log_reader
-        if reader is None:
-            return
-        reader.stand_still()
+        entry = source.choice(world.entries)
+        entry.log_reader.stand_still()
+        entry.record.unread.begin(world.ledger.now_s())
         try:
             await asyncio.sleep(source.uniform(*READER_STANDS_S))
         finally:
-            reader.go_on()
+            entry.log_reader.go_on()
+            entry.record.unread.end(world.ledger.now_s())
 
 
 ALWAYS: tuple[Series, ...] = (tables,)
-BY_CHANCE: tuple[Series, ...] = (holds, versions, signals, engine_faults, fleets)
+BY_CHANCE: tuple[Series, ...] = (holds, versions, signals, engine_faults, fleets, readers)
 
-__all__ = ["ALWAYS", "BY_CHANCE", "Series", "readers"]
+__all__ = ["ALWAYS", "BY_CHANCE", "Series"]
--- a/tests/soak/stream_judge.py
+++ b/tests/soak/stream_judge.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
-from leadhollow.forward.ending import EndReason
+from leadhollow.forward.end_reason import EndReason
 from tests.soak.ledger import PROMISED_NOT_RUN
 from tests.soak.program_record import ProgramRecord
 from tests.soak.spans import Spans
@@ -156,7 +156,7 @@
 
     def _end(self) -> list[str]:
         told = self._told
-        settled_s = self._settled_s(told.told_s)
+        settled_s = self._settled_s(told.told_s, self._entry.unread)
         if self._entry.killed(told.sent_s - TIME_SLACK_S, settled_s + LINE_S):
             return []
         if len(self._lines) > 1:
--- a/tests/soak/stream_play.py
+++ b/tests/soak/stream_play.py
@@ -12,7 +12,7 @@
 from tests.soak.own_holds import watch_own_holds
 from tests.soak.run import CALM_S, RECOVERY_S, Verdict, judge_end, recover
 from tests.soak.stream_callers import StreamCallers
-from tests.soak.stream_faults import ALWAYS, BY_CHANCE, Series, readers
+from tests.soak.stream_faults import ALWAYS, BY_CHANCE, Series
 from tests.soak.stream_judge import StreamJudge
 from tests.soak.stream_plan import Planner
 from tests.soak.stream_records import StreamRun, StreamTold, end_lines
@@ -23,16 +23,12 @@
 ENGINE_SLOTS = 16
 
 
-async def soak_streams(
-    *, seed: int, folder: Path, seconds: float, log_readers: bool = False
-) -> Verdict:
+async def soak_streams(*, seed: int, folder: Path, seconds: float) -> Verdict:
     """Play one seed for some seconds of faults."""
     source = random.Random(f"series {seed}")
     chosen = [*ALWAYS, *(series for series in BY_CHANCE if source.random() < SERIES_SHARE)]
     world = World(seed=seed, folder=folder)
-    _prepare(world, log_readers=log_readers)
-    if log_readers:
-        chosen.append(readers)
+    _prepare(world)
     operator = Operator(world=world)
     callers = StreamCallers(world=world)
     try:
@@ -46,12 +42,12 @@
     return _verdict(world, callers.told, [series.__name__ for series in chosen])
 
 
-def _prepare(world: World, *, log_readers: bool) -> None:
+def _prepare(world: World) -> None:
     for engine in world.engines:
         engine.slots = ENGINE_SLOTS
         engine.planner = Planner(seed=world.seed)
     for entry in world.entries:
-        entry.log_reader = LogReader() if log_readers else None
+        entry.log_reader = LogReader()
 
 
 async def _play(
@@ -69,6 +65,8 @@
     await crowd
     watch.cancel()
     world.ledger.disturb()
+    # the bound of a version counts from the last disturbance on
+    world.ledger.named = dict.fromkeys(world.ledger.named, world.ledger.now_s())
     for engine in world.engines:
         engine.planner = None
     if not await operator.change(patience_s=RECOVERY_S):
--- a/tests/soak/stream_records.py
+++ b/tests/soak/stream_records.py
@@ -8,12 +8,13 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from leadhollow.forward.ending import EndReason
+from leadhollow.forward.end_reason import EndReason
 from tests.soak.ledger import Run
 from tests.soak.proxy import Proxy
 from tests.soak.spans import Spans
 
 ENDED_LINE = "request ended without an answer"
+DROPPED_LINE = "log lines dropped"
 RUN_MARK = "/run-"
 
 
@@ -189,6 +190,11 @@
     return found
 
 
+def lines_dropped(log: Path) -> bool:
+    """Tell whether a process says that it wrote lines which nobody read in time."""
+    return DROPPED_LINE in log.read_text(errors="replace")
+
+
 __all__ = [
     "EndLine",
     "Heard",
@@ -197,4 +203,5 @@
     "StreamTold",
     "end_lines",
     "event_of",
+    "lines_dropped",
 ]
--- a/tests/soak/test_stream_judge.py
+++ b/tests/soak/test_stream_judge.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from leadhollow.forward.ending import EndReason
+from leadhollow.forward.end_reason import EndReason
 from tests.soak.program_record import ProgramRecord
 from tests.soak.proxy import Path, Proxy
 from tests.soak.spans import Spans
