--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -60,6 +60,11 @@
         """Whether the process lives."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def process_id(self) -> int:
+        """Of the process of this start; 0 before the first."""
+        return 0 if self._process is None else self._process.pid
+
     def start(self) -> None:
         """Start the process with its settings as they are now, unless it runs."""
         if self.running:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,10 +7,17 @@
 import pytest
 
 from tests.soak.run import soak
+from tests.soak.stream_play import soak_streams
 
 SEEDS = (6, 17)
 """Control replicas killed and wiped; edits in quick succession, an engine and a stager that die."""
 
+STREAM_SEEDS = (1, 46)
+"""Entries held up, engines that crash and paths that break, readers of logs that stand still; the
+second one with signals to control replicas, entries and stagers."""
+
+STREAMS_S = 3.0
+
 
 class TestSoak:
     @pytest.mark.parametrize("seed", SEEDS)
@@ -18,3 +25,11 @@
         verdict = asyncio.run(soak(seed=seed, folder=tmp_path, faults=2))
         assert verdict.violations == []
         assert verdict.served > 0
+
+
+class TestSoakOfStreams:
+    @pytest.mark.parametrize("seed", STREAM_SEEDS)
+    def test_holds_every_promise(self, seed, tmp_path):
+        verdict = asyncio.run(soak_streams(seed=seed, folder=tmp_path, seconds=STREAMS_S))
+        assert verdict.violations == []
+        assert verdict.served > 0
