--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -276,6 +276,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._running.add(task)
+        self._ledger.accepted[attempt] += 1
         try:
             async with self._semaphore:
                 while self.mute:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections import defaultdict
+from collections import Counter, defaultdict
 from enum import Enum
 from http import HTTPStatus
 
@@ -140,6 +140,7 @@
     """Everything that was seen in one run."""
 
     __slots__ = (
+        "accepted",
         "disturbances",
         "limits",
         "named",
@@ -153,6 +154,7 @@
 
     def __init__(self) -> None:
         self.runs: dict[str, list[Run]] = defaultdict(list)
+        self.accepted: Counter[str] = Counter()  # sends that no server refused, by request
         self.told: list[Told] = []
         self.tables: list[Table] = []
         self.named: dict[int, float] = {}  # acknowledgement of each version
--- a/tests/soak/stream_play.py
+++ b/tests/soak/stream_play.py
@@ -153,6 +153,7 @@
         judge = StreamJudge(
             told=told,
             runs=runs,
+            accepted=world.ledger.accepted[told.request],
             lines=lines[told.request],
             entry=record,
             paths=[engine.proxy for engine in world.engines],
--- a/tests/soak/test_stream_judge.py
+++ b/tests/soak/test_stream_judge.py
@@ -37,6 +37,7 @@
         self.entry = ProgramRecord()
         self.own_holds = Spans()
         self.paths: list[Proxy] = []
+        self.waited = 0
         self.runs: list[StreamRun] = []
         self.lines: list[EndLine] = []
         self.told = StreamTold(
@@ -82,6 +83,7 @@
         judge = StreamJudge(
             told=self.told,
             runs=self.runs,
+            accepted=len(self.runs) + self.waited,
             lines=self.lines,
             entry=self.entry,
             paths=self.paths,
@@ -159,6 +161,16 @@
         case.ended(EndReason.ENGINE_ENDED, after_s=4.0)
         assert case.rules() == ["LOST"]
 
+    def test_may_follow_at_once_on_an_engine_that_was_asked_beside(self):
+        case = Case(resumable=True)
+        case.ran(end=RunEnd.BROKE_OFF, over_s=SENT_S + 1.28, last=2)
+        case.ran(end=RunEnd.LET_GO, over_s=SENT_S + 1.25, last=1)
+        case.ran(end=RunEnd.BROKE_OFF, over_s=SENT_S + 0.5, last=0)
+        case.told.heard = [Heard(1, 0, SENT_S + 0.3), Heard(2, 0, SENT_S + 1.2)]
+        case.told.whole, case.told.told_s = False, SENT_S + 1.3
+        case.lines.append(EndLine(EndReason.ENGINE_ENDED, True, "i-1"))
+        assert case.rules() == []
+
     def test_may_follow_on_an_engine_that_was_let_go_for_another(self):
         case = Case(resumable=True)
         case.ran(end=RunEnd.LET_GO, over_s=SENT_S + 1.9, last=1)
@@ -210,6 +222,14 @@
         case.lines.append(EndLine(EndReason.ENGINE_ENDED, True, "i-2", attempts))
         assert case.rules() == broken
 
+    def test_may_have_met_a_request_that_waited_at_an_engine(self):
+        case = Case(resumable=True)
+        for _ in range(2):
+            case.ran(end=RunEnd.BROKE_OFF, over_s=SENT_S + 0.9, last=2)
+        case.waited = 1
+        case.ended(EndReason.ENGINE_ENDED, after_s=1.0)
+        assert case.rules() == []
+
     def test_are_needed_before_the_first_event_too(self):
         case = Case()
         case.ran(end=RunEnd.LET_GO, over_s=SENT_S + 1.02, last=0)
