Tell entries that got no processor from entries that pass nothing on

Cause: in the first runs at size the judge took six ends for faults of entries that were none. Five callers noticed 3.5 s late that their entry had been killed, since their own process stood still; one left after 3.2 s at an entry that stood still for 4.7 s with nothing that this run had done to it.

Change: a stream that had been sent before a kill of its entry and came to no end by then was ended by the kill, whenever its caller looked. The kernel's figures of each entry tell when it was ready to run and got no processor; events that wait meanwhile are not held against it. A blocked log or a loop that computes still are.

The judge has tests for each. Its verdicts on streams cut at work are as before.

--- a/tests/at_size/disturbances.py
+++ b/tests/at_size/disturbances.py
@@ -11,13 +11,15 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from tests.at_size.timeline import Befell
+from tests.at_size.timeline import Befell, Span
 from tests.at_size.world import SizedWorld
 
 HOLD_S = (0.5, 2.0)
 BETWEEN_HOLDS_S = (0.5, 2.5)
 LOG_BLOCKED_S = (3.0, 8.0)
 BETWEEN_BLOCKS_S = (2.0, 8.0)
+LOOK_S = 0.5
+STARVED_S = 0.5  # of processor time that was missing between two looks
 
 
 async def hold_entries(world: SizedWorld) -> None:
@@ -52,6 +54,20 @@
             span.end()
 
 
+async def watch_starving(world: SizedWorld) -> None:
+    """Note where the machine gave entries no processor, until cancelled."""
+    waited_s = {entry.vm: 0.0 for entry in world.entries}
+    while True:
+        for entry in world.entries:
+            now_s, before_s = time.monotonic(), waited_s[entry.vm]
+            waited_s[entry.vm] = entry.waited_s()
+            more_s = waited_s[entry.vm] - before_s
+            if more_s >= STARVED_S:
+                span = Span(kind=Befell.STARVED, from_s=now_s - more_s - LOOK_S, to_s=now_s)
+                world.timeline.add(entry.vm, span)
+        await asyncio.sleep(LOOK_S)
+
+
 @contextmanager
 def busy_processes(count: int) -> Iterator[None]:
     """Keep processors busy meanwhile."""
@@ -87,4 +103,4 @@
             self.longest_s = max(self.longest_s, time.monotonic() - began_s - self.LOOK_S)
 
 
-__all__ = ["Lag", "block_logs", "busy_processes", "hold_entries"]
+__all__ = ["Lag", "block_logs", "busy_processes", "hold_entries", "watch_starving"]
--- a/tests/at_size/judge.py
+++ b/tests/at_size/judge.py
@@ -55,12 +55,12 @@
 
 
 def _of_the_entry(stream: Stream, timeline: Timeline) -> Outcome | None:
-    """Judge an end that lies at a kill of its entry or at the end of its grace."""
+    """Judge an end that lies after a kill of its entry or at the end of its grace."""
+    if timeline.during(stream.vm, stream.sent_s, stream.ended_s, Befell.KILL):
+        return Outcome.KILLED  # no connection survives it, whenever its caller looked
     if stream.left is not None:
         return None
     from_s = stream.ended_s - ON_ITS_WAY_S
-    if timeline.during(stream.vm, from_s, stream.ended_s, Befell.KILL):
-        return Outcome.KILLED
     stops = timeline.during(stream.vm, from_s, stream.ended_s, Befell.STOP)
     if any(stream.ended_s - stop.from_s > LAST_OF_GRACE * STOP_GRACE_S for stop in stops):
         return Outcome.STOPPED
@@ -81,8 +81,8 @@
 
 
 def _stalled(stream: Stream, runs: Sequence[EngineRun], timeline: Timeline) -> bool:
-    """Tell whether an engine wrote on while the entry, which was not held, passed nothing on."""
-    if timeline.during(stream.vm, stream.last_s, stream.ended_s, Befell.HOLD):
+    """Tell whether an engine wrote on while the entry, which could run, passed nothing on."""
+    if timeline.during(stream.vm, stream.last_s, stream.ended_s, Befell.HOLD, Befell.STARVED):
         return False
     return any(
         run.first - 1 + run.written > stream.events and run.wrote_s < stream.ended_s - ON_ITS_WAY_S
--- a/tests/at_size/launching.py
+++ b/tests/at_size/launching.py
@@ -52,6 +52,16 @@
         if self._pid is not None and self._pid.done() and self.running:
             os.kill(self._pid.result(), number)
 
+    def waited_s(self) -> float:
+        """Give the time for which it was ready to run and got no processor, since its start."""
+        if self._pid is None or not self._pid.done():
+            return 0.0
+        try:
+            figures = Path(f"/proc/{self._pid.result()}/schedstat").read_text()
+        except OSError:
+            return 0.0
+        return int(figures.split()[1]) / 1e9
+
     async def end(self, number: signal.Signals = signal.SIGKILL) -> bool:
         """End the process, whose start is waited for."""
         if self._pid is not None:
--- a/tests/at_size/report.py
+++ b/tests/at_size/report.py
@@ -42,6 +42,7 @@
         "second_engines": sum(len(world.runs.get(stream.request, ())) > 1 for stream in streams),
         "loop_holds": sum(HELD_UP in line for found in lines.values() for line in found),
         "holds_planted": world.timeline.count(Befell.HOLD),
+        "times_starved": world.timeline.count(Befell.STARVED),
         "first_event_p50_ms": percentile(first_ms, 50),
         "first_event_p99_ms": percentile(first_ms, 99),
         "past_grace": world.past_grace,
--- a/tests/at_size/run.py
+++ b/tests/at_size/run.py
@@ -9,7 +9,7 @@
 from typing import Any, NamedTuple
 
 from tests.at_size.callers import Callers
-from tests.at_size.disturbances import Lag, block_logs, busy_processes, hold_entries
+from tests.at_size.disturbances import Lag, block_logs, busy_processes, hold_entries, watch_starving
 from tests.at_size.operating import SizedOperator
 from tests.at_size.report import figures
 from tests.at_size.world import Size, SizedWorld
@@ -79,6 +79,7 @@
 ) -> None:
     beside: list[Coroutine[Any, Any, None]] = [
         lag.watch(),
+        watch_starving(world),
         operator.keep_changing(),
         operator.keep_naming(),
     ]
--- a/tests/at_size/test_judge.py
+++ b/tests/at_size/test_judge.py
@@ -135,14 +135,22 @@
         stream = a_stream(events=2, after_s=3.0, deadline_s=3.0)
         assert judged(stream, a_run(written=2, broken_s=3.0)) is Outcome.CALLER_DEADLINE
 
+    @pytest.mark.parametrize("killed_s", [-1.0, 1.3])
+    def test_has_no_reason_in_a_kill_before_or_after_it(self, killed_s):
+        timeline = befell(Befell.KILL, killed_s, killed_s + 0.3)
+        run = a_run(written=2, broken_s=1.3)
+        stream = a_stream(events=2, after_s=1.25)
+        assert judged(stream, run, timeline=timeline) is Outcome.CUT
+
     def test_may_end_with_the_grace_of_a_stop(self):
         timeline = befell(Befell.STOP, -6.0, 2.0)
         run = a_run(written=2, broken_s=1.3)
         stream = a_stream(events=2, after_s=1.25)
         assert judged(stream, run, timeline=timeline) is Outcome.STOPPED
 
-    def test_may_end_with_a_kill_of_its_entry(self):
-        timeline = befell(Befell.KILL, 1.2, 1.5)
+    @pytest.mark.parametrize("killed_s", [0.6, 1.2])
+    def test_may_end_with_a_kill_of_its_entry(self, killed_s):
+        timeline = befell(Befell.KILL, killed_s, killed_s + 0.3)
         run = a_run(written=2, broken_s=1.3)
         stream = a_stream(events=2, after_s=1.25)
         assert judged(stream, run, timeline=timeline) is Outcome.KILLED
@@ -161,11 +169,17 @@
         stream = a_stream(events=2, after_s=3.6, left=Left.GAP)
         assert judged(stream, a_run(written=4, whole=True)) is Outcome.STALLED
 
-    def test_waited_for_an_entry_that_was_held(self):
+    @pytest.mark.parametrize("kind", [Befell.HOLD, Befell.STARVED])
+    def test_waited_for_an_entry_that_could_not_run(self, kind):
         stream = a_stream(events=2, after_s=3.6, left=Left.GAP)
-        timeline = befell(Befell.HOLD, 0.5, 3.5)
+        timeline = befell(kind, 0.5, 3.5)
         assert judged(stream, a_run(written=4), timeline=timeline) is Outcome.CALLER_LEFT
 
+    def test_waited_for_an_entry_whose_log_was_not_read(self):
+        stream = a_stream(events=2, after_s=3.6, left=Left.GAP)
+        timeline = befell(Befell.LOG_BLOCKED, 0.5, 3.5)
+        assert judged(stream, a_run(written=4), timeline=timeline) is Outcome.STALLED
+
 
 class TestRequestThatWasNotTaken:
     def test_is_no_fault(self):
--- a/tests/at_size/timeline.py
+++ b/tests/at_size/timeline.py
@@ -14,6 +14,7 @@
     KILL = "kill"
     STOP = "stop"
     LOG_BLOCKED = "log blocked"
+    STARVED = "starved"  # ready to run, and no processor for it
 
 
 class Span:
