Let a last attempt go to older weights rather than beyond the cut that lost it

A last attempt went to engines with the newest weights only, since others may change theirs and break it off, and during a change these can all lie beyond the cut. That holds now only where one of them does not share what ended the first attempt; and an engine lets requests end before it changes.

The new case of tests/decide/test_engine_queue.py failed before.

--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -255,7 +255,10 @@
         if not wish.last_attempt:
             return found
         newest = self._versions.newest(wish.model)
-        return [one for one in found if one.version >= newest] or found
+        newer = [one for one in found if one.version >= newest]
+        if all(self._shares_fault(one, wish.lost_domains) for one in newer):
+            return found
+        return newer
 
     def _reckon(
         self, found: _Usable, wish: EngineWish, model: EngineModel, now_s: float
--- a/tests/decide/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -184,6 +184,17 @@
 
         in_loop(work)
 
+    # Guards against: the last attempt goes beyond a cut, to engines with newer weights.
+    def test_an_engine_of_such_a_domain_goes_last_with_newer_weights_too(self):
+        async def work() -> None:
+            group = Group(Weights(newest=2, oldest=1))
+            group.engine("far", domain="c", version=2, active=0, queued=0)
+            near = group.engine("near", version=1, active=0, queued=0)
+            wish = a_wish(standing=Standing.RESUMED, lost_domains={"b"}, last_attempt=True)
+            assert (await placed(group, wish)).server is near
+
+        in_loop(work)
+
     def test_an_engine_of_such_a_domain_goes_before_none(self):
         async def work() -> None:
             group = Group()
