Name the time of the last sign of a server apart from the clock of what is heard

heard_s meant loop time at a call and the clock of the loop elsewhere; at a call it is last_heard_at_s now, and the lateness that tells a hold has a name of its own.

--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -30,7 +30,7 @@
         Times that it was sent, refused ones included.
     engine
         Backend server that was asked last; empty before.
-    heard_s
+    last_heard_at_s
         Loop time at which it was asked, or was last heard from.
     """
 
@@ -42,8 +42,8 @@
         "facts",
         "fingerprint",
         "head",
-        "heard_s",
         "held_before_s",
+        "last_heard_at_s",
         "organisation",
         "received_s",
         "reply",
@@ -82,7 +82,7 @@
         self.attempts = 0
         self.sends = 0
         self.engine = ""
-        self.heard_s = received_s
+        self.last_heard_at_s = received_s
         self.held_before_s = hearing.clock().held_s()
 
     @property
@@ -110,11 +110,11 @@
     def note_asked(self, instance: str) -> None:
         """Note that a backend server is sent the request now."""
         self.engine = instance
-        self.heard_s = clocks.steady_s()
+        self.last_heard_at_s = clocks.steady_s()
 
     def silent_s(self) -> float:
         """Give the time since the backend server was asked or last heard from."""
-        return clocks.steady_s() - self.heard_s
+        return clocks.steady_s() - self.last_heard_at_s
 
     def held_s(self) -> float:
         """Give the time for which this process was held up since the request came."""
--- a/src/leadhollow/forward/passing.py
+++ b/src/leadhollow/forward/passing.py
@@ -46,7 +46,7 @@
         if read.is_err():
             exchange.abort()
             return Err(read.unwrap_err())
-        call.heard_s = clocks.steady_s()
+        call.last_heard_at_s = clocks.steady_s()
         data = read.unwrap()
         if not data:
             break
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -118,7 +118,7 @@
 
     def _note_pause(self) -> None:
         now_s = asyncio.get_running_loop().time()
-        self._call.heard_s = now_s
+        self._call.last_heard_at_s = now_s
         if self.last_event_s is not None:
             self._longest_pause_s = max(self._longest_pause_s, now_s - self.last_event_s)
         self.last_event_s = now_s
--- a/src/leadhollow/kernel/hearing.py
+++ b/src/leadhollow/kernel/hearing.py
@@ -27,6 +27,7 @@
 within it everything that arrived is read in time anyway."""
 
 LATE_S = 0.02  # by which a timer comes later where something may have arrived that is not read yet
+HELD_UP_S = LONGEST_STEP_S - TICK_S  # by which a deadline comes later where the loop was held up
 INPUT_S = 0.05  # until what arrived while the loop was held up has been read and passed on
 SHOWN_HOLD_S = 0.5  # shorter holds are counted without a line of their own
 HOLDS_KEPT = 256  # a process that is held up all the time remembers a minute of it
@@ -156,7 +157,7 @@
             self._handle.cancel()
 
     def _come(self) -> None:
-        if self._loop.time() - self._when_s > LONGEST_STEP_S - TICK_S:
+        if self._loop.time() - self._when_s > HELD_UP_S:
             self._handle = self._loop.call_later(INPUT_S, self._callback)
         else:
             self._callback()
