Say that a request was taken back for its weights where that ended it

A request that had not begun when its engine's weights became too old was said to have been ended by its engine. It has a number (521) and a reason of its own now.

--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -121,6 +121,7 @@
     SERVER_LIMITED = (518, 503, "The backend server's request limit left no room; nothing was run.")
     REST_MALFORMED = (519, 502, "The backend server asked for a rest that is no number of seconds.")
     SERVER_RESTS = (520, 503, "The backend server had asked for rest; nothing was run.")
+    WEIGHTS_TOO_OLD = (521, 502, "The backend server's weights became too old before it began.")
 
     MANIFEST_INVALID = (601, 400, "A manifest is malformed, or its chunks do not cover the file.")
     CHUNK_MISMATCH = (602, 502, "A chunk does not match its hash.")
--- a/src/leadhollow/forward/end_reason.py
+++ b/src/leadhollow/forward/end_reason.py
@@ -10,6 +10,7 @@
 
     NOT_TAKEN = "no backend server took it"
     ENGINE_ENDED = "its backend server ended it"
+    WEIGHTS_TOO_OLD = "its backend server's weights became too old before it began"
     ROUTE_TIMEOUT = "the route's timeout came"
     CALLER_DEADLINE = "its caller's deadline came"
     CALLER_LEFT = "its caller left"
--- a/src/leadhollow/forward/ending.py
+++ b/src/leadhollow/forward/ending.py
@@ -129,6 +129,8 @@
 def _reason(call: ForwardedCall, failure: Failure) -> EndReason:
     if failure.code is Code.REQUEST_QUARANTINED:
         return EndReason.QUARANTINED
+    if failure.code is Code.WEIGHTS_TOO_OLD:
+        return EndReason.WEIGHTS_TOO_OLD
     if failure.code is Code.DEADLINE_PASSED:
         by_route = call.deadline_s >= call.timeout_s
         return EndReason.ROUTE_TIMEOUT if by_route else EndReason.CALLER_DEADLINE
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -127,8 +127,7 @@
             if not scope.expired():
                 raise
             if self._relay.owner is None:
-                detail = "no event before its weights became too old"
-                self._lost(attempt, Failure(code=Code.BACKEND_LOST, detail=detail))
+                self._lost(attempt, Failure(code=Code.WEIGHTS_TOO_OLD))
             return False
         finally:
             attempt.close()
