--- a/tests/soak/stream_judge.py
+++ b/tests/soak/stream_judge.py
@@ -12,7 +12,7 @@
 from tests.soak.program_record import ProgramRecord
 from tests.soak.proxy import Proxy
 from tests.soak.spans import Spans
-from tests.soak.stream_records import EndLine, RunEnd, StreamRun, StreamTold
+from tests.soak.stream_records import EndLine, RunEnd, SilentLine, StreamRun, StreamTold
 
 TIMEOUT_S = 7.0  # of the routes
 ATTEMPTS = 3
@@ -36,13 +36,24 @@
         Times that engines took the request; it may have had to wait there, and not have run.
     lines
         Of the entry, about the end of this request.
+    silent
+        Lines of its entry about engines that it took for silent.
     paths
         To all engines.
     own_holds
         When the soak itself did not run, and saw nothing.
     """
 
-    __slots__ = ("_accepted", "_entry", "_lines", "_own_holds", "_paths", "_runs", "_told")
+    __slots__ = (
+        "_accepted",
+        "_entry",
+        "_lines",
+        "_own_holds",
+        "_paths",
+        "_runs",
+        "_silent",
+        "_told",
+    )
 
     def __init__(
         self,
@@ -52,6 +63,7 @@
         accepted: int,
         lines: Sequence[EndLine],
         entry: ProgramRecord,
+        silent: Sequence[SilentLine],
         paths: Sequence[Proxy],
         own_holds: Spans,
     ) -> None:
@@ -60,12 +72,14 @@
         self._accepted = accepted
         self._lines = lines
         self._entry = entry
+        self._silent = silent
         self._paths = paths
         self._own_holds = own_holds
 
     def judge(self) -> list[str]:
         """Give every broken promise."""
-        found = [*self._events(), *self._attempts(), *self._hasty(), *self._runs_let_go()]
+        found = [*self._events(), *self._attempts(), *self._hasty(), *self._not_silent()]
+        found += self._runs_let_go()
         if self._told.whole and self._told.status == HTTPStatus.OK:
             found += self._completeness()
         else:
@@ -126,15 +140,29 @@
             if not wrote_s or (earlier.over_s or math.inf) < later.asked_s or earlier.path_broken:
                 continue
             silent_s = later.asked_s - wrote_s[-1]
-            seen_s = silent_s + TIME_SLACK_S
-            disturbed = any(
-                spans.touch(wrote_s[-1] - TIME_SLACK_S, later.asked_s)
-                for spans in (earlier.path, later.path, self._own_holds)
-            )
-            if seen_s < SHORTEST_SILENCE_S and not disturbed:
+            if self._wrote(earlier, later.asked_s) and not later.path.touch(
+                wrote_s[-1] - TIME_SLACK_S, later.asked_s
+            ):
                 found.append(f"HASTY run {later.number} beside {earlier.number}, {silent_s:.2f} s")
         return found
 
+    def _not_silent(self) -> list[str]:
+        """Find engines that a line calls silent though they had just written an event."""
+        return [
+            f"NOT-SILENT run {run.number}, by a line at {line.at_s - self._told.sent_s:.2f}"
+            for line in self._silent
+            for run in self._runs
+            if run.instance == line.instance and self._wrote(run, line.at_s)
+        ]
+
+    def _wrote(self, run: StreamRun, moment_s: float) -> bool:
+        """Tell whether events were written before a moment that must have been heard by then."""
+        wrote_s = [at_s for at_s in run.wrote_s if at_s < moment_s - CROSSING_S]
+        if not wrote_s or moment_s - wrote_s[-1] + TIME_SLACK_S >= SHORTEST_SILENCE_S:
+            return False
+        from_s = wrote_s[-1] - TIME_SLACK_S
+        return not any(spans.touch(from_s, moment_s) for spans in (run.path, self._own_holds))
+
     def _runs_let_go(self) -> list[str]:
         """Find engines that went on though nobody needed them any more."""
         found = []
--- a/tests/soak/stream_play.py
+++ b/tests/soak/stream_play.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from collections import Counter
 from http import HTTPStatus
 from pathlib import Path
@@ -15,7 +16,7 @@
 from tests.soak.stream_faults import ALWAYS, BY_CHANCE, Series
 from tests.soak.stream_judge import StreamJudge
 from tests.soak.stream_plan import Planner
-from tests.soak.stream_records import StreamRun, StreamTold, end_lines
+from tests.soak.stream_records import StreamRun, StreamTold, end_lines, silent_lines
 from tests.soak.traffic import Callers, Operator
 from tests.soak.world import World
 from tests.support import eventually
@@ -145,7 +146,9 @@
 
 def _judge(world: World, streams: list[StreamTold]) -> list[str]:
     entries = {str(entry.settings["callers"]): entry for entry in world.entries}
-    lines = end_lines([entry.log for entry in world.entries])
+    logs = [entry.log for entry in world.entries]
+    lines, ahead_s = end_lines(logs), time.time() - world.ledger.now_s()
+    silent = silent_lines(logs, wall_ahead_s=ahead_s)
     found = []
     for told in streams:
         runs = [run for run in world.ledger.runs[told.request] if isinstance(run, StreamRun)]
@@ -155,6 +158,7 @@
             runs=runs,
             accepted=world.ledger.accepted[told.request],
             lines=lines[told.request],
+            silent=silent[told.request],
             entry=record,
             paths=[engine.proxy for engine in world.engines],
             own_holds=world.own_holds,
--- a/tests/soak/stream_records.py
+++ b/tests/soak/stream_records.py
@@ -5,9 +5,10 @@
 import json
 import math
 from collections import defaultdict
+from collections.abc import Iterator
 from enum import Enum
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from leadhollow.forward.end_reason import EndReason
 from tests.soak.ledger import Run
@@ -15,6 +16,7 @@
 from tests.soak.spans import Spans
 
 ENDED_LINE = "request ended without an answer"
+SILENT_LINE = "engine is silent"
 RUN_MARK = "/run-"
 ON_ITS_WAY_S = 0.3  # what is written may still be lost where connections are reset
 
@@ -185,16 +187,42 @@
     return f"id: {number}\ndata: {run.request}{RUN_MARK}{run.number}\n\n".encode()
 
 
+class SilentLine(NamedTuple):
+    """An entry's line of an engine that it takes for silent."""
+
+    instance: str
+    at_s: float
+
+
+def silent_lines(logs: list[Path], *, wall_ahead_s: float) -> dict[str, list[SilentLine]]:
+    """Read the lines of engines that were taken for silent, by request.
+
+    Parameters
+    ----------
+    wall_ahead_s
+        What the lines' clock is ahead of that of the records.
+    """
+    found: dict[str, list[SilentLine]] = defaultdict(list)
+    for line in _lines(logs, SILENT_LINE):
+        silent = SilentLine(line["instance"], line["time_s"] - wall_ahead_s)
+        found[line["request"]].append(silent)
+    return found
+
+
+def _lines(logs: list[Path], message: str) -> Iterator[dict[str, Any]]:
+    for log in logs:
+        for text in log.read_text(errors="replace").splitlines():
+            if message in text and text.startswith("{") and text.endswith("}"):
+                yield json.loads(text)
+
+
 def end_lines(logs: list[Path]) -> dict[str, list[EndLine]]:
     """Read the lines of requests that entries ended, by request."""
     found: dict[str, list[EndLine]] = defaultdict(list)
-    for log in logs:
-        for text in log.read_text(errors="replace").splitlines():
-            if ENDED_LINE in text and text.startswith("{") and text.endswith("}"):
-                line = json.loads(text)
-                reason = EndReason(line["reason"])
-                end = EndLine(reason, line["begun"], line["instance"], line["attempts"])
-                found[str(line["request"])].append(end)
+    for line in _lines(logs, ENDED_LINE):
+        reason = EndReason(line["reason"])
+        end = EndLine(reason, line["begun"], line["instance"], line["attempts"])
+        found[line["request"]].append(end)
     return found
 
 
@@ -202,8 +230,10 @@
     "EndLine",
     "Heard",
     "RunEnd",
+    "SilentLine",
     "StreamRun",
     "StreamTold",
     "end_lines",
     "event_of",
+    "silent_lines",
 ]
--- a/tests/soak/test_stream_judge.py
+++ b/tests/soak/test_stream_judge.py
@@ -19,10 +19,12 @@
     EndLine,
     Heard,
     RunEnd,
+    SilentLine,
     StreamRun,
     StreamTold,
     end_lines,
     event_of,
+    silent_lines,
 )
 
 SENT_S = 100.0
@@ -38,6 +40,7 @@
         self.own_holds = Spans()
         self.paths: list[Proxy] = []
         self.waited = 0
+        self.silent: list[SilentLine] = []
         self.runs: list[StreamRun] = []
         self.lines: list[EndLine] = []
         self.told = StreamTold(
@@ -85,6 +88,7 @@
             runs=self.runs,
             accepted=len(self.runs) + self.waited,
             lines=self.lines,
+            silent=self.silent,
             entry=self.entry,
             paths=self.paths,
             own_holds=self.own_holds,
@@ -407,6 +411,25 @@
         assert case.rules() == []
 
 
+class TestEnginesThatAreCalledSilent:
+    @pytest.mark.parametrize(("silent_s", "broken"), [(0.9, []), (0.2, ["NOT-SILENT"]), (0.05, [])])
+    def test_have_written_nothing_lately(self, silent_s, broken):
+        case = Case()
+        run = case.ran(over_s=SENT_S + 2.0)
+        case.heard(1, 2, 3, 4)
+        run.wrote_s = [SENT_S + 0.2, SENT_S + 1.2]
+        case.silent.append(SilentLine("i-0", SENT_S + 1.2 + silent_s))
+        case.told.told_s = SENT_S + 2.0
+        assert case.rules() == broken
+
+    def test_are_read_from_logs(self, tmp_path):
+        log = tmp_path / "log"
+        log.write_text(
+            '{"time_s":7.5,"message":"engine is silent","request":"r","instance":"i-0"}\n'
+        )
+        assert silent_lines([log], wall_ahead_s=5.0) == {"r": [SilentLine("i-0", 2.5)]}
+
+
 class TestAttempts:
     def test_are_one_where_a_stream_may_not_be_resumed(self):
         case = Case()
