Ask a second engine after what came in a hold, on a connection of its own

A place that was found over a hold waits for one pass of input; a request that is sent again opens a connection.

--- a/src/leadhollow/forward/second_engine.py
+++ b/src/leadhollow/forward/second_engine.py
@@ -9,7 +9,8 @@
 from leadhollow.forward.silence import SilenceWatch
 from leadhollow.forward.stream_attempt import StreamAttempt
 from leadhollow.forward.stream_relay import StreamRelay
-from leadhollow.kernel.hearing import deadline_at
+from leadhollow.kernel import hearing
+from leadhollow.kernel.hearing import INPUT_S, deadline_at
 from leadhollow.observe.logs import get_logger
 
 log = get_logger("stream")
@@ -91,9 +92,16 @@
 
     async def _run(self, request: str) -> StreamAttempt | None:
         passed = self._relay.passed
-        while (attempt := await self._place()) is not None:
+        clock = hearing.clock()
+        while True:
+            held_before_s = clock.held_s()
+            attempt = await self._place()
+            if attempt is None:
+                return None
             chosen = False
             try:
+                if clock.held_s() > held_before_s:
+                    await asyncio.sleep(INPUT_S)  # the first one may have gone on meanwhile
                 found = await self._first_events(attempt)
                 if self._relay.passed != passed:
                     return None  # the first one went on
@@ -106,7 +114,6 @@
             finally:
                 if not chosen:
                     attempt.close()
-        return None
 
     async def _first_events(self, attempt: StreamAttempt) -> bool:
         """Wait for the next events of another engine; True where they have come, or its end."""
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -150,7 +150,7 @@
                 body=call.body,
                 attempt_id=call.request_id,
                 dispatch=dispatch,
-                fresh=not call.route.repeatable or near_bound,
+                fresh=not call.route.repeatable or near_bound or call.sends > 1,
                 connect_timeout_s=QUICK_CONNECT_S if near_bound else CONNECT_TIMEOUT_S,
             )
         except asyncio.CancelledError:
--- a/src/leadhollow/kernel/hearing.py
+++ b/src/leadhollow/kernel/hearing.py
@@ -293,6 +293,7 @@
 )
 
 __all__ = [
+    "INPUT_S",
     "DeadlineTimer",
     "HeardTimer",
     "HearingClock",
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -282,7 +282,7 @@
             await self._watch.tell()
 
     async def _let_finish(self) -> EngineReport | None:
-        """Let requests in progress end; the order breaks off what still runs after all that time."""
+        """Let requests in progress end; the order breaks off what still runs after that time."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + FINISH_S
         while loop.time() < until_s:
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import contextmanager
 from types import SimpleNamespace
 from typing import Any
@@ -140,6 +140,8 @@
         self.begin_by_s: dict[str, float] = {}
         self.failing: set[str] = set()
         self.failed_status: dict[str, int] = {}
+        self.fresh: dict[str, bool] = {}
+        self.on_placed: Callable[[str], None] = lambda _: None
         self.reply = FakeReply()
         self._asked: set[str] = set()
         self.call = self._make_call(attempts, repeatable, deadline_s)
@@ -186,6 +188,7 @@
         placement = None
         if name is not None:
             self._asked.add(name)
+            self.on_placed(name)
             loop = asyncio.get_running_loop()
             self.servers[name].health.note_start(loop.time())
             placement = Placement(
@@ -210,8 +213,11 @@
 
     # engines
 
-    async def _begin(self, *, server: FakeServer, running: OwnCall, dispatch: Any, **_: Any) -> Any:
+    async def _begin(
+        self, *, server: FakeServer, running: OwnCall, dispatch: Any, fresh: bool, **_: Any
+    ) -> Any:
         name = server.instance.instance
+        self.fresh[name] = fresh
         await asyncio.sleep(self.connect_s.get(name, 0.0))
         running.sent = True
         self.sent.append(name)
--- a/tests/forward/test_stream_run.py
+++ b/tests/forward/test_stream_run.py
@@ -129,6 +129,35 @@
 
         play(work)
 
+    # Guards against: one is asked after a hold, though the first one had gone on in it.
+    def test_is_not_sent_anything_where_the_first_one_wrote_in_a_hold(self, play):
+        async def work() -> None:
+            world = StreamWorld()
+
+            def hold_up(name: str) -> None:
+                if name == "B":
+                    time.sleep(1.0)
+                    world.answers["A"].write(event(1))
+
+            world.on_placed = hold_up
+            await begun(world)
+            await eventually(lambda: world.reply.data == event(0) + event(1), "the next event")
+            await asyncio.sleep(0.1)
+            assert world.sent == ["A"]
+            world.task.cancel()
+
+        play(work)
+
+    # Guards against: a repeat is lost on a connection that was reset with the first one's.
+    def test_is_sent_the_request_on_a_connection_of_its_own(self, play):
+        async def work() -> None:
+            world = StreamWorld()
+            await asked_beside(world)
+            assert world.fresh == {"A": False, "B": True}
+            world.task.cancel()
+
+        play(work)
+
     # Guards against: an engine's own failure is lost, where the one asked beside it fails too.
     def test_that_fails_leaves_the_first_one_s_answer(self, play):
         async def work() -> None:
