Pass an engine's own failure on whole, also past the bound of its weights

An engine's failure that is passed on counted as an answer that has not begun, so the bound of the engine's weights cut it. Found by reading the stream's path once more; the new case failed before on asyncio and uvloop.

--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -124,6 +124,11 @@
         """Incarnation of the engine."""
         return self.placement.server.instance.instance
 
+    @property
+    def reading(self) -> bool:
+        """Whether nothing of an answer has come yet."""
+        return self.placement.call.reading and self.failed_answer is None
+
     async def open(self, *, last_event_id: int | None) -> Result[EventSource, Failure]:
         """Send the request and wait for an answer that is a stream.
 
--- a/src/leadhollow/forward/stream_call.py
+++ b/src/leadhollow/forward/stream_call.py
@@ -168,7 +168,7 @@
                 scope.reschedule(loop.time())
 
         def too_old() -> None:
-            if attempt.placement.call.reading and self._relay.owner is attempt:
+            if attempt.reading and self._relay.owner is attempt:
                 self._relay.owner = None  # what it brings from now on is not passed on
                 end()
 
--- a/tests/forward/test_stream_run.py
+++ b/tests/forward/test_stream_run.py
@@ -194,6 +194,23 @@
 
         play(work)
 
+    # Guards against: an engine's own failure is cut while it is passed on.
+    def test_let_an_engine_s_own_failure_come_whole(self, play):
+        async def work() -> None:
+            world = StreamWorld(attempts=1)
+            world.failed_status["A"] = 500
+            world.begin_by_s["A"] = asyncio.get_running_loop().time() + 0.2
+            world.start()
+            await eventually(lambda: "A" in world.answers, "an answer")
+            world.answers["A"].write(b"why")
+            await asyncio.sleep(0.4)
+            world.answers["A"].write(b"")
+            await world.task
+            assert world.reply.data == b"why"
+            assert world.reply.finished
+
+        play(work)
+
     # Guards against: the second engine is forgotten with its place where it wins at that moment.
     def test_let_the_one_that_was_asked_beside_go_on(self, play):
         async def work() -> None:
