--- a/tests/control/test_learners.py
+++ b/tests/control/test_learners.py
@@ -46,10 +46,9 @@
             await registry.stop()
         await self.stop_all()
 
-    def others(self) -> list[str]:
+    async def others(self) -> list[str]:
         """Give the voters that do not lead."""
-        leader = self.leader()
-        assert leader is not None
+        leader = await eventually(self.leader, "a leader with a lease")
         return [host for host in self.seeds if host != leader.host]
 
 
@@ -64,7 +63,7 @@
 class TestLearner:
     # Guards against: entries that follow a replica without a vote send to a server that has left.
     async def test_hears_what_is_told_at_a_voter_that_does_not_lead(self, group):
-        where = group.others()[0]
+        where = (await group.others())[0]
         heard = an_instance(heard_s=asyncio.get_running_loop().time())
         group.registries[where].announce(heard)
         for host in LEARNERS:
@@ -82,7 +81,7 @@
         await eventually(lambda: table.get(heard.instance), "the server")
 
     async def test_that_is_gone_is_told_nothing_any_more(self, group):
-        voter = group.nodes[group.others()[0]]
+        voter = group.nodes[(await group.others())[0]]
         address = group.nodes[LEARNERS[0]].settings.wire_address
         await eventually(lambda: address in voter.service.addresses(), "its address")
         await group.registries[LEARNERS[0]].stop()
