Log when staged weights are verified and what becomes of a load order

Cause: the log of a stager did not show when the stage was verified, for which life of the engine, when pieces of another version were written, and when the engine accepted an order that it had not acknowledged. Change: lines 'staged pieces verified', 'stage rewritten for a version', 'load order not accepted so far' and 'engine accepted a load order'; 'load order' and 'engine answers' name the start of the engine. No logic changes.

--- a/src/leadhollow/staging/engine_monitor.py
+++ b/src/leadhollow/staging/engine_monitor.py
@@ -100,14 +100,21 @@
                 log.warning("engine does not answer", failure=str(result.unwrap_err()))
             self.report = None
         else:
-            if self.report is None:
-                served = [version.key() for version in result.unwrap().served]
-                log.info("engine answers", served=served)
+            self._log_changes(result.unwrap())
             self.report = result.unwrap()
         for listener in self._listeners:
             listener()
         return self.report
 
+    def _log_changes(self, report: EngineReport) -> None:
+        """Log a new life of the engine, and each load order that it has accepted."""
+        before = self.report
+        if before is None:
+            served = [version.key() for version in report.served]
+            log.info("engine answers", served=served, born_ms=report.born_ms)
+        elif before.sequence != report.sequence:
+            log.info("engine accepted a load order", sequence=report.sequence)
+
     def _check_life(self) -> None:
         """Clear the back-off after a restart: the engine asked for it in its previous life."""
         known = self._feed.table.at_address(self._address)
--- a/src/leadhollow/staging/engine_stage.py
+++ b/src/leadhollow/staging/engine_stage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 from leadhollow.staging.engine_client import LocalEngine
 from leadhollow.staging.pieces import StagedVersion
@@ -58,6 +59,7 @@
         bool
             Whether all pieces were undamaged.
         """
+        began_s = clocks.elapsed_s()
         all_good = True
         for index in range(staged.held.count):
             piece = staged.piece(index)
@@ -69,10 +71,19 @@
             written = await self._engine.stage_piece(staged.model, index, piece)
             if written.is_err():
                 return False
+        if all_good:
+            log.info(
+                "staged pieces verified",
+                model=staged.model,
+                number=staged.number,
+                pieces=staged.held.count,
+                ms=round((clocks.elapsed_s() - began_s) * 1000),
+            )
         return all_good
 
     def _mark_staged(self, staged: StagedVersion, index: int) -> None:
         if self._staged_version is not staged:
+            log.info("stage rewritten for a version", model=staged.model, number=staged.number)
             self._staged_version = staged
             self._staged_indexes = set()
         self._staged_indexes.add(index)
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -312,6 +312,7 @@
             model=staged.model,
             version=staged.number,
             sequence=report.sequence,
+            born_ms=report.born_ms,
             active=report.active,
             queued=report.queued,
         )
@@ -338,7 +339,13 @@
                 )
                 return
             if not report.busy and report.sequence == sequence:
-                return  # the engine did not accept the order
+                log.info(
+                    "load order not accepted so far",
+                    number=staged.number,
+                    after_ms=round((loop.time() - began_s) * 1000),
+                    born_ms=report.born_ms,
+                )
+                return
             if not report.busy:
                 log.warning("load ended without the version", number=staged.number)
                 return
