--- a/tests/config_path/virtual_loop.py
+++ b/tests/config_path/virtual_loop.py
@@ -37,6 +37,10 @@
     def time(self) -> float:
         return self._idle.now_s
 
+    def advance(self, span_s: float) -> None:
+        """Let time pass without a turn of the loop, as where the process stands still."""
+        self._idle.now_s += span_s
+
     def run_in_executor(self, executor, func: Callable[..., Any], *args: Any):  # type: ignore[override]
         """Do a thread's work here, a little later."""
         done = self.create_future()
--- /dev/null
+++ b/tests/staging/test_stage_verification.py
@@ -0,0 +1,48 @@
+"""Tests that a stage is verified shortly before the engine loads it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.staging.engine_model import InstallerSite, play, stand_still
+
+
+class TestStageVerification:
+    # Guards against: a piece that turns bad while requests finish is loaded.
+    def test_is_repeated_after_a_long_drain(self):
+        async def work() -> None:
+            site = InstallerSite(serving=1)
+            site.name(2)
+            now_s = asyncio.get_running_loop().time()
+            site.engine.busy_with_requests_until_s = now_s + 60.0
+            # Verified by 0.6 s, before the switch is announced.
+            site.engine.at(now_s + 0.65, lambda: site.engine.damage(5))
+            await site.run(8.0)
+            assert site.engine.loads
+            assert site.wrong_loads == []
+            assert site.serving == [2]
+
+        play(work)
+
+    # Guards against: a piece that turns bad while the process stands still is loaded.
+    def test_is_repeated_after_the_process_stood_still(self):
+        async def work() -> None:
+            site = InstallerSite()
+            site.name(2)
+            reads = 0
+
+            def before_call(name: str) -> None:
+                nonlocal reads
+                reads += name == "read"
+                if name == "read" and reads == 8:
+                    now_s = asyncio.get_running_loop().time()
+                    site.engine.at(now_s + 0.1, lambda: site.engine.damage(2))
+                    stand_still(4.0)
+
+            site.engine.before_call = before_call
+            await site.run(8.0)
+            assert site.engine.loads
+            assert site.wrong_loads == []
+            assert site.serving == [2]
+
+        play(work)
