Keep the stage as it is until the outcome of a load order is known

Callers saw: tokens of version 7 made with weights that were partly of another version. Cause: an order without an answer for 1 s was taken for refused as soon as one report showed an unchanged sequence. The installer then staged pieces of the next version, and the engine accepted the order seconds later; its expected sequence still fitted. The test failed before: three pieces of version 4 in a load of version 2. Change: LoadOrders repeats the order for the same version, with the same expected sequence, until the engine answers or its sequence moves; until then nothing else is staged and no request is sent to the engine. An answer of 500, 502 or 504 tells nothing about an order. Why it works: the engine compares the sequence before anything else (trial on a scratch copy: an old sequence is answered 409 even for the version that is held), so at most one of the orders is accepted, and each finds the same pieces.

--- a/src/leadhollow/staging/engine_client.py
+++ b/src/leadhollow/staging/engine_client.py
@@ -15,6 +15,7 @@
 STAGE_TIMEOUT_S = 2.0
 ORDER_TIMEOUT_S = 1.0
 ACCEPTED_STATUSES = (200, 202)
+FAILED_STATUSES = (500, 502, 504)  # do not tell whether the engine acted on the request
 
 log = get_logger("engine")
 
@@ -57,7 +58,17 @@
         return self._dialect.parse_staged_list(result.unwrap().body)
 
     async def order_load(self, order: LoadOrder) -> Result[None, Failure]:
-        """Order the engine to load; it may have accepted an order that it did not acknowledge."""
+        """Order the engine to load.
+
+        Errors
+        ------
+        LOAD_REFUSED
+            The engine refused the order.
+        PEER_ABSENT, SERVER_RESTS
+            The order was not sent.
+
+        After any other failure, the engine may have accepted the order, or accept it later.
+        """
         result = await self._fetch(
             "POST",
             self._dialect.order_target(),
@@ -85,7 +96,10 @@
         response = result.unwrap()
         if response.status not in ACCEPTED_STATUSES:
             detail = f"{method} {target}: status {response.status}: {response.body[:200]!r}"
-            return Err(Failure(code=Code.LOAD_REFUSED, detail=detail))
+            failed = response.status in FAILED_STATUSES
+            return Err(
+                Failure(code=Code.ENGINE_FAILED if failed else Code.LOAD_REFUSED, detail=detail)
+            )
         return Ok(response)
 
 
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -14,12 +14,12 @@
 from leadhollow.kernel.active_time import active_s
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.naming_times import NamingTimes
-from leadhollow.observe.logs import get_logger, log_decision
 from leadhollow.staging.engine_client import LocalEngine
-from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
+from leadhollow.staging.engine_dialect import EngineReport
 from leadhollow.staging.engine_monitor import EngineMonitor
 from leadhollow.staging.engine_stage import EngineStage
 from leadhollow.staging.fetch_manager import FetchManager
+from leadhollow.staging.load_orders import LoadOrders, holds_version
 from leadhollow.staging.piece_fetch import PieceFetch
 from leadhollow.staging.piece_window import PieceWindow
 from leadhollow.staging.pieces import PieceStore, StagedVersion
@@ -34,7 +34,6 @@
 this interval."""
 
 SWITCH_NOTICE_S = 0.15  # entries learn of the switch before the order is sent
-ORDER_RETRY_S = 0.5
 FIRST_START_WAIT_S = 4.0  # an engine needs a second or two to answer after its start
 RESTART_WAIT_S = 0.25  # a running engine answers at once, a starting one has an empty stage
 FORCED_SWITCH_S = 0.6  # so long before the deadline all engines switch, whatever the others do
@@ -42,10 +41,6 @@
 """Longest time that requests in progress get to finish before an engine loads. Aborted requests
 have to continue at another engine, which may switch too, and may have no attempt left."""
 
-LOAD_TIMEOUT_S = 10.0  # requests in progress finish first, then the weights load
-
-log = get_logger("installer")
-
 
 class Installer(TaskService):
     """The only component that sends load orders to the engine.
@@ -82,6 +77,7 @@
         "_models",
         "_monitor",
         "_naming_times",
+        "_orders",
         "_piece_s",
         "_stage",
         "_stage_recovered",
@@ -116,6 +112,7 @@
         self._models = models
         self._fetches = FetchManager(start_fetch=start_fetch)
         self._stage = EngineStage(engine=engine)
+        self._orders = LoadOrders(engine=engine, monitor=monitor)
         self._piece_s = piece_s
         self._window = window
         self._stage_recovered = False
@@ -177,6 +174,12 @@
             self._store.find_or_create(named) for named in known if named.number in plan.fetch
         )
         self._fetches.fetch_only([opened for opened in wanted if opened is not None])
+        if self._orders.unsettled:
+            self._idle = False
+            await self._orders.settle()
+            if not self._orders.unsettled:
+                await self._end_switch()
+            return
         goal = plan.install if plan.install is not None else next(iter(plan.fetch), None)
         staged = next(
             (self._store.find_or_create(named) for named in known if named.number == goal), None
@@ -282,12 +285,16 @@
             if report is None or not self._is_our_turn(staged, deadline_s, report, announced=True):
                 return  # another engine with an earlier place announced its switch at the same time
             report = await self._drain()
-            if report is None or report.busy or _holds(report, staged):
+            if report is None or report.busy or holds_version(report, staged):
                 return
-            await self._order(staged, report)
+            await self._orders.load(staged, report)
         finally:
-            self._monitor.switching = False
-            await self._monitor.publish()
+            await self._end_switch()
+
+    async def _end_switch(self) -> None:
+        """Let requests go to the engine again, unless it may still accept a load order."""
+        self._monitor.switching = self._orders.unsettled
+        await self._monitor.publish()
 
     async def _drain(self) -> EngineReport | None:
         """Wait for requests in progress to finish; the load order aborts those still running."""
@@ -300,56 +307,6 @@
             await asyncio.sleep(STEP_INTERVAL_S)
         return self._monitor.report
 
-    async def _order(self, staged: StagedVersion, report: EngineReport) -> None:
-        order = LoadOrder(
-            model=staged.model,
-            version=staged.number,
-            preempt=True,
-            expected_sequence=report.sequence,
-        )
-        log_decision(
-            "load order",
-            model=staged.model,
-            version=staged.number,
-            sequence=report.sequence,
-            born_ms=report.born_ms,
-            active=report.active,
-            queued=report.queued,
-        )
-        ordered = await self._engine.order_load(order)
-        if ordered.is_err():
-            log.warning("load order not acknowledged", failure=str(ordered.unwrap_err()))
-            await asyncio.sleep(ORDER_RETRY_S)
-        await self._wait_loaded(staged, report.sequence)
-
-    async def _wait_loaded(self, staged: StagedVersion, sequence: int) -> None:
-        loop = asyncio.get_running_loop()
-        began_s, ordered_s = loop.time(), active_s()
-        while active_s() - ordered_s < LOAD_TIMEOUT_S:
-            await asyncio.sleep(STEP_INTERVAL_S)
-            report = await self._monitor.refresh()
-            if report is None:
-                return
-            if _holds(report, staged):
-                log.info(
-                    "version installed",
-                    model=staged.model,
-                    number=staged.number,
-                    seconds=round(loop.time() - began_s, 2),
-                )
-                return
-            if not report.busy and report.sequence == sequence:
-                log.info(
-                    "load order not accepted so far",
-                    number=staged.number,
-                    after_ms=round((loop.time() - began_s) * 1000),
-                    born_ms=report.born_ms,
-                )
-                return
-            if not report.busy:
-                log.warning("load ended without the version", number=staged.number)
-                return
-
     def _staged_progress(self) -> tuple[int, int]:
         """Return the newest complete version and its number of pieces; zeros if there is none."""
         for model in self._models():
@@ -374,15 +331,4 @@
     return max(complete, default=None)
 
 
-def _holds(report: EngineReport, staged: StagedVersion) -> bool:
-    """Return whether the engine holds all layers of a version."""
-    return any(
-        served.model == staged.model
-        and served.version == staged.number
-        and served.first_layer == 0
-        and served.end_layer >= staged.manifest.layers
-        for served in report.served
-    )
-
-
 __all__ = ["Installer"]
