Order a load only with a stage that was verified just before

Cause: nothing bound an order to the check of its stage. Between them lie the notice, the turn and a drain of up to 3 s, any time in which the process stands still, and a restart of the engine; a read-back that skipped absent pieces counted too. Change: EngineStage keeps when its last verification began, of which version and in which life of the engine; a write ends it. An order is withheld unless the verification is at most 2 s old (3 s of tolerance less the order's timeout of 1 s) by a clock that runs while the process stands still. That is tested when the connection is open, immediately before the write; else the stage is verified again, without another drain. EngineMonitor counts lives. Why it works: an order that is answered in time was accepted at most 3 s after the first piece was read.

--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -142,6 +142,7 @@
     PEER_LOST = (705, 503, "The connection to the peer was lost.")
     PEER_TIMEOUT = (706, 504, "The peer did not answer in time.")
     PEER_ABSENT = (707, 503, "Nothing listens at the peer's address.")
+    NOT_SENT = (708, 409, "The request was not sent; its precondition no longer held.")
 
     NAME_TAKEN = (801, 409, "A live backend server already uses this name.")
     ALLOCATOR_ABSENT = (802, 503, "This replica does not hold the domain's lease.")
--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
@@ -61,9 +63,16 @@
         timeout_s: float,
         body: bytes = b"",
         content_type: str = "application/json",
+        may_send: Callable[[], bool] | None = None,
     ) -> Result[HttpResponse, Failure]:
         """Send a request and read the whole response.
 
+        Parameters
+        ----------
+        may_send
+            Called when the connection is open, immediately before the request is written; if it
+            returns False, nothing is sent.
+
         Errors
         ------
         PEER_LOST
@@ -72,6 +81,8 @@
             The response was not complete in time. Only active time counts.
         SERVER_RESTS
             The address asked for a back-off that is not over; nothing was sent.
+        NOT_SENT
+            ``may_send`` returned False.
         """
         remaining_s = self._backoffs.remaining_s(address)
         if remaining_s > 0:
@@ -79,7 +90,9 @@
             return Err(Failure(code=Code.SERVER_RESTS, detail=detail))
         try:
             async with active_timeout(timeout_s):
-                return await self._exchange(method, address, target, body, content_type)
+                return await self._exchange(
+                    method, address, target, body, content_type, may_send=may_send
+                )
         except TimeoutError:
             return Err(Failure(code=Code.PEER_TIMEOUT, detail=f"{address}{target}"))
 
@@ -95,7 +108,14 @@
         self._idle.clear()
 
     async def _exchange(
-        self, method: str, address: Address, target: str, body: bytes, content_type: str
+        self,
+        method: str,
+        address: Address,
+        target: str,
+        body: bytes,
+        content_type: str,
+        *,
+        may_send: Callable[[], bool] | None,
     ) -> Result[HttpResponse, Failure]:
         connected = await self._connection(address)
         if connected.is_err():
@@ -106,6 +126,9 @@
             headers.add(b"Content-Type", content_type.encode())
             headers.add(b"Content-Length", b"%d" % len(body))
         head = RequestHead(method=method.encode(), target=target.encode(), headers=headers)
+        if may_send is not None and not may_send():
+            self._keep(address, connection)
+            return Err(Failure(code=Code.NOT_SENT, detail=f"{method} {address}{target}"))
         done = False
         try:
             connection.begin_request(head.encode() + body, method=head.method)
--- a/src/leadhollow/staging/engine_client.py
+++ b/src/leadhollow/staging/engine_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
@@ -57,14 +59,21 @@
             return Err(result.unwrap_err())
         return self._dialect.parse_staged_list(result.unwrap().body)
 
-    async def order_load(self, order: LoadOrder) -> Result[None, Failure]:
+    async def order_load(
+        self, order: LoadOrder, may_send: Callable[[], bool]
+    ) -> Result[None, Failure]:
         """Order the engine to load.
 
+        Parameters
+        ----------
+        may_send
+            Called immediately before the order is written.
+
         Errors
         ------
         LOAD_REFUSED
             The engine refused the order.
-        PEER_ABSENT, SERVER_RESTS
+        PEER_ABSENT, SERVER_RESTS, NOT_SENT
             The order was not sent.
 
         After any other failure, the engine may have accepted the order, or accept it later.
@@ -74,6 +83,7 @@
             self._dialect.order_target(),
             ORDER_TIMEOUT_S,
             body=self._dialect.encode_order(order),
+            may_send=may_send,
         )
         return Ok(None) if result.is_ok() else Err(result.unwrap_err())
 
@@ -86,10 +96,16 @@
         self._http.close()
 
     async def _fetch(
-        self, method: str, target: str, timeout_s: float, *, body: bytes = b""
+        self,
+        method: str,
+        target: str,
+        timeout_s: float,
+        *,
+        body: bytes = b"",
+        may_send: Callable[[], bool] | None = None,
     ) -> Result[HttpResponse, Failure]:
         result = await self._http.fetch(
-            method, self._address, target, timeout_s=timeout_s, body=body
+            method, self._address, target, timeout_s=timeout_s, body=body, may_send=may_send
         )
         if result.is_err():
             return result
--- a/src/leadhollow/staging/engine_monitor.py
+++ b/src/leadhollow/staging/engine_monitor.py
@@ -42,6 +42,9 @@
         Newest report, None while the engine does not answer.
     staged_progress
         Returns the newest completely staged version and its number of pieces.
+    life_number
+        Counts the lives of the engine as far as they are noticed. An engine that did not answer for
+        a moment may be in another life.
     switching
         Whether the engine is about to change its weights; entries then send no more requests.
     """
@@ -57,6 +60,7 @@
         "_published_s",
         "_published_state",
         "_report_interval_s",
+        "life_number",
         "report",
         "staged_progress",
         "switching",
@@ -83,6 +87,7 @@
         self._life = ""  # of the engine, as the control replica last listed it
         self._listeners: list[Callable[[], None]] = []
         self.report: EngineReport | None = None
+        self.life_number = 0
         self.switching = False
         self.staged_progress: Callable[[], tuple[int, int]] = lambda: (0, 0)
         super().__init__()
@@ -100,18 +105,19 @@
                 log.warning("engine does not answer", failure=str(result.unwrap_err()))
             self.report = None
         else:
-            self._log_changes(result.unwrap())
+            self._note_changes(result.unwrap())
             self.report = result.unwrap()
         for listener in self._listeners:
             listener()
         return self.report
 
-    def _log_changes(self, report: EngineReport) -> None:
-        """Log a new life of the engine, and each load order that it has accepted."""
+    def _note_changes(self, report: EngineReport) -> None:
+        """Notice a new life of the engine, and each load order that it has accepted."""
         before = self.report
-        if before is None:
+        if before is None or before.born_ms != report.born_ms or before.sequence > report.sequence:
+            self.life_number += 1
             served = [version.key() for version in report.served]
-            log.info("engine answers", served=served, born_ms=report.born_ms)
+            log.info("engine answers", served=served, life=self.life_number, born_ms=report.born_ms)
         elif before.sequence != report.sequence:
             log.info("engine accepted a load order", sequence=report.sequence)
 
@@ -120,6 +126,7 @@
         known = self._feed.table.at_address(self._address)
         if known is not None and known.life != self._life:
             self._life = known.life
+            self.life_number += 1
             self._engine.clear_backoff()
 
     def _leaving_report(self, report: EngineReport) -> ServerWords | None:
--- a/src/leadhollow/staging/engine_stage.py
+++ b/src/leadhollow/staging/engine_stage.py
@@ -2,23 +2,55 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
-from leadhollow.staging.engine_client import LocalEngine
+from leadhollow.staging.engine_client import ORDER_TIMEOUT_S, LocalEngine
 from leadhollow.staging.pieces import StagedVersion
 
+DAMAGE_TOLERANCE_S = 3.0  # for how long a staged piece may have been damaged when it is loaded
+MAX_VERIFICATION_AGE_S = DAMAGE_TOLERANCE_S - ORDER_TIMEOUT_S
+
 log = get_logger("installer")
 
 
+class _Verification:
+    """The fact that all pieces of a version were read back from the stage and matched.
+
+    Parameters
+    ----------
+    began_s
+        Time of `clocks.elapsed_s` at which the first piece was read.
+    life
+        Life of the engine in which all pieces were read.
+    """
+
+    __slots__ = ("began_s", "life", "staged")
+
+    def __init__(self, *, staged: StagedVersion, began_s: float, life: int) -> None:
+        self.staged = staged
+        self.began_s = began_s
+        self.life = life
+
+
 class EngineStage:
-    """Writes pieces to the engine's stage, which holds one version of a model."""
+    """Writes pieces to the engine's stage, which holds one version of a model.
+
+    Parameters
+    ----------
+    life
+        Returns the number of the engine's life.
+    """
 
-    __slots__ = ("_engine", "_staged_indexes", "_staged_version")
+    __slots__ = ("_engine", "_life", "_staged_indexes", "_staged_version", "_verification")
 
-    def __init__(self, *, engine: LocalEngine) -> None:
+    def __init__(self, *, engine: LocalEngine, life: Callable[[], int]) -> None:
         self._engine = engine
+        self._life = life
         self._staged_indexes: set[int] = set()
         self._staged_version: StagedVersion | None = None
+        self._verification: _Verification | None = None
 
     async def recover(self, staged: StagedVersion) -> None:
         """Read the pieces that were in the stage before this process started."""
@@ -45,9 +77,7 @@
             piece = staged.piece(index)
             if self._is_staged(staged, index) or piece is None:
                 continue
-            written = await self._engine.stage_piece(staged.model, index, piece)
-            if written.is_err():
-                log.warning("piece not staged", index=index, failure=str(written.unwrap_err()))
+            if not await self._write(staged, index, piece):
                 return
             self._mark_staged(staged, index)
 
@@ -57,29 +87,61 @@
         Returns
         -------
         bool
-            Whether all pieces were undamaged.
+            Whether all pieces were undamaged, all in the same life of the engine.
         """
-        began_s = clocks.elapsed_s()
+        self._verification = None
+        began_s, life = clocks.elapsed_s(), self._life()
         all_good = True
         for index in range(staged.held.count):
-            piece = staged.piece(index)
             read = await self._engine.read_staged_piece(staged.model, index)
-            if piece is None or (read.is_ok() and read.unwrap() == piece):
+            piece = staged.piece(index)
+            if read.is_ok() and read.unwrap() == piece:
                 continue
             all_good = False
             log.warning("staged piece is bad", index=index, absent=read.is_err())
-            written = await self._engine.stage_piece(staged.model, index, piece)
-            if written.is_err():
+            if piece is None or not await self._write(staged, index, piece):
                 return False
-        if all_good:
-            log.info(
-                "staged pieces verified",
-                model=staged.model,
-                number=staged.number,
-                pieces=staged.held.count,
-                ms=round((clocks.elapsed_s() - began_s) * 1000),
-            )
-        return all_good
+        if not all_good or self._life() != life:
+            return False
+        self._verification = _Verification(staged=staged, began_s=began_s, life=life)
+        log.info(
+            "staged pieces verified",
+            model=staged.model,
+            number=staged.number,
+            pieces=staged.held.count,
+            ms=round((clocks.elapsed_s() - began_s) * 1000),
+            life=life,
+        )
+        return True
+
+    def is_verified(self, staged: StagedVersion) -> bool:
+        """Return whether a load of this version may be ordered now.
+
+        All pieces were verified in this life of the engine, nothing was written since, and the
+        verification is so recent that an order that is answered in time loads no piece that was
+        damaged for longer than tolerated. Time in which this process did not run counts.
+        """
+        verification = self._verification
+        return (
+            verification is not None
+            and verification.staged is staged
+            and verification.life == self._life()
+            and clocks.elapsed_s() - verification.began_s <= MAX_VERIFICATION_AGE_S
+        )
+
+    def verification_age_s(self) -> float:
+        """Return the time since the last verification began, infinite if there is none."""
+        if self._verification is None:
+            return float("inf")
+        return clocks.elapsed_s() - self._verification.began_s
+
+    async def _write(self, staged: StagedVersion, index: int, piece: bytes) -> bool:
+        """Write a piece; the stage has to be verified again afterwards."""
+        self._verification = None
+        written = await self._engine.stage_piece(staged.model, index, piece)
+        if written.is_err():
+            log.warning("piece not staged", index=index, failure=str(written.unwrap_err()))
+        return written.is_ok()
 
     def _mark_staged(self, staged: StagedVersion, index: int) -> None:
         if self._staged_version is not staged:
@@ -92,4 +154,4 @@
         return self._staged_version is staged and index in self._staged_indexes
 
 
-__all__ = ["EngineStage"]
+__all__ = ["DAMAGE_TOLERANCE_S", "EngineStage"]
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -111,8 +111,8 @@
         self._store = store
         self._models = models
         self._fetches = FetchManager(start_fetch=start_fetch)
-        self._stage = EngineStage(engine=engine)
-        self._orders = LoadOrders(engine=engine, monitor=monitor)
+        self._stage = EngineStage(engine=engine, life=lambda: monitor.life_number)
+        self._orders = LoadOrders(engine=engine, monitor=monitor, stage=self._stage)
         self._piece_s = piece_s
         self._window = window
         self._stage_recovered = False
@@ -287,7 +287,7 @@
             report = await self._drain()
             if report is None or report.busy or holds_version(report, staged):
                 return
-            await self._orders.load(staged, report)
+            await self._orders.load(staged)
         finally:
             await self._end_switch()
 
--- a/src/leadhollow/staging/load_orders.py
+++ b/src/leadhollow/staging/load_orders.py
@@ -4,19 +4,24 @@
 
 import asyncio
 
+from result import Result
+
 from leadhollow.codes import Code
+from leadhollow.failure import Failure
 from leadhollow.kernel.active_time import active_s
 from leadhollow.observe.logs import get_logger, log_decision
 from leadhollow.staging.engine_client import LocalEngine
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
 from leadhollow.staging.engine_monitor import EngineMonitor
+from leadhollow.staging.engine_stage import EngineStage
 from leadhollow.staging.pieces import StagedVersion
 
 POLL_INTERVAL_S = 0.05
 ORDER_RETRY_S = 0.5
+SEND_ATTEMPTS = 3  # each verifies the stage; more only if the process keeps standing still
 LOAD_TIMEOUT_S = 10.0  # requests in progress finish first, then the weights load
 BEGIN_TIMEOUT_S = 1.0  # an engine that restarts after it acknowledged an order never begins to load
-NOT_ACCEPTED = (Code.LOAD_REFUSED, Code.PEER_ABSENT, Code.SERVER_RESTS)
+NOT_ACCEPTED = (Code.LOAD_REFUSED, Code.PEER_ABSENT, Code.SERVER_RESTS, Code.NOT_SENT)
 """Failures after which the engine cannot accept the order any more."""
 
 log = get_logger("installer")
@@ -41,11 +46,12 @@
     same sequence, so the engine accepts one of them at most.
     """
 
-    __slots__ = ("_engine", "_monitor", "_unsettled")
+    __slots__ = ("_engine", "_monitor", "_stage", "_unsettled")
 
-    def __init__(self, *, engine: LocalEngine, monitor: EngineMonitor) -> None:
+    def __init__(self, *, engine: LocalEngine, monitor: EngineMonitor, stage: EngineStage) -> None:
         self._engine = engine
         self._monitor = monitor
+        self._stage = stage
         self._unsettled: _UnsettledOrder | None = None
 
     @property
@@ -53,14 +59,42 @@
         """Whether the engine may still accept an order; nothing else may be staged until then."""
         return self._unsettled is not None
 
-    async def load(self, staged: StagedVersion, report: EngineReport) -> None:
+    async def load(self, staged: StagedVersion) -> None:
         """Order the engine to load the staged version, and wait until it has.
 
-        Parameters
-        ----------
-        report
-            Newest report of the engine, whose sequence the order expects.
+        The stage is verified again unless it was verified just before.
         """
+        for _ in range(SEND_ATTEMPTS):
+            if not self._stage.is_verified(staged) and not await self._verify(staged):
+                return
+            report = self._monitor.report
+            if report is None or report.busy:
+                return
+            ordered = await self._send(staged, report)
+            if ordered.is_ok():
+                await self._wait_loaded(staged, report.sequence)
+                return
+            if ordered.unwrap_err().code is not Code.NOT_SENT:
+                await asyncio.sleep(ORDER_RETRY_S)
+                return
+
+    async def settle(self) -> None:
+        """Find out whether the engine has accepted the unsettled order, and else repeat it."""
+        unsettled = self._unsettled
+        report = await self._monitor.refresh()
+        if unsettled is None or report is None or report.busy:
+            return
+        staged = unsettled.staged
+        if report.sequence != unsettled.sequence:
+            self._unsettled = None
+            log.info(
+                "load order settled", number=staged.number, installed=holds_version(report, staged)
+            )
+            return
+        await self.load(staged)
+
+    async def _send(self, staged: StagedVersion, report: EngineReport) -> Result[None, Failure]:
+        """Send the order, and note whether the engine may still accept it."""
         repeated = self._unsettled is not None
         self._unsettled = _UnsettledOrder(staged=staged, sequence=report.sequence)
         order = LoadOrder(
@@ -74,38 +108,27 @@
             model=staged.model,
             version=staged.number,
             sequence=report.sequence,
-            born_ms=report.born_ms,
             active=report.active,
             queued=report.queued,
+            life=self._monitor.life_number,
+            verified_ms=round(self._stage.verification_age_s() * 1000),
             repeated=repeated,
         )
-        ordered = await self._engine.order_load(order)
+        ordered = await self._engine.order_load(order, lambda: self._stage.is_verified(staged))
         if ordered.is_ok():
             self._unsettled = None
-            await self._wait_loaded(staged, report.sequence)
-            return
+            return ordered
         failure = ordered.unwrap_err()
         if failure.code in NOT_ACCEPTED and not repeated:
             self._unsettled = None
-            log.warning("load order refused", failure=str(failure))
-        else:
-            log.warning("load order not acknowledged", failure=str(failure))
-        await asyncio.sleep(ORDER_RETRY_S)
+        log.warning(
+            "load order not acknowledged", failure=str(failure), may_be_accepted=self.unsettled
+        )
+        return ordered
 
-    async def settle(self) -> None:
-        """Find out whether the engine has accepted the unsettled order, and else repeat it."""
-        unsettled = self._unsettled
-        report = await self._monitor.refresh()
-        if unsettled is None or report is None or report.busy:
-            return
-        staged = unsettled.staged
-        if report.sequence != unsettled.sequence:
-            self._unsettled = None
-            log.info(
-                "load order settled", number=staged.number, installed=holds_version(report, staged)
-            )
-            return
-        await self.load(staged, report)
+    async def _verify(self, staged: StagedVersion) -> bool:
+        """Verify the stage, once more if damaged pieces had to be written again."""
+        return await self._stage.verify(staged) or await self._stage.verify(staged)
 
     async def _wait_loaded(self, staged: StagedVersion, sequence: int) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/http1/test_fetch.py
+++ b/tests/http1/test_fetch.py
@@ -47,6 +47,18 @@
     return "\r\n".join([f"HTTP/1.1 {status}", *fields, "Content-Length: 0", "", ""]).encode()
 
 
+class TestPrecondition:
+    # Guards against: a request goes out although what it relies on ended while it connected.
+    async def test_is_checked_after_the_connection_is_open(self):
+        async with Peer(response("200 OK")) as peer:
+            fetched = await peer.fetcher.fetch(
+                "POST", peer.address, "/", timeout_s=1.0, may_send=lambda: False
+            )
+            assert fetched.unwrap_err().code is Code.NOT_SENT
+            assert peer.requests == 0
+            assert (await peer.fetch_root()).is_ok()
+
+
 class TestPeerBackoff:
     # Guards against: an origin or engine gets requests during a back-off that it asked for.
     @pytest.mark.parametrize("status", ["503 Away", "429 Busy"])
--- a/tests/staging/engine_model.py
+++ b/tests/staging/engine_model.py
@@ -178,7 +178,7 @@
         self.before_call("connect")
         await asyncio.sleep(CALL_S)
         if not may_send():
-            return Err(Failure(code=Code.STAGE_UNVERIFIED, detail="not sent"))
+            return Err(Failure(code=Code.NOT_SENT, detail="not sent"))
         self._catch_up()
         self.orders.append(order)
         after_s = self.accept_after_s.pop(0) if self.accept_after_s else 0.0
@@ -253,13 +253,16 @@
     def __init__(self, engine: EngineModel) -> None:
         self._engine = engine
         self.report: EngineReport | None = None
+        self.life_number = 0
         self.switching = False
         self.staged_progress: Callable[[], tuple[int, int]] = lambda: (0, 0)
 
     async def refresh(self) -> EngineReport | None:
         self._engine.before_call("report")
         await asyncio.sleep(CALL_S)
-        self.report = self._engine.report_now()
+        before, self.report = self.report, self._engine.report_now()
+        if self.report is not None and (before is None or before.born_ms != self.report.born_ms):
+            self.life_number += 1
         return self.report
 
     async def publish(self) -> None:
--- a/tests/staging/test_engine_monitor.py
+++ b/tests/staging/test_engine_monitor.py
@@ -4,8 +4,11 @@
 
 import asyncio
 
-from result import Ok
+import pytest
+from result import Err, Ok
 
+from leadhollow.codes import Code
+from leadhollow.failure import Failure
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.staging.engine_dialect import EngineReport
@@ -19,22 +22,27 @@
     def __init__(self) -> None:
         self.leaving = False
         self.backoffs_cleared = 0
+        self.answers = True
+        self.sequence = 0
+        self.born_ms = 7
 
     def clear_backoff(self) -> None:
         self.backoffs_cleared += 1
 
     async def report(self):
+        if not self.answers:
+            return Err(Failure(code=Code.PEER_ABSENT, detail="refused"))
         return Ok(
             EngineReport(
                 served=(),
                 busy=False,
-                sequence=0,
+                sequence=self.sequence,
                 active=0,
                 queued=0,
                 memory_used_tokens=0,
                 memory_tokens=1,
                 pace=1.0,
-                born_ms=7,
+                born_ms=self.born_ms,
                 leaving=self.leaving,
             )
         )
@@ -117,3 +125,44 @@
             bench.list_engine(born_ms=born_ms)
             await bench.publish_types()
         assert bench.engine.backoffs_cleared == 2
+
+
+class TestLifeNumber:
+    @staticmethod
+    def be_silent(bench: Bench) -> None:
+        bench.engine.answers = False
+
+    @staticmethod
+    def forget_orders(bench: Bench) -> None:
+        bench.engine.sequence = 0
+
+    @staticmethod
+    def be_born_again(bench: Bench) -> None:
+        bench.engine.born_ms += 1
+
+    @staticmethod
+    def be_listed_again(bench: Bench) -> None:
+        bench.list_engine(born_ms=9)
+
+    # Guards against: a restart is not noticed, and what was checked before counts after it.
+    @pytest.mark.parametrize(
+        "change", ["be_silent", "forget_orders", "be_born_again", "be_listed_again"]
+    )
+    async def test_changes_when_the_engine_may_have_restarted(self, change):
+        bench = Bench()
+        bench.engine.sequence = 3
+        await bench.monitor.refresh()
+        before = bench.monitor.life_number
+        getattr(self, change)(bench)
+        await bench.monitor.refresh()
+        bench.engine.answers = True
+        await bench.monitor.refresh()
+        assert bench.monitor.life_number > before
+
+    async def test_stays_while_the_engine_accepts_orders(self):
+        bench = Bench()
+        await bench.monitor.refresh()
+        before = bench.monitor.life_number
+        bench.engine.sequence += 1
+        await bench.monitor.refresh()
+        assert bench.monitor.life_number == before
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -62,7 +62,8 @@
         self.damaged_once.discard(index)
         return Ok(None)
 
-    async def order_load(self, order):
+    async def order_load(self, order, may_send):
+        assert may_send()
         self.orders.append(order)
         self.ordered_s = asyncio.get_running_loop().time()
         self.served = (
@@ -81,6 +82,7 @@
 
     def __init__(self, engine: FakeEngine) -> None:
         self._engine = engine
+        self.life_number = 1
         self.switching = False
         self.staged_progress: Callable[[], tuple[int, int]] = lambda: (0, 0)
         self.switch_published_s: list[float] = []
--- a/tests/staging/test_stage_verification.py
+++ b/tests/staging/test_stage_verification.py
@@ -46,3 +46,47 @@
             assert site.serving == [2]
 
         play(work)
+
+    # Guards against: a check of the engine's former life is taken for one of its present life.
+    def test_is_repeated_after_the_engine_lost_its_stage(self):
+        async def work() -> None:
+            site = InstallerSite()
+            site.name(2)
+
+            def before_call(name: str) -> None:
+                if name == "publish" and site.monitor.switching and not site.engine.orders:
+                    site.engine.before_call = lambda name: None
+                    now_s = asyncio.get_running_loop().time()
+                    site.engine.at(
+                        now_s + 0.1, lambda: site.engine.crash(down_s=0.2, power_lost=True)
+                    )
+                    stand_still(0.5)
+
+            site.engine.before_call = before_call
+            await site.run(8.0)
+            assert site.engine.loads
+            assert site.wrong_loads == []
+            assert site.serving == [2]
+
+        play(work)
+
+    # Guards against: an order is sent although its connection took longer than the check is valid.
+    def test_is_repeated_after_the_process_stood_still_while_it_connected(self):
+        async def work() -> None:
+            site = InstallerSite()
+            site.name(2)
+
+            def before_call(name: str) -> None:
+                if name == "connect" and not site.engine.orders:
+                    site.engine.before_call = lambda name: None
+                    now_s = asyncio.get_running_loop().time()
+                    site.engine.at(now_s + 0.1, lambda: site.engine.damage(7))
+                    stand_still(4.0)
+
+            site.engine.before_call = before_call
+            await site.run(10.0)
+            assert site.engine.loads
+            assert site.wrong_loads == []
+            assert site.serving == [2]
+
+        play(work)
