Check weights that were loaded from a stage of uncertain content before they serve

Cause: a verified stage proves nothing about an order that is accepted late: a piece may turn bad after it, a repair may come after the load, an unanswered write may be carried out. An order of a former process of the VM is not known at all. Change: LoadedWeights reads all pieces back where an order had no answer or was answered over 3 s after the verification began, where a write may still be carried out, and where the engine's sequence moved without an order of this process. If they match and nothing was written since the order, the weights are confirmed, else the engine drops all layers and loads again. No request is sent there meanwhile. Why it works: a bad piece stays bad until it is written again, so pieces that match after the load were right during it. Conclusion: the order's answer and the report no longer decide alone whether weights may be used.

--- a/src/leadhollow/platform/engines.py
+++ b/src/leadhollow/platform/engines.py
@@ -43,14 +43,19 @@
     held: tuple[int, ...] = ()
 
 
-class OrderDocument(msgspec.Struct, frozen=True, rename="camel"):
-    """Order to load staged weights; ``precondition`` is the sequence expected in the report."""
+class OrderDocument(msgspec.Struct, frozen=True, rename="camel", omit_defaults=True):
+    """Order to hold the staged weights of the layers in a range, of all if there is none.
+
+    ``precondition`` is the sequence expected in the report.
+    """
 
     op: str
     model: str
     version: int
     start_mode: str
     precondition: int
+    first: int | None = msgspec.field(default=None, name="from")
+    target: int | None = None
 
 
 _reports = msgspec.json.Decoder(ReportDocument)
@@ -119,6 +124,8 @@
                 version=order.version,
                 start_mode="preempt" if order.preempt else "wait",
                 precondition=order.expected_sequence,
+                first=None if order.end_layer is None else 0,
+                target=order.end_layer,
             )
         )
 
--- a/src/leadhollow/staging/engine_dialect.py
+++ b/src/leadhollow/staging/engine_dialect.py
@@ -74,19 +74,30 @@
 
 
 class LoadOrder:
-    """An order to an engine to load the staged weights.
+    """An order to an engine to hold the staged weights.
 
     Parameters
     ----------
+    end_layer
+        The engine holds the layers before this one and drops all others; None for all layers.
     preempt
         Whether requests in progress are aborted; otherwise they finish first.
     expected_sequence
         The engine refuses the order if it has begun a different number of load orders.
     """
 
-    __slots__ = ("expected_sequence", "model", "preempt", "version")
+    __slots__ = ("end_layer", "expected_sequence", "model", "preempt", "version")
 
-    def __init__(self, *, model: str, version: int, preempt: bool, expected_sequence: int) -> None:
+    def __init__(
+        self,
+        *,
+        model: str,
+        version: int,
+        preempt: bool,
+        expected_sequence: int,
+        end_layer: int | None = None,
+    ) -> None:
+        self.end_layer = end_layer
         self.model = model
         self.version = version
         self.preempt = preempt
--- a/src/leadhollow/staging/engine_stage.py
+++ b/src/leadhollow/staging/engine_stage.py
@@ -4,12 +4,14 @@
 
 from collections.abc import Callable
 
+from leadhollow.codes import Code
 from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 from leadhollow.staging.engine_client import ORDER_TIMEOUT_S, LocalEngine
 from leadhollow.staging.pieces import StagedVersion
 
 DAMAGE_TOLERANCE_S = 3.0  # for how long a staged piece may have been damaged when it is loaded
+LATE_WRITE_S = 10.0  # for how long an unanswered write may still be carried out
 MAX_VERIFICATION_AGE_S = DAMAGE_TOLERANCE_S - ORDER_TIMEOUT_S
 
 log = get_logger("installer")
@@ -41,9 +43,22 @@
     ----------
     life
         Returns the number of the engine's life.
+
+    Attributes
+    ----------
+    write_count
+        Number of pieces that were written, or may have been.
     """
 
-    __slots__ = ("_engine", "_life", "_staged_indexes", "_staged_version", "_verification")
+    __slots__ = (
+        "_engine",
+        "_life",
+        "_staged_indexes",
+        "_staged_version",
+        "_unanswered_write_s",
+        "_verification",
+        "write_count",
+    )
 
     def __init__(self, *, engine: LocalEngine, life: Callable[[], int]) -> None:
         self._engine = engine
@@ -51,6 +66,8 @@
         self._staged_indexes: set[int] = set()
         self._staged_version: StagedVersion | None = None
         self._verification: _Verification | None = None
+        self._unanswered_write_s = float("-inf")
+        self.write_count = 0
 
     async def recover(self, staged: StagedVersion) -> None:
         """Read the pieces that were in the stage before this process started."""
@@ -114,6 +131,19 @@
         )
         return True
 
+    async def matches(self, staged: StagedVersion) -> bool:
+        """Return whether all staged pieces match a version, without writing any."""
+        for index in range(staged.held.count):
+            read = await self._engine.read_staged_piece(staged.model, index)
+            if read.is_err() or not staged.manifest.matches(index, read.unwrap()):
+                log.warning("staged piece does not match", index=index, absent=read.is_err())
+                return False
+        return True
+
+    def may_change(self) -> bool:
+        """Return whether the engine may still carry out a write that it did not answer."""
+        return clocks.elapsed_s() - self._unanswered_write_s < LATE_WRITE_S
+
     def is_verified(self, staged: StagedVersion) -> bool:
         """Return whether a load of this version may be ordered now.
 
@@ -138,8 +168,11 @@
     async def _write(self, staged: StagedVersion, index: int, piece: bytes) -> bool:
         """Write a piece; the stage has to be verified again afterwards."""
         self._verification = None
+        self.write_count += 1
         written = await self._engine.stage_piece(staged.model, index, piece)
         if written.is_err():
+            if written.unwrap_err().code is not Code.PEER_ABSENT:
+                self._unanswered_write_s = clocks.elapsed_s()
             log.warning("piece not staged", index=index, failure=str(written.unwrap_err()))
         return written.is_ok()
 
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -19,7 +19,8 @@
 from leadhollow.staging.engine_monitor import EngineMonitor
 from leadhollow.staging.engine_stage import EngineStage
 from leadhollow.staging.fetch_manager import FetchManager
-from leadhollow.staging.load_orders import LoadOrders, holds_version
+from leadhollow.staging.load_orders import LoadOrders
+from leadhollow.staging.loaded_weights import holds_version
 from leadhollow.staging.piece_fetch import PieceFetch
 from leadhollow.staging.piece_window import PieceWindow
 from leadhollow.staging.pieces import PieceStore, StagedVersion
@@ -174,11 +175,11 @@
             self._store.find_or_create(named) for named in known if named.number in plan.fetch
         )
         self._fetches.fetch_only([opened for opened in wanted if opened is not None])
-        if self._orders.unsettled:
+        if report is not None:
+            self._orders.note_report(report, known)
+        if self._orders.uncertain:
             self._idle = False
-            await self._orders.settle()
-            if not self._orders.unsettled:
-                await self._end_switch()
+            await self._settle_orders()
             return
         goal = plan.install if plan.install is not None else next(iter(plan.fetch), None)
         staged = next(
@@ -291,9 +292,17 @@
         finally:
             await self._end_switch()
 
+    async def _settle_orders(self) -> None:
+        if not self._monitor.switching:
+            self._monitor.switching = True
+            await self._monitor.publish()
+        await self._orders.settle()
+        if not self._orders.uncertain:
+            await self._end_switch()
+
     async def _end_switch(self) -> None:
-        """Let requests go to the engine again, unless it may still accept a load order."""
-        self._monitor.switching = self._orders.unsettled
+        """Let requests go to the engine again, unless its weights are or may become uncertain."""
+        self._monitor.switching = self._orders.uncertain
         await self._monitor.publish()
 
     async def _drain(self) -> EngineReport | None:
--- a/src/leadhollow/staging/load_orders.py
+++ b/src/leadhollow/staging/load_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 from result import Result
 
@@ -13,8 +14,10 @@
 from leadhollow.staging.engine_client import LocalEngine
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
 from leadhollow.staging.engine_monitor import EngineMonitor
-from leadhollow.staging.engine_stage import EngineStage
+from leadhollow.staging.engine_stage import DAMAGE_TOLERANCE_S, EngineStage
+from leadhollow.staging.loaded_weights import LoadedWeights, holds_version
 from leadhollow.staging.pieces import StagedVersion
+from leadhollow.weights.named_versions import NamedVersion
 
 POLL_INTERVAL_S = 0.05
 ORDER_RETRY_S = 0.5
@@ -28,13 +31,22 @@
 
 
 class _UnsettledOrder:
-    """An order that the engine may still accept; it expects a sequence."""
+    """An order that the engine may still accept.
+
+    Parameters
+    ----------
+    sequence
+        Sequence that the order expects.
+    write_count
+        Pieces that were written when the engine had surely not accepted it.
+    """
 
-    __slots__ = ("sequence", "staged")
+    __slots__ = ("sequence", "staged", "write_count")
 
-    def __init__(self, *, staged: StagedVersion, sequence: int) -> None:
+    def __init__(self, *, staged: StagedVersion, sequence: int, write_count: int) -> None:
         self.staged = staged
         self.sequence = sequence
+        self.write_count = write_count
 
 
 class LoadOrders:
@@ -46,18 +58,52 @@
     same sequence, so the engine accepts one of them at most.
     """
 
-    __slots__ = ("_engine", "_monitor", "_stage", "_unsettled")
+    __slots__ = (
+        "_accounted",
+        "_engine",
+        "_monitor",
+        "_stage",
+        "_unexpected",
+        "_unsettled",
+        "_weights",
+    )
 
     def __init__(self, *, engine: LocalEngine, monitor: EngineMonitor, stage: EngineStage) -> None:
         self._engine = engine
         self._monitor = monitor
         self._stage = stage
+        self._weights = LoadedWeights(engine=engine, monitor=monitor, stage=stage)
         self._unsettled: _UnsettledOrder | None = None
+        self._accounted: tuple[int, int] | None = None  # life and sequence of known loads
+        self._unexpected: Sequence[NamedVersion] = ()
 
     @property
-    def unsettled(self) -> bool:
-        """Whether the engine may still accept an order; nothing else may be staged until then."""
-        return self._unsettled is not None
+    def uncertain(self) -> bool:
+        """Whether the engine may still accept an order, or may have loaded damaged pieces.
+
+        Until that is known, nothing else may be staged, and no request may go to the engine.
+        """
+        return self._unsettled is not None or bool(self._unexpected) or self._weights.doubtful
+
+    def note_report(self, report: EngineReport, known: Sequence[NamedVersion]) -> None:
+        """Doubt weights that the engine loads by an order that this process did not give.
+
+        Such an order is one of this process's predecessor that was accepted late.
+
+        Parameters
+        ----------
+        known
+            Versions of the model, to check the staged pieces of the one that the engine holds.
+        """
+        current = (self._monitor.life_number, report.sequence)
+        accounted = self._accounted
+        if self.uncertain or current == accounted:
+            return
+        self._accounted = current
+        if accounted is None or accounted[0] != current[0]:
+            return
+        log.warning("engine accepted an order of another process", sequence=report.sequence)
+        self._unexpected = known
 
     async def load(self, staged: StagedVersion) -> None:
         """Order the engine to load the staged version, and wait until it has.
@@ -68,35 +114,79 @@
             if not self._stage.is_verified(staged) and not await self._verify(staged):
                 return
             report = self._monitor.report
-            if report is None or report.busy:
+            if report is None or report.busy or self._has_moved(report):
                 return
             ordered = await self._send(staged, report)
             if ordered.is_ok():
-                await self._wait_loaded(staged, report.sequence)
+                await self._finish(staged, report.sequence)
                 return
             if ordered.unwrap_err().code is not Code.NOT_SENT:
                 await asyncio.sleep(ORDER_RETRY_S)
                 return
 
     async def settle(self) -> None:
-        """Find out whether the engine has accepted the unsettled order, and else repeat it."""
+        """Find out what became of the unsettled order, repeat it, or check doubtful weights."""
         unsettled = self._unsettled
+        if self._unexpected:
+            await self._identify_unexpected()
+            return
+        if unsettled is None:
+            await self._weights.check()
+            self._account()
+            return
         report = await self._monitor.refresh()
-        if unsettled is None or report is None or report.busy:
+        if report is None or report.busy:
             return
         staged = unsettled.staged
-        if report.sequence != unsettled.sequence:
-            self._unsettled = None
-            log.info(
-                "load order settled", number=staged.number, installed=holds_version(report, staged)
-            )
+        if not self._has_moved(report):
+            unsettled.write_count = self._stage.write_count
+            await self.load(staged)
+            return
+        self._unsettled = None
+        installed = holds_version(report, staged)
+        log.info("load order settled", number=staged.number, installed=installed)
+        if installed:
+            confirmable = unsettled.write_count == self._stage.write_count
+            self._weights.doubt(staged, confirmable=confirmable)
+        self._account()
+
+    async def _identify_unexpected(self) -> None:
+        """Wait until the load has ended, and doubt the version that the engine holds then."""
+        report = await self._monitor.refresh()
+        if report is None or report.busy:
             return
-        await self.load(staged)
+        known, self._unexpected = self._unexpected, ()
+        for version in known:
+            staged = StagedVersion.of(version)
+            if staged is not None and holds_version(report, staged):
+                self._weights.doubt(staged, confirmable=self._stage.write_count == 0)
+
+    async def _finish(self, staged: StagedVersion, sequence: int) -> None:
+        """Wait until the acknowledged load has ended, and check its weights if need be."""
+        late = self._stage.verification_age_s() > DAMAGE_TOLERANCE_S
+        if late or self._stage.may_change():
+            self._weights.doubt(staged, confirmable=True)
+        await self._wait_loaded(staged, sequence)
+        if self._weights.doubtful:
+            await self._weights.check()
+        self._account()
+
+    def _has_moved(self, report: EngineReport) -> bool:
+        """Return whether the unsettled order cannot be accepted any more."""
+        return self._unsettled is not None and report.sequence != self._unsettled.sequence
+
+    def _account(self) -> None:
+        report = self._monitor.report
+        if report is not None:
+            self._accounted = (self._monitor.life_number, report.sequence)
 
     async def _send(self, staged: StagedVersion, report: EngineReport) -> Result[None, Failure]:
         """Send the order, and note whether the engine may still accept it."""
         repeated = self._unsettled is not None
-        self._unsettled = _UnsettledOrder(staged=staged, sequence=report.sequence)
+        if self._unsettled is None:
+            self._unsettled = _UnsettledOrder(
+                staged=staged, sequence=report.sequence, write_count=self._stage.write_count
+            )
         order = LoadOrder(
             model=staged.model,
             version=staged.number,
@@ -122,7 +212,7 @@
         if failure.code in NOT_ACCEPTED and not repeated:
             self._unsettled = None
         log.warning(
-            "load order not acknowledged", failure=str(failure), may_be_accepted=self.unsettled
+            "load order not acknowledged", failure=str(failure), settled=self._unsettled is None
         )
         return ordered
 
@@ -155,15 +245,4 @@
                 return
 
 
-def holds_version(report: EngineReport, staged: StagedVersion) -> bool:
-    """Return whether the engine holds all layers of a version."""
-    return any(
-        served.model == staged.model
-        and served.version == staged.number
-        and served.first_layer == 0
-        and served.end_layer >= staged.manifest.layers
-        for served in report.served
-    )
-
-
-__all__ = ["LoadOrders", "holds_version"]
+__all__ = ["LoadOrders"]
--- a/src/leadhollow/staging/pieces.py
+++ b/src/leadhollow/staging/pieces.py
@@ -27,6 +27,17 @@
         self._pieces: dict[int, bytes] = {}
         self._changed = asyncio.Event()
 
+    @classmethod
+    def of(
+        cls, version: NamedVersion, notify: Callable[[], None] = lambda: None
+    ) -> StagedVersion | None:
+        """Return a version without pieces; None while its manifest is unknown."""
+        if version.manifest is None:
+            return None
+        return cls(
+            model=version.model, number=version.number, manifest=version.manifest, notify=notify
+        )
+
     @property
     def complete(self) -> bool:
         """Whether all pieces are held."""
@@ -80,14 +91,9 @@
     def find_or_create(self, version: NamedVersion) -> StagedVersion | None:
         """Return a version, created empty if needed; None while its manifest is unknown."""
         found = self.find(version.model, version.number)
-        if found is not None or version.manifest is None:
+        created = None if found is not None else StagedVersion.of(version, self._notify)
+        if created is None:
             return found
-        created = StagedVersion(
-            model=version.model,
-            number=version.number,
-            manifest=version.manifest,
-            notify=self._notify,
-        )
         self._versions[(version.model, version.number)] = created
         self._discard_old(version.model)
         return created
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -414,6 +414,11 @@
             "precondition": 3,
         }
 
+    def test_encodes_an_order_to_drop_all_layers(self):
+        order = LoadOrder(model="m", version=2, preempt=True, expected_sequence=3, end_layer=0)
+        encoded = json.loads(PlatformEngine().encode_order(order))
+        assert (encoded["from"], encoded["target"]) == (0, 0)
+
 
 class TestOriginCalls:
     def test_decodes_manifests(self):
--- a/tests/staging/engine_model.py
+++ b/tests/staging/engine_model.py
@@ -188,7 +188,7 @@
         if after_s is None or after_s > 0:
 
             def accept_late() -> None:
-                self._accept(order)
+                self.accept(order)
 
             if after_s is not None:
                 self.at(self._now_s + after_s, accept_late)
@@ -197,7 +197,7 @@
                 await asyncio.sleep(after_s)
                 self._catch_up()
                 return Ok(None)
-        elif not self._accept(order):
+        elif not self.accept(order):
             return Err(Failure(code=Code.LOAD_REFUSED, detail="status 409"))
         if lost:
             await asyncio.sleep(ORDER_TIMEOUT_S)
@@ -218,10 +218,15 @@
             return Err(Failure(code=Code.PEER_ABSENT, detail="refused"))
         return Ok(act())
 
-    def _accept(self, order: LoadOrder) -> bool:
+    def accept(self, order: LoadOrder) -> bool:
         if order.expected_sequence != self.sequence or self._now_s < self.loading_until_s:
             return False
+        if order.end_layer is None and [held.version for held in self.served] == [order.version]:
+            return True  # in effect
         self.sequence += 1
+        if order.end_layer == 0:
+            self.served = ()
+            return True
         self.loading_until_s = self._now_s + LOAD_S
         self.served = (
             ServedVersion(model=MODEL, version=order.version, first_layer=0, end_layer=LAYERS),
@@ -255,6 +260,7 @@
         self.report: EngineReport | None = None
         self.life_number = 0
         self.switching = False
+        self.published_switching = False  # what entries know
         self.staged_progress: Callable[[], tuple[int, int]] = lambda: (0, 0)
 
     async def refresh(self) -> EngineReport | None:
@@ -268,6 +274,7 @@
     async def publish(self) -> None:
         self._engine.before_call("publish")
         await asyncio.sleep(CALL_S)
+        self.published_switching = self.switching
 
 
 class FetchModel:
@@ -297,6 +304,7 @@
                 ServedVersion(model=MODEL, version=serving, first_layer=0, end_layer=LAYERS),
             )
         self.monitor = MonitorModel(self.engine)
+        self.wrong_weights_used: list[Load] = []
         self.catalog = Catalog()
         self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
         self.installer = Installer(
@@ -323,17 +331,29 @@
 
     async def run(self, length_s: float) -> None:
         """Run the installer and the monitor's polls for a time."""
-        polls = asyncio.create_task(self._poll())
+        tasks = [asyncio.create_task(self._poll()), asyncio.create_task(self._observe())]
         await self.installer.start()
         await asyncio.sleep(length_s)
         await self.installer.stop()
-        polls.cancel()
+        for task in tasks:
+            task.cancel()
 
     async def _poll(self) -> None:
         while True:
             await self.monitor.refresh()
             await asyncio.sleep(0.1)
 
+    async def _observe(self) -> None:
+        """Note each load whose weights were wrong while requests might go to the engine."""
+        while True:
+            await asyncio.sleep(0.005)
+            report = self.engine.report_now()
+            if report is None or not report.served or self.monitor.published_switching:
+                continue
+            load = self.engine.loads[-1] if self.engine.loads else None
+            if load is not None and load.faults and load not in self.wrong_weights_used:
+                self.wrong_weights_used.append(load)
+
     @property
     def wrong_loads(self) -> list[Load]:
         return [load for load in self.engine.loads if load.faults]
@@ -361,6 +381,7 @@
 
 __all__ = [
     "DAMAGE_ALLOWED_S",
+    "MODEL",
     "InstallerSite",
     "Load",
     "manifest_of",
