Add a laboratory of random runs for staging, checking and ordering weights

Cause: no test made a stage rot, an order come late, a write be carried out late, the engine restart and the process stand still in one run. Change: tests/staging/stage_laboratory.py plays an installer beside a model of an engine on a virtual clock; 120 seeds in the tests, more by hand. Three planted faults (an old verification, a forgotten order, unchecked weights) are each found.

--- /dev/null
+++ b/tests/staging/test_stage_laboratory.py
@@ -0,0 +1,66 @@
+"""Tests of random runs in which a stage, the answers to orders and the clock cannot be trusted."""
+
+from __future__ import annotations
+
+import pytest
+from absl import logging as absl_logging
+
+from leadhollow.staging import engine_stage
+from leadhollow.staging.load_orders import LoadOrders
+from leadhollow.staging.loaded_weights import LoadedWeights
+from tests.staging.stage_laboratory import Outcome, run_seed
+
+SEEDS = range(120)
+SEEDS_OF_PLANTED_FAULTS = {"old verification": 6, "forgotten order": 40, "unchecked weights": 67}
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    """Leave out the lines of hundreds of installers."""
+    before = absl_logging.get_verbosity()
+    absl_logging.set_verbosity(absl_logging.FATAL)
+    yield
+    absl_logging.set_verbosity(before)
+
+
+@pytest.fixture(scope="module")
+def outcomes() -> dict[int, Outcome]:
+    """Play all seeds once."""
+    absl_logging.set_verbosity(absl_logging.FATAL)
+    return {seed: run_seed(seed) for seed in SEEDS}
+
+
+class TestRandomRuns:
+    # Guards against: weights with a piece that is missing, of another version or damaged are used.
+    def test_load_and_use_no_wrong_weights(self, outcomes):
+        wrong = {
+            seed: (outcome.wrong_loads, outcome.wrong_weights_used)
+            for seed, outcome in outcomes.items()
+            if outcome.wrong_loads or outcome.wrong_weights_used
+        }
+        assert wrong == {}
+
+    # Guards against: an engine is never switched again after an order without an answer.
+    def test_end_with_the_newest_version(self, outcomes):
+        assert [seed for seed, outcome in outcomes.items() if not outcome.installed] == []
+
+
+class TestPlantedFaults:
+    def test_an_old_verification_is_found(self, monkeypatch):
+        monkeypatch.setattr(engine_stage, "MAX_VERIFICATION_AGE_S", float("inf"))
+        assert run_seed(SEEDS_OF_PLANTED_FAULTS["old verification"]).wrong_loads
+
+    def test_a_forgotten_order_is_found(self, monkeypatch):
+        send = LoadOrders._send
+
+        async def send_and_forget(self, staged, report):
+            sent = await send(self, staged, report)
+            self._unsettled = None
+            return sent
+
+        monkeypatch.setattr(LoadOrders, "_send", send_and_forget)
+        assert run_seed(SEEDS_OF_PLANTED_FAULTS["forgotten order"]).wrong_weights_used
+
+    def test_unchecked_weights_are_found(self, monkeypatch):
+        monkeypatch.setattr(LoadedWeights, "doubt", lambda self, staged, *, confirmable: None)
+        assert run_seed(SEEDS_OF_PLANTED_FAULTS["unchecked weights"]).wrong_weights_used
