Repair a stored version that the engine refused because its file is damaged

Callers saw: nothing reported; an engine behind a gate would never get its version, and its gate closed again and again. Change: after a load that failed, the file is verified in a thread, every 30 s at most; damaged chunks are fetched again. Why it works: finish() removes damaged chunks from those held, so the next step fetches instead of loading.

--- a/src/leadhollow/backend/installer.py
+++ b/src/leadhollow/backend/installer.py
@@ -24,6 +24,7 @@
 MAX_VERSIONS = 2
 ENGINE_RETRY_PAUSE_S = 0.5
 ENGINE_POLL_INTERVAL_S = 1.0
+VERIFY_INTERVAL_S = 30.0
 
 log = get_logger("installer")
 
@@ -60,6 +61,7 @@
         "_fetch_context",
         "_fetch_root",
         "_fetch_task",
+        "_file_verified_s",
         "_gate",
         "_http",
         "_origin_bytes_before",
@@ -94,6 +96,7 @@
         self._desired_order: Order | None = None
         self._fetch_root = ""
         self._fetch_task: asyncio.Task[Result[StoredVersion, Failure]] | None = None
+        self._file_verified_s = float("-inf")
         self._origin_reader: OriginReader | None = None
         self._origin_bytes_before = 0
         self._recent_roots: list[str] = []
@@ -180,6 +183,21 @@
                 self._start_fetch(order)
             elif order.activate and not self.engine_lost:
                 await self._switch(order, stored)
+                if self.running.root != order.root:
+                    await self._verify_file(stored)
+
+    async def _verify_file(self, stored: StoredVersion) -> None:
+        """Verify a file that was not loaded; damaged chunks are fetched again.
+
+        This reads the whole file, so it is not repeated for each attempt to load it.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._file_verified_s < VERIFY_INTERVAL_S:
+            return
+        self._file_verified_s = now_s
+        verified = await asyncio.to_thread(stored.finish)
+        if verified.is_err():
+            log.error("stored version is damaged", failure=str(verified.unwrap_err()))
 
     async def _wait_for_engine(self) -> None:
         while True:
