--- a/src/leadhollow/staging/load_orders.py
+++ b/src/leadhollow/staging/load_orders.py
@@ -140,7 +140,8 @@
         staged = unsettled.staged
         if not self._has_moved(report):
             unsettled.write_count = self._stage.write_count
-            await self.load(staged)
+            if await self._verify(staged):
+                await self.load(staged)
             return
         self._unsettled = None
         installed = holds_version(report, staged)
--- a/tests/soak/programs.py
+++ b/tests/soak/programs.py
@@ -105,6 +105,14 @@
         if self.running and self._process is not None:
             self._process.send_signal(number)
 
+    async def hold(self, span_s: float) -> None:
+        """Stop the process for a time."""
+        self.send(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(span_s)
+        finally:
+            self.send(signal.SIGCONT)
+
     async def end(self, number: signal.Signals = signal.SIGKILL) -> bool:
         """End the process; tells whether it ended in time by itself."""
         process = self._process
--- a/tests/staging/stage_laboratory.py
+++ b/tests/staging/stage_laboratory.py
@@ -125,6 +125,9 @@
         counts["loads"] += outcome.loads
         counts["late orders"] += outcome.late_orders
         counts["wrong loads"] += len(outcome.wrong_loads)
+        counts["of these with a piece that is missing or of another version"] += sum(
+            any("damaged" not in fault for fault in load.faults) for load in outcome.wrong_loads
+        )
         counts["wrong weights used"] += len(outcome.wrong_weights_used)
         counts["not installed"] += not outcome.installed
         if outcome.wrong_weights_used or not outcome.installed:
