Count the age of weights from the first newer version, also after that one was evicted

Callers saw: nothing reported; the soak of stages shows requests that begin on version 1 up to 3 s after the limit that version 2 or 3 set. Cause: the catalog keeps the three newest versions of a model, and control and entries kept naming times of these only. With a fourth version named within the limit, the first one's time was lost and the limit of older weights moved on. What the replicated state keeps stays as it is. Why it works: a version's time limits all older weights, whether its pieces are still wanted or not.

--- a/src/leadhollow/control/version_ages.py
+++ b/src/leadhollow/control/version_ages.py
@@ -15,7 +15,6 @@
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem
-from leadhollow.state.weights_versions import VERSIONS_KEPT, versions_of
 from leadhollow.weights.named_versions import NamedVersion
 
 MAX_CONFIRMATION_AGE_MS = 500  # a connected replica is confirmed every 200 ms
@@ -30,10 +29,9 @@
         Known naming times; other services read and extend them.
     """
 
-    __slots__ = ("_catalog", "_confirmation", "times")
+    __slots__ = ("_confirmation", "times")
 
     def __init__(self, *, catalog: Catalog, confirmation: ConfirmationMonitor) -> None:
-        self._catalog = catalog
         self._confirmation = confirmation
         self.times = NamingTimes(clock=asyncio.get_running_loop().time)
         catalog.on_change(self._on_change)
@@ -54,11 +52,6 @@
         for item in items:
             if isinstance(item.value, NamedVersion) and item.value.named:
                 self.times.record(item.value.model, item.value.number)
-                self._forget(item.value.model)
-
-    def _forget(self, model: str) -> None:
-        recent = versions_of(self._catalog, model)[:VERSIONS_KEPT]
-        self.times.forget(model, min(version.number for version in recent))
 
 
 __all__ = ["VersionAgeTracker"]
--- a/src/leadhollow/membership/naming_times.py
+++ b/src/leadhollow/membership/naming_times.py
@@ -12,6 +12,10 @@
 from leadhollow.kernel import clocks
 from leadhollow.wire.generated.ttypes import VersionAge
 
+MAX_VERSIONS = 32
+"""Times kept per model. A version's time limits the use of all older ones, also after the version
+itself was evicted because newer ones had been named."""
+
 MIN_DIFFERENCE_S = 0.02
 """Smaller corrections are ignored: ages are rounded to milliseconds and take some to arrive."""
 
@@ -73,10 +77,9 @@
             for (model, number), named_s in self._named_s.items()
         ]
 
-    def forget(self, model: str, oldest: int) -> None:
-        """Drop the versions of a model that are older than ``oldest``."""
-        for key in [key for key in self._named_s if key[0] == model and key[1] < oldest]:
-            del self._named_s[key]
+    def numbers(self, model: str) -> list[int]:
+        """Return the versions of a model whose time is known, newest first."""
+        return sorted((number for name, number in self._named_s if name == model), reverse=True)
 
     def _elapsed_s(self) -> float:
         return self._clock() + self._suspended()
@@ -86,6 +89,8 @@
         if known_s is None or named_s < known_s - MIN_DIFFERENCE_S:
             self._named_s[(model, number)] = named_s
             self.changes += 1
+            for old in self.numbers(model)[MAX_VERSIONS:]:
+                del self._named_s[(model, old)]
 
 
 __all__ = ["NamingTimes"]
