Reword the model of a route table's path in the terms of the field

Cause: names and comments of tests/config_path were figurative (whole, look, taken, lasting, what must never be seen). No behaviour, number or step changes.

--- a/tests/config_path/__main__.py
+++ b/tests/config_path/__main__.py
@@ -1,4 +1,4 @@
-"""Plays many runs of the model, or shows which planted faults it finds."""
+"""Runs the model with many seeds, or shows which planted faults it finds."""
 
 from __future__ import annotations
 
@@ -11,20 +11,20 @@
 from absl import logging as absl_logging
 
 from tests.config_path.mutants import CLOCK_MUTANTS, MUTANTS
-from tests.config_path.scenario import drawn, play
+from tests.config_path.scenario import draw_run, play
 
 
 def run_one(number: int, *, suspends: bool = False) -> tuple[int, list[str]]:
-    """Play one run; an error of the model counts as found."""
+    """Run one seed; an error of the model counts as a violation."""
     absl_logging.set_verbosity(absl_logging.FATAL)
     try:
-        return number, play(*drawn(number, suspends=suspends), suspends=suspends)
+        return number, play(*draw_run(number, suspends=suspends), suspends=suspends)
     except Exception:
         return number, [traceback.format_exc(limit=3)]
 
 
 def find(name: str, most: int) -> tuple[str, int | None, str]:
-    """Play runs with a planted fault until one shows it."""
+    """Run seeds with a planted fault until one shows a violation."""
     for number in range(most):
         with {**MUTANTS, **CLOCK_MUTANTS}[name]():
             _, broken = run_one(number, suspends=name in CLOCK_MUTANTS)
@@ -34,7 +34,7 @@
 
 
 def main() -> int:
-    """Run what the command line asks for."""
+    """Run the command line."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--examples", type=int, default=1_000)
     parser.add_argument("--first", type=int, default=0)
--- a/tests/config_path/mutants.py
+++ b/tests/config_path/mutants.py
@@ -1,4 +1,4 @@
-"""Faults put into the source one by one, to show what the model finds."""
+"""Faults planted into the source one at a time, to show which of them the model finds."""
 
 from __future__ import annotations
 
@@ -32,15 +32,15 @@
 Patch = Callable[[], AbstractContextManager[object]]
 
 
-def forgotten_sync() -> AbstractContextManager[object]:
+def ignored_sync() -> AbstractContextManager[object]:
     return mock.patch.object(Disks, "fsync", lambda self, descriptor: None)
 
 
-def acknowledged_before_the_majority() -> AbstractContextManager[object]:
-    def own_word(*, match_indexes, **_):
+def commit_without_a_majority() -> AbstractContextManager[object]:
+    def own_match_index(*, match_indexes, **_):
         return max(match_indexes)
 
-    return mock.patch.object(leadership, "committed_index", own_word)
+    return mock.patch.object(leadership, "committed_index", own_match_index)
 
 
 def delta_that_skips_an_item() -> AbstractContextManager[object]:
@@ -53,7 +53,7 @@
     return mock.patch.object(Catalog, "items_after", fewer)
 
 
-def older_view_taken() -> AbstractContextManager[object]:
+def older_view_applied() -> AbstractContextManager[object]:
     def replaced(self, items, *, revision):
         fresh = list(items)
         self._items.update({item.key: item for item in fresh})
@@ -65,7 +65,7 @@
     return mock.patch.object(Catalog, "apply", replaced)
 
 
-def whole_view_told_to_nobody_who_lags() -> AbstractContextManager[object]:
+def delta_without_its_last_item() -> AbstractContextManager[object]:
     delta = FeedServer._delta
 
     def ahead(self, subscriber):
@@ -117,7 +117,7 @@
     return mock.patch.object(LogStore, "save_vote", kept)
 
 
-def wiped_disk_votes_as_before() -> AbstractContextManager[object]:
+def wiped_disk_keeps_its_vote() -> AbstractContextManager[object]:
     load = replica_service.load_identity
 
     def as_before(folder, **given):
@@ -138,30 +138,30 @@
     return mock.patch.object(RouteIndex, "_leave_out", lambda self, value: None)
 
 
-def other_content_under_a_held_number() -> AbstractContextManager[object]:
+def number_reused_with_other_content() -> AbstractContextManager[object]:
     held = route_tables.held_number
     return mock.patch.object(route_tables, "held_number", lambda catalog: held(catalog) - 1)
 
 
-def invalid_table_taken() -> AbstractContextManager[object]:
+def invalid_table_accepted() -> AbstractContextManager[object]:
     return mock.patch.object(platform_control, "check_table", lambda table: None)
 
 
-def unknown_fate_acknowledged() -> AbstractContextManager[object]:
+def unknown_outcome_acknowledged() -> AbstractContextManager[object]:
     propose = LeaderGateway.propose
 
-    async def hopeful(self, command, *, timeout_s):
+    async def acknowledge_any_outcome(self, command, *, timeout_s):
         answered = await propose(self, command, timeout_s=timeout_s)
         return Ok(None) if answered.is_err() else answered
 
-    return mock.patch.object(LeaderGateway, "propose", hopeful)
+    return mock.patch.object(LeaderGateway, "propose", acknowledge_any_outcome)
 
 
 def steady_s() -> float:
     return asyncio.get_running_loop().time()
 
 
-def lead_by_the_steady_clock() -> AbstractContextManager[object]:
+def leader_lease_by_the_steady_clock() -> AbstractContextManager[object]:
     stack = ExitStack()
     for module in (election, following, leadership, replica, replica_state):
         if hasattr(module, "now_s"):
@@ -180,33 +180,33 @@
 MUTANTS: dict[str, Patch] = {
     made.__name__.replace("_", " "): made
     for made in (
-        forgotten_sync,
-        acknowledged_before_the_majority,
+        ignored_sync,
+        commit_without_a_majority,
         delta_that_skips_an_item,
-        older_view_taken,
-        whole_view_told_to_nobody_who_lags,
+        older_view_applied,
+        delta_without_its_last_item,
         tombstone_lost_in_a_snapshot,
         document_lost_in_a_snapshot,
         read_without_confirmation,
         vote_not_written,
-        wiped_disk_votes_as_before,
+        wiped_disk_keeps_its_vote,
         vote_for_an_old_log,
         conflicting_entries_kept,
         removed_routes_stay,
-        other_content_under_a_held_number,
-        invalid_table_taken,
-        unknown_fate_acknowledged,
+        number_reused_with_other_content,
+        invalid_table_accepted,
+        unknown_outcome_acknowledged,
     )
 }
 
 CLOCK_MUTANTS: dict[str, Patch] = {
     made.__name__.replace("_", " "): made
     for made in (
-        lead_by_the_steady_clock,
+        leader_lease_by_the_steady_clock,
         confirmation_by_the_steady_clock,
         versions_age_by_the_steady_clock,
     )
 }
-"""Found in runs with suspended hosts only."""
+"""Faults that only runs with suspended hosts can find."""
 
 __all__ = ["CLOCK_MUTANTS", "MUTANTS"]
--- a/tests/config_path/network.py
+++ b/tests/config_path/network.py
@@ -1,4 +1,4 @@
-"""Connections in memory: delayed, in order, held up by cuts, and ended where that lasts."""
+"""In-memory connections: bytes are delayed and stay in order; a long partition resets them."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 from collections import deque
 from collections.abc import Callable
 
-HELD_LIMIT_S = 2.0  # after it the kernel ends a connection whose bytes nobody acknowledges
-SHORTEST_S, LONGEST_S = 0.0003, 0.004
+UNDELIVERED_LIMIT_S = 2.0  # TCP_USER_TIMEOUT of the product
+MIN_DELAY_S, MAX_DELAY_S = 0.0003, 0.004
 
-here: contextvars.ContextVar[str] = contextvars.ContextVar("host", default="outside")
-"""Host of the process that runs now; tasks inherit it."""
+current_host: contextvars.ContextVar[str] = contextvars.ContextVar("host", default="outside")
+"""Host of the process that is running; tasks inherit it."""
 
 
 class _Pipe:
@@ -24,36 +24,36 @@
         self.source = source
         self.target = target
         self.reader = asyncio.StreamReader(limit=2**20)
-        self.waiting: deque[bytes | None] = deque()  # None is the end
+        self.queued: deque[bytes | None] = deque()  # None is the end of the stream
         self.connection: _Connection
-        self._pump: asyncio.TimerHandle | None = None
-        self._held_since_s: float | None = None
+        self._delivery_timer: asyncio.TimerHandle | None = None
+        self._blocked_since_s: float | None = None
 
     def put(self, data: bytes | None) -> None:
-        self.waiting.append(data)
+        self.queued.append(data)
         self._schedule()
 
     def _schedule(self) -> None:
-        if self._pump is None:
-            delay_s = self.network.random.uniform(SHORTEST_S, LONGEST_S)
-            self._pump = self.network.loop.call_later(delay_s, self._deliver)
+        if self._delivery_timer is None:
+            delay_s = self.network.random.uniform(MIN_DELAY_S, MAX_DELAY_S)
+            self._delivery_timer = self.network.loop.call_later(delay_s, self._deliver)
 
     def _deliver(self) -> None:
-        self._pump = None
-        if self.connection.ended:
+        self._delivery_timer = None
+        if self.connection.is_reset:
             return
         now_s = self.network.loop.time()
-        if self.network.is_cut(self.source, self.target):
-            if self._held_since_s is None:
-                self._held_since_s = now_s
-            if now_s - self._held_since_s > HELD_LIMIT_S:
+        if self.network.is_blocked(self.source, self.target):
+            if self._blocked_since_s is None:
+                self._blocked_since_s = now_s
+            if now_s - self._blocked_since_s > UNDELIVERED_LIMIT_S:
                 self.connection.reset()
                 return
-            self._pump = self.network.loop.call_later(0.05, self._deliver)
+            self._delivery_timer = self.network.loop.call_later(0.05, self._deliver)
             return
-        self._held_since_s = None
-        while self.waiting:
-            data = self.waiting.popleft()
+        self._blocked_since_s = None
+        while self.queued:
+            data = self.queued.popleft()
             if data is None:
                 self.reader.feed_eof()
             elif not self.reader._eof:
@@ -61,29 +61,29 @@
 
 
 class _Connection:
-    """Both directions."""
+    """A connection with its two directions."""
 
     def __init__(self, network: Network, source: str, target: str) -> None:
         self.network = network
-        self.ended = False
-        self.ends = (source, target)
-        self.there = _Pipe(network, source, target)
-        self.back = _Pipe(network, target, source)
-        self.there.connection = self.back.connection = self
+        self.is_reset = False
+        self.hosts = (source, target)
+        self.forward = _Pipe(network, source, target)
+        self.backward = _Pipe(network, target, source)
+        self.forward.connection = self.backward.connection = self
 
     def reset(self) -> None:
-        """End it on both sides; what is on its way is lost."""
-        if self.ended:
+        """End the connection on both sides; bytes in transit are lost."""
+        if self.is_reset:
             return
-        self.ended = True
+        self.is_reset = True
         self.network.connections.discard(self)
-        for pipe in (self.there, self.back):
+        for pipe in (self.forward, self.backward):
             if not pipe.reader.at_eof():
                 pipe.reader.feed_eof()
 
 
 class Writer:
-    """The part of a stream writer that our processes use."""
+    """The methods of a stream writer that the product uses."""
 
     def __init__(self, pipe: _Pipe, own: _Pipe) -> None:
         self._pipe = pipe
@@ -92,7 +92,7 @@
         self.transport = self
 
     def write(self, data: bytes) -> None:
-        if not self._closed and not self._pipe.connection.ended:
+        if not self._closed and not self._pipe.connection.is_reset:
             self._pipe.put(bytes(data))
 
     async def drain(self) -> None:
@@ -118,59 +118,61 @@
 class _Listener:
     def __init__(self, network: Network, host: str, port: int) -> None:
         self._network = network
-        self._place = (host, port)
+        self._address = (host, port)
         self.sockets = [self]
 
     def getsockname(self) -> tuple[str, int]:
-        return self._place
+        return self._address
 
     def close(self) -> None:
-        self._network.listeners.pop(self._place, None)
+        self._network.listeners.pop(self._address, None)
 
 
 class Network:
-    """All hosts. Its two functions stand in for asyncio's."""
+    """Network of all hosts; it replaces asyncio's functions that connect and listen."""
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop, seed: int) -> None:
         self.loop = loop
         self.random = random.Random(seed)
         self.listeners: dict[tuple[str, int], tuple[Callable, contextvars.Context]] = {}
         self.connections: set[_Connection] = set()
-        self.apart: set[tuple[str, str]] = set()  # ordered pairs whose packets are lost
+        self.blocked_paths: set[tuple[str, str]] = set()  # source and target of lost packets
         self._ports = itertools.count(40_000)
 
-    def is_cut(self, source: str, target: str) -> bool:
-        return (source, target) in self.apart
+    def is_blocked(self, source: str, target: str) -> bool:
+        return (source, target) in self.blocked_paths
 
-    def cut(self, hosts: set[str], others: set[str], *, one_way: bool = False) -> None:
+    def partition(self, hosts: set[str], others: set[str], *, one_way: bool = False) -> None:
         for host in hosts:
             for other in others - hosts:
-                self.apart.add((host, other))
+                self.blocked_paths.add((host, other))
                 if not one_way:
-                    self.apart.add((other, host))
+                    self.blocked_paths.add((other, host))
 
     def heal(self) -> None:
-        self.apart = set()
+        self.blocked_paths = set()
 
     def reset(self, host: str) -> None:
         """Reset all connections of a host."""
         for connection in list(self.connections):
-            if host in connection.ends:
+            if host in connection.hosts:
                 connection.reset()
 
     async def open_connection(self, host: str, port: int, **_: object):
-        source = here.get()
-        while self.is_cut(source, host) or self.is_cut(host, source):
+        source = current_host.get()
+        while self.is_blocked(source, host) or self.is_blocked(host, source):
             await asyncio.sleep(0.1)
-        await asyncio.sleep(self.random.uniform(SHORTEST_S, LONGEST_S))
+        await asyncio.sleep(self.random.uniform(MIN_DELAY_S, MAX_DELAY_S))
         found = self.listeners.get((host, port))
         if found is None:
             raise ConnectionRefusedError
         accept, context = found
         connection = _Connection(self, source, host)
         self.connections.add(connection)
-        context.run(accept, connection.there.reader, Writer(connection.back, connection.there))
-        return connection.back.reader, Writer(connection.there, connection.back)
+        context.run(
+            accept, connection.forward.reader, Writer(connection.backward, connection.forward)
+        )
+        return connection.backward.reader, Writer(connection.forward, connection.backward)
 
     async def start_server(self, accept: Callable, host: str, port: int, **_: object) -> _Listener:
         if (host, port) in self.listeners:
@@ -179,4 +181,4 @@
         return _Listener(self, host, port)
 
 
-__all__ = ["Network", "here"]
+__all__ = ["Network", "current_host"]
--- a/tests/config_path/record.py
+++ b/tests/config_path/record.py
@@ -1,4 +1,4 @@
-"""What operators sent and were told, what entries had in force, and what must never be seen."""
+"""Records operators' requests and the tables in force, and checks them for violations."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from leadhollow.routing.index import RouteIndex
 
 HOST = "crews.example"
-IN_FORCE_S = 2.0  # from the acknowledgement until the table must be in force everywhere
+IN_FORCE_S = 2.0  # from the acknowledgement of a table until all entries must serve it
 
 
 class Document:
@@ -19,16 +19,16 @@
     prefixes
         Routes by prefix, each with its time-out.
     fault
-        What makes it invalid; empty for a valid one.
+        What makes it invalid; empty if it is valid.
     """
 
     def __init__(self, *, number: int, prefixes: dict[str, int], fault: str = "") -> None:
         self.number = number
         self.prefixes = prefixes
         self.fault = fault
-        self.body = _spoil(fault, self._content())
+        self.body = _apply_fault(fault, self._build_content())
 
-    def _content(self) -> dict[str, object]:
+    def _build_content(self) -> dict[str, object]:
         routes = [
             {
                 "name": f"r{place}",
@@ -44,10 +44,17 @@
         return {"version": self.number, "routes": routes, "services": [{"name": "s"}]}
 
 
-FAULTS = ("cut short", "unknown service", "same place", "no weight", "no timeout", "shared key")
+DOCUMENT_FAULTS = (
+    "cut short",
+    "unknown service",
+    "same place",
+    "no weight",
+    "no timeout",
+    "shared key",
+)
 
 
-def _spoil(fault: str, content: dict[str, object]) -> bytes:
+def _apply_fault(fault: str, content: dict[str, object]) -> bytes:
     routes: list[dict[str, object]] = content["routes"]  # type: ignore[assignment]
     match fault:
         case "cut short":
@@ -66,65 +73,75 @@
     return json.dumps(content).encode()
 
 
-class Record:
-    """History of one run; ``broken`` holds what was seen and must not be."""
+class History:
+    """History of one run.
+
+    Attributes
+    ----------
+    violations
+        Observations that break a promise of the system.
+    lost_response_share
+        Share of the responses to operators that are lost.
+    """
 
     def __init__(self, *, now_s: Callable[[], float]) -> None:
         self._now_s = now_s
-        self.lost_answers = 0.0
-        self.broken: list[str] = []
-        self._valid: dict[int, list[Document]] = {}  # by number, as they were sent
-        self._acknowledged: dict[int, float] = {}  # when first
-        self._content: dict[int, dict[str, int]] = {}  # as first seen in force or read
-        self._in_force: dict[str, int] = {}  # by entry, in this life of its process
+        self.lost_response_share = 0.0
+        self.violations: list[str] = []
+        self._valid_documents: dict[int, list[Document]] = {}  # by number, in the order sent
+        self._acknowledged_s: dict[int, float] = {}  # time of the first acknowledgement
+        self._contents: dict[int, dict[str, int]] = {}  # as first in force or read
+        self._in_force: dict[str, int] = {}  # by entry, since its process started
         self.refusals_of_valid: list[int] = []
 
-    def break_rule(self, what: str) -> None:
-        if len(self.broken) < 20:
-            self.broken.append(f"{self._now_s():.3f}: {what}")
+    def report_violation(self, what: str) -> None:
+        if len(self.violations) < 20:
+            self.violations.append(f"{self._now_s():.3f}: {what}")
 
     # operators
 
-    def sent(self, document: Document) -> None:
+    def note_sent(self, document: Document) -> None:
         if not document.fault:
-            self._valid.setdefault(document.number, []).append(document)
+            self._valid_documents.setdefault(document.number, []).append(document)
 
-    def acknowledged(self, document: Document, began_s: float) -> None:
+    def note_acknowledged(self, document: Document, began_s: float) -> None:
         if document.fault:
-            self.break_rule(f"an invalid table ({document.fault}) was acknowledged")
-        self._acknowledged.setdefault(document.number, self._now_s())
+            self.report_violation(f"an invalid table ({document.fault}) was acknowledged")
+        self._acknowledged_s.setdefault(document.number, self._now_s())
 
-    def refused(self, document: Document, status: int) -> None:
+    def note_rejected(self, document: Document, status: int) -> None:
         if not document.fault:
-            self.break_rule(f"the valid table {document.number} was refused with {status}")
+            self.report_violation(f"the valid table {document.number} was refused with {status}")
 
-    def refused_start(self, host: str, failure: str) -> None:
-        self.break_rule(f"{host} does not start: {failure}")
+    def note_failed_start(self, host: str, failure: str) -> None:
+        self.report_violation(f"{host} does not start: {failure}")
 
     def newest_acknowledged(self) -> int:
-        """Give the highest number that was acknowledged so far, -1 before any."""
-        return max(self._acknowledged, default=-1)
+        """Return the highest acknowledged number, -1 if there is none."""
+        return max(self._acknowledged_s, default=-1)
 
-    def read(self, host: str, found: dict[str, object], expected: int) -> None:
+    def check_read(self, host: str, found: dict[str, object], expected: int) -> None:
         number = found["version"]
         assert isinstance(number, int)
         if number < expected:
-            self.break_rule(f"{host} read {number} after {expected} was acknowledged")
-        bodies = [json.loads(document.body) for document in self._valid.get(number, [])]
+            self.report_violation(f"{host} read {number} after {expected} was acknowledged")
+        bodies = [json.loads(document.body) for document in self._valid_documents.get(number, [])]
         if found not in bodies:
-            self.break_rule(f"{host} read under {number} what nobody sent under it")
+            self.report_violation(f"{host} read content under {number} that nobody sent")
             return
         routes = found["routes"]
         assert isinstance(routes, list)
-        self._same(host, number, {each["pathPrefix"]: each["timeoutMs"] for each in routes})
+        self._check_content(
+            host, number, {each["pathPrefix"]: each["timeoutMs"] for each in routes}
+        )
 
     # entries
 
-    def entry_starts(self, host: str) -> None:
+    def note_entry_start(self, host: str) -> None:
         self._in_force.pop(host, None)
 
-    def seen(self, host: str, routes: RouteIndex) -> None:
-        """Take what an entry has in force now."""
+    def note_in_force(self, host: str, routes: RouteIndex) -> None:
+        """Record the table that an entry has in force now."""
         if not routes.has_table:
             return
         number = routes.number
@@ -132,14 +149,17 @@
         if before == number:
             return
         if before is not None and number < before:
-            self.break_rule(f"{host} went back from {before} to {number}")
+            self.report_violation(f"{host} went back from {before} to {number}")
         self._in_force[host] = number
-        self._same(host, number, self._served(routes))
+        self._check_content(host, number, self._served_prefixes(routes))
 
-    def _served(self, routes: RouteIndex) -> dict[str, int]:
-        """Give what requests find, of all prefixes that any table ever had."""
+    def _served_prefixes(self, routes: RouteIndex) -> dict[str, int]:
+        """Return the timeouts of the routes that requests match, for all prefixes of any table."""
         every = {
-            prefix for found in self._valid.values() for each in found for prefix in each.prefixes
+            prefix
+            for found in self._valid_documents.values()
+            for each in found
+            for prefix in each.prefixes
         }
         served = {}
         for prefix in every:
@@ -148,21 +168,21 @@
                 served[prefix] = route.timeout_ms
         return served
 
-    def _same(self, host: str, number: int, content: dict[str, int]) -> None:
-        """Check that content was sent under its number, and is the same wherever it is seen."""
-        if content not in [document.prefixes for document in self._valid.get(number, [])]:
-            self.break_rule(f"{host} has under {number} what nobody sent under it: {content}")
-        first = self._content.setdefault(number, content)
+    def _check_content(self, host: str, number: int, content: dict[str, int]) -> None:
+        """Check that content was sent under its number and is the same everywhere."""
+        if content not in [document.prefixes for document in self._valid_documents.get(number, [])]:
+            self.report_violation(f"{host} has content under {number} that nobody sent: {content}")
+        first = self._contents.setdefault(number, content)
         if first != content:
-            self.break_rule(f"{host} has other content under {number} than was seen before")
+            self.report_violation(f"{host} has different content under {number} than another host")
 
     def check_in_force(self, hosts: tuple[str, ...]) -> None:
-        """Check that all entries have the newest acknowledged table, where all was calm."""
+        """Check that all entries have the newest acknowledged table, without faults."""
         newest = self.newest_acknowledged()
         for host in hosts:
             number = self._in_force.get(host, -1)
             if number < newest:
-                self.break_rule(f"{host} has {number} in force, {newest} was acknowledged")
+                self.report_violation(f"{host} has {number} in force, {newest} was acknowledged")
 
 
-__all__ = ["FAULTS", "HOST", "IN_FORCE_S", "Document", "Record"]
+__all__ = ["DOCUMENT_FAULTS", "HOST", "IN_FORCE_S", "Document", "History"]
--- a/tests/config_path/scenario.py
+++ b/tests/config_path/scenario.py
@@ -1,4 +1,4 @@
-"""Steps of a run, and the run of a list of them."""
+"""Steps of a run, and their execution."""
 
 from __future__ import annotations
 
@@ -7,15 +7,15 @@
 
 from hypothesis import strategies as st
 
-from tests.config_path.record import FAULTS, IN_FORCE_S, Document
+from tests.config_path.record import DOCUMENT_FAULTS, IN_FORCE_S, Document
 from tests.config_path.site import CONTROLS, ENTRIES, SNAPSHOT_ENTRIES, Site
 
 Step = tuple[object, ...]
 
 STORM_GAP_S = 0.06
-DOWN_S = 0.3
-WHOLE_WITHIN_S = 30.0  # elections, joining and catching up after anything
-ACKNOWLEDGED_WITHIN_S = 4.0
+DOWNTIME_S = 0.3
+RECOVERY_TIMEOUT_S = 30.0  # elections, joining and catching up
+ACKNOWLEDGE_TIMEOUT_S = 4.0
 HOSTS = (*CONTROLS, *ENTRIES)
 
 STEPS: tuple[tuple[str, tuple[Sequence[object], ...]], ...] = (
@@ -24,7 +24,7 @@
     ("race", ()),
     ("again", (range(6),)),
     ("other content", ()),
-    ("invalid", (FAULTS,)),
+    ("invalid", (DOCUMENT_FAULTS,)),
     ("read", (CONTROLS,)),
     ("cut", (HOSTS, (*CONTROLS, ""), (False, True))),
     ("heal", ()),
@@ -38,7 +38,7 @@
     ("lose answers", ((0.0, 0.7),)),
     ("wait", ((0.02, 0.3, 1.5, 3.0),)),
 )
-"""What may happen, one after the other, and what may be given; operators go on beside it."""
+"""Names of the steps and the choices for each argument."""
 
 SUSPENDED_STEPS = (
     *STEPS,
@@ -47,61 +47,61 @@
     ("suspend leader", ((0.7, 2.0, 6.0), (False, True))),
     ("power of all others", (CONTROLS,)),
 )
-"""The same, with machines that stand still and with disks lost while all others lose power."""
+"""As above, with suspended hosts, and with a lost disk while all other hosts lose power."""
 
-LONGEST = 24  # steps of a run
+MAX_STEPS = 24  # of a run
 
 steps = st.one_of(
     *(
-        st.tuples(st.just(name), *(st.sampled_from(list(choices)) for choices in given))
-        for name, given in STEPS
+        st.tuples(st.just(name), *(st.sampled_from(list(choices)) for choices in arguments))
+        for name, arguments in STEPS
     )
 )
 
-runs = st.tuples(st.integers(0, 2**16), st.lists(steps, min_size=4, max_size=LONGEST))
+runs = st.tuples(st.integers(0, 2**16), st.lists(steps, min_size=4, max_size=MAX_STEPS))
 
 
-def drawn(number: int, *, suspends: bool = False) -> tuple[int, list[Step]]:
-    """Draw a run by its number, for those that are counted and not made smaller."""
-    chance = random.Random(number)
-    taken: list[Step] = []
-    for _ in range(chance.randint(4, LONGEST)):
-        name, given = chance.choice(SUSPENDED_STEPS if suspends else STEPS)
-        taken.append((name, *(chance.choice(list(choices)) for choices in given)))
-    return number, taken
+def draw_run(number: int, *, suspends: bool = False) -> tuple[int, list[Step]]:
+    """Draw a run by its number."""
+    rng = random.Random(number)
+    run_steps: list[Step] = []
+    for _ in range(rng.randint(4, MAX_STEPS)):
+        name, arguments = rng.choice(SUSPENDED_STEPS if suspends else STEPS)
+        run_steps.append((name, *(rng.choice(list(choices)) for choices in arguments)))
+    return number, run_steps
 
 
 class Scenario:
-    """One run."""
+    """One run of the emulated system."""
 
     def __init__(self, site: Site) -> None:
         self.site = site
-        self.documents: list[Document] = []  # valid ones, in the order they were sent
+        self.documents: list[Document] = []  # valid ones, in the order sent
         self.prefixes: dict[str, int] = {"/first/": 1_000}
         self.number = 0
-        self._made = 0
+        self._routes_added = 0
 
-    def begin(self) -> None:
+    def start(self) -> None:
         self.site.wait(1.5)
         self.change(1, removes=False)
         self.site.wait(1.0)
 
-    def take(self, step: Step) -> None:
-        name, *given = step
-        getattr(self, f"do_{str(name).replace(' ', '_')}")(*given)
+    def execute(self, step: Step) -> None:
+        name, *arguments = step
+        getattr(self, f"do_{str(name).replace(' ', '_')}")(*arguments)
         self.site.wait(0.05)
 
     # operators
 
     def change(self, added: int, *, removes: bool, to: str | None = None) -> None:
-        """Send the next table: routes are added, and perhaps one is taken away."""
+        """Send the next table: some routes are added, one may be removed."""
         prefixes = dict(self.prefixes)
         if removes and len(prefixes) > 1:
             prefixes.pop(next(name for name in prefixes if name != "/first/"))
         for _ in range(added):
-            self._made += 1
-            prefixes[f"/{self._made}/"] = 1_000 + self._made
-        prefixes["/first/"] = 1_000 + self._made
+            self._routes_added += 1
+            prefixes[f"/{self._routes_added}/"] = 1_000 + self._routes_added
+        prefixes["/first/"] = 1_000 + self._routes_added
         self.number += self.site.random.randint(1, 3)
         self._send(prefixes, to=to)
         self.prefixes = prefixes
@@ -109,7 +109,7 @@
     def _send(self, prefixes: dict[str, int], *, to: str | None = None) -> None:
         document = Document(number=self.number, prefixes=prefixes)
         self.documents.append(document)
-        self.site.put(document, to=to)
+        self.site.send_document(document, to=to)
 
     def do_change(self, added: int, removes: bool) -> None:
         self.change(added, removes=removes)
@@ -122,12 +122,12 @@
     def do_race(self) -> None:
         first, second = self.site.random.sample(CONTROLS, 2)
         self.change(1, removes=False, to=first)
-        other = {**self.prefixes, "/race/": 1_000 + self._made}
+        other = {**self.prefixes, "/race/": 1_000 + self._routes_added}
         self._send(other, to=second)
 
     def do_again(self, place: int) -> None:
         if self.documents:
-            self.site.put(self.documents[-1 - place % len(self.documents)])
+            self.site.send_document(self.documents[-1 - place % len(self.documents)])
 
     def do_other_content(self) -> None:
         if self.documents:
@@ -135,18 +135,18 @@
 
     def do_invalid(self, fault: str) -> None:
         prefixes = {**self.prefixes, "/invalid/": 5}
-        self.site.put(Document(number=self.number + 1, prefixes=prefixes, fault=fault))
+        self.site.send_document(Document(number=self.number + 1, prefixes=prefixes, fault=fault))
 
     def do_read(self, host: str) -> None:
         self.site.run(self.site.read(host))
 
     def do_lose_answers(self, share: float) -> None:
-        self.site.record.lost_answers = share
+        self.site.history.lost_response_share = share
 
     # faults
 
     def do_cut(self, host: str, second: str, one_way: bool) -> None:
-        self.site.network.cut({host, second}, set(HOSTS), one_way=one_way)
+        self.site.network.partition({host, second}, set(HOSTS), one_way=one_way)
 
     def do_heal(self) -> None:
         self.site.network.heal()
@@ -156,52 +156,52 @@
 
     def do_restart(self, host: str, power: bool) -> None:
         self.site.run(self.site.kill(host, power=power))
-        self.site.wait(DOWN_S)
+        self.site.wait(DOWNTIME_S)
         self._start(host)
 
     def do_restart_all(self, power: bool) -> None:
         for host in HOSTS:
             self.site.run(self.site.kill(host, power=power))
-        self.site.wait(DOWN_S)
+        self.site.wait(DOWNTIME_S)
         for host in HOSTS:
             self._start(host)
 
     def do_wipe(self, host: str) -> None:
-        """Lose a disk, but never a second one before the first is made good."""
-        if not self.site.whole():
+        """Lose a disk, but no second one before the first replica has recovered."""
+        if not self.site.replicas_current():
             return
         self.site.run(self.site.kill(host, power=True))
         self.site.disks.wipe(host)
-        self.site.wait(DOWN_S)
+        self.site.wait(DOWNTIME_S)
         self._start(host)
 
     def do_after_acknowledgement(self, what: str) -> None:
-        """Strike the leader in the moment in which it acknowledged a change."""
+        """Cause a fault at the leader at the moment it acknowledges a change."""
         leader = self.site.leader()
         if leader is None:
             return
-        whole = self.site.whole()
+        whole = self.site.replicas_current()
         self.change(1, removes=False, to=leader)
         for _ in range(500):
-            if self.site.record.newest_acknowledged() >= self.number:
+            if self.site.history.newest_acknowledged() >= self.number:
                 break
             self.site.wait(0.001)
         if what == "cut":
-            self.site.network.cut({leader}, set(CONTROLS))
+            self.site.network.partition({leader}, set(CONTROLS))
             return
         self.site.run(self.site.kill(leader, power=True))
         if what == "wipe" and whole:
             self.site.disks.wipe(leader)
-        self.site.wait(2 * DOWN_S)
+        self.site.wait(2 * DOWNTIME_S)
         self._start(leader)
 
     def do_behind(self, wipes: bool) -> None:
-        """Let one replica miss changes; then the leader fails, and perhaps the third disk."""
+        """Let one replica miss changes, then kill the leader, and maybe wipe the third disk."""
         leader = self.site.leader()
-        if leader is None or not self.site.whole():
+        if leader is None or not self.site.replicas_current():
             return
         behind, third = self.site.random.sample([host for host in CONTROLS if host != leader], 2)
-        self.site.network.cut({behind}, set(CONTROLS))
+        self.site.network.partition({behind}, set(CONTROLS))
         for _ in range(SNAPSHOT_ENTRIES + 2):
             self.change(1, removes=True, to=leader)
             self.site.wait(STORM_GAP_S)
@@ -212,22 +212,22 @@
             self.site.disks.wipe(third)
             self._start(third)
         self.site.network.heal()
-        self.site.wait(3 * DOWN_S)
+        self.site.wait(3 * DOWNTIME_S)
         self._start(leader)
 
     def do_split_leader(self) -> None:
-        """Cut the leader off from the others; two operators change the table, one on each side.
+        """Partition the leader from the others and change the table on both sides.
 
-        What the leader writes then is never committed: its operator gives up without an answer.
+        The leader's entry is never committed; its operator gives up without a response.
         """
         leader = self.site.leader()
         if leader is None:
             return
         other = next(host for host in CONTROLS if host != leader)
-        self.site.network.cut({leader}, set(CONTROLS))
+        self.site.network.partition({leader}, set(CONTROLS))
         self.number += 1
         lost = Document(number=self.number, prefixes={**self.prefixes, "/lost/": 1})
-        self.site.put(lost, to=leader, tries=1)
+        self.site.send_document(lost, to=leader, tries=1)
         self.site.wait(1.5)
         self._send({**self.prefixes, "/kept/": 2}, to=other)
         self.site.wait(1.0)
@@ -237,7 +237,7 @@
         self.site.suspend(host, span_s)
 
     def do_suspend_leader(self, span_s: float, after_change: bool) -> None:
-        """Suspend the leader, perhaps between its write and its answer."""
+        """Suspend the leader, possibly between its write and its response."""
         leader = self.site.leader()
         if leader is None:
             return
@@ -249,19 +249,19 @@
         self.do_read(self.site.random.choice(CONTROLS))
 
     def do_power_of_all_others(self, lost: str) -> None:
-        """In the moment of an acknowledgement one disk goes, and all other machines' power."""
+        """Lose one disk and the power of all hosts at the moment of an acknowledgement."""
         leader = self.site.leader()
-        if leader is None or not self.site.whole():
+        if leader is None or not self.site.replicas_current():
             return
         self.change(1, removes=False, to=leader)
         for _ in range(500):
-            if self.site.record.newest_acknowledged() >= self.number:
+            if self.site.history.newest_acknowledged() >= self.number:
                 break
             self.site.wait(0.001)
         for host in HOSTS:
             self.site.run(self.site.kill(host, power=True))
         self.site.disks.wipe(lost)
-        self.site.wait(DOWN_S)
+        self.site.wait(DOWNTIME_S)
         for host in HOSTS:
             self._start(host)
 
@@ -272,40 +272,40 @@
         if host not in self.site.processes:
             self.site.run(self.site.start(host))
 
-    def end(self) -> None:
-        """Let all be calm, and see whether everything is as it must be then."""
+    def finish(self) -> None:
+        """End all faults, and check that the system recovers."""
         site = self.site
         site.settle()
         waited_s = 0.0
-        while not site.whole() and waited_s < WHOLE_WITHIN_S:
+        while not site.replicas_current() and waited_s < RECOVERY_TIMEOUT_S:
             site.wait(0.5)
             waited_s += 0.5
-        if not site.whole():
-            site.record.break_rule("the replicas are not whole again")
+        if not site.replicas_current():
+            site.history.report_violation("not all replicas have recovered")
         for host in CONTROLS:
             site.run(site.read(host))
         self.change(1, removes=False)
-        site.wait(ACKNOWLEDGED_WITHIN_S)
-        if site.record.newest_acknowledged() != self.number:
-            site.record.break_rule(f"{self.number} was not acknowledged where all was calm")
+        site.wait(ACKNOWLEDGE_TIMEOUT_S)
+        if site.history.newest_acknowledged() != self.number:
+            site.history.report_violation(f"{self.number} was not acknowledged without faults")
         site.wait(IN_FORCE_S)
-        site.look()
-        site.record.check_in_force(ENTRIES)
+        site.sample_entries()
+        site.history.check_in_force(ENTRIES)
         for host in CONTROLS:
             site.run(site.read(host))
 
 
-def play(seed: int, taken: Sequence[Step], *, suspends: bool = False) -> list[str]:
-    """Run steps; gives what was seen and must not be."""
+def play(seed: int, run_steps: Sequence[Step], *, suspends: bool = False) -> list[str]:
+    """Run steps and return the violations."""
     with Site(seed=seed, suspends=suspends) as site:
         scenario = Scenario(site)
-        scenario.begin()
-        for step in taken:
-            scenario.take(step)
-            if site.record.broken:
-                return site.record.broken
-        scenario.end()
-        return site.record.broken
+        scenario.start()
+        for step in run_steps:
+            scenario.execute(step)
+            if site.history.violations:
+                return site.history.violations
+        scenario.finish()
+        return site.history.violations
 
 
-__all__ = ["SUSPENDED_STEPS", "Scenario", "Step", "drawn", "play", "runs"]
+__all__ = ["SUSPENDED_STEPS", "Scenario", "Step", "draw_run", "play", "runs"]
--- a/tests/config_path/site.py
+++ b/tests/config_path/site.py
@@ -1,4 +1,4 @@
-"""Whole control replicas and entries in one emulated system, with operators that keep a record."""
+"""Emulated system of control replicas, entries and operators, with a history of the run."""
 
 from __future__ import annotations
 
@@ -32,23 +32,23 @@
 from leadhollow.settings.model import StateSettings
 from leadhollow.settings.node import NodeRole, NodeSettings
 from tests.config_path.disk import Disks
-from tests.config_path.network import Network, here
-from tests.config_path.record import Document, Record
+from tests.config_path.network import Network, current_host
+from tests.config_path.record import Document, History
 from tests.config_path.suspending_loop import SuspendingLoop
 from tests.config_path.virtual_loop import VirtualLoop
 
 PORT = 7_000
 CONTROLS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 ENTRIES = ("10.0.1.1", "10.0.1.2")
-SNAPSHOT_ENTRIES = 8  # a run of some changes takes several
-ANSWER_S = 1.0  # an operator asks another replica after it
+SNAPSHOT_ENTRIES = 8  # low, so that a run takes several snapshots
+RESPONSE_TIMEOUT_S = 1.0  # then an operator asks another replica
 SAMPLE_S = 0.02
-OUTSIDE = frozenset({"operators", "manifests", "callers", "readiness", "path-prober"})
-"""Services that speak to the outside by sockets of their own; the model stands in for these."""
+EXTERNAL_SERVICES = frozenset({"operators", "manifests", "callers", "readiness", "path-prober"})
+"""Services with sockets of their own; the model replaces them."""
 
 
 class Site:
-    """One system. Everything random in it follows from the seed."""
+    """One emulated system; the seed determines everything random."""
 
     def __init__(self, *, seed: int, suspends: bool = False) -> None:
         self.loop = SuspendingLoop() if suspends else VirtualLoop()
@@ -56,23 +56,23 @@
         self.network = Network(loop=self.loop, seed=seed)
         self._folder = tempfile.TemporaryDirectory(prefix="config-path-")
         self.disks = Disks(root=Path(self._folder.name).resolve(), seed=seed)
-        self.record = Record(now_s=self.loop.time)
+        self.history = History(now_s=self.loop.time)
         self.processes: dict[str, NodeProcess] = {}
         self._listeners: dict[str, ControlListener] = {}
         self._contexts: dict[str, contextvars.Context] = {}
-        self._hearing: dict[str, active_time.ActiveClock] = {}
+        self._active_clocks: dict[str, active_time.ActiveClock] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._names = 0
+        self._token_count = 0
         self._patches = [
             mock.patch.object(asyncio, "open_connection", self.network.open_connection),
             mock.patch.object(asyncio, "start_server", self.network.start_server),
             mock.patch.object(os, "fsync", self.disks.fsync),
             mock.patch.object(os, "replace", self.disks.replace),
-            mock.patch.object(secrets, "token_hex", self._name),
-            mock.patch.object(active_time, "clock", self._hearing_clock),
+            mock.patch.object(secrets, "token_hex", self._next_token),
+            mock.patch.object(active_time, "clock", self._active_clock),
         ]
         if isinstance(self.loop, SuspendingLoop):
-            self.loop.on_wake = self._on_wake
+            self.loop.on_resume = self._on_resume
             self._patches += [
                 mock.patch.object(clocks, "suspended_s", self._suspended_s),
                 mock.patch.dict(NamingTimes.__init__.__kwdefaults__, suspended=self._suspended_s),
@@ -95,17 +95,17 @@
         self._folder.cleanup()
 
     def run(self, work: Coroutine[Any, Any, Any]) -> Any:
-        """Let time pass until some work is done."""
+        """Run the loop until a coroutine has finished."""
         return self.loop.run_until_complete(work)
 
     def wait(self, span_s: float) -> None:
-        """Let time pass."""
+        """Run the loop for a time."""
         self.run(asyncio.sleep(span_s))
 
     # processes
 
     async def start(self, host: str, *, first_start: bool = False) -> None:
-        """Start the process of a host; one whose log is damaged does not start."""
+        """Start the process of a host; it refuses to start if its log is damaged."""
         control = host in CONTROLS
         settings = NodeSettings(
             vm=host,
@@ -125,23 +125,23 @@
             ),
         )
         context = contextvars.copy_context()
-        context.run(here.set, host)
+        context.run(current_host.set, host)
         self._contexts[host] = context
         started = await self.loop.create_task(self._start(host, settings), context=context)
         if started and not control:
-            self.record.entry_starts(host)
+            self.history.note_entry_start(host)
 
     async def _start(self, host: str, settings: NodeSettings) -> bool:
         process = NodeProcess(settings=settings, dialects=platform_dialects())
-        for name in OUTSIDE:
+        for name in EXTERNAL_SERVICES:
             process.kernel._registrations.pop(name, None)
         started = await process.start()
         if started.is_err():
-            self.record.refused_start(host, str(started.unwrap_err()))
+            self.history.note_failed_start(host, str(started.unwrap_err()))
             return False
         self.processes[host] = process
         if isinstance(self.loop, SuspendingLoop):
-            naming_times(process).record("m", 1)  # a version whose age is looked at
+            naming_times(process).record("m", 1)  # its age is checked after suspensions
         if settings.role is NodeRole.CONTROL:
             service = process.kernel.get("replica", ReplicaService)
             self._listeners[host] = ControlListener(
@@ -154,8 +154,8 @@
         return True
 
     async def kill(self, host: str, *, power: bool = False) -> None:
-        """End a process at once; with the power goes what its disk had not synced."""
-        self._wake(host)
+        """Kill a process; a loss of power also loses what its disk had not synced."""
+        self._resume(host)
         process = self.processes.pop(host, None)
         self._listeners.pop(host, None)
         if power and host in CONTROLS:
@@ -169,47 +169,47 @@
     # suspensions
 
     def suspend(self, host: str, span_s: float) -> None:
-        """Let a host stand still, its steady clock too."""
+        """Suspend a host, including its steady clock."""
         assert isinstance(self.loop, SuspendingLoop)
         if host in self.processes and not self.loop.suspended(host):
             self.loop.suspend(host, span_s)
 
-    def _wake(self, host: str) -> None:
+    def _resume(self, host: str) -> None:
         if isinstance(self.loop, SuspendingLoop):
-            self.loop.wake(host)
+            self.loop.resume(host)
 
     def _suspended_s(self) -> float:
         assert isinstance(self.loop, SuspendingLoop)
-        return self.loop.slept_s.get(here.get(), 0.0)
+        return self.loop.suspended_total_s.get(current_host.get(), 0.0)
 
-    def _hearing_clock(self) -> active_time.ActiveClock:
-        """Give the clock of the host that runs now: one that stands still holds up no other."""
-        host = here.get()
-        if host not in self._hearing:
-            self._hearing[host] = active_time.ActiveClock()
-        return self._hearing[host]
+    def _active_clock(self) -> active_time.ActiveClock:
+        """Return the active clock of the running host; each host has its own."""
+        host = current_host.get()
+        if host not in self._active_clocks:
+            self._active_clocks[host] = active_time.ActiveClock()
+        return self._active_clocks[host]
 
-    def _on_wake(self, host: str, span_s: float) -> None:
-        """See what a host believes in the moment in which it goes on."""
+    def _on_resume(self, host: str, span_s: float) -> None:
+        """Check the ages and leases of a host at the moment it resumes."""
         if host in self.processes:
             context = self._contexts[host].copy()
-            for what in context.run(believed_too_long, self.processes[host], span_s):
-                self.record.break_rule(f"{host} was suspended for {span_s:.1f} s: {what}")
+            for what in context.run(underestimated_ages, self.processes[host], span_s):
+                self.history.report_violation(f"{host} was suspended for {span_s:.1f} s: {what}")
         self.check_leaders()
 
     def check_leaders(self) -> None:
-        """See that no two replicas believe in a lead at once."""
+        """Check that at most one replica considers itself the leader."""
         leading = [
             host
             for host in CONTROLS
             if host in self.processes
             and not (isinstance(self.loop, SuspendingLoop) and self.loop.suspended(host))
-            and self._contexts[host].copy().run(self._leads, host)
+            and self._contexts[host].copy().run(self._is_leader, host)
         ]
         if len(leading) > 1:
-            self.record.break_rule(f"{leading} lead at once")
+            self.history.report_violation(f"{leading} are leaders at the same time")
 
-    def _leads(self, host: str) -> bool:
+    def _is_leader(self, host: str) -> bool:
         return self.processes[host].kernel.get("replica", ReplicaService).replica.ready()
 
     async def _start_all(self) -> None:
@@ -229,37 +229,37 @@
 
     # operators
 
-    def put(self, document: Document, *, to: str | None = None, tries: int = 6) -> None:
-        """Let an operator send a document until its fate is clear."""
-        self.record.sent(document)
-        self._spawn(self._operate(document, to, tries))
+    def send_document(self, document: Document, *, to: str | None = None, tries: int = 6) -> None:
+        """Let an operator send a document until it gets a definite response."""
+        self.history.note_sent(document)
+        self._spawn(self._send_until_answered(document, to, tries))
 
-    async def _operate(self, document: Document, to: str | None, tries: int) -> None:
+    async def _send_until_answered(self, document: Document, to: str | None, tries: int) -> None:
         for turn in range(tries):
             host = to if to is not None and turn == 0 else self.random.choice(CONTROLS)
             began_s = self.loop.time()
-            status = await self._ask(host, "PUT", document.body)
+            status = await self._request_status(host, "PUT", document.body)
             if status == 200:
-                self.record.acknowledged(document, began_s)
+                self.history.note_acknowledged(document, began_s)
                 return
             if status in (400, 409, 412, 413, 422):
-                self.record.refused(document, status)
+                self.history.note_rejected(document, status)
                 return
             await asyncio.sleep(0.05 * 2**turn)
 
     async def read(self, host: str) -> None:
-        """Read the table at a replica, and let the record judge the answer."""
-        expected = self.record.newest_acknowledged()
-        answer = await self._call(host, "GET", b"")
+        """Read the table from a replica and check the response."""
+        expected = self.history.newest_acknowledged()
+        answer = await self._request(host, "GET", b"")
         if answer is not None and answer.status == 200:
-            self.record.read(host, json.loads(answer.body), expected)
+            self.history.check_read(host, json.loads(answer.body), expected)
 
-    async def _ask(self, host: str, method: str, body: bytes) -> int:
-        answer = await self._call(host, method, body)
-        lost = self.random.random() < self.record.lost_answers
+    async def _request_status(self, host: str, method: str, body: bytes) -> int:
+        answer = await self._request(host, method, body)
+        lost = self.random.random() < self.history.lost_response_share
         return 0 if answer is None or lost else answer.status
 
-    async def _call(self, host: str, method: str, body: bytes):
+    async def _request(self, host: str, method: str, body: bytes):
         listener = self._listeners.get(host)
         if listener is None:
             return None
@@ -271,35 +271,37 @@
         call = read.unwrap()
         assert method == "PUT" or isinstance(call, GetRouteTable)
         task = self.loop.create_task(listener._execute(call), context=self._contexts[host])
-        done, _ = await asyncio.wait([task], timeout=ANSWER_S)
+        done, _ = await asyncio.wait([task], timeout=RESPONSE_TIMEOUT_S)
         if not done:
             task.cancel()
             return None
         return None if task.cancelled() else task.result()
 
-    # looking on
+    # observation
 
     async def _sample(self) -> None:
         while True:
-            self.look()
+            self.sample_entries()
             self.check_leaders()
             await asyncio.sleep(SAMPLE_S)
 
-    def look(self) -> None:
-        """Show the record what each entry has in force."""
+    def sample_entries(self) -> None:
+        """Record the table that each entry has in force."""
         for host in ENTRIES:
             process = self.processes.get(host)
             if process is not None:
-                self.record.seen(host, process.kernel.get("dispatching", EntryDispatcher).routes)
+                self.history.note_in_force(
+                    host, process.kernel.get("dispatching", EntryDispatcher).routes
+                )
 
     def settle(self) -> None:
-        """Heal everything and wait until all are up and calm."""
+        """End all faults and wait until all processes run."""
         self.network.heal()
-        self.record.lost_answers = 0.0
+        self.history.lost_response_share = 0.0
 
         async def work() -> None:
             for host in (*CONTROLS, *ENTRIES):
-                self._wake(host)
+                self._resume(host)
             for host in (*CONTROLS, *ENTRIES):
                 if host not in self.processes:
                     await self.start(host)
@@ -308,7 +310,7 @@
         self.run(work())
 
     def leader(self) -> str | None:
-        """Give the host of the replica that leads."""
+        """Return the host of the leader, None if there is none."""
 
         async def work() -> str | None:
             for host in CONTROLS:
@@ -320,15 +322,15 @@
         found: str | None = self.run(work())
         return found
 
-    def whole(self) -> bool:
-        """Tell whether all three replicas vote and have applied everything."""
+    def replicas_current(self) -> bool:
+        """Return whether all replicas are voters and have applied all entries."""
 
         async def work() -> bool:
-            return self._whole()
+            return self._replicas_current()
 
         return bool(self.run(work()))
 
-    def _whole(self) -> bool:
+    def _replicas_current(self) -> bool:
         replicas = [
             self.processes[host].kernel.get("replica", ReplicaService).replica
             for host in CONTROLS
@@ -340,7 +342,7 @@
         newest = max(found.last_index for found in replicas)
         return all(
             found.vote.voter
-            and found.applied_index == newest  # a change of voters that is not committed is none
+            and found.applied_index == newest  # an uncommitted change of voters is not in effect
             and {voter.replica for voter in found.voters.voters} == own
             for found in replicas
         )
@@ -348,35 +350,35 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = self.loop.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._ended)
+        task.add_done_callback(self._on_task_done)
 
-    def _ended(self, task: asyncio.Task[None]) -> None:
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self.record.break_rule(f"a task of the model failed: {task.exception()!r}")
+            self.history.report_violation(f"a task of the model failed: {task.exception()!r}")
 
-    def _name(self, count: int = 8) -> str:
-        self._names += 1
-        return f"{self._names:0{2 * count}x}"
+    def _next_token(self, count: int = 8) -> str:
+        self._token_count += 1
+        return f"{self._token_count:0{2 * count}x}"
 
 
 def naming_times(process: NodeProcess) -> NamingTimes:
-    """Give when versions were named, as a process knows it."""
+    """Return the naming times that a process knows."""
     if process.settings.role is NodeRole.CONTROL:
         return process.kernel.get("version-ages", VersionAgeTracker).times
     return process.kernel.get("feed", ControlFeed).naming_times
 
 
-def believed_too_long(process: NodeProcess, span_s: float) -> list[str]:
-    """Give what a process believes for longer than others, by the clocks that it has."""
+def underestimated_ages(process: NodeProcess, span_s: float) -> list[str]:
+    """Return the ages that a process underestimates after a suspension."""
     found = []
     if process.settings.role is NodeRole.CONTROL:
         age_ms = process.kernel.get("confirmation", ConfirmationMonitor).age_ms()
         if 0 <= age_ms < span_s * 1000:
-            found.append(f"a confirmation of {age_ms} ms ago")
+            found.append(f"the age of the confirmation is {age_ms} ms")
     for age in naming_times(process).ages():
         if age.age_ms < span_s * 1000:
-            found.append(f"a version was named {age.age_ms} ms ago")
+            found.append(f"the age of a version is {age.age_ms} ms")
     return found
 
 
--- a/tests/config_path/virtual_loop.py
+++ b/tests/config_path/virtual_loop.py
@@ -1,4 +1,4 @@
-"""An event loop whose time passes only while nothing is ready, so that a run repeats."""
+"""Event loop on a virtual clock, so that runs are reproducible."""
 
 from __future__ import annotations
 
@@ -7,13 +7,13 @@
 from collections.abc import Callable
 from typing import Any
 
-DISK_S = 0.002  # work that a thread of a disk does takes this long
+DISK_WORK_S = 0.002  # duration of work in a thread, such as disk access
 START_S = 1_000.0
-TURN_S = 1e-6  # a turn of the loop takes time too, else who polls until a moment never gets there
+ITERATION_S = 1e-6  # an iteration takes time, or a task that polls for a moment never reaches it
 
 
 class _IdleSelector(selectors.SelectSelector):
-    """Waits for nothing: where the loop would sleep, its clock goes on."""
+    """Advances the clock instead of sleeping."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -21,14 +21,14 @@
 
     def select(self, timeout: float | None = None) -> list[Any]:
         if timeout is None:
-            message = "nothing is scheduled any more"
+            message = "nothing is scheduled"
             raise RuntimeError(message)
-        self.now_s += max(TURN_S, timeout)
+        self.now_s += max(ITERATION_S, timeout)
         return []
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
-    """Loop of one emulated system."""
+    """Event loop of one emulated system."""
 
     def __init__(self) -> None:
         self._idle = _IdleSelector()
@@ -38,11 +38,11 @@
         return self._idle.now_s
 
     def advance(self, span_s: float) -> None:
-        """Let time pass without a turn of the loop, as where the process stands still."""
+        """Advance the clock without running anything, as if the process were stopped."""
         self._idle.now_s += span_s
 
     def run_in_executor(self, executor, func: Callable[..., Any], *args: Any):  # type: ignore[override]
-        """Do a thread's work here, a little later."""
+        """Run a thread's work on the loop, after a delay."""
         done = self.create_future()
 
         def work() -> None:
@@ -53,7 +53,7 @@
             except BaseException as error:
                 done.set_exception(error)
 
-        self.call_later(DISK_S, work)
+        self.call_later(DISK_WORK_S, work)
         return done
 
 
