--- a/tests/staging/test_stage_verification.py
+++ b/tests/staging/test_stage_verification.py
@@ -7,6 +7,14 @@
 from tests.staging.engine_model import InstallerSite, play, stand_still
 
 
+async def run_and_check(site: InstallerSite) -> None:
+    """Check that version 2 is installed from undamaged pieces."""
+    await site.run(10.0)
+    assert site.engine.loads
+    assert site.wrong_loads == []
+    assert site.serving == [2]
+
+
 class TestStageVerification:
     # Guards against: a piece that turns bad while requests finish is loaded.
     def test_is_repeated_after_a_long_drain(self):
@@ -17,10 +25,7 @@
             site.engine.busy_with_requests_until_s = now_s + 60.0
             # Verified by 0.6 s, before the switch is announced.
             site.engine.at(now_s + 0.65, lambda: site.engine.damage(5))
-            await site.run(8.0)
-            assert site.engine.loads
-            assert site.wrong_loads == []
-            assert site.serving == [2]
+            await run_and_check(site)
 
         play(work)
 
@@ -40,10 +45,7 @@
                     stand_still(4.0)
 
             site.engine.before_call = before_call
-            await site.run(8.0)
-            assert site.engine.loads
-            assert site.wrong_loads == []
-            assert site.serving == [2]
+            await run_and_check(site)
 
         play(work)
 
@@ -63,10 +65,7 @@
                     stand_still(0.5)
 
             site.engine.before_call = before_call
-            await site.run(8.0)
-            assert site.engine.loads
-            assert site.wrong_loads == []
-            assert site.serving == [2]
+            await run_and_check(site)
 
         play(work)
 
@@ -84,9 +83,6 @@
                     stand_still(4.0)
 
             site.engine.before_call = before_call
-            await site.run(10.0)
-            assert site.engine.loads
-            assert site.wrong_loads == []
-            assert site.serving == [2]
+            await run_and_check(site)
 
         play(work)
