Draw the ports of a test site in one block, so that no two of them are equal

Cause: tests/node draws the ports of a site in four separate draws from 10,000; two of them were the same in 0.07% of sites (137 of 200,000 drawn ones), and a run starts over a hundred. A process then does not start: seen in test_server_backoff on beside other runs, and once before, listed as a suspected port race. Change: one draw of five consecutive ports. tests/node/test_site.py fails before: two distinct ports instead of five. Conclusion: the failure was of the test's own making. Two runs at once on one machine still share their loopback addresses.

--- a/tests/node/site.py
+++ b/tests/node/site.py
@@ -114,9 +114,9 @@
         self.control_host = f"127.0.70.{number}"
         entry_hosts = [f"127.0.{71 + index}.{number}" for index in range(entries)]
         hosts = (self.control_host, *entry_hosts)
-        wire = free_ports(hosts)
-        self.operators = f"{self.control_host}:{free_ports(hosts)}"
-        callers_port, readiness_port = free_ports(hosts), free_ports(hosts)
+        wire = free_ports(hosts, count=5)
+        self.operators = f"{self.control_host}:{wire + 2}"
+        callers_port, readiness_port = wire + 3, wire + 4
         self.all_callers = [f"{host}:{callers_port}" for host in entry_hosts]
         self.callers = self.all_callers[0]
         shared = {
