Give one rule for whether a request may go to a server, and the reason if not

Cause: state, back-off and rate limit of a server were asked in three places, each with its own subset, and nothing could say that a failure domain is evacuated or that a request is bound to regions. Both are facts that change between the choice of a server and the send.

Server.reason_against gives the first reason as a result code; claim_send asks the same again when the request is sent. Two new codes, DOMAIN_EVACUATED and OUTSIDE_REGIONS. Routes, groups, requests and calls have a place for allowed regions, settings for the region of each failure domain. Server.admits became reason_against; the tests that used it ask for the same reason.

--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -122,6 +122,12 @@
     REST_MALFORMED = (519, 502, "The backend server asked for a rest that is no number of seconds.")
     SERVER_RESTS = (520, 503, "The backend server had asked for rest; nothing was run.")
     WEIGHTS_TOO_OLD = (521, 502, "The backend server's weights became too old before it began.")
+    DOMAIN_EVACUATED = (522, 503, "The failure domain of the server is evacuated; nothing was run.")
+    OUTSIDE_REGIONS = (
+        523,
+        503,
+        "No server of an allowed region takes the request; it was not run.",
+    )
 
     MANIFEST_INVALID = (601, 400, "A manifest is malformed, or its chunks do not cover the file.")
     CHUNK_MISMATCH = (602, 502, "A chunk does not match its hash.")
--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -247,6 +247,7 @@
             server.backoff.remaining_s()
             for server in self._directory.servers(request.service.name)
             if server.backoff is not None
+            and server.in_reach(request.regions)
             and server.instance.instance not in request.excluded
             and self._usable_version(server, request.model, spec, oldest, now_s) is not None
         ]
@@ -266,6 +267,8 @@
     ) -> list[_UsableEngine]:
         """Return the engines that this request may be sent to."""
         found = self._usable(request.service.name, request.model, spec, now_s)
+        if request.regions is not None:
+            found = [one for one in found if one.server.reason_against(request.regions) is None]
         if request.excluded:
             found = [one for one in found if one.server.instance.instance not in request.excluded]
         if not request.last_attempt:
@@ -308,7 +311,7 @@
         oldest = self._versions.oldest_allowed(model)
         found = self._cache[service, model] = []
         for server in self._directory.servers(service):
-            if not server.admits():
+            if server.reason_against(None) is not None:
                 continue
             version = self._usable_version(server, model, spec, oldest, now_s)
             if version is not None:
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -333,6 +333,7 @@
             output_tokens=request.output_tokens,
             placed_s=now_s,
             predicted_ms=option.first_ms,
+            regions=request.regions,
         )
         option.server.add_call(call)
         self._chooser.invalidate()
--- a/src/leadhollow/decide/engine_request.py
+++ b/src/leadhollow/decide/engine_request.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from enum import IntEnum
 
+from leadhollow.decide.eligibility import Regions
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_load import OwnCall
 from leadhollow.routing.model import ServiceRecord
@@ -59,6 +60,8 @@
         are about to change their weights.
     rank
         Urgency among requests that are refused together; 0 is the most urgent.
+    regions
+        Regions in which the request may be served; None if all may serve it.
     """
 
     __slots__ = (
@@ -75,6 +78,7 @@
         "prompt_tokens",
         "queue_priority",
         "rank",
+        "regions",
         "request_id",
         "service",
     )
@@ -97,8 +101,10 @@
         last_attempt: bool,
         rank: int = 0,
         lost_domains: Collection[str] = (),
+        regions: Regions | None = None,
     ) -> None:
         self.lost_domains = lost_domains
+        self.regions = regions
         self.rank = rank
         self.service = service
         self.model = model
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from leadhollow.codes import Code
+from leadhollow.decide.eligibility import DomainRules, NoDomainRules, Regions
 from leadhollow.decide.engine_latency import PREFILL_SHARE, EngineLatencyModel, EngineLoad
 from leadhollow.decide.health import Health
 from leadhollow.decide.send_limiter import SendLimiter
@@ -20,6 +21,7 @@
 LATENESS_HALF_LIFE_S = 2.0
 USUAL_PATH_MS = 60  # between failure domains, behind some pieces of weights
 PACE_UNIT = 1000  # reports give the pace in thousandths
+NO_DOMAIN_RULES = NoDomainRules()
 
 
 class Server:
@@ -29,6 +31,8 @@
     ----------
     instance
         Last announcement of the server.
+    domains
+        What applies to all servers of a failure domain.
     on_use
         Called with its address when the requests of this entry there have changed.
     report_valid_s
@@ -45,6 +49,7 @@
     """
 
     __slots__ = (
+        "_domains",
         "_lateness_ms",
         "_lateness_s",
         "_on_use",
@@ -67,10 +72,12 @@
         self,
         *,
         instance: Instance,
+        domains: DomainRules = NO_DOMAIN_RULES,
         on_use: Callable[[str], None] = lambda address: None,
         report_valid_s: Callable[[], float] = lambda: REPORT_VALID_S,
     ) -> None:
         self.instance = instance
+        self._domains = domains
         self.send_limiter: SendLimiter | None = None
         self.backoff: ServerBackoff | None = None
         self.dropped = False
@@ -92,11 +99,32 @@
         """Number of requests of this entry in flight there."""
         return len(self.calls)
 
-    def admits(self) -> bool:
-        """Tell whether the rate limit and the back-off of the server allow a request now."""
+    def reason_against(self, regions: Regions | None) -> Code | None:
+        """Return why a request must not be placed at the server now, or None if it may be.
+
+        Parameters
+        ----------
+        regions
+            Regions in which the request may be served; None if all may serve it.
+        """
+        return self._fixed_reason(regions) or self._momentary_reason()
+
+    def in_reach(self, regions: Regions | None) -> bool:
+        """Tell whether a request may go to the server as soon as it has a token and no back-off."""
+        return self._fixed_reason(regions) is None
+
+    def _fixed_reason(self, regions: Regions | None) -> Code | None:
+        """Return the reason that no waiting for a token or for the end of a back-off removes."""
+        if self.dropped or self.instance.state is not InstanceState.READY:
+            return Code.DRAINING
+        return self._domains.reason_against(self.instance.failure_domain, regions)
+
+    def _momentary_reason(self) -> Code | None:
         if self.backoff is not None and not self.backoff.admits():
-            return False
-        return self.send_limiter is None or self.send_limiter.admits()
+            return Code.SERVER_RESTS
+        if self.send_limiter is not None and not self.send_limiter.admits():
+            return Code.SERVER_LIMITED
+        return None
 
     def claim_send(self, call: OwnCall) -> Code | None:
         """Mark a placed request as sent, or return the reason why it must not be sent.
@@ -104,8 +132,9 @@
         The state, rate limit or back-off of the server may have changed after the request was
         placed.
         """
-        if self.dropped or self.instance.state is not InstanceState.READY:
-            return Code.DRAINING
+        reason = self._fixed_reason(call.regions)
+        if reason is not None:
+            return reason
         if self.backoff is not None and not self.backoff.claim_probe(call):
             return Code.SERVER_RESTS
         send_limiter = self.send_limiter
@@ -272,4 +301,4 @@
         )
 
 
-__all__ = ["Server"]
+__all__ = ["NO_DOMAIN_RULES", "Server"]
--- a/src/leadhollow/decide/server_load.py
+++ b/src/leadhollow/decide/server_load.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 
+from leadhollow.decide.eligibility import Regions
 from leadhollow.decide.send_limiter import SendLimiter
 from leadhollow.wire.generated.ttypes import LoadRecord
 
@@ -14,6 +15,11 @@
 class OwnCall:
     """A request of this entry at a backend server.
 
+    Parameters
+    ----------
+    regions
+        Regions in which the request may be served; None if all may serve it.
+
     Attributes
     ----------
     in_prefill
@@ -30,17 +36,25 @@
         "placed_s",
         "predicted_ms",
         "prompt_tokens",
+        "regions",
         "send_limiter",
         "sent",
     )
 
     def __init__(
-        self, *, prompt_tokens: int, output_tokens: float, placed_s: float, predicted_ms: float
+        self,
+        *,
+        prompt_tokens: int,
+        output_tokens: float,
+        placed_s: float,
+        predicted_ms: float,
+        regions: Regions | None = None,
     ) -> None:
         self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
         self.placed_s = placed_s
         self.predicted_ms = predicted_ms
+        self.regions = regions
         self.in_prefill = True
         self.send_limiter: SendLimiter | None = None
         self.sent = False
--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from leadhollow.decide.eligibility import allowed_regions
 from leadhollow.forward.dialect import DispatchMetadata, RequestMetadata
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.messages import RequestHead
@@ -32,6 +33,8 @@
         Instance name of the backend server that got the request last; empty before the first send.
     last_contact_s
         Loop time at which the request was last sent, or bytes of a response last arrived.
+    regions
+        Regions in which the request may be served; None if all may serve it.
     """
 
     __slots__ = (
@@ -45,6 +48,7 @@
         "metadata",
         "organisation",
         "received_s",
+        "regions",
         "reply",
         "route",
         "sends",
@@ -73,6 +77,9 @@
         self.route = route
         self.service = service
         self.organisation = organisation
+        self.regions = allowed_regions(
+            route.allowed_regions, () if organisation is None else organisation.allowed_regions
+        )
         self.reply = reply
         self.received_s = received_s
         self.suspended_s = clocks.suspended_s()
--- a/src/leadhollow/forward/engine_request_factory.py
+++ b/src/leadhollow/forward/engine_request_factory.py
@@ -71,6 +71,7 @@
         last_attempt=call.attempts + 1 >= call.route.attempts,
         rank=call.rank,
         lost_domains=lost_domains,
+        regions=call.regions,
     )
 
 
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -149,7 +149,7 @@
         backoffs = [
             server.backoff
             for server in self._directory.servers(call.service)
-            if server.instance.instance not in excluded
+            if server.instance.instance not in excluded and server.in_reach(call.regions)
         ]
         left_s = [backoff.remaining_s() for backoff in backoffs if backoff is not None]
         return min(left_s, default=None) if len(left_s) == len(backoffs) else None
@@ -202,7 +202,8 @@
         candidates = [
             server
             for server in self._directory.servers(call.service)
-            if server.instance.instance not in excluded and server.admits()
+            if server.instance.instance not in excluded
+            and server.reason_against(call.regions) is None
         ]
         healthy = [server for server in candidates if server.health.usable(now_s)]
         peers_known = self._directory.hears_others()
@@ -237,7 +238,13 @@
         self, call: ForwardedCall, server: Server
     ) -> Result[BufferedResponse, AttemptFailure]:
         loop = asyncio.get_running_loop()
-        own_call = OwnCall(prompt_tokens=0, output_tokens=0, placed_s=loop.time(), predicted_ms=0.0)
+        own_call = OwnCall(
+            prompt_tokens=0,
+            output_tokens=0,
+            placed_s=loop.time(),
+            predicted_ms=0.0,
+            regions=call.regions,
+        )
         server.add_call(own_call)
         server.health.record_start(loop.time())
         call.sends += 1
--- a/src/leadhollow/forward/server_directory.py
+++ b/src/leadhollow/forward/server_directory.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Callable
 
-from leadhollow.decide.server import Server
+from leadhollow.decide.eligibility import DomainRules
+from leadhollow.decide.server import NO_DOMAIN_RULES, Server
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.membership.reporting import VALID_INTERVALS, report_interval_s
@@ -27,6 +28,8 @@
     ----------
     table
         Announced backend servers; the directory follows its changes.
+    domains
+        What applies to all servers of a failure domain.
     """
 
     __slots__ = (
@@ -34,6 +37,7 @@
         "_by_address",
         "_change_listeners",
         "_clock",
+        "_domains",
         "_peer_uses",
         "_peer_uses_s",
         "_replaced_listeners",
@@ -43,8 +47,15 @@
         "_use_listeners",
     )
 
-    def __init__(self, *, table: InstanceTable, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        table: InstanceTable,
+        clock: Callable[[], float],
+        domains: DomainRules = NO_DOMAIN_RULES,
+    ) -> None:
         self._table = table
+        self._domains = domains
         self._clock = clock
         self._servers: dict[str, Server] = {}
         self._by_address: dict[str, Server] = {}
@@ -172,6 +183,7 @@
             if server is None:
                 server = Server(
                     instance=instance,
+                    domains=self._domains,
                     on_use=self._notify_use,
                     report_valid_s=self._report_valid_s,
                 )
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from leadhollow.decide.eligibility import FailureDomains
 from leadhollow.decide.engine_queue import PUMP_INTERVAL_S, EngineQueue
 from leadhollow.decide.isolation import IsolationDetector
 from leadhollow.decide.retry_budget import RetryBudget
@@ -51,6 +52,7 @@
         "budget",
         "chooser",
         "directory",
+        "domains",
         "limits",
         "plain_forwarder",
         "queue",
@@ -66,7 +68,9 @@
         clock = asyncio.get_running_loop().time
         dialect = process.dialects.calls
         self.routes = RouteIndex(catalog=feed.catalog)
-        self.directory = ServerDirectory(table=feed.table, clock=clock)
+        self.domains = FailureDomains(regions=settings.region_by_domain)
+        self.directory = ServerDirectory(table=feed.table, clock=clock, domains=self.domains)
+        self.domains.on_change(self.directory.notify_change)
         self.directory.on_restart(pool.close_idle)
         feed.on_load(self.directory.update_load_report)
         feed.on_uses(self.directory.update_peer_uses)
--- a/src/leadhollow/routing/model.py
+++ b/src/leadhollow/routing/model.py
@@ -46,6 +46,8 @@
         Whether requests need no key.
     affinity
         Whether requests name parts of their prompt that a backend server may have cached.
+    allowed_regions
+        Regions in which requests may be served; all regions if empty.
     """
 
     name: str
@@ -61,6 +63,7 @@
     affinity: bool = False
     resumable: bool = False
     pause_objective_ms: int = 0
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
@@ -135,12 +138,19 @@
 
 
 class Organisation(msgspec.Struct, frozen=True, kw_only=True, tag="organisation"):
-    """A group of callers, identified by the hashes of its keys."""
+    """A group of callers, identified by the hashes of its keys.
+
+    Parameters
+    ----------
+    allowed_regions
+        Regions in which its requests may be served; all regions if empty.
+    """
 
     name: str
     key_sha256s: tuple[str, ...] = ()
     priority: int | None = None
     weight: float = 1.0
+    allowed_regions: tuple[str, ...] = ()
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True, tag="caller-limits"):
--- a/src/leadhollow/settings/node.py
+++ b/src/leadhollow/settings/node.py
@@ -90,6 +90,8 @@
         Listeners of an entry and of a control process.
     link_mbit_per_s
         Speed of this VM's link.
+    regions
+        Region of each failure domain. The one of this VM need not be listed.
     """
 
     vm: str
@@ -108,6 +110,7 @@
     engine: EngineSettings | None = None
     heartbeat_ms: float = 1_200
     link_mbit_per_s: float = 1_000.0
+    regions: dict[str, str] = {}
     token: str = "leadhollow"
     bounds: Bounds = Bounds()
     state: StateSettings = StateSettings(
@@ -116,6 +119,11 @@
     logs: LogSettings = LogSettings()
     statsd: str | None = None
 
+    @property
+    def region_by_domain(self) -> dict[str, str]:
+        """Region of each failure domain, with that of this VM."""
+        return self.regions | {self.failure_domain: self.region}
+
     @property
     def wire_port(self) -> int:
         """Port on which this process listens for the others, the same on every VM."""
--- a/tests/decide/test_server_backoff.py
+++ b/tests/decide/test_server_backoff.py
@@ -65,7 +65,7 @@
                     bench.now_s += value
                 case "place":
                     placed.append(bench.call())
-                    if bench.server.admits():
+                    if bench.server.reason_against(None) is None:
                         bench.server.add_call(placed[-1])
                 case "end" if placed:
                     bench.server.remove_call(placed.pop(), bench.now_s)
@@ -95,11 +95,11 @@
         bench.now_s += 1.0 + SPREAD_S
         first, second = bench.call(), bench.call()
         bench.server.add_call(first)
-        assert not bench.server.admits()
+        assert bench.server.reason_against(None) is Code.SERVER_RESTS
         assert bench.server.claim_send(second) is Code.SERVER_RESTS
         assert bench.server.claim_send(first) is None
         bench.server.remove_call(first, bench.now_s)
-        assert bench.server.admits()
+        assert bench.server.reason_against(None) is None
 
     def test_ends_at_a_different_time_at_each_entry(self):
         ends_s = set()
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -243,6 +243,7 @@
             timeout_ms=deadline_s * 1000,
             objective_ms=500,
             pause_objective_ms=400,
+            allowed_regions=(),
             priority=0,
         )
         metadata = SimpleNamespace(
