Count the delay of a redial from the failed dial, and free a stuck chunk once

A dial that timed out after 1 s set the end of the redial delay (0.2 s) from its beginning, so it had passed already. A chunk that nobody holds was added to the free chunks by each report of it. The stand-in of the origin announced the whole length of a file of a relative folder and then failed.

Change: each at its place; the list of announced fields in membership/members stood twice.

Conclusion: mended.

--- a/src/leadhollow/membership/members.py
+++ b/src/leadhollow/membership/members.py
@@ -233,16 +233,7 @@
 def _has_changed(existing: Member, announcement: Announcement) -> bool:
     previous = existing.announcement
     return existing.health is not MemberHealth.ALIVE or any(
-        getattr(previous, field) != getattr(announcement, field)
-        for field in (
-            "incarnation",
-            "address",
-            "slots",
-            "draining",
-            "serving",
-            "complete_roots",
-            "engine_lost",
-        )
+        getattr(previous, field) != getattr(announcement, field) for field in PROPAGATED_FIELDS
     )
 
 
--- a/src/leadhollow/standin/origin.py
+++ b/src/leadhollow/standin/origin.py
@@ -48,7 +48,7 @@
     __slots__ = ("_folder", "_pacer", "_response_count", "bytes_by_path", "faults", "server")
 
     def __init__(self, *, folder: Path, link_bytes_per_s: float) -> None:
-        self._folder = folder
+        self._folder = folder.resolve()
         self._pacer = Pacer(rate_bytes_per_s=lambda: link_bytes_per_s)
         self._response_count = 0
         self.bytes_by_path: dict[str, int] = {}
@@ -123,7 +123,7 @@
 
     def _resolve_path(self, request: web.Request) -> Path | None:
         path = (self._folder / request.match_info["path"]).resolve()
-        return path if path.is_relative_to(self._folder.resolve()) else None
+        return path if path.is_relative_to(self._folder) else None
 
 
 __all__ = ["OriginFaults", "OriginStandin"]
--- a/src/leadhollow/weights/lease_policies.py
+++ b/src/leadhollow/weights/lease_policies.py
@@ -91,7 +91,9 @@
     def release_stuck(self, chunks: list[int]) -> None:
         """Free delivered chunks that no reachable server holds any more."""
         for chunk in chunks:
-            if 0 <= chunk < self.delivered.count and chunk not in self.leases:
+            if not 0 <= chunk < self.delivered.count:
+                continue
+            if chunk in self.delivered and chunk not in self.leases:
                 self.delivered.discard_all([chunk])
                 self.free.append(chunk)
 
--- a/src/leadhollow/wire/peers.py
+++ b/src/leadhollow/wire/peers.py
@@ -76,12 +76,12 @@
             existing = self._connections.get(address)
             if existing is not None and not existing.closed.is_set():
                 return Ok(existing)
-            now_s = asyncio.get_running_loop().time()
-            if self._closed or now_s < self._no_dial_until_s.get(address, 0.0):
+            loop = asyncio.get_running_loop()
+            if self._closed or loop.time() < self._no_dial_until_s.get(address, 0.0):
                 return Err(Failure(code=Code.PEER_LOST, detail=f"{address} failed a moment ago"))
             dialled = await self._dial(address)
             if dialled.is_err():
-                self._no_dial_until_s[address] = now_s + REDIAL_DELAY_S
+                self._no_dial_until_s[address] = loop.time() + REDIAL_DELAY_S
                 self._record_unreachable(address, dialled.unwrap_err())
                 return dialled
             self._connections[address] = dialled.unwrap()
--- a/tests/weights/test_tracker.py
+++ b/tests/weights/test_tracker.py
@@ -84,6 +84,15 @@
         client.now_s += LEASE_VALID_S + 0.1
         assert sorted(await client.lease_all("b")) == sorted(first)
 
+    # each further report of a chunk that nobody holds added it to the free chunks once more
+    async def test_chunk_reported_stuck_twice_is_free_once(self, client):
+        first = await client.lease("a", window=1)
+        await client.lease("a", window=0, done=first)
+        await client.lease("b", window=0, stuck=first)
+        await client.lease("c", window=0, stuck=first)
+        (swarm,) = client.tracker._swarms.values()
+        assert list(swarm.lease_table.free).count(first[0]) == 1
+
     async def test_lease_ends_when_its_holder_disconnects(self, client):
         first = await client.lease("a")
         client.connections["a"].closed.set()
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -11,6 +11,7 @@
 from leadhollow.failure import Failure
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
+from leadhollow.wire import peers
 from leadhollow.wire.generated.ttypes import UseReport
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.liveness import KEEPALIVE_IDLE_S, UNACKNOWLEDGED_LIMIT_MS
@@ -87,3 +88,23 @@
             await pool.stop()
 
         asyncio.run(asyncio.wait_for(work(), 30))
+
+
+class TestDial:
+    # the delay had passed by the time a dial timed out, so the next message dialled at once
+    def test_delay_before_the_next_dial_begins_after_a_failed_one(self, monkeypatch):
+        async def work() -> None:
+            pool = PeerPool(vm="v", failure_domain="d", token=TOKEN, handlers=HandlerTable())
+            failed_s: list[float] = []
+
+            async def fail_slowly(self: PeerPool, address: str):
+                await asyncio.sleep(peers.REDIAL_DELAY_S)
+                failed_s.append(asyncio.get_running_loop().time())
+                return Err(Failure(code=Code.PEER_LOST))
+
+            monkeypatch.setattr(PeerPool, "_dial", fail_slowly)
+            await pool.connection(HANGING)
+            assert pool._no_dial_until_s[HANGING] >= failed_s[0] + peers.REDIAL_DELAY_S
+            await pool.stop()
+
+        asyncio.run(asyncio.wait_for(work(), 30))
