Bind requests to the regions of their route and organisation

Cause: allowedRegions of routes and organisations was decoded nowhere, so requests were served in any region. A request that no server may take waited for its decision deadline.

Change: the adapter decodes both lists. The regions of a call follow the table in force: a call that waits, or a stream that is resumed, is asked again after each update of the table. TargetChooser prefers a service with a server in reach. Where a rule keeps a request from every server it is refused at once with code 522 or 523, and not counted as a decision, so that it raises no pressure. FailureDomains names the regions first where both rules hold: an evacuation that ends would not help such a request. Default values of routes and organisations are not encoded, so that a table without bounds costs no bytes for them. A resumed stream still waits for an engine.

The fake queue of stream_world has the new field of waiters.

--- a/src/leadhollow/decide/eligibility.py
+++ b/src/leadhollow/decide/eligibility.py
@@ -66,11 +66,9 @@
 
     def reason_against(self, failure_domain: str, regions: Regions | None) -> Code | None:
         """Return why a request must not be sent to a failure domain, or None if it may be."""
-        if failure_domain in self._evacuated:
-            return Code.DOMAIN_EVACUATED
         if regions is not None and self._regions.get(failure_domain) not in regions:
             return Code.OUTSIDE_REGIONS
-        return None
+        return Code.DOMAIN_EVACUATED if failure_domain in self._evacuated else None
 
 
 class NoDomainRules:
--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -5,9 +5,11 @@
 import random
 from collections.abc import Collection
 
+from leadhollow.codes import Code
 from leadhollow.decide.engine_latency import EngineLatencyModel, EngineLoad
 from leadhollow.decide.engine_request import EngineRequest
 from leadhollow.decide.protocols import EngineSource, VersionRules
+from leadhollow.decide.reach import reason_out_of_reach
 from leadhollow.decide.server import Server
 from leadhollow.routing.model import EngineSpec
 
@@ -234,6 +236,10 @@
             return True
         return found.remote and any(domain != self._failure_domain for domain in lost_domains)
 
+    def reason_out_of_reach(self, request: EngineRequest) -> Code | None:
+        """Return the rule that keeps a request from every engine; None if one is in reach."""
+        return reason_out_of_reach(self._directory.servers(request.service.name), request.regions)
+
     def backoff_remaining_s(self, request: EngineRequest, now_s: float) -> float | None:
         """Return the time until the first engine is usable whose back-off alone prevents it now.
 
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable, Mapping
 
+from leadhollow.codes import Code
 from leadhollow.decide.admission import CONFIDENCE_MARGIN_S, accepts
 from leadhollow.decide.engine_choice import EngineChooser, EngineOption
 from leadhollow.decide.engine_request import EngineRequest, Placement, QueuePriority
@@ -57,9 +58,11 @@
         Where the request was placed; None if it was not.
     ended
         Whether the request was placed or refused.
+    out_of_reach
+        Rule that kept a refused request from every engine; None if it was refused otherwise.
     """
 
-    __slots__ = ("deadline_s", "ended", "on_end", "placement", "request")
+    __slots__ = ("deadline_s", "ended", "on_end", "out_of_reach", "placement", "request")
 
     def __init__(
         self,
@@ -72,6 +75,7 @@
         self.deadline_s = deadline_s
         self.on_end = on_end
         self.placement: Placement | None = None
+        self.out_of_reach: Code | None = None
         self.ended = False
 
 
@@ -157,9 +161,14 @@
         """Queue a request; if only engines in back-off could take it, until the first is usable.
 
         If even that engine is usable too late, the request is refused at once, so that its caller
-        learns when to retry.
+        learns when to retry. So is one that no engine may take. A resumed stream waits for an
+        engine all the same, because it would lose what its caller has got.
         """
         request, now_s = waiter.request, self._clock()
+        may_wait = request.queue_priority is QueuePriority.RESUMED
+        if not may_wait and self._chooser.reason_out_of_reach(request) is not None:
+            self._end(waiter, None)
+            return
         backoff_left_s = self._chooser.backoff_remaining_s(request, now_s)
         if backoff_left_s is not None and self._chooser.best(request, now_s, of_all=True) is None:
             deadline_s = now_s + backoff_left_s + PUMP_INTERVAL_S
@@ -198,7 +207,9 @@
     def _end(self, waiter: Waiter, placed: Placement | None) -> None:
         waiter.placement = placed
         waiter.ended = True
-        if waiter.request.queue_priority is QueuePriority.NEW:
+        if placed is None:
+            waiter.out_of_reach = self._chooser.reason_out_of_reach(waiter.request)
+        if waiter.request.queue_priority is QueuePriority.NEW and waiter.out_of_reach is None:
             self._pressure_of(waiter.request.service).record(
                 refused=placed is None, now_s=self._clock()
             )
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -107,14 +107,20 @@
         regions
             Regions in which the request may be served; None if all may serve it.
         """
-        return self._fixed_reason(regions) or self._momentary_reason()
+        return self.fixed_reason(regions) or self._momentary_reason()
 
     def in_reach(self, regions: Regions | None) -> bool:
         """Tell whether a request may go to the server as soon as it has a token and no back-off."""
-        return self._fixed_reason(regions) is None
+        return self.fixed_reason(regions) is None
 
-    def _fixed_reason(self, regions: Regions | None) -> Code | None:
-        """Return the reason that no waiting for a token or for the end of a back-off removes."""
+    def fixed_reason(self, regions: Regions | None) -> Code | None:
+        """Return the reason that no waiting for a token or for the end of a back-off removes.
+
+        Parameters
+        ----------
+        regions
+            Regions in which the request may be served; None if all may serve it.
+        """
         if self.dropped or self.instance.state is not InstanceState.READY:
             return Code.DRAINING
         return self._domains.reason_against(self.instance.failure_domain, regions)
@@ -132,7 +138,7 @@
         The state, rate limit or back-off of the server may have changed after the request was
         placed.
         """
-        reason = self._fixed_reason(call.regions)
+        reason = self.fixed_reason(call.regions)
         if reason is not None:
             return reason
         if self.backoff is not None and not self.backoff.claim_probe(call):
--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from leadhollow.decide.eligibility import allowed_regions
+from leadhollow.decide.eligibility import Regions
+from leadhollow.forward.call_regions import CallRegions
 from leadhollow.forward.dialect import DispatchMetadata, RequestMetadata
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.messages import RequestHead
@@ -22,6 +23,8 @@
         Group of the caller; None on a public route.
     fingerprint
         Digest that all attempts of all callers at the same request share.
+    bounds
+        Regions in which the call may be served.
 
     Attributes
     ----------
@@ -33,11 +36,10 @@
         Instance name of the backend server that got the request last; empty before the first send.
     last_contact_s
         Loop time at which the request was last sent, or bytes of a response last arrived.
-    regions
-        Regions in which the request may be served; None if all may serve it.
     """
 
     __slots__ = (
+        "_bounds",
         "attempts",
         "body",
         "deadline_s",
@@ -48,7 +50,6 @@
         "metadata",
         "organisation",
         "received_s",
-        "regions",
         "reply",
         "route",
         "sends",
@@ -69,7 +70,9 @@
         reply: ReplyWriter,
         received_s: float,
         fingerprint: bytes,
+        bounds: CallRegions,
     ) -> None:
+        self._bounds = bounds
         self.fingerprint = fingerprint
         self.head = head
         self.body = body
@@ -77,9 +80,6 @@
         self.route = route
         self.service = service
         self.organisation = organisation
-        self.regions = allowed_regions(
-            route.allowed_regions, () if organisation is None else organisation.allowed_regions
-        )
         self.reply = reply
         self.received_s = received_s
         self.suspended_s = clocks.suspended_s()
@@ -97,6 +97,11 @@
         """Attempt id that the caller assigned."""
         return self.metadata.attempt_id
 
+    @property
+    def regions(self) -> Regions | None:
+        """Regions in which the request may be served now; None if all may serve it."""
+        return self._bounds.allowed()
+
     @property
     def timeout_s(self) -> float:
         """Loop time at which the route's timeout expires."""
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -12,6 +12,7 @@
 from leadhollow.decide.retry_after import RefusalReason
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
+from leadhollow.forward.call_regions import CallRegions
 from leadhollow.forward.dialect import CallDialect, RequestMetadata
 from leadhollow.forward.failure_response import FailureResponder
 from leadhollow.forward.fingerprint import fingerprint_of
@@ -171,6 +172,15 @@
         found = self._organisation(route, metadata)
         if found.is_err():
             return Err(found.unwrap_err())
+        organisation = found.unwrap()
+        bounds = CallRegions(
+            routes=self._routes,
+            host=host,
+            path=request.head.path,
+            key=metadata.key or "",
+            route=route,
+            organisation=organisation,
+        )
         body = RequestBody(
             head=request.head,
             incoming=request.body,
@@ -179,13 +189,12 @@
         collected = await body.collect()
         if collected.is_err():
             return Err(collected.unwrap_err())
-        organisation = found.unwrap()
         call = ForwardedCall(
             head=request.head,
             body=body,
             metadata=metadata,
             route=route,
-            service=self._chooser.choose(route),
+            service=self._chooser.choose(route, bounds.allowed()),
             organisation=organisation,
             reply=reply,
             received_s=request.received_s,
@@ -194,6 +203,7 @@
                 body,
                 organisation="" if organisation is None else organisation.name,
             ),
+            bounds=bounds,
         )
         self._chooser.record_request(call.service)
         return Ok(call)
--- a/src/leadhollow/forward/engine_placement.py
+++ b/src/leadhollow/forward/engine_placement.py
@@ -22,6 +22,8 @@
     ------
     NO_CAPACITY
         No engine can respond in time; nothing was sent.
+    DOMAIN_EVACUATED, OUTSIDE_REGIONS
+        No engine may take the request; nothing was sent.
     """
     waiter = queue.submit(request)
     try:
@@ -31,7 +33,7 @@
         queue.withdraw(waiter)
         raise
     if waiter.placement is None:
-        return Err(Failure(code=Code.NO_CAPACITY))
+        return Err(Failure(code=waiter.out_of_reach or Code.NO_CAPACITY))
     return Ok(waiter.placement)
 
 
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -139,6 +139,7 @@
         """
         call, placement = self._call, self.placement
         call.record_dispatch(self.instance)
+        placement.call.regions = call.regions  # the table may have changed while it waited
         self.sent_s = active_time.active_s()
         dispatch = call.dispatch(
             instance=self.instance,
--- a/src/leadhollow/forward/stream_forwarder.py
+++ b/src/leadhollow/forward/stream_forwarder.py
@@ -143,7 +143,9 @@
             return None
         placed = await wait_for_placement(self._context.queue, self._engine_request())
         if placed.is_err():
-            self._failure = placed.unwrap_err()
+            failure = placed.unwrap_err()
+            if failure.code is Code.NO_CAPACITY or not call.attempts:
+                self._failure = failure  # the other codes say that the request was not run
             return None
         placement = placed.unwrap()
         if call.sends and not self._context.budget.try_acquire(call.service):
--- a/src/leadhollow/platform/configuration.py
+++ b/src/leadhollow/platform/configuration.py
@@ -58,6 +58,7 @@
     sticky: bool = False
     resumable: bool = False
     gap_target_ms: float = 0.0
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class ModelDocument(_PlatformDocument, frozen=True):
@@ -120,6 +121,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
+    allowed_regions: tuple[str, ...] | None = None
 
 
 class ConfigurationDocument(_PlatformDocument, frozen=True):
@@ -192,6 +194,7 @@
             affinity=document.sticky,
             resumable=document.resumable,
             pause_objective_ms=int(document.gap_target_ms),
+            allowed_regions=document.allowed_regions or (),
         )
     )
 
@@ -230,7 +233,12 @@
 
 def _organisation(document: TenantDocument) -> Organisation:
     keys = tuple(hashlib.sha256(key.encode()).hexdigest() for key in document.api_keys)
-    return Organisation(name=document.name, key_sha256s=keys, priority=document.priority)
+    return Organisation(
+        name=document.name,
+        key_sha256s=keys,
+        priority=document.priority,
+        allowed_regions=document.allowed_regions or (),
+    )
 
 
 def _limits(document: LimitsDocument) -> CallerLimits:
--- a/src/leadhollow/routing/index.py
+++ b/src/leadhollow/routing/index.py
@@ -70,6 +70,11 @@
     ----------
     catalog
         Catalog whose changes update the index; all items of one update are applied together.
+
+    Attributes
+    ----------
+    updates
+        Number of updates that were applied; while it is the same, so is every look-up.
     """
 
     __slots__ = (
@@ -80,6 +85,7 @@
         "limits",
         "number",
         "services",
+        "updates",
     )
 
     def __init__(self, *, catalog: Catalog) -> None:
@@ -89,6 +95,7 @@
         self.services: dict[str, ServiceRecord] = {}
         self.limits = CallerLimits()
         self.number = 0
+        self.updates = 0
         self.keyed = False
         catalog.on_change(self._on_change)
         self._on_change(list(catalog.items().values()))
@@ -113,6 +120,7 @@
         All previous values are removed before new ones are added, because a key may move from one
         group to another.
         """
+        self.updates += 1
         for item in items:
             previous = self._by_key.pop(item.key, None)
             if previous is not None:
--- a/src/leadhollow/routing/model.py
+++ b/src/leadhollow/routing/model.py
@@ -25,7 +25,7 @@
     weight: float
 
 
-class Route(msgspec.Struct, frozen=True, kw_only=True, tag="route"):
+class Route(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="route"):
     """Rule that sends the requests of one host and path prefix to services.
 
     Parameters
@@ -137,7 +137,9 @@
     engine: EngineSpec | None = None
 
 
-class Organisation(msgspec.Struct, frozen=True, kw_only=True, tag="organisation"):
+class Organisation(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="organisation"
+):
     """A group of callers, identified by the hashes of its keys.
 
     Parameters
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -202,7 +202,7 @@
                 expected_version=None,
                 begin_by_s=self.begin_by_s.get(name, math.inf),
             )
-        return SimpleNamespace(ended=True, placement=placement, until_s=0.0)
+        return SimpleNamespace(ended=True, placement=placement, out_of_reach=None, until_s=0.0)
 
     def release(self, placement: Placement) -> None:
         self.released.append(placement.server.instance.instance)
@@ -265,6 +265,7 @@
             reply=self.reply,  # type: ignore[arg-type]
             received_s=asyncio.get_running_loop().time(),
             fingerprint=b"12345678",
+            bounds=SimpleNamespace(allowed=lambda: None),  # type: ignore[arg-type]
         )
 
 
--- a/tests/kernel/test_clocks.py
+++ b/tests/kernel/test_clocks.py
@@ -157,6 +157,7 @@
             reply=None,
             received_s=clocks.steady_s(),
             fingerprint=b"",
+            bounds=None,
         )
         assert 39_000 < call.remaining_ms() <= 40_000
         suspend()
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -31,6 +31,7 @@
     "x-token-usage",
     "x-weight-versions",
     "pathprefix",
+    "allowedregions",
     "apikeys",
     "timeoutms",
     "targetlatencyms",
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -229,6 +229,25 @@
         (route,) = read_configuration(with_route(backends=split)).unwrap().routes
         assert [target.weight for target in route.targets] == [90.0, 10.0]
 
+    # a bound was dropped while decoding, or "null" was read as a bound that no region satisfies
+    @pytest.mark.parametrize(
+        ("regions", "expected"),
+        [(["north", "nowhere-yet"], ("north", "nowhere-yet")), ([], ()), (None, ())],
+    )
+    def test_decodes_the_regions_of_routes_and_groups(self, regions, expected):
+        (tenant,) = CONFIGURATION["tenants"]
+        body = configuration(
+            routes=[{**ROUTE, "allowedRegions": regions}],
+            tenants=[{**tenant, "allowedRegions": regions}],
+        )
+        table = read_configuration(body).unwrap()
+        assert table.routes[0].allowed_regions == expected
+        assert table.organisations[0].allowed_regions == expected
+
+    def test_binds_nobody_by_default(self):
+        table = read_configuration(configuration()).unwrap()
+        assert table.routes[0].allowed_regions == table.organisations[0].allowed_regions == ()
+
     def test_requires_no_key_without_tenants(self):
         without = {key: value for key, value in CONFIGURATION.items() if key != "tenants"}
         assert not read_configuration(json.dumps(without).encode()).unwrap().keyed
@@ -243,6 +262,9 @@
             json.dumps({"version": 1}).encode(),
             with_route(type="carrier-pigeon"),
             with_route(timeoutMs="long"),
+            with_route(allowedRegions="north"),
+            with_route(allowedRegions=["north", 7]),
+            configuration(tenants=[{"name": "g", "allowedRegions": {"north": True}}]),
         ],
     )
     def test_refuses_a_document_that_cannot_be_decoded(self, body):
