--- a/src/leadhollow/forward/failure_response.py
+++ b/src/leadhollow/forward/failure_response.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from http import HTTPStatus
 
 from leadhollow.codes import Code
@@ -25,16 +26,24 @@
 class FailureResponder:
     """Sends error responses; never states that a request has not run if it may have run.
 
+    Parameters
+    ----------
+    on_refusal
+        Called with the code of each response that says that the request has not run.
+
     Attributes
     ----------
     truncated
         Number of responses that had started and were not completed, by reason.
     """
 
-    __slots__ = ("_dialect", "truncated")
+    __slots__ = ("_dialect", "_on_refusal", "truncated")
 
-    def __init__(self, *, dialect: CallDialect) -> None:
+    def __init__(
+        self, *, dialect: CallDialect, on_refusal: Callable[[Code], None] = lambda _: None
+    ) -> None:
         self._dialect = dialect
+        self._on_refusal = on_refusal
         self.truncated: Counter[EndReason] = Counter()
 
     async def not_run(
@@ -91,6 +100,8 @@
         if call.reply.started:
             call.reply.abort()  # a response that has started must not look complete
             return
+        if status is NOT_RUN_STATUS:
+            self._on_refusal(failure.code)
         headers = self._dialect.error_headers(failure, retry_after_s)
         body = f"{int(failure.code)} {failure.code.title}\n".encode()
         await call.reply.send(status, headers, body)
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -35,8 +35,12 @@
 from leadhollow.settings.address import Address
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from leadhollow.codes import Code
     from leadhollow.kernel.service import Service
     from leadhollow.node.process import NodeProcess
+    from leadhollow.settings.node import NodeSettings
 
 TIDY_INTERVAL_S = 1.0  # between two checks for backend servers to forget
 
@@ -93,7 +97,7 @@
         self._request_queued = asyncio.Event()
         self.queue.on_waiting(self._request_queued.set)
         feed.on_decisions(self.queue.update_peer_decisions)
-        self.responder = FailureResponder(dialect=dialect)
+        self.responder = FailureResponder(dialect=dialect, on_refusal=_refusal_counter(settings))
         self.suspects = SuspectSync(
             directory=self.directory, feed=feed, pool=pool, peers=process.peers
         )
@@ -159,6 +163,17 @@
             return
 
 
+def _refusal_counter(settings: NodeSettings) -> Callable[[Code], None]:
+    """Return the function that counts a refused request by its code."""
+    if settings.statsd is None:
+        return lambda _: None
+    from leadhollow.observe.metrics import Metrics  # the client takes memory that few VMs need
+
+    sink = Address.parse(settings.statsd).unwrap()
+    metrics = Metrics(sink=sink, prefix=f"leadhollow.{settings.vm}")
+    return lambda code: metrics.count(f"refused.{code.name.lower()}")
+
+
 def register_entry(process: NodeProcess) -> None:
     """Register the services of an entry with the kernel of its process."""
     kernel = process.kernel
--- a/src/leadhollow/settings/node.py
+++ b/src/leadhollow/settings/node.py
@@ -90,6 +90,8 @@
         Listeners of an entry and of a control process.
     link_mbit_per_s
         Speed of this VM's link.
+    statsd
+        Address that metrics are sent to; none are sent without it.
     regions
         Region of each failure domain. The one of this VM need not be listed.
     """
@@ -185,6 +187,7 @@
         "callers": settings.callers,
         "readiness": settings.readiness,
         "operators": settings.operators,
+        "statsd": settings.statsd,
         "engine.address": settings.engine.address if settings.engine else None,
         **{f"seeds[{position}]": seed for position, seed in enumerate(settings.seeds)},
     }
--- a/tests/node/site.py
+++ b/tests/node/site.py
@@ -6,6 +6,7 @@
 import itertools
 from collections.abc import Mapping, Sequence
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -45,6 +46,8 @@
         Whether it stops sending heartbeats.
     born_ms
         Start time in its heartbeats; None if they contain none.
+    failure_domain
+        Failure domain in its heartbeats.
     """
 
     def __init__(self, *, instance: str, service: str) -> None:
@@ -52,6 +55,7 @@
         self.service = service
         self.sequence = 0
         self.born_ms: int | None = None
+        self.failure_domain = "d"
         self.address = ""
         self.silent = False
         self._runner: web.AppRunner | None = None
@@ -91,7 +95,7 @@
             **life,
             "service": self.service,
             "address": self.address,
-            "zone": "d",
+            "zone": self.failure_domain,
             "version": "v1",
             "slots": 6,
             "state": "ready",
@@ -107,9 +111,18 @@
     ----------
     entries
         Number of entries; the first one is ``entry``.
+    settings
+        Further settings of all processes.
     """
 
-    def __init__(self, *, folder: Path, servers: Sequence[PlainServer], entries: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        servers: Sequence[PlainServer],
+        entries: int = 1,
+        settings: Mapping[str, Any] | None = None,
+    ) -> None:
         number = next(_site_numbers)
         self.control_host = f"127.0.70.{number}"
         entry_hosts = [f"127.0.{71 + index}.{number}" for index in range(entries)]
@@ -127,6 +140,7 @@
             "first_start": True,
             "tolerated_losses": 0,
             "heartbeat_ms": HEARTBEAT_S * 1000,
+            **(settings or {}),
         }
         self._control_settings = NodeSettings(
             vm="control",
@@ -205,13 +219,16 @@
             except aiohttp.ClientError:
                 continue
 
-    async def put_routes(self, *routes: dict[str, object]) -> None:
+    async def put_routes(
+        self, *routes: dict[str, object], organisations: Sequence[dict[str, object]] = ()
+    ) -> None:
         """Put a route table with these routes, repeatedly until it is acknowledged."""
         self.table_version += 1
         document = {
             "version": self.table_version,
             "routes": list(routes),
             "services": list({server.service: server.record() for server in self.servers}.values()),
+            **({"tenants": list(organisations)} if organisations else {}),
         }
 
         async def acknowledged() -> bool:
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -38,6 +38,7 @@
             ({"extra": 1}, Code.SETTINGS_FIELD, "extra"),
             ({"role": "king"}, Code.SETTINGS_FIELD, "role"),
             ({"seeds": ["nowhere"]}, Code.SETTINGS_FIELD, "seeds[0]"),
+            ({"statsd": "nowhere"}, Code.SETTINGS_FIELD, "statsd"),
             ({"seeds": []}, Code.SETTINGS_COMBINATION, "seeds"),
             ({"ports": [7000, 7000]}, Code.SETTINGS_FIELD, "ports"),
             ({"ports": [9, 3]}, Code.SETTINGS_FIELD, "ports"),
