Limit the requests of cold servers to the rate that their service declares

Cause: coldRemainingMs was carried to entries and read by nobody, and the feed told entries of it only with the first record of a life. coldPerS and coldStartS of services and X-Cold-Ms of answers were not decoded.

Change: the limit of a life is the strictest of several sources behind one protocol: what servers state, and the rate of a cold server. Entries and the leader's allocator both use it. Records of services that declare a rate are told when the end of a cold time changes. A server is also taken as cold after a failed connection, a load report of a later life, and the restore of its failure domain. Shares of a cold server go to few entries in equal parts, so that saved tokens cannot add up; entries without a lease use an even part of 0.6 of the rate, and count 128 entries or more for 2 s after they first heard from control.

--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -123,6 +123,7 @@
     SERVER_RESTS = (520, 503, "The backend server had asked for rest; nothing was run.")
     WEIGHTS_TOO_OLD = (521, 502, "The backend server's weights became too old before it began.")
     DOMAIN_EVACUATED = (522, 503, "The failure domain of the server is evacuated; nothing was run.")
+    COLD_MALFORMED = (524, 502, "The backend server named a cold time that is no number.")
     OUTSIDE_REGIONS = (
         523,
         503,
--- a/src/leadhollow/control/limit_relay.py
+++ b/src/leadhollow/control/limit_relay.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from leadhollow.decide.limit_table import LimitTable
+from leadhollow.decide.rate_source import RateSource, StrictestRate
 from leadhollow.decide.share_allocator import LEASE_S, LimitedServer, ShareAllocator
 from leadhollow.kernel import clocks
 from leadhollow.kernel.batching_service import BatchingService
@@ -74,6 +75,8 @@
         Returns the backend server that has a life.
     live_entries
         Returns the number of live entries.
+    cold_servers
+        Second source of limits, which are shared like those that servers state.
     """
 
     __slots__ = (
@@ -91,6 +94,7 @@
         "_on_stale_entry",
         "_own_address",
         "_peers",
+        "_rates",
         "_replicas",
         "_requests",
         "table",
@@ -106,6 +110,7 @@
         live_entries: Callable[[], int],
         peers: PeerPool,
         handlers: HandlerTable,
+        cold_servers: RateSource | None = None,
     ) -> None:
         self._own_address = own_address
         self._replicas = replicas
@@ -113,6 +118,7 @@
         self._find_server = find_server
         self._peers = peers
         self.table = LimitTable()
+        self._rates = StrictestRate([self.table] + ([cold_servers] if cold_servers else []))
         self._changed: set[str] = set()
         self._requests: list[tuple[str, ShareRequest]] = []  # with the replica that relayed it
         self._live_entries = live_entries
@@ -265,14 +271,16 @@
 
     def _limited_servers(self) -> list[LimitedServer]:
         limited = []
-        for life, per_s in self.table.limits().items():
-            instance = self._find_server(life)
-            if instance is not None:
+        for life in self._rates.limited_lives():
+            instance, limit = self._find_server(life), self._rates.rate_limit(life)
+            if instance is not None and limit is not None:
                 server = LimitedServer(
                     life=life,
                     service=instance.service,
                     failure_domain=instance.failure_domain,
-                    per_s=per_s,
+                    per_s=limit.per_s,
+                    unleased_share=limit.unleased_share,
+                    max_holders=limit.max_holders,
                 )
                 limited.append(server)
         return limited
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -110,6 +110,8 @@
         Times at which versions were named; replicas exchange them.
     accepts_service
         Returns whether the route table in force has a service.
+    tells_cold
+        Returns whether changes of the cold times of a service's servers are relayed.
     """
 
     __slots__ = (
@@ -144,6 +146,7 @@
         heartbeat_s: float,
         naming_times: NamingTimes,
         accepts_service: Callable[[str], bool],
+        tells_cold: Callable[[str], bool] = lambda service: False,
     ) -> None:
         self._own_address = own_address
         self._local_valid_s = max(MIN_LOCAL_VALID_S, LOCAL_VALID_HEARTBEATS * heartbeat_s)
@@ -161,7 +164,9 @@
         self._started_s = _now_s()
         self._naming_times = naming_times
         self.local_entries = 0
-        self.table = InstanceTable(forget_after_s=forget_after_s, heartbeat_s=heartbeat_s)
+        self.table = InstanceTable(
+            forget_after_s=forget_after_s, heartbeat_s=heartbeat_s, tells_cold=tells_cold
+        )
         super().__init__(batch_window_s=BATCH_WINDOW_S, refresh_s=REFRESH_S)
         handlers.on_oneway(RegistryPush, self._on_push)
         handlers.on_oneway(LoadReport, self._on_load_report)
--- a/src/leadhollow/decide/limit_table.py
+++ b/src/leadhollow/decide/limit_table.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterable
 from zlib import crc32
 
+from leadhollow.decide.rate_source import RateLimit
+
 MAX_LIMITS = 1_024
 """Number of server lives that are remembered. Beyond it the one recorded first is removed."""
 
@@ -93,6 +95,15 @@
         """Return the limit in force for a life, or None."""
         return self._in_force.get(life)
 
+    def rate_limit(self, life: str) -> RateLimit | None:
+        """Return the limit in force for a life as a source of rate limits, or None."""
+        per_s = self._in_force.get(life)
+        return None if per_s is None else RateLimit(per_s=per_s)
+
+    def limited_lives(self) -> list[str]:
+        """Return the lives that have a limit in force."""
+        return list(self._in_force)
+
     def merge(self, update: ServerLimit) -> bool:
         """Merge a record and tell whether the limit in force changed."""
         known = self._records.get(update.life)
--- a/src/leadhollow/decide/send_limiter.py
+++ b/src/leadhollow/decide/send_limiter.py
@@ -31,9 +31,15 @@
         Returns the number of live entries.
     clock
         Returns the time including suspensions.
+    unleased_share
+        Share of the limit that entries without a lease divide evenly.
+    token_valid_s
+        Time after which an unused token of the unleased share expires.
 
     Attributes
     ----------
+    admitted
+        Number of tokens taken.
     withheld
         Number of times that a request found no token.
     """
@@ -45,8 +51,11 @@
         "_random",
         "_refilled_s",
         "_share",
+        "_token_valid_s",
         "_tokens",
         "_unleased",
+        "_unleased_share",
+        "admitted",
         "per_s",
         "withheld",
     )
@@ -58,8 +67,12 @@
         entries: Callable[[], int],
         clock: Callable[[], float],
         source: random.Random,
+        unleased_share: float = UNLEASED_SHARE,
+        token_valid_s: float = UNLEASED_TOKEN_VALID_S,
     ) -> None:
         self.per_s = per_s
+        self._unleased_share = unleased_share
+        self._token_valid_s = token_valid_s
         self._entries = entries
         self._clock = clock
         self._random = source
@@ -68,12 +81,23 @@
         self._refilled_s = clock()
         self._tokens = source.random()
         self._unleased = True  # whether the tokens belong to the unleased share
+        self.admitted = 0
         self.withheld = 0
 
-    def set_limit(self, per_s: float) -> None:
+    def set_limit(
+        self,
+        per_s: float,
+        *,
+        unleased_share: float = UNLEASED_SHARE,
+        token_valid_s: float = UNLEASED_TOKEN_VALID_S,
+        entries: Callable[[], int] | None = None,
+    ) -> None:
         """Change the limit. Tokens saved under the old limit are capped by the new one."""
         self._refill()
+        self._entries = entries or self._entries
         self.per_s = per_s
+        self._unleased_share = unleased_share
+        self._token_valid_s = token_valid_s
         self._tokens = min(self._tokens, self._capacity())
 
     def lease(self, share: float, *, until_s: float) -> None:
@@ -105,7 +129,7 @@
         limit_per_s = max(self.per_s, PROBE_RATE_PER_S)
         if self.leased:
             return self._share * limit_per_s
-        return UNLEASED_SHARE * limit_per_s / max(1, self._entries())
+        return self._unleased_share * limit_per_s / max(1, self._entries())
 
     def admits(self) -> bool:
         """Tell whether a request may be sent now."""
@@ -118,11 +142,13 @@
             self.withheld += 1
             return False
         self._tokens -= 1.0
+        self.admitted += 1
         return True
 
     def refund(self) -> None:
         """Return the token of a request that was not sent."""
         self._refill()
+        self.admitted -= 1
         self._tokens = min(self._tokens + 1.0, self._capacity())
 
     def _capacity(self) -> float:
@@ -141,7 +167,7 @@
         self._refilled_s = now_s
         if not self._unleased or rate_per_s >= 1.0:
             self._tokens = min(self._tokens, self._capacity())
-        elif self._tokens >= 1.0 + UNLEASED_TOKEN_VALID_S * rate_per_s:
+        elif self._tokens >= 1.0 + self._token_valid_s * rate_per_s:
             self._tokens %= 1.0
 
 
--- a/src/leadhollow/decide/share_allocator.py
+++ b/src/leadhollow/decide/share_allocator.py
@@ -9,10 +9,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from zlib import crc32
 
-from leadhollow.decide.send_limiter import LEASED_SHARE, PROBE_RATE_PER_S, UNLEASED_SHARE
+from leadhollow.decide.send_limiter import LEASED_SHARE
+from leadhollow.decide.share_terms import EntryDemand, LimitedServer, SharePlan
 
 LEASE_S = 1.2
 """Validity of a share, counted from the request of its entry. Entries ask several times in it."""
@@ -32,62 +33,15 @@
 """Growth in the number of asking entries from which a new plan is made. The first entries to ask
 were given the whole limit."""
 
+GATHER_S = 0.2
+"""Time in which entries may ask before a limit with a maximum of holders is planned. All of them
+learn of a cold server at once; holders chosen among the first ones would keep more than they
+need."""
+
 MIN_SHARE = 0.001
 PLAN_INTERVAL_S = 0.05  # how often plans are checked while no limit changes
 
 
-class EntryDemand:
-    """Request rates of one entry, as it last reported them.
-
-    Parameters
-    ----------
-    per_s
-        Requests per second for each service that has a server with a limit.
-    """
-
-    __slots__ = ("failure_domain", "heard_s", "per_s", "vm")
-
-    def __init__(
-        self, *, vm: str, failure_domain: str, per_s: Mapping[str, float], heard_s: float
-    ) -> None:
-        self.vm = vm
-        self.failure_domain = failure_domain
-        self.per_s = dict(per_s)
-        self.heard_s = heard_s
-
-
-class LimitedServer:
-    """A server whose limit is shared among entries."""
-
-    __slots__ = ("failure_domain", "life", "per_s", "service")
-
-    def __init__(self, *, life: str, service: str, failure_domain: str, per_s: float) -> None:
-        self.life = life
-        self.service = service
-        self.failure_domain = failure_domain
-        self.per_s = max(per_s, PROBE_RATE_PER_S)
-
-
-class _Plan:
-    """Planned shares of the limit of one server, by entry.
-
-    Parameters
-    ----------
-    entries
-        Number of entries that were asking when the plan was made.
-    """
-
-    __slots__ = ("entries", "per_s", "service", "shares")
-
-    def __init__(
-        self, *, service: str, per_s: float, shares: dict[str, float], entries: int
-    ) -> None:
-        self.entries = entries
-        self.service = service
-        self.per_s = per_s
-        self.shares = shares
-
-
 class ShareAllocator:
     """Plans shares and keeps track of the leased ones.
 
@@ -103,6 +57,7 @@
         "_clock",
         "_demands",
         "_entries",
+        "_first_seen_s",
         "_leases",
         "_planned_per_s",
         "_planned_s",
@@ -115,9 +70,10 @@
         self._entries = entries
         self._demands: dict[str, EntryDemand] = {}
         self._servers: dict[str, LimitedServer] = {}
-        self._plans: dict[str, _Plan] = {}
+        self._plans: dict[str, SharePlan] = {}
         self._planned_per_s: dict[tuple[str, str], float] = {}  # by service and entry
         self._planned_s = float("-inf")
+        self._first_seen_s: dict[str, float] = {}  # of servers with a maximum of holders
         self._leases: dict[str, dict[str, list[tuple[float, float]]]] = {}  # share, end of lease
 
     def lease_shares(
@@ -125,6 +81,9 @@
     ) -> dict[str, float]:
         """Lease an entry its shares, by life. Servers missing from the result are held by others.
 
+        Servers with a maximum of holders are in the result once they are leased, with a share of 0
+        if others hold them. Until then entries use the unleased share.
+
         Parameters
         ----------
         demand
@@ -140,6 +99,8 @@
             share = self._lease(life, demand.vm, plan, now_s) if demand.vm in plan.shares else 0.0
             if share >= MIN_SHARE:
                 leased[life] = share
+            elif self._servers[life].max_holders is not None:
+                leased[life] = 0.0
         return leased
 
     def in_use(self, life: str) -> float:
@@ -151,14 +112,14 @@
         plan = self._plans.get(life)
         return {} if plan is None else dict(plan.shares)
 
-    def _lease(self, life: str, vm: str, plan: _Plan, now_s: float) -> float:
+    def _lease(self, life: str, vm: str, plan: SharePlan, now_s: float) -> float:
         """Lease an entry its share of the limit of one server, and return the share.
 
         The planned share is the entry's share in the plan, scaled to the part of the limit that may
         be leased now. The entry gets less while leases of other entries leave less than that. A
         share below ``MIN_SHARE``, which may be negative, is returned but not leased.
         """
-        leasable = self._leasable()
+        leasable = self._leasable(self._servers[life].unleased_share)
         planned = plan.shares[vm] * leasable / LEASED_SHARE
         share = min(planned, leasable - self._in_use(life, now_s, without=vm))
         if share >= MIN_SHARE:
@@ -167,11 +128,11 @@
             own.append((share, now_s + LEASE_S))
         return share
 
-    def _leasable(self) -> float:
+    def _leasable(self, unleased_share: float) -> float:
         """Return the share of a limit that may be leased: entries that do not ask use the rest."""
         entries = self._entries()
         silent = max(0, entries - len(self._demands))
-        return LEASED_SHARE - UNLEASED_SHARE * silent / max(1, entries)
+        return LEASED_SHARE - unleased_share * silent / max(1, entries)
 
     def _in_use(self, life: str, now_s: float, *, without: str) -> float:
         leases = self._leases.get(life, {})
@@ -179,8 +140,8 @@
 
     def _update_plans(self, servers: dict[str, LimitedServer], now_s: float) -> None:
         """Plan the limits that have no plan, or whose plan is no longer suitable."""
-        limits = {life: server.per_s for life, server in servers.items()}
-        unchanged = limits == {life: server.per_s for life, server in self._servers.items()}
+        limits = {life: server.terms() for life, server in servers.items()}
+        unchanged = limits == {life: server.terms() for life, server in self._servers.items()}
         if unchanged and now_s - self._planned_s < PLAN_INTERVAL_S:
             return
         self._servers = servers
@@ -188,26 +149,41 @@
         self._expire(now_s)
         for life in self._plans.keys() - servers.keys():
             self._drop_plan(life)
+        for life in self._first_seen_s.keys() - servers.keys():
+            del self._first_seen_s[life]
         for life in sorted(servers):
             plan = self._plans.get(life)
+            if plan is None and self._gathers(servers[life], now_s):
+                continue
             if plan is None or not self._is_suitable(plan, servers[life]):
                 self._drop_plan(life)
-                self._plans[life] = self._plan(servers[life])
+                maximum = servers[life].max_holders
+                self._plans[life] = (
+                    self._plan(servers[life])
+                    if maximum is None
+                    else self._plan_few(servers[life], maximum)
+                )
                 self._count_planned(self._plans[life], sign=1)
 
+    def _gathers(self, server: LimitedServer, now_s: float) -> bool:
+        """Tell whether more entries may ask before the holders of a limit are chosen."""
+        if server.max_holders is None or len(self._demands) >= self._entries():
+            return False
+        return now_s - self._first_seen_s.setdefault(server.life, now_s) < GATHER_S
+
     def _drop_plan(self, life: str) -> None:
         plan = self._plans.pop(life, None)
         if plan is not None:
             self._count_planned(plan, sign=-1)
 
-    def _count_planned(self, plan: _Plan, *, sign: int) -> None:
+    def _count_planned(self, plan: SharePlan, *, sign: int) -> None:
         """Add a plan to, or subtract it from, the planned rates by service and entry."""
         for vm, share in plan.shares.items():
             key = (plan.service, vm)
             per_s = self._planned_per_s.get(key, 0.0) + sign * share * plan.per_s
             self._planned_per_s[key] = per_s
 
-    def _is_suitable(self, plan: _Plan, server: LimitedServer) -> bool:
+    def _is_suitable(self, plan: SharePlan, server: LimitedServer) -> bool:
         """Tell whether the holders still ask for shares and need the shares that they hold."""
         if not 1 / REPLAN_LIMIT_FACTOR < server.per_s / plan.per_s < REPLAN_LIMIT_FACTOR:
             return False
@@ -215,13 +191,17 @@
             return False
         if len(self._demands) > REPLAN_ENTRIES_FACTOR * plan.entries:
             return False
+        if server.max_holders is not None:
+            return len(plan.shares) >= min(
+                server.max_holders, MAX_HOLDERS, len(self._asking(server))
+            )
         if self._demands.keys() <= plan.shares.keys():
             return True
         own = sum(plan.shares.values()) * plan.per_s
         needed = own + sum(self._unplanned_per_s(vm, server) for vm in plan.shares)
         return min(own, needed) >= REPLAN_DEMAND_SHARE * LEASED_SHARE * server.per_s
 
-    def _plan(self, server: LimitedServer) -> _Plan:
+    def _plan(self, server: LimitedServer) -> SharePlan:
         """Choose the fewest holders whose demand covers the limit, local ones first.
 
         The order of entries differs from server to server, so that no entry holds all limits.
@@ -244,10 +224,42 @@
         if shares and left_per_s > 0:
             scale = LEASED_SHARE / sum(shares.values())
             shares = {vm: share * scale for vm, share in shares.items()}
-        return _Plan(
+        return SharePlan(
             service=server.service, per_s=server.per_s, shares=shares, entries=len(self._demands)
         )
 
+    def _plan_few(self, server: LimitedServer, maximum: int) -> SharePlan:
+        """Choose holders with equal shares, local ones with the least planned rates first.
+
+        There are more of them, up to the maximum, the less the usual demand of an entry covers.
+
+        A share is no larger while few of the entries have asked, so that those who ask first do not
+        hold more than they need for the validity of a lease.
+        """
+        unplanned = {vm: self._unplanned_per_s(vm, server) for vm in self._asking(server)}
+        order = sorted(
+            unplanned,
+            key=lambda vm: (
+                self._is_remote(vm, server),
+                -unplanned[vm],
+                _hash_rank(server.life, vm),
+            ),
+        )
+        usable_per_s = USABLE_DEMAND_SHARE * sum(
+            self._demands[vm].per_s[server.service] for vm in order
+        )
+        needed = LEASED_SHARE * server.per_s * len(order) / max(usable_per_s, 1e-9)
+        order = order[: max(min(maximum, MAX_HOLDERS), min(maximum, round(needed)))]
+        parts = max(len(order), min(maximum, MAX_HOLDERS, self._entries()))
+        shares = dict.fromkeys(order, LEASED_SHARE / parts) if order else {}
+        return SharePlan(
+            service=server.service, per_s=server.per_s, shares=shares, entries=len(self._demands)
+        )
+
+    def _asking(self, server: LimitedServer) -> list[str]:
+        """Return the entries that have requests for the service of a server."""
+        return [vm for vm, found in self._demands.items() if found.per_s.get(server.service)]
+
     def _unplanned_per_s(self, vm: str, server: LimitedServer) -> float:
         """Return the usable demand of an entry beyond its planned rates."""
         demand_per_s = self._demands[vm].per_s.get(server.service, 0.0)
--- a/src/leadhollow/forward/dialect.py
+++ b/src/leadhollow/forward/dialect.py
@@ -144,6 +144,10 @@
         limit.
     limit_malformed
         Whether the stated limit cannot be parsed, so that the previous one stays in force.
+    cold_remaining_ms
+        Time for which the server stays cold; None if it does not state it.
+    cold_malformed
+        Whether the stated time cannot be parsed, so that what was known before holds.
     leaving
         Whether the server is about to end and wants no more requests.
     rest_s
@@ -157,6 +161,8 @@
 
     __slots__ = (
         "attempt_id",
+        "cold_malformed",
+        "cold_remaining_ms",
         "instance",
         "internal_fields",
         "leaving",
@@ -177,6 +183,8 @@
         instance: str | None = None,
         limit_per_s: float | None = None,
         limit_malformed: bool = False,
+        cold_remaining_ms: float | None = None,
+        cold_malformed: bool = False,
         leaving: bool = False,
         rest_s: float | None = None,
         rest_malformed: bool = False,
@@ -190,6 +198,8 @@
         self.rest_malformed = rest_malformed
         self.limit_per_s = limit_per_s
         self.limit_malformed = limit_malformed
+        self.cold_remaining_ms = cold_remaining_ms
+        self.cold_malformed = cold_malformed
         self.signed = signed
         self.not_executed = not_executed
 
--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
 from http import HTTPStatus
 from typing import Protocol
@@ -144,13 +144,21 @@
     ----------
     listeners
         Receive the metadata of each response before anything else reads it.
+    on_unreachable
+        Called with each server to which no connection could be made.
     """
 
-    __slots__ = ("_dialect", "_listeners", "_pool", "stray_responses")
+    __slots__ = ("_dialect", "_listeners", "_on_unreachable", "_pool", "stray_responses")
 
     def __init__(
-        self, *, dialect: CallDialect, pool: ConnectionPool, listeners: Sequence[ResponseListener]
+        self,
+        *,
+        dialect: CallDialect,
+        pool: ConnectionPool,
+        listeners: Sequence[ResponseListener],
+        on_unreachable: Callable[[Server], None] = lambda server: None,
     ) -> None:
+        self._on_unreachable = on_unreachable
         self._dialect = dialect
         self._listeners = listeners
         self._pool = pool
@@ -178,6 +186,8 @@
         dispatch.connect_s = asyncio.get_running_loop().time() - start_s
         if acquired.is_err():
             failure = acquired.unwrap_err()
+            if _is_away(failure, server, start_s):
+                self._on_unreachable(server)
             return Err(AttemptFailure(end=AttemptEnd.NOT_SENT, failure=failure))
         connection = acquired.unwrap()
         withheld = server.claim_send(own_call)
@@ -287,6 +297,16 @@
             listener.record_response(server, metadata, sent_s=sent_s, call=call)
 
 
+def _is_away(failure: Failure, server: Server, now_s: float) -> bool:
+    """Tell whether a server, and not only this VM, seems to be the reason of a failed connection.
+
+    A connection may also time out because this VM is busy. Then the engine still reports its load.
+    """
+    if failure.code is Code.PEER_TIMEOUT:
+        return server.fresh_report(now_s) is None
+    return failure.code in (Code.PEER_ABSENT, Code.PEER_LOST)
+
+
 async def _skip(response: IncomingResponse) -> Result[None, Failure]:
     while True:
         read = await response.body.read()
--- a/src/leadhollow/forward/rate_limit_tracker.py
+++ b/src/leadhollow/forward/rate_limit_tracker.py
@@ -1,26 +1,32 @@
-"""Keeps this entry's requests within the rate limits that backend servers state in responses.
+"""Keeps this entry's requests within the rate limits of backend servers.
 
-A response states a limit to one entry. Control replicas relay it to all entries and lease each
-entry a share of it.
+A response states a limit to one entry, and control replicas relay it to all entries. The limit of a
+cold server is known from its service and its announcements. Control replicas lease each entry a
+share of the limits of both kinds.
 """
 
 from __future__ import annotations
 
+import asyncio
 import random
 from typing import Protocol
 
 from leadhollow.codes import Code
+from leadhollow.decide.cold_servers import ColdServers
 from leadhollow.decide.limit_table import LimitTable
+from leadhollow.decide.rate_source import RateSource, StrictestRate
 from leadhollow.decide.send_limiter import SendLimiter
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_load import OwnCall
 from leadhollow.decide.share_allocator import LEASE_S, EntryDemand
-from leadhollow.failure import Failure
 from leadhollow.forward.dialect import ResponseMetadata
+from leadhollow.forward.limit_log import LimitLog
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.kernel import clocks
 from leadhollow.kernel.batching_service import BatchingService
+from leadhollow.kernel.timers import TIMER_RESOLUTION_S
 from leadhollow.membership.control_feed import ControlFeed
+from leadhollow.membership.entry_count import cautious_count
 from leadhollow.membership.limit_news import decode_limits, encode_limits, encode_request
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.generated.ttypes import LimitLease, LimitNews
@@ -30,8 +36,6 @@
 REFRESH_S = 0.25  # between requests for shares while any limit is in force
 FULL_UPDATE_INTERVAL_S = 1.0  # minimum between full updates to the same replica
 EXPIRY_S = 60.0  # after which the limit of a server that is gone is dropped
-MAX_MALFORMED_LOGGED = 64  # lives; a server that keeps restarting must not flood the log
-LOG_INTERVAL_S = 1.0  # minimum between log lines about limit changes of the same server
 
 log = get_logger("limits")
 
@@ -53,27 +57,34 @@
         Identify this entry when it requests shares.
     demand
         Rate of the requests that this entry received.
+    cold_servers
+        Cold servers; None if their rate is not limited.
 
     Attributes
     ----------
+    cold_malformed
+        Number of responses with a cold time that could not be parsed.
     malformed
         Number of responses with a limit that could not be parsed.
     """
 
     __slots__ = (
         "_changed",
+        "_cold_servers",
+        "_counting_since_s",
         "_demand",
         "_directory",
         "_failure_domain",
         "_feed",
         "_full_update_s",
-        "_last_log_s",
-        "_malformed_lives",
+        "_log",
         "_peers",
         "_random",
+        "_rates",
         "_replica_checksum",
         "_synced_replica",
         "_vm",
+        "cold_malformed",
         "malformed",
         "table",
     )
@@ -88,6 +99,7 @@
         peers: PeerPool,
         demand: DemandGauge,
         seed: int,
+        cold_servers: ColdServers | None = None,
     ) -> None:
         self._vm = vm
         self._failure_domain = failure_domain
@@ -97,13 +109,20 @@
         self._demand = demand
         self._random = random.Random(seed)
         self.table = LimitTable()
+        self._cold_servers = cold_servers
+        sources: list[RateSource] = [self.table]
+        if cold_servers is not None:
+            sources.append(cold_servers)
+            cold_servers.on_change(self._on_cold)
+        self._rates = StrictestRate(sources)
+        self._counting_since_s: float | None = None  # first full update from a replica
         self.malformed = 0
-        self._malformed_lives: set[str] = set()
+        self.cold_malformed = 0
         self._changed: set[str] = set()
         self._synced_replica = ""  # replica that has got a full update
         self._replica_checksum = 0  # of the replica's table, as last received
         self._full_update_s = float("-inf")
-        self._last_log_s: dict[str, float] = {}
+        self._log = LimitLog(clock=clocks.elapsed_s)
         directory.on_server_added(self._on_server_added)
         feed.on_limits(self._on_update)
         feed.on_limit_lease(self._on_lease)
@@ -111,7 +130,7 @@
 
     def needs_refresh(self) -> bool:
         """Return whether any limit is in force."""
-        return bool(self.table.limits())
+        return bool(self._rates.limited_lives())
 
     def record_response(
         self,
@@ -129,8 +148,10 @@
             When the request was sent, by the clock that includes suspensions; None if the server
             was not known to have a limit then.
         """
+        self._record_cold(server, metadata)
         if metadata.limit_malformed:
-            self._record_malformed(server)
+            self.malformed += 1
+            self._log.record_malformed(server.instance, Code.LIMIT_MALFORMED)
             return
         if metadata.limit_per_s is None and (server.send_limiter is None or sent_s is None):
             return
@@ -147,15 +168,39 @@
             self._apply_limit(server)
             self.note_change()
 
-    def _record_malformed(self, server: Server) -> None:
-        """Count a malformed limit, and log the first one of each life of a server."""
-        self.malformed += 1
-        life = server.instance.life
-        if life in self._malformed_lives or len(self._malformed_lives) >= MAX_MALFORMED_LOGGED:
-            return
-        self._malformed_lives.add(life)
-        failure = Failure(code=Code.LIMIT_MALFORMED)
-        log.warning("limit not taken", failure=str(failure), instance=server.instance.instance)
+    def _record_cold(self, server: Server, metadata: ResponseMetadata) -> None:
+        """Record what a response says about how long its server stays cold."""
+        if metadata.cold_malformed:
+            self.cold_malformed += 1
+            self._log.record_malformed(server.instance, Code.COLD_MALFORMED)
+        own = metadata.instance in (None, server.instance.instance)
+        if own and metadata.cold_remaining_ms and self._cold_servers is not None:
+            self._cold_servers.record_statement(server.instance, metadata.cold_remaining_ms)
+
+    def record_unreachable(self, server: Server) -> None:
+        """Record that no connection to a server could be made: it may be cold when it is back."""
+        if self._cold_servers is not None:
+            self._cold_servers.presume_cold(server.instance)
+
+    def _on_cold(self, life: str) -> None:
+        server = self._directory.server_by_life(life)
+        if server is None or self._cold_servers is None:
+            return  # its limit is applied when it is added
+        self._apply_limit(server)
+        self.note_change()
+        self._schedule_end(life)
+
+    def _schedule_end(self, life: str) -> None:
+        """Lift the limit of a cold server when it is warm, unless it says more until then."""
+        until_s = float("-inf") if self._cold_servers is None else self._cold_servers.until_s(life)
+        loop = asyncio.get_running_loop()
+        if until_s > loop.time():
+            loop.call_at(until_s + TIMER_RESOLUTION_S, self._end_cold, life)
+
+    def _end_cold(self, life: str) -> None:
+        server = self._directory.server_by_life(life)
+        if server is not None and server.send_limiter is not None:
+            self._apply_limit(server)
 
     def _on_update(self, update: LimitNews, whole: bool) -> None:
         decoded = decode_limits(update, clocks.elapsed_s())
@@ -163,6 +208,8 @@
             log.warning("limit update rejected", failure=str(decoded.unwrap_err()))
             return
         self._replica_checksum = int(update.mark or 0)
+        if self._counting_since_s is None and whole:
+            self._counting_since_s = clocks.elapsed_s()
         if whole:
             self._synced_replica = ""  # the replica may have restarted: send it a full update
         changed = {limit.life for limit in decoded.unwrap() if self.table.merge(limit)}
@@ -177,50 +224,58 @@
             return
         until_s = min((lease.asked_ms or 0) / 1000, clocks.elapsed_s()) + LEASE_S
         shares = {
-            part.life: part.share for part in lease.shares or () if _is_valid_share(part.share)
+            part.life: part.share if _is_valid_share(part.share) else 0.0
+            for part in lease.shares or ()
         }
         for server in self._directory.all_servers():
-            if server.send_limiter is not None:
-                server.send_limiter.lease(shares.get(server.instance.life, 0.0), until_s=until_s)
+            life = server.instance.life
+            # a cold server that the leader does not know of is not leased to anyone
+            known = life in shares or self.table.limit(life) is not None
+            if server.send_limiter is not None and known:
+                server.send_limiter.lease(shares.get(life, 0.0), until_s=until_s)
         self._directory.notify_change()
 
     def _on_server_added(self, server: Server) -> None:
-        if self.table.limit(server.instance.life) is not None:
+        if self._rates.rate_limit(server.instance.life) is not None:
             self._apply_limit(server)
+            self._schedule_end(server.instance.life)
+            self.note_change()
 
     def _apply_limit(self, server: Server) -> None:
         """Apply the limit in force, or none, to the requests for a server."""
-        per_s = self.table.limit(server.instance.life)
+        limit = self._rates.rate_limit(server.instance.life)
         previous = server.send_limiter
-        if per_s is None:
+        cold = limit is not None and limit.max_holders is not None
+        entries = self._counted_entries if cold else self._entries
+        if limit is None:
             server.send_limiter = None
         elif previous is not None:
-            previous.set_limit(per_s)
+            previous.set_limit(
+                limit.per_s,
+                unleased_share=limit.unleased_share,
+                token_valid_s=limit.token_valid_s,
+                entries=entries,
+            )
         else:
             server.send_limiter = SendLimiter(
-                per_s=per_s,
-                entries=lambda: self._feed.entries,
+                per_s=limit.per_s,
+                entries=entries,
                 clock=clocks.elapsed_s,
                 source=self._random,
+                unleased_share=limit.unleased_share,
+                token_valid_s=limit.token_valid_s,
             )
-        self._log_limit(server, per_s, previous)
-        self._directory.notify_change()
+        if limit is not None or previous is not None:
+            self._log.record_change(server.instance, limit, previous)
+            self._directory.notify_change()
 
-    def _log_limit(self, server: Server, per_s: float | None, previous: SendLimiter | None) -> None:
-        life, now_s = server.instance.life, clocks.elapsed_s()
-        is_update = per_s is not None and previous is not None
-        if is_update and now_s - self._last_log_s.get(life, float("-inf")) < LOG_INTERVAL_S:
-            return
-        self._last_log_s[life] = now_s
-        if per_s is None:
-            del self._last_log_s[life]
-        log.info(
-            "server limit lifted" if per_s is None else "server limit in force",
-            instance=server.instance.instance,
-            address=server.instance.address,
-            limit_per_s=per_s,
-            withheld=0 if previous is None else previous.withheld,
-        )
+    def _entries(self) -> int:
+        return self._feed.entries
+
+    def _counted_entries(self) -> int:
+        since_s = self._counting_since_s
+        heard_for_s = None if since_s is None else clocks.elapsed_s() - since_s
+        return cautious_count(self._feed.entries, heard_for_s=heard_for_s)
 
     async def _publish(self, *, whole: bool) -> None:
         """Send changed limits to the followed replica, and request shares from it."""
@@ -238,7 +293,7 @@
             self._full_update_s = now_s
         if whole:
             self._expire(now_s)
-        limited = self.table.limits()
+        limited = self._rates.limited_lives()
         if not limited and not self._changed:
             self._synced_replica = source
             return
--- a/src/leadhollow/membership/entry_count.py
+++ b/src/leadhollow/membership/entry_count.py
@@ -9,6 +9,11 @@
 """Time for which a higher count stays in force. A replica that is partitioned off or has just
 started counts only its own subscribers, while all other entries still use their shares."""
 
+COUNT_SETTLES_S = 2.0
+ASSUMED_ENTRIES = 128
+"""Entries that are assumed, at least, until ``COUNT_SETTLES_S`` after a process first heard from
+control. After a loss of all power each replica counts only its own entries at first."""
+
 
 class EntryCount:
     """Highest number of live entries that replicas reported recently.
@@ -44,4 +49,16 @@
             self._counts.popleft()
 
 
-__all__ = ["RETENTION_S", "EntryCount"]
+def cautious_count(count: int, *, heard_for_s: float | None) -> int:
+    """Return a number of entries that is not too small while replicas may not know all of them.
+
+    Parameters
+    ----------
+    heard_for_s
+        Time since this process first heard from control, None before.
+    """
+    settled = heard_for_s is not None and heard_for_s >= COUNT_SETTLES_S
+    return count if settled else max(ASSUMED_ENTRIES, count)
+
+
+__all__ = ["ASSUMED_ENTRIES", "COUNT_SETTLES_S", "RETENTION_S", "EntryCount", "cautious_count"]
--- a/src/leadhollow/membership/instance_table.py
+++ b/src/leadhollow/membership/instance_table.py
@@ -23,6 +23,9 @@
 
 REPLACED_KEPT = 1_024  # instances remembered that were replaced at their address
 
+COLD_CHANGE_S = 0.25
+"""Change of the end of a cold time that subscribers are told of. Heartbeats take a varying time."""
+
 RECLAIM_AFTER_S = 3.0
 RECLAIM_AFTER_HEARTBEATS = 2.5
 """Silence of an instance after which the one that it replaced may reclaim the address: more than
@@ -47,6 +50,8 @@
         (:mod:`leadhollow.membership.unlisted_instances`).
     heartbeat_s
         Interval of an instance's heartbeats.
+    tells_cold
+        Returns whether listeners are notified when a server of a service becomes cold or warm.
     """
 
     __slots__ = (
@@ -57,10 +62,18 @@
         "_listeners",
         "_reclaim_after_s",
         "_replaced",
+        "_tells_cold",
         "forget_after_s",
     )
 
-    def __init__(self, *, forget_after_s: float, heartbeat_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        *,
+        forget_after_s: float,
+        heartbeat_s: float = 0.0,
+        tells_cold: Callable[[str], bool] = lambda service: False,
+    ) -> None:
+        self._tells_cold = tells_cold
         self._instances: dict[str, Instance] = {}
         self._by_address: dict[str, str] = {}
         self._gone: OrderedDict[str, Instance] = OrderedDict()
@@ -108,9 +121,10 @@
             return self._mark_leaving(known)
         if known is not None:
             record.heard_s = max(known.heard_s, record.heard_s)
-            if record.has_same_content(known):
+            if record.has_same_content(known) and not self._is_news_of_cold(known, record):
                 known.sequence = record.sequence
-                known.cold_until_s = record.cold_until_s
+                if not self._tells_cold(known.service):
+                    known.cold_until_s = record.cold_until_s
                 return False
         elif not self._claim_address(record):
             return False
@@ -216,6 +230,14 @@
             self._drop(found.instance)
         return silent
 
+    def _is_news_of_cold(self, known: Instance, record: Instance) -> bool:
+        """Return whether a record states another end of the cold time than the known one."""
+        if not self._tells_cold(record.service):
+            return False
+        now_s = _now_s()
+        before_s, after_s = (max(0.0, each.cold_until_s - now_s) for each in (known, record))
+        return abs(after_s - before_s) > COLD_CHANGE_S or (after_s == 0.0) != (before_s == 0.0)
+
     def _is_leaving(self, life: str, known: Instance | None) -> bool:
         """Return whether a life leaves, even if its entry in ``_leaving`` was evicted."""
         if life in self._leaving:
--- a/src/leadhollow/membership/instances.py
+++ b/src/leadhollow/membership/instances.py
@@ -6,6 +6,8 @@
 
 from leadhollow.wire.generated.ttypes import InstanceRecord, ServedModel
 
+MAX_COLD_MS = 3_600_000.0  # a longer time is taken for an error of the server
+
 
 class InstanceState(IntEnum):
     """State that an instance reports for itself."""
@@ -72,7 +74,8 @@
     heard_s
         Loop time of the last sign of life that any process received.
     cold_until_s
-        Loop time until which the server is slower than usual.
+        Loop time until which the server is cold, as it said: slower than usual, and able to take
+        fewer requests.
     """
 
     __slots__ = (
@@ -181,4 +184,4 @@
         )
 
 
-__all__ = ["Instance", "InstanceState", "ServedVersion"]
+__all__ = ["MAX_COLD_MS", "Instance", "InstanceState", "ServedVersion"]
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -17,8 +17,11 @@
 from leadhollow.control.suspect_relay import SuspectRelay
 from leadhollow.control.use_aggregator import UseAggregator
 from leadhollow.control.version_ages import VersionAgeTracker
+from leadhollow.decide.cold_servers import ColdServers
+from leadhollow.decide.eligibility import FailureDomains
+from leadhollow.kernel import clocks
 from leadhollow.node.process import FORGET_AFTER_HEARTBEATS, FORGET_AFTER_S
-from leadhollow.routing.catalog_items import accepts_service
+from leadhollow.routing.catalog_items import accepts_service, find_service, has_cold_limit
 from leadhollow.settings.address import Address
 
 if TYPE_CHECKING:
@@ -31,6 +34,7 @@
     kernel = process.kernel
     settings = process.settings
     heartbeat_s = settings.heartbeat_ms / 1000
+    domains = FailureDomains(regions=settings.region_by_domain)
 
     def replica() -> ReplicaService:
         return kernel.get("replica", ReplicaService)
@@ -60,6 +64,7 @@
             heartbeat_s=heartbeat_s,
             naming_times=kernel.get("version-ages", VersionAgeTracker).times,
             accepts_service=lambda name: accepts_service(replica().replica.machine.catalog, name),
+            tells_cold=lambda name: has_cold_limit(replica().replica.machine.catalog, name),
         )
 
     def make_uses() -> Service:
@@ -102,12 +107,21 @@
         return relay
 
     def make_limits() -> Service:
+        catalog = replica().replica.machine.catalog
+        cold_servers = ColdServers(
+            instances=kernel.get("registry", Registry).table,
+            service=lambda name: find_service(catalog, name),
+            bounds=settings.bounds,
+            clock=clocks.steady_s,
+        )
+        cold_servers.watch(domains)
         return LimitRelay(
             own_address=settings.wire_address,
             replicas=replica().addresses,
             leadership=replica().gateway,
             find_server=kernel.get("registry", Registry).table.of_life,
             live_entries=kernel.get("registry", Registry).live_entries,
+            cold_servers=cold_servers,
             peers=process.peers,
             handlers=process.handlers,
         )
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from leadhollow.decide.cold_servers import ColdServers
 from leadhollow.decide.eligibility import FailureDomains
 from leadhollow.decide.engine_queue import PUMP_INTERVAL_S, EngineQueue
 from leadhollow.decide.isolation import IsolationDetector
@@ -31,6 +32,7 @@
 from leadhollow.membership.control_feed import ControlFeed
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.node.process import FEED_FORGET_AFTER_S
+from leadhollow.routing.catalog_items import find_service, has_cold_limit
 from leadhollow.routing.index import RouteIndex
 from leadhollow.settings.address import Address
 
@@ -51,6 +53,7 @@
         "_request_queued",
         "budget",
         "chooser",
+        "cold_servers",
         "directory",
         "domains",
         "limits",
@@ -69,6 +72,13 @@
         dialect = process.dialects.calls
         self.routes = RouteIndex(catalog=feed.catalog)
         self.domains = FailureDomains(regions=settings.region_by_domain)
+        # notified of announcements before the directory, which offers new servers to requests
+        self.cold_servers = ColdServers(
+            instances=feed.table,
+            service=lambda name: find_service(feed.catalog, name),
+            bounds=settings.bounds,
+            clock=clock,
+        )
         self.directory = ServerDirectory(table=feed.table, clock=clock, domains=self.domains)
         self.domains.on_change(self.directory.notify_change)
         self.directory.on_restart(pool.close_idle)
@@ -105,12 +115,18 @@
             peers=process.peers,
             demand=self.budget,
             seed=process.seed,
+            cold_servers=self.cold_servers,
         )
+        self.cold_servers.watch(self.domains)
+        feed.on_load(self.cold_servers.record_load)
         self.self_reports = SelfReports(
             directory=self.directory, feed=feed, peers=process.peers, seed=process.seed
         )
         backend_client = BackendClient(
-            dialect=dialect, pool=pool, listeners=(self.limits, self.self_reports)
+            dialect=dialect,
+            pool=pool,
+            listeners=(self.limits, self.self_reports),
+            on_unreachable=self.limits.record_unreachable,
         )
         stream_context = StreamContext(
             directory=self.directory,
@@ -165,11 +181,16 @@
     settings = process.settings
 
     def make_feed() -> Service:
+        def tells_cold(service: str) -> bool:
+            return has_cold_limit(feed.catalog, service)
+
         feed = ControlFeed(
             settings=settings,
             peers=process.peers,
             table=InstanceTable(
-                forget_after_s=FEED_FORGET_AFTER_S, heartbeat_s=settings.heartbeat_ms / 1000
+                forget_after_s=FEED_FORGET_AFTER_S,
+                heartbeat_s=settings.heartbeat_ms / 1000,
+                tells_cold=tells_cold,
             ),
         )
         process.seed_listeners.append(feed.use_seeds)
--- a/src/leadhollow/platform/answer_fields.py
+++ b/src/leadhollow/platform/answer_fields.py
@@ -15,6 +15,7 @@
         "server-limit",
         "transfer-encoding",
         "x-attempt-id",
+        "x-cold-ms",
         "x-instance-id",
         "x-not-executed",
         "x-response-signature",
@@ -33,7 +34,7 @@
 }
 """Fields that are not decoded, each with the reason."""
 
-UNUSUAL = frozenset({"retry-after", "server-leaving", "server-limit"})
+UNUSUAL = frozenset({"retry-after", "server-leaving", "server-limit", "x-cold-ms"})
 """Decoded fields that few responses have. Other responses are not searched for them."""
 
 KNOWN = DECODED | IGNORED.keys()
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -16,6 +16,7 @@
 from leadhollow.http1.decimal_fields import parse_decimal
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead, ResponseHead
+from leadhollow.membership.instances import MAX_COLD_MS
 from leadhollow.observe.unknown_fields import UnknownFields
 from leadhollow.platform import answer_fields
 from leadhollow.platform.leaving import announces_leaving
@@ -37,6 +38,7 @@
 NOT_EXECUTED = b"x-not-executed"
 INSTANCE_ID = b"x-instance-id"
 RETRY_AFTER = b"retry-after"
+COLD_MS = b"x-cold-ms"  # time for which a server stays cold
 SERVER_LIMIT = b"server-limit"  # requests per second that a server accepts from all entries
 
 BACKOFF_FIELDS = frozenset({RETRY_AFTER})
@@ -123,6 +125,8 @@
         has_unusual = self._unknown.check_headers(headers, sender=instance)
         limits = headers.get_all(SERVER_LIMIT) if has_unusual else []
         limit_per_s = parse_decimal(limits)
+        colds = headers.get_all(COLD_MS) if has_unusual else []
+        cold_ms = parse_decimal(colds)
         unavailable = has_unusual and head.status == HTTPStatus.SERVICE_UNAVAILABLE
         backoffs = headers.get_all(RETRY_AFTER) if unavailable else []
         backoff_s = parse_decimal(backoffs)
@@ -130,6 +134,8 @@
             attempt_id=None if attempt_id is None else attempt_id.decode("latin-1"),
             limit_per_s=limit_per_s,
             limit_malformed=bool(limits) and limit_per_s is None,
+            cold_remaining_ms=cold_ms if cold_ms is None else min(cold_ms, MAX_COLD_MS),
+            cold_malformed=bool(colds) and cold_ms is None,
             leaving=has_unusual and announces_leaving(headers),
             rest_s=backoff_s,
             rest_malformed=bool(backoffs) and backoff_s is None,
--- a/src/leadhollow/platform/configuration.py
+++ b/src/leadhollow/platform/configuration.py
@@ -13,6 +13,7 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.routing.model import (
+    NEVER_COLD,
     CallerLimits,
     CallKind,
     EngineSpec,
@@ -103,6 +104,8 @@
     origin: str | None = None
     link_mbps: float = 0.0
     engine: EngineDocument | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class LimitsDocument(_PlatformDocument, frozen=True):
@@ -204,6 +207,8 @@
         origin=document.origin,
         origin_link_mbit_per_s=document.link_mbps if document.origin is not None else 0.0,
         engine=None if document.engine is None else _engine(document.engine),
+        cold_start_s=document.cold_start_s or NEVER_COLD,
+        cold_requests_per_s=document.cold_per_s or NEVER_COLD,
     )
 
 
--- a/src/leadhollow/platform/control.py
+++ b/src/leadhollow/platform/control.py
@@ -24,7 +24,12 @@
 from leadhollow.failure import Failure
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
-from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
+from leadhollow.membership.instances import (
+    MAX_COLD_MS,
+    Instance,
+    InstanceState,
+    ServedVersion,
+)
 from leadhollow.observe.unknown_fields import UnknownFields
 from leadhollow.platform.configuration import read_configuration
 from leadhollow.routing.validation import check_table
@@ -219,13 +224,18 @@
                 slots=heartbeat.slots,
                 served=served_versions(heartbeat.models, heartbeat.layers),
                 heard_s=now_s,
-                cold_until_s=now_s + heartbeat.cold_remaining_ms / 1000,
+                cold_until_s=now_s + _cold_ms(heartbeat.cold_remaining_ms) / 1000,
                 born_ms=heartbeat.born,
             )
         )
     )
 
 
+def _cold_ms(remaining_ms: float) -> float:
+    """Return the remaining cold time within what a wire record can hold."""
+    return min(max(0.0, remaining_ms), MAX_COLD_MS)
+
+
 def _json_response(status: int, body: bytes) -> ControlResponse:
     headers = Headers(items=[(b"Content-Type", b"application/json")])
     return ControlResponse(status=status, headers=headers, body=body)
--- a/src/leadhollow/routing/catalog_items.py
+++ b/src/leadhollow/routing/catalog_items.py
@@ -64,7 +64,26 @@
     """Return whether the table in force has a service; without a table, any service is accepted."""
     if catalog.item(TABLE_KEY) is None:
         return True
-    return catalog.value(f"{SERVICE_PREFIX}{name}", ServiceRecord) is not None
+    return find_service(catalog, name) is not None
 
 
-__all__ = ["LIMITS_KEY", "TABLE_KEY", "accepts_service", "changed_items", "table_values"]
+def find_service(catalog: Catalog, name: str) -> ServiceRecord | None:
+    """Return a service of the table in force, or None."""
+    return catalog.value(f"{SERVICE_PREFIX}{name}", ServiceRecord)
+
+
+def has_cold_limit(catalog: Catalog, name: str) -> bool:
+    """Return whether the cold servers of a service take a limited rate of requests."""
+    service = find_service(catalog, name)
+    return service is not None and service.cold_requests_per_s > 0
+
+
+__all__ = [
+    "LIMITS_KEY",
+    "TABLE_KEY",
+    "accepts_service",
+    "changed_items",
+    "find_service",
+    "has_cold_limit",
+    "table_values",
+]
--- a/src/leadhollow/routing/model.py
+++ b/src/leadhollow/routing/model.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+NEVER_COLD = 0.0
+"""Default of both fields about cold servers. Encoders leave out this object, but no equal one."""
+
 
 class CallKind(Enum):
     """Kind of the requests of a route, which decides whether they may be repeated.
@@ -116,7 +119,7 @@
     usual_answer_tokens: float = 100.0
 
 
-class ServiceRecord(msgspec.Struct, frozen=True, kw_only=True, tag="service"):
+class ServiceRecord(msgspec.Struct, frozen=True, kw_only=True, tag="service", omit_defaults=True):
     """A service and the capacity of its backend servers.
 
     Parameters
@@ -127,6 +130,10 @@
         Address of an origin of weights; None for a service that handles requests.
     origin_link_mbit_per_s
         Speed of the link of the origin; 0 if unknown.
+    cold_start_s
+        Time for which a server is cold after its start.
+    cold_requests_per_s
+        Requests per second that a cold server takes from all entries together; 0 if not limited.
     """
 
     name: str
@@ -135,6 +142,8 @@
     origin: str | None = None
     origin_link_mbit_per_s: float = 0.0
     engine: EngineSpec | None = None
+    cold_start_s: float = NEVER_COLD
+    cold_requests_per_s: float = NEVER_COLD
 
 
 class Organisation(msgspec.Struct, frozen=True, kw_only=True, tag="organisation"):
--- a/src/leadhollow/routing/validation.py
+++ b/src/leadhollow/routing/validation.py
@@ -4,7 +4,16 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.routing.model import MIN_TABLE_NUMBER, Organisation, Route, RouteTable
+from leadhollow.routing.model import (
+    MIN_TABLE_NUMBER,
+    Organisation,
+    Route,
+    RouteTable,
+    ServiceRecord,
+)
+
+MAX_COLD_START_S = 3_600.0
+MAX_COLD_REQUESTS_PER_S = 1e9
 
 
 def check_table(table: RouteTable) -> Failure | None:
@@ -20,7 +29,23 @@
     services = [service.name for service in table.services]
     if len(set(services)) != len(services):
         return _invalid("services", "a service is named twice")
-    return _check_routes(table.routes, set(services)) or _check_keys(table.organisations)
+    return (
+        _check_routes(table.routes, set(services))
+        or _check_services(table.services)
+        or _check_keys(table.organisations)
+    )
+
+
+def _check_services(services: tuple[ServiceRecord, ...]) -> Failure | None:
+    for service in services:
+        field = f"services.{service.name}"
+        if not 0 <= service.cold_start_s <= MAX_COLD_START_S:
+            detail = f"cold for {service.cold_start_s} s, expected 0 to {MAX_COLD_START_S:g}"
+            return _invalid(field, detail)
+        if not 0 <= service.cold_requests_per_s <= MAX_COLD_REQUESTS_PER_S:
+            detail = f"{service.cold_requests_per_s} requests per second while cold"
+            return _invalid(field, f"{detail}, expected 0 to {MAX_COLD_REQUESTS_PER_S:g}")
+    return None
 
 
 def _check_routes(routes: tuple[Route, ...], services: set[str]) -> Failure | None:
--- a/src/leadhollow/settings/node.py
+++ b/src/leadhollow/settings/node.py
@@ -56,6 +56,9 @@
         of the requests plus a fixed number.
     address_reuse_s
         Time after which the address of a stopped backend server may be given to another one.
+    cold_overshoot, cold_slack
+        Requests that a cold backend server may get in any second: a multiple of the rate that its
+        service declares plus a fixed number.
     """
 
     contact_ms: float = 3_000
@@ -69,6 +72,8 @@
     retry_slack: float = 100.0
     retry_window_s: float = 10.0
     address_reuse_s: float = 2.0
+    cold_overshoot: float = 1.5
+    cold_slack: float = 5.0
 
 
 class NodeSettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/tests/platform/test_template.py
+++ b/tests/platform/test_template.py
@@ -91,6 +91,14 @@
         assert settings.seed_wire_addresses == ("10.1.0.43:7700", "10.2.0.39:7700")
         assert settings.bounds.stop_grace_s == 8.5
         assert settings.bounds.retry_slack == 102.5
+        assert (settings.bounds.cold_overshoot, settings.bounds.cold_slack) == (1.5, 5.0)
+
+    def test_gives_the_bounds_of_cold_servers_where_they_are_named(self, template):
+        bounds = {**PLATFORM_FIELDS["bounds"], "coldOvershoot": 2, "coldSlack": 7.5}
+        settings = parse_node_settings(
+            fill_in(template, {**PLATFORM_FIELDS, "bounds": bounds}).encode()
+        ).unwrap()
+        assert (settings.bounds.cold_overshoot, settings.bounds.cold_slack) == (2.0, 7.5)
 
     def test_gives_settings_of_a_control_replica(self, template):
         fields = {
