Evacuate and restore failure domains by orders in the replicated log

Cause: operators' calls to empty a failure domain were answered with 404. An order that was received before a later opposite one is rejected (322, 503), so that a copy held back by a suspended replica doesn't undo it. A request that no failure domain may take is refused at once with the reason, which does not count as pressure; an evacuated domain is not taken for lost.

--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -76,6 +76,12 @@
     VERSION_MALFORMED = (319, 400, "The version to be named is malformed.")
     IDENTITY_DAMAGED = (320, 500, "The replica's identity file is damaged; it does not start.")
     REPLICA_OTHER = (321, 409, "Another replica runs at this address: the disk was lost.")
+    ORDER_OVERTAKEN = (
+        322,
+        503,
+        "An opposite order was accepted after this one had been sent; nothing was changed.",
+    )
+    DOMAIN_UNKNOWN = (323, 404, "The deployment has no such failure domain.")
     SHEET_INVALID = (315, 400, "An import sheet is malformed; nothing of it was applied.")
 
     REQUEST_MALFORMED = (401, 400, "The request is not valid HTTP or JSON of the expected form.")
--- a/src/leadhollow/control/api.py
+++ b/src/leadhollow/control/api.py
@@ -49,6 +49,22 @@
         self.number = number
 
 
+class SetDomainEvacuation:
+    """Request of an operator to evacuate a failure domain, or to restore it.
+
+    Parameters
+    ----------
+    evacuated
+        Whether the backend servers of the failure domain are to get no requests.
+    """
+
+    __slots__ = ("domain", "evacuated")
+
+    def __init__(self, *, domain: str, evacuated: bool) -> None:
+        self.domain = domain
+        self.evacuated = evacuated
+
+
 class Announce:
     """Announcement of a backend server, repeated as its heartbeat."""
 
@@ -74,7 +90,9 @@
         self.born_ms = born_ms
 
 
-ControlRequest = PutRouteTable | GetRouteTable | NameWeightsVersion | Announce | Deregister
+ControlRequest = (
+    PutRouteTable | GetRouteTable | NameWeightsVersion | SetDomainEvacuation | Announce | Deregister
+)
 
 
 class ControlResponse:
@@ -127,4 +145,5 @@
     "GetRouteTable",
     "NameWeightsVersion",
     "PutRouteTable",
+    "SetDomainEvacuation",
 ]
--- a/src/leadhollow/control/control_listener.py
+++ b/src/leadhollow/control/control_listener.py
@@ -16,7 +16,9 @@
     GetRouteTable,
     NameWeightsVersion,
     PutRouteTable,
+    SetDomainEvacuation,
 )
+from leadhollow.control.evacuation_orders import EvacuationOrders
 from leadhollow.control.registry import Registry
 from leadhollow.failure import Failure
 from leadhollow.http1.reply import ReplyWriter
@@ -40,7 +42,7 @@
 class ControlListener:
     """Serves control requests on every replica, whether it leads or not."""
 
-    __slots__ = ("_dialect", "_gateway", "_registry", "_replica", "_server")
+    __slots__ = ("_dialect", "_evacuations", "_gateway", "_registry", "_replica", "_server")
 
     def __init__(
         self,
@@ -50,7 +52,9 @@
         replica: Replica,
         gateway: LeaderGateway,
         registry: Registry,
+        evacuations: EvacuationOrders,
     ) -> None:
+        self._evacuations = evacuations
         self._dialect = dialect
         self._replica = replica
         self._gateway = gateway
@@ -96,6 +100,12 @@
                     what=f"weights of {request.model}",
                     number=request.number,
                 )
+            case SetDomainEvacuation():
+                changed = await self._evacuations.execute(
+                    request.domain, evacuated=request.evacuated, timeout_s=COMMIT_TIMEOUT_S
+                )
+                if changed.is_err():
+                    return self._dialect.error_response(changed.unwrap_err())
             case GetRouteTable():
                 return await self._get_route_table()
             case Announce():
--- a/src/leadhollow/decide/eligibility.py
+++ b/src/leadhollow/decide/eligibility.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Protocol
 
 from leadhollow.codes import Code
@@ -66,10 +66,10 @@
 
     def reason_against(self, failure_domain: str, regions: Regions | None) -> Code | None:
         """Return why a request must not be sent to a failure domain, or None if it may be."""
-        if failure_domain in self._evacuated:
-            return Code.DOMAIN_EVACUATED
         if regions is not None and self._regions.get(failure_domain) not in regions:
             return Code.OUTSIDE_REGIONS
+        if failure_domain in self._evacuated:
+            return Code.DOMAIN_EVACUATED
         return None
 
 
@@ -83,6 +83,28 @@
         return None if regions is None else Code.OUTSIDE_REGIONS
 
 
+def common_reason(reasons: Iterable[Code | None]) -> Code | None:
+    """Return why none of several servers may take a request, or None if one may.
+
+    Parameters
+    ----------
+    reasons
+        Reason against each server; None for one that may take the request.
+
+    Returns
+    -------
+    Code or None
+        ``DOMAIN_EVACUATED`` if the request could be served once an evacuation ends. None if there
+        are no servers.
+    """
+    found = set(reasons)
+    if None in found:
+        return None
+    if Code.DOMAIN_EVACUATED in found:
+        return Code.DOMAIN_EVACUATED
+    return next(iter(found), None)
+
+
 def allowed_regions(*bounds: Collection[str]) -> Regions | None:
     """Return the regions that satisfy all bounds; an empty bound allows every region.
 
@@ -98,4 +120,11 @@
     return allowed
 
 
-__all__ = ["DomainRules", "FailureDomains", "NoDomainRules", "Regions", "allowed_regions"]
+__all__ = [
+    "DomainRules",
+    "FailureDomains",
+    "NoDomainRules",
+    "Regions",
+    "allowed_regions",
+    "common_reason",
+]
--- a/src/leadhollow/decide/engine_choice.py
+++ b/src/leadhollow/decide/engine_choice.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Collection
 
+from leadhollow.codes import Code
+from leadhollow.decide.eligibility import common_reason
 from leadhollow.decide.engine_latency import EngineLatencyModel, EngineLoad
 from leadhollow.decide.engine_request import EngineRequest
 from leadhollow.decide.protocols import EngineSource, VersionRules
@@ -253,6 +255,16 @@
         ]
         return min(left_s, default=None)
 
+    def reason_against_all(self, request: EngineRequest) -> Code | None:
+        """Return why no failure domain with engines may take a request, or None if one may.
+
+        None too if no engines are known.
+        """
+        return common_reason(
+            server.domain_reason(request.regions)
+            for server in self._directory.servers(request.service.name)
+        )
+
     def _sample(self, found: list[_UsableEngine]) -> list[_UsableEngine]:
         return found if len(found) <= SAMPLE_SIZE else self._random.sample(found, SAMPLE_SIZE)
 
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable, Mapping
 
+from leadhollow.codes import Code
 from leadhollow.decide.admission import CONFIDENCE_MARGIN_S, accepts
 from leadhollow.decide.engine_choice import EngineChooser, EngineOption
 from leadhollow.decide.engine_request import EngineRequest, Placement, QueuePriority
@@ -55,11 +56,13 @@
     ----------
     placement
         Where the request was placed; None if it was not.
+    reason
+        Why the request was refused, if it was.
     ended
         Whether the request was placed or refused.
     """
 
-    __slots__ = ("deadline_s", "ended", "on_end", "placement", "request")
+    __slots__ = ("deadline_s", "ended", "on_end", "placement", "reason", "request")
 
     def __init__(
         self,
@@ -72,6 +75,7 @@
         self.deadline_s = deadline_s
         self.on_end = on_end
         self.placement: Placement | None = None
+        self.reason = Code.NO_CAPACITY
         self.ended = False
 
 
@@ -156,10 +160,14 @@
     def _enqueue(self, waiter: Waiter) -> None:
         """Queue a request; if only engines in back-off could take it, until the first is usable.
 
+        A request that no failure domain with engines may take is refused at once.
+
         If even that engine is usable too late, the request is refused at once, so that its caller
         learns when to retry.
         """
         request, now_s = waiter.request, self._clock()
+        if self._refuse_barred(waiter):
+            return
         backoff_left_s = self._chooser.backoff_remaining_s(request, now_s)
         if backoff_left_s is not None and self._chooser.best(request, now_s, of_all=True) is None:
             deadline_s = now_s + backoff_left_s + PUMP_INTERVAL_S
@@ -170,6 +178,32 @@
         _insert(self._waiters, waiter)
         self._on_waiting()
 
+    def refuse_barred(self) -> None:
+        """Refuse the waiting requests that no failure domain with engines may take any more.
+
+        Called when other failure domains are evacuated.
+        """
+        for waiters in (self._waiters, self._held):
+            for waiter in list(waiters):
+                if not waiter.ended and self._refuse_barred(waiter):
+                    waiters.remove(waiter)
+
+    def _refuse_barred(self, waiter: Waiter) -> bool:
+        """Refuse a request that may go to no engine; return whether it was refused.
+
+        A resumed stream waits instead, in case an engine may take it again in time. Such a refusal
+        says nothing about the load of the engines, so it does not count as pressure.
+        """
+        if waiter.request.queue_priority is QueuePriority.RESUMED:
+            return False
+        reason = self._chooser.reason_against_all(waiter.request)
+        if reason is None:
+            return False
+        waiter.reason = reason
+        waiter.ended = True
+        waiter.on_end()
+        return True
+
     def on_deadline(self, waiter: Waiter) -> None:
         """Place, hold or refuse a request whose waiting time is over."""
         if waiter.ended:
--- a/src/leadhollow/decide/isolation.py
+++ b/src/leadhollow/decide/isolation.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
+from leadhollow.codes import Code
 from leadhollow.decide.server import Server
 from leadhollow.observe.logs import get_logger
 
@@ -85,7 +86,10 @@
         return wanted
 
     def _is_cut_off(self) -> bool:
-        """Tell whether neither the control majority nor most remote servers can be reached."""
+        """Tell whether neither the control majority nor most remote servers can be reached.
+
+        Servers of evacuated failure domains do not count: they could take no callers.
+        """
         confirmed_s = self._confirmed_s()
         if confirmed_s is None or self._clock() - confirmed_s < CONFIRMATION_TIMEOUT_S:
             return False
@@ -93,6 +97,7 @@
             server
             for server in self._directory.all_servers()
             if server.instance.failure_domain != self._failure_domain
+            and server.domain_reason(None) is not Code.DOMAIN_EVACUATED
         ]
         unreachable = sum(1 for server in remote if server.health.unreachable)
         return unreachable > 0 and unreachable >= MIN_UNREACHABLE_SHARE * len(remote)
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -113,11 +113,15 @@
         """Tell whether a request may go to the server as soon as it has a token and no back-off."""
         return self._fixed_reason(regions) is None
 
+    def domain_reason(self, regions: Regions | None) -> Code | None:
+        """Return why a request may go to no server of the failure domain, or None if it may."""
+        return self._domains.reason_against(self.instance.failure_domain, regions)
+
     def _fixed_reason(self, regions: Regions | None) -> Code | None:
         """Return the reason that no waiting for a token or for the end of a back-off removes."""
         if self.dropped or self.instance.state is not InstanceState.READY:
             return Code.DRAINING
-        return self._domains.reason_against(self.instance.failure_domain, regions)
+        return self.domain_reason(regions)
 
     def _momentary_reason(self) -> Code | None:
         if self.backoff is not None and not self.backoff.admits():
--- a/src/leadhollow/forward/engine_placement.py
+++ b/src/leadhollow/forward/engine_placement.py
@@ -6,7 +6,6 @@
 
 from result import Err, Ok, Result
 
-from leadhollow.codes import Code
 from leadhollow.decide.engine_queue import EngineQueue, Waiter
 from leadhollow.decide.engine_request import EngineRequest, Placement
 from leadhollow.failure import Failure
@@ -22,6 +21,8 @@
     ------
     NO_CAPACITY
         No engine can respond in time; nothing was sent.
+    DOMAIN_EVACUATED, OUTSIDE_REGIONS
+        No failure domain with engines may take the request; nothing was sent.
     """
     waiter = queue.submit(request)
     try:
@@ -31,7 +32,7 @@
         queue.withdraw(waiter)
         raise
     if waiter.placement is None:
-        return Err(Failure(code=Code.NO_CAPACITY))
+        return Err(Failure(code=waiter.reason))
     return Ok(waiter.placement)
 
 
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
+from leadhollow.decide.eligibility import common_reason
 from leadhollow.decide.retry_after import RefusalReason, retry_after_backoff_s
 from leadhollow.decide.retry_budget import RetryBudget
 from leadhollow.decide.server import Server
@@ -155,8 +156,12 @@
         return min(left_s, default=None) if len(left_s) == len(backoffs) else None
 
     def _no_server_failure(self, call: ForwardedCall, failure: Failure) -> Failure:
-        """Return a failure that says if no server is known, else the last attempt's failure."""
-        if self._directory.servers(call.service):
+        """Return a failure that says if no server may be used, else the last attempt's failure."""
+        servers = self._directory.servers(call.service)
+        barred = common_reason(server.domain_reason(call.regions) for server in servers)
+        if barred is not None and not call.attempts:
+            return Failure(code=barred, detail=f"no server of {call.service} may be used")
+        if servers:
             return failure
         detail = f"no backend server of {call.service} is known here"
         return Failure(code=Code.NO_CAPACITY, detail=detail)
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -7,6 +7,7 @@
 
 from leadhollow.control.confirmation import ConfirmationMonitor
 from leadhollow.control.control_listener import ControlListener
+from leadhollow.control.evacuation_orders import EvacuationOrders
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.control.limit_relay import LimitRelay
 from leadhollow.control.manifests import ManifestReader
@@ -135,6 +136,11 @@
             replica=replica().replica,
             gateway=replica().gateway,
             registry=kernel.get("registry", Registry),
+            evacuations=EvacuationOrders(
+                replica=replica().replica,
+                gateway=replica().gateway,
+                domains=settings.region_by_domain if settings.regions else (),
+            ),
         )
 
     kernel.register("replica", make_replica, needs=("wire",))
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -11,6 +11,7 @@
 from leadhollow.decide.retry_budget import RetryBudget
 from leadhollow.decide.version_policy import VersionPolicy
 from leadhollow.forward.caller_listener import CallerListener
+from leadhollow.forward.evacuation_follower import EvacuationFollower
 from leadhollow.forward.exchange import BackendClient
 from leadhollow.forward.failure_response import FailureResponder
 from leadhollow.forward.plain_forwarder import PlainForwarder
@@ -69,6 +70,7 @@
         dialect = process.dialects.calls
         self.routes = RouteIndex(catalog=feed.catalog)
         self.domains = FailureDomains(regions=settings.region_by_domain)
+        EvacuationFollower(catalog=feed.catalog, domains=self.domains)
         self.directory = ServerDirectory(table=feed.table, clock=clock, domains=self.domains)
         self.domains.on_change(self.directory.notify_change)
         self.directory.on_restart(pool.close_idle)
@@ -90,6 +92,7 @@
             seed=process.seed,
             clock=clock,
         )
+        self.domains.on_change(self.queue.refuse_barred)
         self._request_queued = asyncio.Event()
         self.queue.on_waiting(self._request_queued.set)
         feed.on_decisions(self.queue.update_peer_decisions)
--- a/src/leadhollow/platform/control.py
+++ b/src/leadhollow/platform/control.py
@@ -1,12 +1,14 @@
 """Calls of operators and engines to a control replica, in the platform's format.
 
-Operators read and replace the configuration and name versions of weights. Engines send heartbeats
-and deregister.
+Operators read and replace the configuration, name versions of weights, and evacuate and restore
+failure domains. Engines send heartbeats and deregister.
 """
 
 from __future__ import annotations
 
+import re
 from typing import Annotated
+from urllib.parse import unquote
 
 import msgspec
 from result import Err, Ok, Result
@@ -20,6 +22,7 @@
     GetRouteTable,
     NameWeightsVersion,
     PutRouteTable,
+    SetDomainEvacuation,
 )
 from leadhollow.failure import Failure
 from leadhollow.http1.headers import Headers
@@ -32,6 +35,7 @@
 CONFIGURATION_PATH = "/-/config"
 VERSION_PATH = "/-/version-put"
 INSTANCES_PATH = "/-/instances/"
+EVACUATIONS_PATH = "/-/evacuations/"
 INSTANCE_STATES = {"ready": InstanceState.READY, "draining": InstanceState.DRAINING}
 MAX_SLOTS = 100_000  # a larger number is taken for an error in the heartbeat
 MAX_TIME_MS = (1 << 63) - 1  # largest integer that messages between processes can carry
@@ -85,6 +89,7 @@
     version: int
 
 
+STRAY_PERCENT = re.compile("%(?![0-9A-Fa-f]{2})")
 KNOWN_HEARTBEAT_FIELDS = frozenset({*Heartbeat.__struct_encode_fields__, "stage", "version"})
 
 _members = msgspec.json.Decoder(dict[str, msgspec.Raw])
@@ -119,6 +124,8 @@
             return Ok(GetRouteTable())
         if path == VERSION_PATH and method == "POST":
             return _read_version(body)
+        if path.startswith(EVACUATIONS_PATH) and method in ("POST", "DELETE"):
+            return _read_evacuation(path.removeprefix(EVACUATIONS_PATH), method)
         if path.startswith(INSTANCES_PATH):
             instance = path.removeprefix(INSTANCES_PATH)
             if method == "PUT":
@@ -190,6 +197,17 @@
     return Ok(NameWeightsVersion(model=document.model, number=document.version))
 
 
+def _read_evacuation(name: str, method: str) -> Result[ControlRequest, Failure]:
+    try:
+        domain = unquote(name, errors="strict")
+    except UnicodeDecodeError:
+        domain = ""
+    if not domain or STRAY_PERCENT.search(name) or not domain.isprintable():
+        detail = f"failure domain: {name!r} is not a percent-encoded name"
+        return Err(Failure(code=Code.REQUEST_MALFORMED, detail=detail))
+    return Ok(SetDomainEvacuation(domain=domain, evacuated=method == "POST"))
+
+
 def _read_deregistration(instance: str, body: bytes) -> Result[ControlRequest, Failure]:
     try:
         document = _deregistrations.decode(body) if body.strip() else DeregistrationDocument()
--- a/src/leadhollow/state/commands.py
+++ b/src/leadhollow/state/commands.py
@@ -125,6 +125,23 @@
     manifest: PieceManifest
 
 
+class SetEvacuation(msgspec.Struct, frozen=True, kw_only=True, tag="set-evacuation"):
+    """Starts or ends the evacuation of a failure domain; nothing changes if it is already so.
+
+    Parameters
+    ----------
+    seen_revision
+        Revision of the catalog at the replica that received the order, when it received it.
+    received_ms
+        Wall-clock time of receipt in Unix milliseconds, shown to operators.
+    """
+
+    domain: str
+    evacuated: bool
+    seen_revision: int
+    received_ms: int
+
+
 class TermStart(msgspec.Struct, frozen=True, kw_only=True, tag="term-start"):
     """Empty command of a new leader; its commit also commits all entries before it."""
 
@@ -147,6 +164,7 @@
     | NameVersion
     | DescribeVersion
     | ChangeVoters
+    | SetEvacuation
 )
 
 
@@ -227,6 +245,7 @@
     "ReplaceRouteTable",
     "RowEdit",
     "SetDrain",
+    "SetEvacuation",
     "TakeLease",
     "TermStart",
     "decode_answer",
--- a/src/leadhollow/state/machine.py
+++ b/src/leadhollow/state/machine.py
@@ -24,9 +24,11 @@
     ReplaceRouteTable,
     RowEdit,
     SetDrain,
+    SetEvacuation,
     TakeLease,
     encode,
 )
+from leadhollow.state.evacuations import set_evacuation
 from leadhollow.state.records import (
     CatalogItem,
     CatalogValue,
@@ -115,6 +117,8 @@
                 items = self.route_tables.replace(command, self.catalog, revision=index)
             case NameVersion():
                 items = name_version(command, self.catalog, revision=index)
+            case SetEvacuation():
+                answer, items = set_evacuation(command, self.catalog, revision=index)
             case DescribeVersion():
                 items = describe_version(command, self.catalog, revision=index)
             case _:
--- a/src/leadhollow/state/records.py
+++ b/src/leadhollow/state/records.py
@@ -95,6 +95,19 @@
     operator: str
 
 
+class Evacuation(msgspec.Struct, frozen=True, kw_only=True, tag="evacuation"):
+    """A failure domain whose backend servers get no requests.
+
+    Parameters
+    ----------
+    since_ms
+        When the order was received, in Unix milliseconds.
+    """
+
+    domain: str
+    since_ms: int
+
+
 CatalogValue = (
     StoredRow
     | VersionRecord
@@ -106,6 +119,7 @@
     | CallerLimits
     | TableNumber
     | NamedVersion
+    | Evacuation
 )
 
 
@@ -129,6 +143,7 @@
 
 
 ROW_PREFIX = "row/"
+EVACUATION_PREFIX = "evacuation/"
 
 
 def row_key(group: str) -> str:
@@ -151,10 +166,17 @@
     return f"drain/{server}"
 
 
+def evacuation_key(domain: str) -> str:
+    """Return the catalog key of the evacuation of a failure domain."""
+    return f"{EVACUATION_PREFIX}{domain}"
+
+
 __all__ = [
+    "EVACUATION_PREFIX",
     "CatalogItem",
     "CatalogValue",
     "DrainRecord",
+    "Evacuation",
     "HistoryEntry",
     "LeaseRecord",
     "Limits",
@@ -165,6 +187,7 @@
     "StoredRow",
     "VersionRecord",
     "drain_key",
+    "evacuation_key",
     "lease_key",
     "row_key",
     "version_key",
--- a/tests/config_path/site.py
+++ b/tests/config_path/site.py
@@ -17,6 +17,7 @@
 from leadhollow.control.api import GetRouteTable
 from leadhollow.control.confirmation import ConfirmationMonitor
 from leadhollow.control.control_listener import ControlListener
+from leadhollow.control.evacuation_orders import EvacuationOrders
 from leadhollow.control.registry import Registry
 from leadhollow.control.replica_service import ReplicaService
 from leadhollow.control.version_ages import VersionAgeTracker
@@ -40,6 +41,7 @@
 PORT = 7_000
 CONTROLS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 ENTRIES = ("10.0.1.1", "10.0.1.2")
+DOMAINS = ("d1", "d2", "d3")
 SNAPSHOT_ENTRIES = 8  # low, so that a run takes several snapshots
 RESPONSE_TIMEOUT_S = 1.0  # then an operator asks another replica
 SAMPLE_S = 0.02
@@ -150,6 +152,9 @@
                 replica=service.replica,
                 gateway=service.gateway,
                 registry=process.kernel.get("registry", Registry),
+                evacuations=EvacuationOrders(
+                    replica=service.replica, gateway=service.gateway, domains=DOMAINS
+                ),
             )
         return True
 
--- a/tests/decide/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -10,10 +10,11 @@
 import pytest
 
 from leadhollow.codes import Code
+from leadhollow.decide.eligibility import DomainRules
 from leadhollow.decide.engine_queue import MAX_HELD, EngineQueue
 from leadhollow.decide.engine_request import EngineRequest, Placement, QueuePriority
 from leadhollow.decide.pressure import Pressure
-from leadhollow.decide.server import Server
+from leadhollow.decide.server import NO_DOMAIN_RULES, Server
 from leadhollow.decide.server_backoff import ServerBackoff
 from leadhollow.forward.engine_placement import wait_for_placement
 from leadhollow.forward.server_directory import ServerDirectory
@@ -59,15 +60,21 @@
 class EnginePool:
     """A queue with engines, which are in the failure domain of the entry by default."""
 
-    def __init__(self, weights: FakeVersionRules | None = None) -> None:
+    def __init__(
+        self,
+        weights: FakeVersionRules | None = None,
+        *,
+        domains: DomainRules = NO_DOMAIN_RULES,
+        seed: int = 1,
+    ) -> None:
         loop = asyncio.get_running_loop()
         self.table = InstanceTable(forget_after_s=LONG_S)
-        self.board = ServerDirectory(table=self.table, clock=loop.time)
+        self.board = ServerDirectory(table=self.table, clock=loop.time, domains=domains)
         self.queue = EngineQueue(
             directory=self.board,
             versions=weights or FakeVersionRules(),
             failure_domain="a",
-            seed=1,
+            seed=seed,
             clock=loop.time,
         )
         self._sequence = 0
--- a/tests/decide/test_isolation.py
+++ b/tests/decide/test_isolation.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from leadhollow.decide.eligibility import FailureDomains
 from leadhollow.decide.isolation import (
     CONFIRMATION_TIMEOUT_S,
     DIVERT_PRESSURE,
@@ -20,7 +21,8 @@
 
     def __init__(self) -> None:
         self.now_s = asyncio.get_running_loop().time()
-        pool = EnginePool()
+        self.domains = FailureDomains(regions={})
+        pool = EnginePool(domains=self.domains)
         pool.engine("here")
         self.remote = pool.engine("there", domain="b")
         self.pressure = 1.0
@@ -81,3 +83,15 @@
             assert not entry.detector.should_divert()
 
         run_in_loop(work)
+
+    # Guards against: an entry that reaches all other engines sends its callers away.
+    def test_does_not_take_an_evacuated_domain_for_lost(self):
+        async def work() -> None:
+            entry = Entry()
+            entry.cut_off()
+            entry.domains.set_evacuated({"b"})
+            assert not entry.detector.should_divert()
+            entry.domains.set_evacuated(())
+            assert entry.detector.should_divert()
+
+        run_in_loop(work)
--- a/tests/node/site.py
+++ b/tests/node/site.py
@@ -45,6 +45,8 @@
         Whether it stops sending heartbeats.
     born_ms
         Start time in its heartbeats; None if they contain none.
+    failure_domain
+        Failure domain in its heartbeats.
     """
 
     def __init__(self, *, instance: str, service: str) -> None:
@@ -54,6 +56,7 @@
         self.born_ms: int | None = None
         self.address = ""
         self.silent = False
+        self.failure_domain = "d"
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -91,7 +94,7 @@
             **life,
             "service": self.service,
             "address": self.address,
-            "zone": "d",
+            "zone": self.failure_domain,
             "version": "v1",
             "slots": 6,
             "state": "ready",
@@ -221,6 +224,12 @@
 
         await eventually(acknowledged, "an acknowledged table")
 
+    async def order(self, method: str, domain: str) -> int:
+        """Send one order to evacuate (POST) or restore (DELETE) a failure domain."""
+        url = f"http://{self.operators}/-/evacuations/{domain}"
+        async with self.http.request(method, url) as answer:
+            return answer.status
+
     async def deregister(self, server: PlainServer, *, born_ms: int | None = None) -> None:
         """Deregister a server, optionally only the life that started at ``born_ms``."""
         url = f"http://{self.operators}/-/instances/{server.instance}"
--- /dev/null
+++ b/tests/node/test_evacuation.py
@@ -0,0 +1,158 @@
+"""Evacuation of a failure domain under streams, with whole control and entry processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import uvloop
+
+from leadhollow.node.entry_role import EntryDispatcher
+from tests.node.site import Site
+from tests.node.streaming import Script, StreamClient, StreamingEngine, streaming_route
+from tests.support import eventually
+
+LONG_SCRIPT = Script(events=12, pause_s=0.1)
+ENTRIES = 2
+
+Work = Callable[[Site, StreamingEngine, StreamingEngine], Awaitable[None]]
+
+
+async def stream(site: Site, entry: int = 0) -> StreamClient:
+    return await StreamClient(address=site.all_callers[entry]).run()
+
+
+def evacuated(site: Site, entry: int) -> frozenset[str]:
+    dispatcher = site.entries[entry].kernel.get("dispatching", EntryDispatcher)
+    return dispatcher.domains.evacuated
+
+
+async def wait_in_force(site: Site, *domains: str) -> None:
+    """Wait until exactly these failure domains are evacuated at all entries."""
+    await eventually(
+        lambda: all(evacuated(site, entry) == frozenset(domains) for entry in range(ENTRIES)),
+        "the evacuation at all entries",
+    )
+
+
+async def order_until_acknowledged(site: Site, method: str, domain: str) -> None:
+    async def acknowledged() -> bool:
+        return await site.order(method, domain) == 200
+
+    await eventually(acknowledged, "an acknowledgement")
+
+
+def run_on_site(folder: Path, work: Work) -> None:
+    """Run a test with an engine in the domain of the entries, d, and one in another, e."""
+    near = StreamingEngine(instance="i-near", script=Script())
+    far = StreamingEngine(instance="i-far", script=Script())
+    far.failure_domain = "e"
+
+    async def run() -> None:
+        async with Site(folder=folder, servers=[near, far], entries=ENTRIES) as site:
+            await site.put_routes(streaming_route(resumable=True))
+
+            async def serves(entry: int) -> bool:
+                return (await stream(site, entry)).whole
+
+            for entry in range(ENTRIES):
+                await eventually(lambda entry=entry: serves(entry), "a whole stream")
+            await site.pause()
+            await work(site, near, far)
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run())
+
+
+class TestEvacuation:
+    # Guards against: streams under way are cut, or new ones still go to the evacuated domain.
+    def test_lets_streams_end_and_sends_new_ones_elsewhere(self, tmp_path):
+        async def work(site: Site, near: StreamingEngine, far: StreamingEngine) -> None:
+            near.script = LONG_SCRIPT
+            before = len(near.runs)
+            running = asyncio.create_task(stream(site))
+            await eventually(lambda: len(near.runs) > before, "a stream in the near domain")
+            assert await site.order("POST", "d") == 200
+            await wait_in_force(site, "d")
+            count = len(near.runs)
+            clients = await asyncio.gather(*(stream(site, entry % ENTRIES) for entry in range(8)))
+            assert all(client.whole and client.status == 200 for client in clients)
+            assert (await running).whole
+            assert not near.runs[before].broken
+            assert len(near.runs) == count
+
+        run_on_site(tmp_path, work)
+
+    # Guards against: a stream is resumed at an engine of the evacuated domain.
+    def test_resumes_broken_streams_elsewhere(self, tmp_path):
+        async def work(site: Site, near: StreamingEngine, far: StreamingEngine) -> None:
+            near.script = Script(events=12, pause_s=0.1, ends_after=8)
+            before = len(near.runs)
+            running = [asyncio.create_task(stream(site)) for _ in range(4)]
+            await eventually(lambda: len(near.runs) == before + 4, "streams in the near domain")
+            far.script = LONG_SCRIPT
+            assert await site.order("POST", "d") == 200
+            await wait_in_force(site, "d")
+            for client in await asyncio.gather(*running):
+                assert client.whole
+                assert client.event_ids == list(range(12))
+            assert len(near.runs) == before + 4
+            assert sum(1 for run in far.runs if run.first == 8) == 4
+
+        run_on_site(tmp_path, work)
+
+    # Guards against: an acknowledged evacuation is lost, or not obeyed by an entry that starts.
+    def test_outlives_all_control_replicas_and_is_obeyed_by_an_entry_that_starts(self, tmp_path):
+        async def work(site: Site, near: StreamingEngine, far: StreamingEngine) -> None:
+            assert await site.order("POST", "d") == 200
+            await site.restart_control()
+            count = len(near.runs)
+            for entry in range(ENTRIES):
+                await site.restart_entry(entry)
+
+            async def serves() -> bool:
+                return (await stream(site, 1)).whole
+
+            await eventually(serves, "a stream through an entry that has started")
+            await wait_in_force(site, "d")
+            assert len(near.runs) == count
+            await order_until_acknowledged(site, "DELETE", "d")
+            await wait_in_force(site)
+            await site.restart_control()
+            await order_until_acknowledged(site, "DELETE", "d")
+            assert evacuated(site, 0) == frozenset()
+
+        run_on_site(tmp_path, work)
+
+    # Guards against: requests wait until their deadline while no domain takes them.
+    def test_of_all_domains_refuses_at_once_until_one_is_restored(self, tmp_path):
+        async def work(site: Site, near: StreamingEngine, far: StreamingEngine) -> None:
+            for domain in ("d", "e", "e"):
+                assert await site.order("POST", domain) == 200
+            await wait_in_force(site, "d", "e")
+            near_count, far_count = len(near.runs), len(far.runs)
+            assert [(await stream(site, entry)).status for entry in (0, 1, 0)] == [503] * 3
+            assert (len(near.runs), len(far.runs)) == (near_count, far_count)
+            assert await site.order("DELETE", "e") == 200
+            await wait_in_force(site, "d")
+            assert (await stream(site)).whole
+            assert len(near.runs) == near_count
+
+        run_on_site(tmp_path, work)
+
+    # Guards against: the next route table ends an evacuation.
+    def test_is_kept_when_the_route_table_changes(self, tmp_path):
+        async def work(site: Site, near: StreamingEngine, far: StreamingEngine) -> None:
+            assert await site.order("POST", "d") == 200
+            await site.put_routes(streaming_route(resumable=False))
+            await wait_in_force(site, "d")
+
+        run_on_site(tmp_path, work)
+
+    # Guards against: an order of a form that no failure domain can have is acknowledged.
+    def test_refuses_malformed_names(self, tmp_path):
+        async def work(site: Site, near: StreamingEngine, far: StreamingEngine) -> None:
+            assert await site.order("POST", "") == 400
+
+        run_on_site(tmp_path, work)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -18,6 +18,7 @@
     GetRouteTable,
     NameWeightsVersion,
     PutRouteTable,
+    SetDomainEvacuation,
 )
 from leadhollow.failure import Failure
 from leadhollow.forward.dialect import DispatchMetadata
@@ -280,6 +281,27 @@
         assert isinstance(deregistration, Deregister)
         assert deregistration.instance == "i-1"
 
+    @pytest.mark.parametrize(("method", "evacuated"), [("POST", True), ("DELETE", False)])
+    @pytest.mark.parametrize(
+        ("target", "domain"),
+        [
+            ("/-/evacuations/kontinent-a", "kontinent-a"),
+            ("/-/evacuations/north%20hall", "north hall"),
+            ("/-/evacuations/halle-%C3%B6", "halle-\u00f6"),
+            ("/-/evacuations/a%2Fb?x=1", "a/b"),
+        ],
+    )
+    def test_decodes_evacuations(self, method, evacuated, target, domain):
+        order = read_control_call(method, target).unwrap()
+        assert isinstance(order, SetDomainEvacuation)
+        assert (order.domain, order.evacuated) == (domain, evacuated)
+
+    @pytest.mark.parametrize("name", ["", "%", "a%2", "a%zz", "%FF", "a%00", "a%0Ab"])
+    @pytest.mark.parametrize("method", ["POST", "DELETE"])
+    def test_refuses_a_failure_domain_that_is_no_encoded_name(self, method, name):
+        failure = read_control_call(method, f"/-/evacuations/{name}").unwrap_err()
+        assert failure.code is Code.REQUEST_MALFORMED
+
     def test_decodes_heartbeats(self):
         heartbeat = read_control_call(
             "PUT", "/-/instances/i-1", json.dumps(HEARTBEAT).encode()
