--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -15,6 +15,11 @@
     BenchTableCommand,
 )
 from leadhollow.cli.demo_command import DemoCommand
+from leadhollow.cli.domain_commands import (
+    DomainEvacuateCommand,
+    DomainListCommand,
+    DomainRestoreCommand,
+)
 from leadhollow.cli.experiment_command import (
     ExperimentCrashesCommand,
     ExperimentLimitsCommand,
@@ -73,6 +78,9 @@
     QuarantineShowCommand,
     QuarantineReleaseCommand,
     ServersCommand,
+    DomainEvacuateCommand,
+    DomainRestoreCommand,
+    DomainListCommand,
     StateVerifyCommand,
     StateBackupCommand,
     StateRestoreCommand,
--- a/src/leadhollow/control/evacuation_orders.py
+++ b/src/leadhollow/control/evacuation_orders.py
@@ -42,6 +42,11 @@
         self._gateway = gateway
         self._domains = frozenset(domains)
 
+    @property
+    def domains(self) -> frozenset[str]:
+        """All failure domains of the deployment; empty if they are not known."""
+        return self._domains
+
     async def execute(
         self, domain: str, *, evacuated: bool, timeout_s: float
     ) -> Result[int, Failure]:
@@ -90,8 +95,9 @@
 
     def _check(self, domain: str) -> Failure | None:
         if self._domains and domain not in self._domains:
-            detail = f"{domain!r} is none of {', '.join(sorted(self._domains))}"
-            return Failure(code=Code.DOMAIN_UNKNOWN, detail=detail, field="failure domain")
+            known = ", ".join(sorted(self._domains))
+            detail = f"failure domain: {domain!r} is none of {known}"
+            return Failure(code=Code.DOMAIN_UNKNOWN, detail=detail)
         now_s = asyncio.get_running_loop().time()
         stalled_s = STALL_WINDOW_S - active_time.active_since_s(now_s - STALL_WINDOW_S)
         if stalled_s > MAX_STALL_S:
--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -110,6 +110,11 @@
         handlers.on_stream(FeedWatch, self._on_watch)
         handlers.on_call(FeedProbe, self._on_probe)
 
+    def entries_told(self, revision: int) -> tuple[int, int]:
+        """Return how many entries were sent a revision of the catalog, and how many follow."""
+        entries = self._entry_subscribers()
+        return sum(entry.sent_revision >= revision for entry in entries), len(entries)
+
     async def start(self) -> Result[None, Failure]:
         """Do nothing; feeds start when subscribers connect."""
         return Ok(None)
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -7,6 +7,7 @@
 
 from leadhollow.control.confirmation import ConfirmationMonitor
 from leadhollow.control.control_listener import ControlListener
+from leadhollow.control.domain_standings import DomainStandingsHandler
 from leadhollow.control.evacuation_orders import EvacuationOrders
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.control.limit_relay import LimitRelay
@@ -130,17 +131,25 @@
         )
 
     def make_operators() -> Service:
+        orders = EvacuationOrders(
+            replica=replica().replica,
+            gateway=replica().gateway,
+            domains=settings.region_by_domain if settings.regions else (),
+        )
+        DomainStandingsHandler(
+            orders=orders,
+            catalog=replica().replica.machine.catalog,
+            registry=kernel.get("registry", Registry),
+            feed=kernel.get("feed", FeedServer),
+            handlers=process.handlers,
+        )
         return ControlListener(
             address=Address.parse(settings.operators or "").unwrap(),
             dialect=process.dialects.control,
             replica=replica().replica,
             gateway=replica().gateway,
             registry=kernel.get("registry", Registry),
-            evacuations=EvacuationOrders(
-                replica=replica().replica,
-                gateway=replica().gateway,
-                domains=settings.region_by_domain if settings.regions else (),
-            ),
+            evacuations=orders,
         )
 
     kernel.register("replica", make_replica, needs=("wire",))
@@ -154,7 +163,7 @@
         "feed", make_feed, needs=("confirmation", "registry", "uses", "suspects", "limits")
     )
     kernel.register("manifests", make_manifests, needs=("replica",))
-    kernel.register("operators", make_operators, needs=("registry",))
+    kernel.register("operators", make_operators, needs=("registry", "feed"))
 
 
 __all__ = ["register_control"]
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -79,6 +79,12 @@
 struct StandingQuery { 1: string operator }
 struct ServerStanding { 1: InstanceRecord instance; 2: i64 leaving_age_ms; 3: string leaving_told_by; 4: i32 rest_ms; 5: string rest_told_by; 6: double limit_per_s }
 struct ServerStandings { 1: list<ServerStanding> servers }
+// An operator evacuates or restores a failure domain, or asks for all of them. Age and revision are 0 of one that is
+// not evacuated. Entries are those that follow the replica that answers; running requests are those at all engines.
+struct DomainOrder { 1: string failure_domain; 2: bool evacuated; 3: string operator }
+struct DomainQuery { 1: string operator }
+struct DomainStanding { 1: string failure_domain; 2: bool evacuated; 3: i64 age_ms; 4: i64 revision; 5: i32 entries; 6: i32 told_entries; 7: i32 engines; 8: i32 running }
+struct DomainStandings { 1: list<DomainStanding> domains }
 // takes_packed: items may come as packed_items, msgpack compressed by zlib.
 struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision; 5: bool takes_packed }
 // How long ago a version of weights was named, by steady clocks only: the time of day may jump.
