--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -165,8 +165,7 @@
         engine all the same, because it would lose what its caller has got.
         """
         request, now_s = waiter.request, self._clock()
-        may_wait = request.queue_priority is QueuePriority.RESUMED
-        if not may_wait and self._chooser.reason_out_of_reach(request) is not None:
+        if self._is_out_of_reach(request):
             self._end(waiter, None)
             return
         backoff_left_s = self._chooser.backoff_remaining_s(request, now_s)
@@ -179,6 +178,23 @@
         _insert(self._waiters, waiter)
         self._on_waiting()
 
+    def refuse_out_of_reach(self) -> None:
+        """Refuse the waiting requests that no engine may take any more.
+
+        Called when other failure domains are evacuated.
+        """
+        for waiters in (self._waiters, self._held):
+            for waiter in list(waiters):
+                if not waiter.ended and self._is_out_of_reach(waiter.request):
+                    waiters.remove(waiter)
+                    self._end(waiter, None)
+
+    def _is_out_of_reach(self, request: EngineRequest) -> bool:
+        """Tell whether to refuse a request because a rule keeps it from every engine."""
+        if request.queue_priority is QueuePriority.RESUMED:
+            return False
+        return self._chooser.reason_out_of_reach(request) is not None
+
     def on_deadline(self, waiter: Waiter) -> None:
         """Place, hold or refuse a request whose waiting time is over."""
         if waiter.ended:
--- a/tests/node/site.py
+++ b/tests/node/site.py
@@ -238,6 +238,12 @@
 
         await eventually(acknowledged, "an acknowledged table")
 
+    async def order(self, method: str, domain: str) -> int:
+        """Send one order to evacuate (POST) or restore (DELETE) a failure domain."""
+        url = f"http://{self.operators}/-/evacuations/{domain}"
+        async with self.http.request(method, url) as answer:
+            return answer.status
+
     async def deregister(self, server: PlainServer, *, born_ms: int | None = None) -> None:
         """Deregister a server, optionally only the life that started at ``born_ms``."""
         url = f"http://{self.operators}/-/instances/{server.instance}"
