--- a/tests/decide/test_reach.py
+++ b/tests/decide/test_reach.py
@@ -11,6 +11,7 @@
 from leadhollow.decide.engine_queue import EngineQueue, Waiter
 from leadhollow.decide.engine_request import EngineRequest, QueuePriority
 from leadhollow.decide.reach import reason_out_of_reach
+from leadhollow.decide.server import NO_DOMAIN_RULES
 from leadhollow.forward.engine_placement import wait_for_placement
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.membership.instance_table import InstanceTable
@@ -135,3 +136,18 @@
         assert waiter.placement is not None
         assert waiter.placement.server.instance.instance == "i-b"
         assert waiter.placement.call.regions == {"south"}
+
+    # a deployment that binds nothing got other choices than before the rule existed
+    async def test_without_a_bound_is_the_same_as_without_rules(self):
+        places = [Place("a", "a2", "b", "b2", "c"), Place("a", "a2", "b", "b2", "c")]
+        for server in places[1].directory.all_servers():
+            server._domains = NO_DOMAIN_RULES
+        chosen = [
+            [
+                None if placement is None else placement.server.instance.instance
+                for placement in (place.submit(make_request()).placement for _ in range(30))
+            ]
+            for place in places
+        ]
+        assert chosen[0] == chosen[1]
+        assert len(set(chosen[0])) > 2
