--- a/src/leadhollow/control/limit_relay.py
+++ b/src/leadhollow/control/limit_relay.py
@@ -94,9 +94,9 @@
         "_on_stale_entry",
         "_own_address",
         "_peers",
-        "_rates",
         "_replicas",
         "_requests",
+        "rates",
         "table",
     )
 
@@ -118,7 +118,7 @@
         self._find_server = find_server
         self._peers = peers
         self.table = LimitTable()
-        self._rates = StrictestRate([self.table] + ([cold_servers] if cold_servers else []))
+        self.rates = StrictestRate([self.table] + ([cold_servers] if cold_servers else []))
         self._changed: set[str] = set()
         self._requests: list[tuple[str, ShareRequest]] = []  # with the replica that relayed it
         self._live_entries = live_entries
@@ -271,8 +271,8 @@
 
     def _limited_servers(self) -> list[LimitedServer]:
         limited = []
-        for life in self._rates.limited_lives():
-            instance, limit = self._find_server(life), self._rates.rate_limit(life)
+        for life in self.rates.limited_lives():
+            instance, limit = self._find_server(life), self.rates.rate_limit(life)
             if instance is not None and limit is not None:
                 server = LimitedServer(
                     life=life,
--- a/src/leadhollow/control/server_standings.py
+++ b/src/leadhollow/control/server_standings.py
@@ -6,7 +6,7 @@
 
 from leadhollow.control.registry import Registry, ReportedLoad
 from leadhollow.control.self_report_relay import SelfReportRelay
-from leadhollow.decide.limit_table import LimitTable
+from leadhollow.decide.rate_source import StrictestRate
 from leadhollow.failure import Failure
 from leadhollow.kernel import clocks
 from leadhollow.membership.instances import Instance, InstanceState
@@ -28,7 +28,7 @@
         *,
         registry: Registry,
         self_reports: SelfReportRelay,
-        limits: LimitTable,
+        limits: StrictestRate,
         handlers: HandlerTable,
     ) -> None:
         self._registry = registry
@@ -62,14 +62,14 @@
         if instance.state is InstanceState.DRAINING:
             leaving_ms = round((now_s - self._leaving_since_s.get(instance.life, now_s)) * 1000)
         backoff = self._self_reports.backoff(instance.life)
-        limit_per_s = self._limits.limit(instance.life)
+        limit = self._limits.rate_limit(instance.life)
         return ServerStanding(
             instance.to_record(clocks.steady_s()),
             leaving_ms,
             self._self_reports.leaving_reported_by.get(instance.life, ""),
             0 if backoff is None else round((backoff.end_s - now_s) * 1000),
             "" if backoff is None else backoff.vm,
-            NO_LIMIT if limit_per_s is None else limit_per_s,
+            NO_LIMIT if limit is None else limit.per_s,
         )
 
 
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -101,7 +101,7 @@
         ServerStandingsHandler(
             registry=registry,
             self_reports=relay,
-            limits=kernel.get("limits", LimitRelay).table,
+            limits=kernel.get("limits", LimitRelay).rates,
             handlers=process.handlers,
         )
         return relay
--- a/tests/control/test_limit_relay.py
+++ b/tests/control/test_limit_relay.py
@@ -8,6 +8,7 @@
 import pytest
 
 from leadhollow.control.limit_relay import LimitRelay
+from leadhollow.decide.rate_source import RateLimit, RateSource
 from leadhollow.decide.send_limiter import LEASED_SHARE
 from leadhollow.decide.share_allocator import LEASE_S
 from leadhollow.kernel import clocks
@@ -65,7 +66,7 @@
 class Replica:
     """A relay whose background task is not started."""
 
-    def __init__(self, leadership: NonLeader) -> None:
+    def __init__(self, leadership: NonLeader, *, cold_servers: RateSource | None = None) -> None:
         self.peers_stub = FakePeers()
         self.received = Received()
         self.relay = LimitRelay(
@@ -76,6 +77,7 @@
             live_entries=lambda: 0,
             peers=self.peers_stub,
             handlers=HandlerTable(),
+            cold_servers=cold_servers,
         )
         self.relay.set_listeners(
             on_limits=self.received.lives.append,
@@ -200,6 +202,27 @@
 
         asyncio.run(work())
 
+    # Guards against: a cold server is limited at entries, and nobody leases shares of its rate.
+    def test_leader_leases_shares_of_cold_servers(self):
+        class Cold:
+            def rate_limit(self, life: str) -> RateLimit | None:
+                return RateLimit(per_s=18.0, max_holders=1)
+
+            def limited_lives(self) -> list[str]:
+                return [LIFE]
+
+        async def work() -> None:
+            leadership = Leader(since_s=clocks.elapsed_s() - 2 * LEASE_S)
+            replica = Replica(leadership, cold_servers=Cold())
+            for vm in ("one", "two"):
+                replica.receive(LimitNews("", 0, [], [make_share_request(vm)]))
+            await replica.publish()
+            shares = [part.share for lease in replica.received.leases for part in lease.shares]
+            assert shares == [pytest.approx(LEASED_SHARE), 0.0]
+            assert not replica.relay.needs_refresh()  # nothing else is relayed for it
+
+        asyncio.run(work())
+
     def test_replica_that_may_have_lost_leadership_does_not_lease(self):
         async def work() -> None:
             leadership = Leader(since_s=0.0)
--- a/tests/decide/cold_patterns.py
+++ b/tests/decide/cold_patterns.py
@@ -1,6 +1,6 @@
 """Patterns in which servers become cold, run with several seeds.
 
-``python -m tests.decide.cold_patterns SEEDS`` prints the figures of all patterns: with that many
+``python -m tests.decide.cold_patterns SEEDS [PATTERN ...]`` prints their figures: with that many
 seeds for 36 entries, and a quarter of them for 3 and 98.
 """
 
@@ -61,6 +61,21 @@
     return 6
 
 
+def burst_half_cut(fleet: Fleet) -> int:
+    """Half of the entries are cut off, and demand stops and returns everywhere at once."""
+    announce_cold(fleet, 2)
+    fleet.run(1.0)
+    for entry in fleet.entries[::2]:
+        entry.cut = True
+    for _ in range(2):
+        fleet.demand_per_s, demand_per_s = 0.3, fleet.demand_per_s
+        fleet.run(1.5)
+        fleet.demand_per_s = 10 * demand_per_s
+        fleet.run(1.0)
+        fleet.demand_per_s = demand_per_s
+    return 2
+
+
 def no_leader(fleet: Fleet) -> int:
     announce_cold(fleet, 6)
     fleet.run(1.0)
@@ -119,6 +134,7 @@
     "all servers": every,
     "burst after idling": burst,
     "half cut off": half_cut,
+    "half cut off, burst": burst_half_cut,
     "no leader": no_leader,
     "all start again": start_again,
     "entries come and go": come_and_go,
@@ -135,8 +151,8 @@
     return fleet, PATTERNS[name](fleet)
 
 
-def main(seeds: int) -> None:
-    for name in PATTERNS:
+def main(seeds: int, *names: str) -> None:
+    for name in names or PATTERNS:
         for entries in ENTRIES:
             over, worst, used = 0, 0, []
             count = seeds if entries == 36 else -(-seeds // 4)
@@ -148,7 +164,7 @@
                 worst = max(worst, most)
                 used.append(fleet.used(from_s=1.0, to_s=min(COLD_S, fleet.now_s), servers=servers))
             print(
-                f"{name:20} entries {entries:3} seeds {count}: over {over}, worst {worst}, "
+                f"{name:22} entries {entries:3} seeds {count}: over {over}, worst {worst}, "
                 f"allowed {fleet.allowed:g}, used {sum(used) / len(used):.2f}, "
                 f"least {min(used):.2f}",
                 flush=True,
@@ -156,4 +172,4 @@
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]))
+    main(int(sys.argv[1]), *sys.argv[2:])
