Let the soak's engines be cold after a start, and judge what reaches them

Engines of the soak that start again say that they are cold for 1.5 s and take 6 requests a second; the ledger judges any second against 1.5 x 6 + 5.

--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -11,6 +11,7 @@
 import aiohttp
 from aiohttp import web
 
+from tests.soak.cold import COLD_START_S, Cold
 from tests.soak.engine_stage import EngineStage
 from tests.soak.ledger import Ledger, Limit, Run
 from tests.soak.proxy import Path, Proxy
@@ -78,6 +79,7 @@
         self.leaving = False  # by answers only
         self.planner: Planner | None = None
         self._report_of_self = SelfReport(instance="")
+        self._cold = Cold(instance="", until_s=0.0)
         self._ledger = ledger
         self._controls = controls
         self._incarnation = 0
@@ -108,6 +110,9 @@
         self.rest_s, self.leaving = None, False
         self._report_of_self = SelfReport(instance=self.instance)
         self._ledger.self_reports.append(self._report_of_self)
+        cold_s = COLD_START_S if self.model and self._incarnation > 1 else 0.0
+        self._cold = Cold(instance=self.instance, until_s=self._ledger.now_s() + cold_s)
+        self._ledger.colds.append(self._cold)
         self._semaphore = asyncio.Semaphore(self.slots)
         app = web.Application()
         app.router.add_get("/-/report", self._report)
@@ -190,6 +195,7 @@
             "slots": self.slots,
             "state": self.state,
             "sequence": self._sequence,
+            "coldRemainingMs": self._cold.remaining_ms(self._ledger.now_s()),
             **self._held(),
         }
         controls = self._controls()
@@ -278,6 +284,7 @@
         refused = {"X-Not-Executed": "1", "X-Instance-Id": self.instance, "X-Attempt-Id": attempt}
         if request.headers.get("X-Expect-Instance") != self.instance:
             return web.Response(status=421, headers=refused)
+        self._cold.note_arrival(self._ledger.now_s())
         if self.limit is not None:
             self.limit.arrivals_s.append(self._ledger.now_s())
         refused.update(self._own_fields())
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from http import HTTPStatus
 
+from tests.soak.cold import Cold
 from tests.soak.self_reports import SelfReport, Sender
 
 PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
@@ -141,6 +142,7 @@
 
     __slots__ = (
         "accepted",
+        "colds",
         "disturbances",
         "limits",
         "named",
@@ -159,6 +161,7 @@
         self.tables: list[Table] = []
         self.named: dict[int, float] = {}  # acknowledgement of each version
         self.limits: list[Limit] = []
+        self.colds: list[Cold] = []
         self.self_reports: list[SelfReport] = []
         self.senders: dict[str, Sender] = {}  # entry that each request was sent to
         self.disturbances: list[float] = []
@@ -207,6 +210,8 @@
             for limit in self.limits
             if limit.most() > limit.allowed()
         ]
+        for cold in self.colds:
+            found += cold.judge()
         passed_on_s = {
             told.signature: told.told_s for told in self.told if told.status == HTTPStatus.OK
         }
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.soak.cold import Cold
 from tests.soak.ledger import (
     CONTACT_S,
     IN_FORCE_S,
@@ -197,6 +198,23 @@
         assert self.judged(5, after_s=-1.0) == []
 
 
+class TestCold:
+    def judged(self, arrivals: int, *, until_s: float = START_S + 9.0) -> list[str]:
+        ledger = Ledger()
+        cold = Cold(instance="i-1", until_s=until_s)
+        for number in range(arrivals):
+            cold.note_arrival(START_S + 0.05 * number)
+        ledger.colds.append(cold)
+        return rules(ledger)
+
+    @pytest.mark.parametrize(("arrivals", "broken"), [(14, []), (15, ["COLD"])])
+    def test_holds_for_all_requests_of_a_second(self, arrivals, broken):
+        assert self.judged(arrivals) == broken
+
+    def test_does_not_hold_once_it_is_over(self):
+        assert self.judged(19, until_s=START_S + 0.5) == []
+
+
 class TestSelfReports:
     ENTRY = Sender(entry="e", span=1)
 
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from tests.soak.backend import event
+from tests.soak.cold import COLD_PER_S, COLD_START_S
 from tests.soak.ledger import Kind, Ledger, Table, Told
 from tests.soak.stream_judge import ATTEMPTS, TIMEOUT_S
 from tests.soak.weights import LAYERS, MODEL, PIECE_BYTES, PIECES
@@ -67,7 +68,12 @@
         "read_per_s": 50_000.0,
     }
     plain = [{"name": name} for name in ("orders", "left", "right")]
-    models = {"name": "models", "engine": engine}
+    models = {
+        "name": "models",
+        "engine": engine,
+        "coldStartS": COLD_START_S,
+        "coldPerS": COLD_PER_S,
+    }
     weights = {"name": "weights", "origin": origin, "zone": "b"}
     document = {
         "version": number,
