--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -46,7 +46,7 @@
             if "://" not in target and not (page.parent / target).exists():
                 yield f"{shown}: no such page: {target}"
         for name in re.findall(
-            r"`leadhollow ((?:table|model|bench|state|experiment|quarantine) [a-z]+|[a-z]+)", text
+            r"`leadhollow ((?:table|model|bench|state|experiment|quarantine|domain) [a-z]+|[a-z]+)", text
         ):
             if name not in known:
                 yield f"{shown}: no such command: {name}"
