Let the soak evacuate failure domains

Cause: no run with real programs and faults evacuated anything. The judge has tests. The pattern of commands in tools/check_docs.py is a constant.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -31,7 +31,13 @@
 def _soak(seed: int, folder: Path, options: argparse.Namespace) -> Coroutine[None, None, Verdict]:
     if options.streams_s:
         return soak_streams(seed=seed, folder=folder, seconds=options.streams_s)
-    return soak(seed=seed, folder=folder, faults=options.faults, stages=options.stages)
+    return soak(
+        seed=seed,
+        folder=folder,
+        faults=options.faults,
+        stages=options.stages,
+        evacuates=options.evacuates,
+    )
 
 
 def main() -> int:
@@ -53,6 +59,12 @@
     parser.add_argument(
         "--stages", action="store_true", help="damage staged pieces and delay load orders besides"
     )
+    parser.add_argument(
+        "--evacuations",
+        action="store_true",
+        dest="evacuates",
+        help="evacuate and restore failure domains besides",
+    )
     options = parser.parse_args()
     seeds = range(options.first, options.first + options.seeds)
     failed = 0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from tests.soak.engine_stage import disturb_stages
+from tests.soak.evacuations import Evacuations
 from tests.soak.faults import FAULTS, Fault
 from tests.soak.traffic import Callers, Operator
 from tests.soak.world import World
@@ -44,16 +45,21 @@
         self.columns = columns
 
 
-async def soak(*, seed: int, folder: Path, faults: int, stages: bool = False) -> Verdict:
+async def soak(
+    *, seed: int, folder: Path, faults: int, stages: bool = False, evacuates: bool = False
+) -> Verdict:
     """Play one seed.
 
     Parameters
     ----------
     stages
         Whether pieces turn bad, load orders come late and stagers stand still besides.
+    evacuates
+        Whether failure domains are evacuated and restored besides.
     """
     world = World(seed=seed, folder=folder)
     operator = Operator(world=world)
+    evacuations = Evacuations(world=world, operator=operator) if evacuates else None
     callers = Callers(world=world)
     chosen: list[Fault] = [world.random.choice(FAULTS) for _ in range(faults)]
     ledger = world.ledger
@@ -62,7 +68,7 @@
         if not await operator.change() or not await world.ready():
             ledger.break_rule("START the deployment did not become ready")
         else:
-            await _play(world, operator, callers, chosen, stages=stages)
+            await _play(world, operator, callers, chosen, stages=stages, evacuations=evacuations)
     finally:
         await world.stop()
     served = sum(told.status == 200 for told in ledger.told)
@@ -71,18 +77,26 @@
         faults=[fault.__name__ for fault in chosen],
         asked=len(ledger.told),
         served=served,
-        violations=ledger.judge(),
+        violations=ledger.judge() + (evacuations.judge() if evacuations else []),
         columns=ledger.columns(),
     )
 
 
 async def _play(
-    world: World, operator: Operator, callers: Callers, chosen: list[Fault], *, stages: bool
+    world: World,
+    operator: Operator,
+    callers: Callers,
+    chosen: list[Fault],
+    *,
+    stages: bool,
+    evacuations: Evacuations | None,
 ) -> None:
     ledger = world.ledger
     disturbances = [asyncio.create_task(_report_of_themselves(world))]
     if stages:
         disturbances.append(asyncio.create_task(disturb_stages(world, operator)))
+    if evacuations is not None:
+        disturbances.append(asyncio.create_task(evacuations.run()))
     background = [
         *disturbances,
         asyncio.create_task(callers.run()),
@@ -98,6 +112,8 @@
         await _leave_by_answers(world)
         for disturbance in disturbances:
             disturbance.cancel()
+        if evacuations is not None:
+            await evacuations.restore()
         if not await operator.change(patience_s=RECOVERY_S):
             ledger.break_rule("RECOVER no edit is acknowledged")
         await recover(world, callers)
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.soak.evacuations import Evacuation
 from tests.soak.ledger import (
     CONTACT_S,
     IN_FORCE_S,
@@ -234,3 +235,28 @@
     @pytest.mark.parametrize("sender", [Sender(entry="e", span=2), Sender(entry="f", span=1)])
     def test_bind_no_other_entry_and_none_that_started_again(self, said, sender):
         assert self.judged(said=said, arrived_after_s=1.0, sender=sender) == []
+
+
+class TestEvacuations:
+    @pytest.mark.parametrize(
+        ("instance", "after_s", "broken"),
+        [
+            ("i-models-b-2", IN_FORCE_S + 0.1, 1),
+            ("i-models-b-2", IN_FORCE_S - 0.1, 0),
+            ("i-models-b-2", 6.1, 0),
+            ("i-models-c-1", IN_FORCE_S + 0.1, 0),
+        ],
+    )
+    def test_finds_requests_in_an_evacuated_domain(self, instance, after_s, broken):
+        ledger = Ledger()
+        evacuation = Evacuation(domain="b", backends=["models-b"], acknowledged_s=START_S)
+        evacuation.restored_s = START_S + 6.0
+        run = ran(ledger, "q", instance=instance, began_s=START_S + after_s)
+        assert len(evacuation.judge([run], ledger)) == broken
+
+    def test_does_not_judge_entries_that_are_not_in_touch(self):
+        ledger = Ledger()
+        evacuation = Evacuation(domain="b", backends=["models-b"], acknowledged_s=START_S)
+        run = ran(ledger, "q", instance="i-models-b-1", began_s=START_S + IN_FORCE_S + 0.1)
+        ledger.disturbances.append(run.began_s - CONTACT_S / 2)
+        assert evacuation.judge([run], ledger) == []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,6 +12,8 @@
 SEEDS = (6, 17)
 """Control replicas killed and wiped; edits in quick succession, an engine and a stager that die."""
 
+EVACUATION_SEED = 3
+
 STREAM_SEEDS = (1, 46)
 """Entries held up, engines that crash and paths that break, readers of logs that stand still; the
 second one with signals to control replicas, entries and stagers."""
@@ -26,6 +28,11 @@
         assert verdict.violations == []
         assert verdict.served > 0
 
+    def test_sends_nothing_to_evacuated_domains(self, tmp_path):
+        verdict = asyncio.run(soak(seed=EVACUATION_SEED, folder=tmp_path, faults=2, evacuates=True))
+        assert verdict.violations == []
+        assert verdict.served > 0
+
 
 class TestSoakOfStreams:
     @pytest.mark.parametrize("seed", STREAM_SEEDS)
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -93,7 +93,7 @@
         body = table_body(self._number, service, self._world.origin_proxy.address)
         table = Table(number=self._number, body=body, lookup_service=service)
         self._ledger.tables.append(table)
-        if not await self._insist("PUT", "/-/config", body, patience_s):
+        if not await self.insist("PUT", "/-/config", body, patience_s):
             return False
         table.acknowledged_s = self._ledger.now_s()
         return True
@@ -103,7 +103,7 @@
         self._world.origin.newest += 1
         version = self._world.origin.newest
         body = json.dumps({"model": MODEL, "version": version}).encode()
-        if not await self._insist("POST", "/-/version-put", body, patience_s):
+        if not await self.insist("POST", "/-/version-put", body, patience_s):
             return False
         self._ledger.named[version] = self._ledger.now_s()
         return True
@@ -130,7 +130,8 @@
             self._ledger.break_rule(f"CONFIG read back {number} is not what was sent")
         return number
 
-    async def _insist(self, method: str, path: str, body: bytes, patience_s: float) -> bool:
+    async def insist(self, method: str, path: str, body: bytes, patience_s: float) -> bool:
+        """Send an order until it is acknowledged; tell whether it was."""
         deadline_s = self._ledger.now_s() + patience_s
         while self._ledger.now_s() < deadline_s:
             for control in random.sample(self._world.controls(), 3):
--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -10,6 +10,9 @@
 from leadhollow.cli.status_commands import errors_page
 
 ROOT = Path(__file__).parent.parent
+COMMAND = re.compile(
+    r"`leadhollow ((?:table|model|bench|state|experiment|quarantine|domain) [a-z]+|[a-z]+)"
+)
 LINK = re.compile(r"\[[^\]]*\]\(([^)#]+)(?:#[^)]*)?\)")
 FRAGMENT = re.compile(r"[a-z0-9-]+\.(feature|bugfix|doc|misc)\.md")
 MACHINE_PATH = re.compile(r"(?<![\w.])/(?:work|tmp|root|home|opt)/")
@@ -45,9 +48,7 @@
         for target in LINK.findall(text):
             if "://" not in target and not (page.parent / target).exists():
                 yield f"{shown}: no such page: {target}"
-        for name in re.findall(
-            r"`leadhollow ((?:table|model|bench|state|experiment|quarantine|domain) [a-z]+|[a-z]+)", text
-        ):
+        for name in COMMAND.findall(text):
             if name not in known:
                 yield f"{shown}: no such command: {name}"
         if MACHINE_PATH.search(text):
