Test that hedges and probes avoid an evacuated domain

Cause: two of the ways to a server had no test of their own for evacuations. Change: a silent stream's second engine is elsewhere although another one in the evacuated domain is nearer; a probe after a back-off is withheld. Conclusion: all ways pass Server.claim_send; none was found that doesn't.

--- a/tests/decide/test_eligibility.py
+++ b/tests/decide/test_eligibility.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from leadhollow.codes import Code
 from leadhollow.decide.eligibility import FailureDomains, allowed_regions
 from leadhollow.decide.server import Server
+from leadhollow.decide.server_backoff import ServerBackoff
 from leadhollow.decide.server_load import OwnCall
 from leadhollow.membership.instances import Instance, InstanceState
 
@@ -90,6 +93,19 @@
         assert server.claim_send(call) is Code.DOMAIN_EVACUATED
         assert not call.sent
 
+    # a probe after a back-off was sent to a failure domain that had been evacuated meanwhile
+    def test_a_probe_is_withheld_and_its_right_kept(self) -> None:
+        domains = FailureDomains(regions=REGIONS)
+        server = make_server(domains)
+        times_s = [0.0]
+        server.backoff = ServerBackoff(clock=lambda: times_s[0], source=random.Random(1))
+        server.backoff.extend(1.0)
+        times_s[0] = 2.0
+        domains.set_evacuated({"hall-a"})
+        assert server.claim_send(make_call()) is Code.DOMAIN_EVACUATED
+        domains.set_evacuated(())
+        assert server.claim_send(make_call()) is None
+
     # a bound request was sent because only the choice of its engine had looked at its regions
     def test_regions_are_checked_when_the_request_is_sent(self) -> None:
         server = make_server(FailureDomains(regions=REGIONS))
--- a/tests/node/test_evacuation.py
+++ b/tests/node/test_evacuation.py
@@ -3,14 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
 
 import uvloop
 
 from leadhollow.node.entry_role import EntryDispatcher
 from tests.node.site import Site
-from tests.node.streaming import Script, StreamClient, StreamingEngine, streaming_route
+from tests.node.streaming import (
+    Script,
+    StreamClient,
+    StreamingEngine,
+    StreamRun,
+    streaming_route,
+)
 from tests.support import eventually
 
 LONG_SCRIPT = Script(events=12, pause_s=0.1)
@@ -43,14 +49,25 @@
     await eventually(acknowledged, "an acknowledgement")
 
 
-def run_on_site(folder: Path, work: Work) -> None:
-    """Run a test with an engine in the domain of the entries, d, and one in another, e."""
+def new_runs(engine: StreamingEngine, before: Mapping[str, int]) -> list[StreamRun]:
+    """Return the runs of an engine after the number that it had before."""
+    return engine.runs[before[engine.instance] :]
+
+
+def run_on_site(folder: Path, work: Work, *, beside: Sequence[StreamingEngine] = ()) -> None:
+    """Run a test with an engine in the domain of the entries, d, and one in another, e.
+
+    Parameters
+    ----------
+    beside
+        Further engines in domain d.
+    """
     near = StreamingEngine(instance="i-near", script=Script())
     far = StreamingEngine(instance="i-far", script=Script())
     far.failure_domain = "e"
 
     async def run() -> None:
-        async with Site(folder=folder, servers=[near, far], entries=ENTRIES) as site:
+        async with Site(folder=folder, servers=[near, far, *beside], entries=ENTRIES) as site:
             await site.put_routes(streaming_route(resumable=True))
 
             async def serves(entry: int) -> bool:
@@ -102,6 +119,31 @@
 
         run_on_site(tmp_path, work)
 
+    # Guards against: the engine that is asked beside a silent one is in the evacuated domain.
+    def test_hedges_silent_streams_elsewhere(self, tmp_path):
+        beside = StreamingEngine(instance="i-beside", script=Script())
+
+        async def work(site: Site, near: StreamingEngine, far: StreamingEngine) -> None:
+            local = [near, beside]
+            far.script = LONG_SCRIPT
+            for engine in local:
+                engine.script = Script(events=12, pause_s=0.1, pauses_s={4: 60.0})
+            before = {engine.instance: len(engine.runs) for engine in (*local, far)}
+            running = asyncio.create_task(stream(site))
+            await eventually(
+                lambda: any(run.written for each in local for run in new_runs(each, before)),
+                "a stream in the near domain",
+            )
+            assert await site.order("POST", "d") == 200
+            await wait_in_force(site, "d")
+            client = await running
+            assert client.whole
+            assert client.event_ids == list(range(12))
+            assert sum(len(new_runs(engine, before)) for engine in local) == 1
+            assert [run.first for run in new_runs(far, before)] == [4]
+
+        run_on_site(tmp_path, work, beside=[beside])
+
     # Guards against: an acknowledged evacuation is lost, or not obeyed by an entry that starts.
     def test_outlives_all_control_replicas_and_is_obeyed_by_an_entry_that_starts(self, tmp_path):
         async def work(site: Site, near: StreamingEngine, far: StreamingEngine) -> None:
