Let less urgent requests give way when room at the engines is short

Cause: the rank of a request (priority of its group, else of its route) was decoded and read by nobody who decides, so the most urgent were refused and late like all others.

Change: requests are ordered by resumption, urgency, novelty. Decisions on new requests are counted by urgency, by each entry and in the sums that entries are told: refusals of less urgent requests raise no bar for urgent ones, and under pressure a less urgent request must be predicted up to 160 ms earlier, unless its kind gets less than 0.3 of the mean. Engines are told X-Request-Priority from a pressure of 0.05 on; below, all are told the same. The urgency is a place among the ranks that the route table gives the service, so one rank sends no byte and changes no choice.

--- a/src/leadhollow/control/use_aggregator.py
+++ b/src/leadhollow/control/use_aggregator.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from leadhollow.decide.pressure import DecisionCounts
+from leadhollow.decide.pressure import DecisionCounts, DecisionKey
 from leadhollow.kernel import active_time
 from leadhollow.kernel.batching_service import BatchingService
 from leadhollow.membership.uses import (
@@ -48,15 +48,15 @@
     def __init__(self) -> None:
         self.uses: dict[str, Use] = {}
         self.received_s = 0.0
-        self._decisions: dict[str, DecisionCounts] = {}
+        self._decisions: dict[DecisionKey, DecisionCounts] = {}
         self._decisions_s = 0.0
 
-    def set_decisions(self, reported: dict[str, DecisionCounts], now_s: float) -> None:
+    def set_decisions(self, reported: dict[DecisionKey, DecisionCounts], now_s: float) -> None:
         """Replace the counts of decisions on requests, by service."""
         self._decisions = reported
         self._decisions_s = now_s
 
-    def decisions(self, now_s: float) -> dict[str, DecisionCounts]:
+    def decisions(self, now_s: float) -> dict[DecisionKey, DecisionCounts]:
         """Return the counts of decisions, by service, decayed by their age."""
         age_s = now_s - self._decisions_s
         return {name: counts.decayed(age_s) for name, counts in self._decisions.items()}
@@ -180,7 +180,7 @@
             unread_tokens=local.unread_tokens + remote.unread_tokens - excluded.unread_tokens,
         )
 
-    def decisions(self, *, excluding: str = "") -> dict[str, DecisionCounts]:
+    def decisions(self, *, excluding: str = "") -> dict[DecisionKey, DecisionCounts]:
         """Return the recent decisions summed over all entries but one, by service."""
         now_s = asyncio.get_running_loop().time()
         sources = [source for vm, source in self._local_sources.items() if vm != excluding]
@@ -278,8 +278,8 @@
             listener(changed, vm)
 
 
-def _merge_decisions(sources: Iterable[_Source], now_s: float) -> dict[str, DecisionCounts]:
-    total: dict[str, DecisionCounts] = {}
+def _merge_decisions(sources: Iterable[_Source], now_s: float) -> dict[DecisionKey, DecisionCounts]:
+    total: dict[DecisionKey, DecisionCounts] = {}
     for source in sources:
         for name, counts in source.decisions(now_s).items():
             total.setdefault(name, DecisionCounts()).add(counts)
--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -13,12 +13,13 @@
 from leadhollow.decide.engine_choice import EngineChooser, EngineOption
 from leadhollow.decide.engine_request import EngineRequest, Placement, QueuePriority
 from leadhollow.decide.policy import QueuePolicy
-from leadhollow.decide.pressure import DecisionCounts, Pressure
+from leadhollow.decide.pressure import DecisionCounts, DecisionKey, Pressure, Pressures
 from leadhollow.decide.protocols import EngineSource, VersionRules
 from leadhollow.decide.retry_after import RefusalReason, retry_after_backoff_s
 from leadhollow.decide.server_load import OwnCall
+from leadhollow.decide.urgency import engine_priority, order, yield_margin_s
+from leadhollow.decide.waiter import Waiter, insert
 from leadhollow.observe.logs import get_logger, log_decision
-from leadhollow.routing.model import ServiceRecord
 
 DECISION_DEADLINE_SHARE = 0.2
 """Share of the objective after which a request is placed or refused. Users allow a quarter."""
@@ -40,41 +41,6 @@
 log = get_logger("engine-queue")
 
 
-class Waiter:
-    """A request that was submitted to the queue.
-
-    Parameters
-    ----------
-    deadline_s
-        Time at which `EngineQueue.on_deadline` is to be called.
-    on_end
-        Called once when the request is placed or refused, but not from within
-        `EngineQueue.submit`.
-
-    Attributes
-    ----------
-    placement
-        Where the request was placed; None if it was not.
-    ended
-        Whether the request was placed or refused.
-    """
-
-    __slots__ = ("deadline_s", "ended", "on_end", "placement", "request")
-
-    def __init__(
-        self,
-        *,
-        request: EngineRequest,
-        deadline_s: float,
-        on_end: Callable[[], None] = lambda: None,
-    ) -> None:
-        self.request = request
-        self.deadline_s = deadline_s
-        self.on_end = on_end
-        self.placement: Placement | None = None
-        self.ended = False
-
-
 class EngineQueue:
     """Requests that wait for an engine.
 
@@ -98,7 +64,7 @@
         "_held",
         "_on_waiting",
         "_policy",
-        "_pressure",
+        "_pressures",
         "_random",
         "_versions",
         "_waiters",
@@ -124,7 +90,7 @@
             failure_domain=failure_domain,
             source=self._random,
         )
-        self._pressure: dict[str, Pressure] = {}
+        self._pressures = Pressures()
         self._waiters: list[Waiter] = []
         self._on_waiting: Callable[[], None] = _nothing
         # late requests, placed only in slots that no other request needs
@@ -143,9 +109,7 @@
     def submit(self, request: EngineRequest) -> Waiter:
         """Place a request at once if possible, or queue it."""
         waiter = Waiter(request=request, deadline_s=request.decide_by_s)
-        if not any(
-            found.request.queue_priority < request.queue_priority for found in self._waiters
-        ):
+        if not any(order(found.request) < order(request) for found in self._waiters):
             placed = self._try_place(request)
             if placed is not None:
                 self._end(waiter, placed)
@@ -167,7 +131,7 @@
                 self._end(waiter, None)
                 return
             waiter.deadline_s = max(waiter.deadline_s, deadline_s)
-        _insert(self._waiters, waiter)
+        insert(self._waiters, waiter)
         self._on_waiting()
 
     def on_deadline(self, waiter: Waiter) -> None:
@@ -182,7 +146,7 @@
         placed = self._try_place(waiter.request, last_chance=True)
         if placed is None and self._should_hold(waiter.request):
             waiter.deadline_s = waiter.request.hold_until_s
-            _insert(self._held, waiter)
+            insert(self._held, waiter)
             return
         self._end(waiter, placed)
 
@@ -199,8 +163,8 @@
         waiter.placement = placed
         waiter.ended = True
         if waiter.request.queue_priority is QueuePriority.NEW:
-            self._pressure_of(waiter.request.service).record(
-                refused=placed is None, now_s=self._clock()
+            self._pressures.of(waiter.request.service.name).record(
+                refused=placed is None, now_s=self._clock(), urgency=waiter.request.urgency
             )
         waiter.on_end()
 
@@ -217,25 +181,24 @@
             return True
         if not self._policy.holds or len(self._held) >= MAX_HELD:
             return False
-        if self._pressure_of(request.service).level(now_s) >= MAX_HOLD_PRESSURE:
+        if (
+            self._pressures.of(request.service.name).level(now_s, request.urgency)
+            >= MAX_HOLD_PRESSURE
+        ):
             return False
         return self._chooser.best(request, now_s) is not None
 
-    def decisions(self) -> dict[str, DecisionCounts]:
-        """Return the recent decisions of this entry on new requests, by service."""
-        now_s = self._clock()
-        return {service: found.own(now_s) for service, found in self._pressure.items()}
+    def decisions(self) -> dict[DecisionKey, DecisionCounts]:
+        """Return the recent decisions of this entry on new requests."""
+        return self._pressures.own(self._clock())
 
-    def update_peer_decisions(self, decisions: Mapping[str, DecisionCounts]) -> None:
-        """Set the recent decisions of all other entries on new requests, by service."""
-        now_s = self._clock()
-        for service, counts in decisions.items():
-            self._pressure.setdefault(service, Pressure()).update_peers(counts, now_s)
+    def update_peer_decisions(self, decisions: Mapping[DecisionKey, DecisionCounts]) -> None:
+        """Set the recent decisions of all other entries on new requests."""
+        self._pressures.update_peers(decisions, self._clock())
 
     def pressure(self) -> float:
         """Return the highest pressure on the engines of any service."""
-        now_s = self._clock()
-        return max((found.level(now_s) for found in self._pressure.values()), default=0.0)
+        return self._pressures.highest(self._clock())
 
     def retry_after_s(self, request: EngineRequest) -> float:
         """Choose the time after which the caller of a refused request should retry."""
@@ -303,27 +266,27 @@
         option = self._chooser.best(request, now_s, of_all=of_all)
         if option is None:
             return None
-        pressure = self._pressure_of(request.service)
-        level = self._level(pressure, now_s, option)
+        pressure = self._pressures.of(request.service.name)
+        level = self._level(pressure, request.urgency, now_s, option)
         shortest_s = pressure.shortest_objective_s(request.objective_s, now_s)
         margin_s = request.on_time_until_s - now_s - option.admission_ms / 1000
         margin_s -= level * (CONFIDENCE_MARGIN_S + request.objective_s - shortest_s)
+        margin_s -= yield_margin_s(pressure, request.urgency, now_s, level=level)
         if not accepts(
             request.queue_priority, option, margin_s, pressure=level, last_chance=last_chance
         ):
             return None
         return self._place(request, option, now_s, pressure=level)
 
-    def _level(self, pressure: Pressure, now_s: float, option: EngineOption) -> float:
+    def _level(self, pressure: Pressure, urgency: int, now_s: float, option: EngineOption) -> float:
         """Return the pressure that admission to an engine goes by."""
         slots = option.server.instance.slots
         lightly_loaded = slots - option.load.requests > LIGHT_LOAD_FREE_SHARE * slots
         if not self._policy.uses_pressure or (lightly_loaded and self._policy.uses_room):
             return 0.0
-        return pressure.balanced_level(now_s) if self._policy.balances else pressure.level(now_s)
-
-    def _pressure_of(self, service: ServiceRecord) -> Pressure:
-        return self._pressure.setdefault(service.name, Pressure())
+        if self._policy.balances:
+            return pressure.balanced_level(now_s, urgency)
+        return pressure.level(now_s, urgency)
 
     def _place(
         self, request: EngineRequest, option: EngineOption, now_s: float, *, pressure: float
@@ -354,6 +317,7 @@
             report_age_ms=None if report is None else round((now_s - report.made_s) * 1000),
             on_time=now_s + option.first_ms / 1000 <= request.on_time_until_s,
             pressure=round(pressure, 2),
+            urgency=request.urgency,
             version=option.version,
             **limit,
         )
@@ -365,6 +329,9 @@
                 option.version if self._versions.oldest_allowed(request.model) else None
             ),
             begin_by_s=self._versions.begin_by_s(request.model, option.version),
+            engine_priority=engine_priority(
+                self._pressures.of(request.service.name), request.urgencies, request.urgency, now_s
+            ),
         )
 
 
@@ -372,11 +339,4 @@
     return
 
 
-def _insert(waiters: list[Waiter], waiter: Waiter) -> None:
-    """Insert a request behind all others of the same or a more urgent priority."""
-    priority = waiter.request.queue_priority
-    position = sum(1 for found in waiters if found.request.queue_priority <= priority)
-    waiters.insert(position, waiter)
-
-
-__all__ = ["DECISION_DEADLINE_SHARE", "PUMP_INTERVAL_S", "EngineQueue", "Waiter"]
+__all__ = ["DECISION_DEADLINE_SHARE", "PUMP_INTERVAL_S", "EngineQueue"]
--- a/src/leadhollow/decide/engine_request.py
+++ b/src/leadhollow/decide/engine_request.py
@@ -60,6 +60,11 @@
         are about to change their weights.
     rank
         Urgency among requests that are refused together; 0 is the most urgent.
+    urgency
+        Place of the rank among those that the route table gives the service; 0 is the most urgent.
+        Always 0 if it gives the service only one.
+    urgencies
+        Number of distinct ranks that the route table gives the service.
     regions
         Regions in which the request may be served; None if all may serve it.
     """
@@ -81,6 +86,8 @@
         "regions",
         "request_id",
         "service",
+        "urgencies",
+        "urgency",
     )
 
     def __init__(
@@ -100,12 +107,16 @@
         excluded: set[str],
         last_attempt: bool,
         rank: int = 0,
+        urgency: int = 0,
+        urgencies: int = 1,
         lost_domains: Collection[str] = (),
         regions: Regions | None = None,
     ) -> None:
         self.lost_domains = lost_domains
         self.regions = regions
         self.rank = rank
+        self.urgency = urgency
+        self.urgencies = urgencies
         self.service = service
         self.model = model
         self.prompt_tokens = prompt_tokens
@@ -132,9 +143,18 @@
         Version that the engine must hold, or else refuse the request; None if any version will do.
     begin_by_s
         Loop time by which the first event must have arrived. After that the weights are too old.
+    engine_priority
+        Priority that the engine is told, 0 first; None if the service knows only one.
     """
 
-    __slots__ = ("begin_by_s", "call", "expected_version", "server", "version")
+    __slots__ = (
+        "begin_by_s",
+        "call",
+        "engine_priority",
+        "expected_version",
+        "server",
+        "version",
+    )
 
     def __init__(
         self,
@@ -144,7 +164,9 @@
         version: int,
         expected_version: int | None,
         begin_by_s: float,
+        engine_priority: int | None = None,
     ) -> None:
+        self.engine_priority = engine_priority
         self.begin_by_s = begin_by_s
         self.server = server
         self.call = call
--- a/src/leadhollow/decide/pressure.py
+++ b/src/leadhollow/decide/pressure.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from typing import NamedTuple
+
 HALF_LIFE_S = 1.0  # of the weight of a decision
 OVERLOAD_REFUSED_SHARE = 0.2  # of new requests; from here on the engines are certainly overloaded
 OBJECTIVE_VALID_S = 5.0  # objectives of requests that were not seen for this long do not count
@@ -12,6 +15,7 @@
 one. If the others refuse a tenth more, this entry asks for nearly as much certainty as under
 overload."""
 
+MAX_URGENCY = 9  # requests that are less urgent count as this one
 MAX_LEVEL = 2.0  # level of an entry that refuses far less than the others
 
 
@@ -42,62 +46,115 @@
         self.made += other.made
         self.refused += other.refused
 
+    def without(self, part: DecisionCounts) -> DecisionCounts:
+        """Return the counts that remain without some of them."""
+        return DecisionCounts(made=self.made - part.made, refused=self.refused - part.refused)
+
     def decayed(self, age_s: float) -> DecisionCounts:
         """Return the counts with the weights that they have after some time."""
         factor = 2.0 ** (-age_s / HALF_LIFE_S)
         return DecisionCounts(made=self.made * factor, refused=self.refused * factor)
 
 
+class DecisionKey(NamedTuple):
+    """What recent decisions are counted by.
+
+    Parameters
+    ----------
+    urgency
+        Place among the urgencies that the route table gives the service; 0 is the most urgent.
+    """
+
+    service: str
+    urgency: int = 0
+
+
 class Pressure:
     """Recent decisions on new requests of one service, by this entry and by the others.
 
     All entries share the same engines. If an entry went by its own refusals alone and refused a
     little more than the others, it would ask for more certainty than they do, refuse even more, and
     leave the engines to them.
+
+    Decisions are counted by urgency. The pressure on a request comes from requests that are at
+    least as urgent, so refusals of less urgent ones do not raise the bar for it.
     """
 
     __slots__ = ("_decayed_s", "_objectives", "_own", "_peers")
 
     def __init__(self) -> None:
-        self._own = DecisionCounts()
-        self._peers = DecisionCounts()
+        self._own: dict[int, DecisionCounts] = {}  # by urgency
+        self._peers: dict[int, DecisionCounts] = {}
         self._decayed_s = 0.0
         self._objectives: dict[float, float] = {}  # loop time at which each was last seen
 
-    def record(self, *, refused: bool, now_s: float) -> None:
+    def record(self, *, refused: bool, now_s: float, urgency: int = 0) -> None:
         """Count a new request that was placed or refused."""
         self._decay(now_s)
-        self._own.made += 1.0
-        self._own.refused += 1.0 if refused else 0.0
+        counts = self._own.setdefault(urgency, DecisionCounts())
+        counts.made += 1.0
+        counts.refused += 1.0 if refused else 0.0
 
-    def own(self, now_s: float) -> DecisionCounts:
-        """Return the recent decisions of this entry."""
+    def own(self, now_s: float) -> dict[int, DecisionCounts]:
+        """Return the recent decisions of this entry by urgency."""
         self._decay(now_s)
-        return DecisionCounts(made=self._own.made, refused=self._own.refused)
+        return {urgency: counts.decayed(0.0) for urgency, counts in self._own.items()}
 
-    def update_peers(self, decisions: DecisionCounts, now_s: float) -> None:
-        """Set the recent decisions of all other entries together."""
+    def update_peers(self, decisions: Mapping[int, DecisionCounts], now_s: float) -> None:
+        """Set the recent decisions of all other entries together, by urgency."""
         self._decay(now_s)
-        self._peers = decisions
+        self._peers = dict(decisions)
+
+    def level(self, now_s: float, urgency: int = MAX_URGENCY) -> float:
+        """Return the pressure, from 0 if no request is refused to 1 if engines are overloaded.
 
-    def level(self, now_s: float) -> float:
-        """Return the pressure, from 0 if no request is refused to 1 if engines are overloaded."""
-        return min(1.0, self._all(now_s).refused_share / OVERLOAD_REFUSED_SHARE)
+        Parameters
+        ----------
+        urgency
+            Requests that are less urgent do not count.
+        """
+        return min(1.0, self._all(now_s, urgency).refused_share / OVERLOAD_REFUSED_SHARE)
 
-    def balanced_level(self, now_s: float) -> float:
+    def balanced_level(self, now_s: float, urgency: int = MAX_URGENCY) -> float:
         """Return the pressure, raised if this entry refuses less than the others.
 
         An entry that refuses less asks for more certainty and so leaves engines to the others,
         until all entries refuse the same share.
         """
-        overall = self._all(now_s).refused_share
-        advantage = overall - self._own.refused_share
-        return min(MAX_LEVEL, max(0.0, self.level(now_s) + BALANCE_GAIN * advantage))
+        advantage = self._expected_share(now_s, urgency) - _total(self._own, urgency).refused_share
+        return min(MAX_LEVEL, max(0.0, self.level(now_s, urgency) + BALANCE_GAIN * advantage))
 
-    def _all(self, now_s: float) -> DecisionCounts:
+    def served_share(self, now_s: float, urgency: int | None = None) -> float:
+        """Return the share of recent requests of one urgency, or of all, that were placed."""
         self._decay(now_s)
-        total = DecisionCounts(made=self._own.made, refused=self._own.refused)
-        total.add(self._peers)
+        if urgency is None:
+            return 1.0 - self._all(now_s, MAX_URGENCY).refused_share
+        return 1.0 - self._of(urgency).refused_share
+
+    def has_more_urgent(self, urgency: int) -> bool:
+        """Tell whether requests of the service that are more urgent were seen."""
+        return any(seen < urgency for seen in (*self._own, *self._peers))
+
+    def _expected_share(self, now_s: float, urgency: int) -> float:
+        """Return the share that all entries would refuse of this entry's mix of urgencies."""
+        mix = {seen: counts.made for seen, counts in self._own.items() if seen <= urgency}
+        made = sum(mix.values())
+        if len(mix) <= 1 or not made:
+            return self._all(now_s, urgency).refused_share
+        return sum(count * self._of(seen).refused_share for seen, count in mix.items()) / made
+
+    def _of(self, urgency: int) -> DecisionCounts:
+        """Return the decisions of all entries on requests of one urgency."""
+        total = DecisionCounts()
+        for counts in (self._own.get(urgency), self._peers.get(urgency)):
+            if counts is not None:
+                total.add(counts)
+        return total
+
+    def _all(self, now_s: float, urgency: int) -> DecisionCounts:
+        self._decay(now_s)
+        total = _total(self._own, urgency)
+        total.add(_total(self._peers, urgency))
         return total
 
     def shortest_objective_s(self, objective_s: float, now_s: float) -> float:
@@ -113,9 +170,51 @@
 
     def _decay(self, now_s: float) -> None:
         age_s = now_s - self._decayed_s
-        self._own = self._own.decayed(age_s)
-        self._peers = self._peers.decayed(age_s)
+        self._own = {urgency: found.decayed(age_s) for urgency, found in self._own.items()}
+        self._peers = {urgency: found.decayed(age_s) for urgency, found in self._peers.items()}
         self._decayed_s = now_s
 
 
-__all__ = ["DecisionCounts", "Pressure"]
+class Pressures:
+    """Pressure of each service."""
+
+    __slots__ = ("_by_service",)
+
+    def __init__(self) -> None:
+        self._by_service: dict[str, Pressure] = {}
+
+    def of(self, service: str) -> Pressure:
+        """Return the pressure of a service."""
+        return self._by_service.setdefault(service, Pressure())
+
+    def highest(self, now_s: float) -> float:
+        """Return the highest pressure of any service."""
+        return max((found.level(now_s) for found in self._by_service.values()), default=0.0)
+
+    def own(self, now_s: float) -> dict[DecisionKey, DecisionCounts]:
+        """Return the recent decisions of this entry on new requests."""
+        return {
+            DecisionKey(service=service, urgency=urgency): counts
+            for service, found in self._by_service.items()
+            for urgency, counts in found.own(now_s).items()
+        }
+
+    def update_peers(self, decisions: Mapping[DecisionKey, DecisionCounts], now_s: float) -> None:
+        """Set the recent decisions of all other entries on new requests."""
+        by_service: dict[str, dict[int, DecisionCounts]] = {}
+        for key, counts in decisions.items():
+            by_service.setdefault(key.service, {})[key.urgency] = counts
+        for service, by_urgency in by_service.items():
+            self.of(service).update_peers(by_urgency, now_s)
+
+
+def _total(counts_by_urgency: Mapping[int, DecisionCounts], urgency: int) -> DecisionCounts:
+    """Return the sum over requests that are at least as urgent."""
+    total = DecisionCounts()
+    for found, counts in counts_by_urgency.items():
+        if found <= urgency:
+            total.add(counts)
+    return total
+
+
+__all__ = ["MAX_URGENCY", "DecisionCounts", "DecisionKey", "Pressure", "Pressures"]
--- a/src/leadhollow/experiment/emulated_engine.py
+++ b/src/leadhollow/experiment/emulated_engine.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import bisect
 from collections.abc import Callable
 
 from leadhollow.decide.engine_latency import EngineLatencyModel
@@ -22,25 +22,37 @@
     ----------
     events
         Number of events of its response.
+    priority
+        Priority that the engine was told; requests with a lower one begin first.
     on_first_event
         Called with its first event.
     on_end
         Called at its end, with False if the engine interrupted it.
     """
 
-    __slots__ = ("events", "on_end", "on_first_event", "prompt_tokens", "started", "unread_tokens")
+    __slots__ = (
+        "events",
+        "on_end",
+        "on_first_event",
+        "priority",
+        "prompt_tokens",
+        "started",
+        "unread_tokens",
+    )
 
     def __init__(
         self,
         *,
         prompt_tokens: int,
         events: int,
+        priority: int = 0,
         on_first_event: Callable[[], None],
         on_end: Callable[[bool], None],
     ) -> None:
         self.prompt_tokens = prompt_tokens
         self.unread_tokens = prompt_tokens
         self.events = events
+        self.priority = priority
         self.on_first_event = on_first_event
         self.on_end = on_end
         self.started = False
@@ -72,7 +84,7 @@
         self._model = EngineLatencyModel(spec=spec)
         self._call_after_ms = call_after_ms
         self._running: list[EngineTask] = []
-        self._waiting: deque[EngineTask] = deque()
+        self._waiting: list[EngineTask] = []  # the lowest priority first
         self._pass_running = False
         self.serving = True
 
@@ -86,7 +98,7 @@
         if not self.serving:
             self._call_after_ms(0.0, lambda: task.on_end(False))
             return
-        self._waiting.append(task)
+        bisect.insort(self._waiting, task, key=lambda found: found.priority)
         self._begin_pass()
 
     def stop(self) -> None:
@@ -102,7 +114,7 @@
         if self._pass_running:
             return
         while self._waiting and len(self._running) < self._spec.slots:
-            self._running.append(self._waiting.popleft())
+            self._running.append(self._waiting.pop(0))
         if not self._running:
             return
         self._pass_running = True
--- a/src/leadhollow/experiment/emulated_relay.py
+++ b/src/leadhollow/experiment/emulated_relay.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Callable
 
-from leadhollow.decide.pressure import DecisionCounts
+from leadhollow.decide.pressure import DecisionCounts, DecisionKey
 from leadhollow.decide.server import Server
-from leadhollow.experiment.emulated_entry import SERVICE, EmulatedEntry
+from leadhollow.experiment.emulated_entry import EmulatedEntry
 from leadhollow.experiment.scenario import Scenario
 from leadhollow.experiment.virtual_clock import VirtualClock
 from leadhollow.membership.uses import Use
@@ -88,7 +88,7 @@
         self,
         lag_ms: float,
         changed: dict[str, tuple[list[Use], int, int]],
-        peer_decisions: list[dict[str, DecisionCounts]],
+        peer_decisions: list[dict[DecisionKey, DecisionCounts]],
         *,
         local: bool | None,
     ) -> None:
@@ -108,7 +108,7 @@
     def _deliver(
         self,
         changed: dict[str, tuple[list[Use], int, int]],
-        peer_decisions: list[dict[str, DecisionCounts]],
+        peer_decisions: list[dict[DecisionKey, DecisionCounts]],
         local: bool | None,
     ) -> None:
         for index, entry in enumerate(self._entries):
@@ -127,16 +127,16 @@
             if entry.queue.waiting:
                 entry.view.changed()
 
-    def _decisions_of_others(self) -> list[dict[str, DecisionCounts]]:
+    def _decisions_of_others(self) -> list[dict[DecisionKey, DecisionCounts]]:
         """Return for each entry the sum of the recent decisions of all other entries."""
-        counts_by_entry = [
-            entry.queue.decisions().get(SERVICE, DecisionCounts()) for entry in self._entries
-        ]
-        made = sum(counts.made for counts in counts_by_entry)
-        refused = sum(counts.refused for counts in counts_by_entry)
+        own_decisions = [entry.queue.decisions() for entry in self._entries]
+        total: dict[DecisionKey, DecisionCounts] = {}
+        for own in own_decisions:
+            for key, counts in own.items():
+                total.setdefault(key, DecisionCounts()).add(counts)
         return [
-            {SERVICE: DecisionCounts(made=made - counts.made, refused=refused - counts.refused)}
-            for counts in counts_by_entry
+            {key: counts.without(own.get(key, DecisionCounts())) for key, counts in total.items()}
+            for own in own_decisions
         ]
 
 
--- a/src/leadhollow/experiment/outcome.py
+++ b/src/leadhollow/experiment/outcome.py
@@ -22,6 +22,8 @@
         Worth that callers received less the cost of refused retries.
     by_kind, by_domain
         Worth that callers received, without that cost.
+    on_time_by_kind
+        Shares of the requests of each kind.
     on_time, late, refused
         Shares of the requests.
     repeats, sent_in_rest
@@ -31,6 +33,7 @@
     worth: float
     by_kind: dict[str, float]
     by_domain: dict[str, float]
+    on_time_by_kind: dict[str, float]
     on_time: float
     late: float
     refused: float
@@ -55,6 +58,11 @@
         worth=(sum(earned) - retry_cost) / total,
         by_kind=_shares([caller.kind.name for caller in requests], earned, max_worth),
         by_domain=_shares([caller.domain for caller in requests], earned, max_worth),
+        on_time_by_kind=_shares(
+            [caller.kind.name for caller in requests],
+            [float(_on_time(caller)) for caller in requests],
+            [1.0] * len(requests),
+        ),
         on_time=on_time / max(1, len(requests)),
         late=(served - on_time) / max(1, len(requests)),
         refused=(len(requests) - served) / max(1, len(requests)),
--- a/src/leadhollow/experiment/patterns.py
+++ b/src/leadhollow/experiment/patterns.py
@@ -56,12 +56,19 @@
     Domain(name="c", entries=13, engines=7, share=0.29),
 )
 
+URGENCY_KINDS = tuple(
+    RequestKind(name=name, per_s=40.0, prompt_tokens=900.0, answer_events=20.0, urgency=urgency)
+    for urgency, name in enumerate(("urgent", "ordinary", "lenient"))
+)
+"""Equal amounts of work that differ in urgency only; together as much as ten engines carry."""
+
 MANY_REMOTE_LAG_MS = 330.0  # view lag between failure domains with many entries
 
 
 def _pattern(
     name: str,
     *changes: Change,
+    kinds: tuple[RequestKind, ...] = KINDS,
     domains: tuple[Domain, ...] = WIDE_DOMAINS,
     length_s: float = 30.0,
     far_view_lag_ms: float = 0.0,
@@ -69,7 +76,7 @@
     return Scenario(
         name=name,
         engine=ENGINE,
-        kinds=KINDS,
+        kinds=kinds,
         domains=domains,
         changes=changes,
         length_s=length_s,
@@ -128,6 +135,9 @@
             Change(at_s=6.0, load=1.0),
             Change(at_s=9.0, engines_out=0.0),
         ),
+        _pattern("urgency", kinds=URGENCY_KINDS, length_s=12.0),
+        _pattern("urgency-overload", Change(at_s=0, load=1.3), kinds=URGENCY_KINDS, length_s=12.0),
+        _pattern("urgency-double", Change(at_s=0, load=2.0), kinds=URGENCY_KINDS, length_s=12.0),
         _pattern("resting-some", *_refusing(0.34)),
         _pattern("resting-half", *_refusing(0.5)),
         _pattern("resting-all", *_refusing(1.0)),
--- a/src/leadhollow/experiment/runner.py
+++ b/src/leadhollow/experiment/runner.py
@@ -112,6 +112,7 @@
         "sent in rest": outcome.sent_in_rest,
     }
     values_by_name |= {f"domain {name}": share for name, share in outcome.by_domain.items()}
+    values_by_name |= {f"on time {name}": share for name, share in outcome.on_time_by_kind.items()}
     return values_by_name | {f"kind {name}": share for name, share in outcome.by_kind.items()}
 
 
--- a/src/leadhollow/experiment/scenario.py
+++ b/src/leadhollow/experiment/scenario.py
@@ -29,6 +29,8 @@
         Mean sizes of prompt and response; both have a log-normal distribution.
     spread
         Standard deviation of the logarithm of sizes.
+    urgency
+        Urgency; 0 is the most urgent.
     """
 
     name: str
@@ -40,6 +42,7 @@
     prompt_tokens: float = 1000.0
     answer_events: float = 20.0
     spread: float = 0.8
+    urgency: int = 0
 
 
 class Domain(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
--- a/src/leadhollow/experiment/simulation.py
+++ b/src/leadhollow/experiment/simulation.py
@@ -13,11 +13,11 @@
     DECISION_DEADLINE_SHARE,
     PUMP_INTERVAL_S,
     EngineQueue,
-    Waiter,
 )
 from leadhollow.decide.engine_request import HOLD_SHARE, EngineRequest, Placement, QueuePriority
 from leadhollow.decide.policy import QueuePolicy
 from leadhollow.decide.server import Server
+from leadhollow.decide.waiter import Waiter
 from leadhollow.experiment.callers import Caller, draw_callers
 from leadhollow.experiment.emulated_backoffs import EmulatedBackoffs
 from leadhollow.experiment.emulated_engine import EmulatedEngine, EngineTask
@@ -52,6 +52,7 @@
         "_random",
         "_relay",
         "_service",
+        "_urgencies",
         "callers",
         "clock",
         "engines",
@@ -67,6 +68,7 @@
             clock=self.clock, policy=policy, backoff_s=scenario.rest_s, seed=seed
         )
         self._service = ServiceRecord(name=SERVICE, engine=scenario.engine)
+        self._urgencies = len({kind.urgency for kind in scenario.kinds})
         self.engines: dict[str, EmulatedEngine] = {}
         self.entries: list[EmulatedEntry] = []
         self._relay = EmulatedRelay(
@@ -196,6 +198,8 @@
             request_id="",
             excluded=set(),
             last_attempt=False,
+            urgency=caller.kind.urgency,
+            urgencies=self._urgencies,
         )
         self._submit(entry, caller, request)
 
@@ -235,6 +239,7 @@
         task = EngineTask(
             prompt_tokens=caller.prompt_tokens,
             events=caller.events,
+            priority=placement.engine_priority or 0,
             on_first_event=lambda: self.clock.call_after_ms(
                 self.scenario.way_ms, lambda: self._on_first_event(caller, placement)
             ),
--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+
 from leadhollow.decide.eligibility import allowed_regions
 from leadhollow.forward.dialect import DispatchMetadata, RequestMetadata
 from leadhollow.forward.request_body import RequestBody
@@ -22,6 +24,8 @@
         Group of the caller; None on a public route.
     fingerprint
         Digest that all attempts of all callers at the same request share.
+    ranks
+        Distinct ranks that the route table gives the service, in ascending order.
 
     Attributes
     ----------
@@ -47,6 +51,7 @@
         "last_instance",
         "metadata",
         "organisation",
+        "ranks",
         "received_s",
         "regions",
         "reply",
@@ -69,7 +74,9 @@
         reply: ReplyWriter,
         received_s: float,
         fingerprint: bytes,
+        ranks: tuple[int, ...] = (),
     ) -> None:
+        self.ranks = ranks
         self.fingerprint = fingerprint
         self.head = head
         self.body = body
@@ -114,6 +121,11 @@
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def urgency(self) -> int:
+        """Number of ranks of the service that are more urgent."""
+        return bisect_left(self.ranks, self.rank) if len(self.ranks) > 1 else 0
+
     def record_dispatch(self, instance: str) -> None:
         """Record that the request is sent to a backend server now."""
         self.last_instance = instance
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -180,12 +180,13 @@
         if collected.is_err():
             return Err(collected.unwrap_err())
         organisation = found.unwrap()
+        service = self._chooser.choose(route)
         call = ForwardedCall(
             head=request.head,
             body=body,
             metadata=metadata,
             route=route,
-            service=self._chooser.choose(route),
+            service=service,
             organisation=organisation,
             reply=reply,
             received_s=request.received_s,
@@ -194,6 +195,7 @@
                 body,
                 organisation="" if organisation is None else organisation.name,
             ),
+            ranks=self._routes.ranks(service),
         )
         self._chooser.record_request(call.service)
         return Ok(call)
--- a/src/leadhollow/forward/engine_placement.py
+++ b/src/leadhollow/forward/engine_placement.py
@@ -7,8 +7,9 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
-from leadhollow.decide.engine_queue import EngineQueue, Waiter
+from leadhollow.decide.engine_queue import EngineQueue
 from leadhollow.decide.engine_request import EngineRequest, Placement
+from leadhollow.decide.waiter import Waiter
 from leadhollow.failure import Failure
 from leadhollow.kernel.active_time import deadline_at
 
--- a/src/leadhollow/forward/engine_request_factory.py
+++ b/src/leadhollow/forward/engine_request_factory.py
@@ -4,6 +4,7 @@
 
 from leadhollow.decide.engine_queue import DECISION_DEADLINE_SHARE
 from leadhollow.decide.engine_request import HOLD_SHARE, EngineRequest, QueuePriority
+from leadhollow.decide.pressure import MAX_URGENCY
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.routing.model import Route, ServiceRecord
 
@@ -70,6 +71,8 @@
         excluded=excluded,
         last_attempt=call.attempts + 1 >= call.route.attempts,
         rank=call.rank,
+        urgency=min(call.urgency, MAX_URGENCY),
+        urgencies=len(call.ranks),
         lost_domains=lost_domains,
         regions=call.regions,
     )
--- a/src/leadhollow/forward/failure_response.py
+++ b/src/leadhollow/forward/failure_response.py
@@ -113,6 +113,7 @@
             begun=call.reply.started,
             fingerprint=short_fingerprint(call.fingerprint),
             route=call.route.name,
+            rank=call.rank,
             status=None if status is None else int(status),
             code=None if failure is None else int(failure.code),
             detail="" if failure is None else failure.detail,
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -144,6 +144,7 @@
             instance=self.instance,
             version=placement.expected_version,
             last_event_id=last_event_id,
+            urgency=placement.engine_priority,
         )
         call.attempts += 1  # undone if it is certain that nothing ran
         near_deadline = placement.begin_by_s - asyncio.get_running_loop().time() < NEAR_DEADLINE_S
--- a/src/leadhollow/forward/use_reporter.py
+++ b/src/leadhollow/forward/use_reporter.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from leadhollow.decide.pressure import DecisionCounts
+from leadhollow.decide.pressure import DecisionCounts, DecisionKey
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.kernel.batching_service import BatchingService
 from leadhollow.membership.control_feed import ControlFeed
@@ -44,7 +44,7 @@
         self,
         *,
         directory: ServerDirectory,
-        decisions: Callable[[], Mapping[str, DecisionCounts]],
+        decisions: Callable[[], Mapping[DecisionKey, DecisionCounts]],
         feed: ControlFeed,
         peers: PeerPool,
     ) -> None:
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
-from leadhollow.decide.pressure import DecisionCounts
+from leadhollow.decide.pressure import DecisionCounts, DecisionKey
 from leadhollow.failure import Failure
 from leadhollow.kernel import active_time, clocks
 from leadhollow.kernel.task_service import TaskService
@@ -59,7 +59,7 @@
 
 LoadListener = Callable[[LoadRecord, float], None]
 UseListener = Callable[[dict[str, Use], bool], None]
-DecisionsListener = Callable[[dict[str, DecisionCounts]], None]
+DecisionsListener = Callable[[dict[DecisionKey, DecisionCounts]], None]
 SuspectsListener = Callable[[SuspectNews, bool], None]
 LimitsListener = Callable[[LimitNews, bool], None]
 LeaseListener = Callable[[LimitLease], None]
--- a/src/leadhollow/membership/uses.py
+++ b/src/leadhollow/membership/uses.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
-from leadhollow.decide.pressure import DecisionCounts
+from leadhollow.decide.pressure import DecisionCounts, DecisionKey
 from leadhollow.failure import Failure
 from leadhollow.wire.generated.ttypes import EngineUse, ServiceDecisions
 
@@ -84,19 +84,29 @@
     return Ok(found)
 
 
-def encode_decisions(decisions: Mapping[str, DecisionCounts]) -> list[ServiceDecisions]:
+def encode_decisions(decisions: Mapping[DecisionKey, DecisionCounts]) -> list[ServiceDecisions]:
     """Encode the decisions on requests of each service with at least ``MIN_REFUSED`` refusals."""
+    refused: dict[str, float] = {}
+    for key, found in decisions.items():
+        refused[key.service] = refused.get(key.service, 0.0) + found.refused
     return [
-        ServiceDecisions(name, round(found.made * MILLI), round(found.refused * MILLI))
-        for name, found in decisions.items()
-        if found.refused >= MIN_REFUSED
+        ServiceDecisions(
+            key.service,
+            round(found.made * MILLI),
+            round(found.refused * MILLI),
+            key.urgency or None,
+        )
+        for key, found in decisions.items()
+        if refused[key.service] >= MIN_REFUSED
     ]
 
 
-def decode_decisions(records: Iterable[ServiceDecisions] | None) -> dict[str, DecisionCounts]:
-    """Decode the decisions on requests, keyed by service."""
+def decode_decisions(
+    records: Iterable[ServiceDecisions] | None,
+) -> dict[DecisionKey, DecisionCounts]:
+    """Decode the decisions on requests."""
     return {
-        record.name: DecisionCounts(
+        DecisionKey(service=record.name, urgency=record.urgency or 0): DecisionCounts(
             made=(record.made_milli or 0) / MILLI, refused=(record.refused_milli or 0) / MILLI
         )
         for record in records or ()
--- a/src/leadhollow/routing/index.py
+++ b/src/leadhollow/routing/index.py
@@ -14,6 +14,7 @@
     ServiceRecord,
     TableNumber,
 )
+from leadhollow.routing.ranks import ServiceRanks
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem, CatalogValue
 
@@ -76,6 +77,7 @@
         "_by_host",
         "_by_key",
         "_organisations",
+        "_ranks",
         "keyed",
         "limits",
         "number",
@@ -86,6 +88,7 @@
         self._by_host: dict[str, _HostRoutes] = {}
         self._by_key: dict[str, CatalogValue] = {}  # indexed values by the key of their item
         self._organisations: dict[str, Organisation] = {}
+        self._ranks = ServiceRanks()
         self.services: dict[str, ServiceRecord] = {}
         self.limits = CallerLimits()
         self.number = 0
@@ -107,6 +110,10 @@
         """Return the group of a key, None if the key is unknown."""
         return self._organisations.get(hashlib.sha256(key.encode()).hexdigest())
 
+    def ranks(self, service: str) -> tuple[int, ...]:
+        """Return the distinct ranks of the requests for a service, in ascending order."""
+        return self._ranks.of(service, keyed=self.keyed)
+
     def _on_change(self, items: list[CatalogItem]) -> None:
         """Apply changed items.
 
@@ -127,9 +134,11 @@
         match value:
             case Route():
                 self._by_host[value.host.lower()].remove(value)
+                self._ranks.remove_route(value)
             case ServiceRecord():
                 del self.services[value.name]
             case Organisation():
+                self._ranks.remove_group(value)
                 for key in value.key_sha256s:
                     self._organisations.pop(key, None)
 
@@ -137,9 +146,11 @@
         match value:
             case Route():
                 self._by_host.setdefault(value.host.lower(), _HostRoutes()).add(value)
+                self._ranks.add_route(value)
             case ServiceRecord():
                 self.services[value.name] = value
             case Organisation():
+                self._ranks.add_group(value)
                 self._organisations.update(dict.fromkeys(value.key_sha256s, value))
             case CallerLimits() if key == LIMITS_KEY:
                 self.limits = value
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -48,8 +48,9 @@
 // What entries have at an engine, told at once so that they do not choose the same one unseen. The
 // engine is a place in the list of addresses of the message; a feed goes on counting from update to update.
 struct EngineUse { 1: i32 engine; 2: i32 requests; 3: i32 unread_tokens }
-// New requests for a service that were decided on lately, in thousandths, and those refused of them.
-struct ServiceDecisions { 1: string name; 2: i32 made_milli; 3: i32 refused_milli }
+// New requests for a service that were decided on lately, in thousandths, and those refused of them. The urgency is
+// left out for the most urgent requests, and so where the table gives a service only one.
+struct ServiceDecisions { 1: string name; 2: i32 made_milli; 3: i32 refused_milli; 4: i32 urgency }
 struct UseReport { 1: list<string> engines; 2: list<EngineUse> uses; 3: bool whole; 4: list<ServiceDecisions> decisions }
 struct UseTotals { 1: string address; 2: list<string> engines; 3: list<EngineUse> uses; 4: bool whole; 5: list<ServiceDecisions> decisions }
 // A life of a backend server that ended, the fingerprints of requests that ran there, and those of them that
--- a/tests/control/test_use_aggregator.py
+++ b/tests/control/test_use_aggregator.py
@@ -9,8 +9,14 @@
 
 from leadhollow.codes import Code
 from leadhollow.control.use_aggregator import VALID_S, UseAggregator
-from leadhollow.decide.pressure import DecisionCounts
-from leadhollow.membership.uses import Use, decode_uses, encode_decisions, encode_uses
+from leadhollow.decide.pressure import DecisionCounts, DecisionKey
+from leadhollow.membership.uses import (
+    Use,
+    decode_decisions,
+    decode_uses,
+    encode_decisions,
+    encode_uses,
+)
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
 from leadhollow.wire.generated.ttypes import EngineUse, UseReport, UseTotals
@@ -72,7 +78,7 @@
     uses: dict[str, Use],
     *,
     whole: bool = False,
-    decisions: dict[str, DecisionCounts] | None = None,
+    decisions: dict[DecisionKey, DecisionCounts] | None = None,
 ) -> PeerPool:
     """Send a use report as an entry does."""
     peers = PeerPool(vm=vm, failure_domain="d", token=TOKEN, handlers=HandlerTable())
@@ -174,13 +180,22 @@
         async def work(one: Node, two: Node) -> None:
             peers = [
                 await send_use_report(
-                    one, "entry-1", {}, decisions={"m": DecisionCounts(made=10.0, refused=4.0)}
+                    one,
+                    "entry-1",
+                    {},
+                    decisions={DecisionKey("m"): DecisionCounts(made=10.0, refused=4.0)},
                 ),
                 await send_use_report(
-                    one, "entry-2", {}, decisions={"m": DecisionCounts(made=10.0, refused=1.0)}
+                    one,
+                    "entry-2",
+                    {},
+                    decisions={DecisionKey("m"): DecisionCounts(made=10.0, refused=1.0)},
                 ),
                 await send_use_report(
-                    two, "entry-3", {}, decisions={"m": DecisionCounts(made=10.0, refused=7.0)}
+                    two,
+                    "entry-3",
+                    {},
+                    decisions={DecisionKey("m"): DecisionCounts(made=10.0, refused=7.0)},
                 ),
             ]
             for node in (one, two):
@@ -193,9 +208,23 @@
         run_with_nodes(work)
 
     def test_nothing_is_encoded_without_refusals(self):
-        assert encode_decisions({"m": DecisionCounts(made=50.0, refused=0.0)}) == []
+        assert encode_decisions({DecisionKey("m"): DecisionCounts(made=50.0, refused=0.0)}) == []
+
+    def test_urgency_survives_encoding(self):
+        decisions = {
+            DecisionKey("m", 0): DecisionCounts(made=50.0, refused=0.0),
+            DecisionKey("m", 2): DecisionCounts(made=20.0, refused=10.0),
+        }
+        decoded = decode_decisions(encode_decisions(decisions))
+        assert decoded.keys() == decisions.keys()
+        assert decoded[DecisionKey("m", 0)].made == 50.0
+        assert decoded[DecisionKey("m", 2)].refused == 10.0
+
+    def test_urgency_takes_no_bytes_where_it_is_the_same_for_all(self):
+        decisions = {DecisionKey("m"): DecisionCounts(made=50.0, refused=10.0)}
+        assert encode_decisions(decisions)[0].urgency is None
 
 
 def refused(node: Node, *, without: str = "") -> float:
-    found = node.uses.decisions(excluding=without).get("m")
+    found = node.uses.decisions(excluding=without).get(DecisionKey("m"))
     return 0.0 if found is None else found.refused
--- a/tests/routing/test_index_updates.py
+++ b/tests/routing/test_index_updates.py
@@ -36,6 +36,8 @@
                 prefix=prefix,
                 host=host,
                 timeout_ms=1_000 * routes[host, prefix],
+                priority=routes[host, prefix],
+                public=prefix == "/x/",
                 targets=(Target(service="s", weight=1.0),),
             )
             for host, prefix in unique.values()
@@ -43,7 +45,9 @@
         services=tuple(ServiceRecord(name=name) for name in sorted(services)),
         organisations=tuple(
             Organisation(
-                name=name, key_sha256s=tuple(digest(key) for key in keys if keys[key] == name)
+                name=name,
+                key_sha256s=tuple(digest(key) for key in keys if keys[key] == name),
+                priority=number if name == "g1" else None,
             )
             for name in ("g0", "g1")
         ),
@@ -57,6 +61,7 @@
         "routes": {(host, path): index.route(host, path) for host in HOSTS for path in PATHS},
         "groups": {key: index.organisation(key) for key in KEYS},
         "services": index.services,
+        "ranks": {service: index.ranks(service) for service in ("s", "t")},
         "number": (index.number, index.keyed, index.limits),
     }
 
