--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+
 from leadhollow.decide.eligibility import Regions
 from leadhollow.forward.call_regions import CallRegions
 from leadhollow.forward.dialect import DispatchMetadata, RequestMetadata
@@ -25,6 +27,8 @@
         Digest that all attempts of all callers at the same request share.
     bounds
         Regions in which the call may be served.
+    ranks
+        Distinct ranks that the route table gives the service, in ascending order.
 
     Attributes
     ----------
@@ -49,6 +53,7 @@
         "last_instance",
         "metadata",
         "organisation",
+        "ranks",
         "received_s",
         "reply",
         "route",
@@ -71,8 +76,10 @@
         received_s: float,
         fingerprint: bytes,
         bounds: CallRegions,
+        ranks: tuple[int, ...] = (),
     ) -> None:
         self._bounds = bounds
+        self.ranks = ranks
         self.fingerprint = fingerprint
         self.head = head
         self.body = body
@@ -119,6 +126,11 @@
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def urgency(self) -> int:
+        """Number of ranks of the service that are more urgent."""
+        return bisect_left(self.ranks, self.rank) if len(self.ranks) > 1 else 0
+
     def record_dispatch(self, instance: str) -> None:
         """Record that the request is sent to a backend server now."""
         self.last_instance = instance
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -189,12 +189,13 @@
         collected = await body.collect()
         if collected.is_err():
             return Err(collected.unwrap_err())
+        service = self._chooser.choose(route, bounds.allowed())
         call = ForwardedCall(
             head=request.head,
             body=body,
             metadata=metadata,
             route=route,
-            service=self._chooser.choose(route, bounds.allowed()),
+            service=service,
             organisation=organisation,
             reply=reply,
             received_s=request.received_s,
@@ -204,6 +205,7 @@
                 organisation="" if organisation is None else organisation.name,
             ),
             bounds=bounds,
+            ranks=self._routes.ranks(service),
         )
         self._chooser.record_request(call.service)
         return Ok(call)
