--- a/src/leadhollow/bench/request_path.py
+++ b/src/leadhollow/bench/request_path.py
@@ -25,6 +25,7 @@
 from leadhollow.experiment.patterns import ENGINE
 from leadhollow.experiment.server_view import ServerView, SingleVersion
 from leadhollow.failure import Failure
+from leadhollow.forward.call_regions import CallRegions
 from leadhollow.forward.dialect import ResponseMetadata
 from leadhollow.forward.events import EventSplitter
 from leadhollow.forward.fingerprint import fingerprint_of
@@ -39,7 +40,7 @@
 from leadhollow.membership.instances import Instance, InstanceState, ServedVersion
 from leadhollow.membership.packed_uses import pack_uses, unpack_uses
 from leadhollow.membership.uses import Use
-from leadhollow.routing.model import ServiceRecord
+from leadhollow.routing.model import Organisation, ServiceRecord
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 
@@ -103,12 +104,15 @@
         One event of a stream.
     answer_us
         What an answer says of its server is looked for, and there is nothing.
+    regions_us
+        The regions of a request are found, and asked at its send, where nothing is bound.
     """
 
     fingerprint_us: float
     head_us: float
     event_us: float
     answer_us: float
+    regions_us: float
     routes: list[RouteCost]
     choices: list[ChoiceCost]
     shares: list[ShareCost]
@@ -130,6 +134,7 @@
             head_us=_median_us(head.encode),
             event_us=_median_us(partial(splitter.feed, event)),
             answer_us=_answer_us(),
+            regions_us=_regions_us(),
             routes=[_route_cost(size) for size in ROUTES],
             choices=[_choice_cost(engines) for engines in ENGINES],
             shares=[_share_cost(*size) for size in LIMITED_FLEETS],
@@ -149,6 +154,24 @@
     return RouteCost(routes=size, lookup_us=_median_us(found))
 
 
+def _regions_us() -> float:
+    index = route_index(ROUTES[0])
+    host, path = "host1.example", f"/{1:08x}/a/b/c"
+    route = index.route(host, path)
+    assert route is not None
+    group = Organisation(name="group")
+
+    def ask() -> None:
+        regions = CallRegions(
+            routes=index, host=host, path=path, key="key", route=route, organisation=group
+        )
+        regions.allowed()  # for the choice of a service
+        regions.allowed()  # for the choice of an engine
+        regions.allowed()  # for the send
+
+    return _median_us(ask)
+
+
 def _choice_cost(engines: int) -> ChoiceCost:
     view = ServerView()
     for number in range(engines):
--- a/tests/bench/test_request_path.py
+++ b/tests/bench/test_request_path.py
@@ -17,6 +17,7 @@
         for cost in report.choices:
             assert min(cost.decide_us, cost.decide_limited_us, cost.told_us) > 0
         assert min(report.fingerprint_us, report.head_us, report.event_us, report.answer_us) > 0
+        assert report.regions_us > 0
         assert [(cost.entries, cost.limited) for cost in report.shares] == list(
             request_path.LIMITED_FLEETS
         )
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -28,6 +28,12 @@
     ORDER = "order"  # at most once
     LOOKUP = "lookup"
     STREAM = "stream"
+    BOUND = "bound"  # a stream whose route is bound to other regions by each configuration
+    GROUP = "group"  # a stream whose group is always bound to `GROUP_REGIONS`
+
+
+STREAM_KINDS = frozenset({Kind.STREAM, Kind.BOUND, Kind.GROUP})
+GROUP_REGIONS = frozenset({"a"})  # each failure domain is a region of the same name
 
 
 class Run:
@@ -54,6 +60,11 @@
         self.ended_s: float | None = None
         self.cut_s: float | None = None
 
+    @property
+    def region(self) -> str:
+        """Region in which it began."""
+        return self.instance.split("-")[-2]
+
 
 class Told:
     """What a caller was told.
@@ -127,12 +138,15 @@
 class Table:
     """A configuration that was sent."""
 
-    __slots__ = ("acknowledged_s", "body", "lookup_service", "number")
+    __slots__ = ("acknowledged_s", "body", "lookup_service", "number", "regions")
 
-    def __init__(self, *, number: int, body: bytes, lookup_service: str) -> None:
+    def __init__(
+        self, *, number: int, body: bytes, lookup_service: str, regions: frozenset[str]
+    ) -> None:
         self.number = number
         self.body = body
         self.lookup_service = lookup_service
+        self.regions = regions  # of the bound route
         self.acknowledged_s: float | None = None
 
 
@@ -225,6 +239,7 @@
             found += self._judge_success(told, runs)
         if told.kind is Kind.LOOKUP:
             found += self._judge_route(told, runs)
+        found += [text for run in runs for text in self._judge_region(told, run)]
         if told.status >= FAILURE and self.calm(told.told_s) and self.calm(told.sent_s):
             found += self._judge_failure(told, runs)
         return found
@@ -271,6 +286,19 @@
             if run.service not in allowed
         ]
 
+    def _judge_region(self, told: Told, run: Run) -> list[str]:
+        if told.kind is Kind.GROUP:
+            allowed = [GROUP_REGIONS]
+        elif told.kind is Kind.BOUND and self.calm(run.began_s):
+            oldest = self.acknowledged(run.began_s - IN_FORCE_S)
+            allowed = [table.regions for table in self.tables if table.number >= oldest]
+        else:
+            return []
+        if any(run.region in regions for regions in allowed):
+            return []
+        found = [sorted(regions) for regions in allowed]
+        return [f"REGION {told.request}: sent to {run.instance} by {told.entry}, allowed {found}"]
+
     def _judge_version(self, run: Run) -> list[str]:
         if not run.version or not self.calm(run.began_s):
             return []
@@ -282,8 +310,10 @@
 
 __all__ = [
     "CONTACT_S",
+    "GROUP_REGIONS",
     "IN_FORCE_S",
     "PROMISED_NOT_RUN",
+    "STREAM_KINDS",
     "Kind",
     "Ledger",
     "Limit",
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -149,7 +149,7 @@
 class TestBounds:
     def lookup(self, ledger: Ledger, *, sent_s: float) -> None:
         for number, service in ((1, "left"), (2, "right")):
-            table = Table(number=number, body=b"", lookup_service=service)
+            table = Table(number=number, body=b"", lookup_service=service, regions=frozenset())
             table.acknowledged_s = START_S
             ledger.tables.append(table)
         ran(ledger, "r", service="left", began_s=sent_s)
@@ -172,6 +172,29 @@
         self.lookup(ledger, sent_s=sent_s)
         assert rules(ledger) == []
 
+    @pytest.mark.parametrize(("region", "broken"), [("a", []), ("b", ["REGION"])])
+    def test_a_request_of_a_bound_group_outside_its_regions(self, region, broken):
+        ledger = Ledger()
+        ran(ledger, "r", instance=f"i-models-{region}-1")
+        told(ledger, "r", Kind.GROUP, 0)
+        ledger.disturbances.append(START_S)  # no fault excuses it
+        assert rules(ledger) == broken
+
+    @pytest.mark.parametrize(
+        ("after_s", "broken"), [(IN_FORCE_S - 0.1, []), (IN_FORCE_S + 0.1, ["REGION"])]
+    )
+    def test_a_request_of_a_bound_route_in_a_former_region(self, after_s, broken):
+        ledger = Ledger()
+        for number, regions in ((1, {"a", "b"}), (2, {"b"})):
+            table = Table(
+                number=number, body=b"", lookup_service="left", regions=frozenset(regions)
+            )
+            table.acknowledged_s = START_S
+            ledger.tables.append(table)
+        ran(ledger, "r", instance="i-models-a-1", began_s=START_S + after_s)
+        told(ledger, "r", Kind.BOUND, 0)
+        assert rules(ledger) == broken
+
     @pytest.mark.parametrize(("late_s", "broken"), [(-0.1, []), (0.1, ["VERSION"])])
     def test_weights_that_are_too_old(self, late_s, broken):
         ledger = Ledger()
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -5,28 +5,38 @@
 import asyncio
 import json
 import random
+from collections.abc import Collection
 
 import aiohttp
 
 from tests.soak.backend import event
-from tests.soak.ledger import Kind, Ledger, Table, Told
+from tests.soak.ledger import GROUP_REGIONS, STREAM_KINDS, Kind, Ledger, Table, Told
 from tests.soak.stream_judge import ATTEMPTS, TIMEOUT_S
 from tests.soak.weights import LAYERS, MODEL, PIECE_BYTES, PIECES
-from tests.soak.world import World
+from tests.soak.world import ZONES, World
 
 HOST = "soak.example"
 KEY = "key-of-the-soak"
+BOUND_KEY = "key-of-the-bound-group"
 TIMEOUT_MS = 3_000
 PAUSE_S = 0.06
 CALLERS = 10
 OPERATOR_TIMEOUT_S = 1.5
 STREAMS = {"once": False, "more": True}  # by whether they may be resumed
-KINDS = {Kind.ORDER: "non_idempotent", Kind.LOOKUP: "idempotent", Kind.STREAM: "streaming"}
-
-
-def table_body(number: int, lookup_service: str, origin: str) -> bytes:
+KINDS = {
+    Kind.ORDER: "non_idempotent",
+    Kind.LOOKUP: "idempotent",
+    Kind.STREAM: "streaming",
+    Kind.BOUND: "streaming",
+    Kind.GROUP: "streaming",
+}
+
+
+def table_body(
+    number: int, lookup_service: str, origin: str, regions: Collection[str] = ()
+) -> bytes:
     """Write a configuration."""
-    services = {Kind.ORDER: "orders", Kind.LOOKUP: lookup_service, Kind.STREAM: "models"}
+    services = {Kind.ORDER: "orders", Kind.LOOKUP: lookup_service}
     routes = [
         {
             "name": f"r-{kind.value}",
@@ -35,10 +45,11 @@
             "type": wire_type,
             "timeoutMs": TIMEOUT_MS,
             "targetLatencyMs": 600,
-            "service": services[kind],
+            "service": services.get(kind, "models"),
             "maxAttempts": 3,
-            "resumable": kind is Kind.STREAM,
+            "resumable": kind in STREAM_KINDS,
             "gapTargetMs": 400,
+            "allowedRegions": sorted(regions) if kind is Kind.BOUND else [],
         }
         for kind, wire_type in KINDS.items()
     ]
@@ -73,7 +84,10 @@
         "version": number,
         "routes": routes,
         "services": [*plain, models, weights],
-        "tenants": [{"name": "group", "apiKeys": [KEY]}],
+        "tenants": [
+            {"name": "group", "apiKeys": [KEY]},
+            {"name": "bound", "apiKeys": [BOUND_KEY], "allowedRegions": sorted(GROUP_REGIONS)},
+        ],
     }
     return json.dumps(document).encode()
 
@@ -85,13 +99,15 @@
         self._world = world
         self._ledger = world.ledger
         self._number = 0
+        self._regions = random.Random(f"regions {world.seed}")
 
     async def change(self, *, patience_s: float = 30.0) -> bool:
         """Send one more configuration, that moves the lookups to the other service."""
         self._number += self._world.random.randint(1, 3)
         service = self._world.random.choice(["left", "right"])
-        body = table_body(self._number, service, self._world.origin_proxy.address)
-        table = Table(number=self._number, body=body, lookup_service=service)
+        regions = frozenset(self._regions.sample(ZONES, self._regions.randint(1, 2)))
+        body = table_body(self._number, service, self._world.origin_proxy.address, regions)
+        table = Table(number=self._number, body=body, lookup_service=service, regions=regions)
         self._ledger.tables.append(table)
         if not await self._insist("PUT", "/-/config", body, patience_s):
             return False
@@ -191,17 +207,17 @@
             kind=kind,
             entry=entry,
             sent_s=self._ledger.now_s(),
-            wanted=wanted if kind is Kind.STREAM else b"",
+            wanted=wanted if kind in STREAM_KINDS else b"",
         )
         self._ledger.told.append(told)
         self._ledger.senders[request] = self._world.sender(entry)
         headers = {
             "Host": HOST,
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer {BOUND_KEY if kind is Kind.GROUP else KEY}",
             "X-Attempt-Id": request,
             "X-Deadline-Ms": str(TIMEOUT_MS),
         }
-        if kind is Kind.STREAM:
+        if kind in STREAM_KINDS:
             headers |= {"X-Model": MODEL, "X-Token-Usage": f"200,{events}"}
         await self._exchange(told, f"http://{entry}/{kind.value}/{events}", headers)
         return told
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -123,6 +123,7 @@
             "vm": f"{role}-{zone}",
             "region": zone,
             "failure_domain": zone,
+            "regions": {each: each for each in ZONES},
             "role": role,
             "host": host,
             "ports": [self._port, self._port + 9],
