--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -107,7 +107,14 @@
         regions
             Regions in which the request may be served; None if all may serve it.
         """
-        return self.fixed_reason(regions) or self._momentary_reason()
+        reason = self.fixed_reason(regions)
+        if reason is not None:
+            return reason
+        if self.backoff is not None and not self.backoff.admits():
+            return Code.SERVER_RESTS
+        if self.send_limiter is not None and not self.send_limiter.admits():
+            return Code.SERVER_LIMITED
+        return None
 
     def in_reach(self, regions: Regions | None) -> bool:
         """Tell whether a request may go to the server as soon as it has a token and no back-off."""
@@ -125,13 +132,6 @@
             return Code.DRAINING
         return self._domains.reason_against(self.instance.failure_domain, regions)
 
-    def _momentary_reason(self) -> Code | None:
-        if self.backoff is not None and not self.backoff.admits():
-            return Code.SERVER_RESTS
-        if self.send_limiter is not None and not self.send_limiter.admits():
-            return Code.SERVER_LIMITED
-        return None
-
     def claim_send(self, call: OwnCall) -> Code | None:
         """Mark a placed request as sent, or return the reason why it must not be sent.
 
