--- a/tests/node/test_evacuation.py
+++ b/tests/node/test_evacuation.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
 
 import uvloop
 
 from leadhollow.node.entry_role import EntryDispatcher
-from tests.node.site import Site
+from tests.node.site import HOST, PlainServer, Site, route
 from tests.node.streaming import (
     Script,
     StreamClient,
@@ -21,6 +22,7 @@
 
 LONG_SCRIPT = Script(events=12, pause_s=0.1)
 ENTRIES = 2
+attempt_numbers = itertools.count(1_000_000)
 
 Work = Callable[[Site, StreamingEngine, StreamingEngine], Awaitable[None]]
 
@@ -198,3 +200,36 @@
             assert await site.order("POST", "") == 400
 
         run_on_site(tmp_path, work)
+
+
+class TestPlainServices:
+    # Guards against: plain services are not evacuated, or a caller isn't told why it is refused.
+    def test_are_evacuated_too(self, tmp_path):
+        near, far = (PlainServer(instance=name, service="s") for name in ("i-near", "i-far"))
+        far.failure_domain = "e"
+
+        async def served_by(site: Site) -> tuple[int, bytes]:
+            headers = {"Host": HOST, "X-Attempt-Id": f"{next(attempt_numbers):016x}"}
+            async with site.http.get(f"http://{site.callers}/a/b", headers=headers) as answer:
+                return answer.status, await answer.read()
+
+        async def run() -> None:
+            async with Site(folder=tmp_path, servers=[near, far], entries=ENTRIES) as site:
+                await site.put_routes(route("/a/", "s"))
+
+                async def serves() -> bool:
+                    return await served_by(site) == (200, b"i-near")
+
+                await eventually(serves, "an answer of the near server")
+                assert await site.order("POST", "d") == 200
+                await wait_in_force(site, "d")
+                assert {await served_by(site) for _ in range(10)} == {(200, b"i-far")}
+                assert await site.order("POST", "e") == 200
+                await wait_in_force(site, "d", "e")
+                assert await served_by(site) == (503, b"522 domain evacuated\n")
+                assert await site.order("DELETE", "d") == 200
+                await wait_in_force(site, "e")
+                assert await served_by(site) == (200, b"i-near")
+
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(run())
