Answer an order in time while the leader accepts no connection

Cause: a replica that is cut off from the leader connected to it for up to 1 s, past the 0.9 s of an order; its caller left without an answer. Change: connecting is part of the time of a proposal. Figures: tests/state/test_gateway.py fails before (no response in 30 s) and passes; tests/state, tests/control and tests/config_path/test_evacuations.py pass.

--- a/src/leadhollow/state/gateway.py
+++ b/src/leadhollow/state/gateway.py
@@ -109,11 +109,18 @@
         leader = self.leader_address()
         if leader is None:
             return Err(Failure(code=Code.NO_MAJORITY, detail="no leader is known"))
-        connected = await self._peers.connection(leader)
+        began_s = active_s()
+        try:
+            async with active_timeout(left_s):
+                connected = await self._peers.connection(leader)
+        except TimeoutError:
+            detail = f"the leader at {leader} was not reached in time"
+            return Err(Failure(code=Code.NO_MAJORITY, detail=detail))
         if connected.is_err():
             return Err(Failure(code=Code.NO_MAJORITY, detail=str(connected.unwrap_err())))
         request = ProposeRequest(encode(command))
-        reply = await connected.unwrap().call(request, timeout_ms=left_s * 1000)
+        left_s -= active_s() - began_s
+        reply = await connected.unwrap().call(request, timeout_ms=max(0.0, left_s) * 1000)
         if reply.is_err():
             return Err(reply.unwrap_err())
         return decode_answer(reply.unwrap().answer)
