Let fewer entries hold leases of a cold server, and tokens lapse sooner

Change: a holder for each 2.5 requests of the bound beyond the rate (5 at 18 a second), unused tokens of the unleased share lapse after 0.3 s. The test of a strict bound names the constant instead of its value.

--- a/src/leadhollow/decide/cold_servers.py
+++ b/src/leadhollow/decide/cold_servers.py
@@ -22,9 +22,9 @@
 """Share of the rate that entries without a lease divide evenly. All servers may be cold at once,
 after a loss of power, when there is no leader that leases shares yet."""
 
-COLD_TOKEN_VALID_S = 0.5  # with the share above, unused tokens are at most 0.3 s of the rate
+COLD_TOKEN_VALID_S = 0.3  # with the share above, unused tokens are at most 0.18 s of the rate
 MAX_HOLDERS = 8  # of leases for one server
-SPARE_PER_HOLDER = 2.0
+SPARE_PER_HOLDER = 2.5
 """Requests of the bound beyond the rate for each holder of a lease, who may have saved a token. The
 rest is for leases that are ending and for entries that are out of touch."""
 
--- a/tests/decide/test_cold_servers.py
+++ b/tests/decide/test_cold_servers.py
@@ -6,7 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from leadhollow.decide.cold_servers import MARGIN_S, ColdServers, cold_limit
+from leadhollow.decide.cold_servers import (
+    MARGIN_S,
+    SPARE_PER_HOLDER,
+    ColdServers,
+    cold_limit,
+)
 from leadhollow.decide.eligibility import FailureDomains
 from leadhollow.decide.limit_table import LimitTable
 from leadhollow.decide.rate_source import StrictestRate
@@ -149,7 +154,7 @@
 
     def test_is_lower_where_the_bound_leaves_none(self):
         strict = Bounds(cold_overshoot=1.0, cold_slack=0.0)
-        assert cold_limit(18.0, strict).per_s == 16.0
+        assert cold_limit(18.0, strict).per_s == 18.0 - SPARE_PER_HOLDER
         assert cold_limit(18.0, strict).max_holders == 1
 
     @given(
