Use the whole link of an engine that starts from its first moment

Change: the wait for an engine that may hold pieces ends when nothing listens at its address; an engine that serves nothing leaves no part of its link to requests. The emulation of streams in tests/staging/swarm.py let the end of a stream overtake its last announcement, so that a stager that held everything was never known to.

--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -91,6 +91,10 @@
 
     window = PieceWindow(link_share=link_share)
 
+    def engine_serves() -> bool:
+        report = kernel.get("engine-watch", EngineMonitor).report
+        return report is not None and bool(report.served)
+
     def start_fetch(version: StagedVersion) -> PieceFetch:
         return PieceFetch(
             version=version,
@@ -102,6 +106,7 @@
             origin_bytes_per_s=origin_bytes_per_s,
             window=window,
             seed=process.seed,
+            serves=engine_serves,
         )
 
     def make_feed() -> Service:
--- a/src/leadhollow/staging/engine_monitor.py
+++ b/src/leadhollow/staging/engine_monitor.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from leadhollow.codes import Code
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.membership.control_feed import ControlFeed
 from leadhollow.membership.self_reports import leaving_report
@@ -38,6 +39,8 @@
 
     Attributes
     ----------
+    refused
+        Whether nothing listened at the engine's address when it was polled last.
     report
         Newest report, None while the engine does not answer.
     staged_progress
@@ -61,6 +64,7 @@
         "_published_state",
         "_report_interval_s",
         "life_number",
+        "refused",
         "report",
         "staged_progress",
         "switching",
@@ -88,6 +92,7 @@
         self._listeners: list[Callable[[], None]] = []
         self.report: EngineReport | None = None
         self.life_number = 0
+        self.refused = False
         self.switching = False
         self.staged_progress: Callable[[], tuple[int, int]] = lambda: (0, 0)
         super().__init__()
@@ -100,6 +105,7 @@
         """Poll the engine now."""
         self._check_life()
         result = await self._engine.report()
+        self.refused = result.is_err() and result.unwrap_err().code is Code.PEER_ABSENT
         if result.is_err():
             if self.report is not None:
                 log.warning("engine does not answer", failure=str(result.unwrap_err()))
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -36,7 +36,7 @@
 
 SWITCH_NOTICE_S = 0.15  # entries learn of the switch before the order is sent
 FIRST_START_WAIT_S = 4.0  # an engine needs a second or two to answer after its start
-RESTART_WAIT_S = 0.25  # a running engine answers at once, a starting one has an empty stage
+RESTART_WAIT_S = 0.25  # a running engine answers or refuses at once, if it can be reached
 FORCED_SWITCH_S = 0.6  # so long before the deadline all engines switch, whatever the others do
 DRAIN_TIMEOUT_S = 3.0
 """Longest time that requests in progress get to finish before an engine loads. Aborted requests
@@ -73,6 +73,7 @@
         "_catalog",
         "_engine",
         "_fetches",
+        "_first_start",
         "_idle",
         "_may_switch",
         "_models",
@@ -121,6 +122,7 @@
         self._version_s = version_s
         self._may_switch = may_switch
         self._started_s = active_s()
+        self._first_start = first_start
         self._stage_wait_s = FIRST_START_WAIT_S if first_start else RESTART_WAIT_S
         self._wake = asyncio.Event()
         self._idle = False  # whether the last step found nothing to do
@@ -270,6 +272,8 @@
 
     def _may_hold_stage(self) -> bool:
         """Return whether an engine that has not answered yet may already hold staged pieces."""
+        if self._monitor.refused and not self._first_start:
+            return False  # it is starting, so its stage is empty
         age_s = active_s() - self._started_s
         return not self._stage_recovered and age_s < self._stage_wait_s
 
--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -81,6 +81,8 @@
         Returns the speed of the origin's link, 0 if unknown.
     window
         Limits the pieces in flight to this VM, for all versions together.
+    serves
+        Returns whether requests may go to the engine; pieces get the whole link otherwise.
 
     Attributes
     ----------
@@ -124,6 +126,7 @@
         origin_bytes_per_s: Callable[[], float],
         window: PieceWindow,
         seed: int,
+        serves: Callable[[], bool] = lambda: True,
     ) -> None:
         self.version = version
         self.origin_only = False
@@ -131,9 +134,11 @@
         self._others = others
         self._origin = origin
         self._peers = peers
-        self._download = Pacer(
-            rate_bytes_per_s=lambda: link_bytes_per_s() * DOWNLOAD_SHARE, burst_s=BURST_S
-        )
+
+        def download_bytes_per_s() -> float:
+            return link_bytes_per_s() * (DOWNLOAD_SHARE if serves() else 1.0)
+
+        self._download = Pacer(rate_bytes_per_s=download_bytes_per_s, burst_s=BURST_S)
         delays = TakeoverDelays(
             piece_bytes=version.manifest.chunk_bytes,
             origin_bytes_per_s=origin_bytes_per_s,
--- a/tests/staging/engine_model.py
+++ b/tests/staging/engine_model.py
@@ -279,6 +279,8 @@
         self._engine = engine
         self.report: EngineReport | None = None
         self.life_number = 0
+        self.refuses = True  # whether nothing listens while it does not answer
+        self.refused = False
         self.switching = False
         self.published_switching = False  # what entries know
         self.staged_progress: Callable[[], tuple[int, int]] = lambda: (0, 0)
@@ -287,6 +289,7 @@
         self._engine.before_call("report")
         await asyncio.sleep(CALL_S)
         before, self.report = self.report, self._engine.report_now()
+        self.refused = self.report is None and self.refuses
         if self.report is not None and (before is None or before.born_ms != self.report.born_ms):
             self.life_number += 1
         return self.report
@@ -325,6 +328,7 @@
             )
         self.monitor = MonitorModel(self.engine)
         self.wrong_weights_used: list[Load] = []
+        self.fetches_started = 0
         self.catalog = Catalog()
         self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
         self.installer = Installer(
@@ -333,7 +337,7 @@
             monitor=self.monitor,
             store=PieceStore(),
             models=lambda: [MODEL],
-            start_fetch=lambda version: FetchModel(version, fetch_s),
+            start_fetch=lambda version: self._start_fetch(version, fetch_s),
             first_start=False,
             naming_times=self.naming_times,
             version_s=BOUND_S,
@@ -342,6 +346,10 @@
             window=PieceWindow(link_share=lambda: 1.0),
         )
 
+    def _start_fetch(self, version: StagedVersion, fetch_s: float) -> FetchModel:
+        self.fetches_started += 1
+        return FetchModel(version, fetch_s)
+
     def name(self, number: int) -> None:
         """Name a version."""
         self.naming_times.record(MODEL, number)
--- a/tests/staging/swarm.py
+++ b/tests/staging/swarm.py
@@ -166,7 +166,7 @@
         async def serve() -> None:
             handler = self._target.handlers.stream_handler(body)
             await handler(body, EmulatedSink(self, stream))
-            stream.queue.put_nowait(Ok(None))
+            self.reply(0, lambda: stream.queue.put_nowait(Ok(None)))
 
         target = self._target.stager.address
         self._network.send(self._source, target, 40, lambda: self._spawn(serve()))
@@ -285,6 +285,7 @@
             origin_bytes_per_s=lambda: swarm.origin_bytes_per_s,
             window=PieceWindow(link_share=link_share),
             seed=seed,
+            serves=lambda: swarm.serving,
         )
 
     def _link_share(self) -> float:
@@ -300,7 +301,15 @@
 
 
 class Swarm:
-    """A fleet that fetches one version."""
+    """A fleet that fetches one version.
+
+    Parameters
+    ----------
+    holders
+        Number of stagers that hold all pieces from the start.
+    serving
+        Whether requests go to the engines of the others meanwhile.
+    """
 
     def __init__(
         self,
@@ -311,7 +320,10 @@
         squeezed: int = 0,
         pieces: int = PIECES,
         origin_says_speed: bool = True,
+        holders: int = 0,
+        serving: bool = True,
     ) -> None:
+        self.serving = serving
         rng = random.Random(seed)
         data = [rng.randbytes(PIECE_BYTES) for _ in range(pieces)]
         self.origin_bytes_per_s = ORIGIN_BYTES_PER_S if origin_says_speed else 0.0
@@ -339,6 +351,9 @@
             self.nodes[stager.address] = Node(
                 self, stager, squeezed=position in slow_positions, seed=position
             )
+            if position < holders:
+                for index, piece in enumerate(data):
+                    self.nodes[stager.address].staged.add(index, piece)
         self._rng = rng
 
     async def run(self, until_s: float, *, restore_s: float = 5.0) -> None:
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -11,12 +11,18 @@
 from leadhollow.membership.instances import ServedVersion
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
-from leadhollow.staging.installer import DRAIN_TIMEOUT_S, SWITCH_NOTICE_S, Installer
+from leadhollow.staging.installer import (
+    DRAIN_TIMEOUT_S,
+    RESTART_WAIT_S,
+    SWITCH_NOTICE_S,
+    Installer,
+)
 from leadhollow.staging.piece_window import PieceWindow
 from leadhollow.staging.pieces import PieceStore, StagedVersion
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem
 from leadhollow.weights.named_versions import NamedVersion, weights_key
+from tests.staging.engine_model import InstallerSite, play
 from tests.staging.test_staging_units import PIECES, manifest
 from tests.support import eventually
 
@@ -83,6 +89,7 @@
     def __init__(self, engine: FakeEngine) -> None:
         self._engine = engine
         self.life_number = 1
+        self.refused = False
         self.switching = False
         self.staged_progress: Callable[[], tuple[int, int]] = lambda: (0, 0)
         self.switch_published_s: list[float] = []
@@ -217,6 +224,37 @@
         run_with_timeout(work)
 
 
+class TestEngineThatStarts:
+    # Guards against: an engine is added and its link idles until it is known to hold no pieces.
+    def test_pieces_are_fetched_at_once_if_nothing_listens_beside_an_added_process(self):
+        async def work() -> None:
+            site = InstallerSite(fetch_s=0.2)
+            site.engine.answering = False
+            await site.monitor.refresh()
+            site.name(2)
+            running = asyncio.create_task(site.run(1.0))
+            await asyncio.sleep(RESTART_WAIT_S - 0.1)
+            assert site.fetches_started == 1
+            await running
+
+        play(work)
+
+    # Guards against: the stage of an engine that answers late is fetched again over the link.
+    def test_pieces_are_awaited_while_an_engine_that_listens_does_not_answer(self):
+        async def work() -> None:
+            site = InstallerSite(fetch_s=0.2)
+            site.engine.answering = False
+            site.monitor.refuses = False
+            site.name(2)
+            running = asyncio.create_task(site.run(1.0))
+            await asyncio.sleep(RESTART_WAIT_S - 0.05)
+            assert site.fetches_started == 0
+            await running
+            assert site.fetches_started == 1
+
+        play(work)
+
+
 class TestSwitchNotice:
     def test_is_skipped_for_an_engine_that_serves_nothing(self):
         async def work() -> None:
--- a/tests/staging/test_swarm.py
+++ b/tests/staging/test_swarm.py
@@ -15,6 +15,14 @@
     return play(seed=0, per_domain=PER_DOMAIN)
 
 
+class TestAddedEngines:
+    # Guards against: engines that are added under load leave a part of their link to no requests.
+    def test_fetch_at_the_speed_of_their_link_while_they_serve_nothing(self):
+        swarm = play(seed=0, per_domain=4, holders=8, serving=False)
+        assert swarm.complete_s()[-1] <= 1.05 * LINK_S
+        assert swarm.origin.sent == 0
+
+
 class TestSwarm:
     def test_completes_at_all_stagers_in_time(self, fast_swarm):
         assert fast_swarm.complete_s()[-1] <= 1.8 * LINK_S
