--- a/tests/staging/swarm.py
+++ b/tests/staging/swarm.py
@@ -13,6 +13,7 @@
 import json
 import random
 from collections.abc import Callable
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -207,6 +208,7 @@
         self.max_connections = 0
         self.asked: list[int] = []
         self.refused = 0
+        self.away = False
 
     @property
     def sent(self) -> int:
@@ -215,6 +217,9 @@
 
     async def read(self, reader: str, index: int) -> bytes | None:
         """Send a piece in parts; None if all connections are taken."""
+        if self.away:
+            await asyncio.sleep(2 * LATENCY_S)
+            return None
         if self.connections >= ORIGIN_CONNECTIONS:
             self.refused += 1
             await asyncio.sleep(REFUSAL_DELAY_S)
@@ -227,6 +232,8 @@
                 received = asyncio.Event()
                 self._network.send(self.ADDRESS, reader, ORIGIN_TURN_BYTES, received.set)
                 await received.wait()
+                if self.away:
+                    return None
         finally:
             self.connections -= 1
         self.asked.append(index)
@@ -271,7 +278,10 @@
             handlers=self.handlers,
             link_bytes_per_s=lambda: STAGER_BYTES_PER_S * link_share(),
             failure_domain=stager.failure_domain,
+            urgent=lambda: swarm.urgent,
         )
+        window = PieceWindow(link_share=link_share)
+        window.urgent = swarm.urgent
         staged = self.store.find_or_create(swarm.version)
         assert staged is not None
         self.staged: StagedVersion = staged
@@ -283,7 +293,7 @@
             peers=EmulatedPeers(swarm, stager.address),  # type: ignore[arg-type]
             link_bytes_per_s=lambda: STAGER_BYTES_PER_S * link_share(),
             origin_bytes_per_s=lambda: swarm.origin_bytes_per_s,
-            window=PieceWindow(link_share=link_share),
+            window=window,
             seed=seed,
             serves=lambda: swarm.serving,
         )
@@ -307,6 +317,10 @@
     ----------
     holders
         Number of stagers that hold all pieces from the start.
+    away_s
+        When the origin stops answering and when it answers again, after the start.
+    urgent
+        Whether pieces go before requests.
     serving
         Whether requests go to the engines of the others meanwhile.
     """
@@ -321,9 +335,13 @@
         pieces: int = PIECES,
         origin_says_speed: bool = True,
         holders: int = 0,
+        away_s: tuple[float, float] | None = None,
+        urgent: bool = False,
         serving: bool = True,
     ) -> None:
         self.serving = serving
+        self.urgent = urgent
+        self._away_s = away_s
         rng = random.Random(seed)
         data = [rng.randbytes(PIECE_BYTES) for _ in range(pieces)]
         self.origin_bytes_per_s = ORIGIN_BYTES_PER_S if origin_says_speed else 0.0
@@ -360,6 +378,8 @@
         """Let all stagers fetch until ``until_s``; narrowed links are restored at ``restore_s``."""
         loop = asyncio.get_running_loop()
         loop.call_later(restore_s, self._restore_links)
+        for at_s, away in zip(self._away_s or (), (True, False), strict=False):
+            loop.call_later(at_s, setattr, self.origin, "away", away)
         self.began_s = loop.time()
         tasks = []
         for node in self.nodes.values():
@@ -393,7 +413,7 @@
         return sorted(float("inf") if moment is None else moment - self.began_s for moment in times)
 
 
-def play(*, until_s: float = 25.0, **options: int) -> Swarm:
+def play(*, until_s: float = 25.0, **options: Any) -> Swarm:
     """Run one swarm in virtual time."""
     loop = VirtualLoop()
     try:
--- a/tests/staging/test_swarm.py
+++ b/tests/staging/test_swarm.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from tests.staging.swarm import PIECE_BYTES, PIECES, STAGER_BYTES_PER_S, Swarm, play
+from tests.staging.swarm import (
+    ORIGIN_BYTES_PER_S,
+    PIECE_BYTES,
+    PIECES,
+    STAGER_BYTES_PER_S,
+    Swarm,
+    play,
+)
 
 PER_DOMAIN = 5
 LINK_S = PIECES * PIECE_BYTES / STAGER_BYTES_PER_S  # time of one stager's link for all pieces
@@ -23,6 +30,22 @@
         assert swarm.origin.sent == 0
 
 
+class TestHurriedVersion:
+    """Pieces that go before requests, because four groups would not fit otherwise."""
+
+    # Guards against: one narrow link delays the version at all engines.
+    def test_completes_near_the_time_of_one_link_beside_a_squeezed_one(self):
+        swarm = play(seed=1, per_domain=PER_DOMAIN, squeezed=1, urgent=True)
+        assert swarm.complete_s()[-2] <= 1.5 * LINK_S
+
+    # Guards against: after an outage of the origin the rest of the pieces is read one by one.
+    def test_completes_soon_after_the_origin_has_returned(self):
+        swarm = play(seed=0, per_domain=PER_DOMAIN, away_s=(2.4, 8.4), urgent=True)
+        rest = 1 - 2.4 * ORIGIN_BYTES_PER_S / (PIECES * PIECE_BYTES)
+        assert swarm.complete_s()[-1] - 8.4 <= 1.5 * (rest + 0.1) * LINK_S
+        assert swarm.origin.sent <= 1.2 * PIECES
+
+
 class TestSwarm:
     def test_completes_at_all_stagers_in_time(self, fast_swarm):
         assert fast_swarm.complete_s()[-1] <= 1.8 * LINK_S
