Let the route's priority decide among groups of the same priority

Change: a rank is the priority of the group, or else of the route, and then that of the route. Groups still take precedence.

--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -11,6 +11,7 @@
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.kernel import active_time, clocks
 from leadhollow.routing.model import Organisation, Route
+from leadhollow.routing.ranks import Rank, rank_of
 
 
 class ForwardedCall:
@@ -74,7 +75,7 @@
         reply: ReplyWriter,
         received_s: float,
         fingerprint: bytes,
-        ranks: tuple[int, ...] = (),
+        ranks: tuple[Rank, ...] = (),
     ) -> None:
         self.ranks = ranks
         self.fingerprint = fingerprint
@@ -117,14 +118,14 @@
     @property
     def rank(self) -> int:
         """Priority, 0 first; the priority of the group overrides that of the route."""
-        if self.organisation is not None and self.organisation.priority is not None:
-            return self.organisation.priority
-        return self.route.priority
+        return rank_of(self.route, self.organisation)[0]
 
     @property
     def urgency(self) -> int:
         """Number of ranks of the service that are more urgent."""
-        return bisect_left(self.ranks, self.rank) if len(self.ranks) > 1 else 0
+        if len(self.ranks) <= 1:
+            return 0
+        return bisect_left(self.ranks, rank_of(self.route, self.organisation))
 
     def record_dispatch(self, instance: str) -> None:
         """Record that the request is sent to a backend server now."""
--- a/src/leadhollow/routing/index.py
+++ b/src/leadhollow/routing/index.py
@@ -14,7 +14,7 @@
     ServiceRecord,
     TableNumber,
 )
-from leadhollow.routing.ranks import ServiceRanks
+from leadhollow.routing.ranks import Rank, ServiceRanks
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem, CatalogValue
 
@@ -110,7 +110,7 @@
         """Return the group of a key, None if the key is unknown."""
         return self._organisations.get(hashlib.sha256(key.encode()).hexdigest())
 
-    def ranks(self, service: str) -> tuple[int, ...]:
+    def ranks(self, service: str) -> tuple[Rank, ...]:
         """Return the distinct ranks of the requests for a service, in ascending order."""
         return self._ranks.of(service, keyed=self.keyed)
 
