Keep room for urgent requests by what they ask for, not by a fixed margin

Change: the margin is pressure x (share of the room that more urgent requests ask for)^2 x 360 ms; the balance counts all urgencies together, as the refusals that all entries would make of this entry's mix.

--- a/src/leadhollow/decide/pressure.py
+++ b/src/leadhollow/decide/pressure.py
@@ -121,7 +121,7 @@
         An entry that refuses less asks for more certainty and so leaves engines to the others,
         until all entries refuse the same share.
         """
-        advantage = self._expected_share(now_s, urgency) - _total(self._own, urgency).refused_share
+        advantage = self._advantage(now_s)
         return min(MAX_LEVEL, max(0.0, self.level(now_s, urgency) + BALANCE_GAIN * advantage))
 
     def served_share(self, now_s: float, urgency: int | None = None) -> float:
@@ -131,17 +131,23 @@
             return 1.0 - self._all(now_s, MAX_URGENCY).refused_share
         return 1.0 - self._of(urgency).refused_share
 
-    def has_more_urgent(self, urgency: int) -> bool:
-        """Tell whether requests of the service that are more urgent were seen."""
-        return any(seen < urgency for seen in (*self._own, *self._peers))
-
-    def _expected_share(self, now_s: float, urgency: int) -> float:
-        """Return the share that all entries would refuse of this entry's mix of urgencies."""
-        mix = {seen: counts.made for seen, counts in self._own.items() if seen <= urgency}
-        made = sum(mix.values())
-        if len(mix) <= 1 or not made:
-            return self._all(now_s, urgency).refused_share
-        return sum(count * self._of(seen).refused_share for seen, count in mix.items()) / made
+    def more_urgent_share(self, now_s: float, urgency: int) -> float:
+        """Return the share of the room that more urgent requests ask for, 1 if they need it all."""
+        total = self._all(now_s, MAX_URGENCY)
+        wanted = self._all(now_s, urgency - 1).made
+        placed = total.made - total.refused
+        return min(1.0, wanted / placed) if placed > 0 else 1.0
+
+    def _advantage(self, now_s: float) -> float:
+        """Return by how much less this entry refuses than all would of its mix of urgencies."""
+        overall = self._all(now_s, MAX_URGENCY).refused_share
+        own = _total(self._own, MAX_URGENCY)
+        if len(self._own.keys() | self._peers.keys()) <= 1:
+            return overall - own.refused_share
+        expected = sum(
+            counts.made * self._of(urgency).refused_share for urgency, counts in self._own.items()
+        )
+        return (expected - own.refused) / max(MIN_DECISIONS, own.made)
 
     def _of(self, urgency: int) -> DecisionCounts:
         """Return the decisions of all entries on requests of one urgency."""
--- a/src/leadhollow/decide/urgency.py
+++ b/src/leadhollow/decide/urgency.py
@@ -12,10 +12,13 @@
 from leadhollow.decide.engine_request import EngineRequest, QueuePriority
 from leadhollow.decide.pressure import Pressure
 
-YIELD_MARGIN_S = 0.16
+YIELD_MARGIN_S = 0.36
 """Additional time that a less urgent request must be predicted before its objective under full
-pressure. Entries see each other's requests some tens of milliseconds late; within the margin the
-engines that are left over still serve more urgent requests on time."""
+pressure, multiplied by the square of the share of the room that more urgent requests ask for.
+
+Entries see each other's requests some tens of milliseconds late; within the margin the engines that
+are left over still serve more urgent requests on time. A few urgent requests find one anyway, and a
+margin that is larger than they need leaves engines idle."""
 
 MIN_SERVED_SHARE = 0.3
 """Share of the mean served share below which requests no longer give way to more urgent ones. They
@@ -49,10 +52,8 @@
 
 def yields(pressure: Pressure, urgency: int, now_s: float) -> bool:
     """Tell whether requests of an urgency give way to more urgent ones at present."""
-    if not pressure.has_more_urgent(urgency):
-        return False
     floor = MIN_SERVED_SHARE * pressure.served_share(now_s)
-    return pressure.served_share(now_s, urgency) > floor
+    return urgency > 0 and pressure.served_share(now_s, urgency) > floor
 
 
 def yield_margin_s(pressure: Pressure, urgency: int, now_s: float, *, level: float) -> float:
@@ -63,7 +64,9 @@
     level
         Pressure that admission of the request goes by.
     """
-    return level * YIELD_MARGIN_S if yields(pressure, urgency, now_s) else 0.0
+    if not yields(pressure, urgency, now_s):
+        return 0.0
+    return level * YIELD_MARGIN_S * pressure.more_urgent_share(now_s, urgency) ** 2
 
 
 __all__ = [
--- a/tests/decide/test_pressure.py
+++ b/tests/decide/test_pressure.py
@@ -79,3 +79,14 @@
         }
         pressure.update_peers(others, 1.0)
         assert pressure.balanced_level(1.0) == pytest.approx(pressure.level(1.0))
+
+    def test_an_entry_with_few_requests_asks_for_no_more_certainty_than_others(self):
+        pressure = Pressure()
+        pressure.record(refused=False, now_s=1.0, urgency=0)
+        pressure.record(refused=True, now_s=1.0, urgency=1)
+        others = {
+            0: DecisionCounts(made=50.0, refused=0.0),
+            1: DecisionCounts(made=50.0, refused=50.0),
+        }
+        pressure.update_peers(others, 1.0)
+        assert pressure.balanced_level(1.0) == pytest.approx(pressure.level(1.0), abs=0.2)
--- a/tests/experiment/test_urgency.py
+++ b/tests/experiment/test_urgency.py
@@ -33,6 +33,33 @@
     return msgspec.structs.replace(pattern, kinds=kinds)
 
 
+def with_urgent_group(pattern: Scenario, share: float) -> Scenario:
+    """Return a pattern in which a share of the requests of each kind is urgent."""
+    kinds = [
+        msgspec.structs.replace(
+            kind, name=f"{name} {kind.name}", per_s=kind.per_s * part, urgency=urgency
+        )
+        for kind in pattern.kinds
+        for urgency, (name, part) in enumerate((("urgent", share), ("other", 1 - share)))
+    ]
+    return msgspec.structs.replace(pattern, kinds=tuple(kinds), length_s=15.0)
+
+
+class TestUrgentGroup:
+    def test_a_small_urgent_group_goes_first_and_costs_the_others_no_more_than_it_takes(self):
+        pattern = with_urgent_group(patterns()["overload"], 0.14)
+        found, equal = outcomes(pattern), outcomes(all_equal(pattern))
+        urgent = [
+            share
+            for each in found
+            for name, share in each.on_time_by_kind.items()
+            if name.startswith("urgent")
+        ]
+        assert statistics.fmean(urgent) > 0.9
+        total = statistics.fmean(each.on_time for each in found)
+        assert total > statistics.fmean(each.on_time for each in equal) - 0.04
+
+
 class TestUrgency:
     def test_less_urgent_requests_give_way_under_overload(self):
         shares = on_time(outcomes(patterns()["urgency-overload"]))
