Let the leader presume servers of a restored failure domain cold, as entries do

Cause: the cold servers of a control replica watched failure domains that nobody set, so after a restore entries got no leases of a rate for its servers, only the part without one. A process that follows the evacuations after its state was read did not see those of before.

Change: control replicas follow the evacuations too; the follower applies what the catalog holds when it is made. It moved to membership, which both roles use.

--- a/src/leadhollow/forward/evacuation_follower.py
+++ b/src/leadhollow/membership/evacuation_follower.py
@@ -1,4 +1,4 @@
-"""Applies the evacuations of the replicated state to the choice of backend servers."""
+"""Applies the evacuations of the replicated state to the rules of failure domains."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class EvacuationFollower:
-    """Sets the evacuated failure domains whenever the catalog of an entry changes."""
+    """Sets the evacuated failure domains now and whenever the catalog changes."""
 
     __slots__ = ("_catalog", "_domains")
 
@@ -20,6 +20,7 @@
         self._catalog = catalog
         self._domains = domains
         catalog.on_change(self._on_change)
+        self._on_change(list(catalog.items().values()))
 
     def _on_change(self, items: list[CatalogItem]) -> None:
         changed = [item for item in items if item.key.startswith(EVACUATION_PREFIX)]
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -22,6 +22,7 @@
 from leadhollow.decide.cold_servers import ColdServers
 from leadhollow.decide.eligibility import FailureDomains
 from leadhollow.kernel import clocks
+from leadhollow.membership.evacuation_follower import EvacuationFollower
 from leadhollow.node.process import FORGET_AFTER_HEARTBEATS, FORGET_AFTER_S
 from leadhollow.routing.catalog_items import accepts_service, find_service, has_cold_limit
 from leadhollow.settings.address import Address
@@ -36,7 +37,6 @@
     kernel = process.kernel
     settings = process.settings
     heartbeat_s = settings.heartbeat_ms / 1000
-    domains = FailureDomains(regions=settings.region_by_domain)
 
     def replica() -> ReplicaService:
         return kernel.get("replica", ReplicaService)
@@ -116,6 +116,8 @@
             bounds=settings.bounds,
             clock=clocks.steady_s,
         )
+        domains = FailureDomains(regions=settings.region_by_domain)
+        EvacuationFollower(catalog=catalog, domains=domains)
         cold_servers.watch(domains)
         return LimitRelay(
             own_address=settings.wire_address,
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -12,7 +12,6 @@
 from leadhollow.decide.retry_budget import RetryBudget
 from leadhollow.decide.version_policy import VersionPolicy
 from leadhollow.forward.caller_listener import CallerListener
-from leadhollow.forward.evacuation_follower import EvacuationFollower
 from leadhollow.forward.exchange import BackendClient
 from leadhollow.forward.failure_response import FailureResponder
 from leadhollow.forward.plain_forwarder import PlainForwarder
@@ -31,6 +30,7 @@
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.kernel.timers import TIMER_RESOLUTION_S
 from leadhollow.membership.control_feed import ControlFeed
+from leadhollow.membership.evacuation_follower import EvacuationFollower
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.node.process import FEED_FORGET_AFTER_S
 from leadhollow.routing.catalog_items import find_service, has_cold_limit
--- a/tests/config_path/mutants.py
+++ b/tests/config_path/mutants.py
@@ -13,7 +13,7 @@
 
 from leadhollow.control import confirmation, replica_service
 from leadhollow.control.feed_server import FeedServer
-from leadhollow.forward.evacuation_follower import EvacuationFollower
+from leadhollow.membership.evacuation_follower import EvacuationFollower
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.platform import control as platform_control
 from leadhollow.routing import catalog_items
