--- a/tests/at_size/operating.py
+++ b/tests/at_size/operating.py
@@ -67,7 +67,7 @@
         """Send one more table until it is acknowledged."""
         self._number += 1
         body = table_body(self._number, self._world.origin_proxy.address)
-        table = Table(number=self._number, body=body, lookup_service="")
+        table = Table(number=self._number, body=body, lookup_service="", regions=frozenset())
         self._ledger.tables.append(table)
         if not await self._insist("PUT", "/-/config", body, patience_s):
             return False
