--- a/tests/at_size/operating.py
+++ b/tests/at_size/operating.py
@@ -69,7 +69,7 @@
         body = table_body(self._number, self._world.origin_proxy.address)
         table = Table(number=self._number, body=body, lookup_service="", regions=frozenset())
         self._ledger.tables.append(table)
-        if not await self._insist("PUT", "/-/config", body, patience_s):
+        if not await self.insist("PUT", "/-/config", body, patience_s):
             return False
         table.acknowledged_s = self._ledger.now_s()
         return True
