--- a/src/leadhollow/decide/version_choice.py
+++ b/src/leadhollow/decide/version_choice.py
@@ -19,18 +19,6 @@
 """Time before the age limit at which engines begin to change to a version. They change in two
 groups, which take one second each."""
 
-SWITCH_GROUPS = 4
-"""Groups in which engines should be able to change. With the requests at the limit of the engines,
-each group takes its share of them away for as long as it changes; at two groups half are late."""
-
-SWITCH_DURATION_S = 1.8
-"""Time for which an engine usually takes no requests when it changes: the notice, the answers in
-progress that end first, the load, and the news that it serves again."""
-
-GROUPS_LEAD_S = (SWITCH_GROUPS - 1) * SWITCH_DURATION_S + 0.6
-"""Time before the age limit at which the first group has to begin, so that the last one begins
-before requests stop going to the older version."""
-
 USUAL_LINK_SHARE = 0.65  # of the link of a VM that pieces get while requests go first
 
 MIN_USEFUL_S = 2.0  # a version that becomes too old sooner is not worth two changes of weights
@@ -148,14 +136,13 @@
 ) -> bool:
     """Tell whether the newest version would arrive too late at the usual rate.
 
-    It is too late if the engines cannot change in ``SWITCH_GROUPS`` groups any more. Its pieces may
-    then use the part of the link that is otherwise left to requests. These are delayed a little;
-    without it, half of the engines or more would change at once later.
+    Its pieces may then use the part of the link that is otherwise left to requests. Requests are
+    delayed a little; without it, no engine could serve them later.
     """
     newest = versions[0]
     if not newest.described or newest.complete or newest.number == held:
         return False
-    left_s = staleness_deadline_s(versions, held, version_s) - GROUPS_LEAD_S - now_s
+    left_s = staleness_deadline_s(versions, held, version_s) - SWITCH_LEAD_S - now_s
     return newest.missing * newest.piece_s / USUAL_LINK_SHARE > left_s
 
 
@@ -187,9 +174,6 @@
 
 __all__ = [
     "DESCRIPTION_TIMEOUT_S",
-    "GROUPS_LEAD_S",
-    "SWITCH_DURATION_S",
-    "SWITCH_GROUPS",
     "SWITCH_LEAD_S",
     "VersionPlan",
     "VersionProgress",
--- a/src/leadhollow/staging/switch_order.py
+++ b/src/leadhollow/staging/switch_order.py
@@ -1,19 +1,18 @@
 """Decides when an engine switches to a new version of its weights.
 
-The engines of a service switch in as many batches as time allows: the last one has to begin before
-requests stop going to the older version. The remaining engines carry the load of those that switch,
-so smaller batches make fewer requests late. Each stager decides for
+The engines of a service switch in as many batches as time allows. The remaining engines carry
+the load of those that switch, so smaller batches make fewer requests late. Each stager decides for
 itself from what the engines report of themselves. If two stagers see different reports, one more
 engine switches at the same time, which costs little.
 """
 
 from __future__ import annotations
 
-import math
 import zlib
 from collections.abc import Sequence
 
-from leadhollow.decide.version_choice import SWITCH_DURATION_S
+SWITCH_DURATION_S = 1.3
+"""Time from the notice of an engine's switch until entries know that it serves again."""
 
 
 class SwitchState:
@@ -99,14 +98,12 @@
 def batch_size(engine_count: int, done_count: int, left_s: float) -> int:
     """Return how many engines may switch at the same time.
 
-    It is the smallest number with which all others can begin in the time left. If that is more than
-    half of the engines, half may switch, and more once more than half have switched.
+    If there is no time for smaller batches, half of the engines may, and more once more than half
+    have switched.
     """
     most = max(1, engine_count // 2, done_count)
-    if left_s <= 0:
-        return most
-    batches = 1 + min(left_s / SWITCH_DURATION_S, engine_count)
-    return max(1, min(most, math.ceil((engine_count - done_count) / batches)))
+    batches = int(min(left_s / SWITCH_DURATION_S, engine_count))
+    return max(1, min(most, -(-(engine_count - done_count) // batches))) if batches > 1 else most
 
 
 def _positions(number: int, engines: Sequence[SwitchState]) -> dict[str, tuple[int, int]]:
@@ -124,4 +121,4 @@
     return positions
 
 
-__all__ = ["SwitchState", "batch_size", "may_switch", "switch_rank"]
+__all__ = ["SWITCH_DURATION_S", "SwitchState", "batch_size", "may_switch", "switch_rank"]
--- a/tests/decide/test_version_choice.py
+++ b/tests/decide/test_version_choice.py
@@ -4,7 +4,6 @@
 
 from leadhollow.decide.version_choice import (
     DESCRIPTION_TIMEOUT_S,
-    GROUPS_LEAD_S,
     SWITCH_LEAD_S,
     VersionProgress,
     is_urgent,
@@ -104,15 +103,10 @@
         )
 
     def test_true_if_the_usual_rate_is_too_slow(self):
-        needed_s = 60 * PIECE_S + GROUPS_LEAD_S
+        needed_s = 60 * PIECE_S + SWITCH_LEAD_S
         assert self.urgent(60, needed_s)
         assert not self.urgent(60, 2 * needed_s)
 
-    def test_true_from_the_naming_if_four_groups_would_not_fit_otherwise(self):
-        # 96 pieces take 5.2 s of a link, and 8 s at the usual rate; half would change at the limit.
-        newest = version(2, named_s=20.0, missing=96, piece_s=0.054)
-        assert is_urgent((newest, version(1)), held=1, version_s=13.4, now_s=20.2)
-
     def test_true_after_the_deadline(self):
         assert self.urgent(1, -1.0)
 
--- a/tests/staging/test_switch_order.py
+++ b/tests/staging/test_switch_order.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-import random
 from collections import Counter
 
 import pytest
 
-from leadhollow.decide.version_choice import SWITCH_DURATION_S
-from leadhollow.staging.switch_order import SwitchState, batch_size, may_switch, switch_rank
+from leadhollow.staging.switch_order import (
+    SWITCH_DURATION_S,
+    SwitchState,
+    batch_size,
+    may_switch,
+    switch_rank,
+)
 
 ENGINES = 39
 DOMAINS = 3
@@ -25,26 +29,16 @@
     ----------
     complete_s
         When all pieces are staged at each engine; None if they never are.
-    load_s
-        How long each engine is unavailable in addition to the notice.
     """
 
-    def __init__(
-        self,
-        complete_s: list[float | None],
-        *,
-        bound_s: float,
-        load_s: list[float] | None = None,
-    ) -> None:
+    def __init__(self, complete_s: list[float | None], *, bound_s: float) -> None:
         self.complete_s = complete_s
-        self.load_s = load_s or [LOAD_TIME_S] * len(complete_s)
         self.bound_s = bound_s
         self.addresses = [f"10.0.{index % DOMAINS}.{index}:80" for index in range(len(complete_s))]
         self.announced_s: dict[int, float] = {}
         self.switched_s: dict[int, float] = {}
         self.max_away = 0
         self.max_away_per_domain = 0
-        self.forced = 0
 
     def run(self) -> None:
         for step in range(round(self.bound_s / STEP_S)):
@@ -59,7 +53,6 @@
             self.max_away = max(self.max_away, len(away))
             away_per_domain = Counter(index % DOMAINS for index in away)
             self.max_away_per_domain = max(self.max_away_per_domain, *away_per_domain.values(), 0)
-        self.forced = len(self.addresses) - len(self.switched_s)
 
     def _decide(self, index: int, reported: list[SwitchState], now_s: float) -> None:
         announced_s = self.announced_s.get(index)
@@ -89,7 +82,7 @@
         )
 
     def _is_back(self, index: int, now_s: float) -> bool:
-        return now_s >= self.switched_s[index] + self.load_s[index]
+        return now_s >= self.switched_s[index] + LOAD_TIME_S
 
     def _state(self, index: int, now_s: float) -> SwitchState:
         complete_s = self.complete_s[index]
@@ -138,29 +131,6 @@
         assert len(fleet.switched_s) == sum(1 for moment in complete if moment is not None)
 
 
-class TestAnswersThatEndFirst:
-    """36 engines whose answers in progress take 0.5 to 1.7 s before the load of 0.4 s begins."""
-
-    ENGINES = 36
-    BOUND_S = 5.2
-
-    def run(self, seed: int) -> Fleet:
-        rng = random.Random(seed)
-        fleet = Fleet(
-            [rng.uniform(0.0, 0.8) for _ in range(self.ENGINES)],
-            bound_s=self.BOUND_S,
-            load_s=[rng.uniform(0.5, 1.7) + 0.4 for _ in range(self.ENGINES)],
-        )
-        fleet.run()
-        return fleet
-
-    @pytest.mark.parametrize("seed", range(20))
-    def test_leaves_few_engines_to_switch_all_at_once_at_the_bound(self, seed):
-        fleet = self.run(seed)
-        assert fleet.forced <= 2
-        assert fleet.max_away <= 0.37 * self.ENGINES
-
-
 class TestBatchSize:
     def test_is_half_or_the_number_done_if_no_time_is_left(self):
         assert batch_size(10, 0, 0.0) == 5
