Log the parts of a prompt, and why the end of a server is not confirmed

Ids of parts are read from all fields of that name and without regard to case. No decision has changed. Evidence: tests/forward and tests/platform pass.

--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -26,6 +26,8 @@
         Group of the caller; None on a public route.
     fingerprint
         Digest that all attempts of all callers at the same request share.
+    parts
+        Fingerprints of the prompt parts that other requests may share.
     bounds
         Regions in which the call may be served.
     ranks
@@ -54,6 +56,7 @@
         "last_instance",
         "metadata",
         "organisation",
+        "parts",
         "ranks",
         "received_s",
         "reply",
@@ -77,11 +80,13 @@
         received_s: float,
         fingerprint: bytes,
         bounds: CallRegions,
+        parts: tuple[bytes, ...] = (),
         ranks: tuple[Rank, ...] = (),
     ) -> None:
         self._bounds = bounds
         self.ranks = ranks
         self.fingerprint = fingerprint
+        self.parts = parts
         self.head = head
         self.body = body
         self.metadata = metadata
@@ -105,6 +110,11 @@
         """Attempt id that the caller assigned."""
         return self.metadata.attempt_id
 
+    @property
+    def traits(self) -> tuple[bytes, ...]:
+        """Fingerprints of all that may make a server end: the request and its prompt's parts."""
+        return (self.fingerprint, *self.parts)
+
     @property
     def regions(self) -> Regions | None:
         """Regions in which the request may be served now; None if all may serve it."""
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -15,7 +15,7 @@
 from leadhollow.forward.call_regions import CallRegions
 from leadhollow.forward.dialect import CallDialect, RequestMetadata
 from leadhollow.forward.failure_response import FailureResponder
-from leadhollow.forward.fingerprint import fingerprint_of
+from leadhollow.forward.fingerprint import fingerprint_of, part_fingerprints
 from leadhollow.forward.plain_forwarder import PlainForwarder
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.forward.stream_forwarder import StreamForwarder
@@ -204,6 +204,7 @@
                 body,
                 organisation="" if organisation is None else organisation.name,
             ),
+            parts=part_fingerprints(metadata.prefix_ids, model=metadata.model),
             bounds=bounds,
             ranks=self._routes.ranks(service),
         )
--- a/src/leadhollow/forward/fingerprint.py
+++ b/src/leadhollow/forward/fingerprint.py
@@ -1,7 +1,14 @@
-"""Computes the fingerprint that all attempts of the same request share."""
+"""Computes the fingerprints by which requests, and parts of their prompts, are recognised.
+
+A fingerprint says what it is of: one of a prompt part ends with a tag. The fingerprint of a request
+has none, so that verdicts that were stored before there were tags still apply.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from enum import Enum
+
 from blake3 import blake3
 
 from leadhollow.forward.request_body import RequestBody
@@ -9,6 +16,19 @@
 
 FINGERPRINT_BYTES = 16  # 1.5e-21 is the probability of any collision in a billion requests
 SHORT_FINGERPRINT_CHARACTERS = 12
+PART_TAG = b"part"
+PART_DIGEST_BYTES = FINGERPRINT_BYTES - len(PART_TAG)
+
+MAX_PARTS = 32
+"""Parts of one prompt that get a fingerprint, from the first on. The size of the head alone would
+allow thousands."""
+
+
+class FingerprintKind(Enum):
+    """What a fingerprint is of."""
+
+    REQUEST = "request"
+    PART = "part"
 
 
 def fingerprint_of(head: RequestHead, body: RequestBody, *, organisation: str) -> bytes:
@@ -31,9 +51,36 @@
     return digest.digest(FINGERPRINT_BYTES)
 
 
+def part_fingerprints(prefix_ids: Iterable[str], *, model: str) -> tuple[bytes, ...]:
+    """Return the fingerprints of the prompt parts that requests may share, each once.
+
+    The last part of a prompt belongs to one request or session, so the fingerprint of the request
+    stands for it. Callers of all groups and routes share a part if they use the same model.
+    """
+    shared = list(prefix_ids)[:-1]
+    distinct = dict.fromkeys(shared[:MAX_PARTS])
+    prefix = b"%d:%s" % (len(model), model.encode())
+    return tuple(
+        blake3(prefix + part.encode()).digest(PART_DIGEST_BYTES) + PART_TAG for part in distinct
+    )
+
+
+def kind_of(fingerprint: bytes) -> FingerprintKind:
+    """Return what a fingerprint is of."""
+    return FingerprintKind.PART if fingerprint.endswith(PART_TAG) else FingerprintKind.REQUEST
+
+
 def short_fingerprint(fingerprint: bytes) -> str:
     """Return the prefix of a fingerprint that log lines and commands print."""
     return fingerprint.hex()[:SHORT_FINGERPRINT_CHARACTERS]
 
 
-__all__ = ["FINGERPRINT_BYTES", "fingerprint_of", "short_fingerprint"]
+__all__ = [
+    "FINGERPRINT_BYTES",
+    "MAX_PARTS",
+    "FingerprintKind",
+    "fingerprint_of",
+    "kind_of",
+    "part_fingerprints",
+    "short_fingerprint",
+]
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -363,6 +363,7 @@
             "attempt failed",
             request=call.request_id,
             fingerprint=short_fingerprint(call.fingerprint),
+            parts=[short_fingerprint(part) for part in call.parts],
             instance=server.instance.instance,
             end=error.end.value,
             failure=str(error.failure),
--- a/src/leadhollow/forward/server_end_detector.py
+++ b/src/leadhollow/forward/server_end_detector.py
@@ -12,6 +12,7 @@
 import asyncio
 from collections import OrderedDict
 from collections.abc import Callable
+from enum import Enum
 
 from leadhollow.codes import Code
 from leadhollow.decide.server import Server
@@ -49,6 +50,15 @@
 EndListener = Callable[[ServerEnd], None]
 
 
+class _Doubt(Enum):
+    """Why a server that broke off requests may not have ended."""
+
+    ACCEPTS_CONNECTIONS = "accepts connections"
+    CALLS_RUN = "earlier calls still run"
+    SIMULTANEOUS = "others broke off requests at the same time"
+    NO_NEIGHBOUR = "no neighbour accepts connections"
+
+
 class _InterruptedServer:
     """A server that broke off requests, with their fingerprints."""
 
@@ -118,15 +128,32 @@
         found = self._interrupted.get(life)
         if found is None:
             return
+        doubt = await self._reason_to_doubt(found)
+        if doubt is None:
+            self._report_end(life)
+            return
+        log.info(
+            "end of a backend server not confirmed",
+            instance=found.server.instance.instance,
+            address=found.server.instance.address,
+            reason=doubt.value,
+            requests=len(found.fingerprints),
+        )
+
+    async def _reason_to_doubt(self, found: _InterruptedServer) -> _Doubt | None:
+        """Return why a server may not have ended; None if it has."""
         for attempt in range(CONNECT_ATTEMPTS):
             if attempt:
                 await asyncio.sleep(CONNECT_RETRY_DELAY_S)
             if not await self._refuses_connections(found.server.instance.address):
-                return
+                return _Doubt.ACCEPTS_CONNECTIONS
         if any(call.placed_s < found.first_s for call in found.server.calls):
-            return  # earlier calls still run there, so only connections broke
-        if not self._is_simultaneous(found) and await self._neighbour_accepts(found.server):
-            self._report_end(life)
+            return _Doubt.CALLS_RUN  # only connections broke
+        if self._is_simultaneous(found):
+            return _Doubt.SIMULTANEOUS
+        if not await self._neighbour_accepts(found.server):
+            return _Doubt.NO_NEIGHBOUR
+        return None
 
     async def _refuses_connections(self, address: str) -> bool:
         """Return whether nothing listens at an address; pool the connection if one opens."""
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -242,6 +242,7 @@
         return {
             "request": call.request_id,
             "fingerprint": short_fingerprint(call.fingerprint),
+            "parts": [short_fingerprint(part) for part in call.parts],
             "instance": self.instance,
             "address": self.placement.server.instance.address,
             "reading": self.placement.call.in_prefill,
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from http import HTTPStatus
 
 from result import Err, Ok, Result
@@ -97,7 +98,7 @@
                 prompt_tokens=prompt_tokens,
                 output_tokens=output_tokens,
                 output_hint_tokens=hint.unwrap(),
-                prefix_ids=_prefix_ids(headers.text(PROMPT_PREFIX)),
+                prefix_ids=_prefix_ids(headers.get_all(PROMPT_PREFIX)),
                 last_event_id=None if last_event_id is None else int(last_event_id),
             )
         )
@@ -177,8 +178,13 @@
     return key.strip() if scheme.lower() == AUTHORIZATION_SCHEME else ""
 
 
-def _prefix_ids(text: str) -> tuple[str, ...]:
-    parts = [part.partition(":")[0].strip() for part in text.split(",")]
+def _prefix_ids(fields: Iterable[bytes]) -> tuple[str, ...]:
+    """Return the ids in a list of ID:TOKENS entries, which may span several fields.
+
+    Ids are hexadecimal, so their case carries no meaning.
+    """
+    entries = b",".join(fields).decode("latin-1").lower().split(",")
+    parts = [entry.partition(":")[0].strip() for entry in entries]
     return tuple(part for part in parts if part)
 
 
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -73,6 +73,21 @@
         assert facts.last_event_id == 12
         assert facts.key == "secret"
 
+    # A part under another spelling of its id would be taken for another part.
+    @pytest.mark.parametrize(
+        "items",
+        [
+            [(b"X-Prompt-Prefix", b"5C:800, 91 :1,,e4")],
+            [(b"X-Prompt-Prefix", b"5c:800,91"), (b"x-prompt-prefix", b" E4:2")],
+        ],
+    )
+    def test_reads_each_spelling_of_prompt_parts_alike(self, items):
+        head = request_head()
+        for name, value in items:
+            head.headers.add(name, value)
+        facts = PlatformCalls().parse_request(head).unwrap()
+        assert facts.prefix_ids == ("5c", "91", "e4")
+
     def test_gives_defaults_without_fields(self):
         facts = PlatformCalls().parse_request(request_head()).unwrap()
         assert (facts.deadline_ms, facts.key, facts.model, facts.last_event_id) == (
