--- a/tests/node/crashing.py
+++ b/tests/node/crashing.py
@@ -11,6 +11,9 @@
 POISON = b"poison"
 """Request body that crashes a server that runs it."""
 
+CRASHING_PART = "0badf00d"
+"""Prompt part that crashes a server that runs a request with it, unless it is the last part."""
+
 RESTART_DELAY_S = 0.25
 
 
@@ -23,11 +26,20 @@
 
     def arrivals_after_third_crash(self, spread_s: float) -> int:
         """Count requests that arrived more than ``spread_s`` after the third crash."""
-        if len(self.crash_times_s) < 3:
+        return self.arrivals_after_crash(3, spread_s)
+
+    def arrivals_after_crash(self, number: int, spread_s: float) -> int:
+        """Count requests that arrived more than ``spread_s`` after a crash, the first being 1."""
+        if len(self.crash_times_s) < number:
             return 0
-        return sum(
-            1 for arrived_s in self.arrivals_s if arrived_s > self.crash_times_s[2] + spread_s
-        )
+        crash_s = self.crash_times_s[number - 1]
+        return sum(1 for arrived_s in self.arrivals_s if arrived_s > crash_s + spread_s)
+
+
+def has_crashing_part(request: web.Request) -> bool:
+    """Return whether the crashing part stands before the last part of a request's prompt."""
+    parts = request.headers.get("X-Prompt-Prefix", "").split(",")
+    return any(part.partition(":")[0] == CRASHING_PART for part in parts[:-1])
 
 
 class CrashingServer(PlainServer):
@@ -71,7 +83,7 @@
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
-        if POISON not in body:
+        if POISON not in body and not has_crashing_part(request):
             return await self._answer_normally(request)
         if request.headers.get("X-Expect-Instance") == self.instance:
             self.crash_log.arrivals_s.append(asyncio.get_running_loop().time())
@@ -154,11 +166,20 @@
         answer = web.StreamResponse(headers=headers)
         answer.enable_chunked_encoding()
         await answer.prepare(request)
-        for number in range(self.EVENTS):
+        resumed_after = int(request.headers.get("Last-Event-Id", -1))
+        for number in range(resumed_after + 1, self.EVENTS):
             await answer.write(b"id: %d\ndata: x\n\n" % number)
             await asyncio.sleep(0.005)
         await answer.write_eof()
         return answer
 
 
-__all__ = ["POISON", "RESTART_DELAY_S", "CrashLog", "CrashingEngine", "CrashingServer"]
+__all__ = [
+    "CRASHING_PART",
+    "POISON",
+    "RESTART_DELAY_S",
+    "CrashLog",
+    "CrashingEngine",
+    "CrashingServer",
+    "has_crashing_part",
+]
