Suspect the parts of a prompt of ending servers, by the same rules as whole requests

Cause: a suspect was a whole request. Requests that share only a part have two ends each (four, if their client tries again), and nothing counted the ends of the part. The ids of parts were decoded and read by nobody. Change: a call has traits, the fingerprint of the request and those of its prompt's shared parts. Ends, successes, verdicts, files and messages carry both; a fingerprint says its kind, so old processes and files go on to work. A request alone is taken where a part was present at no other request's ends. Conclusion: one table, one verdict.

--- a/src/leadhollow/cli/quarantine_commands.py
+++ b/src/leadhollow/cli/quarantine_commands.py
@@ -1,4 +1,4 @@
-"""``leadhollow quarantine``: lists, shows and releases requests in quarantine."""
+"""``leadhollow quarantine``: lists, shows and releases what is in quarantine."""
 
 from __future__ import annotations
 
@@ -10,8 +10,15 @@
 from leadhollow.cli.output import print_failure, print_json, print_table, print_text
 from leadhollow.cli.replica_command import ReplicaCommand, json_option, replica_argument
 from leadhollow.codes import Code
+from leadhollow.decide.fingerprint_kind import count_requests, kind_of
 from leadhollow.failure import Failure
-from leadhollow.wire.generated.ttypes import SuspectNews, SuspectQuery, SuspectRelease, Verdict
+from leadhollow.wire.generated.ttypes import (
+    ServerEnd,
+    SuspectNews,
+    SuspectQuery,
+    SuspectRelease,
+    Verdict,
+)
 
 
 class _QuarantineCommand(ReplicaCommand):
@@ -27,10 +34,10 @@
 
 
 class QuarantineListCommand(_QuarantineCommand):
-    """Lists requests in quarantine."""
+    """Lists the requests and prompt parts in quarantine."""
 
     name = "quarantine list"
-    description = "List the requests that are sent to no server any more."
+    description = "List the requests, and parts of prompts, that are sent to no server any more."
     arguments = [replica_argument()]  # noqa: RUF012
     options = [  # noqa: RUF012
         option("all", None, "Those that were released too.", flag=True),
@@ -38,7 +45,7 @@
     ]
 
     def handle(self) -> int:
-        """Print one line per request."""
+        """Print one line per fingerprint."""
         result = self.verdicts()
         if result.is_err():
             return print_failure(result.unwrap_err())
@@ -50,6 +57,7 @@
         rows = [
             (
                 found.fingerprint.hex(),
+                kind_of(found.fingerprint).value,
                 "released" if found.released else "held",
                 found.number,
                 round((found.age_ms or 0) / 1000),
@@ -57,12 +65,12 @@
             )
             for found in shown
         ]
-        print_table(("FINGERPRINT", "STATE", "TIMES", "SINCE_S", "SERVERS"), rows)
+        print_table(("FINGERPRINT", "KIND", "STATE", "TIMES", "SINCE_S", "SERVERS"), rows)
         return 0
 
 
 class QuarantineShowCommand(_QuarantineCommand):
-    """Shows why a request is in quarantine."""
+    """Shows why a request or a prompt part is in quarantine."""
 
     name = "quarantine show"
     description = "Show the servers that ended under a request, and how many others ran there."
@@ -82,13 +90,15 @@
         rows = []
         for life in verdict.lives or ():
             end = ends.get(life)
-            others = "forgotten" if end is None else len(end.ran or ()) - 1
+            others = "forgotten" if end is None else _count_others(verdict, end)
             rows.append((life, others, "" if end is None else round(end.age_ms / 1000)))
         if self.option("json"):
             servers = [{"life": row[0], "others": row[1], "since_s": row[2]} for row in rows]
             print_json({**_document(verdict), "servers": servers})
         else:
-            print_text(f"{verdict.fingerprint.hex()} {'released' if verdict.released else 'held'}")
+            kind = kind_of(verdict.fingerprint).value
+            state = "released" if verdict.released else "held"
+            print_text(f"{verdict.fingerprint.hex()} {kind} {state}")
             print_table(("SERVER", "OTHERS", "SINCE_S"), rows)
         return 0
 
@@ -104,14 +114,14 @@
 
 
 class QuarantineReleaseCommand(QuarantineShowCommand):
-    """Releases a request from quarantine."""
+    """Releases a request or a prompt part from quarantine."""
 
     name = "quarantine release"
-    description = "Let a request be sent again, until three more servers end under it."
+    description = "Let a request or part be sent again, until three more servers end under it."
     help = "The servers that ended under it speak against it no more. All entries know in a second."
 
     def handle(self) -> int:
-        """Release the request and print its fingerprint."""
+        """Release the request or part and print its fingerprint."""
         match = self.find_verdict()
         if match.is_err():
             return print_failure(match.unwrap_err())
@@ -139,9 +149,14 @@
     return Ok(found[0])
 
 
+def _count_others(verdict: Verdict, end: ServerEnd) -> int:
+    return count_requests(end.ran or (), besides=verdict.fingerprint)
+
+
 def _document(verdict: Verdict) -> dict[str, object]:
     return {
         "fingerprint": verdict.fingerprint.hex(),
+        "kind": kind_of(verdict.fingerprint).value,
         "released": bool(verdict.released),
         "number": int(verdict.number),
         "since_s": round((verdict.age_ms or 0) / 1000),
--- a/src/leadhollow/control/suspect_relay.py
+++ b/src/leadhollow/control/suspect_relay.py
@@ -1,4 +1,4 @@
-"""Merges entries' reports of ended servers, judges the suspected requests and relays the verdicts.
+"""Merges entries' reports of ended servers, judges the suspects and relays the verdicts.
 
 Each replica judges by all reports that it has received, and sends a verdict to all replicas and
 entries at once. Merging gives the same result for any order of messages. Replicas find out that a
@@ -18,6 +18,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.control.verdict_file import load_verdicts, save_verdicts
+from leadhollow.decide.fingerprint_kind import count_requests, kind_of
 from leadhollow.decide.server_ends import Verdict
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.failure import Failure
@@ -113,12 +114,12 @@
         self._listeners.append(listener)
 
     def release(self, fingerprint: bytes, *, operator: str) -> Verdict | None:
-        """Release a request from quarantine.
+        """Release a suspect from quarantine.
 
         Returns
         -------
         Verdict or None
-            The new verdict; None if the request is not in quarantine.
+            The new verdict; None if the suspect is not in quarantine.
         """
         lives = self.table.suspected_lives(fingerprint)
         released = self.table.release(fingerprint)
@@ -177,19 +178,20 @@
             log.warning(
                 "request put in quarantine",
                 fingerprint=verdict.fingerprint.hex(),
+                kind=kind_of(verdict.fingerprint).value,
                 number=verdict.number,
                 ends=list(verdict.lives),
-                others=[self._count_others(life) for life in verdict.lives],
+                others=[self._count_others(verdict.fingerprint, life) for life in verdict.lives],
             )
         if new_verdicts:
             changed = SuspectChanges()
             changed.fingerprints = {verdict.fingerprint for verdict in new_verdicts}
             self._record_change(changed)
 
-    def _count_others(self, life: str) -> int:
+    def _count_others(self, fingerprint: bytes, life: str) -> int:
         """Return how many other requests ran on a server when it ended."""
         end = self.table.end(life)
-        return 0 if end is None else len(end.ran) - 1
+        return 0 if end is None else count_requests(end.ran, besides=fingerprint)
 
     def _record_change(self, changed: SuspectChanges) -> None:
         """Schedule sending of a change, notify listeners, and save the verdicts if they changed."""
--- a/src/leadhollow/decide/server_ends.py
+++ b/src/leadhollow/decide/server_ends.py
@@ -1,4 +1,4 @@
-"""Records of servers that ended, and of quarantine verdicts on requests that ran there."""
+"""Records of servers that ended, and of quarantine verdicts on what ran there."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
     life
         Identifies the life.
     ran
-        Fingerprints of the requests that ran there.
+        Fingerprints of the requests that ran there, and of their prompts' parts.
     cleared
         Those of them that succeeded elsewhere, before or after.
     alive
@@ -41,19 +41,19 @@
 
     @property
     def suspects(self) -> set[bytes]:
-        """Requests that may have caused the end."""
+        """Fingerprints of what may have caused the end."""
         return set() if self.alive else self.ran - self.cleared
 
 
 class Verdict:
-    """Decision on the quarantine of a request.
+    """Decision on the quarantine of a suspect.
 
     Parameters
     ----------
     number
-        Incremented each time the request is put in quarantine.
+        Incremented each time the suspect is put in quarantine.
     released
-        Whether the request was released after that.
+        Whether the suspect was released after that.
     lives
         Lives whose ends the decision is based on.
     since_s
@@ -79,7 +79,7 @@
 
     @property
     def order(self) -> tuple[int, bool]:
-        """Sort key; of two verdicts on a request the one with the higher key applies."""
+        """Sort key; of two verdicts on a suspect the one with the higher key applies."""
         return self.number, self.released
 
 
--- a/src/leadhollow/decide/suspects.py
+++ b/src/leadhollow/decide/suspects.py
@@ -1,9 +1,9 @@
-"""Finds requests that make servers end, by merging what all entries have observed.
+"""Finds what makes servers end, by merging what all entries have observed.
 
-A server that ends takes all its requests with it, and each of them may have been the cause. The
-table records which requests ran where. A request that succeeds anywhere is cleared. A request that
-was present when three servers ended is put in quarantine and is not sent to any server again.
-Records can be merged in any order and any number of times.
+A server that ends takes all its requests with it, and each of them, or a part of its prompt, may
+have been the cause. The table records by fingerprint what ran where. What succeeds anywhere is
+cleared. What was present when three servers ended is put in quarantine and is not sent to any
+server again. Records can be merged in any order and any number of times.
 """
 
 from __future__ import annotations
@@ -16,17 +16,17 @@
 from leadhollow.decide.server_ends import ServerEnd, Verdict
 
 MAX_ENDS = 256
-MAX_REQUESTS_PER_END = 256  # the batch of an engine has 64 at most
+MAX_SUSPECTS_PER_END = 256  # the batch of an engine has 64 requests at most
 MAX_VERDICTS = 1_024
 """Bounds of memory, about 200 kB together. Beyond them the oldest records are dropped first."""
 
 END_VALID_S = 600.0
-"""Age at which an end is forgotten. A request that is repeated less often than this ends one server
+"""Age at which an end is forgotten. A suspect that is repeated less often than this ends one server
 each time and is never put in quarantine."""
 
 
 class SuspectTable:
-    """Servers that ended, the requests that ran there, and quarantine verdicts.
+    """Servers that ended, what ran there, and quarantine verdicts.
 
     Parameters
     ----------
@@ -34,12 +34,12 @@
         Returns the loop time.
     """
 
-    __slots__ = ("_checksum", "_clock", "_ends", "_lives_by_request", "_verdicts")
+    __slots__ = ("_checksum", "_clock", "_ends", "_lives_by_suspect", "_verdicts")
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._ends: OrderedDict[str, ServerEnd] = OrderedDict()
-        self._lives_by_request: dict[bytes, set[str]] = {}
+        self._lives_by_suspect: dict[bytes, set[str]] = {}
         self._verdicts: OrderedDict[bytes, Verdict] = OrderedDict()
         self._checksum: int | None = None  # None after a change
 
@@ -57,21 +57,25 @@
         return self._ends.get(life)
 
     def verdicts(self) -> list[Verdict]:
-        """Return all verdicts, including those on released requests."""
+        """Return all verdicts, including those on released suspects."""
         return list(self._verdicts.values())
 
     def verdict(self, fingerprint: bytes) -> Verdict | None:
-        """Return the verdict on a request, or None."""
+        """Return the verdict on a suspect, or None."""
         return self._verdicts.get(fingerprint)
 
     def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Tell whether a request is in quarantine."""
+        """Tell whether a suspect is in quarantine."""
         found = self._verdicts.get(fingerprint)
         return found is not None and not found.released
 
     def suspected_lives(self, fingerprint: bytes) -> set[str]:
-        """Return the lives that a request is suspected to have ended."""
-        return set(self._lives_by_request.get(fingerprint, ()))
+        """Return the lives that a suspect may have ended."""
+        return set(self._lives_by_suspect.get(fingerprint, ()))
+
+    def is_suspected(self, fingerprint: bytes) -> bool:
+        """Tell whether a suspect may have ended any life."""
+        return fingerprint in self._lives_by_suspect
 
     def merge_end(self, update: ServerEnd) -> bool:
         """Merge a record of an end and tell whether it contained anything new."""
@@ -83,7 +87,7 @@
             self._ends[update.life] = known
             self._enforce_bounds()
         self._checksum = None
-        room = max(0, MAX_REQUESTS_PER_END - len(known.ran))
+        room = max(0, MAX_SUSPECTS_PER_END - len(known.ran))
         ran = set(sorted(update.ran - known.ran)[:room])
         cleared = (update.cleared & (known.ran | ran)) - known.cleared
         revived = update.alive and not known.alive
@@ -93,7 +97,7 @@
         suspects = known.suspects
         for fingerprint in known.ran if revived else ran | cleared:
             if fingerprint in suspects:
-                self._lives_by_request.setdefault(fingerprint, set()).add(update.life)
+                self._lives_by_suspect.setdefault(fingerprint, set()).add(update.life)
             else:
                 self._drop_suspicion(fingerprint, update.life)
         if revived:
@@ -116,7 +120,7 @@
         return True
 
     def clear(self, fingerprint: bytes) -> set[str]:
-        """Clear a request that has succeeded of all ends, and return the lives concerned."""
+        """Clear a suspect that has succeeded of all ends, and return the lives concerned."""
         lives = self.suspected_lives(fingerprint)
         self._checksum = None
         for life in lives:
@@ -132,7 +136,7 @@
         return self.merge_end(ServerEnd(life=life, alive=True, happened_s=known.happened_s))
 
     def release(self, fingerprint: bytes) -> Verdict | None:
-        """Release a request from quarantine; return None if it is not in quarantine."""
+        """Release a suspect from quarantine; return None if it is not in quarantine."""
         known = self._verdicts.get(fingerprint)
         if known is None or known.released:
             return None
@@ -140,7 +144,7 @@
         return self._release(known)
 
     def update_quarantine(self) -> list[Verdict]:
-        """Put requests in quarantine by the current evidence, and return the new verdicts."""
+        """Put suspects in quarantine by the current evidence, and return the new verdicts."""
         made: list[Verdict] = []
         while found := find_culprits(
             self._ends.values(), is_quarantined=self.is_quarantined, now_s=self._clock()
@@ -194,19 +198,19 @@
         return end is not None and (end.alive or fingerprint in end.cleared)
 
     def _drop_suspicion(self, fingerprint: bytes, life: str) -> None:
-        """Record that an end no longer counts against a request."""
-        lives = self._lives_by_request.get(fingerprint)
+        """Record that an end no longer counts against a suspect."""
+        lives = self._lives_by_suspect.get(fingerprint)
         if lives is not None:
             lives.discard(life)
             if not lives:
-                del self._lives_by_request[fingerprint]
+                del self._lives_by_suspect[fingerprint]
         verdict = self._verdicts.get(fingerprint)
         if verdict is None or verdict.released or life not in verdict.lives:
             return
         self._release(verdict)
 
     def _release_all(self, life: str) -> None:
-        """Release all requests whose verdict is based on an end that was none."""
+        """Release all suspects whose verdict is based on an end that was none."""
         for verdict in self.verdicts():
             if life in verdict.lives and not verdict.released:
                 self._release(verdict)
@@ -232,11 +236,11 @@
     def _drop_end(self, life: str) -> None:
         self._checksum = None
         for fingerprint in self._ends.pop(life).ran:
-            lives = self._lives_by_request.get(fingerprint)
+            lives = self._lives_by_suspect.get(fingerprint)
             if lives is not None:
                 lives.discard(life)
                 if not lives:
-                    del self._lives_by_request[fingerprint]
+                    del self._lives_by_suspect[fingerprint]
 
 
-__all__ = ["END_VALID_S", "MAX_ENDS", "MAX_REQUESTS_PER_END", "MAX_VERDICTS", "SuspectTable"]
+__all__ = ["END_VALID_S", "MAX_ENDS", "MAX_SUSPECTS_PER_END", "MAX_VERDICTS", "SuspectTable"]
--- a/src/leadhollow/forward/fingerprint.py
+++ b/src/leadhollow/forward/fingerprint.py
@@ -1,22 +1,16 @@
-"""Computes the fingerprints by which requests, and parts of their prompts, are recognised.
-
-A fingerprint says what it is of: one of a prompt part ends with a tag. The fingerprint of a request
-has none, so that verdicts that were stored before there were tags still apply.
-"""
+"""Computes the fingerprints by which requests, and parts of their prompts, are recognised."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from enum import Enum
 
 from blake3 import blake3
 
+from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, PART_TAG
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.messages import RequestHead
 
-FINGERPRINT_BYTES = 16  # 1.5e-21 is the probability of any collision in a billion requests
 SHORT_FINGERPRINT_CHARACTERS = 12
-PART_TAG = b"part"
 PART_DIGEST_BYTES = FINGERPRINT_BYTES - len(PART_TAG)
 
 MAX_PARTS = 32
@@ -24,13 +18,6 @@
 allow thousands."""
 
 
-class FingerprintKind(Enum):
-    """What a fingerprint is of."""
-
-    REQUEST = "request"
-    PART = "part"
-
-
 def fingerprint_of(head: RequestHead, body: RequestBody, *, organisation: str) -> bytes:
     """Return the digest of a request's method, target, caller and body.
 
@@ -65,22 +52,14 @@
     )
 
 
-def kind_of(fingerprint: bytes) -> FingerprintKind:
-    """Return what a fingerprint is of."""
-    return FingerprintKind.PART if fingerprint.endswith(PART_TAG) else FingerprintKind.REQUEST
-
-
 def short_fingerprint(fingerprint: bytes) -> str:
     """Return the prefix of a fingerprint that log lines and commands print."""
     return fingerprint.hex()[:SHORT_FINGERPRINT_CHARACTERS]
 
 
 __all__ = [
-    "FINGERPRINT_BYTES",
     "MAX_PARTS",
-    "FingerprintKind",
     "fingerprint_of",
-    "kind_of",
     "part_fingerprints",
     "short_fingerprint",
 ]
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -308,7 +308,7 @@
         else:
             server.health.record_success()
             if exchange.response.head.framing is not Framing.UNTIL_CLOSE:
-                self._suspects.record_success(server, call.fingerprint)
+                self._suspects.record_success(server, call.traits)
         log.info(
             "response received",
             request=call.request_id,
@@ -358,7 +358,7 @@
             server.health.record_unreachable(now_s)
         else:
             server.health.record_failure(now_s)
-            self._suspects.record_interruption(server, call.fingerprint)
+            self._suspects.record_interruption(server, call)
         log.warning(
             "attempt failed",
             request=call.request_id,
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -1,4 +1,4 @@
-"""Keeps quarantined requests away from all servers and aborts their running calls."""
+"""Keeps quarantined requests and prompt parts away from all servers and aborts their calls."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
+from leadhollow.decide.fingerprint_kind import kind_of
 from leadhollow.decide.quarantine_rules import ENDS_TO_QUARANTINE
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.call import ForwardedCall
@@ -26,7 +27,7 @@
     Parameters
     ----------
     table
-        Suspect requests and verdicts that all entries share.
+        Suspects and verdicts that all entries share.
     """
 
     __slots__ = ("_running", "table")
@@ -37,7 +38,7 @@
 
     def is_quarantined(self, call: ForwardedCall) -> bool:
         """Return whether a request must not be sent."""
-        return self.table.is_quarantined(call.fingerprint)
+        return any(map(self.table.is_quarantined, call.traits))
 
     async def wait_for_verdict(self, call: ForwardedCall) -> None:
         """Delay another send of a call that one more server end would put into quarantine.
@@ -45,32 +46,35 @@
         Without the delay, the retry of a call leaves right after its server ended, before a replica
         can decide. Innocent calls that ran at the same servers are delayed too.
         """
-        if (
-            call.sends
-            and len(self.table.suspected_lives(call.fingerprint)) + 1 >= ENDS_TO_QUARANTINE
-        ):
+        if call.sends and self._most_lives(call) + 1 >= ENDS_TO_QUARANTINE:
             await active_sleep(VERDICT_DELAY_S)
 
+    def _most_lives(self, call: ForwardedCall) -> int:
+        """Return the highest number of servers that one trait of a call may have ended."""
+        return max(len(self.table.suspected_lives(trait)) for trait in call.traits)
+
     @contextmanager
     def track(self, call: ForwardedCall, limit: asyncio.Timeout) -> Iterator[None]:
-        """Abort a call within this context if its request is put into quarantine.
+        """Abort a call within this context if it is put into quarantine.
 
         Parameters
         ----------
         limit
             Timeout of the call; it is rescheduled to now to abort the call.
         """
-        calls = self._running.setdefault(call.fingerprint, {})
-        calls[call] = limit
+        for trait in call.traits:
+            self._running.setdefault(trait, {})[call] = limit
         try:
             yield
         finally:
-            del calls[call]
-            if not calls:
-                self._running.pop(call.fingerprint, None)
+            for trait in call.traits:
+                calls = self._running[trait]
+                del calls[call]
+                if not calls:
+                    del self._running[trait]
 
     def abort_calls(self, fingerprints: Iterable[bytes]) -> None:
-        """Abort running calls of requests that are in quarantine.
+        """Abort the running calls that a new verdict put into quarantine.
 
         This saves servers that have not begun to run the request, because they still read or queue
         it. That is most of the time between sending a request and the server end that it causes.
@@ -83,6 +87,7 @@
             log.warning(
                 "request in quarantine",
                 fingerprint=short_fingerprint(fingerprint),
+                kind=kind_of(fingerprint).value,
                 running=len(calls),
             )
             for limit in calls.values():
--- a/src/leadhollow/forward/server_end_detector.py
+++ b/src/leadhollow/forward/server_end_detector.py
@@ -11,10 +11,11 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 from leadhollow.codes import Code
+from leadhollow.decide.fingerprint_kind import count_requests
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.forward.fingerprint import short_fingerprint
@@ -60,7 +61,7 @@
 
 
 class _InterruptedServer:
-    """A server that broke off requests, with their fingerprints."""
+    """A server that broke off requests, with the fingerprints of their traits."""
 
     __slots__ = ("fingerprints", "first_s", "server")
 
@@ -97,8 +98,8 @@
         self._tasks: set[asyncio.Task[None]] = set()
         directory.on_replaced(self._on_replaced)
 
-    def record_interruption(self, server: Server, fingerprint: bytes) -> None:
-        """Record a request that a server broke off or went silent on."""
+    def record_interruption(self, server: Server, traits: Iterable[bytes]) -> None:
+        """Record the traits of a request that a server broke off or went silent on."""
         now_s = _now_s()
         life = server.instance.life
         found = self._interrupted.get(life)
@@ -108,7 +109,7 @@
             self._start_check(life)
         elif now_s - found.first_s > BATCH_WINDOW_S:
             self._start_check(life)
-        found.fingerprints.add(fingerprint)
+        found.fingerprints.update(traits)
 
     async def stop(self) -> None:
         """Cancel all running checks."""
@@ -137,7 +138,7 @@
             instance=found.server.instance.instance,
             address=found.server.instance.address,
             reason=doubt.value,
-            requests=len(found.fingerprints),
+            requests=count_requests(found.fingerprints),
         )
 
     async def _reason_to_doubt(self, found: _InterruptedServer) -> _Doubt | None:
@@ -207,7 +208,7 @@
             "backend server ended while it ran requests",
             instance=server.instance.instance,
             address=server.instance.address,
-            requests=len(found.fingerprints),
+            requests=count_requests(found.fingerprints),
             fingerprints=[short_fingerprint(one) for one in sorted(ran)[:MAX_LOGGED_FINGERPRINTS]],
         )
         if ran:
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -206,14 +206,14 @@
         self._health_updated = True
         self.placement.server.health.record_success()
         if self.source.exchange.response.head.framing is not Framing.UNTIL_CLOSE:
-            self._context.suspects.record_success(self.placement.server, self._call.fingerprint)
+            self._context.suspects.record_success(self.placement.server, self._call.traits)
 
     def record_silence(self) -> None:
         """Record that the engine is silent, so that new requests prefer other engines."""
         self._excluded.instances.add(self.instance)
         if self._failure_recorded:
             return
-        self._context.suspects.record_interruption(self.placement.server, self._call.fingerprint)
+        self._context.suspects.record_interruption(self.placement.server, self._call)
         self._record_failure()
         log.warning("engine is silent", **self._log_fields())
 
@@ -221,7 +221,7 @@
         """Record that the engine got the request and did not complete it."""
         self._excluded.instances.add(self.instance)
         self._excluded.lost_domains.add(self.placement.server.instance.failure_domain)
-        self._context.suspects.record_interruption(self.placement.server, self._call.fingerprint)
+        self._context.suspects.record_interruption(self.placement.server, self._call)
         self._record_failure()
         log.warning("stream broken", **self._log_fields(), failure=str(failure))
 
--- a/src/leadhollow/forward/suspect_sync.py
+++ b/src/leadhollow/forward/suspect_sync.py
@@ -1,16 +1,19 @@
-"""Synchronises this entry's suspect requests and quarantine verdicts with those of all entries.
+"""Synchronises this entry's suspects and quarantine verdicts with those of all entries.
 
-A suspect is a request that ran at a server that ended.
+A suspect is a request that ran at a server that ended, or a part of its prompt.
 """
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
+from leadhollow.decide.fingerprint_kind import kind_of
 from leadhollow.decide.quarantine_rules import SETTLE_S
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.decide.suspects import SuspectTable
+from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.fingerprint import short_fingerprint
 from leadhollow.forward.pool import ConnectionPool
 from leadhollow.forward.quarantine import Quarantine
@@ -88,15 +91,17 @@
         await super().stop()
         await self.end_detector.stop()
 
-    def record_interruption(self, server: Server, fingerprint: bytes) -> None:
+    def record_interruption(self, server: Server, call: ForwardedCall) -> None:
         """Record a request that a server broke off or went silent on."""
-        self.end_detector.record_interruption(server, fingerprint)
+        self.end_detector.record_interruption(server, call.traits)
 
-    def record_success(self, server: Server, fingerprint: bytes) -> None:
-        """Record a request whose response was complete."""
-        self._successes.add(fingerprint, asyncio.get_running_loop().time())
-        if self.table.suspected_lives(fingerprint):
-            self._clear(fingerprint)
+    def record_success(self, server: Server, traits: Iterable[bytes]) -> None:
+        """Record the traits of a request that a server has survived."""
+        now_s = asyncio.get_running_loop().time()
+        for trait in traits:
+            self._successes.add(trait, now_s)
+            if self.table.is_suspected(trait):
+                self._clear(trait)
         life = server.instance.life
         if self.table.mark_alive(life):
             log.info("backend server had not ended", instance=server.instance.instance)
@@ -105,7 +110,12 @@
 
     def _clear(self, fingerprint: bytes) -> None:
         lives = self.table.clear(fingerprint)
-        log.info("request cleared", fingerprint=short_fingerprint(fingerprint), ends=len(lives))
+        log.info(
+            "request cleared",
+            fingerprint=short_fingerprint(fingerprint),
+            kind=kind_of(fingerprint).value,
+            ends=len(lives),
+        )
         self._changed.lives |= lives
         self.note_change()
 
--- a/src/leadhollow/membership/suspect_news.py
+++ b/src/leadhollow/membership/suspect_news.py
@@ -7,15 +7,15 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
+from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES
 from leadhollow.decide.server_ends import ServerEnd, Verdict
-from leadhollow.decide.suspects import MAX_REQUESTS_PER_END, SuspectTable
+from leadhollow.decide.suspects import MAX_SUSPECTS_PER_END, SuspectTable
 from leadhollow.failure import Failure
 from leadhollow.wire.generated.ttypes import ServerEnd as EndRecord
 from leadhollow.wire.generated.ttypes import SuspectNews
 from leadhollow.wire.generated.ttypes import Verdict as VerdictRecord
 
 MAX_RECORDS = 2_048  # per message: a full table
-FINGERPRINT_BYTES = 16
 
 
 class SuspectChanges:
@@ -112,8 +112,8 @@
         return _malformed(f"{len(ends)} ends and {len(verdicts)} verdicts")
     if any(not end.life for end in ends):
         return _malformed("an end without a life")
-    if any(len(end.ran or ()) > MAX_REQUESTS_PER_END for end in ends):
-        return _malformed("an end under more requests than a server runs")
+    if any(len(end.ran or ()) > MAX_SUSPECTS_PER_END for end in ends):
+        return _malformed("an end under more suspects than a server runs")
     fingerprints = [found for end in ends for found in (*(end.ran or ()), *(end.cleared or ()))]
     fingerprints += [verdict.fingerprint or b"" for verdict in verdicts]
     invalid = [found for found in fingerprints if len(found) != FINGERPRINT_BYTES]
--- a/tests/cli/test_quarantine_commands.py
+++ b/tests/cli/test_quarantine_commands.py
@@ -50,7 +50,7 @@
     def test_quarantined_request_is_listed_shown_and_released(self, tmp_path):
         async def work(site: Site, crash_log: CrashLog, replica: str) -> None:
             listed = json.loads((await ask("quarantine", "list", replica, "--json")).stdout)
-            assert [found["released"] for found in listed] == [False]
+            assert [(found["released"], found["kind"]) for found in listed] == [(False, "request")]
             fingerprint = listed[0]["fingerprint"]
             shown = (await ask("quarantine", "show", replica, fingerprint[:12])).stdout
             assert shown.count("i-") == 3
--- a/tests/decide/test_suspects.py
+++ b/tests/decide/test_suspects.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from leadhollow.decide.fingerprint_kind import PART_TAG
 from leadhollow.decide.quarantine_rules import (
     COMMON_CAUSE_ENDS,
     COMMON_CAUSE_WINDOW_S,
@@ -15,7 +16,7 @@
     UNEXPLAINED_ENDS,
 )
 from leadhollow.decide.server_ends import ServerEnd, Verdict
-from leadhollow.decide.suspects import END_VALID_S, MAX_ENDS, MAX_REQUESTS_PER_END, SuspectTable
+from leadhollow.decide.suspects import END_VALID_S, MAX_ENDS, MAX_SUSPECTS_PER_END, SuspectTable
 
 CRASHER = b"c" * 16
 OTHER = b"o" * 16
@@ -54,6 +55,13 @@
     return number.to_bytes(16, "big")
 
 
+def part(number: int) -> bytes:
+    return number.to_bytes(12, "big") + PART_TAG
+
+
+PART = part(99)
+
+
 class TestQuarantine:
     def test_takes_a_request_that_was_present_at_three_ends(self):
         fleet = Fleet()
@@ -147,6 +155,66 @@
         assert fleet.evaluate() == []
 
 
+class TestPromptParts:
+    # Requests that are no two alike were never suspected of what they have in common.
+    def test_takes_the_part_that_three_different_requests_share(self):
+        fleet = Fleet()
+        for number in range(3):
+            fleet.end(request(number), PART, part(number))
+        assert fleet.evaluate() == [PART]
+
+    # A part of one crashing request would be refused to all others that have it.
+    def test_takes_only_the_request_if_its_parts_ran_with_no_other(self):
+        fleet = Fleet()
+        for _ in range(3):
+            fleet.end(CRASHER, PART, part(1))
+        assert fleet.evaluate() == [CRASHER]
+
+    # Ends under one request that came again would be lost as evidence against its part.
+    def test_counts_the_ends_of_a_quarantined_request_against_its_part(self):
+        fleet = Fleet()
+        for _ in range(3):
+            fleet.end(CRASHER, PART)
+        assert fleet.evaluate() == [CRASHER]
+        fleet.end(request(1), PART)
+        assert fleet.evaluate() == [PART]
+
+    # A rare part of a crashing request would be taken at the next end by chance.
+    def test_asks_for_two_more_ends_while_servers_end_for_other_reasons(self):
+        fleet = Fleet()
+        for _ in range(3):
+            fleet.end(CRASHER, PART)
+        assert fleet.evaluate() == [CRASHER]
+        fleet.end(request(1))
+        fleet.end(request(2), PART)
+        assert fleet.evaluate() == []
+        fleet.end(request(3), PART)
+        assert fleet.evaluate() == [PART]
+
+    def test_takes_parts_that_are_always_together_after_enough_ends(self):
+        fleet = Fleet()
+        for number in range(TIED_ENDS):
+            assert fleet.evaluate() == []
+            fleet.end(request(number), PART, part(1))
+        assert sorted(fleet.evaluate()) == sorted([PART, part(1)])
+
+    def test_spares_a_part_that_was_cleared(self):
+        fleet = Fleet()
+        for number in range(TIED_ENDS):
+            fleet.end(request(number), PART, part(1))
+            fleet.table.clear(part(1))
+        assert fleet.evaluate() == [PART]
+
+    def test_a_part_explains_later_ends_to_the_requests_that_have_it(self):
+        fleet = Fleet()
+        for number in range(3):
+            fleet.end(request(number), PART)
+        assert fleet.evaluate() == [PART]
+        for _ in range(4):
+            fleet.end(OTHER, PART, part(2))
+        assert fleet.evaluate() == []
+
+
 class TestClear:
     def test_discards_earlier_ends_of_a_request(self):
         fleet = Fleet()
@@ -251,10 +319,10 @@
 
     def test_the_requests_of_one_end_are_bounded(self):
         fleet = Fleet()
-        life = fleet.end(*(request(number) for number in range(MAX_REQUESTS_PER_END + 9)))
+        life = fleet.end(*(request(number) for number in range(MAX_SUSPECTS_PER_END + 9)))
         end = fleet.table.end(life)
         assert end is not None
-        assert len(end.ran) == MAX_REQUESTS_PER_END
+        assert len(end.ran) == MAX_SUSPECTS_PER_END
 
     def test_old_ends_expire_and_verdicts_stay(self):
         fleet = Fleet()
--- a/tests/membership/test_suspect_news.py
+++ b/tests/membership/test_suspect_news.py
@@ -8,7 +8,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.decide.server_ends import ServerEnd, Verdict
-from leadhollow.decide.suspects import MAX_REQUESTS_PER_END, SuspectTable
+from leadhollow.decide.suspects import MAX_SUSPECTS_PER_END, SuspectTable
 from leadhollow.membership.suspect_news import MAX_RECORDS, all_records, encode_news, merge_news
 from leadhollow.wire.generated.ttypes import ServerEnd as EndRecord
 from leadhollow.wire.generated.ttypes import SuspectNews
@@ -68,7 +68,7 @@
             SuspectNews("", 1, [], [VerdictRecord(None, 1, False, [], 0)]),
             SuspectNews("", 1, [], [VerdictRecord(GOOD, 1, False, [], 0)] * (MAX_RECORDS + 1)),
             SuspectNews(
-                "", 1, [EndRecord("i", [GOOD] * (MAX_REQUESTS_PER_END + 1), [], 0, False)], []
+                "", 1, [EndRecord("i", [GOOD] * (MAX_SUSPECTS_PER_END + 1), [], 0, False)], []
             ),
         ],
         ids=["short", "long", "no life", "no request", "too many", "too many of one"],
