Clear what a server survives, also where answers end with their connection

Callers would have seen: where answers have neither a length nor chunks, the parts of sound requests are put in quarantine beside a crashing one, and most requests are refused. Cause: an answer that ends with its connection cleared nobody, as the end of its server may have cut it; and a stream cleared its parts only at its end, a second or more after they had been read. Evidence: with such answers both variants of the test failed: sound requests got 503 after the fifth end, as their first part was always beside the crashing one. Change: after such an answer the entry connects to the server, and pools the connection: accepted, the answer clears; refused, the request counts as present at the server's end. A stream that goes on for 0.5 s and five events after its first event clears the parts of its prompt, not the request. Why it works: a process that has ended listens no more; and an engine has read a part before it writes.

--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -23,7 +23,6 @@
 from leadhollow.forward.response_relay import relay_response
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.forward.suspect_sync import SuspectSync
-from leadhollow.http1.messages import Framing
 from leadhollow.kernel.active_time import active_since_s, active_wait, deadline_at
 from leadhollow.observe.logs import get_logger, log_decision
 
@@ -307,8 +306,7 @@
             server.health.record_failure(asyncio.get_running_loop().time())
         else:
             server.health.record_success()
-            if exchange.response.head.framing is not Framing.UNTIL_CLOSE:
-                self._suspects.record_success(server, call.traits)
+            self._suspects.record_complete(server, call, exchange.response.head.framing)
         log.info(
             "response received",
             request=call.request_id,
--- a/src/leadhollow/forward/server_end_detector.py
+++ b/src/leadhollow/forward/server_end_detector.py
@@ -5,14 +5,18 @@
 another life has taken over its address. It counts as ended earlier if its address refuses
 connections while neighbours accept them. If that was wrong, a later response of the server revokes
 it.
+
+A response that ends with its connection may have been cut off by the end of the server. It proves
+that the server survived the request only if the server accepts a connection afterwards.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from enum import Enum
+from typing import Any
 
 from leadhollow.codes import Code
 from leadhollow.decide.fingerprint_kind import count_requests
@@ -49,12 +53,21 @@
 log = get_logger("ends")
 
 EndListener = Callable[[ServerEnd], None]
+SurvivalListener = Callable[[Server, Iterable[bytes]], None]
+
+
+class _Refusal(Enum):
+    """Whether an address refuses connections."""
+
+    NONE = "none"
+    CERTAIN = "certain"
+    UNKNOWN = "unknown"
 
 
 class _Doubt(Enum):
     """Why a server that broke off requests may not have ended."""
 
-    ACCEPTS_CONNECTIONS = "accepts connections"
+    ACCEPTS_CONNECTIONS = "does not refuse connections"
     CALLS_RUN = "earlier calls still run"
     SIMULTANEOUS = "others broke off requests at the same time"
     NO_NEIGHBOUR = "no neighbour accepts connections"
@@ -77,10 +90,22 @@
     Parameters
     ----------
     on_server_end
-        Called with each server that ended and the requests that may have caused it.
+        Called with each server that ended and the traits of requests that may have caused it.
+    on_survival
+        Called with each server that survived responses that ended with their connection, and the
+        traits of their requests.
     """
 
-    __slots__ = ("_directory", "_interrupted", "_on_server_end", "_pool", "_successes", "_tasks")
+    __slots__ = (
+        "_closed",
+        "_directory",
+        "_interrupted",
+        "_on_server_end",
+        "_on_survival",
+        "_pool",
+        "_successes",
+        "_tasks",
+    )
 
     def __init__(
         self,
@@ -89,11 +114,14 @@
         pool: ConnectionPool,
         successes: RecentSuccesses,
         on_server_end: EndListener,
+        on_survival: SurvivalListener,
     ) -> None:
         self._directory = directory
         self._pool = pool
         self._successes = successes
         self._on_server_end = on_server_end
+        self._on_survival = on_survival
+        self._closed: dict[str, set[bytes]] = {}  # by life: responses that ended with a connection
         self._interrupted: OrderedDict[str, _InterruptedServer] = OrderedDict()
         self._tasks: set[asyncio.Task[None]] = set()
         directory.on_replaced(self._on_replaced)
@@ -111,6 +139,15 @@
             self._start_check(life)
         found.fingerprints.update(traits)
 
+    def record_close(self, server: Server, traits: Iterable[bytes]) -> None:
+        """Record the traits of a request whose response was ended by closing its connection."""
+        life = server.instance.life
+        if life in self._closed:
+            self._closed[life].update(traits)
+            return
+        self._closed[life] = set(traits)
+        self._add_task(self._check_survival(server), name="")
+
     async def stop(self) -> None:
         """Cancel all running checks."""
         for task in list(self._tasks):
@@ -120,10 +157,22 @@
     def _start_check(self, life: str) -> None:
         if any(task.get_name() == life for task in self._tasks):
             return
-        task = asyncio.get_running_loop().create_task(self._check(life), name=life)
+        self._add_task(self._check(life), name=life)
+
+    def _add_task(self, work: Coroutine[Any, Any, None], *, name: str) -> None:
+        task = asyncio.get_running_loop().create_task(work, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _check_survival(self, server: Server) -> None:
+        await asyncio.sleep(BATCH_WINDOW_S)
+        refused = await self._refuses_connections(server.instance.address)
+        traits = self._closed.pop(server.instance.life, set())
+        if refused is _Refusal.NONE:
+            self._on_survival(server, traits)
+        elif refused is _Refusal.CERTAIN:
+            self.record_interruption(server, traits)
+
     async def _check(self, life: str) -> None:
         await asyncio.sleep(BATCH_WINDOW_S)
         found = self._interrupted.get(life)
@@ -146,7 +195,8 @@
         for attempt in range(CONNECT_ATTEMPTS):
             if attempt:
                 await asyncio.sleep(CONNECT_RETRY_DELAY_S)
-            if not await self._refuses_connections(found.server.instance.address):
+            refused = await self._refuses_connections(found.server.instance.address)
+            if refused is not _Refusal.CERTAIN:
                 return _Doubt.ACCEPTS_CONNECTIONS
         if any(call.placed_s < found.first_s for call in found.server.calls):
             return _Doubt.CALLS_RUN  # only connections broke
@@ -156,13 +206,15 @@
             return _Doubt.NO_NEIGHBOUR
         return None
 
-    async def _refuses_connections(self, address: str) -> bool:
+    async def _refuses_connections(self, address: str) -> _Refusal:
         """Return whether nothing listens at an address; pool the connection if one opens."""
         opened = await self._pool.acquire(address, fresh=True)
         if opened.is_ok():
             self._pool.release(address, opened.unwrap())
-            return False
-        return opened.unwrap_err().code is Code.PEER_ABSENT
+            return _Refusal.NONE
+        if opened.unwrap_err().code is Code.PEER_ABSENT:
+            return _Refusal.CERTAIN
+        return _Refusal.UNKNOWN
 
     def _is_simultaneous(self, found: _InterruptedServer) -> bool:
         """Return whether several servers broke off requests at the same time."""
@@ -200,6 +252,7 @@
         found = self._interrupted.pop(life, None)
         if found is None:
             return
+        found.fingerprints |= self._closed.pop(life, set())
         server, now_s = found.server, _now_s()
         if server.instance.state is not InstanceState.READY or server.switching(now_s):
             return  # the server had announced that it leaves or changes its weights
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -19,7 +19,6 @@
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.forward.suspect_sync import SuspectSync
-from leadhollow.http1.messages import Framing
 from leadhollow.kernel import active_time
 from leadhollow.observe.logs import get_logger
 
@@ -29,6 +28,11 @@
 SILENCE_FACTOR = 2.0  # timeout relative to the pause that a route calls on time
 MIN_SILENCE_S = 0.8
 
+SURVIVED_S = 0.5
+SURVIVED_EVENTS = 5
+"""Time and events from the first event of a stream on after which its engine has survived the parts
+of the prompt. Both are asked for, as a slow link may delay the second event alone."""
+
 log = get_logger("stream")
 
 
@@ -92,9 +96,12 @@
     __slots__ = (
         "_call",
         "_context",
+        "_event_count",
         "_excluded",
         "_failure_recorded",
+        "_first_event_s",
         "_health_updated",
+        "_parts_survived",
         "failed_response",
         "placement",
         "sent_s",
@@ -114,6 +121,9 @@
         self._excluded = excluded
         self._health_updated = False  # whether the engine's health was updated
         self._failure_recorded = False
+        self._first_event_s: float | None = None
+        self._event_count = 0
+        self._parts_survived = False
         self.sent_s = active_time.active_s()
         self.placement = placement
         self.source: EventSource | None = None
@@ -205,8 +215,24 @@
         assert self.source is not None
         self._health_updated = True
         self.placement.server.health.record_success()
-        if self.source.exchange.response.head.framing is not Framing.UNTIL_CLOSE:
-            self._context.suspects.record_success(self.placement.server, self._call.traits)
+        framing = self.source.exchange.response.head.framing
+        self._context.suspects.record_complete(self.placement.server, self._call, framing)
+
+    def record_events(self, count: int) -> None:
+        """Record that complete events have arrived.
+
+        An engine that goes on for a while after it began to write has survived the parts of the
+        prompt, which it had read by then. It may still end under the request as a whole.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self._first_event_s is None:
+            self._first_event_s = now_s
+        self._event_count += count
+        if self._parts_survived or self._event_count < SURVIVED_EVENTS:
+            return
+        if now_s - self._first_event_s >= SURVIVED_S:
+            self._parts_survived = True
+            self._context.suspects.record_success(self.placement.server, self._call.parts)
 
     def record_silence(self) -> None:
         """Record that the engine is silent, so that new requests prefer other engines."""
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -23,6 +24,14 @@
 log = get_logger("stream")
 
 
+class RelayedAttempt(Protocol):
+    """Attempt whose events are relayed."""
+
+    def record_events(self, count: int) -> None:
+        """Record that complete events have arrived."""
+        ...
+
+
 class StreamRelay:
     """Relays one stream and tracks what its caller has got of it.
 
@@ -77,7 +86,7 @@
         self.writing = False
 
     async def run(
-        self, attempt: object, placement: Placement, source: EventSource
+        self, attempt: RelayedAttempt, placement: Placement, source: EventSource
     ) -> Result[None, Failure]:
         """Relay complete events until the stream ends or another attempt becomes the owner.
 
@@ -107,6 +116,7 @@
                 placement.server.record_first_event(placement.call)
                 placement.server.health.record_first_event()
                 self._record_first_event(placement)
+            attempt.record_events(len(events))
             self.batches_sent += 1
             if self.on_progress is not None:
                 self.on_progress()
@@ -183,4 +193,4 @@
         )
 
 
-__all__ = ["StreamRelay"]
+__all__ = ["RelayedAttempt", "StreamRelay"]
--- a/src/leadhollow/forward/suspect_sync.py
+++ b/src/leadhollow/forward/suspect_sync.py
@@ -20,6 +20,7 @@
 from leadhollow.forward.recent_successes import RecentSuccesses
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.forward.server_end_detector import ServerEndDetector
+from leadhollow.http1.messages import Framing
 from leadhollow.kernel.active_time import ActiveTimer
 from leadhollow.kernel.batching_service import BatchingService
 from leadhollow.membership.control_feed import ControlFeed
@@ -77,6 +78,7 @@
             pool=pool,
             successes=self._successes,
             on_server_end=self._on_server_end,
+            on_survival=self.record_success,
         )
         self._changed = SuspectChanges()
         self._synced_replica = ""  # replica that has got a full update
@@ -95,6 +97,13 @@
         """Record a request that a server broke off or went silent on."""
         self.end_detector.record_interruption(server, call.traits)
 
+    def record_complete(self, server: Server, call: ForwardedCall, framing: Framing) -> None:
+        """Record a request whose response was complete by its framing."""
+        if framing is Framing.UNTIL_CLOSE:
+            self.end_detector.record_close(server, call.traits)
+        else:
+            self.record_success(server, call.traits)
+
     def record_success(self, server: Server, traits: Iterable[bytes]) -> None:
         """Record the traits of a request that a server has survived."""
         now_s = asyncio.get_running_loop().time()
--- a/tests/forward/region_entry.py
+++ b/tests/forward/region_entry.py
@@ -115,6 +115,7 @@
             ),
             record_interruption=lambda *_: None,
             record_success=lambda *_: None,
+            record_complete=lambda *_: None,
         )
         context = StreamContext(
             directory=self.directory,
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -157,6 +157,7 @@
                 quarantine=quarantine,
                 record_interruption=lambda *_: None,
                 record_success=lambda *_: None,
+                record_complete=lambda *_: None,
             ),
         )
         service = SimpleNamespace(name="s", engine=SimpleNamespace())
--- a/tests/node/crashing.py
+++ b/tests/node/crashing.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from aiohttp import web
+from aiohttp import HttpVersion10, web
 
 from tests.node.site import PlainServer
 
@@ -42,6 +42,13 @@
     return any(part.partition(":")[0] == CRASHING_PART for part in parts[:-1])
 
 
+def frame_until_close(request: web.Request, answer: web.StreamResponse) -> None:
+    """Give a response neither a length nor chunks, as HTTP/1.0 does; its connection ends it."""
+    request._version = HttpVersion10
+    answer.headers.pop("Content-Length", None)
+    answer.force_close()
+
+
 class CrashingServer(PlainServer):
     """Plain server that crashes on a poison request and restarts under another instance name.
 
@@ -49,6 +56,11 @@
     ----------
     run_s
         Time for which it runs such a request before it crashes.
+
+    Attributes
+    ----------
+    until_close
+        Whether its responses have neither a length nor chunks and end with their connection.
     """
 
     def __init__(
@@ -59,6 +71,7 @@
         self.run_s = run_s
         self.lives = 1
         self.only_resets = False
+        self.until_close = False
         self._number = number
         self._restarts: set[asyncio.Task[None]] = set()
 
@@ -100,7 +113,15 @@
         return web.Response(status=500)  # never delivered: the connection is gone
 
     async def _answer_normally(self, request: web.Request) -> web.StreamResponse:
-        return await super()._answer(request)
+        answer = await super()._answer(request)
+        if not self.until_close or answer.status != 200:
+            return answer
+        unframed = web.StreamResponse(headers=answer.headers)
+        frame_until_close(request, unframed)
+        await unframed.prepare(request)
+        await unframed.write(self.instance.encode())
+        await unframed.write_eof()
+        return unframed
 
     async def _crash(self) -> None:
         """Behave as a process that ends: abort all connections and stop listening."""
@@ -164,7 +185,10 @@
         if request.headers.get("X-Expect-Instance") != self.instance:
             return web.Response(status=421, headers=headers)
         answer = web.StreamResponse(headers=headers)
-        answer.enable_chunked_encoding()
+        if self.until_close:
+            frame_until_close(request, answer)
+        else:
+            answer.enable_chunked_encoding()
         await answer.prepare(request)
         resumed_after = int(request.headers.get("Last-Event-Id", -1))
         for number in range(resumed_after + 1, self.EVENTS):
--- a/tests/node/test_crashing_parts.py
+++ b/tests/node/test_crashing_parts.py
@@ -23,6 +23,7 @@
 PAUSE_S = 0.1
 SPREAD_S = 0.25  # time within which all entries must know
 KINDS = {"plain": CrashingServer, "stream": CrashingEngine}
+FRAMINGS = {"framed": False, "until-close": True}
 
 
 def service_route(kind: str) -> dict[str, object]:
@@ -30,7 +31,13 @@
     return {**route("/ask/", "service"), **(streams if kind == "stream" else {})}
 
 
-def with_site(folder: Path, kind: str, work: Callable[[Site, CrashLog], Awaitable[None]]) -> None:
+def with_site(
+    folder: Path,
+    kind: str,
+    work: Callable[[Site, CrashLog], Awaitable[None]],
+    *,
+    until_close: bool = False,
+) -> None:
     crash_log = CrashLog()
 
     async def run() -> None:
@@ -38,6 +45,8 @@
             KINDS[kind](number=number, service="service", crash_log=crash_log)
             for number in range(SERVERS)
         ]
+        for server in servers:
+            server.until_close = until_close
         async with Site(folder=folder, servers=servers, entries=ENTRIES) as site:
             await site.put_routes(service_route(kind))
             for entry in range(ENTRIES):
@@ -78,10 +87,12 @@
     return crashing, others
 
 
+@pytest.mark.parametrize("framing", sorted(FRAMINGS))
 @pytest.mark.parametrize("kind", sorted(KINDS))
 class TestCrashingPart:
-    # Requests that share only a crashing part ended engines without bound.
-    def test_is_not_sent_after_the_fifth_crash(self, tmp_path, kind):
+    # Requests that share only a crashing part ended engines without bound. Where all answers end
+    # with their connection, none cleared anybody, and parts of sound requests were refused.
+    def test_is_not_sent_after_the_fifth_crash(self, tmp_path, kind, framing):
         async def work(site: Site, crash_log: CrashLog) -> None:
             crashing, others = await ask_with_crashing_part(site, 1, REQUESTS)
             assert 3 <= len(crash_log.crash_times_s) <= 5
@@ -89,7 +100,7 @@
             assert crashing[-ENTRIES:] == [503] * ENTRIES
             assert others == [200] * (ENTRIES * REQUESTS)
 
-        with_site(tmp_path, kind, work)
+        with_site(tmp_path, kind, work, until_close=FRAMINGS[framing])
 
 
 class TestQuarantineOfAPart:
