Recognise the end of a server whose neighbours are away too

Callers saw: while a part ended one engine after the other, an end counted only when another life had the address, two to four seconds later; until then requests with the part went on. Cause: an end was checked once, by at most two neighbours of the failure domain in no order; those that had broken off requests within a second were never asked, though most of them listened. Change: neighbours that broke off requests or are unreachable are asked last, up to eight; where the doubt is about others the check is repeated for 3.1 s; checks of one domain share a probe. Why it works: a domain that is cut off has no neighbour that accepts, and keeps its old rule.

--- a/src/leadhollow/forward/server_end_detector.py
+++ b/src/leadhollow/forward/server_end_detector.py
@@ -40,8 +40,14 @@
 """This many servers that break off requests within ``SIMULTANEOUS_S`` are taken to be cut off, not
 ended. Whether they ended is known once other lives have their addresses."""
 
-RECENT_S = 1.0  # servers that broke off requests this recently may have ended; they are not tried
-MAX_NEIGHBOURS = 2  # servers of the same failure domain to connect to; one must accept
+NEIGHBOURS_AT_ONCE = 2
+MAX_NEIGHBOURS = 8
+"""Servers of the same failure domain to connect to, some at a time, until one accepts. Those that
+broke off requests or are unreachable come last. Checks at the same time share one probe."""
+
+RECHECK_DELAYS_S = (0.1, 0.2, 0.4, 0.8, 0.8, 0.8)
+"""Delays between checks of a server whose end is in doubt because others are away too. Later on it
+counts as ended only once another life has its address."""
 
 MAX_AGE_S = 30.0
 """Interruptions are kept until another life has the address. For a server that went silent this
@@ -72,6 +78,11 @@
     SIMULTANEOUS = "others broke off requests at the same time"
     NO_NEIGHBOUR = "no neighbour accepts connections"
 
+    @property
+    def is_of_others(self) -> bool:
+        """Whether the reason is the state of other servers, which may change soon."""
+        return self in (_Doubt.SIMULTANEOUS, _Doubt.NO_NEIGHBOUR)
+
 
 class _InterruptedServer:
     """A server that broke off requests, with the fingerprints of their traits."""
@@ -103,6 +114,7 @@
         "_on_server_end",
         "_on_survival",
         "_pool",
+        "_probes",
         "_successes",
         "_tasks",
     )
@@ -123,6 +135,7 @@
         self._on_survival = on_survival
         self._closed: dict[str, set[bytes]] = {}  # by life: responses that ended with a connection
         self._interrupted: OrderedDict[str, _InterruptedServer] = OrderedDict()
+        self._probes: dict[str, asyncio.Task[bool]] = {}  # running ones, by failure domain
         self._tasks: set[asyncio.Task[None]] = set()
         directory.on_replaced(self._on_replaced)
 
@@ -136,6 +149,7 @@
             self._expire(now_s)
             self._start_check(life)
         elif now_s - found.first_s > BATCH_WINDOW_S:
+            found.first_s = now_s  # it went silent before, or only some connections broke
             self._start_check(life)
         found.fingerprints.update(traits)
 
@@ -150,9 +164,10 @@
 
     async def stop(self) -> None:
         """Cancel all running checks."""
-        for task in list(self._tasks):
+        tasks = [*self._tasks, *self._probes.values()]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _start_check(self, life: str) -> None:
         if any(task.get_name() == life for task in self._tasks):
@@ -174,14 +189,20 @@
             self.record_interruption(server, traits)
 
     async def _check(self, life: str) -> None:
-        await asyncio.sleep(BATCH_WINDOW_S)
-        found = self._interrupted.get(life)
-        if found is None:
-            return
-        doubt = await self._reason_to_doubt(found)
-        if doubt is None:
-            self._report_end(life)
-            return
+        for delay_s in (BATCH_WINDOW_S, *RECHECK_DELAYS_S):
+            await asyncio.sleep(delay_s)
+            found = self._interrupted.get(life)
+            if found is None:
+                return
+            doubt = await self._reason_to_doubt(found)
+            if doubt is None:
+                self._report_end(life)
+                return
+            self._log_doubt(found, doubt)
+            if not doubt.is_of_others:
+                return
+
+    def _log_doubt(self, found: _InterruptedServer, doubt: _Doubt) -> None:
         log.info(
             "end of a backend server not confirmed",
             instance=found.server.instance.instance,
@@ -227,21 +248,31 @@
 
     async def _neighbour_accepts(self, server: Server) -> bool:
         """Return whether another server of the same failure domain accepts connections."""
-        recent_s = _now_s() - RECENT_S
-        excluded = {
-            found.server.instance.address
-            for found in self._interrupted.values()
-            if found.first_s > recent_s or found.server is server
-        }
-        neighbours = [
-            other.instance.address
-            for other in self._directory.all_servers()
-            if other.instance.failure_domain == server.instance.failure_domain
-            and other.instance.address not in excluded
-            and not other.health.unreachable
+        domain = server.instance.failure_domain
+        probe = self._probes.get(domain)
+        if probe is None:
+            probe = asyncio.get_running_loop().create_task(self._domain_accepts(domain))
+            self._probes[domain] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(domain, None))
+        return await asyncio.shield(probe)
+
+    async def _domain_accepts(self, domain: str) -> bool:
+        """Return whether a server of a failure domain accepts connections."""
+        interrupted = {found.server.instance.address for found in self._interrupted.values()}
+        servers = [
+            server
+            for server in self._directory.all_servers()
+            if server.instance.failure_domain == domain
         ]
-        opened = [self._pool.preconnect(address) for address in neighbours[:MAX_NEIGHBOURS]]
-        return any(await asyncio.gather(*opened))
+        servers.sort(
+            key=lambda server: (server.health.unreachable, server.instance.address in interrupted)
+        )
+        addresses = [server.instance.address for server in servers[:MAX_NEIGHBOURS]]
+        for start in range(0, len(addresses), NEIGHBOURS_AT_ONCE):
+            batch = addresses[start : start + NEIGHBOURS_AT_ONCE]
+            if any(await asyncio.gather(*map(self._pool.preconnect, batch))):
+                return True
+        return False
 
     def _on_replaced(self, instance: Instance) -> None:
         life = instance.life
