Delay the retry of a call that may have ended a server before, and simulate prompt parts

Callers saw: each attempt with a crashing part ended two engines, the second 14 to 104 ms after the first. Cause: a retry waited for the verdict only if its request had two known ends already. Change: it waits from one known end of any trait on. The laboratory of crashes has five patterns with parts: one a second, ten a second, with a companion, two beside all else, none beside all else.

--- a/src/leadhollow/experiment/crashes.py
+++ b/src/leadhollow/experiment/crashes.py
@@ -1,4 +1,4 @@
-"""Simulation of requests that crash engines, with and without shared records of crashes.
+"""Simulation of requests and prompt parts that crash engines, with and without shared records.
 
 Runs in virtual time with the product's own `SuspectTable`. Server ends, successful requests and
 quarantine decisions reach entries and the table after the delays that they have between processes.
@@ -14,16 +14,19 @@
 
 import msgspec
 
+from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, PART_TAG
 from leadhollow.decide.quarantine_rules import SETTLE_S
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.experiment.virtual_clock import VirtualClock
+from leadhollow.forward.quarantine import LIVES_TO_DELAY
 from leadhollow.forward.recent_successes import RecentSuccesses
 
 DOMAINS = 5
 ENTRIES = 98
 ENGINES = 102
 SLOTS = 8
+CULPRIT_INDEX = 2  # of the crashing part among the traits of a request
 """Size of a large deployment, including the engines that are added during a day."""
 
 RUN_DURATION_S = (0.6, 1.8)  # shortest and longest run time of a request
@@ -32,9 +35,15 @@
 RETRY_DELAY_S = 0.5  # until a caller retries a failed attempt
 DETECTION_DELAY_S = (0.025, 0.04)  # until an entry detects that an engine has ended
 ONE_WAY_S = (0.003, 0.02)  # delay between an entry and a control replica
-QUARANTINE_WAIT_S = 0.13  # delay before resending a request that may have ended a third engine
+QUARANTINE_WAIT_S = 0.13  # delay before resending a request that may have ended engines before
 QUARANTINE_COUNT = 3  # engine ends at which the COUNT baseline quarantines a request
-LATE_SEND_S = 0.2  # after the third end; later sends count as late
+LATE_SEND_S = 0.2  # after the third end, or the fifth for a part; later sends count as late
+PART_ENDS = 5
+"""Ends after which no request with the crashing part may be sent."""
+
+ROUTES = 5  # each route has a first part that all its requests share
+FIRST_CRASHING_PART = 1_000
+SHARED_PARTS = 60  # second parts of sound requests; the more popular, the lower their number
 
 
 class CrashMemory(Enum):
@@ -58,6 +67,11 @@
         Number of copies of each arrival; each is sent to a random entry.
     new_bodies
         Whether each arrival has a new request body.
+    parts
+        Whether prompts have parts. Crashing requests then share one part, beside the first part of
+        their route; sound requests have a second part that few or many of them share.
+    companion
+        Whether crashing requests share yet another part, which no sound request has.
     crash_s
         Time from sending such a request to the end of the engine.
     ends_per_s
@@ -72,6 +86,8 @@
     every_s: float = 2.0
     copies: int = 3
     new_bodies: bool = False
+    parts: bool = False
+    companion: bool = False
     crash_s: float = 0.3
     ends_per_s: float = 0.0
     lost_domain_s: float = 0.0
@@ -86,6 +102,24 @@
     "one, all else": CrashPattern(crashers=1, ends_per_s=1.0, lost_domain_s=8.0, hot_share=0.1),
     "none, all else": CrashPattern(ends_per_s=2.0, lost_domain_s=8.0, hot_share=0.1),
     "new bodies": CrashPattern(crashers=1, new_bodies=True, copies=1),
+    "part": CrashPattern(crashers=1, new_bodies=True, parts=True, copies=1, every_s=1.0),
+    "part, ten a second": CrashPattern(
+        crashers=1, new_bodies=True, parts=True, copies=1, every_s=0.1
+    ),
+    "part, companion": CrashPattern(
+        crashers=1, new_bodies=True, parts=True, companion=True, copies=1, every_s=1.0
+    ),
+    "two parts, all else": CrashPattern(
+        crashers=2,
+        new_bodies=True,
+        parts=True,
+        copies=1,
+        every_s=1.0,
+        ends_per_s=1.0,
+        lost_domain_s=8.0,
+        hot_share=0.1,
+    ),
+    "parts, none": CrashPattern(parts=True, ends_per_s=2.0, lost_domain_s=8.0, hot_share=0.1),
 }
 
 
@@ -99,11 +133,13 @@
     others_broken
         Other requests that were interrupted by these ends.
     others_held, others_refused
-        Other requests that were quarantined, and the number of times that one was refused.
+        Other requests and parts that were quarantined, and the number of requests that were refused
+        for them.
     late_sends
-        Sends of crashing requests later than 0.2 s after the third engine that each ended.
+        Sends of crashing requests later than 0.2 s after the third engine that each ended, or after
+        the fifth that their part ended.
     worst_lost
-        Most engines that one request ended.
+        Most engines that one request or part ended.
     """
 
     engines_lost: int = 0
@@ -115,6 +151,10 @@
     requests: int = 0
 
 
+_Traits = tuple[bytes, ...]
+"""Fingerprints of a request: its own, then those of its prompt's shared parts."""
+
+
 class _Engine:
     __slots__ = ("domain", "life", "ready", "running")
 
@@ -128,18 +168,23 @@
 class _Attempt:
     """One attempt of a caller at an entry."""
 
-    __slots__ = ("crasher", "entry", "fingerprint", "is_last_attempt", "sends", "tried")
+    __slots__ = ("crasher", "entry", "is_last_attempt", "sends", "traits", "tried")
 
     def __init__(
-        self, *, fingerprint: bytes, entry: int, crasher: bool, is_last_attempt: bool
+        self, *, traits: _Traits, entry: int, crasher: bool, is_last_attempt: bool
     ) -> None:
-        self.fingerprint = fingerprint
+        self.traits = traits
         self.entry = entry
         self.crasher = crasher
         self.is_last_attempt = is_last_attempt  # its caller does not retry
         self.sends = 0
         self.tried: set[_Engine] = set()
 
+    @property
+    def culprit(self) -> bytes:
+        """Fingerprint of what crashes engines in it: its part, or the whole request."""
+        return self.traits[CULPRIT_INDEX] if len(self.traits) > CULPRIT_INDEX else self.traits[0]
+
 
 class CrashSimulation:
     """One run of a pattern."""
@@ -156,22 +201,20 @@
         self._counts: dict[bytes, int] = {}
         self._quarantined_from_s: dict[bytes, float] = {}  # by request: when entries refuse it
         self._ends_s: dict[bytes, list[float]] = {}
+        self._crashing: set[bytes] = set()  # traits that only crashing requests have
         self._fingerprint_count = 0
 
     def run(self) -> CrashFigures:
         """Run the pattern and return its figures."""
         pattern, clock = self._pattern, self._clock
-        popular = self._new_fingerprint()
+        popular = self._sound_traits()
         for _ in range(int(pattern.rate_per_s * pattern.length_s)):
-            fingerprint = (
-                popular if self._random.random() < pattern.hot_share else self._new_fingerprint()
-            )
+            hot = self._random.random() < pattern.hot_share
+            traits = popular if hot else self._sound_traits()
             at_s = self._random.uniform(0, pattern.length_s)
             clock.call_at(
                 at_s,
-                lambda fingerprint=fingerprint: self._arrive(  # type: ignore[misc]
-                    fingerprint, crasher=False
-                ),
+                lambda traits=traits: self._arrive(traits, crasher=False),  # type: ignore[misc]
             )
         for _ in range(pattern.crashers):
             self._plan_crasher()
@@ -190,31 +233,47 @@
 
     def _plan_crasher(self) -> None:
         pattern = self._pattern
-        fingerprint = self._new_fingerprint()
+        traits = self._crashing_traits((self._new_part(), self._new_part()))
         at_s = self._random.uniform(0.5, 0.5 + pattern.every_s)
         while at_s < pattern.length_s:
             if pattern.new_bodies:
-                fingerprint = self._new_fingerprint()
+                traits = (self._new_fingerprint(), *traits[1:])
             for _ in range(pattern.copies):
                 copy_at_s = at_s + self._random.uniform(0, 0.5)
                 self._clock.call_at(
                     copy_at_s,
-                    lambda fingerprint=fingerprint: self._arrive(  # type: ignore[misc]
-                        fingerprint, crasher=True
-                    ),
+                    lambda traits=traits: self._arrive(traits, crasher=True),  # type: ignore[misc]
                 )
             at_s += pattern.every_s
 
+    def _sound_traits(self) -> _Traits:
+        """Return the traits of a request that crashes nothing."""
+        if not self._pattern.parts:
+            return (self._new_fingerprint(),)
+        route = self._random.randrange(ROUTES)
+        shared = min(int(self._random.paretovariate(0.6)), SHARED_PARTS)
+        return (self._new_fingerprint(), _part(route), _part(ROUTES + shared))
+
+    def _crashing_traits(self, parts: tuple[bytes, bytes]) -> _Traits:
+        """Return the traits of a request that crashes engines, with a part and a companion."""
+        if not self._pattern.parts:
+            return (self._new_fingerprint(),)
+        shared = parts if self._pattern.companion else parts[:1]
+        return (self._new_fingerprint(), _part(0), *shared)
+
+    def _new_part(self) -> bytes:
+        return _part(FIRST_CRASHING_PART + self._random.getrandbits(32))
+
     def _new_fingerprint(self) -> bytes:
         self._fingerprint_count += 1
         return self._fingerprint_count.to_bytes(16, "big")
 
-    def _arrive(self, fingerprint: bytes, *, crasher: bool, is_last_attempt: bool = False) -> None:
+    def _arrive(self, traits: _Traits, *, crasher: bool, is_last_attempt: bool = False) -> None:
         entry = self._random.randrange(ENTRIES)
         self.figures.requests += 1
         self._send(
             _Attempt(
-                fingerprint=fingerprint,
+                traits=traits,
                 entry=entry,
                 crasher=crasher,
                 is_last_attempt=is_last_attempt,
@@ -244,16 +303,21 @@
         attempt.tried.add(engine)
         engine.running[attempt] = None
         if attempt.crasher:
-            ends_s = self._ends_s.get(attempt.fingerprint, [])
-            late = len(ends_s) >= QUARANTINE_COUNT and self._clock.now_s > ends_s[2] + LATE_SEND_S
-            self.figures.late_sends += late
+            self.figures.late_sends += self._is_late(attempt)
         run_s = self._pattern.crash_s if attempt.crasher else self._random.uniform(*RUN_DURATION_S)
         life = engine.life
         self._clock.call_after_ms(run_s * 1000, lambda: self._complete(attempt, engine, life))
 
+    def _is_late(self, attempt: _Attempt) -> bool:
+        """Return whether all entries should know by now what crashes engines in a request."""
+        ends_s = self._ends_s.get(attempt.culprit, [])
+        enough = QUARANTINE_COUNT if attempt.culprit == attempt.traits[0] else PART_ENDS
+        return len(ends_s) >= enough and self._clock.now_s > ends_s[enough - 1] + LATE_SEND_S
+
     def _refuse_quarantined(self, attempt: _Attempt) -> bool:
-        quarantined = self._clock.now_s >= self._quarantined_from_s.get(
-            attempt.fingerprint, float("inf")
+        quarantined = any(
+            self._clock.now_s >= self._quarantined_from_s.get(trait, float("inf"))
+            for trait in attempt.traits
         )
         if quarantined and not attempt.crasher:
             self.figures.others_refused += 1
@@ -266,9 +330,10 @@
             self._end(engine, attempt)
             return
         del engine.running[attempt]
-        self._recent_successes[attempt.entry].add(attempt.fingerprint, self._clock.now_s)
-        if self._table.suspected_lives(attempt.fingerprint):
-            self._after_delay(ONE_WAY_S, lambda: self._clear(attempt.fingerprint))
+        for trait in attempt.traits:
+            self._recent_successes[attempt.entry].add(trait, self._clock.now_s)
+            if self._table.is_suspected(trait):
+                self._after_delay(ONE_WAY_S, lambda trait=trait: self._clear(trait))  # type: ignore[misc]
 
     def _clear(self, fingerprint: bytes) -> None:
         self._table.clear(fingerprint)
@@ -286,29 +351,26 @@
         engine.life += 1
         self._clock.call_after_ms(RESTART_S * 1000, lambda: setattr(engine, "ready", True))
         if crashing_attempt is not None:
+            self._crashing |= set(crashing_attempt.traits) - {_part(0)}
             self.figures.engines_lost += 1
             self.figures.others_broken += sum(1 for other in interrupted if not other.crasher)
-            self._ends_s.setdefault(crashing_attempt.fingerprint, []).append(now_s)
+            self._ends_s.setdefault(crashing_attempt.culprit, []).append(now_s)
         for entry in sorted({other.entry for other in interrupted}):
-            fingerprints = {other.fingerprint for other in interrupted if other.entry == entry}
-            self._report_end(life, entry, fingerprints)
+            present = [other.traits for other in interrupted if other.entry == entry]
+            self._report_end(life, entry, {trait for traits in present for trait in traits})
         for attempt in interrupted:
             self._retry(attempt)
 
     def _retry(self, attempt: _Attempt) -> None:
         if attempt.sends < MAX_SENDS:
-            may_be_quarantined = (
-                len(self._table.suspected_lives(attempt.fingerprint)) + 1 >= QUARANTINE_COUNT
-            )
-            waits_for_verdict = self._memory is CrashMemory.SUSPECTS and may_be_quarantined
+            known = max(len(self._table.suspected_lives(trait)) for trait in attempt.traits)
+            waits_for_verdict = self._memory is CrashMemory.SUSPECTS and known >= LIVES_TO_DELAY
             wait_ms = QUARANTINE_WAIT_S * 1000 if waits_for_verdict else 0.3
             self._clock.call_after_ms(wait_ms, lambda: self._send(attempt))
         elif not attempt.is_last_attempt:
             self._clock.call_after_ms(
                 RETRY_DELAY_S * 1000,
-                lambda: self._arrive(
-                    attempt.fingerprint, crasher=attempt.crasher, is_last_attempt=True
-                ),
+                lambda: self._arrive(attempt.traits, crasher=attempt.crasher, is_last_attempt=True),
             )
 
     def _report_end(self, life: str, entry: int, fingerprints: set[bytes]) -> None:
@@ -356,27 +418,28 @@
         if fingerprint in self._quarantined_from_s:
             return
         self._quarantined_from_s[fingerprint] = self._clock.now_s + self._random.uniform(*ONE_WAY_S)
-        if fingerprint not in self._crashers():
+        if fingerprint not in self._crashing:
             self.figures.others_held += 1
         self._clock.call_at(
             self._quarantined_from_s[fingerprint], lambda: self._break_off(fingerprint)
         )
 
-    def _crashers(self) -> set[bytes]:
-        return set(self._ends_s)
-
     def _break_off(self, fingerprint: bytes) -> None:
         """Interrupt the running attempts of a quarantined request."""
         if self._memory is CrashMemory.SUSPECTS:
             for engine in self._engines:
                 engine.running = {
-                    other: None for other in engine.running if other.fingerprint != fingerprint
+                    other: None for other in engine.running if fingerprint not in other.traits
                 }
 
     def _after_delay(self, delay_s: tuple[float, float], work: Callable[[], None]) -> None:
         self._clock.call_after_ms(self._random.uniform(*delay_s) * 1000, work)
 
 
+def _part(number: int) -> bytes:
+    return number.to_bytes(FINGERPRINT_BYTES - len(PART_TAG), "big") + PART_TAG
+
+
 def run_pattern(name: str, memory: CrashMemory, *, seeds: int) -> dict[str, float]:
     """Run a pattern with several seeds; return mean figures, but the maximum of ``worst_lost``."""
     runs = [
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -7,7 +7,6 @@
 from contextlib import contextmanager
 
 from leadhollow.decide.fingerprint_kind import kind_of
-from leadhollow.decide.quarantine_rules import ENDS_TO_QUARANTINE
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.fingerprint import short_fingerprint
@@ -18,6 +17,10 @@
 """Time from a server end to the verdict at an entry: 40 ms until all entries know of the end, 65 ms
 until a replica decides, and the time to relay the verdict."""
 
+LIVES_TO_DELAY = 1
+"""Servers that a trait of a call may have ended, besides the last, from which a retry is delayed.
+The last one is not reported yet when the retry is due."""
+
 log = get_logger("quarantine")
 
 
@@ -41,12 +44,12 @@
         return any(map(self.table.is_quarantined, call.traits))
 
     async def wait_for_verdict(self, call: ForwardedCall) -> None:
-        """Delay another send of a call that one more server end would put into quarantine.
+        """Delay another send of a call that may have ended servers before its last one.
 
         Without the delay, the retry of a call leaves right after its server ended, before a replica
-        can decide. Innocent calls that ran at the same servers are delayed too.
+        can decide. Innocent calls with a suspect trait are delayed too.
         """
-        if call.sends and self._most_lives(call) + 1 >= ENDS_TO_QUARANTINE:
+        if call.sends and self._most_lives(call) >= LIVES_TO_DELAY:
             await active_sleep(VERDICT_DELAY_S)
 
     def _most_lives(self, call: ForwardedCall) -> int:
--- a/tests/experiment/test_crashes.py
+++ b/tests/experiment/test_crashes.py
@@ -14,6 +14,15 @@
     def test_quarantines_no_request_that_ended_no_engine(self, pattern):
         assert run_pattern(pattern, CrashMemory.SUSPECTS, seeds=SEEDS)["others_held"] == 0
 
+    # Requests that share only a part ended engines without bound.
+    @pytest.mark.parametrize("pattern", ["part", "part, ten a second", "part, companion"])
+    def test_sends_no_crashing_part_after_the_fifth_end(self, pattern):
+        figures = run_pattern(pattern, CrashMemory.SUSPECTS, seeds=SEEDS)
+        assert figures["late_sends"] == 0
+        assert figures["worst_lost"] <= 6
+        assert figures["others_refused"] == 0
+        assert run_pattern(pattern, CrashMemory.NONE, seeds=1)["worst_lost"] > 20
+
     @pytest.mark.parametrize("pattern", ["one", "five", "one, all else"])
     def test_sends_no_crashing_request_after_the_third_end(self, pattern):
         figures = run_pattern(pattern, CrashMemory.SUSPECTS, seeds=SEEDS)
