--- a/src/leadhollow/bench/request_path.py
+++ b/src/leadhollow/bench/request_path.py
@@ -19,6 +19,7 @@
 from leadhollow.bench.table_costs import route_index, timed
 from leadhollow.decide.engine_queue import DECISION_DEADLINE_SHARE, EngineQueue
 from leadhollow.decide.engine_request import EngineRequest, QueuePriority
+from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.send_limiter import SendLimiter
 from leadhollow.decide.server import Server
 from leadhollow.decide.share_allocator import EntryDemand, LimitedServer, ShareAllocator
@@ -30,7 +31,6 @@
 from leadhollow.forward.dialect import ResponseMetadata
 from leadhollow.forward.events import EventSplitter
 from leadhollow.forward.fingerprint import fingerprint_of, part_fingerprints
-from leadhollow.forward.recent_successes import RecentSuccesses
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.forward.self_reports import SelfReports
 from leadhollow.forward.server_directory import ServerDirectory
--- a/src/leadhollow/decide/fingerprint_kind.py
+++ b/src/leadhollow/decide/fingerprint_kind.py
@@ -11,6 +11,7 @@
 
 FINGERPRINT_BYTES = 16  # 1.5e-21 is the probability of any collision in a billion requests
 PART_TAG = b"part"
+SHORT_FINGERPRINT_CHARACTERS = 12
 
 
 class FingerprintKind(Enum):
@@ -34,4 +35,16 @@
     )
 
 
-__all__ = ["FINGERPRINT_BYTES", "PART_TAG", "FingerprintKind", "count_requests", "kind_of"]
+def short_fingerprint(fingerprint: bytes) -> str:
+    """Return the prefix of a fingerprint that log lines and commands print."""
+    return fingerprint.hex()[:SHORT_FINGERPRINT_CHARACTERS]
+
+
+__all__ = [
+    "FINGERPRINT_BYTES",
+    "PART_TAG",
+    "FingerprintKind",
+    "count_requests",
+    "kind_of",
+    "short_fingerprint",
+]
--- a/src/leadhollow/experiment/crashes.py
+++ b/src/leadhollow/experiment/crashes.py
@@ -16,11 +16,11 @@
 
 from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, PART_TAG
 from leadhollow.decide.quarantine_rules import SETTLE_S
+from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.experiment.virtual_clock import VirtualClock
 from leadhollow.forward.quarantine import LIVES_TO_DELAY
-from leadhollow.forward.recent_successes import RecentSuccesses
 
 DOMAINS = 5
 ENTRIES = 98
--- a/src/leadhollow/forward/failure_response.py
+++ b/src/leadhollow/forward/failure_response.py
@@ -8,11 +8,11 @@
 from http import HTTPStatus
 
 from leadhollow.codes import Code
+from leadhollow.decide.fingerprint_kind import short_fingerprint
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.dialect import CallDialect
 from leadhollow.forward.end_reason import EndReason
-from leadhollow.forward.fingerprint import short_fingerprint
 from leadhollow.observe.logs import get_logger
 
 NOT_RUN_STATUS = HTTPStatus.SERVICE_UNAVAILABLE  # guarantees that the request has not run
--- a/src/leadhollow/forward/fingerprint.py
+++ b/src/leadhollow/forward/fingerprint.py
@@ -11,7 +11,6 @@
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.messages import RequestHead
 
-SHORT_FINGERPRINT_CHARACTERS = 12
 PART_DIGEST_BYTES = FINGERPRINT_BYTES - len(PART_TAG)
 
 MAX_PARTS = 32
@@ -67,14 +66,8 @@
 _cached_digest = lru_cache(maxsize=CACHED_PARTS)(_digest)
 
 
-def short_fingerprint(fingerprint: bytes) -> str:
-    """Return the prefix of a fingerprint that log lines and commands print."""
-    return fingerprint.hex()[:SHORT_FINGERPRINT_CHARACTERS]
-
-
 __all__ = [
     "MAX_PARTS",
     "fingerprint_of",
     "part_fingerprints",
-    "short_fingerprint",
 ]
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
+from leadhollow.decide.fingerprint_kind import short_fingerprint
 from leadhollow.decide.reach import reason_out_of_reach
 from leadhollow.decide.retry_after import RefusalReason, retry_after_backoff_s
 from leadhollow.decide.retry_budget import RetryBudget
@@ -19,7 +20,6 @@
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, BackendClient, Exchange
 from leadhollow.forward.failure_response import FailureResponder
-from leadhollow.forward.fingerprint import short_fingerprint
 from leadhollow.forward.response_relay import relay_response
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.forward.suspect_sync import SuspectSync
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -6,10 +6,9 @@
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
-from leadhollow.decide.fingerprint_kind import kind_of
+from leadhollow.decide.fingerprint_kind import kind_of, short_fingerprint
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.call import ForwardedCall
-from leadhollow.forward.fingerprint import short_fingerprint
 from leadhollow.kernel.active_time import active_sleep
 from leadhollow.observe.logs import get_logger
 
--- a/src/leadhollow/forward/server_end_detector.py
+++ b/src/leadhollow/forward/server_end_detector.py
@@ -19,12 +19,11 @@
 from typing import Any
 
 from leadhollow.codes import Code
-from leadhollow.decide.fingerprint_kind import count_requests
+from leadhollow.decide.fingerprint_kind import count_requests, short_fingerprint
+from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_ends import ServerEnd
-from leadhollow.forward.fingerprint import short_fingerprint
 from leadhollow.forward.pool import ConnectionPool
-from leadhollow.forward.recent_successes import RecentSuccesses
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.observe.logs import get_logger
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -10,12 +10,12 @@
 from leadhollow.codes import Code
 from leadhollow.decide.engine_queue import EngineQueue
 from leadhollow.decide.engine_request import Placement
+from leadhollow.decide.fingerprint_kind import short_fingerprint
 from leadhollow.decide.retry_budget import RetryBudget
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.event_source import EventSource
 from leadhollow.forward.exchange import AttemptEnd, AttemptFailure, BackendClient, Exchange
-from leadhollow.forward.fingerprint import short_fingerprint
 from leadhollow.forward.pool import CONNECT_TIMEOUT_S
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.forward.suspect_sync import SuspectSync
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -10,12 +10,12 @@
 
 from leadhollow.codes import Code
 from leadhollow.decide.engine_request import Placement
+from leadhollow.decide.fingerprint_kind import short_fingerprint
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.event_source import EventSource
 from leadhollow.forward.events import Event
 from leadhollow.forward.exchange import Exchange
-from leadhollow.forward.fingerprint import short_fingerprint
 from leadhollow.forward.response_relay import relayed_headers
 from leadhollow.http1.messages import Framing
 from leadhollow.kernel import active_time
--- a/src/leadhollow/forward/suspect_sync.py
+++ b/src/leadhollow/forward/suspect_sync.py
@@ -8,23 +8,20 @@
 import asyncio
 from collections.abc import Iterable
 
-from leadhollow.decide.fingerprint_kind import kind_of
 from leadhollow.decide.quarantine_rules import SETTLE_S
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_ends import ServerEnd
-from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.call import ForwardedCall
-from leadhollow.forward.fingerprint import short_fingerprint
 from leadhollow.forward.pool import ConnectionPool
 from leadhollow.forward.quarantine import Quarantine
-from leadhollow.forward.recent_successes import RecentSuccesses
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.forward.server_end_detector import ServerEndDetector
 from leadhollow.http1.messages import Framing
 from leadhollow.kernel.active_time import ActiveTimer
 from leadhollow.kernel.batching_service import BatchingService
 from leadhollow.membership.control_feed import ControlFeed
-from leadhollow.membership.suspect_news import SuspectChanges, all_records, encode_news, merge_news
+from leadhollow.membership.suspect_ledger import SuspectLedger
+from leadhollow.membership.suspect_news import all_records, encode_news
 from leadhollow.observe.logs import get_logger
 from leadhollow.state.records import CatalogItem
 from leadhollow.weights.named_versions import NamedVersion
@@ -48,12 +45,11 @@
     """Keeps this entry's suspect table equal to those of all other entries."""
 
     __slots__ = (
-        "_changed",
         "_feed",
         "_full_update_s",
+        "_ledger",
         "_peers",
         "_replica_checksum",
-        "_successes",
         "_synced_replica",
         "end_detector",
         "quarantine",
@@ -68,19 +64,18 @@
         pool: ConnectionPool,
         peers: PeerPool,
     ) -> None:
-        self.table = SuspectTable(clock=asyncio.get_running_loop().time)
+        self._ledger = SuspectLedger(on_change=self.note_change)
+        self.table = self._ledger.table
         self.quarantine = Quarantine(table=self.table)
         self._feed = feed
         self._peers = peers
-        self._successes = RecentSuccesses()
         self.end_detector = ServerEndDetector(
             directory=directory,
             pool=pool,
-            successes=self._successes,
+            successes=self._ledger.successes,
             on_server_end=self._on_server_end,
             on_survival=self.record_success,
         )
-        self._changed = SuspectChanges()
         self._synced_replica = ""  # replica that has got a full update
         self._replica_checksum = 0  # of the replica's table, as last received
         self._full_update_s = 0.0
@@ -106,62 +101,30 @@
 
     def record_success(self, server: Server, traits: Iterable[bytes]) -> None:
         """Record the traits of a request that a server has survived."""
-        now_s = asyncio.get_running_loop().time()
-        for trait in traits:
-            self._successes.add(trait, now_s)
-            if self.table.is_suspected(trait):
-                self._clear(trait)
-        life = server.instance.life
-        if self.table.mark_alive(life):
+        if self._ledger.record_success(server.instance.life, traits):
             log.info("backend server had not ended", instance=server.instance.instance)
-            self._changed.lives.add(life)
-            self.note_change()
-
-    def _clear(self, fingerprint: bytes) -> None:
-        lives = self.table.clear(fingerprint)
-        log.info(
-            "request cleared",
-            fingerprint=short_fingerprint(fingerprint),
-            kind=kind_of(fingerprint).value,
-            ends=len(lives),
-        )
-        self._changed.lives |= lives
-        self.note_change()
 
     def _on_server_end(self, end: ServerEnd) -> None:
-        if self.table.merge_end(end):
-            self._changed.lives.add(end.life)
-            self.note_change()
+        if self._ledger.record_end(end):
             ActiveTimer(delay_s=LOCAL_VERDICT_DELAY_S, callback=self._decide_locally)
 
     def _decide_locally(self) -> None:
         if self._feed.source:
             return
-        quarantined = {verdict.fingerprint for verdict in self.table.update_quarantine()}
-        self._changed.fingerprints |= quarantined
-        self.quarantine.abort_calls(quarantined)
+        self.quarantine.abort_calls(self._ledger.decide())
 
     def _on_update(self, update: SuspectNews, whole: bool) -> None:
-        now_s = asyncio.get_running_loop().time()
         if whole and not self.table.empty:
             self._synced_replica = ""  # the replica may have restarted: send it a full update
             self.note_change()
         self._replica_checksum = int(update.mark or 0)
-        merged = merge_news(self.table, update, now_s)
-        if merged.is_err():
-            log.warning("suspect update rejected", failure=str(merged.unwrap_err()))
-            return
-        changed = merged.unwrap()
-        self.quarantine.abort_calls(changed.fingerprints)
-        for life in changed.lives:
-            end = self.table.end(life)
-            for fingerprint in () if end is None else end.suspects:
-                if self._successes.contains(fingerprint, now_s):
-                    self._clear(fingerprint)
+        merged = self._ledger.merge(update)
+        if merged.is_ok():
+            self.quarantine.abort_calls(merged.unwrap())
 
     def _on_catalog(self, items: list[CatalogItem]) -> None:
         if any(isinstance(item.value, NamedVersion) and item.value.named for item in items):
-            self._successes.clear()
+            self._ledger.successes.clear()
 
     async def _publish(self, *, whole: bool) -> None:
         """Send changes to the followed replica, or the whole table if the replica's differs."""
@@ -175,16 +138,16 @@
         if source != self._synced_replica or (
             differs and now_s - self._full_update_s > FULL_UPDATE_INTERVAL_S
         ):
-            self._changed.merge(all_records(self.table))
+            self._ledger.unsent.merge(all_records(self.table))
             self._full_update_s = now_s
-        if not self._changed:
+        if not self._ledger.unsent:
             self._synced_replica = source
             return
         connected = await self._peers.connection(source)
         if connected.is_err():
             self._synced_replica = ""
             return
-        connected.unwrap().oneway(encode_news(self.table, self._changed.pop_all(), now_s))
+        connected.unwrap().oneway(encode_news(self.table, self._ledger.unsent.pop_all(), now_s))
         self._synced_replica = source
 
 
--- a/tests/forward/test_server_end_detector.py
+++ b/tests/forward/test_server_end_detector.py
@@ -10,9 +10,9 @@
 
 from leadhollow.codes import Code
 from leadhollow.decide.health import Health
+from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.failure import Failure
-from leadhollow.forward.recent_successes import RecentSuccesses
 from leadhollow.forward.server_end_detector import ServerEndDetector
 from leadhollow.membership.instances import InstanceState
 from tests.support import eventually
