Quarantine what ends the engines behind gates, for all entries

Callers saw (by test): calls that share only a crashing message end engine after engine, up to four a call; each entry remembers its own attempts of one call and no more. Cause: behind gates nothing was known of an engine's end but a broken response. Change: the backend role connects to its engine after a broken attempt; refused twice on its own machine, the engine has ended, and the failure (new code 525) names the life. Entries keep the ledger of the direct path, with the call and its messages but the last as traits, follow a state replica's table and report to it; a starting entry waits for the table first. A server whose engine ended is not ejected. The stand-in engine can crash by a message.

--- a/src/leadhollow/backend/assembly.py
+++ b/src/leadhollow/backend/assembly.py
@@ -11,6 +11,7 @@
 from leadhollow.backend.change_signal import ChangeSignal
 from leadhollow.backend.dispatch_service import DispatchService
 from leadhollow.backend.engine_client import EngineClient
+from leadhollow.backend.engine_life import EngineLife
 from leadhollow.backend.gate import Gate, GateState
 from leadhollow.backend.installer import Installer
 from leadhollow.failure import Failure
@@ -114,7 +115,10 @@
         )
 
     def make_dispatches() -> Service:
-        return DispatchService(gate=context.gate, engine=context.engine, handlers=process.handlers)
+        life = EngineLife(server=backend.server, incarnation=context.gate.incarnation)
+        return DispatchService(
+            gate=context.gate, engine=context.engine, life=life, handlers=process.handlers
+        )
 
     kernel.register("drain-watch", make_drain_watch, needs=("catalog",))
     kernel.register("dispatches", make_dispatches, needs=("drain-watch",))
--- a/src/leadhollow/backend/dispatch_service.py
+++ b/src/leadhollow/backend/dispatch_service.py
@@ -8,6 +8,7 @@
 
 from leadhollow.backend.engine_backoff import RETRY_AFTER_HEADER
 from leadhollow.backend.engine_client import EngineClient, EngineResponseHead
+from leadhollow.backend.engine_life import EngineLife
 from leadhollow.backend.engine_limit import REQUEST_LIMIT_HEADER
 from leadhollow.backend.gate import AttemptKey, Gate, attempt_key
 from leadhollow.codes import Code
@@ -115,11 +116,14 @@
 class DispatchService:
     """Handles dispatches and tombstones of entries."""
 
-    __slots__ = ("_engine", "_gate", "_tasks")
+    __slots__ = ("_engine", "_gate", "_life", "_tasks")
 
-    def __init__(self, *, gate: Gate, engine: EngineClient, handlers: HandlerTable) -> None:
+    def __init__(
+        self, *, gate: Gate, engine: EngineClient, life: EngineLife, handlers: HandlerTable
+    ) -> None:
         self._gate = gate
         self._engine = engine
+        self._life = life
         self._tasks: set[asyncio.Task[Result[Output, Failure]]] = set()
         handlers.on_stream(Dispatch, self._on_dispatch)
         handlers.on_call(Tombstone, self._on_tombstone)
@@ -160,12 +164,24 @@
 
     async def _run(self, dispatch: Dispatch, sink: StreamSink) -> Result[Output, Failure]:
         frame_sink = _FrameSink(sink=sink, gate=self._gate, attempt=attempt_key(dispatch))
+        life = self._life.name
         try:
             ran = await self._engine.run(dispatch, frame_sink)
-            return Err(ran.unwrap_err()) if ran.is_err() else frame_sink.finish()
+            ended = Err(ran.unwrap_err()) if ran.is_err() else frame_sink.finish()
+            if ended.is_err() and ended.unwrap_err().code is Code.ENGINE_FAILED:
+                return Err(await self._explain(ended.unwrap_err(), life))
+            return ended
         finally:
             self._gate.release(dispatch)
 
+    async def _explain(self, failure: Failure, life: str) -> Failure:
+        """Return the failure of an attempt, or one that names the life that ended under it."""
+        if not await self._engine.is_gone():
+            return failure
+        self._life.record_end(life)
+        log.warning("engine ended while it ran requests", life=life, failure=str(failure))
+        return Failure(code=Code.ENGINE_ENDED, detail=life)
+
     async def _on_tombstone(
         self, request: Tombstone, connection: Connection
     ) -> Result[TombstoneReply, Failure]:
--- a/src/leadhollow/backend/engine_client.py
+++ b/src/leadhollow/backend/engine_client.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Mapping
 from typing import TYPE_CHECKING, Protocol
+from urllib.parse import urlsplit
 
 import msgspec
 from result import Err, Ok, Result
@@ -11,6 +13,7 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.http_client import HttpClient
+from leadhollow.observe.logs import get_logger
 from leadhollow.wire.generated.ttypes import Dispatch
 
 if TYPE_CHECKING:
@@ -18,9 +21,14 @@
 
 LOAD_TIMEOUT_S = 300.0
 STATUS_TIMEOUT_S = 2.0
+CONNECT_ATTEMPTS = 2
+CONNECT_RETRY_DELAY_S = 0.015  # an engine at its connection limit may refuse one connection
 READ_BYTES = 64 * 1024
 
 
+log = get_logger("engine")
+
+
 class RunningModel(msgspec.Struct, frozen=True, kw_only=True):
     """Model version that an engine reports as running. All fields are empty if it runs none."""
 
@@ -155,6 +163,26 @@
             return Err(Failure(code=Code.ENGINE_FAILED, detail=f"{type(error).__name__}: {error}"))
         return Ok(None)
 
+    async def is_gone(self) -> bool:
+        """Return whether nothing listens at the address of the engine.
+
+        The engine runs on this machine, so a refused connection is no matter of the network.
+        """
+        found = urlsplit(self._url)
+        for attempt in range(CONNECT_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(CONNECT_RETRY_DELAY_S)
+            try:
+                _, writer = await asyncio.open_connection(found.hostname, found.port)
+            except ConnectionRefusedError:
+                continue
+            except OSError as error:
+                log.warning("engine not asked", url=self._url, error=str(error))
+                return False
+            writer.close()
+            return False
+        return True
+
 
 async def _body_parts(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     async for data in response.content.iter_any():
--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -118,6 +118,7 @@
     DUPLICATE_ATTEMPT = (513, 409, "This attempt was dispatched before.")
     RETRIES_EXHAUSTED = (514, 503, "Each attempt was refused; nothing was run.")
     STOPPING = (515, 503, "This entry is stopping; nothing was run.")
+    ENGINE_ENDED = (525, 502, "The engine or service ended while it ran the request.")
     REQUEST_QUARANTINED = (
         516,
         503,
--- a/src/leadhollow/control/suspect_relay.py
+++ b/src/leadhollow/control/suspect_relay.py
@@ -51,6 +51,11 @@
         Returns the addresses of all replicas.
     folder
         Folder of the file that keeps verdicts across restarts; None to keep none.
+
+    Attributes
+    ----------
+    loaded
+        Set once the table has the verdicts of that file.
     """
 
     __slots__ = (
@@ -65,6 +70,7 @@
         "_replicas",
         "_saving",
         "_unsaved",
+        "loaded",
         "table",
     )
 
@@ -88,6 +94,7 @@
         self._judge_scheduled = False  # whether a timer will judge
         self._full_table_sent_s: dict[str, float] = {}
         self._listeners: list[Callable[[SuspectChanges], None]] = []
+        self.loaded = asyncio.Event()
         self.table = SuspectTable(clock=asyncio.get_running_loop().time)
         super().__init__(batch_window_s=BATCH_WINDOW_S, refresh_s=REFRESH_S)
         handlers.on_oneway(SuspectNews, self._on_news)
@@ -100,6 +107,7 @@
             read = partial(load_verdicts, self._folder, _now_s())
             for verdict in await self._disk.run(read):
                 self.table.merge_verdict(verdict)
+        self.loaded.set()
         return await super().start()
 
     async def stop(self) -> None:
--- a/src/leadhollow/decide/fingerprint_kind.py
+++ b/src/leadhollow/decide/fingerprint_kind.py
@@ -13,6 +13,10 @@
 PART_TAG = b"part"
 SHORT_FINGERPRINT_CHARACTERS = 12
 
+MAX_PARTS = 32
+"""Parts of one prompt that get a fingerprint, from the first on. The size of a request alone would
+allow thousands."""
+
 
 class FingerprintKind(Enum):
     """What a fingerprint is of."""
@@ -42,6 +46,7 @@
 
 __all__ = [
     "FINGERPRINT_BYTES",
+    "MAX_PARTS",
     "PART_TAG",
     "FingerprintKind",
     "count_requests",
--- a/src/leadhollow/decide/quarantine_rules.py
+++ b/src/leadhollow/decide/quarantine_rules.py
@@ -22,6 +22,10 @@
 """Time before an end is evaluated, in which all entries that had requests there report them. A
 message between regions, two connection attempts and the batching of updates take half of it."""
 
+VERDICT_DELAY_S = 0.13
+"""Time from a server end to the verdict at an entry: 40 ms until all entries know of the end, 65 ms
+until a replica decides, and the time to relay the verdict."""
+
 COMMON_CAUSE_WINDOW_S = 0.05
 COMMON_CAUSE_ENDS = 3
 """Number of other servers that must end within that time, without having run the suspect, for their
@@ -198,5 +202,6 @@
     "SETTLE_S",
     "TIED_ENDS",
     "UNEXPLAINED_ENDS",
+    "VERDICT_DELAY_S",
     "find_culprits",
 ]
--- a/src/leadhollow/entry/assembly.py
+++ b/src/leadhollow/entry/assembly.py
@@ -13,6 +13,7 @@
 from leadhollow.entry.router import Router
 from leadhollow.entry.scheduler import FairScheduler
 from leadhollow.entry.scheduler_service import SchedulerService
+from leadhollow.entry.suspects import EntrySuspects
 from leadhollow.membership.catalog_feed import CatalogFeed
 from leadhollow.membership.view import ViewFeed
 from leadhollow.settings.model import EntrySettings, Settings
@@ -48,11 +49,18 @@
             limits=service.limits,
         )
 
+    def make_suspects() -> Service:
+        catalog = kernel.get("catalog", CatalogFeed).catalog
+        return EntrySuspects(settings=settings, peers=process.peers, catalog=catalog)
+
     kernel.register("view", lambda: view_feed, needs=("wire",))
+    kernel.register("entry-suspects", make_suspects, needs=("catalog",))
     kernel.register("scheduler", make_scheduler, needs=("catalog", "view"))
     kernel.register("demand", make_demand, needs=("scheduler",))
     kernel.register(
-        "callers", lambda: _make_callers(process, entry, router), needs=("scheduler", "demand")
+        "callers",
+        lambda: _make_callers(process, entry, router),
+        needs=("scheduler", "demand", "entry-suspects"),
     )
 
 
@@ -73,6 +81,7 @@
         scheduler=kernel.get("scheduler", SchedulerService).scheduler,
         peers=process.peers,
         budget=RetryBudget(ratio=entry.retry_ratio),
+        suspects=kernel.get("entry-suspects", EntrySuspects),
     )
     return CallerHttpServer(
         settings=entry,
--- a/src/leadhollow/entry/attempt_runner.py
+++ b/src/leadhollow/entry/attempt_runner.py
@@ -11,6 +11,7 @@
 from leadhollow.entry.retry_budget import RetryBudget
 from leadhollow.entry.router import ENGINE_KIND, SERVICE_KIND, Reservation, Router, RoutingRequest
 from leadhollow.entry.scheduler import Admission, FairScheduler
+from leadhollow.entry.suspects import EntrySuspects
 from leadhollow.failure import Failure
 from leadhollow.observe.logs import get_logger, log_decision
 from leadhollow.state.catalog import Catalog
@@ -43,7 +44,7 @@
     delivered is resumed on an engine with the same version.
     """
 
-    __slots__ = ("_budget", "_catalog", "_peers", "_router", "_scheduler")
+    __slots__ = ("_budget", "_catalog", "_peers", "_router", "_scheduler", "_suspects")
 
     def __init__(
         self,
@@ -53,7 +54,9 @@
         scheduler: FairScheduler,
         peers: PeerPool,
         budget: RetryBudget,
+        suspects: EntrySuspects,
     ) -> None:
+        self._suspects = suspects
         self._catalog = catalog
         self._router = router
         self._scheduler = scheduler
@@ -76,6 +79,9 @@
         refusals = 0
         attempt = 0
         while True:
+            if self._suspects.is_quarantined(call):
+                held = Failure(code=Code.REQUEST_QUARANTINED)
+                return self._result(call, delivered, attempt, failures, held)
             routing_request = self._routing_request(call, delivered)
             if isinstance(routing_request, Failure):
                 return self._result(call, delivered, attempt, failures, routing_request)
@@ -85,6 +91,7 @@
             attempt += 1
             failure = await self._run_attempt(call, admission, attempt, delivered, sink)
             if failure is None:
+                self._suspects.record_success(call)
                 return self._result(call, delivered, attempt, failures, None)
             server = admission.reservation.member.server
             excluded.add(server)
@@ -101,7 +108,13 @@
             failures += 1
             if failure.code is Code.DEADLINE_PASSED:
                 return self._result(call, delivered, attempt, failures, failure)
-            self._router.record_failure(server, now_s=_now_s())
+            if failure.code is Code.ENGINE_ENDED:
+                # what comes back at this address is another engine, so it is not ejected
+                self._router.record_refusal(server, failure.code, now_s=_now_s())
+                self._suspects.record_end(failure.detail, call)
+                await self._suspects.wait_for_verdict(call)
+            else:
+                self._router.record_failure(server, now_s=_now_s())
             if not call.repeatable or failures >= MAX_FAILURES or not self._budget.try_withdraw():
                 return self._result(call, delivered, attempt, failures, failure)
 
--- a/src/leadhollow/entry/call.py
+++ b/src/leadhollow/entry/call.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
+from leadhollow.entry.call_traits import call_fingerprint, message_fingerprints
 from leadhollow.failure import Failure
 from leadhollow.state.records import StoredRow
 
@@ -58,6 +59,13 @@
         Hash of the prompt's prefix, used for routing; empty for a plain service.
     deadline_s
         Loop time by which the caller wants its response.
+    parts
+        Fingerprints of the messages that other calls may share.
+
+    Attributes
+    ----------
+    traits
+        Fingerprints of all that may make an engine end: the call, then its parts.
     """
 
     __slots__ = (
@@ -77,6 +85,7 @@
         "service",
         "stored",
         "stream",
+        "traits",
     )
 
     def __init__(
@@ -98,6 +107,7 @@
         affinity: bytes,
         priority: int,
         deadline_s: float,
+        parts: tuple[bytes, ...] = (),
     ) -> None:
         self.request_id = request_id
         self.stored = stored
@@ -115,6 +125,10 @@
         self.affinity = affinity
         self.priority = priority
         self.deadline_s = deadline_s
+        fingerprint = call_fingerprint(
+            group=self.group, method=method, target=f"{service or model}:{path}", body=body
+        )
+        self.traits = (fingerprint, *parts)
 
     @property
     def group(self) -> str:
@@ -163,6 +177,12 @@
     return hashlib.sha256(f"{chat.model}\n{prefix}".encode()).digest()[:16]
 
 
+def chat_parts(chat: ChatBody) -> tuple[bytes, ...]:
+    """Return the fingerprints of the messages that other calls of the model may share."""
+    messages = [(message.role, str(message.content)) for message in chat.messages]
+    return message_fingerprints(messages, model=chat.model)
+
+
 def with_resume(body: bytes, *, text: str, tokens: int) -> bytes:
     """Add a field that asks an engine to continue after the text the caller already received."""
     fields = msgspec.json.decode(body)
@@ -181,6 +201,7 @@
     "ChatBody",
     "chat_affinity",
     "chat_cost_tokens",
+    "chat_parts",
     "chat_prompt_tokens",
     "decode_chat",
     "with_resume",
--- a/src/leadhollow/entry/call_parser.py
+++ b/src/leadhollow/entry/call_parser.py
@@ -17,6 +17,7 @@
     Call,
     chat_affinity,
     chat_cost_tokens,
+    chat_parts,
     chat_prompt_tokens,
     decode_chat,
 )
@@ -156,6 +157,7 @@
                 cost_tokens=chat_cost_tokens(chat),
                 affinity=chat_affinity(chat),
                 priority=chat.priority,
+                parts=chat_parts(chat),
                 deadline_s=deadline_s,
             )
         )
--- a/src/leadhollow/experiment/crashes.py
+++ b/src/leadhollow/experiment/crashes.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, PART_TAG
-from leadhollow.decide.quarantine_rules import SETTLE_S
+from leadhollow.decide.quarantine_rules import SETTLE_S, VERDICT_DELAY_S
 from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.decide.suspects import SuspectTable
@@ -35,7 +35,6 @@
 RETRY_DELAY_S = 0.5  # until a caller retries a failed attempt
 DETECTION_DELAY_S = (0.025, 0.04)  # until an entry detects that an engine has ended
 ONE_WAY_S = (0.003, 0.02)  # delay between an entry and a control replica
-QUARANTINE_WAIT_S = 0.13  # delay before resending a request that may have ended engines before
 QUARANTINE_COUNT = 3  # engine ends at which the COUNT baseline quarantines a request
 LATE_SEND_S = 0.2  # after the third end, or the fifth for a part; later sends count as late
 PART_ENDS = 5
@@ -365,7 +364,7 @@
         if attempt.sends < MAX_SENDS:
             known = max(len(self._table.suspected_lives(trait)) for trait in attempt.traits)
             waits_for_verdict = self._memory is CrashMemory.SUSPECTS and known >= LIVES_TO_DELAY
-            wait_ms = QUARANTINE_WAIT_S * 1000 if waits_for_verdict else 0.3
+            wait_ms = VERDICT_DELAY_S * 1000 if waits_for_verdict else 0.3
             self._clock.call_after_ms(wait_ms, lambda: self._send(attempt))
         elif not attempt.is_last_attempt:
             self._clock.call_after_ms(
--- a/src/leadhollow/forward/fingerprint.py
+++ b/src/leadhollow/forward/fingerprint.py
@@ -7,16 +7,12 @@
 
 from blake3 import blake3
 
-from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, PART_TAG
+from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, MAX_PARTS, PART_TAG
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.messages import RequestHead
 
 PART_DIGEST_BYTES = FINGERPRINT_BYTES - len(PART_TAG)
 
-MAX_PARTS = 32
-"""Parts of one prompt that get a fingerprint, from the first on. The size of the head alone would
-allow thousands."""
-
 CACHED_PARTS = 4_096
 MAX_CACHED_CHARACTERS = 96
 """Bounds of the cache of fingerprints of parts, which most requests share: about 1 MB."""
@@ -67,7 +63,6 @@
 
 
 __all__ = [
-    "MAX_PARTS",
     "fingerprint_of",
     "part_fingerprints",
 ]
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -7,15 +7,12 @@
 from contextlib import contextmanager
 
 from leadhollow.decide.fingerprint_kind import kind_of, short_fingerprint
+from leadhollow.decide.quarantine_rules import VERDICT_DELAY_S
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.kernel.active_time import active_sleep
 from leadhollow.observe.logs import get_logger
 
-VERDICT_DELAY_S = 0.13
-"""Time from a server end to the verdict at an entry: 40 ms until all entries know of the end, 65 ms
-until a replica decides, and the time to relay the verdict."""
-
 LIVES_TO_DELAY = 1
 """Servers that a trait of a call may have ended, besides the last, from which a retry is delayed.
 The last one is not reported yet when the retry is due."""
--- a/src/leadhollow/process.py
+++ b/src/leadhollow/process.py
@@ -79,6 +79,7 @@
         if settings.has_role(Role.STATE):
             self.kernel.register("state", self._make_state, needs=("wire",))
             self.kernel.register("operators", self._make_operators, needs=("state",))
+            self.kernel.register("suspects", self._make_suspects, needs=("wire",))
         if settings.has_role(Role.DOMAIN):
             self._register_domain()
         if settings.has_role(Role.ENTRY):
@@ -102,6 +103,21 @@
 
         return StateService(settings=self.settings, peers=self.peers, handlers=self.handlers)
 
+    def _make_suspects(self) -> Service:
+        from leadhollow.control.suspect_relay import SuspectRelay
+        from leadhollow.control.suspect_stream import SuspectStream
+
+        folder = self.settings.data_folder
+        relay = SuspectRelay(
+            own_address=self.settings.wire.listen,
+            replicas=lambda: [peer.address for peer in self.settings.state_replicas],
+            peers=self.peers,
+            handlers=self.handlers,
+            folder=None if folder is None else Path(folder),
+        )
+        SuspectStream(relay=relay, handlers=self.handlers)
+        return relay
+
     def _make_operators(self) -> Service:
         from leadhollow.state.operator_server import OperatorHttpServer
         from leadhollow.state.service import StateService
--- a/src/leadhollow/standin/engine.py
+++ b/src/leadhollow/standin/engine.py
@@ -35,11 +35,19 @@
 
 
 class _Completion:
-    __slots__ = ("generation", "index", "prefill_steps", "queue", "seed", "total")
+    __slots__ = ("crashes", "generation", "index", "prefill_steps", "queue", "seed", "total")
 
     def __init__(
-        self, *, generation: Generation, seed: str, index: int, total: int, prefill_steps: int
+        self,
+        *,
+        generation: Generation,
+        seed: str,
+        index: int,
+        total: int,
+        prefill_steps: int,
+        crashes: bool,
     ) -> None:
+        self.crashes = crashes
         self.generation = generation
         self.seed = seed
         self.index = index
@@ -69,6 +77,7 @@
         "_batch",
         "_cache",
         "_checks_fencing",
+        "_crash_task",
         "_last_fence",
         "_loading",
         "_prefill_tokens_per_step",
@@ -79,6 +88,7 @@
         "_work_added",
         "cache_hits",
         "cache_misses",
+        "crash_times_s",
         "events",
         "faults",
         "generations",
@@ -108,6 +118,8 @@
         self._cache: OrderedDict[str, None] = OrderedDict()
         self._work_added = asyncio.Event()
         self._step_task: asyncio.Task[None] | None = None
+        self._crash_task: asyncio.Task[None] | None = None
+        self.crash_times_s: list[float] = []
         self.cache_hits = 0
         self.cache_misses = 0
         self.events: list[dict[str, str]] = []
@@ -130,8 +142,9 @@
 
     async def stop(self) -> None:
         """Stop at once and cut the running requests."""
-        if self._step_task is not None:
-            self._step_task.cancel()
+        for task in (self._step_task, self._crash_task):
+            if task is not None:
+                task.cancel()
         for completion in self._running:
             completion.queue.put_nowait(None)
         await self.server.stop()
@@ -242,6 +255,7 @@
             index=resumed_from,
             total=int(body.get("max_tokens") or DEFAULT_MAX_TOKENS),
             prefill_steps=self._count_prefill_steps(body["messages"]),
+            crashes=self._has_crash_text(body["messages"]),
         )
         entry = (-int(body.get("priority", 0)), next(self._arrival_numbers), completion)
         heapq.heappush(self._waiting, entry)
@@ -260,6 +274,10 @@
         self._cache_prefix(prefix)
         return characters // CHARACTERS_PER_TOKEN // self._prefill_tokens_per_step
 
+    def _has_crash_text(self, messages: list[dict[str, Any]]) -> bool:
+        text = self.faults.crash_text
+        return bool(text) and any(text in str(message.get("content")) for message in messages[:-1])
+
     def _cache_prefix(self, prefix: str) -> None:
         self._cache[prefix] = None
         self._cache.move_to_end(prefix)
@@ -339,10 +357,26 @@
                 continue
             self._advance(completion)
 
+    async def _crash(self) -> None:
+        """End like a process, and listen again a while later with the version that was loaded."""
+        self.crash_times_s.append(asyncio.get_running_loop().time())
+        self._running.clear()
+        self._waiting.clear()
+        await self.server.crash()
+        await asyncio.sleep(self.faults.restart_s)
+        port = self.server.port
+        await self.server.stop()
+        await self.server.start(port)
+        self._crash_task = None
+
     def _advance(self, completion: _Completion) -> None:
         if completion.prefill_steps > 0:
             completion.prefill_steps -= 1
             return
+        if completion.crashes:
+            if self._crash_task is None:
+                self._crash_task = asyncio.get_running_loop().create_task(self._crash())
+            return
         completion.queue.put_nowait(token_text(completion.seed, completion.index))
         completion.index += 1
         completion.generation.generated += 1
--- a/src/leadhollow/standin/engine_records.py
+++ b/src/leadhollow/standin/engine_records.py
@@ -26,12 +26,17 @@
     dead
         The engine drops its model and running requests, and aborts the connections of requests
         for completions, the model and loads. Other paths still answer.
+    crash_text
+        The engine ends when it begins to answer a prompt that has this text in a message other than
+        the last one, and listens again after ``restart_s``, with its version; empty for none.
     """
 
     slow_factor: float = 1.0
     refuse_loads: bool = False
     cut_streams: int = 0
     dead: bool = False
+    crash_text: str = ""
+    restart_s: float = 0.25
 
 
 class Load(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leadhollow/standin/http_server.py
+++ b/src/leadhollow/standin/http_server.py
@@ -36,6 +36,17 @@
         await tcp_site.start()
         self.port = self._runner.addresses[0][1]
 
+    async def crash(self) -> None:
+        """Stop listening and reset all connections, as the end of a process does."""
+        if self._runner is None:
+            return
+        for site in list(self._runner.sites):
+            await site.stop()
+        server = self._runner.server
+        for handler in [] if server is None else list(server.connections):
+            if handler.transport is not None:
+                handler.transport.abort()
+
     async def stop(self) -> None:
         """Close the listener and its connections."""
         if self._runner is not None:
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -58,6 +58,8 @@
 struct ServerEnd { 1: string life; 2: list<binary> ran; 3: list<binary> cleared; 4: i64 age_ms; 5: bool alive }
 struct Verdict { 1: binary fingerprint; 2: i32 number; 3: bool released; 4: list<string> lives; 5: i64 age_ms }
 struct SuspectNews { 1: string address; 2: i64 mark; 3: list<ServerEnd> ends; 4: list<Verdict> verdicts }
+// An entry asks a replica for its table of suspects and each later change of it.
+struct SuspectWatch { 1: string vm }
 // An operator asks a control replica for its table of suspects, or lets a request go.
 struct SuspectQuery { 1: string operator }
 struct SuspectRelease { 1: binary fingerprint; 2: string operator }
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -81,6 +81,7 @@
     98: ttypes.ServerWords,
     99: ttypes.StandingQuery,
     100: ttypes.ServerStandings,
+    101: ttypes.SuspectWatch,
     110: ttypes.DomainOrder,
     111: ttypes.DomainQuery,
     112: ttypes.DomainStandings,
--- a/tests/forward/test_fingerprint.py
+++ b/tests/forward/test_fingerprint.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
-from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, FingerprintKind, kind_of
-from leadhollow.forward.fingerprint import MAX_PARTS, part_fingerprints
+from leadhollow.decide.fingerprint_kind import (
+    FINGERPRINT_BYTES,
+    MAX_PARTS,
+    FingerprintKind,
+    kind_of,
+)
+from leadhollow.forward.fingerprint import part_fingerprints
 
 
 class TestPartFingerprints:
