--- a/tests/staging/engine_model.py
+++ b/tests/staging/engine_model.py
@@ -319,8 +319,14 @@
 class InstallerSite:
     """An installer beside an engine; both run on the virtual loop of `play`."""
 
-    def __init__(self, *, serving: int | None = None, fetch_s: float = 0.5) -> None:
-        self.engine = EngineModel()
+    def __init__(
+        self,
+        *,
+        serving: int | None = None,
+        fetch_s: float = 0.5,
+        engine: EngineModel | None = None,
+    ) -> None:
+        self.engine = engine or EngineModel()
         if serving is not None:
             self.engine.stage = dict(enumerate(pieces_of(serving)))
             self.engine.served = (
