Let no popular part be held by weak evidence, and play a crashing part in the soak

Callers would have seen: after the verdict most sound requests are refused, for good. Cause: (1) of two parts with as many ends, the one that fewer others had stood beside was taken; (2) a verdict on a part broke off all answers with it, also those that had begun and would have cleared it; (3) while engines end a second apart, no stream lasted the 0.5 s that clear its parts. Change: parts with equal numbers of ends are tied, whoever else was there; a verdict on a part spares answers that have begun; 0.2 s and three events after the first one clear the parts. Open: sound streams use up their three attempts at engines that end one after the other; the soak counts that as LOST where an engine had not begun with the third.

--- a/src/leadhollow/decide/quarantine_rules.py
+++ b/src/leadhollow/decide/quarantine_rules.py
@@ -78,8 +78,16 @@
         return kind_of(self.fingerprint) is FingerprintKind.REQUEST
 
     def tied_with(self, other: _Case) -> bool:
-        """Tell whether the evidence does not distinguish two suspects."""
-        return self.strength == other.strength and not self.lives.isdisjoint(other.lives)
+        """Tell whether the evidence does not distinguish two suspects.
+
+        How many others were present decides between requests only: a part is refused to all that
+        have it, so only the number of ends may speak against it.
+        """
+        if self.lives.isdisjoint(other.lives):
+            return False
+        if self.is_request and other.is_request:
+            return self.strength == other.strength
+        return self.counted == other.counted
 
 
 def find_culprits(
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
-from leadhollow.decide.fingerprint_kind import kind_of, short_fingerprint
+from leadhollow.decide.fingerprint_kind import FingerprintKind, kind_of, short_fingerprint
 from leadhollow.decide.quarantine_rules import VERDICT_DELAY_S
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.call import ForwardedCall
@@ -76,20 +76,27 @@
         """Abort the running calls that a new verdict put into quarantine.
 
         This saves servers that have not begun to run the request, because they still read or queue
-        it. That is most of the time between sending a request and the server end that it causes.
+        it. That is most of the time between sending a request and the server end that it causes. An
+        answer that has begun goes on if only a part was put into quarantine: a server ends as it
+        begins to answer a crashing part, so what goes on may prove that the verdict was wrong.
         """
         now_s = asyncio.get_running_loop().time()
         for fingerprint in fingerprints:
             if not self.table.is_quarantined(fingerprint):
                 continue
-            calls = self._running.get(fingerprint, {})
+            spares_begun = kind_of(fingerprint) is FingerprintKind.PART
+            aborted = [
+                limit
+                for call, limit in self._running.get(fingerprint, {}).items()
+                if not (spares_begun and call.reply.started)
+            ]
             log.warning(
                 "request in quarantine",
                 fingerprint=short_fingerprint(fingerprint),
                 kind=kind_of(fingerprint).value,
-                running=len(calls),
+                aborted=len(aborted),
             )
-            for limit in calls.values():
+            for limit in aborted:
                 if not limit.expired():
                     limit.reschedule(now_s)
 
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -28,8 +28,8 @@
 SILENCE_FACTOR = 2.0  # timeout relative to the pause that a route calls on time
 MIN_SILENCE_S = 0.8
 
-SURVIVED_S = 0.5
-SURVIVED_EVENTS = 5
+SURVIVED_S = 0.2
+SURVIVED_EVENTS = 3
 """Time and events from the first event of a stream on after which its engine has survived the parts
 of the prompt. Both are asked for, as a slow link may delay the second event alone."""
 
--- a/tests/decide/test_suspects.py
+++ b/tests/decide/test_suspects.py
@@ -198,6 +198,17 @@
             fleet.end(request(number), PART, part(1))
         assert sorted(fleet.evaluate()) == sorted([PART, part(1)])
 
+    # A part that few others stood beside was taken instead of the one that crashes engines.
+    def test_does_not_decide_between_parts_by_who_else_was_present(self):
+        fleet = Fleet()
+        fleet.end(request(1), PART, part(1), *(request(number) for number in range(10, 20)))
+        fleet.end(request(2), PART, part(1))
+        fleet.end(request(3), PART, *(request(number) for number in range(30, 40)))
+        fleet.end(request(4), part(1))
+        assert fleet.evaluate() == []
+        fleet.end(request(5), PART)
+        assert fleet.evaluate() == [PART]
+
     def test_spares_a_part_that_was_cleared(self):
         fleet = Fleet()
         for number in range(TIED_ENDS):
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -20,6 +21,7 @@
     def __init__(self, *, sends: int) -> None:
         self.traits = (REQUEST, PART)
         self.sends = sends
+        self.reply = SimpleNamespace(started=False)
 
 
 def make_call(*, sends: int = 1) -> Any:
@@ -67,6 +69,21 @@
                     await asyncio.sleep(30)
         quarantine.abort_calls([PART])  # nothing of the call is left
 
+    # Without it, all answers that could show that a verdict on a popular part is wrong were cut.
+    @pytest.mark.parametrize(("trait", "goes_on"), [(REQUEST, False), (PART, True)])
+    async def test_lets_an_answer_that_has_begun_go_on_under_a_part(self, trait, goes_on):
+        quarantine = make_quarantine()
+        call = make_call()
+        call.reply.started = True
+        async with asyncio.timeout(60) as limit:
+            with quarantine.track(call, limit):
+                quarantine.table.merge_verdict(
+                    Verdict(fingerprint=trait, number=1, released=False, lives=(), since_s=0.0)
+                )
+                quarantine.abort_calls([trait])
+                assert (limit.when() > asyncio.get_running_loop().time() + 30) == goes_on
+                limit.reschedule(None)
+
 
 class TestRetryOfACall:
     # The retry of a request that had ended its server ended the next one before any verdict.
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -30,7 +30,9 @@
 
 def _soak(seed: int, folder: Path, options: argparse.Namespace) -> Coroutine[None, None, Verdict]:
     if options.streams_s:
-        return soak_streams(seed=seed, folder=folder, seconds=options.streams_s)
+        return soak_streams(
+            seed=seed, folder=folder, seconds=options.streams_s, parts=options.parts
+        )
     return soak(
         seed=seed,
         folder=folder,
@@ -59,6 +61,11 @@
     parser.add_argument(
         "--stages", action="store_true", help="damage staged pieces and delay load orders besides"
     )
+    parser.add_argument(
+        "--parts",
+        action="store_true",
+        help="with --streams: let a part of some prompts crash the engines that answer it",
+    )
     parser.add_argument(
         "--evacuations",
         action="store_true",
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -14,6 +14,7 @@
 from tests.soak.cold import COLD_START_S, Cold
 from tests.soak.engine_stage import EngineStage
 from tests.soak.ledger import Ledger, Limit, Run
+from tests.soak.parts import BACK_AFTER_S, BEGINS_S, PartLog, has_crashing_part
 from tests.soak.proxy import Path, Proxy
 from tests.soak.self_reports import SelfReport
 from tests.soak.stream_engine import PlannedStream
@@ -47,6 +48,8 @@
     ----------
     mute
         Whether it takes requests and answers none.
+    part_log
+        Records what a crashing part does; None where no part crashes it.
     planner
         Decides what becomes of each stream; None where each is written at once and whole.
     """
@@ -78,6 +81,8 @@
         self.rest_s: float | None = None
         self.leaving = False  # by answers only
         self.planner: Planner | None = None
+        self.part_log: PartLog | None = None
+        self._crashes: set[asyncio.Task[None]] = set()
         self._report_of_self = SelfReport(instance="")
         self._cold = Cold(instance="", until_s=0.0)
         self._ledger = ledger
@@ -88,6 +93,7 @@
         self._busy = False
         self._running: set[asyncio.Task[object]] = set()
         self._semaphore = asyncio.Semaphore(slots)
+        self._random = random.Random(name)
         self._runner: web.AppRunner | None = None
         self._beating: asyncio.Task[None] | None = None
         self._loading: asyncio.Task[None] | None = None
@@ -285,6 +291,7 @@
         if request.headers.get("X-Expect-Instance") != self.instance:
             return web.Response(status=421, headers=refused)
         self._cold.note_arrival(self._ledger.now_s())
+        crashes = self.part_log is not None and has_crashing_part(request.headers)
         if self.limit is not None:
             self.limit.arrivals_s.append(self._ledger.now_s())
         refused.update(self._own_fields())
@@ -311,12 +318,32 @@
             async with self._semaphore:
                 while self.mute:
                     await asyncio.sleep(0.05)
+                if crashes:
+                    self._begin_crash()
                 if self.planner is not None:
                     return await self._run_planned(request, attempt, self.planner, now_s)
                 return await self._run(request, attempt, body)
         finally:
             self._running.discard(task)
 
+    def _begin_crash(self) -> None:
+        """Let this incarnation end soon, as one that begins to write an answer to the part."""
+        assert self.part_log is not None
+        self.part_log.arrivals_s.append(self._ledger.now_s())
+        crash = asyncio.create_task(self._crash(self._incarnation))
+        self._crashes.add(crash)
+        crash.add_done_callback(self._crashes.discard)
+
+    async def _crash(self, incarnation: int) -> None:
+        await asyncio.sleep(BEGINS_S)
+        if self._incarnation != incarnation or self._runner is None or self.part_log is None:
+            return
+        self.part_log.ends_s.append(self._ledger.now_s())
+        await self.stop()
+        await asyncio.sleep(self._random.uniform(*BACK_AFTER_S))
+        if self._incarnation == incarnation and self._runner is None:
+            await self.start()
+
     def _judge_draining(self, attempt: str) -> None:
         now_s = self._ledger.now_s()
         if self.drained_s is None or not self._ledger.calm(now_s):
--- a/tests/soak/stream_callers.py
+++ b/tests/soak/stream_callers.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from tests.soak.parts import EVERY_S, prompt_parts
 from tests.soak.stream_judge import CALLER_WAITS_S, TIMEOUT_S
 from tests.soak.stream_records import StreamTold
 from tests.soak.traffic import HOST, KEY
@@ -27,10 +28,17 @@
 
 
 class StreamCallers:
-    """A crowd of callers whose streams may, or may not, be resumed."""
+    """A crowd of callers whose streams may, or may not, be resumed.
 
-    def __init__(self, *, world: World) -> None:
+    Parameters
+    ----------
+    crashing
+        Whether some requests have a part that crashes engines.
+    """
+
+    def __init__(self, *, world: World, crashing: bool = False) -> None:
         self._world = world
+        self._crashing = crashing
         self._random = random.Random(f"callers {world.seed}")
         self._sent = 0
         self.asking = True
@@ -41,6 +49,8 @@
         async with asyncio.TaskGroup() as group:
             for _ in range(CALLERS):
                 group.create_task(self._ask_on())
+            if self._crashing:
+                group.create_task(self._crash_on())
 
     async def _ask_on(self) -> None:
         while self.asking:
@@ -48,7 +58,17 @@
             pause_s = PAUSE_S if told.status == HTTPStatus.OK else AFTER_FAILURE_S
             await asyncio.sleep(self._random.uniform(*pause_s))
 
-    async def _ask(self) -> StreamTold:
+    async def _crash_on(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            while self.asking:
+                group.create_task(self.ask_crashing())
+                await asyncio.sleep(EVERY_S)
+
+    async def ask_crashing(self) -> StreamTold:
+        """Send a request with the crashing part."""
+        return await self._ask(crashing=True)
+
+    async def _ask(self, *, crashing: bool = False) -> StreamTold:
         self._sent += 1
         source = random.Random(f"{self._world.seed} asks {self._sent}")
         patience = source.choices(["patient", "usual", "deadline", "leaves"], [50, 30, 12, 8])[0]
@@ -59,6 +79,7 @@
             events=source.randint(*EVENTS),
             sent_s=self._world.ledger.now_s(),
             deadline_s=source.uniform(*DEADLINE_S) if patience == "deadline" else None,
+            crashing=crashing,
         )
         self.told.append(told)
         self._world.ledger.senders[told.request] = self._world.sender(told.entry)
@@ -68,7 +89,7 @@
         gap_s = CALLER_WAITS_S if patience == "usual" else in_all_s
         try:
             async with asyncio.timeout(in_all_s):
-                await self._hear(told, gap_s)
+                await self._hear(told, gap_s, crashing=crashing)
         except TimeoutError:
             told.left = True
         except (aiohttp.ClientError, OSError):
@@ -77,11 +98,11 @@
             told.told_s = self._world.ledger.now_s()
         return told
 
-    async def _hear(self, told: StreamTold, gap_s: float) -> None:
+    async def _hear(self, told: StreamTold, gap_s: float, *, crashing: bool) -> None:
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S)
         async with (
             aiohttp.ClientSession(timeout=timeout) as session,
-            self._answer(session, told, gap_s) as answer,
+            self._answer(session, told, gap_s, crashing=crashing) as answer,
         ):
             told.status = answer.status
             rest = b""
@@ -98,7 +119,7 @@
 
     @asynccontextmanager
     async def _answer(
-        self, session: aiohttp.ClientSession, told: StreamTold, gap_s: float
+        self, session: aiohttp.ClientSession, told: StreamTold, gap_s: float, *, crashing: bool
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         kind = "more" if told.resumable else "once"
         headers = {
@@ -107,12 +128,15 @@
             "X-Attempt-Id": told.request,
             "X-Model": MODEL,
             "X-Token-Usage": f"200,{told.events}",
+            "X-Prompt-Prefix": prompt_parts(
+                random.Random(told.request), told.request, crashing=crashing
+            ),
         }
         if told.deadline_s is not None:
             headers["X-Deadline-Ms"] = str(round(1000 * told.deadline_s))
         url = f"http://{told.entry}/{kind}/{told.events}"
         async with asyncio.timeout(gap_s):
-            answer = await session.post(url, headers=headers, data=b"soak")
+            answer = await session.post(url, headers=headers, data=f"soak {told.request}".encode())
         try:
             yield answer
         finally:
--- a/tests/soak/stream_judge.py
+++ b/tests/soak/stream_judge.py
@@ -196,6 +196,8 @@
 
     def _end(self) -> list[str]:
         told = self._told
+        if told.crashing:
+            return []  # it ends its engines, and is refused or broken off when that is known
         settled_s = self._settled_s(told.told_s, self._entry.unread)
         if self._entry.killed(told.sent_s - TIME_SLACK_S, settled_s + LINE_S):
             return []
--- a/tests/soak/stream_play.py
+++ b/tests/soak/stream_play.py
@@ -11,6 +11,7 @@
 
 from tests.soak.holds import watch_own_holds, watch_starved
 from tests.soak.log_reader import LogReader
+from tests.soak.parts import BETWEEN_TRIALS_S, ENDS_TO_HOLD, TRIALS, PartLog
 from tests.soak.run import CALM_S, RECOVERY_S, Verdict, judge_end, recover
 from tests.soak.stream_callers import StreamCallers
 from tests.soak.stream_faults import ALWAYS, BY_CHANCE, Series
@@ -25,23 +26,28 @@
 ENGINE_SLOTS = 16
 
 
-async def soak_streams(*, seed: int, folder: Path, seconds: float) -> Verdict:
-    """Play one seed for some seconds of faults."""
+async def soak_streams(*, seed: int, folder: Path, seconds: float, parts: bool = False) -> Verdict:
+    """Play one seed for some seconds of faults, and of a part that crashes engines if asked for."""
     source = random.Random(f"series {seed}")
     chosen = [*ALWAYS, *(series for series in BY_CHANCE if source.random() < SERIES_SHARE)]
     world = World(seed=seed, folder=folder)
     _prepare(world)
     operator = Operator(world=world)
-    callers = StreamCallers(world=world)
+    callers = StreamCallers(world=world, crashing=parts)
+    part_log = PartLog()
+    for engine in world.engines if parts else ():
+        engine.part_log = part_log
     try:
         await world.start()
         if not await operator.change() or not await world.ready():
             world.ledger.break_rule("START the deployment did not become ready")
         else:
             await _play(world, operator, callers, chosen, seconds)
+            await _judge_part(world, callers, part_log)
     finally:
         await world.stop()
-    return _verdict(world, callers.told, [series.__name__ for series in chosen])
+    names = [series.__name__ for series in chosen]
+    return _verdict(world, callers.told, names, len(part_log.ends_s))
 
 
 def _prepare(world: World) -> None:
@@ -82,6 +88,21 @@
     await judge_end(world, operator)
 
 
+async def _judge_part(world: World, callers: StreamCallers, part_log: PartLog) -> None:
+    """Send requests with the crashing part to the calm deployment, and see who still gets them."""
+    if len(part_log.ends_s) < ENDS_TO_HOLD:
+        return
+    before = len(part_log.arrivals_s)
+    for _ in range(TRIALS):
+        await callers.ask_crashing()
+        await asyncio.sleep(BETWEEN_TRIALS_S)
+    late = len(part_log.arrivals_s) - before
+    if late:
+        world.ledger.break_rule(
+            f"PART {late} requests with a part that ended {len(part_log.ends_s)} engines were sent"
+        )
+
+
 async def _befall(world: World, operator: Operator, chosen: list[Series], seconds: float) -> None:
     """Let all series go on beside each other, and bring everything back afterwards."""
     tasks = [
@@ -115,7 +136,7 @@
         await backend.bring_back()
 
 
-def _verdict(world: World, streams: list[StreamTold], series: list[str]) -> Verdict:
+def _verdict(world: World, streams: list[StreamTold], series: list[str], part_ends: int) -> Verdict:
     violations = world.ledger.judge() + _judge(world, streams)
     return Verdict(
         seed=world.seed,
@@ -123,7 +144,7 @@
         asked=len(streams),
         served=sum(told.whole and told.status == 200 for told in streams),
         violations=violations,
-        columns=_columns(streams) | _reasons(world),
+        columns=_columns(streams) | _reasons(world) | {"engines that a part ended": part_ends},
     )
 
 
--- a/tests/soak/stream_records.py
+++ b/tests/soak/stream_records.py
@@ -111,6 +111,8 @@
 
     Attributes
     ----------
+    crashing
+        Whether its prompt has a part that crashes engines.
     left
         Whether it closed the connection itself.
     whole
@@ -120,6 +122,7 @@
     """
 
     __slots__ = (
+        "crashing",
         "deadline_s",
         "entry",
         "events",
@@ -143,7 +146,9 @@
         events: int,
         sent_s: float,
         deadline_s: float | None = None,
+        crashing: bool = False,
     ) -> None:
+        self.crashing = crashing
         self.request = request
         self.entry = entry
         self.resumable = resumable
