Try out parts that were put in quarantine together

Callers would see: where a popular part was held beside a crashing one, all requests of their group are refused until an operator releases it. Cause: parts that are always present together are held together at the fifth end, and what is held can no longer succeed, so nothing clears the innocent one. Change: a request that has just one of parts with the same ends is sent once, by chance about once in 5 s over all entries; what it proves clears the part as any success. After an end under the part alone there are no more trials of it. A request with both is never tried. Evidence: seven tests of the rule, one of the entry; before, no request with a held part was ever sent. Open: after a restart of all replicas the ends are gone, and such a part may be tried once more.

--- /dev/null
+++ b/src/leadhollow/decide/quarantine_trials.py
@@ -0,0 +1,98 @@
+"""Tries out whether a part of a prompt is in quarantine only because another part was.
+
+Parts that were present at the same ends are put in quarantine together, though perhaps only one of
+them makes servers end. A request that has just one of them may show which. If that is a popular
+part, all requests of a group would be refused for good without such a trial; if it is the guilty
+one, the trial ends a server. The entries together try about once in `TRIAL_INTERVAL_S`, each by
+chance, and a part whose trial ended a server is not tried again.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+
+from leadhollow.decide.fingerprint_kind import FingerprintKind, kind_of
+from leadhollow.decide.server_ends import Verdict
+from leadhollow.decide.suspects import SuspectTable
+
+TRIAL_INTERVAL_S = 5.0
+
+
+class QuarantineTrials:
+    """Decides which requests one entry sends despite the quarantine.
+
+    Parameters
+    ----------
+    entries
+        Returns the number of entries that decide in the same way.
+    clock
+        Returns the loop time.
+    seed
+        Seed of the random times of trials.
+    """
+
+    __slots__ = ("_clock", "_due_s", "_entries", "_random", "_table")
+
+    def __init__(
+        self,
+        *,
+        table: SuspectTable,
+        entries: Callable[[], int],
+        clock: Callable[[], float],
+        seed: int,
+    ) -> None:
+        self._table = table
+        self._entries = entries
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._due_s: float | None = None  # of the next trial; None while nothing may be tried
+
+    def may_send(self, traits: Iterable[bytes]) -> bool:
+        """Return whether a request in quarantine may be sent as a trial.
+
+        Parameters
+        ----------
+        traits
+            Fingerprints of the request and of its prompt's parts.
+        """
+        held = [trait for trait in traits if self._table.is_quarantined(trait)]
+        if len(held) != 1 or not self._is_doubtful(held[0]):
+            return False
+        now_s = self._clock()
+        if self._due_s is None:
+            self._due_s = now_s + self._draw_delay_s()
+        if now_s < self._due_s:
+            return False
+        self._due_s = now_s + self._draw_delay_s()
+        return True
+
+    def _draw_delay_s(self) -> float:
+        return self._random.expovariate(1 / (TRIAL_INTERVAL_S * max(1, self._entries())))
+
+    def _is_doubtful(self, fingerprint: bytes) -> bool:
+        """Return whether a part was put in quarantine with others, and no trial ended a server."""
+        verdict = self._table.verdict(fingerprint)
+        if verdict is None or kind_of(fingerprint) is not FingerprintKind.PART:
+            return False
+        partners = {
+            other.fingerprint
+            for other in self._table.verdicts()
+            if not other.released
+            and other.lives == verdict.lives
+            and other.fingerprint != fingerprint
+            and kind_of(other.fingerprint) is FingerprintKind.PART
+        }
+        return bool(partners) and not self._ended_alone(verdict, partners)
+
+    def _ended_alone(self, verdict: Verdict, partners: set[bytes]) -> bool:
+        """Return whether a server ended since the verdict under the part without its partners."""
+        return any(
+            end.happened_s > verdict.since_s
+            and verdict.fingerprint in end.suspects
+            and partners.isdisjoint(end.ran)
+            for end in self._table.ends()
+        )
+
+
+__all__ = ["TRIAL_INTERVAL_S", "QuarantineTrials"]
--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -35,6 +35,8 @@
 
     Attributes
     ----------
+    is_trial
+        Whether it is sent once despite the quarantine of a part of its prompt.
     attempts
         Number of sends after which a backend server may have begun to run the request.
     sends
@@ -52,6 +54,7 @@
         "deadline_s",
         "fingerprint",
         "head",
+        "is_trial",
         "last_contact_s",
         "last_instance",
         "metadata",
@@ -99,6 +102,7 @@
         self.deadline_s = received_s + route.timeout_ms / 1000
         if metadata.deadline_ms is not None:
             self.deadline_s = min(self.deadline_s, received_s + metadata.deadline_ms / 1000)
+        self.is_trial = False
         self.attempts = 0
         self.sends = 0
         self.last_instance = ""
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -146,7 +146,7 @@
             raise
 
     async def _forward(self, call: ForwardedCall) -> None:
-        if self._suspects.quarantine.is_quarantined(call):
+        if not self._suspects.quarantine.admits(call):
             await self._responder.quarantined(call)
             return
         service = self._routes.services.get(call.service)
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -8,6 +8,7 @@
 
 from leadhollow.decide.fingerprint_kind import FingerprintKind, kind_of, short_fingerprint
 from leadhollow.decide.quarantine_rules import VERDICT_DELAY_S
+from leadhollow.decide.quarantine_trials import QuarantineTrials
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.kernel.active_time import active_sleep
@@ -27,18 +28,37 @@
     ----------
     table
         Suspects and verdicts that all entries share.
+    trials
+        Decides which calls are sent all the same, to find out whether a verdict was wrong.
     """
 
-    __slots__ = ("_running", "table")
+    __slots__ = ("_running", "_trials", "table")
 
-    def __init__(self, *, table: SuspectTable) -> None:
+    def __init__(self, *, table: SuspectTable, trials: QuarantineTrials) -> None:
         self.table = table
+        self._trials = trials
         self._running: dict[bytes, dict[ForwardedCall, asyncio.Timeout]] = {}
 
     def is_quarantined(self, call: ForwardedCall) -> bool:
-        """Return whether a request must not be sent."""
+        """Return whether a request must not be sent; a trial may be sent once."""
+        if call.is_trial and not call.sends:
+            return False
         return any(map(self.table.is_quarantined, call.traits))
 
+    def admits(self, call: ForwardedCall) -> bool:
+        """Return whether a new call may be forwarded, as it is in no quarantine or is a trial."""
+        held = [trait for trait in call.traits if self.table.is_quarantined(trait)]
+        if not held:
+            return True
+        call.is_trial = self._trials.may_send(call.traits)
+        if call.is_trial:
+            log.warning(
+                "request in quarantine sent as a trial",
+                request=call.request_id,
+                fingerprint=short_fingerprint(held[0]),
+            )
+        return call.is_trial
+
     async def wait_for_verdict(self, call: ForwardedCall) -> None:
         """Delay another send of a call that may have ended servers before its last one.
 
--- a/src/leadhollow/forward/suspect_sync.py
+++ b/src/leadhollow/forward/suspect_sync.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 
 from leadhollow.decide.quarantine_rules import SETTLE_S
+from leadhollow.decide.quarantine_trials import QuarantineTrials
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.forward.call import ForwardedCall
@@ -63,10 +64,19 @@
         feed: ControlFeed,
         pool: ConnectionPool,
         peers: PeerPool,
+        seed: int,
     ) -> None:
         self._ledger = SuspectLedger(on_change=self.note_change)
         self.table = self._ledger.table
-        self.quarantine = Quarantine(table=self.table)
+        self.quarantine = Quarantine(
+            table=self.table,
+            trials=QuarantineTrials(
+                table=self.table,
+                entries=lambda: feed.entries,
+                clock=asyncio.get_running_loop().time,
+                seed=seed,
+            ),
+        )
         self._feed = feed
         self._peers = peers
         self.end_detector = ServerEndDetector(
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -112,7 +112,11 @@
         feed.on_decisions(self.queue.update_peer_decisions)
         self.responder = FailureResponder(dialect=dialect, on_refusal=_refusal_counter(settings))
         self.suspects = SuspectSync(
-            directory=self.directory, feed=feed, pool=pool, peers=process.peers
+            directory=self.directory,
+            feed=feed,
+            pool=pool,
+            peers=process.peers,
+            seed=process.seed,
         )
         self.limits = RateLimitTracker(
             vm=settings.vm,
--- /dev/null
+++ b/tests/decide/test_quarantine_trials.py
@@ -0,0 +1,99 @@
+"""Tests of which requests are sent despite the quarantine, to find out whether it was wrong."""
+
+from __future__ import annotations
+
+from leadhollow.decide.fingerprint_kind import PART_TAG
+from leadhollow.decide.quarantine_trials import TRIAL_INTERVAL_S, QuarantineTrials
+from leadhollow.decide.server_ends import ServerEnd, Verdict
+from leadhollow.decide.suspects import SuspectTable
+
+REQUEST = b"r" * 16
+GUILTY = b"g" * 12 + PART_TAG
+POPULAR = b"p" * 12 + PART_TAG
+ENTRIES = 7
+LONG_S = 600.0
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+class Entries:
+    """Entries that share one table and get a request of some traits each 0.1 s, in turn."""
+
+    def __init__(self, *held: bytes) -> None:
+        self.clock = Clock()
+        self.table = SuspectTable(clock=self.clock)
+        for fingerprint in held:
+            self.hold(fingerprint)
+        self.trials = [
+            QuarantineTrials(table=self.table, entries=lambda: ENTRIES, clock=self.clock, seed=seed)
+            for seed in range(ENTRIES)
+        ]
+
+    def hold(self, fingerprint: bytes, *, lives: tuple[str, ...] = ("a", "b", "c")) -> None:
+        self.table.merge_verdict(
+            Verdict(
+                fingerprint=fingerprint,
+                number=1,
+                released=False,
+                lives=lives,
+                since_s=self.clock.now_s,
+            )
+        )
+
+    def count(self, *traits: bytes, length_s: float = LONG_S) -> int:
+        """Return how many requests are sent within a time."""
+        sent = 0
+        for turn in range(int(length_s / 0.1)):
+            self.clock.now_s += 0.1
+            sent += self.trials[turn % ENTRIES].may_send(traits)
+        return sent
+
+
+class TestTrials:
+    # A popular part that was held beside a crashing one stayed in quarantine for good.
+    def test_send_requests_with_one_of_two_parts_now_and_then(self):
+        sent = Entries(GUILTY, POPULAR).count(REQUEST, POPULAR)
+        expected = LONG_S / TRIAL_INTERVAL_S
+        assert 0.6 * expected < sent < 1.4 * expected
+
+    def test_never_send_requests_with_both(self):
+        assert Entries(GUILTY, POPULAR).count(REQUEST, POPULAR, GUILTY) == 0
+
+    def test_never_send_a_part_that_is_held_alone(self):
+        entries = Entries(GUILTY)
+        entries.hold(POPULAR, lives=("d", "e", "f"))
+        assert entries.count(REQUEST, GUILTY) == 0
+
+    def test_never_send_a_request_that_is_held_itself(self):
+        entries = Entries(REQUEST, POPULAR)
+        assert entries.count(REQUEST) == 0
+        assert entries.count(REQUEST, POPULAR) == 0
+
+    # Each trial of the guilty part ends a server.
+    def test_stop_once_a_server_ended_under_the_part_alone(self):
+        entries = Entries(GUILTY, POPULAR)
+        entries.clock.now_s += 1.0
+        entries.table.merge_end(
+            ServerEnd(life="d", ran=[REQUEST, GUILTY], happened_s=entries.clock.now_s)
+        )
+        assert entries.count(REQUEST, GUILTY) == 0
+        assert entries.count(REQUEST, POPULAR) > 0
+
+    def test_go_on_after_an_end_under_both_parts(self):
+        entries = Entries(GUILTY, POPULAR)
+        entries.clock.now_s += 1.0
+        entries.table.merge_end(
+            ServerEnd(life="d", ran=[REQUEST, GUILTY, POPULAR], happened_s=entries.clock.now_s)
+        )
+        assert entries.count(REQUEST, POPULAR) > 0
+
+    def test_stop_once_the_popular_part_is_released(self):
+        entries = Entries(GUILTY, POPULAR)
+        entries.table.release(POPULAR)
+        assert entries.count(REQUEST, GUILTY) == 0
--- a/tests/forward/region_entry.py
+++ b/tests/forward/region_entry.py
@@ -111,7 +111,10 @@
         budget: Any = SimpleNamespace(try_acquire=lambda _: True, refund=lambda _: None)
         suspects: Any = SimpleNamespace(
             quarantine=SimpleNamespace(
-                track=_track, is_quarantined=lambda _: False, wait_for_verdict=_nothing
+                track=_track,
+                admits=lambda _: True,
+                is_quarantined=lambda _: False,
+                wait_for_verdict=_nothing,
             ),
             record_interruption=lambda *_: None,
             record_success=lambda *_: None,
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -9,6 +9,7 @@
 import pytest
 
 from leadhollow.decide.fingerprint_kind import PART_TAG
+from leadhollow.decide.quarantine_trials import QuarantineTrials
 from leadhollow.decide.server_ends import ServerEnd, Verdict
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.forward.quarantine import Quarantine
@@ -22,6 +23,7 @@
         self.traits = (REQUEST, PART)
         self.sends = sends
         self.reply = SimpleNamespace(started=False)
+        self.is_trial = False
 
 
 def make_call(*, sends: int = 1) -> Any:
@@ -29,7 +31,10 @@
 
 
 def make_quarantine() -> Quarantine:
-    return Quarantine(table=SuspectTable(clock=asyncio.get_running_loop().time))
+    clock = asyncio.get_running_loop().time
+    table = SuspectTable(clock=clock)
+    trials = QuarantineTrials(table=table, entries=lambda: 1, clock=clock, seed=1)
+    return Quarantine(table=table, trials=trials)
 
 
 def end_server(quarantine: Quarantine, *ran: bytes, life: str = "i-1@1") -> None:
@@ -56,6 +61,19 @@
             Verdict(fingerprint=trait, number=1, released=False, lives=(), since_s=0.0)
         )
         assert quarantine.is_quarantined(make_call())
+        assert not quarantine.admits(make_call())
+
+    # A trial that ended its server would be sent to the next one.
+    async def test_holds_a_trial_after_its_first_send(self):
+        quarantine = make_quarantine()
+        quarantine.table.merge_verdict(
+            Verdict(fingerprint=PART, number=1, released=False, lives=(), since_s=0.0)
+        )
+        call = make_call(sends=0)
+        call.is_trial = True
+        assert not quarantine.is_quarantined(call)
+        call.sends = 1
+        assert quarantine.is_quarantined(call)
 
     async def test_aborts_the_running_calls_that_have_a_part(self):
         quarantine = make_quarantine()
