Simulate what an answer that has begun proves of its prompt

The laboratory cleared a part only at the end of a request, and broke off all that runs at a verdict; the product clears parts 0.2 s after an answer began and spares what has begun.

--- a/src/leadhollow/experiment/crashes.py
+++ b/src/leadhollow/experiment/crashes.py
@@ -14,13 +14,14 @@
 
 import msgspec
 
-from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, PART_TAG
+from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, PART_TAG, FingerprintKind, kind_of
 from leadhollow.decide.quarantine_rules import SETTLE_S, VERDICT_DELAY_S
 from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.experiment.virtual_clock import VirtualClock
 from leadhollow.forward.quarantine import LIVES_TO_DELAY
+from leadhollow.forward.stream_attempt import SURVIVED_S
 
 DOMAINS = 5
 ENTRIES = 98
@@ -30,6 +31,7 @@
 """Size of a large deployment, including the engines that are added during a day."""
 
 RUN_DURATION_S = (0.6, 1.8)  # shortest and longest run time of a request
+READING_SHARE = 0.4  # of its run time, until an engine begins to answer
 RESTART_S = 2.5  # from the end of an engine until it accepts requests
 MAX_SENDS = 2  # engines that one attempt of a caller is sent to, at most
 RETRY_DELAY_S = 0.5  # until a caller retries a failed attempt
@@ -167,7 +169,7 @@
 class _Attempt:
     """One attempt of a caller at an entry."""
 
-    __slots__ = ("crasher", "entry", "is_last_attempt", "sends", "traits", "tried")
+    __slots__ = ("begun", "crasher", "entry", "is_last_attempt", "sends", "traits", "tried")
 
     def __init__(
         self, *, traits: _Traits, entry: int, crasher: bool, is_last_attempt: bool
@@ -177,6 +179,7 @@
         self.crasher = crasher
         self.is_last_attempt = is_last_attempt  # its caller does not retry
         self.sends = 0
+        self.begun = False  # whether its engine answers by now
         self.tried: set[_Engine] = set()
 
     @property
@@ -299,6 +302,7 @@
         if len(engine.running) >= SLOTS:
             engine = min(available, key=lambda candidate: len(candidate.running))
         attempt.sends += 1
+        attempt.begun = False
         attempt.tried.add(engine)
         engine.running[attempt] = None
         if attempt.crasher:
@@ -306,6 +310,13 @@
         run_s = self._pattern.crash_s if attempt.crasher else self._random.uniform(*RUN_DURATION_S)
         life = engine.life
         self._clock.call_after_ms(run_s * 1000, lambda: self._complete(attempt, engine, life))
+        if not attempt.crasher and len(attempt.traits) > 1:
+            begun_s = run_s * READING_SHARE
+            self._clock.call_after_ms(begun_s * 1000, lambda: self._begin(attempt, engine, life))
+            survived_s = begun_s + SURVIVED_S
+            self._clock.call_after_ms(
+                survived_s * 1000, lambda: self._survive(attempt, engine, life)
+            )
 
     def _is_late(self, attempt: _Attempt) -> bool:
         """Return whether all entries should know by now what crashes engines in a request."""
@@ -329,8 +340,19 @@
             self._end(engine, attempt)
             return
         del engine.running[attempt]
-        for trait in attempt.traits:
-            self._recent_successes[attempt.entry].add(trait, self._clock.now_s)
+        self._record_success(attempt.entry, attempt.traits)
+
+    def _begin(self, attempt: _Attempt, engine: _Engine, life: int) -> None:
+        attempt.begun = engine.life == life and attempt in engine.running
+
+    def _survive(self, attempt: _Attempt, engine: _Engine, life: int) -> None:
+        """Clear the parts of a request whose answer has gone on for a while."""
+        if engine.life == life and attempt in engine.running:
+            self._record_success(attempt.entry, attempt.traits[1:])
+
+    def _record_success(self, entry: int, traits: _Traits) -> None:
+        for trait in traits:
+            self._recent_successes[entry].add(trait, self._clock.now_s)
             if self._table.is_suspected(trait):
                 self._after_delay(ONE_WAY_S, lambda trait=trait: self._clear(trait))  # type: ignore[misc]
 
@@ -424,11 +446,14 @@
         )
 
     def _break_off(self, fingerprint: bytes) -> None:
-        """Interrupt the running attempts of a quarantined request."""
+        """Interrupt the attempts of a quarantined request, or those of a part that have not begun."""
+        spares_begun = kind_of(fingerprint) is FingerprintKind.PART
         if self._memory is CrashMemory.SUSPECTS:
             for engine in self._engines:
                 engine.running = {
-                    other: None for other in engine.running if fingerprint not in other.traits
+                    other: None
+                    for other in engine.running
+                    if fingerprint not in other.traits or (spares_begun and other.begun)
                 }
 
     def _after_delay(self, delay_s: tuple[float, float], work: Callable[[], None]) -> None:
