--- a/src/leadhollow/experiment/crashes.py
+++ b/src/leadhollow/experiment/crashes.py
@@ -446,7 +446,7 @@
         )
 
     def _break_off(self, fingerprint: bytes) -> None:
-        """Interrupt the attempts of a quarantined request, or those of a part that have not begun."""
+        """Interrupt attempts of a quarantined request, or those of a part that have not begun."""
         spares_begun = kind_of(fingerprint) is FingerprintKind.PART
         if self._memory is CrashMemory.SUSPECTS:
             for engine in self._engines:
--- a/src/leadhollow/forward/server_end_detector.py
+++ b/src/leadhollow/forward/server_end_detector.py
@@ -18,11 +18,11 @@
 from enum import Enum
 from typing import Any
 
-from leadhollow.codes import Code
 from leadhollow.decide.fingerprint_kind import count_requests, short_fingerprint
 from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_ends import ServerEnd
+from leadhollow.forward.connection_probe import ConnectionProbe, Refusal
 from leadhollow.forward.pool import ConnectionPool
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.membership.instances import Instance, InstanceState
@@ -39,11 +39,6 @@
 """This many servers that break off requests within ``SIMULTANEOUS_S`` are taken to be cut off, not
 ended. Whether they ended is known once other lives have their addresses."""
 
-NEIGHBOURS_AT_ONCE = 2
-MAX_NEIGHBOURS = 8
-"""Servers of the same failure domain to connect to, some at a time, until one accepts. Those that
-broke off requests or are unreachable come last. Checks at the same time share one probe."""
-
 RECHECK_DELAYS_S = (0.1, 0.2, 0.4, 0.8, 0.8, 0.8)
 """Delays between checks of a server whose end is in doubt because others are away too. Later on it
 counts as ended only once another life has its address."""
@@ -61,14 +56,6 @@
 SurvivalListener = Callable[[Server, Iterable[bytes]], None]
 
 
-class _Refusal(Enum):
-    """Whether an address refuses connections."""
-
-    NONE = "none"
-    CERTAIN = "certain"
-    UNKNOWN = "unknown"
-
-
 class _Doubt(Enum):
     """Why a server that broke off requests may not have ended."""
 
@@ -108,12 +95,10 @@
 
     __slots__ = (
         "_closed",
-        "_directory",
         "_interrupted",
         "_on_server_end",
         "_on_survival",
-        "_pool",
-        "_probes",
+        "_probe",
         "_successes",
         "_tasks",
     )
@@ -127,14 +112,12 @@
         on_server_end: EndListener,
         on_survival: SurvivalListener,
     ) -> None:
-        self._directory = directory
-        self._pool = pool
+        self._probe = ConnectionProbe(directory=directory, pool=pool)
         self._successes = successes
         self._on_server_end = on_server_end
         self._on_survival = on_survival
         self._closed: dict[str, set[bytes]] = {}  # by life: responses that ended with a connection
         self._interrupted: OrderedDict[str, _InterruptedServer] = OrderedDict()
-        self._probes: dict[str, asyncio.Task[bool]] = {}  # running ones, by failure domain
         self._tasks: set[asyncio.Task[None]] = set()
         directory.on_replaced(self._on_replaced)
 
@@ -163,10 +146,10 @@
 
     async def stop(self) -> None:
         """Cancel all running checks."""
-        tasks = [*self._tasks, *self._probes.values()]
-        for task in tasks:
+        for task in list(self._tasks):
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._probe.stop()
 
     def _start_check(self, life: str) -> None:
         if any(task.get_name() == life for task in self._tasks):
@@ -180,11 +163,11 @@
 
     async def _check_survival(self, server: Server) -> None:
         await asyncio.sleep(BATCH_WINDOW_S)
-        refused = await self._refuses_connections(server.instance.address)
+        refused = await self._probe.refusal(server.instance.address)
         traits = self._closed.pop(server.instance.life, set())
-        if refused is _Refusal.NONE:
+        if refused is Refusal.NONE:
             self._on_survival(server, traits)
-        elif refused is _Refusal.CERTAIN:
+        elif refused is Refusal.CERTAIN:
             self.record_interruption(server, traits)
 
     async def _check(self, life: str) -> None:
@@ -215,27 +198,19 @@
         for attempt in range(CONNECT_ATTEMPTS):
             if attempt:
                 await asyncio.sleep(CONNECT_RETRY_DELAY_S)
-            refused = await self._refuses_connections(found.server.instance.address)
-            if refused is not _Refusal.CERTAIN:
+            refused = await self._probe.refusal(found.server.instance.address)
+            if refused is not Refusal.CERTAIN:
                 return _Doubt.ACCEPTS_CONNECTIONS
         if any(call.placed_s < found.first_s for call in found.server.calls):
             return _Doubt.CALLS_RUN  # only connections broke
         if self._is_simultaneous(found):
             return _Doubt.SIMULTANEOUS
-        if not await self._neighbour_accepts(found.server):
+        interrupted = {other.server.instance.address for other in self._interrupted.values()}
+        domain = found.server.instance.failure_domain
+        if not await self._probe.domain_accepts(domain, doubtful=interrupted):
             return _Doubt.NO_NEIGHBOUR
         return None
 
-    async def _refuses_connections(self, address: str) -> _Refusal:
-        """Return whether nothing listens at an address; pool the connection if one opens."""
-        opened = await self._pool.acquire(address, fresh=True)
-        if opened.is_ok():
-            self._pool.release(address, opened.unwrap())
-            return _Refusal.NONE
-        if opened.unwrap_err().code is Code.PEER_ABSENT:
-            return _Refusal.CERTAIN
-        return _Refusal.UNKNOWN
-
     def _is_simultaneous(self, found: _InterruptedServer) -> bool:
         """Return whether several servers broke off requests at the same time."""
         simultaneous = [
@@ -245,34 +220,6 @@
         ]
         return len(simultaneous) >= SIMULTANEOUS_SERVERS
 
-    async def _neighbour_accepts(self, server: Server) -> bool:
-        """Return whether another server of the same failure domain accepts connections."""
-        domain = server.instance.failure_domain
-        probe = self._probes.get(domain)
-        if probe is None:
-            probe = asyncio.get_running_loop().create_task(self._domain_accepts(domain))
-            self._probes[domain] = probe
-            probe.add_done_callback(lambda _: self._probes.pop(domain, None))
-        return await asyncio.shield(probe)
-
-    async def _domain_accepts(self, domain: str) -> bool:
-        """Return whether a server of a failure domain accepts connections."""
-        interrupted = {found.server.instance.address for found in self._interrupted.values()}
-        servers = [
-            server
-            for server in self._directory.all_servers()
-            if server.instance.failure_domain == domain
-        ]
-        servers.sort(
-            key=lambda server: (server.health.unreachable, server.instance.address in interrupted)
-        )
-        addresses = [server.instance.address for server in servers[:MAX_NEIGHBOURS]]
-        for start in range(0, len(addresses), NEIGHBOURS_AT_ONCE):
-            batch = addresses[start : start + NEIGHBOURS_AT_ONCE]
-            if any(await asyncio.gather(*map(self._pool.preconnect, batch))):
-                return True
-        return False
-
     def _on_replaced(self, instance: Instance) -> None:
         life = instance.life
         if life in self._interrupted:
--- a/tests/node/crashing.py
+++ b/tests/node/crashing.py
@@ -6,7 +6,7 @@
 
 from aiohttp import HttpVersion10, web
 
-from tests.node.site import PlainServer
+from tests.node.site import PlainServer, route
 
 POISON = b"poison"
 """Request body that crashes a server that runs it."""
@@ -198,12 +198,23 @@
         return answer
 
 
+KINDS = {"plain": CrashingServer, "stream": CrashingEngine}
+
+
+def service_route(kind: str) -> dict[str, object]:
+    """Describe the route to servers of a kind."""
+    streams = {"type": "streaming", "resumable": True, "gapTargetMs": 400}
+    return {**route("/ask/", "service"), **(streams if kind == "stream" else {})}
+
+
 __all__ = [
     "CRASHING_PART",
+    "KINDS",
     "POISON",
     "RESTART_DELAY_S",
     "CrashLog",
     "CrashingEngine",
     "CrashingServer",
     "has_crashing_part",
+    "service_route",
 ]
--- a/tests/node/test_crashing_parts.py
+++ b/tests/node/test_crashing_parts.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from tests.node.crashing import CRASHING_PART, CrashingEngine, CrashingServer, CrashLog
-from tests.node.site import Site, route
+from tests.node.crashing import CRASHING_PART, KINDS, CrashLog, service_route
+from tests.node.site import Site
 from tests.support import eventually
 
 SERVERS = 12
@@ -22,15 +22,9 @@
 REQUESTS = 24
 PAUSE_S = 0.1
 SPREAD_S = 0.25  # time within which all entries must know
-KINDS = {"plain": CrashingServer, "stream": CrashingEngine}
 FRAMINGS = {"framed": False, "until-close": True}
 
 
-def service_route(kind: str) -> dict[str, object]:
-    streams = {"type": "streaming", "resumable": True, "gapTargetMs": 400}
-    return {**route("/ask/", "service"), **(streams if kind == "stream" else {})}
-
-
 def with_site(
     folder: Path,
     kind: str,
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -19,8 +19,8 @@
 
 import pytest
 
-from tests.node.crashing import POISON, CrashingEngine, CrashingServer, CrashLog
-from tests.node.site import Site, route
+from tests.node.crashing import KINDS, POISON, CrashingServer, CrashLog, service_route
+from tests.node.site import Site
 from tests.support import eventually
 
 SERVERS = 12
@@ -29,12 +29,6 @@
 SPREAD_S = 0.4  # time within which all entries must know
 LATE_S = 0.25  # delay after a server started to run it, while it still runs
 FIELDS = {"X-Model": "m", "X-Token-Usage": "10,3"}
-KINDS = {"plain": CrashingServer, "stream": CrashingEngine}
-
-
-def service_route(kind: str) -> dict[str, object]:
-    streams = {"type": "streaming", "resumable": True, "gapTargetMs": 400}
-    return {**route("/ask/", "service"), **(streams if kind == "stream" else {})}
 
 
 def with_site(
