Try out parts that share some of the ends they were held for

Cause: trials took only parts with exactly the same ends for partners; parts are held together by equal numbers of ends, of which some may differ, and then had no trial. Evidence: the new test failed before.

--- a/src/leadhollow/decide/quarantine_trials.py
+++ b/src/leadhollow/decide/quarantine_trials.py
@@ -1,6 +1,6 @@
 """Tries out whether a part of a prompt is in quarantine only because another part was.
 
-Parts that were present at the same ends are put in quarantine together, though perhaps only one of
+Parts that were present at as many ends are put in quarantine together, though perhaps only one of
 them makes servers end. A request that has just one of them may show which. If that is a popular
 part, all requests of a group would be refused for good without such a trial; if it is the guilty
 one, the trial ends a server. The entries together try about once in `TRIAL_INTERVAL_S`, each by
@@ -75,11 +75,12 @@
         verdict = self._table.verdict(fingerprint)
         if verdict is None or kind_of(fingerprint) is not FingerprintKind.PART:
             return False
+        lives = set(verdict.lives)
         partners = {
             other.fingerprint
             for other in self._table.verdicts()
             if not other.released
-            and other.lives == verdict.lives
+            and not lives.isdisjoint(other.lives)
             and other.fingerprint != fingerprint
             and kind_of(other.fingerprint) is FingerprintKind.PART
         }
--- a/tests/decide/test_quarantine_trials.py
+++ b/tests/decide/test_quarantine_trials.py
@@ -62,6 +62,12 @@
         expected = LONG_S / TRIAL_INTERVAL_S
         assert 0.6 * expected < sent < 1.4 * expected
 
+    # Parts are held together by the number of their ends, of which some may differ.
+    def test_send_requests_with_a_part_that_some_other_ends_speak_against(self):
+        entries = Entries(GUILTY)
+        entries.hold(POPULAR, lives=("b", "c", "d"))
+        assert entries.count(REQUEST, POPULAR) > 0
+
     def test_never_send_requests_with_both(self):
         assert Entries(GUILTY, POPULAR).count(REQUEST, POPULAR, GUILTY) == 0
 
