--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -83,6 +83,7 @@
         self.planner: Planner | None = None
         self.part_log: PartLog | None = None
         self._crashes: set[asyncio.Task[None]] = set()
+        self._changing = asyncio.Lock()  # a crash may come while a fault ends or starts it
         self._report_of_self = SelfReport(instance="")
         self._cold = Cold(instance="", until_s=0.0)
         self._ledger = ledger
@@ -107,7 +108,12 @@
         return f"i-{self.name}-{self._incarnation}"
 
     async def start(self) -> None:
-        """Begin a new incarnation."""
+        """Begin a new incarnation, if none runs."""
+        async with self._changing:
+            if self._runner is None:
+                await self._begin()
+
+    async def _begin(self) -> None:
         self._incarnation += 1
         self._sequence = self._orders = 0
         self.state, self.drained_s, self.mute, self._busy = "ready", None, False, False
@@ -133,6 +139,10 @@
 
     async def stop(self) -> None:
         """End at once, as a crash does; what is staged stays."""
+        async with self._changing:
+            await self._end()
+
+    async def _end(self) -> None:
         for task in (self._beating, self._loading, *self._running):
             if task is not None:
                 task.cancel()
