Count only recent interruptions against a server that ended

By tests: (1) a server that resets connections now and then keeps the traits of all requests that it ever broke off, and all are suspects at its end; (2) its refreshed record at the front keeps older records from being forgotten; (3) a survival check that ends after the server's end was reported takes the next life at the address for the old one and revokes the end. Cause: the time of a record is renewed, but its traits had no time of their own and its place in the order stayed; the check did not see that its record was gone.

--- a/src/leadhollow/forward/server_end_detector.py
+++ b/src/leadhollow/forward/server_end_detector.py
@@ -71,14 +71,32 @@
 
 
 class _InterruptedServer:
-    """A server that broke off requests, with the fingerprints of their traits."""
+    """A server that broke off requests, and their traits.
 
-    __slots__ = ("fingerprints", "first_s", "server")
+    Attributes
+    ----------
+    first_s
+        Loop time of the first of the latest interruptions that came together.
+    """
+
+    __slots__ = ("_interrupted_s", "first_s", "server")
 
     def __init__(self, *, server: Server, first_s: float) -> None:
         self.server = server
         self.first_s = first_s
-        self.fingerprints: set[bytes] = set()
+        self._interrupted_s: dict[bytes, float] = {}
+
+    def add(self, traits: Iterable[bytes], now_s: float) -> None:
+        """Add the traits of a request that was broken off now."""
+        for trait in traits:
+            self._interrupted_s[trait] = now_s
+
+    def recent_traits(self, now_s: float) -> set[bytes]:
+        """Forget interruptions that are too old, and return the traits of the others."""
+        self._interrupted_s = {
+            trait: at_s for trait, at_s in self._interrupted_s.items() if now_s - at_s < MAX_AGE_S
+        }
+        return set(self._interrupted_s)
 
 
 class ServerEndDetector:
@@ -131,9 +149,12 @@
             self._expire(now_s)
             self._start_check(life)
         elif now_s - found.first_s > BATCH_WINDOW_S:
-            found.first_s = now_s  # it went silent before, or only some connections broke
+            # it went silent before, or only some connections broke
+            found.first_s = now_s
+            self._interrupted.move_to_end(life)
+            found.recent_traits(now_s)
             self._start_check(life)
-        found.fingerprints.update(traits)
+        found.add(traits, now_s)
 
     def record_close(self, server: Server, traits: Iterable[bytes]) -> None:
         """Record the traits of a request whose response was ended by closing its connection."""
@@ -164,7 +185,9 @@
     async def _check_survival(self, server: Server) -> None:
         await asyncio.sleep(BATCH_WINDOW_S)
         refused = await self._probe.refusal(server.instance.address)
-        traits = self._closed.pop(server.instance.life, set())
+        traits = self._closed.pop(server.instance.life, None)
+        if traits is None:
+            return  # the end of the server was reported meanwhile
         if refused is Refusal.NONE:
             self._on_survival(server, traits)
         elif refused is Refusal.CERTAIN:
@@ -190,7 +213,7 @@
             instance=found.server.instance.instance,
             address=found.server.instance.address,
             reason=doubt.value,
-            requests=count_requests(found.fingerprints),
+            requests=count_requests(found.recent_traits(_now_s())),
         )
 
     async def _reason_to_doubt(self, found: _InterruptedServer) -> _Doubt | None:
@@ -229,16 +252,16 @@
         found = self._interrupted.pop(life, None)
         if found is None:
             return
-        found.fingerprints |= self._closed.pop(life, set())
         server, now_s = found.server, _now_s()
+        present = found.recent_traits(now_s) | self._closed.pop(life, set())
         if server.instance.state is not InstanceState.READY or server.switching(now_s):
             return  # the server had announced that it leaves or changes its weights
-        ran = {one for one in found.fingerprints if not self._successes.contains(one, now_s)}
+        ran = {one for one in present if not self._successes.contains(one, now_s)}
         log.warning(
             "backend server ended while it ran requests",
             instance=server.instance.instance,
             address=server.instance.address,
-            requests=count_requests(found.fingerprints),
+            requests=count_requests(present),
             fingerprints=[short_fingerprint(one) for one in sorted(ran)[:MAX_LOGGED_FINGERPRINTS]],
         )
         if ran:
--- a/tests/forward/test_server_end_detector.py
+++ b/tests/forward/test_server_end_detector.py
@@ -13,6 +13,7 @@
 from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.failure import Failure
+from leadhollow.forward import server_end_detector
 from leadhollow.forward.server_end_detector import ServerEndDetector
 from leadhollow.membership.instances import InstanceState
 from tests.support import eventually
@@ -137,6 +138,30 @@
         domain.replace(domain.servers["a"].instance)
         assert domain.ended() == ["a"]
 
+    # A server that resets connections now and then would take requests of hours ago with its end.
+    async def test_counts_only_against_recent_requests(self, monkeypatch):
+        monkeypatch.setattr(server_end_detector, "MAX_AGE_S", 0.2)
+        domain = Domain("a", "b")
+        for number in range(4):
+            domain.detector.record_interruption(domain.servers["a"], [b"%d" % number * 16])
+            await asyncio.sleep(0.1)
+        domain.end("a")
+        await eventually(lambda: domain.ended() == ["a"], "a reported end")
+        assert domain.ends[0].ran == {TRAIT, b"3" * 16}
+
+    # Refreshed records would keep older ones from being forgotten.
+    async def test_is_forgotten_though_an_earlier_server_was_interrupted_again(self, monkeypatch):
+        monkeypatch.setattr(server_end_detector, "MAX_AGE_S", 0.2)
+        domain = Domain("a", "b", "c", "d")
+        domain.detector.record_interruption(domain.servers["a"], [TRAIT])
+        domain.detector.record_interruption(domain.servers["b"], [TRAIT])
+        await asyncio.sleep(0.15)
+        domain.detector.record_interruption(domain.servers["a"], [TRAIT])
+        await asyncio.sleep(0.1)
+        domain.detector.record_interruption(domain.servers["c"], [TRAIT])
+        domain.replace(domain.servers["b"].instance)
+        assert domain.ended() == []
+
 
 class TestResponseThatEndsWithItsConnection:
     async def test_is_survived_by_a_server_that_accepts_connections(self):
@@ -153,3 +178,13 @@
         await eventually(lambda: domain.ended() == ["a"], "a reported end")
         assert domain.ends[0].ran == {TRAIT}
         assert domain.survived == []
+
+    # The next life at the address would revoke the end of the one that had closed.
+    async def test_is_not_survived_once_the_end_of_its_server_is_reported(self):
+        domain = Domain("a", "b")
+        domain.detector.record_interruption(domain.servers["a"], [TRAIT])
+        domain.detector.record_close(domain.servers["a"], [b"c" * 16])
+        domain.replace(domain.servers["a"].instance)
+        await asyncio.sleep(SETTLED_S)
+        assert domain.ends[0].ran == {TRAIT, b"c" * 16}
+        assert domain.survived == []
