Bound how long the backend role waits to see whether its engine has ended

Change: it uses the client connection that the direct path uses, with a timeout of 0.3 s; unknown counts as not gone.

--- a/src/leadhollow/backend/engine_client.py
+++ b/src/leadhollow/backend/engine_client.py
@@ -12,8 +12,10 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.http1.client_connection import open_connection
 from leadhollow.http_client import HttpClient
 from leadhollow.observe.logs import get_logger
+from leadhollow.settings.address import Address
 from leadhollow.wire.generated.ttypes import Dispatch
 
 if TYPE_CHECKING:
@@ -21,11 +23,12 @@
 
 LOAD_TIMEOUT_S = 300.0
 STATUS_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.3
 CONNECT_ATTEMPTS = 2
 CONNECT_RETRY_DELAY_S = 0.015  # an engine at its connection limit may refuse one connection
+HTTP_PORT = 80
 READ_BYTES = 64 * 1024
 
-
 log = get_logger("engine")
 
 
@@ -168,19 +171,18 @@
 
         The engine runs on this machine, so a refused connection is no matter of the network.
         """
-        found = urlsplit(self._url)
+        parsed = urlsplit(self._url)
+        address = Address(host=parsed.hostname or "", port=parsed.port or HTTP_PORT)
         for attempt in range(CONNECT_ATTEMPTS):
             if attempt:
                 await asyncio.sleep(CONNECT_RETRY_DELAY_S)
-            try:
-                _, writer = await asyncio.open_connection(found.hostname, found.port)
-            except ConnectionRefusedError:
-                continue
-            except OSError as error:
-                log.warning("engine not asked", url=self._url, error=str(error))
+            opened = await open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
+            if opened.is_ok():
+                opened.unwrap().close()
+                return False
+            if opened.unwrap_err().code is not Code.PEER_ABSENT:
+                log.warning("engine not asked", failure=str(opened.unwrap_err()))
                 return False
-            writer.close()
-            return False
         return True
 
 
