Compute all fingerprints in one place, and a call's traits once

What the project had, written again: a digest of length-prefixed fields on the direct path and another behind gates, the rule on which parts are shared, short fingerprints; the length of a model's name was counted in characters beside bytes. State that could be derived: a call kept its fingerprint and parts and built its traits at each use, several times a request. The held traits of a call were looked up twice for a trial; the ledger of suspects asked the event loop for the time. Change: decide/fingerprints has digests, kinds and the shared parts; a call keeps its traits; trials get what is held; the ledger gets a clock. The soak's text for too many engines is ATTEMPTS.

--- a/src/leadhollow/cli/quarantine_commands.py
+++ b/src/leadhollow/cli/quarantine_commands.py
@@ -10,7 +10,7 @@
 from leadhollow.cli.output import print_failure, print_json, print_table, print_text
 from leadhollow.cli.replica_command import ReplicaCommand, json_option, replica_argument
 from leadhollow.codes import Code
-from leadhollow.decide.fingerprint_kind import count_requests, kind_of
+from leadhollow.decide.fingerprints import count_requests, kind_of
 from leadhollow.failure import Failure
 from leadhollow.wire.generated.ttypes import (
     ServerEnd,
--- a/src/leadhollow/control/suspect_relay.py
+++ b/src/leadhollow/control/suspect_relay.py
@@ -18,7 +18,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.control.verdict_file import load_verdicts, save_verdicts
-from leadhollow.decide.fingerprint_kind import count_requests, kind_of
+from leadhollow.decide.fingerprints import count_requests, kind_of
 from leadhollow.decide.server_ends import Verdict
 from leadhollow.decide.suspects import SuspectTable
 from leadhollow.failure import Failure
--- a/src/leadhollow/decide/quarantine_rules.py
+++ b/src/leadhollow/decide/quarantine_rules.py
@@ -10,7 +10,7 @@
 
 from collections.abc import Callable, Collection, Iterator
 
-from leadhollow.decide.fingerprint_kind import FingerprintKind, kind_of
+from leadhollow.decide.fingerprints import FingerprintKind, kind_of
 from leadhollow.decide.server_ends import ServerEnd
 
 ENDS_TO_QUARANTINE = 3
--- a/src/leadhollow/decide/quarantine_trials.py
+++ b/src/leadhollow/decide/quarantine_trials.py
@@ -10,9 +10,9 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
-from leadhollow.decide.fingerprint_kind import FingerprintKind, kind_of
+from leadhollow.decide.fingerprints import FingerprintKind, kind_of
 from leadhollow.decide.server_ends import Verdict
 from leadhollow.decide.suspects import SuspectTable
 
@@ -48,15 +48,14 @@
         self._random = random.Random(seed)
         self._due_s: float | None = None  # of the next trial; None while nothing may be tried
 
-    def may_send(self, traits: Iterable[bytes]) -> bool:
+    def may_send(self, held: Sequence[bytes]) -> bool:
         """Return whether a request in quarantine may be sent as a trial.
 
         Parameters
         ----------
-        traits
-            Fingerprints of the request and of its prompt's parts.
+        held
+            Fingerprints that are in quarantine, of the request and of its prompt's parts.
         """
-        held = [trait for trait in traits if self._table.is_quarantined(trait)]
         if len(held) != 1 or not self._is_doubtful(held[0]):
             return False
         now_s = self._clock()
--- a/src/leadhollow/decide/recent_successes.py
+++ b/src/leadhollow/decide/recent_successes.py
@@ -4,7 +4,7 @@
 
 from collections import OrderedDict
 
-from leadhollow.decide.fingerprint_kind import FingerprintKind, kind_of
+from leadhollow.decide.fingerprints import FingerprintKind, kind_of
 
 MAX_FINGERPRINTS = 8_192  # of each kind: half a minute of the busiest entry; about 1 MB
 VALID_S = 60.0
--- a/src/leadhollow/entry/call.py
+++ b/src/leadhollow/entry/call.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
-from leadhollow.entry.call_traits import call_fingerprint, message_fingerprints
+from leadhollow.decide.fingerprints import part_fingerprint, request_fingerprint, shared_parts
 from leadhollow.failure import Failure
 from leadhollow.state.records import StoredRow
 
@@ -125,10 +125,9 @@
         self.affinity = affinity
         self.priority = priority
         self.deadline_s = deadline_s
-        fingerprint = call_fingerprint(
-            group=self.group, method=method, target=f"{service or model}:{path}", body=body
-        )
-        self.traits = (fingerprint, *parts)
+        target = f"{service or model}:{path}"
+        fields = (method.encode(), target.encode(), self.group.encode())
+        self.traits = (request_fingerprint(fields, body), *parts)
 
     @property
     def group(self) -> str:
@@ -180,7 +179,11 @@
 def chat_parts(chat: ChatBody) -> tuple[bytes, ...]:
     """Return the fingerprints of the messages that other calls of the model may share."""
     messages = [(message.role, str(message.content)) for message in chat.messages]
-    return message_fingerprints(messages, model=chat.model)
+    model = chat.model.encode()
+    return tuple(
+        part_fingerprint((model, role.encode()), content.encode())
+        for role, content in shared_parts(messages)
+    )
 
 
 def with_resume(body: bytes, *, text: str, tokens: int) -> bytes:
--- a/src/leadhollow/entry/suspects.py
+++ b/src/leadhollow/entry/suspects.py
@@ -11,7 +11,7 @@
 
 from result import Result
 
-from leadhollow.decide.fingerprint_kind import short_fingerprint
+from leadhollow.decide.fingerprints import short_fingerprint
 from leadhollow.decide.quarantine_rules import SETTLE_S, VERDICT_DELAY_S
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.entry.call import Call
@@ -48,7 +48,9 @@
         self._settings = settings
         self._peers = peers
         self._source = ""  # address of the replica that is followed
-        self._ledger = SuspectLedger(on_change=self._send_changes)
+        self._ledger = SuspectLedger(
+            clock=asyncio.get_running_loop().time, on_change=self._send_changes
+        )
         self._informed = asyncio.Event()  # once the table of a replica was merged
         catalog.on_change(self._on_catalog)
         super().__init__()
--- a/src/leadhollow/experiment/crashes.py
+++ b/src/leadhollow/experiment/crashes.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, PART_TAG, FingerprintKind, kind_of
+from leadhollow.decide.fingerprints import FINGERPRINT_BYTES, PART_TAG, FingerprintKind, kind_of
 from leadhollow.decide.quarantine_rules import SETTLE_S, VERDICT_DELAY_S
 from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server_ends import ServerEnd
--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -35,6 +35,8 @@
 
     Attributes
     ----------
+    traits
+        Fingerprints of all that may make a server end: the request, then its prompt's parts.
     is_trial
         Whether it is sent once despite the quarantine of a part of its prompt.
     attempts
@@ -52,14 +54,12 @@
         "attempts",
         "body",
         "deadline_s",
-        "fingerprint",
         "head",
         "is_trial",
         "last_contact_s",
         "last_instance",
         "metadata",
         "organisation",
-        "parts",
         "ranks",
         "received_s",
         "reply",
@@ -68,6 +68,7 @@
         "service",
         "stalled_before_s",
         "suspended_s",
+        "traits",
     )
 
     def __init__(
@@ -88,8 +89,7 @@
     ) -> None:
         self._bounds = bounds
         self.ranks = ranks
-        self.fingerprint = fingerprint
-        self.parts = parts
+        self.traits = (fingerprint, *parts)
         self.head = head
         self.body = body
         self.metadata = metadata
@@ -115,9 +115,14 @@
         return self.metadata.attempt_id
 
     @property
-    def traits(self) -> tuple[bytes, ...]:
-        """Fingerprints of all that may make a server end: the request and its prompt's parts."""
-        return (self.fingerprint, *self.parts)
+    def fingerprint(self) -> bytes:
+        """Digest that all attempts of all callers at the same request share."""
+        return self.traits[0]
+
+    @property
+    def parts(self) -> tuple[bytes, ...]:
+        """Fingerprints of the prompt parts that other requests may share."""
+        return self.traits[1:]
 
     @property
     def regions(self) -> Regions | None:
--- a/src/leadhollow/forward/failure_response.py
+++ b/src/leadhollow/forward/failure_response.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 
 from leadhollow.codes import Code
-from leadhollow.decide.fingerprint_kind import short_fingerprint
+from leadhollow.decide.fingerprints import short_fingerprint
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.dialect import CallDialect
--- a/src/leadhollow/forward/fingerprint.py
+++ b/src/leadhollow/forward/fingerprint.py
@@ -2,17 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 from functools import lru_cache
 
-from blake3 import blake3
-
-from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES, MAX_PARTS, PART_TAG
+from leadhollow.decide.fingerprints import part_fingerprint, request_fingerprint, shared_parts
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.messages import RequestHead
 
-PART_DIGEST_BYTES = FINGERPRINT_BYTES - len(PART_TAG)
-
 CACHED_PARTS = 4_096
 MAX_CACHED_CHARACTERS = 96
 """Bounds of the cache of fingerprints of parts, which most requests share: about 1 MB."""
@@ -29,37 +25,29 @@
     organisation
         Group of the caller, empty on a public route. Its keys may change between attempts.
     """
-    parts = (head.method, head.target, organisation.encode(), b"%d" % (body.length or 0))
-    digest = blake3()
-    for part in parts:
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
-    digest.update(body.buffered)
-    return digest.digest(FINGERPRINT_BYTES)
+    fields = (head.method, head.target, organisation.encode(), b"%d" % (body.length or 0))
+    return request_fingerprint(fields, body.buffered)
 
 
-def part_fingerprints(prefix_ids: Iterable[str], *, model: str) -> tuple[bytes, ...]:
+def part_fingerprints(prefix_ids: Sequence[str], *, model: str) -> tuple[bytes, ...]:
     """Return the fingerprints of the prompt parts that requests may share, each once.
 
-    The last part of a prompt belongs to one request or session, so the fingerprint of the request
-    stands for it. Callers of all groups and routes share a part if they use the same model.
+    Callers of all groups and routes share a part if they use the same model.
     """
-    shared = list(prefix_ids)[:-1]
-    return tuple(_part_fingerprint(part, model) for part in dict.fromkeys(shared[:MAX_PARTS]))
+    return tuple(_of_part(part, model) for part in shared_parts(prefix_ids))
 
 
-def _part_fingerprint(part: str, model: str) -> bytes:
+def _of_part(part: str, model: str) -> bytes:
     if len(part) + len(model) <= MAX_CACHED_CHARACTERS:
-        return _cached_digest(part, model)
-    return _digest(part, model)
+        return _cached(part, model)
+    return _compute(part, model)
 
 
-def _digest(part: str, model: str) -> bytes:
-    named = b"%d:%b%b" % (len(model), model.encode(), part.encode())
-    return blake3(named).digest(PART_DIGEST_BYTES) + PART_TAG
+def _compute(part: str, model: str) -> bytes:
+    return part_fingerprint((model.encode(),), part.encode())
 
 
-_cached_digest = lru_cache(maxsize=CACHED_PARTS)(_digest)
+_cached = lru_cache(maxsize=CACHED_PARTS)(_compute)
 
 
 __all__ = [
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
-from leadhollow.decide.fingerprint_kind import short_fingerprint
+from leadhollow.decide.fingerprints import short_fingerprint
 from leadhollow.decide.reach import reason_out_of_reach
 from leadhollow.decide.retry_after import RefusalReason, retry_after_backoff_s
 from leadhollow.decide.retry_budget import RetryBudget
--- a/src/leadhollow/forward/quarantine.py
+++ b/src/leadhollow/forward/quarantine.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 
-from leadhollow.decide.fingerprint_kind import FingerprintKind, kind_of, short_fingerprint
+from leadhollow.decide.fingerprints import FingerprintKind, kind_of, short_fingerprint
 from leadhollow.decide.quarantine_rules import VERDICT_DELAY_S
 from leadhollow.decide.quarantine_trials import QuarantineTrials
 from leadhollow.decide.suspects import SuspectTable
@@ -50,7 +50,7 @@
         held = [trait for trait in call.traits if self.table.is_quarantined(trait)]
         if not held:
             return True
-        call.is_trial = self._trials.may_send(call.traits)
+        call.is_trial = self._trials.may_send(held)
         if call.is_trial:
             log.warning(
                 "request in quarantine sent as a trial",
--- a/src/leadhollow/forward/server_end_detector.py
+++ b/src/leadhollow/forward/server_end_detector.py
@@ -18,7 +18,7 @@
 from enum import Enum
 from typing import Any
 
-from leadhollow.decide.fingerprint_kind import count_requests, short_fingerprint
+from leadhollow.decide.fingerprints import count_requests, short_fingerprint
 from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_ends import ServerEnd
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -10,7 +10,7 @@
 from leadhollow.codes import Code
 from leadhollow.decide.engine_queue import EngineQueue
 from leadhollow.decide.engine_request import Placement
-from leadhollow.decide.fingerprint_kind import short_fingerprint
+from leadhollow.decide.fingerprints import short_fingerprint
 from leadhollow.decide.retry_budget import RetryBudget
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
--- a/src/leadhollow/forward/suspect_sync.py
+++ b/src/leadhollow/forward/suspect_sync.py
@@ -66,14 +66,15 @@
         peers: PeerPool,
         seed: int,
     ) -> None:
-        self._ledger = SuspectLedger(on_change=self.note_change)
+        clock = asyncio.get_running_loop().time
+        self._ledger = SuspectLedger(clock=clock, on_change=self.note_change)
         self.table = self._ledger.table
         self.quarantine = Quarantine(
             table=self.table,
             trials=QuarantineTrials(
                 table=self.table,
                 entries=lambda: feed.entries,
-                clock=asyncio.get_running_loop().time,
+                clock=clock,
                 seed=seed,
             ),
         )
--- a/src/leadhollow/membership/suspect_ledger.py
+++ b/src/leadhollow/membership/suspect_ledger.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Iterable
 
 from result import Err, Ok, Result
 
-from leadhollow.decide.fingerprint_kind import kind_of, short_fingerprint
+from leadhollow.decide.fingerprints import kind_of, short_fingerprint
 from leadhollow.decide.recent_successes import RecentSuccesses
 from leadhollow.decide.server_ends import ServerEnd
 from leadhollow.decide.suspects import SuspectTable
@@ -24,6 +23,8 @@
 
     Parameters
     ----------
+    clock
+        Returns the loop time.
     on_change
         Called when there is a change that others have to be told.
 
@@ -33,11 +34,12 @@
         Changes that were made here and not sent yet.
     """
 
-    __slots__ = ("_on_change", "successes", "table", "unsent")
+    __slots__ = ("_clock", "_on_change", "successes", "table", "unsent")
 
-    def __init__(self, *, on_change: Callable[[], None]) -> None:
+    def __init__(self, *, clock: Callable[[], float], on_change: Callable[[], None]) -> None:
+        self._clock = clock
         self._on_change = on_change
-        self.table = SuspectTable(clock=asyncio.get_running_loop().time)
+        self.table = SuspectTable(clock=clock)
         self.successes = RecentSuccesses()
         self.unsent = SuspectChanges()
 
@@ -57,7 +59,7 @@
         bool
             Whether this revokes an end of that server.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._clock()
         for trait in traits:
             self.successes.add(trait, now_s)
             if self.table.is_suspected(trait):
@@ -87,7 +89,7 @@
         FRAME_MALFORMED
             Nothing was merged.
         """
-        now_s = asyncio.get_running_loop().time()
+        now_s = self._clock()
         merged = merge_news(self.table, update, now_s)
         if merged.is_err():
             log.warning("suspect update rejected", failure=str(merged.unwrap_err()))
--- a/src/leadhollow/membership/suspect_news.py
+++ b/src/leadhollow/membership/suspect_news.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
-from leadhollow.decide.fingerprint_kind import FINGERPRINT_BYTES
+from leadhollow.decide.fingerprints import FINGERPRINT_BYTES
 from leadhollow.decide.server_ends import ServerEnd, Verdict
 from leadhollow.decide.suspects import MAX_SUSPECTS_PER_END, SuspectTable
 from leadhollow.failure import Failure
--- a/tests/decide/test_quarantine_trials.py
+++ b/tests/decide/test_quarantine_trials.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from leadhollow.decide.fingerprint_kind import PART_TAG
+from leadhollow.decide.fingerprints import PART_TAG
 from leadhollow.decide.quarantine_trials import TRIAL_INTERVAL_S, QuarantineTrials
 from leadhollow.decide.server_ends import ServerEnd, Verdict
 from leadhollow.decide.suspects import SuspectTable
@@ -51,7 +51,8 @@
         sent = 0
         for turn in range(int(length_s / 0.1)):
             self.clock.now_s += 0.1
-            sent += self.trials[turn % ENTRIES].may_send(traits)
+            held = [trait for trait in traits if self.table.is_quarantined(trait)]
+            sent += self.trials[turn % ENTRIES].may_send(held)
         return sent
 
 
--- a/tests/decide/test_suspects.py
+++ b/tests/decide/test_suspects.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from leadhollow.decide.fingerprint_kind import PART_TAG
+from leadhollow.decide.fingerprints import PART_TAG
 from leadhollow.decide.quarantine_rules import (
     COMMON_CAUSE_ENDS,
     COMMON_CAUSE_WINDOW_S,
--- a/tests/forward/test_fingerprint.py
+++ b/tests/forward/test_fingerprint.py
@@ -2,13 +2,29 @@
 
 from __future__ import annotations
 
-from leadhollow.decide.fingerprint_kind import (
+from leadhollow.decide.fingerprints import (
     FINGERPRINT_BYTES,
     MAX_PARTS,
     FingerprintKind,
     kind_of,
 )
-from leadhollow.forward.fingerprint import part_fingerprints
+from leadhollow.forward.fingerprint import fingerprint_of, part_fingerprints
+from leadhollow.forward.request_body import RequestBody
+from leadhollow.http1.body import IncomingBody
+from leadhollow.http1.headers import Headers
+from leadhollow.http1.messages import RequestHead
+
+STORED = "015511ca4d1afe84ff87324aee635254"
+"""Fingerprint that earlier releases stored for the request below."""
+
+
+class TestFingerprintOfARequest:
+    # Verdicts that an earlier release stored would no longer apply after an update.
+    def test_is_that_of_earlier_releases(self):
+        head = RequestHead(method=b"POST", target=b"/ask/p?x=1", headers=Headers(items=[]))
+        incoming = IncomingBody(pause=lambda: None, resume=lambda: None)
+        body = RequestBody(head=head, incoming=incoming, limit_bytes=100)
+        assert fingerprint_of(head, body, organisation="ploughs").hex() == STORED
 
 
 class TestPartFingerprints:
--- a/tests/forward/test_quarantine.py
+++ b/tests/forward/test_quarantine.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from leadhollow.decide.fingerprint_kind import PART_TAG
+from leadhollow.decide.fingerprints import PART_TAG
 from leadhollow.decide.quarantine_trials import QuarantineTrials
 from leadhollow.decide.server_ends import ServerEnd, Verdict
 from leadhollow.decide.suspects import SuspectTable
--- a/tests/soak/stream_judge.py
+++ b/tests/soak/stream_judge.py
@@ -116,7 +116,7 @@
             return [f"TWICE ran {len(self._runs)} times"]
         lasting = sum(not run.ended_itself for run in self._runs)
         if lasting > ATTEMPTS:
-            return [f"BUDGET {lasting} engines"]
+            return [f"ATTEMPTS {lasting} engines"]
         if self._told.status in PROMISED_NOT_RUN and self._runs:
             return [f"REFUSED told {self._told.status}, ran {len(self._runs)} times"]
         return []
--- a/tests/soak/test_stream_judge.py
+++ b/tests/soak/test_stream_judge.py
@@ -438,7 +438,7 @@
         case.heard(1, 2, 3, 4)
         assert case.rules() == ["TWICE"]
 
-    @pytest.mark.parametrize(("end", "broken"), [(RunEnd.ENDED, []), (RunEnd.LET_GO, ["BUDGET"])])
+    @pytest.mark.parametrize(("end", "broken"), [(RunEnd.ENDED, []), (RunEnd.LET_GO, ["ATTEMPTS"])])
     def test_are_as_many_as_the_route_says_but_for_engines_that_ended(self, end, broken):
         case = Case(resumable=True)
         for _ in range(3):
