Let trials of held parts not all come at once

By test: each entry drew the time of its next trial once and kept it; a part that was held long after another one, or that nobody asked for during a while, was tried by all entries at once (7 of 7; a guilty one ends as many servers). Cause: a point in time that is long past counts as due. Change: each request of an entry is a trial with the chance that belongs to the time since the last one, of which one second at most counts; the state is that time, by part. Figures: two tests, one failed before with 7 sends in a second (at most 2 wanted); the mean of one in 5 s over all entries is tested as before.

--- a/src/leadhollow/decide/quarantine_trials.py
+++ b/src/leadhollow/decide/quarantine_trials.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable, Sequence
 
@@ -18,6 +19,10 @@
 
 TRIAL_INTERVAL_S = 5.0
 
+MAX_COUNTED_PAUSE_S = 1.0
+"""Longest time between two requests that counts towards a trial. After a longer pause, requests
+that come to all entries at once would all be trials."""
+
 
 class QuarantineTrials:
     """Decides which requests one entry sends despite the quarantine.
@@ -29,10 +34,10 @@
     clock
         Returns the loop time.
     seed
-        Seed of the random times of trials.
+        Seed of the random choice of trials.
     """
 
-    __slots__ = ("_clock", "_due_s", "_entries", "_random", "_table")
+    __slots__ = ("_asked_s", "_clock", "_entries", "_random", "_table")
 
     def __init__(
         self,
@@ -46,7 +51,7 @@
         self._entries = entries
         self._clock = clock
         self._random = random.Random(seed)
-        self._due_s: float | None = None  # of the next trial; None while nothing may be tried
+        self._asked_s: dict[bytes, float] = {}  # when each doubtful part was asked for last
 
     def may_send(self, held: Sequence[bytes]) -> bool:
         """Return whether a request in quarantine may be sent as a trial.
@@ -59,15 +64,16 @@
         if len(held) != 1 or not self._is_doubtful(held[0]):
             return False
         now_s = self._clock()
-        if self._due_s is None:
-            self._due_s = now_s + self._draw_delay_s()
-        if now_s < self._due_s:
-            return False
-        self._due_s = now_s + self._draw_delay_s()
-        return True
-
-    def _draw_delay_s(self) -> float:
-        return self._random.expovariate(1 / (TRIAL_INTERVAL_S * max(1, self._entries())))
+        if held[0] not in self._asked_s:
+            self._forget_released()
+        since_s = min(now_s - self._asked_s.get(held[0], now_s), MAX_COUNTED_PAUSE_S)
+        self._asked_s[held[0]] = now_s
+        expected = since_s / (TRIAL_INTERVAL_S * max(1, self._entries()))
+        return self._random.random() < -math.expm1(-expected)
+
+    def _forget_released(self) -> None:
+        for part in [part for part in self._asked_s if not self._table.is_quarantined(part)]:
+            del self._asked_s[part]
 
     def _is_doubtful(self, fingerprint: bytes) -> bool:
         """Return whether a part was put in quarantine with others, and no trial ended a server."""
--- a/tests/decide/test_quarantine_trials.py
+++ b/tests/decide/test_quarantine_trials.py
@@ -100,6 +100,24 @@
         )
         assert entries.count(REQUEST, POPULAR) > 0
 
+    # All entries at once tried a part that was held long after another one.
+    def test_of_a_later_verdict_do_not_all_come_at_once(self):
+        entries = Entries(GUILTY, POPULAR)
+        entries.count(REQUEST, POPULAR)
+        entries.table.release(GUILTY)
+        entries.table.release(POPULAR)
+        entries.clock.now_s += LONG_S
+        for fingerprint in (b"h" * 12 + PART_TAG, b"q" * 12 + PART_TAG):
+            entries.hold(fingerprint, lives=("x", "y", "z"))
+        assert entries.count(REQUEST, b"q" * 12 + PART_TAG, length_s=1.0) <= 2
+
+    # Requests that came to all entries after a pause were all sent at once.
+    def test_after_a_pause_do_not_all_come_at_once(self):
+        entries = Entries(GUILTY, POPULAR)
+        entries.count(REQUEST, POPULAR, length_s=1.0)
+        entries.clock.now_s += LONG_S
+        assert entries.count(REQUEST, POPULAR, length_s=1.0) <= 2
+
     def test_stop_once_the_popular_part_is_released(self):
         entries = Entries(GUILTY, POPULAR)
         entries.table.release(POPULAR)
