Log why a repeat is permitted or not, and what it was decided by

The logs could not tell whether repeats beyond the limit come from entries that restarted, from a wrong number of entries, or from hedges. A line for each decision now has the cause, what is left, the number of entries and the age of the process.

--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -12,7 +12,7 @@
 from leadhollow.decide.fingerprints import short_fingerprint
 from leadhollow.decide.reach import reason_out_of_reach
 from leadhollow.decide.retry_after import RefusalReason, retry_after_backoff_s
-from leadhollow.decide.retry_budget import RetryBudget
+from leadhollow.decide.retry_budget import RepeatCause, RetryBudget, cause_of_repeat
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_load import OwnCall
 from leadhollow.failure import Failure
@@ -91,7 +91,7 @@
                     continue
                 failure = self._no_server_failure(call, failure)
                 break
-            if call.sends and not self._budget.try_acquire(call.service):
+            if call.sends and not self._may_repeat(call, cause_of_repeat(failure)):
                 failure = Failure(code=Code.RETRIES_EXHAUSTED)
                 break
             excluded.add(server.instance.instance)
@@ -104,6 +104,7 @@
                 await self._relay(call, response)
                 return
             fallback = response
+            failure = Failure(code=Code.ENGINE_FAILED, detail=f"status {response.exchange.status}")
         if fallback is not None and fallback.exchange.metadata.signed:
             await self._relay(call, fallback)
         elif self._suspects.quarantine.is_quarantined(call):
@@ -177,6 +178,9 @@
             return False
         return call.attempts == 0 or (call.route.repeatable and call.body.complete)
 
+    def _may_repeat(self, call: ForwardedCall, cause: RepeatCause) -> bool:
+        return self._budget.try_acquire(call.service, cause, request=call.request_id)
+
     async def _send_hedged(
         self, call: ForwardedCall, server: Server, excluded: set[str]
     ) -> Result[BufferedResponse, AttemptFailure]:
@@ -188,7 +192,7 @@
             left_s = HEDGE_SHARE * call.route.objective_ms / 1000 - active_since_s(call.received_s)
             if self._may_hedge(call) and not await active_wait(tasks, max(0.0, left_s)):
                 second = self._choose_server(call, excluded)
-                if second is not None and self._budget.try_acquire(call.service):
+                if second is not None and self._may_repeat(call, RepeatCause.HEDGED):
                     excluded.add(second.instance.instance)
                     tasks.add(loop.create_task(self._attempt(call, second)))
             return await first_successful(tasks)
--- a/src/leadhollow/forward/stream_forwarder.py
+++ b/src/leadhollow/forward/stream_forwarder.py
@@ -10,6 +10,7 @@
 from leadhollow.codes import Code
 from leadhollow.decide.caller_retries import CallerRetryDetector
 from leadhollow.decide.engine_request import EngineRequest
+from leadhollow.decide.retry_budget import RepeatCause, cause_of_repeat
 from leadhollow.failure import Failure
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.engine_placement import wait_for_placement
@@ -91,7 +92,7 @@
         self._failure = Failure(code=Code.NO_CAPACITY)
         self._relay = StreamRelay(call=call)
         self._hedge = StreamHedge(
-            relay=self._relay, find_engine=self._place_attempt, may_send=self._may_send
+            relay=self._relay, find_engine=self._place_hedge, may_send=self._may_send
         )
         self._next_attempt: StreamAttempt | None = None  # a successful hedge
 
@@ -116,7 +117,8 @@
     async def _serve_next(self) -> bool:
         """Let one engine serve the request; return whether the request has ended."""
         attempt, self._next_attempt = self._next_attempt, None
-        attempt = attempt or await self._hedge.result() or await self._place_attempt()
+        attempt = attempt or await self._hedge.result()
+        attempt = attempt or await self._place_attempt(cause_of_repeat(self._failure))
         if attempt is None:
             await self._abandon()
             return True
@@ -134,8 +136,17 @@
         finally:
             attempt.close()
 
-    async def _place_attempt(self) -> StreamAttempt | None:
-        """Get a placement for another attempt; None if the request may not be sent again."""
+    async def _place_hedge(self) -> StreamAttempt | None:
+        return await self._place_attempt(RepeatCause.HEDGED)
+
+    async def _place_attempt(self, cause: RepeatCause) -> StreamAttempt | None:
+        """Get a placement for another attempt; None if the request may not be sent again.
+
+        Parameters
+        ----------
+        cause
+            Why it is sent again, if it was sent before.
+        """
         call = self._call
         if self._may_send():
             await self._quarantine.wait_for_verdict(call)
@@ -148,7 +159,9 @@
                 self._failure = failure  # the other codes say that the request was not run
             return None
         placement = placed.unwrap()
-        if call.sends and not self._context.budget.try_acquire(call.service):
+        if call.sends and not self._context.budget.try_acquire(
+            call.service, cause, request=call.request_id
+        ):
             self._context.queue.release(placement)
             self._failure = Failure(code=Code.RETRIES_EXHAUSTED)
             return None
