Let a process that restarts begin without tokens for repeats

Cause: the window of repeats lay in the memory of an entry. One that restarted had sent none by its own count, and sent its part of the slack and of the ratio once more. In a logged play the worst window had 510 permissions, as many as arrivals, from 29 lives of 9 entries; 308 came from processes younger than the window.

Repeats now take tokens that accrue with requests and with time (0.8 of the limit in a window), of which 0.15 of a window may be saved. A process starts without any. A window holds at most what was saved at its start and what accrued in it, in whichever life, so restarts cannot add to it: nothing has to be remembered or told.

--- a/src/leadhollow/decide/retry_budget.py
+++ b/src/leadhollow/decide/retry_budget.py
@@ -11,8 +11,13 @@
 from leadhollow.observe.logs import log_decision
 from leadhollow.settings.node import Bounds
 
-RATIO_USED = 0.8  # share of the allowed ratio; other nodes count requests slightly earlier or later
-SLACK_USED = 0.8
+ACCRUED_SHARE = 0.8
+SAVED_SHARE = 0.15
+"""Shares of what all entries may send in a window: as tokens that accrue in a window, and as saved
+tokens. A window holds no more repeats than the tokens saved at its start and those accrued in it.
+The rest allows for requests that others count slightly earlier or later."""
+
+MIN_SAVED = 1.0  # tokens; with less, an entry with few requests could never repeat one
 
 
 class RepeatCause(Enum):
@@ -29,18 +34,20 @@
 
 
 class RetryBudget:
-    """Repeats of each service within a sliding window.
+    """Token bucket of the repeats of each service.
+
+    Tokens accrue with requests and with time. A process starts without any: it does not know what
+    the process before it on its VM has sent, and leaves it the tokens for the time before.
 
     Parameters
     ----------
     entries
-        Returns the number of live entries. The slack is divided evenly among them.
+        Returns the number of live entries, or more. The slack is divided evenly among them.
     clock
-        Returns the time including suspensions. If the clock stopped during a suspension, the
-        window would become too long.
+        Returns the time including suspensions.
     """
 
-    __slots__ = ("_bounds", "_clock", "_entries", "_repeats", "_requests", "_started_s")
+    __slots__ = ("_bounds", "_buckets", "_clock", "_entries", "_started_s")
 
     def __init__(
         self, *, bounds: Bounds, entries: Callable[[], int], clock: Callable[[], float]
@@ -49,29 +56,31 @@
         self._entries = entries
         self._clock = clock
         self._started_s = clock()
-        self._requests: dict[str, deque[float]] = {}
-        self._repeats: dict[str, deque[float]] = {}
+        self._buckets: dict[str, _Bucket] = {}
 
     def record_request(self, service: str) -> None:
         """Count a request of a caller."""
-        self._requests.setdefault(service, deque()).append(self._clock())
+        bucket = self._refilled(service)
+        bucket.requests_s.append(self._clock())
+        bucket.tokens += ACCRUED_SHARE * self._bounds.retry_ratio
 
     def demand_per_s(self, service: str) -> float:
         """Return the rate of callers' requests per second in the current window."""
-        return self._count(self._requests, service) / self._bounds.retry_window_s
+        return len(self._refilled(service).requests_s) / self._bounds.retry_window_s
 
     def try_acquire(self, service: str, cause: RepeatCause, *, request: str = "") -> bool:
-        """Take the permission for one repeat; return False if none is left.
+        """Take the token for one repeat; return False if there is none.
 
         Parameters
         ----------
         request
             Attempt id of the caller, for the log.
         """
-        remaining = self.remaining(service)
+        bucket = self._refilled(service)
+        remaining = bucket.tokens
         permitted = remaining >= 1
         if permitted:
-            self._repeats.setdefault(service, deque()).append(self._clock())
+            bucket.tokens -= 1
         log_decision(
             "repeat permitted" if permitted else "repeat not permitted",
             request=request,
@@ -84,25 +93,42 @@
         return permitted
 
     def refund(self, service: str) -> None:
-        """Return the newest permission of a repeat that was not sent."""
-        if repeats := self._repeats.get(service):
-            repeats.pop()
+        """Return the token of a repeat that was not sent."""
+        self._refilled(service).tokens += 1
 
     def remaining(self, service: str) -> float:
-        """Return the number of repeats that are left in the current window."""
-        bounds = self._bounds
-        allowed = bounds.retry_slack * SLACK_USED / max(1, self._entries())
-        allowed += bounds.retry_ratio * RATIO_USED * self._count(self._requests, service)
-        return allowed - self._count(self._repeats, service)
-
-    def _count(self, times: dict[str, deque[float]], service: str) -> int:
-        found = times.get(service)
-        if found is None:
-            return 0
-        oldest_s = self._clock() - self._bounds.retry_window_s
-        while found and found[0] < oldest_s:
-            found.popleft()
-        return len(found)
+        """Return the number of repeats that may be sent now."""
+        return self._refilled(service).tokens
+
+    def _refilled(self, service: str) -> _Bucket:
+        """Return the bucket of a service, with what accrued until now, up to what may be saved."""
+        now_s = self._clock()
+        window_s = self._bounds.retry_window_s
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            bucket = self._buckets[service] = _Bucket(refilled_s=self._started_s)
+        bucket.drop_requests_before(now_s - window_s)
+        slack = self._bounds.retry_slack / max(1, self._entries())
+        allowed = slack + self._bounds.retry_ratio * len(bucket.requests_s)
+        bucket.tokens += ACCRUED_SHARE * slack * (now_s - bucket.refilled_s) / window_s
+        bucket.tokens = min(bucket.tokens, max(MIN_SAVED, SAVED_SHARE * allowed))
+        bucket.refilled_s = now_s
+        return bucket
+
+
+class _Bucket:
+    """Tokens for the repeats of one service, and the times of its requests within a window."""
+
+    __slots__ = ("refilled_s", "requests_s", "tokens")
+
+    def __init__(self, *, refilled_s: float) -> None:
+        self.refilled_s = refilled_s
+        self.requests_s: deque[float] = deque()
+        self.tokens = 0.0
+
+    def drop_requests_before(self, oldest_s: float) -> None:
+        while self.requests_s and self.requests_s[0] < oldest_s:
+            self.requests_s.popleft()
 
 
 def cause_of_repeat(failure: Failure) -> RepeatCause:
--- a/tests/membership/test_entry_count.py
+++ b/tests/membership/test_entry_count.py
@@ -18,9 +18,17 @@
         return self.now_s
 
 
-def sum_of_budgets(clock: Clock, counts: list[EntryCount]) -> float:
-    budgets = [RetryBudget(bounds=Bounds(), entries=count.maximum, clock=clock) for count in counts]
-    return sum(budget.remaining("s") for budget in budgets)
+class Budgets:
+    """Retry budgets of entries that have run for some time."""
+
+    def __init__(self, clock: Clock, counts: list[EntryCount]) -> None:
+        self._budgets = [
+            RetryBudget(bounds=Bounds(), entries=count.maximum, clock=clock) for count in counts
+        ]
+        clock.now_s += 2 * Bounds().retry_window_s
+
+    def total(self) -> float:
+        return sum(budget.remaining("s") for budget in self._budgets)
 
 
 def make_counts(clock: Clock, number: int) -> list[EntryCount]:
@@ -36,21 +44,23 @@
     def test_does_not_increase_the_total_retry_budget(self, parts):
         clock = Clock()
         counts = make_counts(clock, ENTRIES)
-        before = sum_of_budgets(clock, counts)
+        budgets = Budgets(clock, counts)
+        before = budgets.total()
         clock.now_s += 2.0
         for count in counts:
             count.record(ENTRIES // parts)
-        assert sum_of_budgets(clock, counts) <= before + 1e-6
+        assert budgets.total() <= before + 1e-6
 
     def test_restarted_replica_does_not_increase_the_total_retry_budget(self):
         clock = Clock()
         counts = make_counts(clock, ENTRIES)
-        before = sum_of_budgets(clock, counts)
+        budgets = Budgets(clock, counts)
+        before = budgets.total()
         for subscribers in range(1, ENTRIES):
             clock.now_s += 0.01
             for count in counts:
                 count.record(subscribers)
-        assert sum_of_budgets(clock, counts) <= before + 1e-6
+        assert budgets.total() <= before + 1e-6
 
 
 class TestExpiry:
