Divide the slack of repeats by enough entries while replicas may not know all

The caution that cold servers had already now belongs to the count itself: 128 entries are assumed until a process has heard for 2 s from replicas that a majority confirms. The retry budget goes by it as the limits do, so a start in the minority of a cut stays cautious until it has healed.

--- a/src/leadhollow/forward/rate_limit_tracker.py
+++ b/src/leadhollow/forward/rate_limit_tracker.py
@@ -26,7 +26,6 @@
 from leadhollow.kernel.batching_service import BatchingService
 from leadhollow.kernel.timers import TIMER_RESOLUTION_S
 from leadhollow.membership.control_feed import ControlFeed
-from leadhollow.membership.entry_count import cautious_count
 from leadhollow.membership.limit_news import decode_limits, encode_limits, encode_request
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.generated.ttypes import LimitLease, LimitNews
@@ -71,7 +70,6 @@
     __slots__ = (
         "_changed",
         "_cold_servers",
-        "_counting_since_s",
         "_demand",
         "_directory",
         "_failure_domain",
@@ -115,7 +113,6 @@
             sources.append(cold_servers)
             cold_servers.on_change(self._on_cold)
         self._rates = StrictestRate(sources)
-        self._counting_since_s: float | None = None  # first full update from a replica
         self.malformed = 0
         self.cold_malformed = 0
         self._changed: set[str] = set()
@@ -208,8 +205,6 @@
             log.warning("limit update rejected", failure=str(decoded.unwrap_err()))
             return
         self._replica_checksum = int(update.mark or 0)
-        if self._counting_since_s is None and whole:
-            self._counting_since_s = clocks.elapsed_s()
         if whole:
             self._synced_replica = ""  # the replica may have restarted: send it a full update
         changed = {limit.life for limit in decoded.unwrap() if self.table.merge(limit)}
@@ -246,7 +241,7 @@
         limit = self._rates.rate_limit(server.instance.life)
         previous = server.send_limiter
         cold = limit is not None and limit.max_holders is not None
-        entries = self._counted_entries if cold else self._entries
+        entries = self._cautious_entries if cold else self._entries
         if limit is None:
             server.send_limiter = None
         elif previous is not None:
@@ -272,10 +267,8 @@
     def _entries(self) -> int:
         return self._feed.entries
 
-    def _counted_entries(self) -> int:
-        since_s = self._counting_since_s
-        heard_for_s = None if since_s is None else clocks.elapsed_s() - since_s
-        return cautious_count(self._feed.entries, heard_for_s=heard_for_s)
+    def _cautious_entries(self) -> int:
+        return self._feed.cautious_entries
 
     async def _publish(self, *, whole: bool) -> None:
         """Send changed limits to the followed replica, and request shares from it."""
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -147,6 +147,11 @@
         """Highest number of entries that may be live in the whole system."""
         return self._entries.maximum()
 
+    @property
+    def cautious_entries(self) -> int:
+        """The same, or a higher number while replicas may not know all entries."""
+        return self._entries.cautious_maximum()
+
     def on_load(self, listener: LoadListener) -> None:
         """Call a function with each load report and the loop time at which it was made."""
         self._load_listeners.append(listener)
@@ -291,7 +296,7 @@
         for full_update_listener in self._full_update_listeners if update.whole else ():
             full_update_listener()
         self._replicas.update_replicas(update.replicas)
-        self._entries.record(int(update.entries or 0))
+        self._entries.record(int(update.entries or 0), confirmed=is_confirmed(update))
         if is_confirmed(update):
             self.confirmed_s = clocks.elapsed_s() - update.confirmed_age_ms / 1000
             if not self.ready.is_set():
--- a/src/leadhollow/membership/entry_count.py
+++ b/src/leadhollow/membership/entry_count.py
@@ -11,8 +11,9 @@
 
 COUNT_SETTLES_S = 2.0
 ASSUMED_ENTRIES = 128
-"""Entries that are assumed, at least, until ``COUNT_SETTLES_S`` after a process first heard from
-control. After a loss of all power each replica counts only its own entries at first."""
+"""Entries that are assumed, at least, until a process has heard for ``COUNT_SETTLES_S`` from
+replicas that a majority confirms. After a loss of all power each replica counts only its own
+entries at first, and a replica that is partitioned off counts only those on its side."""
 
 
 class EntryCount:
@@ -24,15 +25,24 @@
         Returns the time in seconds, suspensions included.
     """
 
-    __slots__ = ("_clock", "_counts")
+    __slots__ = ("_clock", "_confirmed_since_s", "_counts")
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._counts: deque[tuple[float, int]] = deque()  # (time, count), counts decreasing
+        self._confirmed_since_s: float | None = None
 
-    def record(self, count: int) -> None:
-        """Record the number of live entries that a replica reported."""
+    def record(self, count: int, *, confirmed: bool = True) -> None:
+        """Record the number of live entries that a replica reported.
+
+        Parameters
+        ----------
+        confirmed
+            Whether a majority confirms the replica.
+        """
         now_s = self._clock()
+        if confirmed and self._confirmed_since_s is None:
+            self._confirmed_since_s = now_s
         while self._counts and self._counts[-1][1] <= count:
             self._counts.pop()
         self._counts.append((now_s, count))
@@ -43,22 +53,16 @@
         self._expire(self._clock())
         return max(1, self._counts[0][1]) if self._counts else 1
 
+    def cautious_maximum(self) -> int:
+        """Return a number that is not too small while replicas may not know all entries."""
+        since_s = self._confirmed_since_s
+        settled = since_s is not None and self._clock() - since_s >= COUNT_SETTLES_S
+        return self.maximum() if settled else max(ASSUMED_ENTRIES, self.maximum())
+
     def _expire(self, now_s: float) -> None:
         """Drop expired counts; the latest one stays until another is recorded."""
         while len(self._counts) > 1 and now_s - self._counts[0][0] > RETENTION_S:
             self._counts.popleft()
 
 
-def cautious_count(count: int, *, heard_for_s: float | None) -> int:
-    """Return a number of entries that is not too small while replicas may not know all of them.
-
-    Parameters
-    ----------
-    heard_for_s
-        Time since this process first heard from control, None before.
-    """
-    settled = heard_for_s is not None and heard_for_s >= COUNT_SETTLES_S
-    return count if settled else max(ASSUMED_ENTRIES, count)
-
-
-__all__ = ["ASSUMED_ENTRIES", "COUNT_SETTLES_S", "RETENTION_S", "EntryCount", "cautious_count"]
+__all__ = ["ASSUMED_ENTRIES", "COUNT_SETTLES_S", "RETENTION_S", "EntryCount"]
--- a/tests/decide/repeat_fleet.py
+++ b/tests/decide/repeat_fleet.py
@@ -42,7 +42,7 @@
         fleet = self.fleet
         self.count = EntryCount(clock=lambda: fleet.now_s)
         self.budget = fleet.make_budget(
-            bounds=fleet.bounds, entries=self.count.maximum, clock=lambda: fleet.now_s
+            bounds=fleet.bounds, entries=self.count.cautious_maximum, clock=lambda: fleet.now_s
         )
 
     def restart(self, down_s: float) -> None:
@@ -61,8 +61,8 @@
         if not running:
             self.start()
             return
-        count, _ = self.told()
-        self.count.record(count)
+        count, confirmed = self.told()
+        self.count.record(count, confirmed=confirmed)
         while fleet.servers_refuse and self.budget.try_acquire(SERVICE, RepeatCause.FAILED):
             fleet.repeats_s.append(fleet.now_s + self.random.choice(DELAYS_S))
 
--- a/tests/forward/test_cold_limit.py
+++ b/tests/forward/test_cold_limit.py
@@ -14,12 +14,12 @@
 from leadhollow.forward.rate_limit_tracker import RateLimitTracker
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.kernel import clocks
-from leadhollow.membership.entry_count import ASSUMED_ENTRIES, cautious_count
+from leadhollow.membership.entry_count import ASSUMED_ENTRIES
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.routing.model import ServiceRecord
 from leadhollow.settings.node import Bounds
-from leadhollow.wire.generated.ttypes import LimitLease, LimitNews, LimitShare
+from leadhollow.wire.generated.ttypes import LimitLease, LimitShare
 from tests.forward.test_rate_limit_tracker import Demand, Feed
 from tests.support import eventually
 
@@ -156,17 +156,12 @@
             unleased_per_s = COLD_UNLEASED_SHARE * 18.0
             expected = unleased_per_s / ASSUMED_ENTRIES
             assert entry.server.send_limiter.rate_per_s() == pytest.approx(expected)
-            entry.feed.update(LimitNews("one", 0, [], []), True)
-            entry.tracker._counting_since_s -= 10.0
+            entry.feed.cautious_entries = entry.feed.entries
             expected = unleased_per_s / entry.feed.entries
             assert entry.server.send_limiter.rate_per_s() == pytest.approx(expected)
 
         with_entry(work)
 
-    def test_counts_no_fewer_entries_than_are_known(self):
-        assert cautious_count(500, heard_for_s=None) == 500
-        assert cautious_count(3, heard_for_s=60.0) == 3
-
 
 class TestLeases:
     def test_give_the_leased_share(self):
--- a/tests/forward/test_rate_limit_tracker.py
+++ b/tests/forward/test_rate_limit_tracker.py
@@ -13,6 +13,7 @@
 from leadhollow.forward.rate_limit_tracker import EXPIRY_S, RateLimitTracker
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.kernel import clocks
+from leadhollow.membership.entry_count import ASSUMED_ENTRIES
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.wire.generated.ttypes import LimitLease, LimitNews, LimitRecord, LimitShare
@@ -23,6 +24,7 @@
 
     source = ""
     entries = 4
+    cautious_entries = ASSUMED_ENTRIES
 
     def on_limits(self, listener: Callable) -> None:
         self.update = listener
--- a/tests/membership/test_entry_count.py
+++ b/tests/membership/test_entry_count.py
@@ -5,7 +5,12 @@
 import pytest
 
 from leadhollow.decide.retry_budget import RetryBudget
-from leadhollow.membership.entry_count import RETENTION_S, EntryCount
+from leadhollow.membership.entry_count import (
+    ASSUMED_ENTRIES,
+    COUNT_SETTLES_S,
+    RETENTION_S,
+    EntryCount,
+)
 from leadhollow.settings.node import Bounds
 
 ENTRIES = 39
@@ -23,7 +28,8 @@
 
     def __init__(self, clock: Clock, counts: list[EntryCount]) -> None:
         self._budgets = [
-            RetryBudget(bounds=Bounds(), entries=count.maximum, clock=clock) for count in counts
+            RetryBudget(bounds=Bounds(), entries=count.cautious_maximum, clock=clock)
+            for count in counts
         ]
         clock.now_s += 2 * Bounds().retry_window_s
 
@@ -75,3 +81,23 @@
 
     def test_without_reports_counts_only_this_entry(self):
         assert EntryCount(clock=Clock()).maximum() == 1
+
+
+class TestCautiousMaximum:
+    # Guards against: an entry that knows few of the others takes their shares for its own.
+    def test_assumes_many_entries_until_a_majority_has_confirmed_the_count_for_a_while(self):
+        clock = Clock()
+        count = EntryCount(clock=clock)
+        assert count.cautious_maximum() == ASSUMED_ENTRIES
+        count.record(3, confirmed=False)
+        clock.now_s += 10 * COUNT_SETTLES_S
+        assert count.cautious_maximum() == ASSUMED_ENTRIES
+        count.record(3, confirmed=True)
+        assert count.cautious_maximum() == ASSUMED_ENTRIES
+        clock.now_s += COUNT_SETTLES_S
+        assert count.cautious_maximum() == 3
+
+    def test_is_never_below_the_count(self):
+        count = EntryCount(clock=Clock())
+        count.record(10 * ASSUMED_ENTRIES)
+        assert count.cautious_maximum() == 10 * ASSUMED_ENTRIES
