Let entries save more repeats for many failures at once

With 0.15 of a window saved, an entry of a small site has some seven repeats at a moment when a lost failure domain breaks off two engines' streams (32 of them, unevenly over six entries).

An entry that has run for a window now saves up to 0.4 of it. So that restarts still cannot add to the limit, the window is kept for what a process itself sent, 0.8, and the first window of a process accrues 0.3 only; the sum is at most 0.95 for a restart at any moment of a window.

--- a/src/leadhollow/decide/retry_budget.py
+++ b/src/leadhollow/decide/retry_budget.py
@@ -11,10 +11,15 @@
 from leadhollow.observe.logs import log_decision
 from leadhollow.settings.node import Bounds
 
+WINDOW_SHARE = 0.8
+SAVED_SHARE = 0.4
 ACCRUED_SHARE = 0.8
-SAVED_SHARE = 0.15
-"""Shares of what all entries may send in a window: as tokens that accrue in a window, and as saved
-tokens. A window holds no more repeats than the tokens saved at its start and those accrued in it.
+YOUNG_ACCRUED_SHARE = 0.3
+"""Shares of what this entry may send in a window: in any window, as saved tokens, as tokens that
+accrue in a window, and the same in the first window of a process.
+
+A process that ends at the time x of a window, with x from 0 to 1, sends at most
+min(0.8, 0.4 + 0.8 x) in it, and those that follow it accrue 0.3 (1 - x). The sum is at most 0.95.
 The rest allows for requests that others count slightly earlier or later."""
 
 MIN_SAVED = 1.0  # tokens; with less, an entry with few requests could never repeat one
@@ -34,20 +39,22 @@
 
 
 class RetryBudget:
-    """Token bucket of the repeats of each service.
+    """Limits the repeats of each service by a sliding window and by a token bucket.
 
-    Tokens accrue with requests and with time. A process starts without any: it does not know what
-    the process before it on its VM has sent, and leaves it the tokens for the time before.
+    The window contains what this process sent. The bucket limits what a process may send beside the
+    process before it on its VM, whose repeats it does not know: it starts without tokens, and they
+    accrue slowly at first.
 
     Parameters
     ----------
     entries
         Returns the number of live entries, or more. The slack is divided evenly among them.
     clock
-        Returns the time including suspensions.
+        Returns the time including suspensions. If the clock stopped during a suspension, the
+        window would become too long.
     """
 
-    __slots__ = ("_bounds", "_buckets", "_clock", "_entries", "_started_s")
+    __slots__ = ("_bounds", "_clock", "_entries", "_services", "_started_s")
 
     def __init__(
         self, *, bounds: Bounds, entries: Callable[[], int], clock: Callable[[], float]
@@ -56,31 +63,29 @@
         self._entries = entries
         self._clock = clock
         self._started_s = clock()
-        self._buckets: dict[str, _Bucket] = {}
+        self._services: dict[str, _ServiceBudget] = {}
 
     def record_request(self, service: str) -> None:
         """Count a request of a caller."""
-        bucket = self._refilled(service)
-        bucket.requests_s.append(self._clock())
-        bucket.tokens += ACCRUED_SHARE * self._bounds.retry_ratio
+        self._updated(service).record_request(self._clock(), self._accrued_share())
 
     def demand_per_s(self, service: str) -> float:
         """Return the rate of callers' requests per second in the current window."""
-        return len(self._refilled(service).requests_s) / self._bounds.retry_window_s
+        return len(self._updated(service).requests_s) / self._bounds.retry_window_s
 
     def try_acquire(self, service: str, cause: RepeatCause, *, request: str = "") -> bool:
-        """Take the token for one repeat; return False if there is none.
+        """Take the permission for one repeat; return False if none is left.
 
         Parameters
         ----------
         request
             Attempt id of the caller, for the log.
         """
-        bucket = self._refilled(service)
-        remaining = bucket.tokens
+        found = self._updated(service)
+        remaining = found.remaining()
         permitted = remaining >= 1
         if permitted:
-            bucket.tokens -= 1
+            found.record_repeat(self._clock())
         log_decision(
             "repeat permitted" if permitted else "repeat not permitted",
             request=request,
@@ -88,47 +93,83 @@
             cause=cause.value,
             remaining=round(remaining, 2),
             entries=self._entries(),
-            started_s=round(self._clock() - self._started_s, 2),
+            started_s=round(self._age_s(), 2),
         )
         return permitted
 
     def refund(self, service: str) -> None:
-        """Return the token of a repeat that was not sent."""
-        self._refilled(service).tokens += 1
+        """Return the newest permission of a repeat that was not sent."""
+        self._updated(service).refund()
 
     def remaining(self, service: str) -> float:
         """Return the number of repeats that may be sent now."""
-        return self._refilled(service).tokens
+        return self._updated(service).remaining()
 
-    def _refilled(self, service: str) -> _Bucket:
-        """Return the bucket of a service, with what accrued until now, up to what may be saved."""
-        now_s = self._clock()
-        window_s = self._bounds.retry_window_s
-        bucket = self._buckets.get(service)
-        if bucket is None:
-            bucket = self._buckets[service] = _Bucket(refilled_s=self._started_s)
-        bucket.drop_requests_before(now_s - window_s)
+    def _updated(self, service: str) -> _ServiceBudget:
+        found = self._services.get(service)
+        if found is None:
+            found = _ServiceBudget(bounds=self._bounds, started_s=self._started_s)
+            self._services[service] = found
         slack = self._bounds.retry_slack / max(1, self._entries())
-        allowed = slack + self._bounds.retry_ratio * len(bucket.requests_s)
-        bucket.tokens += ACCRUED_SHARE * slack * (now_s - bucket.refilled_s) / window_s
-        bucket.tokens = min(bucket.tokens, max(MIN_SAVED, SAVED_SHARE * allowed))
-        bucket.refilled_s = now_s
-        return bucket
+        found.update(self._clock(), slack, self._accrued_share())
+        return found
+
+    def _accrued_share(self) -> float:
+        young = self._age_s() < self._bounds.retry_window_s
+        return YOUNG_ACCRUED_SHARE if young else ACCRUED_SHARE
 
+    def _age_s(self) -> float:
+        return self._clock() - self._started_s
 
-class _Bucket:
-    """Tokens for the repeats of one service, and the times of its requests within a window."""
 
-    __slots__ = ("refilled_s", "requests_s", "tokens")
+class _ServiceBudget:
+    """Requests and repeats of one service within the window, and saved tokens."""
 
-    def __init__(self, *, refilled_s: float) -> None:
-        self.refilled_s = refilled_s
+    __slots__ = ("_bounds", "_repeats_s", "_slack", "_tokens", "_updated_s", "requests_s")
+
+    def __init__(self, *, bounds: Bounds, started_s: float) -> None:
+        self._bounds = bounds
+        self._slack = 0.0
+        self._tokens = 0.0
+        self._updated_s = started_s
+        self._repeats_s: deque[float] = deque()
         self.requests_s: deque[float] = deque()
-        self.tokens = 0.0
 
-    def drop_requests_before(self, oldest_s: float) -> None:
-        while self.requests_s and self.requests_s[0] < oldest_s:
-            self.requests_s.popleft()
+    def update(self, now_s: float, slack: float, accrued_share: float) -> None:
+        """Let tokens accrue until now, and forget what is older than the window.
+
+        Parameters
+        ----------
+        slack
+            Repeats per window that are allowed to this entry beside the ratio.
+        """
+        window_s = self._bounds.retry_window_s
+        for times_s in (self._repeats_s, self.requests_s):
+            while times_s and times_s[0] < now_s - window_s:
+                times_s.popleft()
+        self._slack = slack
+        self._tokens += accrued_share * slack * (now_s - self._updated_s) / window_s
+        self._tokens = min(self._tokens, max(MIN_SAVED, SAVED_SHARE * self._allowed()))
+        self._updated_s = now_s
+
+    def record_request(self, now_s: float, accrued_share: float) -> None:
+        self.requests_s.append(now_s)
+        self._tokens += accrued_share * self._bounds.retry_ratio
+
+    def record_repeat(self, now_s: float) -> None:
+        self._repeats_s.append(now_s)
+        self._tokens -= 1
+
+    def refund(self) -> None:
+        if self._repeats_s:
+            self._repeats_s.pop()
+            self._tokens += 1
+
+    def remaining(self) -> float:
+        return min(self._tokens, WINDOW_SHARE * self._allowed() - len(self._repeats_s))
+
+    def _allowed(self) -> float:
+        return self._slack + self._bounds.retry_ratio * len(self.requests_s)
 
 
 def cause_of_repeat(failure: Failure) -> RepeatCause:
