Limit repeats behind gates as on the direct path, by the same budget

Behind gates a restart handed out ten repeats once more, per entry and whatever all entries had sent, and up to a thousand could be saved: ten starts of five entries had 500 repeats without a request.

Entries behind gates now use the budget of the direct path, divided by the entries that the settings list: retry_ratio of the requests for a model or service, and retry_slack (100) in retry_window_s (10).

--- a/src/leadhollow/entry/assembly.py
+++ b/src/leadhollow/entry/assembly.py
@@ -4,19 +4,21 @@
 
 from typing import TYPE_CHECKING
 
+from leadhollow.decide.retry_budget import RetryBudget
 from leadhollow.entry.attempt_runner import AttemptRunner
 from leadhollow.entry.caller_server import CallerHttpServer
 from leadhollow.entry.demand_reporter import DemandReporter
 from leadhollow.entry.group_limits import GroupLimits, StaticShare
 from leadhollow.entry.idempotency import IdempotencyClaims
-from leadhollow.entry.retry_budget import RetryBudget
 from leadhollow.entry.router import Router
 from leadhollow.entry.scheduler import FairScheduler
 from leadhollow.entry.scheduler_service import SchedulerService
 from leadhollow.entry.suspects import EntrySuspects
+from leadhollow.kernel import clocks
 from leadhollow.membership.catalog_feed import CatalogFeed
 from leadhollow.membership.view import ViewFeed
 from leadhollow.settings.model import EntrySettings, Settings
+from leadhollow.settings.node import Bounds
 
 if TYPE_CHECKING:
     from leadhollow.kernel.service import Service
@@ -72,6 +74,17 @@
     return StaticShare(index=names.index(settings.vm), count=len(names))
 
 
+def make_retry_budget(settings: Settings, entry: EntrySettings) -> RetryBudget:
+    """Return the budget of the repeats that this entry may send."""
+    bounds = Bounds(
+        retry_ratio=entry.retry_ratio,
+        retry_slack=entry.retry_slack,
+        retry_window_s=entry.retry_window_s,
+    )
+    count = static_share(settings).count
+    return RetryBudget(bounds=bounds, entries=lambda: count, clock=clocks.elapsed_s)
+
+
 def _make_callers(process: Process, entry: EntrySettings, router: Router) -> Service:
     kernel = process.kernel
     catalog = kernel.get("catalog", CatalogFeed).catalog
@@ -80,7 +93,7 @@
         router=router,
         scheduler=kernel.get("scheduler", SchedulerService).scheduler,
         peers=process.peers,
-        budget=RetryBudget(ratio=entry.retry_ratio),
+        budget=make_retry_budget(process.settings, entry),
         suspects=kernel.get("entry-suspects", EntrySuspects),
     )
     return CallerHttpServer(
@@ -92,4 +105,4 @@
     )
 
 
-__all__ = ["register_entry", "static_share"]
+__all__ = ["make_retry_budget", "register_entry", "static_share"]
--- a/src/leadhollow/entry/attempt_runner.py
+++ b/src/leadhollow/entry/attempt_runner.py
@@ -5,10 +5,10 @@
 import asyncio
 
 from leadhollow.codes import Code, Outcome
+from leadhollow.decide.retry_budget import RepeatCause, RetryBudget
 from leadhollow.entry.call import Call, with_resume
 from leadhollow.entry.call_result import CallResult
 from leadhollow.entry.response_relay import DeliveredResponse, ResponseRelay, ResponseSink
-from leadhollow.entry.retry_budget import RetryBudget
 from leadhollow.entry.router import ENGINE_KIND, SERVICE_KIND, Reservation, Router, RoutingRequest
 from leadhollow.entry.scheduler import Admission, FairScheduler
 from leadhollow.entry.suspects import EntrySuspects
@@ -72,7 +72,7 @@
             ``not-executed`` only if nothing was dispatched or every attempt was confirmed as
             refused; ``unknown`` if an attempt may have run without a complete response.
         """
-        self._budget.deposit()
+        self._budget.record_request(call.service or call.model)
         delivered = DeliveredResponse()
         excluded: set[str] = set()
         failures = 0
@@ -115,9 +115,14 @@
                 await self._suspects.wait_for_verdict(call)
             else:
                 self._router.record_failure(server, now_s=_now_s())
-            if not call.repeatable or failures >= MAX_FAILURES or not self._budget.try_withdraw():
+            if not call.repeatable or failures >= MAX_FAILURES or not self._may_repeat(call):
                 return self._result(call, delivered, attempt, failures, failure)
 
+    def _may_repeat(self, call: Call) -> bool:
+        return self._budget.try_acquire(
+            call.service or call.model, RepeatCause.FAILED, request=call.request_id
+        )
+
     def _routing_request(
         self, call: Call, delivered: DeliveredResponse
     ) -> RoutingRequest | Failure:
--- a/src/leadhollow/entry/group_limits.py
+++ b/src/leadhollow/entry/group_limits.py
@@ -20,15 +20,15 @@
         exactly to the limit.
     """
 
-    __slots__ = ("_count", "_index")
+    __slots__ = ("_index", "count")
 
     def __init__(self, *, index: int, count: int) -> None:
         self._index = index
-        self._count = count
+        self.count = count
 
     def share_of(self, limit: int) -> int:
         """Return the share of an integer limit."""
-        return limit // self._count + (1 if self._index < limit % self._count else 0)
+        return limit // self.count + (1 if self._index < limit % self.count else 0)
 
 
 class _Lease:
--- a/src/leadhollow/settings/model.py
+++ b/src/leadhollow/settings/model.py
@@ -62,13 +62,22 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Listener for callers, and the limits on their requests."""
+    """Listener for callers, and the limits on their requests.
+
+    Parameters
+    ----------
+    retry_ratio, retry_slack, retry_window_s
+        Repeats that all entries together may send for a model or service in a window: a share of
+        its requests plus a fixed number.
+    """
 
     listen: str
     body_limit_bytes: int = 4 * 1024 * 1024
     default_deadline_ms: int = 60_000
     balancer_grace_ms: int = 2_000
     retry_ratio: float = 0.2
+    retry_slack: float = 100.0
+    retry_window_s: float = 10.0
     queue_order: QueueOrder = QueueOrder.FAIR
     balance: Balance = Balance.AFFINITY
 
--- a/src/leadhollow/settings/rules.py
+++ b/src/leadhollow/settings/rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from pathlib import PurePosixPath
 from urllib.parse import urlsplit
@@ -118,6 +119,10 @@
         positive_fields["entry.default_deadline_ms"] = settings.entry.default_deadline_ms
         if not 0 <= settings.entry.retry_ratio <= 1:
             yield _field_failure("entry.retry_ratio", "a number from 0 to 1")
+        if not 0 <= settings.entry.retry_slack < math.inf:
+            yield _field_failure("entry.retry_slack", "a number from 0 on")
+        if not 0 < settings.entry.retry_window_s < math.inf:
+            yield _field_failure("entry.retry_window_s", "a number above 0")
     for field, value in positive_fields.items():
         if value < 1:
             yield _field_failure(field, f"a whole number above 0, found {value}")
--- a/tests/entry/test_router.py
+++ b/tests/entry/test_router.py
@@ -5,7 +5,6 @@
 from collections import Counter
 
 from leadhollow.codes import Code
-from leadhollow.entry.retry_budget import RetryBudget
 from leadhollow.entry.router import Router, RoutingRequest
 from leadhollow.membership.summary import ENGINE_KIND, SERVICE_KIND
 from leadhollow.membership.view import DomainView
@@ -179,16 +178,3 @@
 
     def test_excluded_servers_are_not_chosen(self):
         assert choose(router_of(engine("a"), engine("b")), excluded=("a",)) == "b"
-
-
-class TestRetryBudget:
-    def test_allows_retries_as_a_ratio_of_requests(self):
-        budget = RetryBudget(ratio=0.1)
-        while budget.try_withdraw():
-            pass
-        for _ in range(100):
-            budget.deposit()
-        allowed = 0
-        while budget.try_withdraw():
-            allowed += 1
-        assert 9 <= allowed <= 10
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -60,6 +60,8 @@
             (ENTRY, "roles", [], Code.SETTINGS_FIELD, "roles"),
             (ENTRY, "logs.level", "loud", Code.SETTINGS_FIELD, "logs.level"),
             (ENTRY, "entry.retry_ratio", 2.0, Code.SETTINGS_FIELD, "entry.retry_ratio"),
+            (ENTRY, "entry.retry_slack", -1.0, Code.SETTINGS_FIELD, "entry.retry_slack"),
+            (ENTRY, "entry.retry_window_s", 0.0, Code.SETTINGS_FIELD, "entry.retry_window_s"),
             (ENTRY, "state.heartbeat_ms", 500, Code.SETTINGS_COMBINATION, "state.election"),
             (ENTRY, "data_folder", None, Code.SETTINGS_COMBINATION, "data_folder"),
             (ENTRY, "operators", None, Code.SETTINGS_COMBINATION, "operators"),
