--- a/src/leadhollow/settings/model.py
+++ b/src/leadhollow/settings/model.py
@@ -76,7 +76,7 @@
     default_deadline_ms: int = 60_000
     balancer_grace_ms: int = 2_000
     retry_ratio: float = 0.2
-    retry_slack: float = 100.0
+    retry_slack: float = 1_000.0
     retry_window_s: float = 10.0
     queue_order: QueueOrder = QueueOrder.FAIR
     balance: Balance = Balance.AFFINITY
