--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
+from tests.soak.repeats import soak_repeats
 from tests.soak.run import Verdict, soak
 from tests.soak.stream_play import soak_streams
 
@@ -29,6 +30,8 @@
 
 
 def _soak(seed: int, folder: Path, options: argparse.Namespace) -> Coroutine[None, None, Verdict]:
+    if options.repeats_s:
+        return soak_repeats(seed=seed, folder=folder, seconds=options.repeats_s)
     if options.streams_s:
         return soak_streams(
             seed=seed, folder=folder, seconds=options.streams_s, parts=options.parts
@@ -58,6 +61,14 @@
         dest="streams_s",
         help="play the soak of streams instead, for so many seconds a seed",
     )
+    parser.add_argument(
+        "--repeats",
+        type=float,
+        default=0,
+        metavar="S",
+        dest="repeats_s",
+        help="let engines refuse and entries restart instead, for so many seconds a seed",
+    )
     parser.add_argument(
         "--stages", action="store_true", help="damage staged pieces and delay load orders besides"
     )
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -78,6 +78,7 @@
         self.state = "ready"
         self.drained_s: float | None = None
         self.limit: Limit | None = None
+        self.refused_share = 0.0
         self.rest_s: float | None = None
         self.leaving = False  # by answers only
         self.planner: Planner | None = None
@@ -298,6 +299,9 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         attempt = request.headers.get("X-Attempt-Id", "")
         refused = {"X-Not-Executed": "1", "X-Instance-Id": self.instance, "X-Attempt-Id": attempt}
+        self._ledger.arrivals.note(self.service, attempt, self._ledger.now_s())
+        if self._random.random() < self.refused_share:
+            return web.Response(status=503, headers=refused)
         if request.headers.get("X-Expect-Instance") != self.instance:
             return web.Response(status=421, headers=refused)
         self._cold.note_arrival(self._ledger.now_s())
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from http import HTTPStatus
 
+from tests.soak.arrivals import Arrivals
 from tests.soak.cold import Cold
 from tests.soak.self_reports import SelfReport, Sender
 
@@ -156,6 +157,7 @@
 
     __slots__ = (
         "accepted",
+        "arrivals",
         "colds",
         "disturbances",
         "limits",
@@ -170,6 +172,7 @@
 
     def __init__(self) -> None:
         self.runs: dict[str, list[Run]] = defaultdict(list)
+        self.arrivals = Arrivals()
         self.accepted: Counter[str] = Counter()  # sends that no server refused, by request
         self.told: list[Told] = []
         self.tables: list[Table] = []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.soak.repeats import soak_repeats
 from tests.soak.run import soak
 from tests.soak.stream_play import soak_streams
 
@@ -19,6 +20,7 @@
 second one with signals to control replicas, entries and stagers."""
 
 STREAMS_S = 3.0
+REPEATS_S = 9.0
 
 
 class TestSoak:
@@ -40,3 +42,11 @@
         verdict = asyncio.run(soak_streams(seed=seed, folder=tmp_path, seconds=STREAMS_S))
         assert verdict.violations == []
         assert verdict.served > 0
+
+
+class TestSoakOfRepeats:
+    # Guards against: real entries that are killed in series send more repeats than all may.
+    def test_stays_within_the_limit(self, tmp_path):
+        verdict = asyncio.run(soak_repeats(seed=1, folder=tmp_path, seconds=REPEATS_S))
+        assert verdict.violations == []
+        assert verdict.columns["repeats"] > 0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -5,7 +5,9 @@
 import asyncio
 import random
 import socket
+from collections.abc import Mapping
 from pathlib import Path
+from types import MappingProxyType
 
 import aiohttp
 from aiohttp import web
@@ -30,10 +32,15 @@
     ----------
     seed
         Of every random choice, and of the part of 127.0.0.0/8 that the VMs have.
+    bounds
+        Bounds that differ from the usual ones, by their names in settings files.
     """
 
-    def __init__(self, *, seed: int, folder: Path) -> None:
+    def __init__(
+        self, *, seed: int, folder: Path, bounds: Mapping[str, float] = MappingProxyType({})
+    ) -> None:
         self.seed = seed
+        self._bounds = {**BOUNDS, **bounds}
         self.random = random.Random(seed)
         self.ledger = Ledger()
         self.own_holds = Spans()  # when the soak itself did not run
@@ -130,7 +137,7 @@
             "seeds": [f"{self._host(other, 1)}:{self._port + 10}" for other in ZONES],
             "first_start": True,
             "heartbeat_ms": 400,
-            "bounds": BOUNDS,
+            "bounds": self._bounds,
         }
 
     def _core(self, zone: str) -> Program:
