Hand a group no saved tokens when an entry behind gates starts

Each start of an entry handed a group a second's worth of its token rate at once, so entries that restart in series exceeded the limit of the row: the same cause as with repeats. Tokens now accrue from the start on.

For limits on the direct path a test shows that restarts in series stay within the unleased share.

--- a/src/leadhollow/entry/group_limits.py
+++ b/src/leadhollow/entry/group_limits.py
@@ -88,7 +88,7 @@
 
     def allows(self, group: str, *, running: int) -> bool:
         """Return whether one more request of a group may start."""
-        return running < self.slots(group) and self._level(group) > 0
+        return running < self.slots(group) and self._level(group) >= 0
 
     def slots(self, group: str) -> float:
         """Return the concurrency that a group may use on this entry."""
@@ -124,9 +124,7 @@
         bucket = self._buckets.get(group)
         rate = self._rate(group)
         if bucket is None:
-            bucket = _Bucket(updated_s=now_s)
-            bucket.level = rate * BURST_S
-            self._buckets[group] = bucket
+            bucket = self._buckets[group] = _Bucket(updated_s=now_s)
         elapsed_s = now_s - bucket.updated_s
         bucket.updated_s = now_s
         bucket.level = min(rate * BURST_S, bucket.level + rate * elapsed_s)
--- a/tests/decide/test_limit_across_entries.py
+++ b/tests/decide/test_limit_across_entries.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leadhollow.decide.send_limiter import LEASED_SHARE, SendLimiter
+from leadhollow.decide.send_limiter import LEASED_SHARE, UNLEASED_SHARE, SendLimiter
 from leadhollow.decide.share_allocator import LEASE_S, EntryDemand, LimitedServer, ShareAllocator
 
 LIFE = "i-1@0"
@@ -103,3 +103,26 @@
                 window_s = end_s - begin_s + STEP_S
                 saved_up = len(senders) + LEASED_SHARE
                 assert count <= LEASED_SHARE * per_s * window_s + saved_up + 1e-6
+
+
+class TestRestartsInSeries:
+    # Guards against: each start of an entry hands out its unleased share of a limit once more.
+    def test_stay_within_the_unleased_share(self):
+        now_s = 10.0
+        per_s, lives, life_s = 10.0, 20, 0.5
+        sent = 0
+        for life in range(lives):
+            limiters = [
+                SendLimiter(
+                    per_s=per_s,
+                    entries=lambda: ENTRIES,
+                    clock=lambda: now_s,
+                    source=random.Random(f"{life} {entry}"),
+                )
+                for entry in range(ENTRIES)
+            ]
+            for _ in range(round(life_s / STEP_S)):
+                now_s += STEP_S
+                sent += sum(limiter.try_acquire() for limiter in limiters)
+        expected = UNLEASED_SHARE * per_s * lives * life_s
+        assert 0.5 * expected <= sent <= 1.5 * expected
