--- a/tests/decide/test_limit_across_entries.py
+++ b/tests/decide/test_limit_across_entries.py
@@ -108,7 +108,7 @@
 class TestRestartsInSeries:
     # Guards against: each start of an entry hands out its unleased share of a limit once more.
     def test_stay_within_the_unleased_share(self):
-        now_s = 10.0
+        now_s = [10.0]
         per_s, lives, life_s = 10.0, 20, 0.5
         sent = 0
         for life in range(lives):
@@ -116,13 +116,13 @@
                 SendLimiter(
                     per_s=per_s,
                     entries=lambda: ENTRIES,
-                    clock=lambda: now_s,
+                    clock=lambda: now_s[0],
                     source=random.Random(f"{life} {entry}"),
                 )
                 for entry in range(ENTRIES)
             ]
             for _ in range(round(life_s / STEP_S)):
-                now_s += STEP_S
+                now_s[0] += STEP_S
                 sent += sum(limiter.try_acquire() for limiter in limiters)
         expected = UNLEASED_SHARE * per_s * lives * life_s
         assert 0.5 * expected <= sent <= 1.5 * expected
--- a/tests/entry/test_scheduler.py
+++ b/tests/entry/test_scheduler.py
@@ -211,33 +211,33 @@
 
     # Guards against: each start of an entry hands a group a second's worth of tokens once more.
     def test_a_start_saves_no_tokens_for_a_group(self):
-        now_s = 100.0
+        now_s = [100.0]
         spent = 0.0
         for _ in range(10):
             limits = GroupLimits(
                 catalog=catalog_of(a=Limits(tokens_per_s=1_000)),
                 static_share=StaticShare(index=0, count=1),
-                clock_s=lambda: now_s,
+                clock_s=lambda: now_s[0],
             )
             while limits.allows("a", running=0):
                 limits.spend("a", 10.0)
                 spent += 10.0
-            now_s += 0.1
+            now_s[0] += 0.1
         assert spent <= 10 * 10.0
 
     # Guards against: a group whose request cost more than its rate may send the next one as soon
     # as its entry has restarted.
     def test_a_start_does_not_forgive_what_a_group_owes(self):
-        now_s = 100.0
+        now_s = [100.0]
         spent = 0.0
         for _ in range(10):
             limits = GroupLimits(
                 catalog=catalog_of(a=Limits(tokens_per_s=1_000)),
                 static_share=StaticShare(index=0, count=1),
-                clock_s=lambda: now_s,
+                clock_s=lambda: now_s[0],
             )
             if limits.allows("a", running=0):
                 limits.spend("a", 5_000.0)
                 spent += 5_000.0
-            now_s += 0.1
+            now_s[0] += 0.1
         assert spent <= 5_000.0 + 1_000.0
