--- a/tests/at_size/world.py
+++ b/tests/at_size/world.py
@@ -52,6 +52,7 @@
         self.ledger = Ledger()
         self.origin = Origin(seed=seed)
         self.folder = folder
+        self._bounds = BOUNDS
         self.timeline = Timeline()
         self.past_grace: list[str] = []
         self.runs: dict[str, list[EngineRun]] = defaultdict(list)
@@ -111,7 +112,7 @@
     def _program(self, role: str, number: int, place: int, **more: object) -> SizedProgram:
         zone = ZONES[number % len(ZONES)]
         settings = self._settings(zone, place + number // len(ZONES), role)
-        settings |= {"vm": f"{role}-{number}", "bounds": BOUNDS, **more}
+        settings |= {"vm": f"{role}-{number}", **more}
         return SizedProgram(settings=settings, folder=self.folder, pool=self._pool)
 
     def _control(self, number: int) -> SizedProgram:
