--- a/tests/decide/test_retry_budget_fleet.py
+++ b/tests/decide/test_retry_budget_fleet.py
@@ -11,11 +11,10 @@
 
 
 class ForgetfulBudget(RetryBudget):
-    """Starts with saved tokens, as if nothing was sent before its start."""
+    """Takes every start for the first one, as if nothing was sent before it."""
 
     def __init__(self, **settings) -> None:
-        super().__init__(**settings)
-        self._started_s -= 100.0
+        super().__init__(**settings, first_start=True)
 
 
 def restarting_fleet(entries: int, budget: type[RetryBudget]) -> Fleet:
