Let a gate that starts learn its engine's limit by one attempt

Cause: limit and rest of an engine lie in the gate's memory, and both are named in responses only. Change: a gate starts as it is after a back-off, with one probe at a time until the engine has responded. The mechanism is the one of back-offs, so there is no second one. The test moves from the class of the limit to the gate, where attempts are admitted, and also counts those after the first response.

--- a/src/leadhollow/backend/engine_backoff.py
+++ b/src/leadhollow/backend/engine_backoff.py
@@ -22,12 +22,16 @@
 
 
 class EngineBackoff:
-    """Back-off of one engine, and the probe that ends it."""
+    """Back-off of one engine, and the probe that ends it.
+
+    A gate starts as after a back-off: it does not know what the engine asked of the process before
+    it, neither a back-off nor a limit.
+    """
 
     __slots__ = ("_backoff", "_malformed")
 
     def __init__(self) -> None:
-        self._backoff: ServerBackoff | None = None
+        self._backoff: ServerBackoff | None = _new_backoff()
         self._malformed = 0
 
     def record_response(self, attempt: Hashable, status: int, values: Sequence[str]) -> None:
@@ -47,14 +51,15 @@
             self._record_malformed()
         elif backoff_s:
             if self._backoff is None:
-                self._backoff = ServerBackoff(clock=clocks.elapsed_s, source=random.Random())
+                self._backoff = _new_backoff()
             self._backoff.extend(backoff_s)
             log.info("engine requested a back-off", rest_s=backoff_s)
 
     def claim(self, attempt: Hashable) -> bool:
         """Whether an attempt may go to the engine.
 
-        After a back-off only one attempt, the probe, may go until the engine has responded to it.
+        At first, and after a back-off, only one attempt, the probe, may go until the engine has
+        responded to it.
         """
         return self._backoff is None or self._backoff.claim_probe(attempt)
 
@@ -69,4 +74,8 @@
         self._malformed += 1
 
 
+def _new_backoff() -> ServerBackoff:
+    return ServerBackoff(clock=clocks.elapsed_s, source=random.Random())
+
+
 __all__ = ["RETRY_AFTER_HEADER", "EngineBackoff"]
--- a/tests/backend/test_gate.py
+++ b/tests/backend/test_gate.py
@@ -13,13 +13,22 @@
 from leadhollow.wire.generated.ttypes import Dispatch
 
 
-@pytest.fixture
-def gate() -> Gate:
-    made = Gate(slots=2, signal=ChangeSignal())
+def new_gate(slots: int = 2) -> Gate:
+    made = Gate(slots=slots, signal=ChangeSignal())
     made.set_serving_root("root")
     return made
 
 
+@pytest.fixture
+async def gate() -> Gate:
+    """Return a gate whose engine has responded."""
+    made = new_gate()
+    first = ("first", 1)
+    assert made.backoff.claim(first)
+    made.backoff.record_response(first, 200, [])
+    return made
+
+
 def dispatch(gate: Gate, request_id: str = "r", attempt: int = 1, **changed) -> Dispatch:
     given = {
         "request_id": request_id,
@@ -170,3 +179,31 @@
     ):
         gate.backoff.record_response(("r", 1), status, values)
         assert gate.admit(dispatch(gate)) is None
+
+
+class TestStart:
+    # Guards against: a gate that restarts lets through as many requests as its engine has slots,
+    # before the first response has named the engine's limit.
+    async def test_lets_no_more_through_than_the_limit_that_was_in_force(self):
+        per_s, lives, slots = 0.5, 10, 16
+        passed = 0
+        for _ in range(lives):
+            gate = new_gate(slots)
+            passed += sum(gate.admit(dispatch(gate, f"{n}")) is None for n in range(slots))
+            gate.limit.record_response([str(per_s)], sent_s=clocks.elapsed_s())
+            gate.backoff.record_response(("0", 1), 200, [])
+            passed += sum(gate.admit(dispatch(gate, f"later {n}")) is None for n in range(slots))
+        assert passed <= 1.5 * per_s * lives + 5
+
+    async def test_lets_all_through_once_the_engine_has_responded(self):
+        gate = new_gate()
+        assert gate.admit(dispatch(gate, "a")) is None
+        assert gate.admit(dispatch(gate, "b")).code is Code.SLOTS_FULL
+        gate.backoff.record_response(("a", 1), 200, [])
+        assert gate.admit(dispatch(gate, "c")) is None
+
+    async def test_lets_another_through_if_the_first_ends_without_a_response(self):
+        gate = new_gate()
+        gate.admit(dispatch(gate, "a"))
+        gate.release(dispatch(gate, "a"))
+        assert gate.admit(dispatch(gate, "b")) is None
