--- a/src/leadhollow/entry/group_limits.py
+++ b/src/leadhollow/entry/group_limits.py
@@ -62,7 +62,7 @@
         lease also expires then. Replaced in tests.
     """
 
-    __slots__ = ("_buckets", "_catalog", "_clock_s", "_leases", "_static_share")
+    __slots__ = ("_buckets", "_catalog", "_clock_s", "_leases", "_started_s", "_static_share")
 
     def __init__(
         self,
@@ -74,6 +74,7 @@
         self._catalog = catalog
         self._static_share = static_share
         self._clock_s = clock_s
+        self._started_s = clock_s()
         self._leases: dict[str, _Lease] = {}
         self._buckets: dict[str, _Bucket] = {}
 
@@ -86,9 +87,16 @@
         """Return whether the table still has a row for a group."""
         return self._catalog.row(group) is not None
 
-    def allows(self, group: str, *, running: int) -> bool:
-        """Return whether one more request of a group may start."""
-        return running < self.slots(group) and self._level(group) >= 0
+    def allows(self, group: str, *, running: int, cost_tokens: float) -> bool:
+        """Return whether one more request of a group may start.
+
+        A request may cost more than the tokens that the group has; the group owes the rest. What it
+        owed before this process started is not known, so a request waits until its cost has accrued
+        since then.
+        """
+        if running >= self.slots(group) or self._level(group) < 0:
+            return False
+        return self._rate(group) * (self._clock_s() - self._started_s) >= cost_tokens
 
     def slots(self, group: str) -> float:
         """Return the concurrency that a group may use on this entry."""
@@ -124,7 +132,7 @@
         bucket = self._buckets.get(group)
         rate = self._rate(group)
         if bucket is None:
-            bucket = self._buckets[group] = _Bucket(updated_s=now_s)
+            bucket = self._buckets[group] = _Bucket(updated_s=self._started_s)
         elapsed_s = now_s - bucket.updated_s
         bucket.updated_s = now_s
         bucket.level = min(rate * BURST_S, bucket.level + rate * elapsed_s)
--- a/src/leadhollow/entry/scheduler.py
+++ b/src/leadhollow/entry/scheduler.py
@@ -201,12 +201,12 @@
         return [queue for queue in self._groups.values() if queue.waiting]
 
     def _try_admit(self, queue: _GroupQueue) -> bool:
-        if not self._limits.allows(queue.group, running=queue.running):
-            return False
         waiter = queue.waiting[0]
         if waiter.future.done():
             queue.waiting.popleft()
             return True
+        if not self._limits.allows(queue.group, running=queue.running, cost_tokens=waiter.cost):
+            return False
         reservation = waiter.reserve()
         if reservation is None:
             return False
