Keep the cost of counting a request for repeats near what it was

The code before it, though, forgot no request until a repeat or a limit was asked for: an entry without repeats remembered every request, 8 bytes each and more, for good. Change: a request only drops what is older than the window and adds its part of a token; the rest is worked out when a repeat is decided. The slack and the start of the idle time are no longer stored.

--- a/src/leadhollow/decide/retry_budget.py
+++ b/src/leadhollow/decide/retry_budget.py
@@ -56,7 +56,7 @@
         Whether no process ran on this VM before.
     """
 
-    __slots__ = ("_bounds", "_clock", "_entries", "_idle_since_s", "_services", "_started_s")
+    __slots__ = ("_bounds", "_clock", "_entries", "_first_start", "_services", "_started_s")
 
     def __init__(
         self,
@@ -69,17 +69,22 @@
         self._bounds = bounds
         self._entries = entries
         self._clock = clock
+        self._first_start = first_start
         self._started_s = clock()
-        self._idle_since_s = self._started_s - (bounds.retry_window_s if first_start else 0.0)
-        self._services: dict[str, _ServiceBudget] = {}
+        self._services: dict[str, _ServiceRepeats] = {}
 
     def record_request(self, service: str) -> None:
         """Count a request of a caller."""
-        self._updated(service).record_request(self._clock(), self._accrued_share())
+        now_s = self._clock()
+        found = self._found(service)
+        found.requests_s.append(now_s)
+        found.forget_before(now_s - self._bounds.retry_window_s)
+        found.tokens += self._accrued_share(now_s) * self._bounds.retry_ratio
 
     def demand_per_s(self, service: str) -> float:
         """Return the rate of callers' requests per second in the current window."""
-        return len(self._updated(service).requests_s) / self._bounds.retry_window_s
+        found = self._updated(service, self._clock())
+        return len(found.requests_s) / self._bounds.retry_window_s
 
     def try_acquire(self, service: str, cause: RepeatCause, *, request: str = "") -> bool:
         """Take the permission for one repeat; return False if none is left.
@@ -89,11 +94,13 @@
         request
             Attempt id of the caller, for the log.
         """
-        found = self._updated(service)
-        remaining = found.remaining()
+        now_s = self._clock()
+        found = self._updated(service, now_s)
+        remaining = self._remaining(found)
         permitted = remaining >= 1
         if permitted:
-            found.record_repeat(self._clock())
+            found.repeats_s.append(now_s)
+            found.tokens -= 1
         log_decision(
             "repeat permitted" if permitted else "repeat not permitted",
             request=request,
@@ -101,80 +108,72 @@
             cause=cause.value,
             remaining=round(remaining, 2),
             entries=self._entries(),
-            started_s=round(self._clock() - self._started_s, 2),
+            started_s=round(now_s - self._started_s, 2),
         )
         return permitted
 
     def refund(self, service: str) -> None:
         """Return the newest permission of a repeat that was not sent."""
-        self._updated(service).refund()
+        found = self._updated(service, self._clock())
+        if found.repeats_s:
+            found.repeats_s.pop()
+            found.tokens += 1
 
     def remaining(self, service: str) -> float:
         """Return the number of repeats that may be sent now."""
-        return self._updated(service).remaining()
+        return self._remaining(self._updated(service, self._clock()))
 
-    def _updated(self, service: str) -> _ServiceBudget:
+    def _remaining(self, found: _ServiceRepeats) -> float:
+        return min(found.tokens, WINDOW_SHARE * self._allowed(found) - len(found.repeats_s))
+
+    def _allowed(self, found: _ServiceRepeats) -> float:
+        """Return how many repeats the part of this entry would be in the current window."""
+        return self._slack() + self._bounds.retry_ratio * len(found.requests_s)
+
+    def _slack(self) -> float:
+        return self._bounds.retry_slack / max(1, self._entries())
+
+    def _accrued_share(self, now_s: float) -> float:
+        age_s = now_s - self._started_s
+        young = age_s < self._bounds.retry_window_s and not self._first_start
+        return YOUNG_ACCRUED_SHARE if young else ACCRUED_SHARE
+
+    def _found(self, service: str) -> _ServiceRepeats:
         found = self._services.get(service)
         if found is None:
-            found = _ServiceBudget(bounds=self._bounds, idle_since_s=self._idle_since_s)
+            idle_s = self._bounds.retry_window_s if self._first_start else 0.0
+            found = _ServiceRepeats(updated_s=self._started_s - idle_s)
             self._services[service] = found
-        slack = self._bounds.retry_slack / max(1, self._entries())
-        found.update(self._clock(), slack, self._accrued_share())
         return found
 
-    def _accrued_share(self) -> float:
-        young = self._clock() - self._idle_since_s < self._bounds.retry_window_s
-        return YOUNG_ACCRUED_SHARE if young else ACCRUED_SHARE
+    def _updated(self, service: str, now_s: float) -> _ServiceRepeats:
+        """Return what is kept for a service, with the tokens that accrued until now."""
+        window_s = self._bounds.retry_window_s
+        found = self._found(service)
+        found.forget_before(now_s - window_s)
+        elapsed_s, found.updated_s = now_s - found.updated_s, now_s
+        found.tokens += self._accrued_share(now_s) * self._slack() * elapsed_s / window_s
+        found.tokens = min(found.tokens, max(MIN_SAVED, SAVED_SHARE * self._allowed(found)))
+        return found
 
 
-class _ServiceBudget:
-    """Requests and repeats of one service within the window, and saved tokens."""
+class _ServiceRepeats:
+    """Requests and repeats of one service within the window, and tokens for more repeats."""
 
-    __slots__ = ("_bounds", "_repeats_s", "_slack", "_tokens", "_updated_s", "requests_s")
+    __slots__ = ("repeats_s", "requests_s", "tokens", "updated_s")
 
-    def __init__(self, *, bounds: Bounds, idle_since_s: float) -> None:
-        self._bounds = bounds
-        self._slack = 0.0
-        self._tokens = 0.0
-        self._updated_s = idle_since_s
-        self._repeats_s: deque[float] = deque()
+    def __init__(self, *, updated_s: float) -> None:
+        self.repeats_s: deque[float] = deque()
         self.requests_s: deque[float] = deque()
-
-    def update(self, now_s: float, slack: float, accrued_share: float) -> None:
-        """Let tokens accrue until now, and forget what is older than the window.
-
-        Parameters
-        ----------
-        slack
-            Repeats per window that are allowed to this entry beside the ratio.
-        """
-        window_s = self._bounds.retry_window_s
-        for times_s in (self._repeats_s, self.requests_s):
-            while times_s and times_s[0] < now_s - window_s:
-                times_s.popleft()
-        self._slack = slack
-        self._tokens += accrued_share * slack * (now_s - self._updated_s) / window_s
-        self._tokens = min(self._tokens, max(MIN_SAVED, SAVED_SHARE * self._allowed()))
-        self._updated_s = now_s
-
-    def record_request(self, now_s: float, accrued_share: float) -> None:
-        self.requests_s.append(now_s)
-        self._tokens += accrued_share * self._bounds.retry_ratio
-
-    def record_repeat(self, now_s: float) -> None:
-        self._repeats_s.append(now_s)
-        self._tokens -= 1
-
-    def refund(self) -> None:
-        if self._repeats_s:
-            self._repeats_s.pop()
-            self._tokens += 1
-
-    def remaining(self) -> float:
-        return min(self._tokens, WINDOW_SHARE * self._allowed() - len(self._repeats_s))
-
-    def _allowed(self) -> float:
-        return self._slack + self._bounds.retry_ratio * len(self.requests_s)
+        self.tokens = 0.0
+        self.updated_s = updated_s
+
+    def forget_before(self, oldest_s: float) -> None:
+        requests_s, repeats_s = self.requests_s, self.repeats_s
+        while requests_s and requests_s[0] < oldest_s:
+            requests_s.popleft()
+        while repeats_s and repeats_s[0] < oldest_s:
+            repeats_s.popleft()
 
 
 def cause_of_repeat(failure: Failure) -> RepeatCause:
--- a/tests/decide/test_retry_budget.py
+++ b/tests/decide/test_retry_budget.py
@@ -116,6 +116,17 @@
             assert len(recent_repeats) <= 100 + 0.2 * len(recent_requests)
 
 
+class TestMemory:
+    # Guards against: an entry whose requests are never repeated remembers all of them.
+    def test_holds_the_requests_of_one_window(self):
+        clock = Clock()
+        budget = old_budget(clock)
+        for _ in range(10_000):
+            clock.now_s += 0.1
+            budget.record_request("s")
+        assert len(budget._services["s"].requests_s) <= WINDOW_S / 0.1 + 1
+
+
 class TestRestart:
     # Guards against: each start of a process hands out its share of a window once more.
     @pytest.mark.parametrize("lives", [2, 10, 100])
