--- a/src/leadhollow/control/limit_relay.py
+++ b/src/leadhollow/control/limit_relay.py
@@ -246,7 +246,7 @@
         if term != self._ledger_term:
             self._ledger = self._new_ledger()
             self._ledger_term = term
-        self._entry_count.record(self._live_entries())
+        self._entry_count.record(self._live_entries(), confirmed=True)
         servers = self._limited_servers()
         leases_by_replica: dict[str, list[LimitLease]] = {}
         for relayed_by, request in requests:
--- a/src/leadhollow/membership/entry_count.py
+++ b/src/leadhollow/membership/entry_count.py
@@ -32,7 +32,7 @@
         self._counts: deque[tuple[float, int]] = deque()  # (time, count), counts decreasing
         self._confirmed_since_s: float | None = None
 
-    def record(self, count: int, *, confirmed: bool = True) -> None:
+    def record(self, count: int, *, confirmed: bool) -> None:
         """Record the number of live entries that a replica reported.
 
         Parameters
