Bound requests between replicas in bytes, so that a lost disk is caught up

The missing entries, 21 MB, made one frame; the receiver rejects frames above 20 MiB by closing the connection, and the leader sent the same request again for ever.

A follower has one unanswered request at most. A change above 4 MiB is refused with 324. The sender refuses its own too large frames, with a log line and a counter. Followers that are behind are logged, counted and listed by status.

Each request now costs a bounded time and its answer moves the follower's index.

--- a/src/leadhollow/cli/status_commands.py
+++ b/src/leadhollow/cli/status_commands.py
@@ -8,7 +8,7 @@
 from leadhollow.cli.operator_command import OperatorCommand, operator_options
 from leadhollow.cli.output import print_json, print_table, print_text
 from leadhollow.codes import Code
-from leadhollow.state.operator_replies import DomainStatus
+from leadhollow.state.operator_replies import DomainStatus, FollowerStatus
 
 
 class StatusCommand(OperatorCommand):
@@ -33,6 +33,11 @@
             ("FAILURE DOMAIN", "CONNECTED", "REVISION", "DAEMONS", "BEHIND", "LEASE", "SERVING"),
             [_domain_row(domain) for domain in status.domains],
         )
+        if status.followers:
+            print_table(
+                ("REPLICA", "ENTRIES BEHIND", "BYTES BEHIND", "NO PROGRESS MS", "SILENT MS"),
+                [_follower_row(follower) for follower in status.followers],
+            )
         return 0
 
 
@@ -128,6 +133,16 @@
     return "\n".join(lines) + "\n"
 
 
+def _follower_row(follower: FollowerStatus) -> tuple[str, ...]:
+    return (
+        follower.replica,
+        str(follower.entries_behind),
+        str(follower.bytes_behind),
+        str(follower.progress_age_ms) if follower.entries_behind else "-",
+        str(follower.silent_ms),
+    )
+
+
 def _domain_row(domain: DomainStatus) -> tuple[object, ...]:
     serving = ", ".join(
         f"{line.name} {line.version} {line.free_slots}/{line.slots} free".replace("  ", " ")
--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -82,6 +82,7 @@
         "An opposite order was accepted after this one had been sent; nothing was changed.",
     )
     DOMAIN_UNKNOWN = (323, 404, "The deployment has no such failure domain.")
+    COMMAND_TOO_LARGE = (324, 413, "The change is larger than the log takes; nothing was written.")
     SHEET_INVALID = (315, 400, "An import sheet is malformed; nothing of it was applied.")
 
     REQUEST_MALFORMED = (401, 400, "The request is not valid HTTP or JSON of the expected form.")
--- a/src/leadhollow/observe/process_metrics.py
+++ b/src/leadhollow/observe/process_metrics.py
@@ -32,6 +32,7 @@
             self._metrics.gauge("process.resident_bytes", resident_bytes())
             self._metrics.gauge("wire.control_sent_bytes", self._traffic.control_sent_bytes)
             self._metrics.gauge("wire.control_received_bytes", self._traffic.control_received_bytes)
+            self._metrics.gauge("wire.frames_refused", self._traffic.frames_refused)
 
 
 def resident_bytes() -> int:
--- a/src/leadhollow/process.py
+++ b/src/leadhollow/process.py
@@ -78,6 +78,7 @@
         self.kernel.register("catalog", self._make_catalog, needs=("wire",))
         if settings.has_role(Role.STATE):
             self.kernel.register("state", self._make_state, needs=("wire",))
+            self.kernel.register("follower-metrics", self._make_follower_metrics, needs=("state",))
             self.kernel.register("operators", self._make_operators, needs=("state",))
             self.kernel.register("suspects", self._make_suspects, needs=("wire",))
         if settings.has_role(Role.DOMAIN):
@@ -103,6 +104,13 @@
 
         return StateService(settings=self.settings, peers=self.peers, handlers=self.handlers)
 
+    def _make_follower_metrics(self) -> Service:
+        from leadhollow.state.follower_metrics import FollowerMetrics
+        from leadhollow.state.service import StateService
+
+        replica = self.kernel.get("state", StateService).replica
+        return FollowerMetrics(metrics=self.metrics, replica=replica)
+
     def _make_suspects(self) -> Service:
         from leadhollow.control.suspect_relay import SuspectRelay
         from leadhollow.control.suspect_stream import SuspectStream
--- a/src/leadhollow/state/commands.py
+++ b/src/leadhollow/state/commands.py
@@ -11,6 +11,9 @@
 from leadhollow.state.voters import ChangeVoters
 from leadhollow.weights.named_versions import PieceManifest
 
+MAX_COMMAND_BYTES = 4 * 1024 * 1024
+"""Disks of control VMs hold a few times as much. A route takes some 50 bytes of it."""
+
 
 class RowEdit(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Edit of one row.
@@ -206,6 +209,21 @@
     return _encoder.encode(value)
 
 
+def encode_bounded(command: Command) -> Result[bytes, Failure]:
+    """Encode a command that is to be replicated.
+
+    Errors
+    ------
+    COMMAND_TOO_LARGE
+        The detail names the size and the limit.
+    """
+    encoded = encode(command)
+    if len(encoded) > MAX_COMMAND_BYTES:
+        detail = f"{len(encoded)} bytes once encoded, {MAX_COMMAND_BYTES} are allowed"
+        return Err(Failure(code=Code.COMMAND_TOO_LARGE, detail=detail))
+    return Ok(encoded)
+
+
 def decode_command(data: bytes) -> Result[Command, Failure]:
     """Decode a command.
 
@@ -251,4 +269,5 @@
     "decode_answer",
     "decode_command",
     "encode",
+    "encode_bounded",
 ]
--- a/src/leadhollow/state/files.py
+++ b/src/leadhollow/state/files.py
@@ -22,9 +22,16 @@
     return RECORD_HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
 
-def read_record(data: bytes | memoryview, offset: int) -> bytes | None:
+def read_record(
+    data: bytes | memoryview, offset: int, *, max_bytes: int = MAX_RECORD_BYTES
+) -> bytes | None:
     """Read the record at an offset.
 
+    Parameters
+    ----------
+    max_bytes
+        Longest payload; a greater length counts as damage.
+
     Returns
     -------
     bytes or None
@@ -34,7 +41,7 @@
         return None
     length, checksum = RECORD_HEADER.unpack_from(data, offset)
     start = offset + RECORD_HEADER.size
-    if not 0 < length <= MAX_RECORD_BYTES or start + length > len(data):
+    if not 0 < length <= max_bytes or start + length > len(data):
         return None
     payload = bytes(data[start : start + length])
     return payload if zlib.crc32(payload) == checksum else None
@@ -86,7 +93,9 @@
         return Ok(None)
     except OSError as error:
         return Err(Failure(code=Code.DISK_FAILED, detail=f"{path.name}: {error}"))
-    payload = read_record(data, len(FILE_MAGIC)) if data.startswith(FILE_MAGIC) else None
+    payload = None
+    if data.startswith(FILE_MAGIC):
+        payload = read_record(data, len(FILE_MAGIC), max_bytes=len(data))
     if payload is None or len(FILE_MAGIC) + RECORD_HEADER.size + len(payload) != len(data):
         return Err(Failure(code=Code.SNAPSHOT_DAMAGED, detail=f"{path.name} is damaged"))
     return Ok(payload)
@@ -103,6 +112,7 @@
 
 __all__ = [
     "FILE_MAGIC",
+    "MAX_RECORD_BYTES",
     "RECORD_HEADER",
     "pack_record",
     "read_file",
--- a/src/leadhollow/state/following.py
+++ b/src/leadhollow/state/following.py
@@ -14,11 +14,13 @@
 from leadhollow.state.leadership import Leadership
 from leadhollow.state.log_store import Entry, Snapshot, Vote
 from leadhollow.state.replica_state import VOTE_BLOCKED, ReplicaRole, ReplicaState, now_s
+from leadhollow.state.request_parts import PartAssembler
 from leadhollow.state.rules import first_conflict, log_is_current, may_grant_vote
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import (
     AppendReply,
     AppendRequest,
+    RequestPart,
     SnapshotRequest,
     StateProbe,
     StateProbeReply,
@@ -33,18 +35,20 @@
 class FollowerHandlers:
     """Handles vote, append, snapshot and probe requests for one replica."""
 
-    __slots__ = ("_caught_up_target", "_leadership", "_state")
+    __slots__ = ("_caught_up_target", "_leadership", "_parts", "_state")
 
     def __init__(self, *, state: ReplicaState, leadership: Leadership) -> None:
         self._state = state
         self._leadership = leadership
         self._caught_up_target = 0
+        self._parts = PartAssembler()
 
     def register(self, handlers: HandlerTable) -> None:
         """Register the handlers of requests from other replicas."""
         handlers.on_call(VoteRequest, self._on_vote)
         handlers.on_call(AppendRequest, self._on_append)
         handlers.on_call(SnapshotRequest, self._on_snapshot)
+        handlers.on_call(RequestPart, self._on_part)
         handlers.on_call(StateProbe, self._on_probe)
 
     async def _on_probe(
@@ -161,6 +165,30 @@
             state.applied_index = request.last_index
         return Ok(AppendReply(state.term, True, request.last_index))
 
+    async def _on_part(
+        self, part: RequestPart, connection: Connection
+    ) -> Result[AppendReply, Failure]:
+        if self._is_misaddressed(part.replica):
+            return Err(Failure(code=Code.REPLICA_OTHER))
+        if self._state.failed:
+            return Err(Failure(code=Code.DISK_FAILED))
+        return await self._state.transitions.run(lambda: self._receive_part(part))
+
+    async def _receive_part(self, part: RequestPart) -> Result[AppendReply, Failure]:
+        state = self._state
+        if not await self._accept_leader(part.term, part.leader):
+            return Ok(AppendReply(state.term, False, 0))
+        added = self._parts.add(part)
+        if added.is_err():
+            log.warning("part of a request rejected", failure=str(added.unwrap_err()))
+            return Err(added.unwrap_err())
+        request = added.unwrap()
+        if isinstance(request, AppendRequest):
+            return await self._append(request)
+        if isinstance(request, SnapshotRequest):
+            return await self._install_snapshot(request)
+        return Ok(AppendReply(state.term, True, 0, self._parts.received_bytes))
+
     async def _accept_leader(self, term: int, leader: str) -> bool:
         """Follow the sender of a request of the current or a later term.
 
--- a/src/leadhollow/state/gateway.py
+++ b/src/leadhollow/state/gateway.py
@@ -9,7 +9,14 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.kernel.active_time import active_s, active_timeout
-from leadhollow.state.commands import AnyAnswer, Command, decode_answer, decode_command, encode
+from leadhollow.state.commands import (
+    AnyAnswer,
+    Command,
+    decode_answer,
+    decode_command,
+    encode,
+    encode_bounded,
+)
 from leadhollow.state.replica import AppliedCommand, Replica, ReplicaRole
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import (
@@ -46,9 +53,12 @@
         ------
         EDIT_UNKNOWN
             It may have been written, and may yet be committed.
-        NO_MAJORITY
+        NO_MAJORITY, COMMAND_TOO_LARGE
             Nothing was written.
         """
+        encoded = encode_bounded(command)
+        if encoded.is_err():
+            return Err(encoded.unwrap_err())
         deadline_s = active_s() + timeout_s
         may_be_written = False
         while True:
@@ -56,7 +66,7 @@
             if left_s <= 0:
                 code = Code.EDIT_UNKNOWN if may_be_written else Code.NO_MAJORITY
                 return Err(Failure(code=code))
-            answered = await self._propose_once(command, left_s)
+            answered = await self._propose_once(command, encoded.unwrap(), left_s)
             if answered.is_ok():
                 return answered
             failure = answered.unwrap_err()
@@ -102,7 +112,9 @@
                 return voter.address
         return None
 
-    async def _propose_once(self, command: Command, left_s: float) -> Result[AnyAnswer, Failure]:
+    async def _propose_once(
+        self, command: Command, encoded: bytes, left_s: float
+    ) -> Result[AnyAnswer, Failure]:
         if self._replica.role is ReplicaRole.LEADER:
             applied = await self._propose_local(command, left_s)
             return Ok(applied.unwrap().answer) if applied.is_ok() else Err(applied.unwrap_err())
@@ -118,7 +130,7 @@
             return Err(Failure(code=Code.NO_MAJORITY, detail=detail))
         if connected.is_err():
             return Err(Failure(code=Code.NO_MAJORITY, detail=str(connected.unwrap_err())))
-        request = ProposeRequest(encode(command))
+        request = ProposeRequest(encoded)
         left_s -= active_s() - began_s
         reply = await connected.unwrap().call(request, timeout_ms=max(0.0, left_s) * 1000)
         if reply.is_err():
--- a/src/leadhollow/state/leadership.py
+++ b/src/leadhollow/state/leadership.py
@@ -16,10 +16,11 @@
 from leadhollow.kernel import active_time
 from leadhollow.kernel.active_time import active_timeout
 from leadhollow.observe.logs import get_logger
-from leadhollow.state.commands import Command, TermStart, encode
-from leadhollow.state.log_store import Entry
+from leadhollow.state.commands import Command, TermStart, encode, encode_bounded
+from leadhollow.state.follower_progress import FollowerProgress
+from leadhollow.state.follower_requests import FollowerRequests
+from leadhollow.state.log_store import Entry, fitting_count
 from leadhollow.state.replica_state import (
-    CALL_TIMEOUT_MS,
     AppliedCommand,
     ReplicaRole,
     ReplicaState,
@@ -29,15 +30,10 @@
 )
 from leadhollow.state.rules import committed_index, majority_index, quorum_size
 from leadhollow.state.voters import ChangeVoters, Voter
-from leadhollow.wire.generated.ttypes import (
-    AppendReply,
-    AppendRequest,
-    LogEntry,
-    SnapshotRequest,
-    StandNow,
-)
+from leadhollow.wire.generated.ttypes import StandNow
 
-ENTRIES_PER_APPEND = 256
+ENTRIES_PER_WRITE = 256
+WRITE_BYTES = 1024 * 1024  # written and synced at once
 LEARNER_TIMEOUT_S = 10.0  # replication to a learner stops this long after its last join request
 DISK_STALL_S = 0.4  # far above the time of a sync: 0.5 ms, on a slow disk 12 ms
 
@@ -45,57 +41,17 @@
 
 
 class _Proposal:
+    """A command that waits to be written, encoded, and the future of its result."""
+
     __slots__ = ("command", "done")
 
     def __init__(
-        self, *, command: Command, done: asyncio.Future[Result[AppliedCommand, Failure]]
+        self, *, command: bytes, done: asyncio.Future[Result[AppliedCommand, Failure]]
     ) -> None:
         self.command = command
         self.done = done
 
 
-class FollowerProgress:
-    """What the leader knows of another replica's log and when it last answered.
-
-    Parameters
-    ----------
-    peer
-        The other replica, a voter or a learner.
-    next_index
-        Index of the first entry to send.
-
-    Attributes
-    ----------
-    match_index
-        Highest index up to which its log is known to match the leader's.
-    acknowledged_s
-        Send time of the last request that it answered, see :func:`now_s`.
-    acknowledged_active_s
-        The same in active time.
-    last_join_s
-        Active time of its last join request.
-    """
-
-    __slots__ = (
-        "acknowledged_active_s",
-        "acknowledged_s",
-        "last_join_s",
-        "match_index",
-        "next_index",
-        "peer",
-        "task",
-    )
-
-    def __init__(self, *, peer: Voter, next_index: int) -> None:
-        self.peer = peer
-        self.next_index = next_index
-        self.match_index = 0
-        self.acknowledged_s = 0.0
-        self.acknowledged_active_s = 0.0
-        self.last_join_s = 0.0
-        self.task: asyncio.Task[None] | None = None
-
-
 class Leadership:
     """The leader role of a replica; idle while another replica leads.
 
@@ -110,6 +66,7 @@
         "_confirmations",
         "_followers",
         "_proposals",
+        "_requests",
         "_state",
         "_tasks",
         "_transferring",
@@ -120,6 +77,7 @@
 
     def __init__(self, *, state: ReplicaState) -> None:
         self._state = state
+        self._requests = FollowerRequests(state=state)
         self._followers: dict[str, FollowerProgress] = {}
         self._proposals: list[_Proposal] = []
         self._confirmations: list[tuple[float, asyncio.Future[bool]]] = []
@@ -170,10 +128,15 @@
             Nothing was written.
         EDIT_UNKNOWN
             The lead was lost before the entry was committed; it may still be committed.
+        COMMAND_TOO_LARGE
+            Nothing was written.
         """
         if self._state.role is not ReplicaRole.LEADER or self._state.failed or self._transferring:
             return Err(Failure(code=Code.NOT_LEADER))
-        return await self._enqueue(command)
+        encoded = encode_bounded(command)
+        if encoded.is_err():
+            return Err(encoded.unwrap_err())
+        return await self._enqueue(encoded.unwrap())
 
     async def confirm_leadership(self, timeout_s: float) -> Result[int, Failure]:
         """Confirm the leadership by a round trip to a majority that starts now.
@@ -268,9 +231,9 @@
         self._proposals = []
         self._wake_writer = asyncio.Event()
         self._wake_followers = asyncio.Event()
-        self._enqueue(TermStart())
+        self._enqueue(encode(TermStart()))
         if not state.fixed_voters and state.voters.current.index == 0:
-            self._enqueue(ChangeVoters(voters=state.voters.current.voters))
+            self._enqueue(encode(ChangeVoters(voters=state.voters.current.voters)))
         start_task(self._tasks, self._write_proposals(state.term))
         self.sync_followers()
 
@@ -294,7 +257,7 @@
                 confirmed.set_result(False)
         self._confirmations = []
 
-    def _enqueue(self, command: Command) -> asyncio.Future[Result[AppliedCommand, Failure]]:
+    def _enqueue(self, command: bytes) -> asyncio.Future[Result[AppliedCommand, Failure]]:
         done: asyncio.Future[Result[AppliedCommand, Failure]] = (
             asyncio.get_running_loop().create_future()
         )
@@ -363,12 +326,14 @@
         return True
 
     def _next_batch(self, term: int) -> list[Entry]:
-        batch = self._proposals[:ENTRIES_PER_APPEND]
-        self._proposals = self._proposals[ENTRIES_PER_APPEND:]
+        sizes = [len(proposal.command) for proposal in self._proposals[:ENTRIES_PER_WRITE]]
+        count = fitting_count(sizes, WRITE_BYTES)
+        batch = self._proposals[:count]
+        self._proposals = self._proposals[count:]
         first = self._state.store.last_index + 1
         entries = []
         for index, proposal in enumerate(batch, start=first):
-            entries.append(Entry(index, term, encode(proposal.command)))
+            entries.append(Entry(index, term, proposal.command))
             self._state.pending[index] = proposal.done
         return entries
 
@@ -381,18 +346,21 @@
         while self._leads(term):
             wake = self._wake_followers
             sent_s, sent_active_s = now_s(), active_time.active_s()
-            reply = await self._send(follower, term)
+            answered = await self._requests.send_next(follower, term)
             if not self._leads(term):
                 return
-            if reply is not None:
+            self._log_distance(follower)
+            if answered.is_ok():
+                reply = answered.unwrap()
                 if reply.term > term:
                     await self._state.adopt_term(reply.term)
                     return
                 follower.acknowledged_s = sent_s
                 follower.acknowledged_active_s = sent_active_s
                 self._resolve_confirmations()
-                self._update_match(follower, reply, term)
-                if follower.next_index <= self._state.store.last_index:
+                if self._requests.record_reply(follower, reply):
+                    self._advance_commit(term)
+                if follower.parted or follower.next_index <= self._state.store.last_index:
                     continue
             try:
                 async with asyncio.timeout(self._state.timing.heartbeat_ms / 1000):
@@ -400,47 +368,9 @@
             except TimeoutError:
                 continue
 
-    async def _send(self, follower: FollowerProgress, term: int) -> AppendReply | None:
-        state = self._state
-        next_index = follower.next_index
-        previous_term = state.store.term_at(next_index - 1)
-        request: SnapshotRequest | AppendRequest
-        if previous_term is None:
-            snapshot = state.store.snapshot
-            request = SnapshotRequest(
-                term,
-                state.vm,
-                snapshot.last_index,
-                snapshot.last_term,
-                snapshot.data,
-                snapshot.voters,
-                follower.peer.replica,
-            )
-        else:
-            entries = [
-                LogEntry(entry.index, entry.term, entry.command)
-                for entry in state.store.entries_from(next_index, limit=ENTRIES_PER_APPEND)
-            ]
-            request = AppendRequest(
-                term,
-                state.vm,
-                next_index - 1,
-                previous_term,
-                entries,
-                state.commit_index,
-                follower.peer.replica,
-            )
-        address = follower.peer.address
-        reply = await state.peers.call(address, request, timeout_ms=CALL_TIMEOUT_MS)
-        return reply.unwrap() if reply.is_ok() else None
-
-    def _update_match(self, follower: FollowerProgress, reply: AppendReply, term: int) -> None:
-        if not reply.success:
-            follower.next_index = max(min(follower.next_index - 1, reply.match_index + 1), 1)
-            return
-        follower.match_index = max(follower.match_index, reply.match_index)
-        follower.next_index = follower.match_index + 1
-        self._advance_commit(term)
+    def _log_distance(self, follower: FollowerProgress) -> None:
+        store = self._state.store
+        follower.log_distance(store.last_index, store.bytes_after(follower.match_index))
 
     def _majority_acknowledged_s(self) -> float:
         """Return the latest time at which a majority of voters is known to have followed."""
@@ -506,4 +436,4 @@
             self._wake_all_followers()  # sends the commit index before the next heartbeat
 
 
-__all__ = ["FollowerProgress", "Leadership"]
+__all__ = ["Leadership"]
--- a/src/leadhollow/state/log_store.py
+++ b/src/leadhollow/state/log_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 from typing import BinaryIO
 
@@ -29,6 +29,8 @@
 LOG_FILE = "entries.log"
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
+ENTRY_OVERHEAD_BYTES = 24  # index, term and the lengths of the fields
+REWRITE_RECORD_BYTES = 4 * 1024 * 1024  # a single record of a long log would be unreadable
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
@@ -74,6 +76,11 @@
 _batch_decoder = msgspec.msgpack.Decoder(list[Entry])
 
 
+def entry_bytes(entry: Entry) -> int:
+    """Return the approximate size of an entry on disk and on the wire."""
+    return len(entry.command) + ENTRY_OVERHEAD_BYTES
+
+
 class _LogContents:
     """In-memory copy of the snapshot and the entries on disk.
 
@@ -84,14 +91,41 @@
     ----------
     offsets
         File offset of the record of each entry; entries of one write share a record.
+
+    Attributes
+    ----------
+    sizes
+        Bytes of the entries up to each entry.
     """
 
-    __slots__ = ("entries", "offsets", "snapshot")
+    __slots__ = ("entries", "offsets", "sizes", "snapshot")
 
     def __init__(self, *, snapshot: Snapshot, entries: list[Entry], offsets: list[int]) -> None:
         self.snapshot = snapshot
-        self.entries = entries
-        self.offsets = offsets
+        self.entries: list[Entry] = []
+        self.offsets: list[int] = []
+        self.sizes: list[int] = []
+        self.extend(entries, offsets)
+
+    def extend(self, entries: Sequence[Entry], offsets: Sequence[int]) -> None:
+        """Add entries at the end."""
+        total = self.sizes[-1] if self.sizes else 0
+        for entry in entries:
+            total += entry_bytes(entry)
+            self.sizes.append(total)
+        self.offsets.extend(offsets)
+        self.entries.extend(entries)
+
+    def cut(self, position: int) -> None:
+        """Remove the entries from a position on."""
+        del self.entries[position:]
+        del self.offsets[position:]
+        del self.sizes[position:]
+
+    def bytes_before(self, position: int) -> int:
+        """Return the bytes of the entries before a position."""
+        position = min(position, len(self.sizes))
+        return self.sizes[position - 1] if position > 0 else 0
 
     @property
     def last_index(self) -> int:
@@ -175,6 +209,29 @@
         position = max(0, index - contents.snapshot.last_index - 1)
         return contents.entries[position : position + limit]
 
+    def entries_within(self, index: int, *, limit: int, max_bytes: int) -> list[Entry]:
+        """Return up to ``limit`` entries from an index on that have up to ``max_bytes`` together.
+
+        The first entry is returned whatever its size.
+        """
+        entries = self.entries_from(index, limit=limit)
+        return entries[: fitting_count(map(entry_bytes, entries), max_bytes)]
+
+    def bytes_through(self, index: int) -> int:
+        """Return the bytes of the entries from the snapshot up to an index."""
+        contents = self._contents
+        return contents.bytes_before(index - contents.snapshot.last_index)
+
+    def bytes_after(self, index: int) -> int:
+        """Return the bytes that a log lacks that ends at an index.
+
+        Where the entries are no longer in the log, the snapshot is counted in their place.
+        """
+        contents = self._contents
+        position = index - contents.snapshot.last_index
+        missing = contents.bytes_before(len(contents.sizes)) - contents.bytes_before(position)
+        return missing if position >= 0 else missing + len(contents.snapshot.data)
+
     def open(self) -> Result[None, Failure]:
         """Read vote, snapshot and entries; an incomplete record at the end is cut off.
 
@@ -215,8 +272,7 @@
         except OSError as error:
             self._undo_write(start)
             return Err(Failure(code=Code.DISK_FAILED, detail=str(error)))
-        self._contents.offsets.extend([start] * len(entries))
-        self._contents.entries.extend(entries)
+        self._contents.extend(entries, [start] * len(entries))
         return Ok(None)
 
     def truncate_from(self, index: int) -> Result[None, Failure]:
@@ -235,8 +291,7 @@
             os.fsync(self._file.fileno())
         except OSError as error:
             return Err(Failure(code=Code.DISK_FAILED, detail=str(error)))
-        del contents.entries[position:]
-        del contents.offsets[position:]
+        contents.cut(position)
         return Ok(None)
 
     def save_vote(self, vote: Vote) -> Result[None, Failure]:
@@ -332,8 +387,7 @@
                     f"{LOG_FILE}: entry {entry.index} after {self.last_index} at offset {offset}"
                 )
                 return Err(Failure(code=Code.LOG_DAMAGED, detail=detail))
-            self._contents.offsets.append(offset)
-            self._contents.entries.append(entry)
+            self._contents.extend([entry], [offset])
         return Ok(None)
 
     def _open_at(self, offset: int) -> Result[None, Failure]:
@@ -350,9 +404,12 @@
         path = self._folder / LOG_FILE
         temporary = path.with_name(path.name + ".new")
         content = FILE_MAGIC
-        offsets = [len(FILE_MAGIC)] * len(remaining)
-        if remaining:
-            content += pack_record(msgspec.msgpack.encode(remaining))
+        offsets: list[int] = []
+        while len(offsets) < len(remaining):
+            rest = remaining[len(offsets) :]
+            batch = rest[: fitting_count(map(entry_bytes, rest), REWRITE_RECORD_BYTES)]
+            offsets += [len(content)] * len(batch)
+            content += pack_record(msgspec.msgpack.encode(batch))
         try:
             with temporary.open("wb") as file:
                 file.write(content)
@@ -377,6 +434,18 @@
             log.error("cannot truncate the log after a failed write", error=str(error))
 
 
+def fitting_count(sizes: Iterable[int], max_bytes: int) -> int:
+    """Return how many of the first items fit into ``max_bytes`` together, at least one."""
+    total = 0
+    count = 0
+    for size in sizes:
+        total += size
+        if count and total > max_bytes:
+            break
+        count += 1
+    return count
+
+
 def _decode_record(payload: bytes) -> list[Entry]:
     """Decode the entries of a record; earlier releases wrote one entry per record."""
     try:
@@ -385,4 +454,4 @@
         return [_entry_decoder.decode(payload)]
 
 
-__all__ = ["Entry", "LogStore", "Snapshot", "Vote"]
+__all__ = ["Entry", "LogStore", "Snapshot", "Vote", "entry_bytes", "fitting_count"]
--- a/src/leadhollow/state/operator_replies.py
+++ b/src/leadhollow/state/operator_replies.py
@@ -65,8 +65,34 @@
     serving: tuple[VersionStatus, ...] = ()
 
 
+class FollowerStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """How far the log of another replica is behind the leader's.
+
+    Parameters
+    ----------
+    entries_behind, bytes_behind
+        What it is not known to hold.
+    progress_age_ms
+        Time since its log last grew.
+    silent_ms
+        Time since it last answered.
+    """
+
+    replica: str
+    entries_behind: int
+    bytes_behind: int
+    progress_age_ms: int
+    silent_ms: int
+
+
 class StatusReply(msgspec.Struct, frozen=True, kw_only=True):
-    """Status of the system as one state replica knows it."""
+    """Status of the system as one state replica knows it.
+
+    Parameters
+    ----------
+    followers
+        The other replicas; empty unless this one leads.
+    """
 
     vm: str
     role: str
@@ -75,12 +101,14 @@
     voter: bool
     revision: int
     domains: tuple[DomainStatus, ...]
+    followers: tuple[FollowerStatus, ...] = ()
 
 
 __all__ = [
     "STALE_HEADER",
     "DomainStatus",
     "EditReply",
+    "FollowerStatus",
     "RowReply",
     "StatusReply",
     "VersionStatus",
--- a/src/leadhollow/state/replica.py
+++ b/src/leadhollow/state/replica.py
@@ -33,6 +33,10 @@
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 
+LOG_BYTES = 4 * 1024 * 1024
+"""A snapshot is taken once the entries since the last one reach this size, or its size if that is
+larger. It bounds the disk space and the time in which a replica that lost its disk catches up."""
+
 log = get_logger("state")
 
 
@@ -217,10 +221,17 @@
                 if entry is None:
                     break  # covered by a snapshot meanwhile
                 self._apply(entry)
-            applied = state.applied_index - state.store.snapshot.last_index
-            if applied >= state.timing.snapshot_entries and not state.failed:
+            if self._snapshot_due() and not state.failed:
                 await state.transitions.run(self._take_snapshot)
 
+    def _snapshot_due(self) -> bool:
+        state = self._state
+        applied = state.applied_index - state.store.snapshot.last_index
+        if applied >= state.timing.snapshot_entries:
+            return True
+        due_bytes = max(LOG_BYTES, len(state.store.snapshot.data))
+        return applied > 0 and state.store.bytes_through(state.applied_index) >= due_bytes
+
     def _apply(self, entry: Entry) -> None:
         state = self._state
         decoded = decode_command(entry.command)
--- a/src/leadhollow/state/status.py
+++ b/src/leadhollow/state/status.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+from leadhollow.kernel import active_time
 from leadhollow.settings.model import Settings
-from leadhollow.state.operator_replies import DomainStatus, StatusReply, VersionStatus
+from leadhollow.state.operator_replies import (
+    DomainStatus,
+    FollowerStatus,
+    StatusReply,
+    VersionStatus,
+)
+from leadhollow.state.replica import Replica
 from leadhollow.state.service import StateService
 
 
@@ -53,7 +60,25 @@
         voter=replica.vote.voter,
         revision=catalog.revision,
         domains=tuple(domains),
+        followers=tuple(follower_statuses(replica)),
     )
 
 
-__all__ = ["build_status"]
+def follower_statuses(replica: Replica) -> list[FollowerStatus]:
+    """Return how far the other replicas are behind; empty unless this replica leads."""
+    store = replica.store
+    leadership = replica.leadership
+    now_s = active_time.active_s()
+    return [
+        FollowerStatus(
+            replica=follower.peer.replica,
+            entries_behind=store.last_index - follower.match_index,
+            bytes_behind=store.bytes_after(follower.match_index),
+            progress_age_ms=round((now_s - follower.progressed_s) * 1000),
+            silent_ms=round(leadership.silence_s(follower.peer.replica) * 1000),
+        )
+        for follower in leadership.followers()
+    ]
+
+
+__all__ = ["build_status", "follower_statuses"]
--- a/src/leadhollow/wire/codec.py
+++ b/src/leadhollow/wire/codec.py
@@ -80,6 +80,35 @@
     return encoded
 
 
+def encode_body(body: Body) -> bytes:
+    """Encode a body without a frame, see :func:`decode_body`."""
+    parts = _collector.parts
+    del parts[1:]
+    body.write(_protocol)
+    return b"".join(parts)
+
+
+def decode_body(body_number: int, data: bytes) -> Result[Body, Failure]:
+    """Decode a body that was encoded without a frame.
+
+    Errors
+    ------
+    FRAME_MALFORMED
+        The bytes are not a valid body.
+    FRAME_TYPE_UNKNOWN
+        This release does not know the body number.
+    """
+    body_type = BODY_TYPES.get(body_number)
+    if body_type is None:
+        return Err(Failure(code=Code.FRAME_TYPE_UNKNOWN, detail=f"body type {body_number}"))
+    body = body_type()
+    try:
+        body.read(TCompactProtocolAccelerated(TMemoryBuffer(data), fallback=False))
+    except Exception as error:  # the C decoder raises many types on malformed input
+        return Err(Failure(code=Code.FRAME_MALFORMED, detail=type(error).__name__))
+    return Ok(body)
+
+
 def decode_frame(data: bytes) -> Result[Frame, Failure]:
     """Decode a frame without its length prefix.
 
@@ -120,4 +149,12 @@
     )
 
 
-__all__ = ["LENGTH", "MAX_FRAME_BYTES", "Frame", "decode_frame", "encode_frame"]
+__all__ = [
+    "LENGTH",
+    "MAX_FRAME_BYTES",
+    "Frame",
+    "decode_body",
+    "decode_frame",
+    "encode_body",
+    "encode_frame",
+]
--- a/src/leadhollow/wire/connection.py
+++ b/src/leadhollow/wire/connection.py
@@ -21,6 +21,7 @@
 
 READ_BYTES = 256 * 1024
 _FINAL_KINDS = (FrameKind.RESPONSE, FrameKind.END, FrameKind.ERROR)
+_SERVED_KINDS = (FrameKind.RESPONSE, FrameKind.ITEM, FrameKind.END)  # sent by handlers
 
 log = get_logger("wire")
 
@@ -73,18 +74,49 @@
         enable_dead_peer_detection(writer)
         self.peer_name = str(writer.get_extra_info("peername"))
 
-    def write(self, frame: Frame) -> None:
-        """Write a frame without waiting; frames of one loop iteration are sent together."""
+    def write(self, frame: Frame) -> Result[None, Failure]:
+        """Write a frame without waiting; frames of one loop iteration are sent together.
+
+        Errors
+        ------
+        FRAME_TOO_LARGE
+            The peer would reject the frame and close the connection; nothing was written.
+        """
         if self.closed.is_set():
-            return
+            return Ok(None)
         encoded = encode_frame(frame)
+        if len(encoded) - LENGTH.size > MAX_FRAME_BYTES:
+            return Err(self._refuse_frame(frame, len(encoded) - LENGTH.size))
         try:
             self._writer.write(encoded)
         except RuntimeError as error:  # lost in this loop iteration; the reader sees it in the next
             log.info("connection closed", peer=self.peer_name, failure=str(error))
             self.close()
-            return
+            return Ok(None)
         self._handlers.traffic.record_sent(type(frame.body), len(encoded))
+        return Ok(None)
+
+    def _refuse_frame(self, frame: Frame, size_bytes: int) -> Failure:
+        """Log and count a frame above the limit, and tell the peer that its call has failed."""
+        body = type(frame.body).__name__
+        log.error(
+            "frame not sent: too large",
+            peer=self.peer_name,
+            body=body,
+            size_bytes=size_bytes,
+            limit_bytes=MAX_FRAME_BYTES,
+        )
+        self._handlers.traffic.frames_refused += 1
+        failure = Failure(
+            code=Code.FRAME_TOO_LARGE,
+            detail=f"{body} of {size_bytes} bytes, {MAX_FRAME_BYTES} are allowed",
+        )
+        if frame.kind in _SERVED_KINDS:
+            self._write_failure(frame.call_id, failure)
+            task = self._handler_tasks.get(frame.call_id)
+            if task is not None:
+                task.cancel()
+        return failure
 
     @property
     def backlog_bytes(self) -> int:
@@ -118,13 +150,17 @@
             The connection ended first.
         PEER_TIMEOUT
             There was no response in time. Only active time counts. A late response is dropped.
+        FRAME_TOO_LARGE
+            The request or its response is larger than a frame may be.
         """
         if self.closed.is_set():
             return Err(Failure(code=Code.PEER_LOST))
         call_id = self._allocate_call_id()
         response: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
+        written = self.write(Frame(kind=FrameKind.REQUEST, call_id=call_id, body=body))
+        if written.is_err():
+            return Err(written.unwrap_err())
         self._calls[call_id] = response
-        self.write(Frame(kind=FrameKind.REQUEST, call_id=call_id, body=body))
         try:
             async with active_timeout(timeout_ms / 1000):
                 frame = await response
@@ -143,8 +179,11 @@
         if self.closed.is_set():
             stream.put(_peer_lost_frame(call_id))
             return stream
+        written = self.write(Frame(kind=FrameKind.REQUEST, call_id=call_id, body=body))
+        if written.is_err():
+            stream.put(_failure_frame(call_id, written.unwrap_err()))
+            return stream
         self._streams[call_id] = stream
-        self.write(Frame(kind=FrameKind.REQUEST, call_id=call_id, body=body))
         return stream
 
     def oneway(self, body: Body) -> None:
@@ -165,7 +204,11 @@
                 failure = self._process_frames(buffer)
                 self._partial_frame_s = active_s() if buffer else None
                 if failure is not None:
-                    log.warning("connection closed", peer=self.peer_name, failure=str(failure))
+                    log.warning(
+                        "connection closed: frame rejected",
+                        peer=self.peer_name,
+                        failure=str(failure),
+                    )
                     break
         finally:
             self.close()
@@ -314,23 +357,17 @@
         self.write(Frame(kind=FrameKind.END, call_id=frame.call_id, body=result.unwrap()))
 
     def _write_failure(self, call_id: int, failure: Failure) -> None:
-        self.write(
-            Frame(
-                kind=FrameKind.ERROR,
-                call_id=call_id,
-                code=int(failure.code),
-                detail=failure.detail,
-            )
-        )
+        self.write(_failure_frame(call_id, failure))
 
 
-def _peer_lost_frame(call_id: int) -> Frame:
+def _failure_frame(call_id: int, failure: Failure) -> Frame:
     return Frame(
-        kind=FrameKind.ERROR,
-        call_id=call_id,
-        code=int(Code.PEER_LOST),
-        detail=Code.PEER_LOST.meaning,
+        kind=FrameKind.ERROR, call_id=call_id, code=int(failure.code), detail=failure.detail
     )
 
 
+def _peer_lost_frame(call_id: int) -> Frame:
+    return _failure_frame(call_id, Failure(code=Code.PEER_LOST))
+
+
 __all__ = ["CallStream", "Connection", "StreamSink"]
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -11,8 +11,10 @@
 struct VoteRequest { 1: i64 term; 2: string candidate; 3: i64 last_index; 4: i64 last_term; 5: bool pre_vote; 6: optional bool transfer; 7: optional string voter }
 struct VoteReply { 1: i64 term; 2: bool granted }
 struct AppendRequest { 1: i64 term; 2: string leader; 3: i64 previous_index; 4: i64 previous_term; 5: list<LogEntry> entries; 6: i64 commit_index; 7: optional string replica }
-struct AppendReply { 1: i64 term; 2: bool success; 3: i64 match_index }
+struct AppendReply { 1: i64 term; 2: bool success; 3: i64 match_index; 4: optional i64 received_bytes }
 struct SnapshotRequest { 1: i64 term; 2: string leader; 3: i64 last_index; 4: i64 last_term; 5: binary data; 6: optional binary voters; 7: optional string replica }
+// Part of a request between replicas that is too large for one frame; the reply is an AppendReply.
+struct RequestPart { 1: i64 term; 2: string leader; 3: string replica; 4: i64 transfer; 5: i32 body_type; 6: i64 offset; 7: i64 size; 8: binary data }
 struct StandNow { 1: i64 term; 2: string leader }
 struct JoinRequest { 1: string replica; 2: string address; 3: string failure_domain }
 struct JoinReply { 1: string leader_address; 2: list<string> addresses; 3: bool voter }
--- a/src/leadhollow/wire/messages.py
+++ b/src/leadhollow/wire/messages.py
@@ -65,6 +65,7 @@
     72: ttypes.JoinReply,
     73: ttypes.ReadIndexRequest,
     74: ttypes.ReadIndexReply,
+    75: ttypes.RequestPart,
     80: ttypes.FeedWatch,
     81: ttypes.FeedUpdate,
     82: ttypes.FeedProbe,
--- a/src/leadhollow/wire/traffic.py
+++ b/src/leadhollow/wire/traffic.py
@@ -21,6 +21,11 @@
     """Bytes that one process sent and received.
 
     Data frames carry requests and weights; all others are control frames.
+
+    Attributes
+    ----------
+    frames_refused
+        Frames that were not sent because they exceed the size limit.
     """
 
     __slots__ = (
@@ -28,6 +33,7 @@
         "control_sent_bytes",
         "data_received_bytes",
         "data_sent_bytes",
+        "frames_refused",
     )
 
     def __init__(self) -> None:
@@ -35,6 +41,7 @@
         self.control_received_bytes = 0
         self.data_sent_bytes = 0
         self.data_received_bytes = 0
+        self.frames_refused = 0
 
     def record_sent(self, body_type: type[Any], size_bytes: int) -> None:
         """Count an outgoing frame."""
--- a/tests/state/test_log_store.py
+++ b/tests/state/test_log_store.py
@@ -12,6 +12,7 @@
 from leadhollow.codes import Code
 from leadhollow.state.files import (
     FILE_MAGIC,
+    MAX_RECORD_BYTES,
     RECORD_HEADER,
     pack_record,
     read_file,
@@ -88,6 +89,17 @@
         assert store.append(entries(3, 4)).is_ok()
         assert reopen(store, tmp_path).entries == entries(1, 4)
 
+    # Guards against a rewrite in one record too long to be read: the next start lost all.
+    def test_long_log_is_readable_after_a_rewrite(self, store, tmp_path):
+        command = bytes(1024 * 1024)
+        count = MAX_RECORD_BYTES // len(command) + 2
+        for index in range(1, count + 1):
+            assert store.append([Entry(index, 1, command)]).is_ok()
+        assert store.recover().is_ok()
+        again = reopen(store, tmp_path)
+        assert again.last_index == count
+        again.close()
+
     def test_folder_without_a_vote_is_never_used(self, store):
         assert store.never_used
         store.save_vote(Vote(term=1))
@@ -218,6 +230,12 @@
         assert replace_file(tmp_path / "file", b"payload").is_ok()
         assert read_file(tmp_path / "file").unwrap() == b"payload"
 
+    # Guards against a large snapshot that counts as damaged at the next start.
+    def test_payload_longer_than_a_record_of_a_log_is_read_back(self, tmp_path):
+        payload = bytes(MAX_RECORD_BYTES + 1)
+        assert replace_file(tmp_path / "file", payload).is_ok()
+        assert read_file(tmp_path / "file").unwrap() == payload
+
     def test_absent_file_reads_as_none(self, tmp_path):
         assert read_file(tmp_path / "file").unwrap() is None
 
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -12,6 +12,7 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.settings.address import Address
+from leadhollow.wire.codec import MAX_FRAME_BYTES
 from leadhollow.wire.generated.ttypes import (
     Done,
     StateProbe,
@@ -150,6 +151,49 @@
         await eventually(lambda: server_and_pool.cancelled, "the handler to stop")
 
 
+class TestTooLargeFrame:
+    """A frame above the limit, which the peer would answer by closing the connection."""
+
+    # Guards against a sender that never learns why its connection ends.
+    async def test_request_is_refused_and_the_connection_goes_on(self, server_and_pool, caplog):
+        connection = (await server_and_pool.peers.connection(server_and_pool.address)).unwrap()
+        body = StateProbe("x" * (MAX_FRAME_BYTES + 1))
+        refused = await connection.call(body, timeout_ms=5_000)
+        assert refused.unwrap_err().code is Code.FRAME_TOO_LARGE
+        streamed = await connection.stream(ViewWatch(body.vm)).next(timeout_ms=5_000)
+        assert streamed.unwrap_err().code is Code.FRAME_TOO_LARGE
+        assert (await connection.call(StateProbe("x"), timeout_ms=5_000)).is_ok()
+        logged = next(record for record in caplog.records if "too large" in record.message)
+        assert logged.fields["body"] == "StateProbe"
+        assert logged.fields["size_bytes"] > MAX_FRAME_BYTES
+
+    async def test_response_is_refused_and_the_caller_learns_it(self, server_and_pool):
+        async def respond(request, connection):
+            return Ok(StateProbeReply(True, 5, "x" * (MAX_FRAME_BYTES + 1), 0))
+
+        server_and_pool.handlers.on_call(StateProbe, respond)
+        connection = (await server_and_pool.peers.connection(server_and_pool.address)).unwrap()
+        refused = await connection.call(StateProbe("x"), timeout_ms=5_000)
+        assert refused.unwrap_err().code is Code.FRAME_TOO_LARGE
+        assert server_and_pool.handlers.traffic.frames_refused == 1
+        assert not connection.closed.is_set()
+
+    async def test_item_is_refused_and_its_stream_ends(self, server_and_pool):
+        async def send(request, sink):
+            try:
+                await sink.send(ViewUpdate(False, [], ["x" * (MAX_FRAME_BYTES + 1)], []))
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                server_and_pool.cancelled = True
+                raise
+
+        server_and_pool.handlers.on_stream(ViewWatch, send)
+        connection = (await server_and_pool.peers.connection(server_and_pool.address)).unwrap()
+        received = await connection.stream(ViewWatch("x")).next(timeout_ms=5_000)
+        assert received.unwrap_err().code is Code.FRAME_TOO_LARGE
+        await eventually(lambda: server_and_pool.cancelled, "the handler to stop")
+
+
 class TestLargeBody:
     """A body whose transfer over a narrow link takes longer than the timeout for silence."""
 
