Send a request again only while all of its body is held

With Content-Length there was no answer before the deadline.

Cause: after a refusal both forwarders asked only whether the request had run. What they had read of the body beyond the first 256 KiB for the first engine was gone.

Change: ForwardedCall.may_be_sent asks the body, too, in one place for both forwarders; hedges need a body that is held whole. Only the newest attempt reads on from the caller.

The second engine can only be sent bytes that are held from the first byte on, so no piece can be missing.

--- a/src/leadhollow/bench/request_path.py
+++ b/src/leadhollow/bench/request_path.py
@@ -27,6 +27,7 @@
 from leadhollow.experiment.patterns import ENGINE
 from leadhollow.experiment.server_view import ServerView, SingleVersion
 from leadhollow.failure import Failure
+from leadhollow.forward.body_retention import BodyRetention
 from leadhollow.forward.call_regions import CallRegions
 from leadhollow.forward.dialect import ResponseMetadata
 from leadhollow.forward.events import EventSplitter
@@ -132,6 +133,7 @@
         head=head,
         incoming=IncomingBody(pause=lambda: None, resume=lambda: None),
         limit_bytes=BODY_BYTES,
+        retention=BodyRetention(),
     )
     event = b"id: 7\ndata: %b\n\n" % (b"x" * EVENT_BYTES)
     splitter = EventSplitter()
--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -14,6 +14,8 @@
 from leadhollow.routing.model import Organisation, Route
 from leadhollow.routing.ranks import Rank, rank_of
 
+MAX_SENDS = 6  # including sends that servers refused
+
 
 class ForwardedCall:
     """A caller's request and the state of its forwarding.
@@ -151,6 +153,17 @@
             return 0
         return bisect_left(self.ranks, rank_of(self.route, self.organisation))
 
+    def may_be_sent(self) -> bool:
+        """Return whether a backend server may be sent the request now.
+
+        It must not have run, unless it may run again, and all of its body must be held.
+        """
+        if self.sends >= MAX_SENDS or self.attempts >= self.route.attempts:
+            return False
+        if not self.body.replayable:
+            return False
+        return self.attempts == 0 or self.route.repeatable
+
     def record_dispatch(self, instance: str) -> None:
         """Record that the request is sent to a backend server now."""
         self.last_instance = instance
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -11,6 +11,7 @@
 from leadhollow.codes import Code
 from leadhollow.decide.retry_after import RefusalReason
 from leadhollow.failure import Failure
+from leadhollow.forward.body_retention import BodyRetention
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.call_regions import CallRegions
 from leadhollow.forward.dialect import CallDialect, RequestMetadata
@@ -57,6 +58,7 @@
         "_plain",
         "_random",
         "_responder",
+        "_retention",
         "_routes",
         "_server",
         "_stop_grace_s",
@@ -87,6 +89,7 @@
         self._suspects = suspects
         self._responder = responder
         self._stop_grace_s = stop_grace_s
+        self._retention = BodyRetention()
         self._random = random.Random(seed)
         self._server = HttpServer(address=address, handler=self._handle, limits=self._limits)
         self.stopping = False
@@ -144,6 +147,8 @@
         except Exception:
             log.exception("request failed with an exception", request=call.request_id)
             raise
+        finally:
+            call.body.release()
 
     async def _forward(self, call: ForwardedCall) -> None:
         if not self._suspects.quarantine.admits(call):
@@ -185,6 +190,7 @@
             head=request.head,
             incoming=request.body,
             limit_bytes=self._routes.limits.body_bytes,
+            retention=self._retention,
         )
         collected = await body.collect()
         if collected.is_err():
--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -201,14 +201,15 @@
         sender: asyncio.Task[Result[None, Failure]] | None = None
         try:
             headers = self._dialect.dispatch_headers(head, dispatch)
-            for name, value in body.framing_fields:
+            outgoing = body.outgoing()
+            for name, value in outgoing.framing_fields:
                 headers.add(name, value)
             sent_head = RequestHead(method=head.method, target=head.target, headers=headers)
             connection.begin_request(sent_head.encode(), method=head.method)
             if body.complete:
-                await body.send(connection)
+                await outgoing.send(connection)
             else:
-                sender = asyncio.get_running_loop().create_task(body.send(connection))
+                sender = asyncio.get_running_loop().create_task(outgoing.send(connection))
             found = await self._own_response(
                 connection, server, attempt_id, sent_s=limited_sent_s, call=own_call
             )
--- a/src/leadhollow/forward/fingerprint.py
+++ b/src/leadhollow/forward/fingerprint.py
@@ -26,7 +26,7 @@
         Group of the caller, empty on a public route. Its keys may change between attempts.
     """
     fields = (head.method, head.target, organisation.encode(), b"%d" % (body.length or 0))
-    return request_fingerprint(fields, body.buffered)
+    return request_fingerprint(fields, body.beginning)
 
 
 def part_fingerprints(prefix_ids: Sequence[str], *, model: str) -> tuple[bytes, ...]:
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -27,7 +27,6 @@
 from leadhollow.observe.logs import get_logger, log_decision
 
 HEDGE_SHARE = 0.6  # share of the objective after which a repeatable request is hedged
-MAX_SENDS = 6
 MIN_BACKOFF_WAIT_S = 0.02  # between checks while another call probes a server after its back-off
 FAR_PENALTY = 0.5  # added to the relative load of a server in another failure domain
 PEER_BACKOFF_PENALTY = 2.0  # the same for a server that requested back-off from another entry
@@ -174,9 +173,7 @@
     def _may_send(self, call: ForwardedCall) -> bool:
         if self._suspects.quarantine.is_quarantined(call):
             return False
-        if call.sends >= MAX_SENDS or call.attempts >= call.route.attempts:
-            return False
-        return call.attempts == 0 or (call.route.repeatable and call.body.complete)
+        return call.may_be_sent()
 
     def _may_repeat(self, call: ForwardedCall, cause: RepeatCause) -> bool:
         return self._budget.try_acquire(call.service, cause, request=call.request_id)
--- a/src/leadhollow/forward/request_body.py
+++ b/src/leadhollow/forward/request_body.py
@@ -1,4 +1,8 @@
-"""Body of a caller's request: buffered for retries if it is small, else streamed."""
+"""Body of a caller's request: short ones are buffered, long ones are sent while they arrive.
+
+What was read of a long body is kept while the entry has memory for it, so that the request can be
+sent to another server.
+"""
 
 from __future__ import annotations
 
@@ -6,62 +10,81 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.forward.body_retention import BodyRetention
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.client_connection import ClientConnection
 from leadhollow.http1.messages import LAST_CHUNK, Framing, RequestHead, encode_chunk
 
-MAX_BUFFERED_BYTES = 256 * 1024  # requests with a larger body are not retried
+MAX_BUFFERED_BYTES = 256 * 1024  # a longer body is sent while it arrives
 
 
 class RequestBody:
     """Body of one request.
 
+    Parameters
+    ----------
+    limit_bytes
+        Longest body that callers may send.
+    retention
+        Memory for what is read beyond the buffered beginning.
+
     Attributes
     ----------
     complete
-        Whether the complete body is buffered, so that it can be sent again.
+        Whether the complete body is held.
+    replayable
+        Whether nothing that was read of the body has been dropped, so that a server can be sent
+        all of it.
     """
 
     __slots__ = (
-        "_data",
+        "_beginning",
+        "_current",
+        "_ended",
         "_framing",
         "_incoming",
         "_length",
         "_limit_bytes",
         "_received",
+        "_reserved_bytes",
+        "_rest",
+        "_retention",
         "complete",
+        "replayable",
     )
 
-    def __init__(self, *, head: RequestHead, incoming: IncomingBody, limit_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        head: RequestHead,
+        incoming: IncomingBody,
+        limit_bytes: int,
+        retention: BodyRetention,
+    ) -> None:
         self._incoming = incoming
         self._framing = head.framing
         self._limit_bytes = limit_bytes
+        self._retention = retention
         declared = head.headers.get(b"content-length")
         self._length = int(declared) if declared is not None and declared.isdigit() else None
-        self._data = b""
+        self._beginning = b""
+        self._rest: list[bytes] = []
+        self._reserved_bytes = 0
         self._received = 0
+        self._ended = False
+        self._current: OutgoingBody | None = None
         self.complete = False
+        self.replayable = True
 
     @property
-    def buffered(self) -> bytes:
-        """Buffered beginning of the body; all of it if it is complete."""
-        return self._data
+    def beginning(self) -> bytes:
+        """Buffered beginning of the body; all of it if it is short."""
+        return self._beginning
 
     @property
     def length(self) -> int | None:
         """Length in bytes; None if it is not known before the end."""
-        return len(self._data) if self.complete else self._length
-
-    @property
-    def framing_fields(self) -> list[tuple[bytes, bytes]]:
-        """Header fields that frame the body for a backend server."""
-        if self.complete:
-            if not self._data and self._framing is Framing.NONE:
-                return []
-            return [(b"Content-Length", b"%d" % len(self._data))]
-        if self._length is not None:
-            return [(b"Content-Length", b"%d" % self._length)]
-        return [(b"Transfer-Encoding", b"chunked")]
+        return self._received if self.complete else self._length
 
     async def collect(self) -> Result[None, Failure]:
         """Buffer the body, or the beginning of a long one.
@@ -82,40 +105,138 @@
                 return Err(read.unwrap_err())
             data = read.unwrap()
             if not data:
-                self.complete = True
                 break
             parts.append(data)
-        self._data = b"".join(parts)
+        self._beginning = b"".join(parts)
         return Ok(None)
 
+    def outgoing(self) -> OutgoingBody:
+        """Return the body for one attempt.
+
+        Unless the body is complete, only the newest attempt goes on to read from the caller.
+        """
+        self._current = OutgoingBody(body=self)
+        return self._current
+
+    def is_current(self, outgoing: OutgoingBody) -> bool:
+        """Return whether an attempt may read from the caller."""
+        return self._current is outgoing
+
+    def framing_fields(self) -> list[tuple[bytes, bytes]]:
+        """Return the header fields that frame the body for a backend server."""
+        if self.length is None:
+            return [(b"Transfer-Encoding", b"chunked")]
+        if self.length == 0 and self._framing is Framing.NONE:
+            return []
+        return [(b"Content-Length", b"%d" % self.length)]
+
+    def held(self, position: int) -> bytes | None:
+        """Return the piece at a position of what is held, None after the last one."""
+        if position == 0:
+            return self._beginning
+        return self._rest[position - 1] if position <= len(self._rest) else None
+
+    async def read_next(self) -> Result[bytes, Failure]:
+        """Read a piece from the caller and keep it if there is memory; ``b""`` at the end.
+
+        Errors
+        ------
+        BODY_TOO_LARGE, REQUEST_MALFORMED
+            As for :meth:`collect`.
+        """
+        read = await self._next()
+        if read.is_ok() and read.unwrap():
+            self._keep(read.unwrap())
+        return read
+
+    def release(self) -> None:
+        """Drop what is kept beyond the beginning; the request is not sent any more."""
+        self._retention.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+        self._rest = []
+        self._current = None
+
+    def _keep(self, data: bytes) -> None:
+        if self._current is None:
+            return  # released
+        if self.replayable and self._retention.try_reserve(len(data)):
+            self._reserved_bytes += len(data)
+            self._rest.append(data)
+            return
+        self.replayable = False
+        self._retention.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+        self._rest = []
+
+    async def _next(self) -> Result[bytes, Failure]:
+        if self._ended:
+            return Ok(b"")
+        read = await self._incoming.read()
+        if read.is_err():
+            return read
+        data = read.unwrap()
+        self._received += len(data)
+        if self._received > self._limit_bytes:
+            return Err(_too_large(self._limit_bytes))
+        if not data:
+            self._ended = True
+            self.complete = self.replayable
+        return read
+
+
+class OutgoingBody:
+    """The body as one attempt sends it.
+
+    Attributes
+    ----------
+    framing_fields
+        Header fields that frame it.
+    """
+
+    __slots__ = ("_body", "_chunked", "framing_fields")
+
+    def __init__(self, *, body: RequestBody) -> None:
+        self._body = body
+        self._chunked = body.length is None
+        self.framing_fields = body.framing_fields()
+
     async def send(self, connection: ClientConnection) -> Result[None, Failure]:
-        """Send the buffered part and then the rest as it arrives."""
-        chunked = not self.complete and self._length is None
-        await connection.write(encode_chunk(self._data) if chunked else self._data)
-        while not self.complete:
-            read = await self._next()
+        """Send what is held of the body and then the rest as it arrives.
+
+        Errors
+        ------
+        BODY_TOO_LARGE, REQUEST_MALFORMED
+            The caller did not send a whole body; the connection was closed.
+        NOT_SENT
+            Another attempt sends the body now; the connection was closed.
+        """
+        body = self._body
+        position = 0
+        while (piece := body.held(position)) is not None:
+            await self._write(connection, piece)
+            position += 1
+        while not body.complete:
+            if not body.is_current(self):
+                connection.close()
+                return Err(Failure(code=Code.NOT_SENT, detail="another attempt sends the body"))
+            read = await body.read_next()
             if read.is_err():
                 connection.close()
                 return Err(read.unwrap_err())
-            data = read.unwrap()
-            if not data:
+            if not read.unwrap():
                 break
-            await connection.write(encode_chunk(data) if chunked else data)
-        if chunked:
+            await self._write(connection, read.unwrap())
+        if self._chunked:
             await connection.write(LAST_CHUNK)
         return Ok(None)
 
-    async def _next(self) -> Result[bytes, Failure]:
-        read = await self._incoming.read()
-        if read.is_ok():
-            self._received += len(read.unwrap())
-            if self._received > self._limit_bytes:
-                return Err(_too_large(self._limit_bytes))
-        return read
+    async def _write(self, connection: ClientConnection, data: bytes) -> None:
+        if data:
+            await connection.write(encode_chunk(data) if self._chunked else data)
 
 
 def _too_large(limit_bytes: int) -> Failure:
     return Failure(code=Code.BODY_TOO_LARGE, detail=f"more than {limit_bytes} bytes")
 
 
-__all__ = ["RequestBody"]
+__all__ = ["OutgoingBody", "RequestBody"]
--- a/src/leadhollow/forward/stream_forwarder.py
+++ b/src/leadhollow/forward/stream_forwarder.py
@@ -25,8 +25,6 @@
 from leadhollow.observe.logs import get_logger
 from leadhollow.routing.model import ServiceRecord
 
-MAX_SENDS = 6  # including sends that servers refused
-
 log = get_logger("stream")
 
 
@@ -92,7 +90,7 @@
         self._failure = Failure(code=Code.NO_CAPACITY)
         self._relay = StreamRelay(call=call)
         self._hedge = StreamHedge(
-            relay=self._relay, find_engine=self._place_hedge, may_send=self._may_send
+            relay=self._relay, find_engine=self._place_hedge, may_send=self._may_hedge
         )
         self._next_attempt: StreamAttempt | None = None  # a successful hedge
 
@@ -198,7 +196,7 @@
             if self._relay.writing:
                 return  # the caller is slow, which says nothing about the engine
             attempt.record_silence()
-            if self._may_send():
+            if self._may_hedge():
                 self._hedge.start(self._call.request_id, stop_attempt)
 
         monitor = SilenceMonitor(
@@ -252,11 +250,10 @@
         call = self._call
         if self._quarantine.is_quarantined(call):
             return False
-        if call.sends == 0:
-            return True
-        if call.sends >= MAX_SENDS or call.attempts >= call.route.attempts:
-            return False
-        return call.attempts == 0 or (call.route.repeatable and call.body.complete)
+        return call.may_be_sent()
+
+    def _may_hedge(self) -> bool:
+        return self._call.body.complete and self._may_send()
 
     async def _abandon(self) -> None:
         call = self._call
--- a/tests/forward/test_exchange.py
+++ b/tests/forward/test_exchange.py
@@ -12,6 +12,7 @@
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_backoff import ServerBackoff
 from leadhollow.decide.server_load import OwnCall
+from leadhollow.forward.body_retention import BodyRetention
 from leadhollow.forward.dialect import DispatchMetadata
 from leadhollow.forward.exchange import AttemptEnd, BackendClient
 from leadhollow.forward.request_body import RequestBody
@@ -119,7 +120,7 @@
     async def send(self):
         empty = IncomingBody(pause=lambda: None, resume=lambda: None)
         head = RequestHead(method=b"GET", target=b"/", headers=Headers())
-        body = RequestBody(head=head, incoming=empty, limit_bytes=1)
+        body = RequestBody(head=head, incoming=empty, limit_bytes=1, retention=BodyRetention())
         body.complete = True
         return await self.client.send(
             server=self.server,
--- a/tests/forward/test_fingerprint.py
+++ b/tests/forward/test_fingerprint.py
@@ -8,6 +8,7 @@
     FingerprintKind,
     kind_of,
 )
+from leadhollow.forward.body_retention import BodyRetention
 from leadhollow.forward.fingerprint import fingerprint_of, part_fingerprints
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.body import IncomingBody
@@ -23,7 +24,7 @@
     def test_is_that_of_earlier_releases(self):
         head = RequestHead(method=b"POST", target=b"/ask/p?x=1", headers=Headers(items=[]))
         incoming = IncomingBody(pause=lambda: None, resume=lambda: None)
-        body = RequestBody(head=head, incoming=incoming, limit_bytes=100)
+        body = RequestBody(head=head, incoming=incoming, limit_bytes=100, retention=BodyRetention())
         assert fingerprint_of(head, body, organisation="ploughs").hex() == STORED
 
 
--- a/tests/forward/test_silent_connections.py
+++ b/tests/forward/test_silent_connections.py
@@ -8,6 +8,7 @@
 
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_load import OwnCall
+from leadhollow.forward.body_retention import BodyRetention
 from leadhollow.forward.dialect import DispatchMetadata, ResponseMetadata
 from leadhollow.forward.exchange import SILENT_CONNECTION_S, BackendClient
 from leadhollow.forward.pool import ConnectionPool
@@ -76,7 +77,7 @@
     async def send(self) -> bytes:
         empty = IncomingBody(pause=lambda: None, resume=lambda: None)
         head = RequestHead(method=b"GET", target=b"/", headers=Headers())
-        body = RequestBody(head=head, incoming=empty, limit_bytes=1)
+        body = RequestBody(head=head, incoming=empty, limit_bytes=1, retention=BodyRetention())
         body.complete = True
         sent = await self.backend_client.send(
             server=make_server(self.address),
--- /dev/null
+++ b/tests/node/test_long_bodies.py
@@ -0,0 +1,124 @@
+"""Long requests whose server refuses or answers before they are in, through whole entries."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from leadhollow.forward import body_retention
+from tests.node.early_answers import EarlyServer, LongCaller
+from tests.node.site import Site, route
+from tests.support import eventually
+
+SERVERS = 3
+LONG_BYTES = 700_000  # more than an entry buffers of a body
+AT_ONCE_S = 1.0  # the caller's deadline is at 4 s, the route's timeout at 2 s
+
+Work = Callable[[Site, list[EarlyServer]], Awaitable[None]]
+
+
+def run_on_site(
+    folder: Path, work: Work, *, kind: str = "non_idempotent", attempts: int = 1
+) -> None:
+    """Run a test with plain servers of one service and a route to it."""
+    servers = [EarlyServer(instance=f"s-{number}", service="service") for number in range(SERVERS)]
+
+    async def run() -> None:
+        async with Site(folder=folder, servers=servers) as site:
+            await site.put_routes(
+                {**route("/ask/", "service"), "type": kind, "maxAttempts": attempts}
+            )
+
+            async def all_known() -> bool:
+                found = [await site.post("/ask/", b"short") for _ in range(6)]
+                return set(found) == {200} and all(server.ran for server in servers)
+
+            await eventually(all_known, "answers of all servers")
+            await work(site, servers)
+
+    asyncio.run(asyncio.wait_for(run(), 60))
+
+
+def bodies_run(servers: list[EarlyServer]) -> dict[str, str]:
+    return {attempt: found for server in servers for attempt, found in server.ran.items()}
+
+
+@pytest.mark.parametrize("chunked", [True, False], ids=["chunks", "length"])
+class TestRefusedEarly:
+    # Guards against a body that is sent to a second server without what the first one was sent.
+    def test_runs_whole_at_another_server(self, tmp_path, chunked):
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            caller = LongCaller(address=site.callers)
+            for server in servers[:2]:
+                server.early = lambda: 503
+            statuses = [(await caller.request(LONG_BYTES, chunked=chunked))[0] for _ in range(12)]
+            caller.close()
+            assert sum(server.early_answers for server in servers) > 0
+            assert statuses == [200] * 12
+            ran = bodies_run(servers)
+            assert {attempt: ran[attempt] for attempt in caller.sent} == caller.sent
+
+        run_on_site(tmp_path, work)
+
+    # Guards against a refused request that gets no answer, or one that says that it may have run.
+    def test_by_all_servers_is_refused_at_once(self, tmp_path, chunked):
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            caller = LongCaller(address=site.callers)
+            for server in servers:
+                server.early = lambda: 503
+            start_s = time.monotonic()
+            status, head, _ = await caller.request(LONG_BYTES, chunked=chunked)
+            assert time.monotonic() - start_s < AT_ONCE_S
+            assert status == 503
+            assert b"retry-after" in head.lower()
+            for server in servers:
+                server.early = lambda: 0
+            assert (await caller.request(LONG_BYTES, chunked=chunked))[0] == 200
+            caller.close()
+
+        run_on_site(tmp_path, work)
+
+    # Guards against sending the rest of a body of which an entry without memory kept nothing.
+    def test_is_refused_at_once_without_memory_for_its_body(self, tmp_path, chunked, monkeypatch):
+        monkeypatch.setattr(body_retention.BodyRetention, "try_reserve", lambda *_: False)
+
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            for server in servers:
+                server.early = lambda: 503
+            for _ in range(4):
+                caller = LongCaller(address=site.callers)
+                sends = sum(server.early_answers for server in servers)
+                start_s = time.monotonic()
+                status, _, _ = await caller.request(LONG_BYTES, chunked=chunked)
+                assert time.monotonic() - start_s < AT_ONCE_S
+                assert status == 503
+                assert sum(server.early_answers for server in servers) == sends + 1
+                caller.close()
+
+        run_on_site(tmp_path, work)
+
+
+class TestMemory:
+    # Guards against memory of the entry that is never given back.
+    def test_is_free_after_all_requests(self, tmp_path, monkeypatch):
+        made: list[body_retention.BodyRetention] = []
+        monkeypatch.setattr(
+            "leadhollow.forward.caller_listener.BodyRetention",
+            lambda: made.append(body_retention.BodyRetention()) or made[-1],
+        )
+
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            servers[0].early = lambda: 503
+            servers[1].early = lambda: 413
+            servers[1].refuses = False
+            for _ in range(6):
+                caller = LongCaller(address=site.callers)
+                await caller.request(LONG_BYTES, chunked=True)
+                caller.close()
+            await eventually(lambda: made[0].used_bytes == 0, "no memory in use")
+
+        run_on_site(tmp_path, work)
