Let a cancelled reader of a body leave the next reader's wait alone

Cause: IncomingBody had room for one waiter. The task that sent the body is cancelled as the answer is relayed, and the connection begins to read the rest in the same turn of the loop. The cancelled task then cleared the waiter of that read, so nothing woke it.

Change: tasks wait in a Wakeup, where each removes only itself; read_response had the same slot. Reading the rest of a body after its answer ends with idleTimeoutMs, and 1 s after a stop was announced. Buffering the beginning of a body ends at the request's deadline, or after idleTimeoutMs without bytes, with 408.

TestEarlyResponses (three tests) failed before the fix: the first one shows the lost wake-up without any engine, by a reader that is cancelled as the response is sent.

--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -100,6 +100,8 @@
     IDEMPOTENCY_KEY_INVALID = (409, 400, "The idempotency key is empty or too long.")
     DEADLINE_INVALID = (410, 400, "The deadline header is not a positive number.")
 
+    BODY_TIMEOUT = (414, 408, "The request body did not arrive in time; nothing was run.")
+
     FINGERPRINT_UNKNOWN = (412, 404, "No request of this fingerprint is in quarantine.")
     FINGERPRINT_INVALID = (413, 400, "No hexadecimal digits, or more than one request begins so.")
     GROUP_REMOVED = (411, 401, "The group's row was removed while the request waited.")
--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -101,9 +101,7 @@
         self.reply = reply
         self.received_s = received_s
         self.suspended_s = clocks.suspended_s()
-        self.deadline_s = received_s + route.timeout_ms / 1000
-        if metadata.deadline_ms is not None:
-            self.deadline_s = min(self.deadline_s, received_s + metadata.deadline_ms / 1000)
+        self.deadline_s = call_deadline_s(route, metadata, received_s)
         self.is_trial = False
         self.attempts = 0
         self.sends = 0
@@ -201,4 +199,12 @@
         )
 
 
-__all__ = ["ForwardedCall"]
+def call_deadline_s(route: Route, metadata: RequestMetadata, received_s: float) -> float:
+    """Return the loop time at which the route's timeout or the caller's own expires."""
+    timeout_ms: float = route.timeout_ms
+    if metadata.deadline_ms is not None:
+        timeout_ms = min(timeout_ms, metadata.deadline_ms)
+    return received_s + timeout_ms / 1000
+
+
+__all__ = ["ForwardedCall", "call_deadline_s"]
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -12,7 +12,7 @@
 from leadhollow.decide.retry_after import RefusalReason
 from leadhollow.failure import Failure
 from leadhollow.forward.body_retention import BodyRetention
-from leadhollow.forward.call import ForwardedCall
+from leadhollow.forward.call import ForwardedCall, call_deadline_s
 from leadhollow.forward.call_regions import CallRegions
 from leadhollow.forward.dialect import CallDialect, RequestMetadata
 from leadhollow.forward.failure_response import FailureResponder
@@ -192,7 +192,10 @@
             limit_bytes=self._routes.limits.body_bytes,
             retention=self._retention,
         )
-        collected = await body.collect()
+        collected = await body.collect(
+            deadline_s=call_deadline_s(route, metadata, request.received_s),
+            idle_s=self._routes.limits.idle_timeout_ms / 1000,
+        )
         if collected.is_err():
             return Err(collected.unwrap_err())
         service = self._chooser.choose(route, bounds.allowed())
@@ -240,6 +243,8 @@
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
             refusal = RefusalReason.STOPPING if self._closed else RefusalReason.NOT_READY
             retry_after_s = refusal.retry_after_s(self._random)
+        if failure.code is Code.BODY_TIMEOUT:
+            reply.close_after = True  # nobody knows whether the rest will ever come
         headers = self._dialect.error_headers(failure, retry_after_s)
         body = f"{int(failure.code)} {failure.code.title}\n".encode()
         await reply.send(status, headers, body)
--- a/src/leadhollow/forward/request_body.py
+++ b/src/leadhollow/forward/request_body.py
@@ -14,6 +14,7 @@
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.client_connection import ClientConnection
 from leadhollow.http1.messages import LAST_CHUNK, Framing, RequestHead, encode_chunk
+from leadhollow.kernel.active_time import active_timeout, deadline_at
 
 MAX_BUFFERED_BYTES = 256 * 1024  # a longer body is sent while it arrives
 
@@ -86,21 +87,44 @@
         """Length in bytes; None if it is not known before the end."""
         return self._received if self.complete else self._length
 
-    async def collect(self) -> Result[None, Failure]:
+    async def collect(self, *, deadline_s: float, idle_s: float) -> Result[None, Failure]:
         """Buffer the body, or the beginning of a long one.
 
+        Parameters
+        ----------
+        deadline_s
+            Loop time at which the caller does not wait for a response any more.
+        idle_s
+            Longest active time without bytes.
+
         Errors
         ------
         BODY_TOO_LARGE
             The body is larger than callers may send.
         REQUEST_MALFORMED
             The body ended early or its framing is invalid.
+        BODY_TIMEOUT
+            The body did not arrive in time.
         """
         if self._length is not None and self._length > self._limit_bytes:
             return Err(_too_large(self._limit_bytes))
+        if self._incoming.complete:  # nothing to wait for
+            return await self._collect(idle_s)
+        try:
+            async with deadline_at(deadline_s):
+                return await self._collect(idle_s)
+        except TimeoutError:
+            detail = f"{self._received} bytes came"
+            return Err(Failure(code=Code.BODY_TIMEOUT, detail=detail))
+
+    async def _collect(self, idle_s: float) -> Result[None, Failure]:
         parts = []
         while self._received <= MAX_BUFFERED_BYTES:
-            read = await self._next()
+            if self._incoming.readable:
+                read = await self._next()
+            else:
+                async with active_timeout(idle_s):
+                    read = await self._next()
             if read.is_err():
                 return Err(read.unwrap_err())
             data = read.unwrap()
--- a/src/leadhollow/http1/body.py
+++ b/src/leadhollow/http1/body.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import deque
 from collections.abc import Callable
 
@@ -10,6 +9,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.http1.wakeup import Wakeup
 
 PAUSE_ABOVE_BYTES = 256 * 1024  # reading from the socket pauses above this many unread bytes
 RESUME_BELOW_BYTES = 64 * 1024
@@ -37,7 +37,7 @@
         "_paused",
         "_pieces",
         "_resume",
-        "_waiter",
+        "_wakeup",
         "buffered_bytes",
         "complete",
     )
@@ -48,7 +48,7 @@
         self._resume = resume
         self._paused = False
         self._failure: Failure | None = None
-        self._waiter: asyncio.Future[None] | None = None
+        self._wakeup = Wakeup()
         self.complete = False
         self.buffered_bytes = 0
 
@@ -61,25 +61,30 @@
         if self.buffered_bytes > PAUSE_ABOVE_BYTES and not self._paused:
             self._paused = True
             self._pause()
-        self._wake()
+        self._wakeup.wake()
 
     def finish(self) -> None:
         """Mark the body as complete."""
         if self._failure is None:
             self.complete = True
-        self._wake()
+        self._wakeup.wake()
 
     def fail(self, failure: Failure) -> None:
         """Mark the body as incomplete for good; bytes received before can still be read."""
         if not self.complete and self._failure is None:
             self._failure = failure
-        self._wake()
+        self._wakeup.wake()
 
     @property
     def failed(self) -> bool:
         """Whether the body ended before it was complete."""
         return self._failure is not None
 
+    @property
+    def readable(self) -> bool:
+        """Whether the next read need not wait."""
+        return bool(self._pieces) or self.complete or self.failed
+
     async def read(self) -> Result[bytes, Failure]:
         """Return the next bytes, waiting for them if there are none.
 
@@ -93,11 +98,7 @@
                 return Err(self._failure)
             if self.complete:
                 return Ok(b"")
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
+            await self._wakeup.wait()
         data = self._pieces.popleft()
         self.buffered_bytes -= len(data)
         if self._paused and self.buffered_bytes < RESUME_BELOW_BYTES:
@@ -136,9 +137,5 @@
             self._paused = False
             self._resume()
 
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
 
 __all__ = ["IncomingBody"]
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -23,6 +23,7 @@
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import Framing, ResponseHead, response_framing
+from leadhollow.http1.wakeup import Wakeup
 from leadhollow.kernel import clocks
 from leadhollow.kernel.active_time import active_timeout
 from leadhollow.observe.logs import get_logger
@@ -73,7 +74,7 @@
         "_response",
         "_responses",
         "_transport",
-        "_waiter",
+        "_wakeup",
         "_writable",
         "exchange_count",
         "idle_since_s",
@@ -86,7 +87,7 @@
         self._transport: asyncio.Transport | None = None
         self._responses: deque[IncomingResponse] = deque()
         self._response: IncomingResponse | None = None
-        self._waiter: asyncio.Future[None] | None = None
+        self._wakeup = Wakeup()
         self._failure: Failure | None = None
         self._headers = Headers()
         self._reason = b""
@@ -187,7 +188,7 @@
             self._responses.append(IncomingResponse(head=head, body=body))
         else:
             self._responses.append(self._response)
-        self._wake()
+        self._wakeup.wake()
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
@@ -234,11 +235,7 @@
         while not self._responses:
             if self._failure is not None:
                 return Err(self._failure)
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
+            await self._wakeup.wait()
         return Ok(self._responses.popleft())
 
     def end_exchange(self) -> None:
@@ -280,11 +277,7 @@
             self._response.body.fail(failure)
             self._response = None
         self._writable.set()
-        self._wake()
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        self._wakeup.wake()
 
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -346,33 +346,44 @@
         if not reply.finished:
             reply.abort()
             return True
-        if reply.close_after:
-            await self._linger(request)
-            return True
-        if not request.body.complete:
-            await self._drain_body(request)
-        return request.body.failed
-
-    async def _drain_body(self, request: IncomingRequest) -> None:
-        """Read and drop the rest of a body whose response was sent early."""
-        while not request.body.complete and not request.body.failed:
-            read = await request.body.read()
-            if read.is_err() or not read.unwrap():
-                return
+        if request.body.complete:
+            return reply.close_after
+        linger_s = LINGER_S if reply.close_after else self._idle_s()
+        drained = await self._drain_body(request, linger_s)
+        return reply.close_after or not drained
 
-    async def _linger(self, request: IncomingRequest) -> None:
-        """Drain the request body for a limited time before the connection is closed.
+    async def _drain_body(self, request: IncomingRequest, limit_s: float) -> bool:
+        """Read and drop the rest of a body whose response was sent early.
 
         Closing with unread input would reset the connection, and the caller could lose the
-        response.
+        response. Once the server is about to stop, the rest is read for ``LINGER_S`` at most.
+
+        Parameters
+        ----------
+        limit_s
+            Longest active time that the rest may take.
+
+        Returns
+        -------
+        bool
+            Whether the whole body has arrived.
         """
-        if request.body.complete:
-            return
-        try:
-            async with active_timeout(LINGER_S):
-                await self._drain_body(request)
-        except TimeoutError:
-            return
+        end_s = self._clock.active_s() + limit_s
+        hurries = False
+        while not request.body.complete and not request.body.failed:
+            now_s = self._clock.active_s()
+            if self._is_closing() and not hurries:
+                hurries = True
+                end_s = min(end_s, now_s + LINGER_S)
+            if now_s >= end_s:
+                log.info("connection closed: the rest of a request did not arrive in time")
+                return False
+            try:
+                async with active_timeout(min(end_s - now_s, LINGER_S)):
+                    await request.body.read()
+            except TimeoutError:
+                continue
+        return request.body.complete
 
     async def _send_error(self, transport: asyncio.Transport, status: HTTPStatus) -> None:
         head = RequestHead(method=b"GET", target=b"/", headers=Headers())
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -206,6 +206,58 @@
         assert (await respond_with(write)).startswith(b"HTTP/1.1 %d" % HTTPStatus.BAD_GATEWAY)
 
 
+class TestEarlyResponses:
+    """Responses that are sent before the body of the request is in."""
+
+    @staticmethod
+    async def start(limits: HttpLimits) -> HttpServer:
+        async def handle(request: IncomingRequest, reply: ReplyWriter) -> None:
+            reading = asyncio.create_task(request.body.read_all(10**9))
+            await asyncio.sleep(0.02)
+            reading.cancel()  # its end comes only after the response
+            await reply.send(413 if request.head.method == b"POST" else 200, Headers())
+
+        server = HttpServer(
+            address=Address(host="127.0.0.1", port=0), handler=handle, limits=lambda: limits
+        )
+        assert (await server.start()).is_ok()
+        return server
+
+    # Guards against a cancelled reader of a body that clears the waiter of the next reader.
+    async def test_leave_the_connection_in_use(self):
+        server = await self.start(HttpLimits())
+        caller = await RawCaller.connect(server.address)
+        for _ in range(3):
+            await caller.send(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab")
+            assert (await caller.read_answer())[0].startswith(b"HTTP/1.1 413")
+            await asyncio.sleep(0.05)
+            await caller.send(b"cd")
+            await caller.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await caller.read_answer())[0].startswith(b"HTTP/1.1 200")
+        caller.close()
+        await server.stop()
+
+    # Guards against a caller that never sends the rest of its body and keeps the connection.
+    async def test_close_the_connection_if_the_rest_does_not_come(self):
+        server = await self.start(HttpLimits(idle_timeout_ms=300))
+        caller = await RawCaller.connect(server.address)
+        await caller.send(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab")
+        await caller.read_answer()
+        assert await caller.read_to_end() == b""
+        await server.stop()
+
+    # Guards against a stop that waits for the rest of a body whose response was sent.
+    async def test_do_not_hold_up_a_stop(self):
+        server = await self.start(HttpLimits(idle_timeout_ms=60_000))
+        caller = await RawCaller.connect(server.address)
+        await caller.send(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab")
+        await caller.read_answer()
+        server.announce_close()
+        server.stop_accepting()
+        assert await server.wait_idle(asyncio.get_running_loop().time() + 3.0)
+        await server.stop()
+
+
 class TestShutdown:
     async def test_announces_end_of_connection_to_callers(self, server, recorder):
         caller = await RawCaller.connect(server.address)
--- a/tests/node/early_answers.py
+++ b/tests/node/early_answers.py
@@ -103,12 +103,17 @@
     ----------
     pause_s
         Time between two pieces.
+
+    Attributes
+    ----------
+    sent
+        Digests of the bodies that it sent, by attempt.
     """
 
     def __init__(self, *, address: str, path: str = "/ask/", pause_s: float = 0.0) -> None:
         self._address = Address.parse(address).unwrap()
-        self._path = path
-        self._pause_s = pause_s
+        self.path = path
+        self.pause_s = pause_s
         self._caller: RawCaller | None = None
         self.sent: dict[str, str] = {}
 
@@ -126,7 +131,7 @@
         self.sent[attempt] = digest(body)
         framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {size}"
         head = (
-            f"POST {self._path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n"
+            f"POST {self.path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n"
             f"X-Deadline-Ms: 4000\r\n{framing}\r\n\r\n"
         )
         await self._caller.send(head.encode())
@@ -140,12 +145,25 @@
             sending.cancel()
         return int(answer.split(b" ")[1]), answer, attempt
 
+    async def send_part(self, size: int, *, part: int) -> bytes:
+        """Send the head and a part of a body on a new connection; return all that comes back."""
+        caller = await RawCaller.connect(self._address)
+        attempt = f"{next(_attempts):016x}"
+        self.sent[attempt] = ""
+        await caller.send(
+            f"POST {self.path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n"
+            f"Content-Length: {size}\r\n\r\n".encode() + bytes(part)
+        )
+        received = await caller.read_to_end()
+        caller.close()
+        return received
+
     async def _send_body(self, body: bytes, *, chunked: bool, piece_bytes: int) -> None:
         assert self._caller is not None
         for start in range(0, len(body), piece_bytes):
             piece = body[start : start + piece_bytes]
             await self._caller.send(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
-            await asyncio.sleep(self._pause_s)
+            await asyncio.sleep(self.pause_s)
         if chunked:
             await self._caller.send(b"0\r\n\r\n")
 
--- a/tests/node/test_long_bodies.py
+++ b/tests/node/test_long_bodies.py
@@ -102,6 +102,82 @@
         run_on_site(tmp_path, work)
 
 
+@pytest.mark.parametrize("chunked", [True, False], ids=["chunks", "length"])
+class TestEarlyAnswer:
+    # Guards against a connection that hangs after an answer that came before the body was in.
+    @pytest.mark.parametrize("status", [413, 500, 200])
+    def test_of_a_server_leaves_the_connection_in_use(self, tmp_path, chunked, status):
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            for server in servers:
+                server.early, server.refuses = (lambda: status), False
+            caller = LongCaller(address=site.callers, pause_s=0.005)
+            for _ in range(6):
+                assert (await caller.request(LONG_BYTES, chunked=chunked))[0] == status
+            caller.close()
+
+        run_on_site(tmp_path, work)
+
+    # Guards against the same after an answer of the entry itself.
+    @pytest.mark.parametrize(
+        ("path", "size", "status"),
+        [("/unknown/", LONG_BYTES, 404), ("/keyed/", LONG_BYTES, 401)],
+    )
+    def test_of_the_entry_leaves_the_connection_in_use(self, tmp_path, chunked, path, size, status):
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            groups = [{"name": "g", "apiKeys": ["key"]}]
+            keyed = {**route("/keyed/", "service"), "public": False}
+            await site.put_routes(route("/ask/", "service"), keyed, organisations=groups)
+            await site.pause()
+            caller = LongCaller(address=site.callers, path=path)
+            for _ in range(3):
+                assert (await caller.request(size, chunked=chunked))[0] == status
+            caller.path = "/ask/"
+            assert (await caller.request(LONG_BYTES, chunked=chunked))[0] == 200
+            caller.close()
+
+        run_on_site(tmp_path, work)
+
+    def test_without_servers_leaves_the_connection_in_use(self, tmp_path, chunked):
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            for server in servers:
+                server.silent = True
+                await site.deregister(server)
+            await site.pause()
+            caller = LongCaller(address=site.callers, pause_s=0.005)
+            for _ in range(3):
+                assert (await caller.request(LONG_BYTES, chunked=chunked))[0] == 503
+            caller.close()
+
+        run_on_site(tmp_path, work)
+
+    def test_after_the_time_of_the_route_leaves_the_connection_in_use(self, tmp_path, chunked):
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            caller = LongCaller(address=site.callers, pause_s=0.12)  # 2.6 s a body
+            assert (await caller.request(LONG_BYTES, chunked=chunked))[0] == 504
+            caller.pause_s = 0.0
+            assert (await caller.request(LONG_BYTES, chunked=chunked))[0] == 200
+            caller.close()
+
+        run_on_site(tmp_path, work)
+
+
+class TestUnfinishedBody:
+    # Guards against a caller that never sends the rest and keeps a connection for ever.
+    def test_is_answered_with_408_at_the_time_of_the_route(self, tmp_path):
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            caller = LongCaller(address=site.callers)
+            start_s = time.monotonic()
+            answer = await caller.send_part(100_000, part=10)
+            assert answer.startswith(b"HTTP/1.1 408 ")
+            assert b"connection: close" in answer.lower()
+            assert (
+                time.monotonic() - start_s < 4.0
+            )  # the route's timeout is 2 s, and 1 s is left to read
+            assert not any(attempt in bodies_run(servers) for attempt in caller.sent)
+
+        run_on_site(tmp_path, work)
+
+
 class TestMemory:
     # Guards against memory of the entry that is never given back.
     def test_is_free_after_all_requests(self, tmp_path, monkeypatch):
