Answer a long request by its own fault, and do not blame its server

What callers saw: a body in chunks above maxBodyBytes that was already being sent to a server got 502, and the server counted as failed; a caller whose body was malformed did the same.

Cause: the task that sends the body closes the connection to the server when the caller's body is not valid. The attempt then looked like a lost server.

Change: the body keeps why it failed. Such a request is not sent again, its answer names that reason (413, 400), and neither the server's health nor the suspects are touched.

Evidence: test_of_the_entry_leaves_the_connection_in_use[/ask/-5000000-413-chunks] got 502 before.

--- a/src/leadhollow/forward/call.py
+++ b/src/leadhollow/forward/call.py
@@ -158,7 +158,7 @@
         """
         if self.sends >= MAX_SENDS or self.attempts >= self.route.attempts:
             return False
-        if not self.body.replayable:
+        if not self.body.replayable or self.body.failure is not None:
             return False
         return self.attempts == 0 or self.route.repeatable
 
--- a/src/leadhollow/forward/failure_response.py
+++ b/src/leadhollow/forward/failure_response.py
@@ -56,8 +56,15 @@
         await self._send(call, NOT_RUN_STATUS, failure, retry_after_s)
 
     async def unknown(self, call: ForwardedCall, failure: Failure) -> None:
-        """Respond that the request failed and may have run."""
-        await self._send(call, UNKNOWN_STATUS, failure, None)
+        """Respond that the request failed and may have run.
+
+        Where the caller's own body was the reason, the response says so.
+        """
+        if call.body.failure is None:
+            await self._send(call, UNKNOWN_STATUS, failure, None)
+        else:
+            invalid = call.body.failure
+            await self._send(call, invalid.code.http_status, invalid, None)
 
     def broken_off(self, call: ForwardedCall, failure: Failure) -> None:
         """Abort a response that its backend server did not complete."""
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -355,6 +355,8 @@
             return
         if error.end is AttemptEnd.NOT_SENT:
             server.health.record_unreachable(now_s)
+        elif call.body.failure is not None:
+            server.health.record_inconclusive()
         else:
             server.health.record_failure(now_s)
             self._suspects.record_interruption(server, call)
--- a/src/leadhollow/forward/request_body.py
+++ b/src/leadhollow/forward/request_body.py
@@ -33,6 +33,8 @@
     ----------
     complete
         Whether the complete body is held.
+    failure
+        Why the caller's body is not valid; None while it is.
     replayable
         Whether nothing that was read of the body has been dropped, so that a server can be sent
         all of it.
@@ -51,6 +53,7 @@
         "_rest",
         "_retention",
         "complete",
+        "failure",
         "replayable",
     )
 
@@ -76,6 +79,7 @@
         self._current: OutgoingBody | None = None
         self.complete = False
         self.replayable = True
+        self.failure: Failure | None = None
 
     @property
     def beginning(self) -> bytes:
@@ -197,11 +201,13 @@
             return Ok(b"")
         read = await self._incoming.read()
         if read.is_err():
+            self.failure = read.unwrap_err()
             return read
         data = read.unwrap()
         self._received += len(data)
         if self._received > self._limit_bytes:
-            return Err(_too_large(self._limit_bytes))
+            self.failure = _too_large(self._limit_bytes)
+            return Err(self.failure)
         if not data:
             self._ended = True
             self.complete = self.replayable
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -292,7 +292,8 @@
 
     def _record_attempt_failure(self, error: AttemptFailure) -> Failure:
         if error.may_have_run:
-            self.record_lost(error.failure)
+            if self._call.body.failure is None:
+                self.record_lost(error.failure)
             return error.failure
         self._excluded.instances.add(self.instance)
         if error.end is AttemptEnd.WITHHELD:
--- a/tests/forward/region_entry.py
+++ b/tests/forward/region_entry.py
@@ -212,7 +212,7 @@
         )
         call = ForwardedCall(
             head=SimpleNamespace(),  # type: ignore[arg-type]
-            body=SimpleNamespace(complete=True, replayable=True),  # type: ignore[arg-type]
+            body=SimpleNamespace(complete=True, replayable=True, failure=None),  # type: ignore[arg-type]
             metadata=RequestMetadata(
                 attempt_id=request_id, model="m", prompt_tokens=900, output_tokens=30
             ),
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -258,7 +258,7 @@
         )
         return ForwardedCall(
             head=SimpleNamespace(),  # type: ignore[arg-type]
-            body=SimpleNamespace(complete=True, replayable=True),  # type: ignore[arg-type]
+            body=SimpleNamespace(complete=True, replayable=True, failure=None),  # type: ignore[arg-type]
             metadata=metadata,  # type: ignore[arg-type]
             route=route,  # type: ignore[arg-type]
             service="s",
--- a/tests/node/test_long_bodies.py
+++ b/tests/node/test_long_bodies.py
@@ -120,7 +120,7 @@
     # Guards against the same after an answer of the entry itself.
     @pytest.mark.parametrize(
         ("path", "size", "status"),
-        [("/unknown/", LONG_BYTES, 404), ("/keyed/", LONG_BYTES, 401)],
+        [("/unknown/", LONG_BYTES, 404), ("/keyed/", LONG_BYTES, 401), ("/ask/", 5_000_000, 413)],
     )
     def test_of_the_entry_leaves_the_connection_in_use(self, tmp_path, chunked, path, size, status):
         async def work(site: Site, servers: list[EarlyServer]) -> None:
