Acknowledge a server's departure only once another replica holds it

What callers saw: a server deregisters (or says that it drains) and gets 200; the control replica that answered is killed at that moment, and entries go on sending requests to the server until it exits.

Cause: the replica answered as soon as its own table was changed, and told the others up to 20 ms later. Beside it, an entry ignored the end of a server whose record had a lower sequence than it knew, as a replica writes that has just started.

Change: a departure is answered once as many other replicas confirm it as may be lost at once; without any confirmation within 0.5 s the answer is 503 (325), so the server asks another replica. A record of an ended life is final whatever its sequence.

--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -83,6 +83,11 @@
     )
     DOMAIN_UNKNOWN = (323, 404, "The deployment has no such failure domain.")
     COMMAND_TOO_LARGE = (324, 413, "The change is larger than the log takes; nothing was written.")
+    DEPARTURE_UNCONFIRMED = (
+        325,
+        503,
+        "No other replica confirmed that the server leaves; ask another.",
+    )
     SHEET_INVALID = (315, 400, "An import sheet is malformed; nothing of it was applied.")
 
     REQUEST_MALFORMED = (401, 400, "The request is not valid HTTP or JSON of the expected form.")
--- a/src/leadhollow/control/control_listener.py
+++ b/src/leadhollow/control/control_listener.py
@@ -110,10 +110,17 @@
                 return await self._get_route_table()
             case Announce():
                 self._registry.announce(request.instance)
+                return await self._acknowledge_departure(request.instance.instance)
             case Deregister():
                 self._registry.deregister(request.instance, born_ms=request.born_ms)
+                return await self._acknowledge_departure(request.instance)
         return self._dialect.accepted_response()
 
+    async def _acknowledge_departure(self, instance: str) -> ControlResponse:
+        if await self._registry.confirm_departure(instance):
+            return self._dialect.accepted_response()
+        return self._dialect.error_response(Failure(code=Code.DEPARTURE_UNCONFIRMED))
+
     async def _propose(self, command: Command, *, what: str, number: int) -> ControlResponse:
         proposed = await self._gateway.propose(command, timeout_s=COMMIT_TIMEOUT_S)
         if proposed.is_err():
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -8,9 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections import OrderedDict
 from collections.abc import Callable
 
+from result import Ok, Result
+
+from leadhollow.control.change_replication import ChangeReplication
 from leadhollow.control.replica_directory import ReplicaDirectory
+from leadhollow.failure import Failure
 from leadhollow.kernel import active_time
 from leadhollow.kernel.batching_service import BatchingService
 from leadhollow.membership.instance_table import InstanceTable
@@ -19,7 +24,7 @@
 from leadhollow.membership.reporting import VALID_INTERVALS, report_interval_s
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
-from leadhollow.wire.generated.ttypes import LoadRecord, LoadReport, RegistryPush
+from leadhollow.wire.generated.ttypes import Done, LoadRecord, LoadReport, RegistryPush
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 
@@ -36,6 +41,7 @@
 """How long a replica relays announcements made to it: some heartbeats, and at least 5 s."""
 
 ENTRIES_VALID_S = 4.0
+DEPARTURES_KEPT = 1_024  # servers whose departure was confirmed; a later call asks again
 
 LOAD_VALID_S = 10.0
 """Minimum age after which a load report is dropped.
@@ -112,6 +118,8 @@
         Returns whether the route table in force has a service.
     tells_cold
         Returns whether changes of the cold times of a service's servers are relayed.
+    tolerated_losses
+        Number of replicas that may be lost at once.
     """
 
     __slots__ = (
@@ -119,6 +127,7 @@
         "_announced_here_s",
         "_changed_instances",
         "_changed_loads",
+        "_confirmed_departures",
         "_directory",
         "_listeners",
         "_loads",
@@ -128,6 +137,7 @@
         "_peers",
         "_remote_entries",
         "_replicas",
+        "_replication",
         "_silence_listeners",
         "_started_s",
         "local_entries",
@@ -147,6 +157,7 @@
         naming_times: NamingTimes,
         accepts_service: Callable[[str], bool],
         tells_cold: Callable[[str], bool] = lambda service: False,
+        tolerated_losses: int = 0,
     ) -> None:
         self._own_address = own_address
         self._local_valid_s = max(MIN_LOCAL_VALID_S, LOCAL_VALID_HEARTBEATS * heartbeat_s)
@@ -154,6 +165,13 @@
         self._directory = directory
         self._accepts_service = accepts_service
         self._peers = peers
+        self._replication = ChangeReplication(
+            own_address=own_address,
+            replicas=replicas,
+            peers=peers,
+            tolerated_losses=tolerated_losses,
+        )
+        self._confirmed_departures: OrderedDict[tuple[str, InstanceState], None] = OrderedDict()
         self._loads: dict[str, ReportedLoad] = {}
         self._changed_instances: dict[str, Instance] = {}
         self._changed_loads: set[str] = set()
@@ -169,6 +187,7 @@
         )
         super().__init__(batch_window_s=BATCH_WINDOW_S, refresh_s=REFRESH_S)
         handlers.on_oneway(RegistryPush, self._on_push)
+        handlers.on_call(RegistryPush, self._on_confirmed_push)
         handlers.on_oneway(LoadReport, self._on_load_report)
 
     def on_change(self, listener: ChangeListener) -> None:
@@ -205,6 +224,34 @@
         if gone is not None:
             self._record_change(gone)
 
+    async def confirm_departure(self, instance: str) -> bool:
+        """Make sure that the departure of a server outlives this replica.
+
+        Call it before the server is told that its departure was accepted.
+
+        Returns
+        -------
+        bool
+            False if other replicas exist and none confirmed it in time. True also if the server is
+            not leaving.
+        """
+        left = self.table.departed(instance)
+        if left is None:
+            return True
+        key = (left.life, left.state)
+        if key in self._confirmed_departures:
+            return True
+        push = RegistryPush(
+            self._own_address, [left.to_record(_now_s())], [], self.local_entries, False, None, None
+        )
+        if not await self._replication.replicate(push):
+            log.warning("departure not confirmed", instance=instance, state=left.state.name.lower())
+            return False
+        self._confirmed_departures[key] = None
+        while len(self._confirmed_departures) > DEPARTURES_KEPT:
+            self._confirmed_departures.popitem(last=False)
+        return True
+
     def mark_leaving(self, life: str) -> None:
         """Mark a server as leaving because a response said so; counts like an announcement."""
         left = self.table.record_leaving(life)
@@ -271,6 +318,12 @@
         known = [self.table.get(instance) for instance in self._announced_here_s]
         return [instance for instance in known if instance is not None]
 
+    async def _on_confirmed_push(
+        self, push: RegistryPush, connection: Connection
+    ) -> Result[Done, Failure]:
+        self._on_push(push, connection)
+        return Ok(Done())
+
     def _on_push(self, push: RegistryPush, connection: Connection) -> None:
         now_s = _now_s()
         self._directory.record(push.address, push.heard or ())
--- a/src/leadhollow/membership/instance_table.py
+++ b/src/leadhollow/membership/instance_table.py
@@ -111,12 +111,12 @@
         known = self._instances.get(record.instance)
         if record.state is InstanceState.READY and self._is_leaving(record.life, known):
             record.state = InstanceState.DRAINING
+        if record.state is InstanceState.GONE:
+            return self._remove_for_good(record)  # final; its sender may not know the sequence
         if known is not None:
             known.heard_s = max(known.heard_s, record.heard_s)
             if record.sequence < known.sequence:
                 return self._mark_leaving(known)
-        if record.state is InstanceState.GONE:
-            return self._remove_for_good(record)
         if known is not None and record.sequence == known.sequence:
             return self._mark_leaving(known)
         if known is not None:
@@ -186,6 +186,11 @@
         """Return an instance that is not gone."""
         return self._instances.get(instance)
 
+    def departed(self, instance: str) -> Instance | None:
+        """Return the record of an instance that leaves or is gone, None for any other one."""
+        found = self._gone.get(instance) or self._instances.get(instance)
+        return None if found is None or found.state is InstanceState.READY else found
+
     def at_address(self, address: str) -> Instance | None:
         """Return the latest instance at an address."""
         return self._instances.get(self._by_address.get(address, ""))
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -66,6 +66,7 @@
             heartbeat_s=heartbeat_s,
             naming_times=kernel.get("version-ages", VersionAgeTracker).times,
             accepts_service=lambda name: accepts_service(replica().replica.machine.catalog, name),
+            tolerated_losses=settings.tolerated_losses,
             tells_cold=lambda name: has_cold_limit(replica().replica.machine.catalog, name),
         )
 
--- a/tests/membership/test_instances.py
+++ b/tests/membership/test_instances.py
@@ -202,6 +202,21 @@
         assert (known.born_ms, known.sequence, known.served[0].version) == (self.SECOND, 2, 2)
 
 
+class TestEndedLife:
+    # Guards against requests to a server whose end was told by a replica that did not know it.
+    @pytest.mark.parametrize("order", list(itertools.permutations(range(3))))
+    def test_is_final_whatever_the_sequence_of_its_record(self, order):
+        records = [
+            make_instance(sequence=7),
+            make_instance(sequence=8),
+            make_instance(sequence=0, state=GONE),
+        ]
+        table = InstanceTable(forget_after_s=10.0)
+        for index in order:
+            table.merge(records[index])
+        assert table.get("i-1") is None
+
+
 class TestSilence:
     def test_drops_an_instance_that_may_register_again(self, table):
         table.merge(make_instance(heard_s=100.0))
