Release the connection of a failed response whose request is repeated

What servers saw: connections that are neither used nor closed, one for each 5xx whose request went to another server, and for the slower response of a hedge.

Cause: the forwarder kept such a response as a fallback and never ended its exchange. A long 5xx, of which only the beginning is buffered, is relayed now, as it could not be relayed later without its connection.

--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -99,9 +99,11 @@
                 failure = attempted.unwrap_err().failure
                 continue
             response = attempted.unwrap()
-            if response.successful or not (response.server_error and self._may_send(call)):
+            failed = response.server_error and response.complete
+            if response.successful or not (failed and self._may_send(call)):
                 await self._relay(call, response)
                 return
+            response.exchange.finish()
             fallback = response
             failure = Failure(code=Code.ENGINE_FAILED, detail=f"status {response.exchange.status}")
         if fallback is not None and fallback.exchange.metadata.signed:
@@ -185,6 +187,7 @@
         loop = asyncio.get_running_loop()
         first = loop.create_task(self._attempt(call, server))
         tasks = {first}
+        chosen: Result[BufferedResponse, AttemptFailure] | None = None
         try:
             left_s = HEDGE_SHARE * call.route.objective_ms / 1000 - active_since_s(call.received_s)
             if self._may_hedge(call) and not await active_wait(tasks, max(0.0, left_s)):
@@ -192,10 +195,11 @@
                 if second is not None and self._may_repeat(call, RepeatCause.HEDGED):
                     excluded.add(second.instance.instance)
                     tasks.add(loop.create_task(self._attempt(call, second)))
-            return await first_successful(tasks)
+            chosen = await first_successful(tasks)
+            return chosen
         finally:
             for task in tasks:
-                await _discard(task)
+                await _discard(task, chosen)
 
     def _may_hedge(self, call: ForwardedCall) -> bool:
         repeatable = call.route.repeatable and call.body.complete
@@ -371,11 +375,18 @@
         )
 
 
-async def _discard(task: asyncio.Task[Result[BufferedResponse, AttemptFailure]]) -> None:
-    """Cancel an attempt that is no longer needed."""
+async def _discard(
+    task: asyncio.Task[Result[BufferedResponse, AttemptFailure]],
+    chosen: Result[BufferedResponse, AttemptFailure] | None,
+) -> None:
+    """Cancel an attempt that is no longer needed, and release the connection of its response."""
     if not task.done():
         task.cancel()
         await asyncio.wait([task])
+    if task.cancelled() or task.exception() is not None or task.result() is chosen:
+        return
+    if task.result().is_ok():
+        task.result().unwrap().exchange.finish()
 
 
 __all__ = ["PlainForwarder"]
--- a/tests/node/early_answers.py
+++ b/tests/node/early_answers.py
@@ -30,6 +30,12 @@
         Whether it resets the connection in place of an early answer.
     ran
         Digests of the bodies that it ran, by attempt.
+    fails_each
+        Whole requests of which one is answered with 500; 0 for none.
+    failures
+        Number of these answers.
+    open_connections
+        Connections that are open now.
     """
 
     def __init__(self, *, instance: str, service: str) -> None:
@@ -38,9 +44,11 @@
         self.refuses = True
         self.resets = False
         self.early_answers = 0
+        self.fails_each = 0
+        self.failures = 0
         self.ran: dict[str, str] = {}
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self.open_connections: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=2**20)
@@ -50,17 +58,18 @@
     async def stop(self) -> None:
         assert self._server is not None
         self._server.close()
-        for writer in self._writers:
+        for writer in list(self.open_connections):
             writer.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.add(writer)
+        self.open_connections.add(writer)
         try:
             while True:
                 await self._serve_one(reader, writer)
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
+            self.open_connections.discard(writer)
             writer.close()
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -84,7 +93,9 @@
             return
         body = await read_body(reader, fields)
         self.ran[attempt] = digest(body)
-        self._answer(writer, 200, attempt)
+        failed = bool(self.fails_each) and len(self.ran) % self.fails_each == 0
+        self.failures += failed
+        self._answer(writer, 500 if failed else 200, attempt)
 
     def _answer(
         self, writer: asyncio.StreamWriter, status: int, attempt: str, *, not_executed: bool = False
--- a/tests/node/test_long_bodies.py
+++ b/tests/node/test_long_bodies.py
@@ -178,6 +178,20 @@
         run_on_site(tmp_path, work)
 
 
+class TestConnections:
+    # Guards against a connection that is neither closed nor used again after a repeated request.
+    def test_of_failed_responses_are_used_again(self, tmp_path):
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            for server in servers:
+                server.fails_each = 4
+            for _ in range(150):
+                assert await site.post("/ask/", b"short") in (200, 500)
+            assert sum(server.failures for server in servers) > 20
+            assert max(len(server.open_connections) for server in servers) <= 4
+
+        run_on_site(tmp_path, work, kind="idempotent", attempts=2)
+
+
 class TestMemory:
     # Guards against memory of the entry that is never given back.
     def test_is_free_after_all_requests(self, tmp_path, monkeypatch):
