Repeat a proposal to a leader that has no handlers yet

What operators saw: 400, which ends their call, for a valid change that reached a leader in the moment in which it had started to listen and not yet registered its handlers (code 703).

Cause: the gateway repeated only after codes that name the leader or the disk. Nothing was written in this case either, so it is repeated until the order's time is over.

Evidence: test_is_repeated_while_the_leader_has_no_handlers_yet failed before.

--- a/src/leadhollow/state/gateway.py
+++ b/src/leadhollow/state/gateway.py
@@ -31,6 +31,12 @@
 RETRY_PAUSE_S = 0.03
 ROUND_TRIP_TIMEOUT_S = 0.5
 APPLY_POLL_S = 0.005
+_NOT_WRITTEN = (
+    Code.NOT_LEADER,
+    Code.NO_MAJORITY,
+    Code.DISK_FAILED,
+    Code.FRAME_TYPE_UNKNOWN,  # the leader has started again and has no handlers yet
+)
 
 
 class LeaderGateway:
@@ -72,7 +78,7 @@
             failure = answered.unwrap_err()
             if failure.code in (Code.PEER_LOST, Code.PEER_TIMEOUT, Code.EDIT_UNKNOWN):
                 may_be_written = True
-            elif failure.code not in (Code.NOT_LEADER, Code.NO_MAJORITY, Code.DISK_FAILED):
+            elif failure.code not in _NOT_WRITTEN:
                 return answered
             await asyncio.sleep(RETRY_PAUSE_S)
 
