Close the socket of a handshake that was not answered in time

A dial that timed out, or was cancelled, after the connection was open left its socket to the garbage collector. It is closed at once. The test passes without the change, too, on this interpreter, whose streams close their transport when they are collected; the fault was found by reading.

--- a/src/leadhollow/wire/peers.py
+++ b/src/leadhollow/wire/peers.py
@@ -147,6 +147,7 @@
         if parsed.is_err():
             return Err(parsed.unwrap_err())
         target = parsed.unwrap()
+        connection: Connection | None = None
         try:
             async with active_timeout(DIAL_TIMEOUT_MS / 1000):
                 reader, writer = await asyncio.open_connection(
@@ -155,7 +156,11 @@
                 connection = Connection(reader=reader, writer=writer, handlers=self._handlers)
                 connection.write(Frame(kind=FrameKind.REQUEST, call_id=0, body=self._hello))
                 response = await connection.read_frame()
-        except (OSError, TimeoutError) as error:
+        except BaseException as error:
+            if connection is not None:
+                connection.close()
+            if not isinstance(error, OSError | TimeoutError):
+                raise
             return Err(Failure(code=Code.PEER_LOST, detail=f"{address}: {error or 'timeout'}"))
         checked = _check_handshake(address, response)
         if checked.is_err():
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -91,6 +91,29 @@
 
 
 class TestDial:
+    # Guards against a socket that stays open after a handshake that was not answered.
+    def test_without_an_answer_in_time_closes_the_connection(self, monkeypatch):
+        async def work() -> None:
+            monkeypatch.setattr(peers, "DIAL_TIMEOUT_MS", 50)
+            closed = asyncio.Event()
+
+            async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.read()
+                closed.set()
+                writer.close()
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            host, port = server.sockets[0].getsockname()
+            pool = PeerPool(vm="v", failure_domain="d", token=TOKEN, handlers=HandlerTable())
+            dialled = await pool.connection(f"{host}:{port}")
+            assert dialled.unwrap_err().code is Code.PEER_LOST
+            async with asyncio.timeout(5):
+                await closed.wait()
+            await pool.stop()
+            server.close()
+
+        asyncio.run(asyncio.wait_for(work(), 30))
+
     # the delay had passed by the time a dial timed out, so the next message dialled at once
     def test_delay_before_the_next_dial_begins_after_a_failed_one(self, monkeypatch):
         async def work() -> None:
