Let subscribers tell a replica the ages of versions that they know

What servers saw: after all control replicas had been killed just after a version was named, an entry that started later took the version for new, and went on with the old one that all others refused.

Cause: the time of a naming lies in the memory of the replicas. Entries and stagers know it, too, and told nobody. Now they tell it to the replica that they begin to follow, which passes it on like its own.

--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -142,6 +142,7 @@
             sent_revision=int(request.from_revision or 0),
             takes_packed=bool(request.takes_packed),
         )
+        self._naming_times.merge(request.named or ())
         self._subscribers.add(subscriber)
         log.info("subscriber connected", vm=request.vm, role=request.role)
         self._update_entry_count()
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -230,7 +230,12 @@
             return False
         settings = self._settings
         watch = FeedWatch(
-            settings.vm, settings.role.value, settings.failure_domain, self.catalog.revision, True
+            settings.vm,
+            settings.role.value,
+            settings.failure_domain,
+            self.catalog.revision,
+            True,
+            self.naming_times.ages(),
         )
         stream = connected.unwrap().stream(watch)
         self._source = address
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -91,9 +91,10 @@
 struct DomainStanding { 1: string failure_domain; 2: bool evacuated; 3: i64 age_ms; 4: i64 revision; 5: i32 entries; 6: i32 told_entries; 7: i32 engines; 8: i32 running }
 struct DomainStandings { 1: list<DomainStanding> domains }
 // takes_packed: items may come as packed_items, msgpack compressed by zlib.
-struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision; 5: bool takes_packed }
 // How long ago a version of weights was named, by steady clocks only: the time of day may jump.
 struct VersionAge { 1: string model; 2: i64 version; 3: i64 age_ms }
+// `named` is what the subscriber knows: a replica that has just started may know nothing.
+struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision; 5: bool takes_packed; 6: optional list<VersionAge> named }
 // Field 10 is not sent any more; packed_uses says the same in three bytes an engine.
 struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses; 15: SuspectNews suspects; 16: binary packed_items; 17: LimitNews limits; 18: LimitLease limit_lease; 19: list<ServerWord> rests }
 struct FeedProbe { 1: string vm }
