--- a/tests/node/early_answers.py
+++ b/tests/node/early_answers.py
@@ -14,7 +14,7 @@
 
 LONG_BYTES = 16 * 1024
 EARLY_AFTER_S = 0.02
-_attempts = itertools.count(1)
+_attempts = itertools.count(1 << 60)  # apart from those of the site
 
 
 class EarlyServer(PlainServer):
@@ -76,27 +76,32 @@
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         lines = [line.partition(":") for line in head.split("\r\n")[1:]]
         fields = {name.lower(): value.strip() for name, _, value in lines}
-        attempt = fields["x-attempt-id"]
+        attempt = fields.get("x-attempt-id", "")
         if fields.get("x-expect-instance") != self.instance:
             await read_body(reader, fields)
             self._answer(writer, 421, attempt)
             return
         status = self.early() if int(fields.get("content-length", LONG_BYTES)) >= LONG_BYTES else 0
+        refuses, resets = self.refuses, self.resets
         if status:
             self.early_answers += 1
             await asyncio.sleep(EARLY_AFTER_S)
-            if self.resets:
+            if resets:
                 writer.transport.abort()
-                return
-            self._answer(writer, status, attempt, not_executed=self.refuses)
+                raise ConnectionResetError
+            self._answer(writer, status, attempt, not_executed=refuses)
             await read_body(reader, fields)
             return
         body = await read_body(reader, fields)
-        self.ran[attempt] = digest(body)
+        await self.run(attempt, body)
         failed = bool(self.fails_each) and len(self.ran) % self.fails_each == 0
         self.failures += failed
         self._answer(writer, 500 if failed else 200, attempt)
 
+    async def run(self, attempt: str, body: bytes) -> None:
+        """Run a request."""
+        self.ran[attempt] = digest(body)
+
     def _answer(
         self, writer: asyncio.StreamWriter, status: int, attempt: str, *, not_executed: bool = False
     ) -> None:
--- a/tests/node/test_long_bodies.py
+++ b/tests/node/test_long_bodies.py
@@ -11,6 +11,7 @@
 
 from leadhollow.forward import body_retention
 from tests.node.early_answers import EarlyServer, LongCaller
+from tests.node.random_bodies import play
 from tests.node.site import Site, route
 from tests.support import eventually
 
@@ -178,6 +179,15 @@
         run_on_site(tmp_path, work)
 
 
+class TestRandomRequests:
+    # Guards against any mix of sizes, framings and early endings that changes a body or an outcome.
+    @pytest.mark.parametrize("seed", [1, 2])
+    def test_run_whole_and_get_their_true_outcome(self, tmp_path, seed):
+        found = asyncio.run(asyncio.wait_for(play(tmp_path, requests=400, seed=seed), 120))
+        assert found.wrong == []
+        assert found.statuses[200] > 200
+
+
 class TestConnections:
     # Guards against a connection that is neither closed nor used again after a repeated request.
     def test_of_failed_responses_are_used_again(self, tmp_path):
