Send long bodies in the soak and the demo

One request in ten of the soak has a body of 300 to 900 kB, half of them in chunks; servers refuse a tenth of these before they are in, and compare what they run with what was sent.

--- a/src/leadhollow/demo/demo_run.py
+++ b/src/leadhollow/demo/demo_run.py
@@ -41,6 +41,7 @@
 DRAIN_GRACE_S = 2.0
 OPERATOR = "demo"
 LATE_GROUP = "late-group"
+LONG_ORDER = "clear N8 " + "and salt it " * 25_000  # longer than one read of a socket
 EDIT_TIMEOUT_S = 5.0
 
 ProgressCallback = Callable[[str], None]
@@ -297,8 +298,9 @@
     async def _resend_orders(self) -> bool:
         """Send orders twice with the same idempotency key, through different entries.
 
-        The service stand-in runs the second order and cuts its connection. Its outcome must be
-        unknown both times.
+        A long order without a key is sent once; its response is compared like all others. The
+        service stand-in runs the second order with a key and cuts its connection. Its outcome must
+        be unknown both times.
 
         Returns
         -------
@@ -309,6 +311,7 @@
         caller = self._callers["ploughs"]
         first = await caller.order(urls[0], service=SERVICE, text="clear N8", key="order-1")
         second = await caller.order(urls[-1], service=SERVICE, text="clear N8", key="order-1")
+        await caller.order(urls[1], service=SERVICE, text=LONG_ORDER)
         service = next(iter(self._site.services.values()))
         service.faults.cut_after_run = 1
         cut = await caller.order(urls[1], service=SERVICE, text="clear N13", key="order-2")
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -23,10 +23,12 @@
 from tests.soak.weights import LAYERS, MODEL
 
 BEAT_S = 0.4
+MAX_BODY_BYTES = 8 * 1024 * 1024
 LOAD_S = 0.2
 WORK_S = 0.03
 EVENT_S = 0.02
 DRAIN_S = 2.0
+EARLY_SHARE = 0.1  # of long requests that are refused before they are in
 
 
 def event(request: str, number: int) -> bytes:
@@ -127,7 +129,7 @@
         self._cold = Cold(instance=self.instance, until_s=self._ledger.now_s() + cold_s)
         self._ledger.colds.append(self._cold)
         self._semaphore = asyncio.Semaphore(self.slots)
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_get("/-/report", self._report)
         app.router.add_post("/-/order", self._order)
         app.router.add_put(f"/-/stage-put/{MODEL}", self._stage_put)
@@ -323,7 +325,10 @@
             return web.Response(status=421, headers=refused)
         if len(self._running) >= 2 * self.slots:
             return web.Response(status=503, headers=refused)
+        if self._random.random() < EARLY_SHARE and self._ledger.is_long(attempt):
+            return web.Response(status=503, headers=refused)
         body = await request.read()
+        self._ledger.judge_body(attempt, body)
         task = asyncio.current_task()
         assert task is not None
         self._running.add(task)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 from tests.soak.arrivals import Arrivals
+from tests.soak.bodies import digest, is_long
 from tests.soak.cold import Cold
 from tests.soak.self_reports import SelfReport, Sender
 
@@ -158,6 +159,7 @@
     __slots__ = (
         "accepted",
         "arrivals",
+        "bodies",
         "colds",
         "disturbances",
         "limits",
@@ -171,6 +173,7 @@
     )
 
     def __init__(self) -> None:
+        self.bodies: dict[str, str] = {}  # digests by request of the callers
         self.runs: dict[str, list[Run]] = defaultdict(list)
         self.arrivals = Arrivals()
         self.accepted: Counter[str] = Counter()  # sends that no server refused, by request
@@ -213,6 +216,16 @@
             default=0,
         )
 
+    def is_long(self, request: str) -> bool:
+        """Return whether a request of the callers has a long body."""
+        return request in self.bodies and is_long(request)
+
+    def judge_body(self, request: str, body: bytes) -> None:
+        """Compare the body that is about to run with the one that was sent."""
+        sent = self.bodies.get(request)
+        if sent is not None and digest(body) != sent:
+            self.break_rule(f"UNASKED {request}: runs with another body of {len(body)} bytes")
+
     def judge(self) -> list[str]:
         """Give every broken promise."""
         found = list(self.violations)
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from tests.soak.backend import event
+from tests.soak.bodies import body_of, data_of, digest
 from tests.soak.cold import COLD_PER_S, COLD_START_S
 from tests.soak.ledger import GROUP_REGIONS, STREAM_KINDS, Kind, Ledger, Table, Told
 from tests.soak.stream_judge import ATTEMPTS, TIMEOUT_S
@@ -222,6 +223,7 @@
         )
         self._ledger.told.append(told)
         self._ledger.senders[request] = self._world.sender(entry)
+        self._ledger.bodies[request] = digest(body_of(request))
         headers = {
             "Host": HOST,
             "Authorization": f"Bearer {BOUND_KEY if kind is Kind.GROUP else KEY}",
@@ -237,7 +239,8 @@
         timeout = aiohttp.ClientTimeout(total=2 * TIMEOUT_MS / 1000, connect=1.0)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             try:
-                async with session.post(url, headers=headers, data=b"soak") as answer:
+                data = data_of(told.request, body_of(told.request))
+                async with session.post(url, headers=headers, data=data) as answer:
                     body = await answer.read()
             except (aiohttp.ClientError, TimeoutError, OSError):
                 return
