--- a/tests/forward/test_region_laboratory.py
+++ b/tests/forward/test_region_laboratory.py
@@ -58,9 +58,11 @@
 
 
 def check(number: int, run: tuple[list[object], list[object]]) -> None:
+    before = absl_logging.get_verbosity()
     absl_logging.set_verbosity(absl_logging.FATAL)
     beginning, rest = run
     found = play(number, [*beginning, *rest])
+    absl_logging.set_verbosity(before)
     counts.update(examples=1, sends=found.sends, bound_sends=found.bound_sends)
     assert found.breaches == []
 
--- a/tests/staging/test_stage_laboratory.py
+++ b/tests/staging/test_stage_laboratory.py
@@ -27,8 +27,11 @@
 @pytest.fixture(scope="module")
 def outcomes() -> dict[int, Outcome]:
     """Play all seeds once."""
+    before = absl_logging.get_verbosity()
     absl_logging.set_verbosity(absl_logging.FATAL)
-    return {seed: run_seed(seed) for seed in SEEDS}
+    found = {seed: run_seed(seed) for seed in SEEDS}
+    absl_logging.set_verbosity(before)
+    return found
 
 
 class TestRandomRuns:
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -156,6 +156,7 @@
 
     # Guards against a sender that never learns why its connection ends.
     async def test_request_is_refused_and_the_connection_goes_on(self, server_and_pool, caplog):
+        caplog.set_level("ERROR", logger="absl")
         connection = (await server_and_pool.peers.connection(server_and_pool.address)).unwrap()
         body = StateProbe("x" * (MAX_FRAME_BYTES + 1))
         refused = await connection.call(body, timeout_ms=5_000)
