Read the change once more: no state twice, no work twice, no check that cannot fail

The test of the unanswered handshake could not fail, and no test saw the connection of a hedge's failed response.

The handshake's test keeps the connection that it looks at.

--- a/src/leadhollow/control/control_listener.py
+++ b/src/leadhollow/control/control_listener.py
@@ -18,6 +18,7 @@
     PutRouteTable,
     SetDomainEvacuation,
 )
+from leadhollow.control.departures import Departures
 from leadhollow.control.evacuation_orders import EvacuationOrders
 from leadhollow.control.registry import Registry
 from leadhollow.failure import Failure
@@ -42,7 +43,15 @@
 class ControlListener:
     """Serves control requests on every replica, whether it leads or not."""
 
-    __slots__ = ("_dialect", "_evacuations", "_gateway", "_registry", "_replica", "_server")
+    __slots__ = (
+        "_departures",
+        "_dialect",
+        "_evacuations",
+        "_gateway",
+        "_registry",
+        "_replica",
+        "_server",
+    )
 
     def __init__(
         self,
@@ -53,7 +62,9 @@
         gateway: LeaderGateway,
         registry: Registry,
         evacuations: EvacuationOrders,
+        departures: Departures,
     ) -> None:
+        self._departures = departures
         self._evacuations = evacuations
         self._dialect = dialect
         self._replica = replica
@@ -117,7 +128,7 @@
         return self._dialect.accepted_response()
 
     async def _acknowledge_departure(self, instance: str) -> ControlResponse:
-        if await self._registry.confirm_departure(instance):
+        if await self._departures.confirm(instance):
             return self._dialect.accepted_response()
         return self._dialect.error_response(Failure(code=Code.DEPARTURE_UNCONFIRMED))
 
--- a/src/leadhollow/control/registry.py
+++ b/src/leadhollow/control/registry.py
@@ -8,12 +8,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable
 
 from result import Ok, Result
 
-from leadhollow.control.change_replication import ChangeReplication
 from leadhollow.control.replica_directory import ReplicaDirectory
 from leadhollow.failure import Failure
 from leadhollow.kernel import active_time
@@ -41,7 +39,6 @@
 """How long a replica relays announcements made to it: some heartbeats, and at least 5 s."""
 
 ENTRIES_VALID_S = 4.0
-DEPARTURES_KEPT = 1_024  # servers whose departure was confirmed; a later call asks again
 
 LOAD_VALID_S = 10.0
 """Minimum age after which a load report is dropped.
@@ -118,8 +115,6 @@
         Returns whether the route table in force has a service.
     tells_cold
         Returns whether changes of the cold times of a service's servers are relayed.
-    tolerated_losses
-        Number of replicas that may be lost at once.
     """
 
     __slots__ = (
@@ -127,7 +122,6 @@
         "_announced_here_s",
         "_changed_instances",
         "_changed_loads",
-        "_confirmed_departures",
         "_directory",
         "_listeners",
         "_loads",
@@ -137,7 +131,6 @@
         "_peers",
         "_remote_entries",
         "_replicas",
-        "_replication",
         "_silence_listeners",
         "_started_s",
         "local_entries",
@@ -157,7 +150,6 @@
         naming_times: NamingTimes,
         accepts_service: Callable[[str], bool],
         tells_cold: Callable[[str], bool] = lambda service: False,
-        tolerated_losses: int = 0,
     ) -> None:
         self._own_address = own_address
         self._local_valid_s = max(MIN_LOCAL_VALID_S, LOCAL_VALID_HEARTBEATS * heartbeat_s)
@@ -165,13 +157,6 @@
         self._directory = directory
         self._accepts_service = accepts_service
         self._peers = peers
-        self._replication = ChangeReplication(
-            own_address=own_address,
-            replicas=replicas,
-            peers=peers,
-            tolerated_losses=tolerated_losses,
-        )
-        self._confirmed_departures: OrderedDict[tuple[str, InstanceState], None] = OrderedDict()
         self._loads: dict[str, ReportedLoad] = {}
         self._changed_instances: dict[str, Instance] = {}
         self._changed_loads: set[str] = set()
@@ -224,33 +209,14 @@
         if gone is not None:
             self._record_change(gone)
 
-    async def confirm_departure(self, instance: str) -> bool:
-        """Make sure that the departure of a server outlives this replica.
-
-        Call it before the server is told that its departure was accepted.
+    def describe(self, instance: Instance) -> RegistryPush:
+        """Return the message that tells other replicas of one instance."""
+        record = instance.to_record(_now_s())
+        return RegistryPush(self._own_address, [record], [], self.local_entries, False, None, None)
 
-        Returns
-        -------
-        bool
-            False if other replicas exist and none confirmed it in time. True also if the server is
-            not leaving.
-        """
-        left = self.table.departed(instance)
-        if left is None:
-            return True
-        key = (left.life, left.state)
-        if key in self._confirmed_departures:
-            return True
-        push = RegistryPush(
-            self._own_address, [left.to_record(_now_s())], [], self.local_entries, False, None, None
-        )
-        if not await self._replication.replicate(push):
-            log.warning("departure not confirmed", instance=instance, state=left.state.name.lower())
-            return False
-        self._confirmed_departures[key] = None
-        while len(self._confirmed_departures) > DEPARTURES_KEPT:
-            self._confirmed_departures.popitem(last=False)
-        return True
+    def other_replicas(self) -> list[str]:
+        """Return the addresses of the other replicas."""
+        return [address for address in self._replicas() if address != self._own_address]
 
     def mark_leaving(self, life: str) -> None:
         """Mark a server as leaving because a response said so; counts like an announcement."""
@@ -304,9 +270,8 @@
             self._naming_times.ages() if whole else None,
             self._directory.heard_directly() if whole else None,
         )
-        for address in self._replicas():
-            if address != self._own_address:
-                self._peers.post(address, push)
+        for address in self.other_replicas():
+            self._peers.post(address, push)
 
     def _local_instances(self) -> list[Instance]:
         """Return the backend servers that announced themselves to this replica lately."""
--- a/src/leadhollow/forward/request_body.py
+++ b/src/leadhollow/forward/request_body.py
@@ -31,8 +31,6 @@
 
     Attributes
     ----------
-    complete
-        Whether the complete body is held.
     failure
         Why the caller's body is not valid; None while it is.
     replayable
@@ -52,7 +50,6 @@
         "_reserved_bytes",
         "_rest",
         "_retention",
-        "complete",
         "failure",
         "replayable",
     )
@@ -77,10 +74,14 @@
         self._received = 0
         self._ended = False
         self._current: OutgoingBody | None = None
-        self.complete = False
         self.replayable = True
         self.failure: Failure | None = None
 
+    @property
+    def complete(self) -> bool:
+        """Whether the complete body is held."""
+        return self._ended and self.replayable
+
     @property
     def beginning(self) -> bytes:
         """Buffered beginning of the body; all of it if it is short."""
@@ -210,7 +211,6 @@
             return Err(self.failure)
         if not data:
             self._ended = True
-            self.complete = self.replayable
         return read
 
 
--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -13,11 +13,12 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.http1.body import IncomingBody
+from leadhollow.http1.body_drain import drain_body
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.kernel import active_time
-from leadhollow.kernel.active_time import ActiveClock, ActiveTimer, active_timeout
+from leadhollow.kernel.active_time import ActiveClock, ActiveTimer
 from leadhollow.observe.logs import get_logger
 
 LINGER_S = 1.0  # time to read an early response; closing with unread input resets the connection
@@ -349,42 +350,11 @@
         if request.body.complete:
             return reply.close_after
         linger_s = LINGER_S if reply.close_after else self._idle_s()
-        drained = await self._drain_body(request, linger_s)
+        drained = await drain_body(
+            request.body, limit_s=linger_s, stop_limit_s=LINGER_S, is_stopping=self._is_closing
+        )
         return reply.close_after or not drained
 
-    async def _drain_body(self, request: IncomingRequest, limit_s: float) -> bool:
-        """Read and drop the rest of a body whose response was sent early.
-
-        Closing with unread input would reset the connection, and the caller could lose the
-        response. Once the server is about to stop, the rest is read for ``LINGER_S`` at most.
-
-        Parameters
-        ----------
-        limit_s
-            Longest active time that the rest may take.
-
-        Returns
-        -------
-        bool
-            Whether the whole body has arrived.
-        """
-        end_s = self._clock.active_s() + limit_s
-        hurries = False
-        while not request.body.complete and not request.body.failed:
-            now_s = self._clock.active_s()
-            if self._is_closing() and not hurries:
-                hurries = True
-                end_s = min(end_s, now_s + LINGER_S)
-            if now_s >= end_s:
-                log.info("connection closed: the rest of a request did not arrive in time")
-                return False
-            try:
-                async with active_timeout(min(end_s - now_s, LINGER_S)):
-                    await request.body.read()
-            except TimeoutError:
-                continue
-        return request.body.complete
-
     async def _send_error(self, transport: asyncio.Transport, status: HTTPStatus) -> None:
         head = RequestHead(method=b"GET", target=b"/", headers=Headers())
         reply = ReplyWriter(
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -7,6 +7,7 @@
 
 from leadhollow.control.confirmation import ConfirmationMonitor
 from leadhollow.control.control_listener import ControlListener
+from leadhollow.control.departures import Departures
 from leadhollow.control.domain_standings import DomainStandingsHandler
 from leadhollow.control.evacuation_orders import EvacuationOrders
 from leadhollow.control.feed_server import FeedServer
@@ -66,7 +67,6 @@
             heartbeat_s=heartbeat_s,
             naming_times=kernel.get("version-ages", VersionAgeTracker).times,
             accepts_service=lambda name: accepts_service(replica().replica.machine.catalog, name),
-            tolerated_losses=settings.tolerated_losses,
             tells_cold=lambda name: has_cold_limit(replica().replica.machine.catalog, name),
         )
 
@@ -148,6 +148,7 @@
         )
 
     def make_operators() -> Service:
+        registry = kernel.get("registry", Registry)
         orders = EvacuationOrders(
             replica=replica().replica,
             gateway=replica().gateway,
@@ -156,7 +157,7 @@
         DomainStandingsHandler(
             orders=orders,
             catalog=replica().replica.machine.catalog,
-            registry=kernel.get("registry", Registry),
+            registry=registry,
             feed=kernel.get("feed", FeedServer),
             handlers=process.handlers,
         )
@@ -165,8 +166,15 @@
             dialect=process.dialects.control,
             replica=replica().replica,
             gateway=replica().gateway,
-            registry=kernel.get("registry", Registry),
+            registry=registry,
             evacuations=orders,
+            departures=Departures(
+                table=registry.table,
+                describe=registry.describe,
+                others=registry.other_replicas,
+                peers=process.peers,
+                tolerated_losses=settings.tolerated_losses,
+            ),
         )
 
     kernel.register("replica", make_replica, needs=("wire",))
--- a/src/leadhollow/state/backup.py
+++ b/src/leadhollow/state/backup.py
@@ -11,7 +11,8 @@
 from leadhollow.failure import Failure
 from leadhollow.state.commands import decode_command
 from leadhollow.state.files import read_file, replace_file
-from leadhollow.state.log_store import Entry, LogStore, Snapshot, Vote
+from leadhollow.state.log_contents import Entry, Snapshot
+from leadhollow.state.log_store import LogStore, Vote
 from leadhollow.state.machine import StateMachine
 
 FORMAT = 1
--- a/src/leadhollow/state/follower_requests.py
+++ b/src/leadhollow/state/follower_requests.py
@@ -12,7 +12,7 @@
 from leadhollow.kernel import active_time
 from leadhollow.observe.logs import get_logger
 from leadhollow.state.follower_progress import FollowerProgress
-from leadhollow.state.log_store import entry_bytes
+from leadhollow.state.log_contents import entry_bytes
 from leadhollow.state.replica_state import ReplicaState
 from leadhollow.state.request_parts import PART_BYTES, PartedRequest
 from leadhollow.wire.generated.ttypes import (
--- a/src/leadhollow/state/following.py
+++ b/src/leadhollow/state/following.py
@@ -12,7 +12,8 @@
 from leadhollow.kernel import active_time
 from leadhollow.observe.logs import get_logger
 from leadhollow.state.leadership import Leadership
-from leadhollow.state.log_store import Entry, Snapshot, Vote
+from leadhollow.state.log_contents import Entry, Snapshot
+from leadhollow.state.log_store import Vote
 from leadhollow.state.replica_state import VOTE_BLOCKED, ReplicaRole, ReplicaState, now_s
 from leadhollow.state.request_parts import PartAssembler
 from leadhollow.state.rules import first_conflict, log_is_current, may_grant_vote
@@ -115,6 +116,7 @@
             return Err(Failure(code=Code.REPLICA_OTHER))
         if state.failed:
             return Err(Failure(code=Code.DISK_FAILED))
+        self._parts.clear()  # a leader sends one request at a time
         return await state.transitions.run(lambda: self._append(request))
 
     async def _append(self, request: AppendRequest) -> Result[AppendReply, Failure]:
--- a/src/leadhollow/state/gateway.py
+++ b/src/leadhollow/state/gateway.py
@@ -62,9 +62,6 @@
         NO_MAJORITY, COMMAND_TOO_LARGE
             Nothing was written.
         """
-        encoded = encode_bounded(command)
-        if encoded.is_err():
-            return Err(encoded.unwrap_err())
         deadline_s = active_s() + timeout_s
         may_be_written = False
         while True:
@@ -72,7 +69,7 @@
             if left_s <= 0:
                 code = Code.EDIT_UNKNOWN if may_be_written else Code.NO_MAJORITY
                 return Err(Failure(code=code))
-            answered = await self._propose_once(command, encoded.unwrap(), left_s)
+            answered = await self._propose_once(command, left_s)
             if answered.is_ok():
                 return answered
             failure = answered.unwrap_err()
@@ -118,15 +115,16 @@
                 return voter.address
         return None
 
-    async def _propose_once(
-        self, command: Command, encoded: bytes, left_s: float
-    ) -> Result[AnyAnswer, Failure]:
+    async def _propose_once(self, command: Command, left_s: float) -> Result[AnyAnswer, Failure]:
         if self._replica.role is ReplicaRole.LEADER:
             applied = await self._propose_local(command, left_s)
             return Ok(applied.unwrap().answer) if applied.is_ok() else Err(applied.unwrap_err())
         leader = self.leader_address()
         if leader is None:
             return Err(Failure(code=Code.NO_MAJORITY, detail="no leader is known"))
+        encoded = encode_bounded(command)
+        if encoded.is_err():
+            return Err(encoded.unwrap_err())
         began_s = active_s()
         try:
             async with active_timeout(left_s):
@@ -136,7 +134,7 @@
             return Err(Failure(code=Code.NO_MAJORITY, detail=detail))
         if connected.is_err():
             return Err(Failure(code=Code.NO_MAJORITY, detail=str(connected.unwrap_err())))
-        request = ProposeRequest(encoded)
+        request = ProposeRequest(encoded.unwrap())
         left_s -= active_s() - began_s
         reply = await connected.unwrap().call(request, timeout_ms=max(0.0, left_s) * 1000)
         if reply.is_err():
--- a/src/leadhollow/state/leadership.py
+++ b/src/leadhollow/state/leadership.py
@@ -19,7 +19,7 @@
 from leadhollow.state.commands import Command, TermStart, encode, encode_bounded
 from leadhollow.state.follower_progress import FollowerProgress
 from leadhollow.state.follower_requests import FollowerRequests
-from leadhollow.state.log_store import Entry, fitting_count
+from leadhollow.state.log_contents import Entry, fitting_count
 from leadhollow.state.replica_state import (
     AppliedCommand,
     ReplicaRole,
--- a/src/leadhollow/state/log_store.py
+++ b/src/leadhollow/state/log_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 from typing import BinaryIO
 
@@ -23,24 +23,22 @@
     replace_file,
     sync_folder,
 )
+from leadhollow.state.log_contents import (
+    Entry,
+    LogContents,
+    Snapshot,
+    entry_bytes,
+    fitting_count,
+)
 
 log = get_logger("log-store")
 
 LOG_FILE = "entries.log"
 VOTE_FILE = "vote"
 SNAPSHOT_FILE = "snapshot"
-ENTRY_OVERHEAD_BYTES = 24  # index, term and the lengths of the fields
 REWRITE_RECORD_BYTES = 4 * 1024 * 1024  # a single record of a long log would be unreadable
 
 
-class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """One entry of the replicated log; ``command`` is encoded."""
-
-    index: int
-    term: int
-    command: bytes
-
-
 class Vote(msgspec.Struct, frozen=True, kw_only=True):
     """Election state that a replica must keep over restarts.
 
@@ -55,91 +53,10 @@
     voter: bool = True
 
 
-class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
-    """Complete state of the state machine after an entry of the log.
-
-    Parameters
-    ----------
-    last_index, last_term
-        The last entry that the snapshot covers.
-    voters
-        Encoded voter set in force at that entry; empty if the set never changes.
-    """
-
-    last_index: int
-    last_term: int
-    data: bytes
-    voters: bytes = b""
-
-
 _entry_decoder = msgspec.msgpack.Decoder(Entry)
 _batch_decoder = msgspec.msgpack.Decoder(list[Entry])
 
 
-def entry_bytes(entry: Entry) -> int:
-    """Return the approximate size of an entry on disk and on the wire."""
-    return len(entry.command) + ENTRY_OVERHEAD_BYTES
-
-
-class _LogContents:
-    """In-memory copy of the snapshot and the entries on disk.
-
-    Positions in the list of entries count from the snapshot. Both are therefore replaced together,
-    as one object: the event loop reads them while the disk thread writes.
-
-    Parameters
-    ----------
-    offsets
-        File offset of the record of each entry; entries of one write share a record.
-
-    Attributes
-    ----------
-    sizes
-        Bytes of the entries up to each entry.
-    """
-
-    __slots__ = ("entries", "offsets", "sizes", "snapshot")
-
-    def __init__(self, *, snapshot: Snapshot, entries: list[Entry], offsets: list[int]) -> None:
-        self.snapshot = snapshot
-        self.entries: list[Entry] = []
-        self.offsets: list[int] = []
-        self.sizes: list[int] = []
-        self.extend(entries, offsets)
-
-    def extend(self, entries: Sequence[Entry], offsets: Sequence[int]) -> None:
-        """Add entries at the end."""
-        total = self.sizes[-1] if self.sizes else 0
-        for entry in entries:
-            total += entry_bytes(entry)
-            self.sizes.append(total)
-        self.offsets.extend(offsets)
-        self.entries.extend(entries)
-
-    def cut(self, position: int) -> None:
-        """Remove the entries from a position on."""
-        del self.entries[position:]
-        del self.offsets[position:]
-        del self.sizes[position:]
-
-    def bytes_before(self, position: int) -> int:
-        """Return the bytes of the entries before a position."""
-        position = min(position, len(self.sizes))
-        return self.sizes[position - 1] if position > 0 else 0
-
-    @property
-    def last_index(self) -> int:
-        """Index of the last entry, or of the snapshot if there is none."""
-        return self.entries[-1].index if self.entries else self.snapshot.last_index
-
-    def entry(self, index: int) -> Entry | None:
-        """Return an entry, None if it is not in the log."""
-        position = index - self.snapshot.last_index - 1
-        if 0 <= position < len(self.entries):
-            return self.entries[position]
-        return None
-
-
 class LogStore:
     """Log, vote and snapshot of one replica, on disk and in memory.
 
@@ -157,7 +74,7 @@
         self._folder = folder
         self._file: BinaryIO | None = None
         empty = Snapshot(last_index=0, last_term=0, data=b"")
-        self._contents = _LogContents(snapshot=empty, entries=[], offsets=[])
+        self._contents = LogContents(snapshot=empty, entries=[], offsets=[])
         self.vote: Vote | None = None
 
     @property
@@ -338,7 +255,7 @@
                 self.vote = msgspec.msgpack.decode(payload, type=Vote)
             else:
                 snapshot = msgspec.msgpack.decode(payload, type=Snapshot)
-                self._contents = _LogContents(snapshot=snapshot, entries=[], offsets=[])
+                self._contents = LogContents(snapshot=snapshot, entries=[], offsets=[])
         except msgspec.MsgspecError as error:
             return Err(Failure(code=Code.SNAPSHOT_DAMAGED, detail=f"{name}: {error}"))
         return Ok(None)
@@ -420,7 +337,7 @@
             sync_folder(self._folder)
         except OSError as error:
             return Err(Failure(code=Code.DISK_FAILED, detail=str(error)))
-        self._contents = _LogContents(snapshot=snapshot, entries=remaining, offsets=offsets)
+        self._contents = LogContents(snapshot=snapshot, entries=remaining, offsets=offsets)
         return self._open_at(len(content))
 
     def _undo_write(self, offset: int) -> None:
@@ -434,18 +351,6 @@
             log.error("cannot truncate the log after a failed write", error=str(error))
 
 
-def fitting_count(sizes: Iterable[int], max_bytes: int) -> int:
-    """Return how many of the first items fit into ``max_bytes`` together, at least one."""
-    total = 0
-    count = 0
-    for size in sizes:
-        total += size
-        if count and total > max_bytes:
-            break
-        count += 1
-    return count
-
-
 def _decode_record(payload: bytes) -> list[Entry]:
     """Decode the entries of a record; earlier releases wrote one entry per record."""
     try:
@@ -454,4 +359,4 @@
         return [_entry_decoder.decode(payload)]
 
 
-__all__ = ["Entry", "LogStore", "Snapshot", "Vote", "entry_bytes", "fitting_count"]
+__all__ = ["LogStore", "Vote"]
--- a/src/leadhollow/state/replica.py
+++ b/src/leadhollow/state/replica.py
@@ -18,7 +18,8 @@
 from leadhollow.state.election import Election
 from leadhollow.state.following import FollowerHandlers
 from leadhollow.state.leadership import Leadership
-from leadhollow.state.log_store import Entry, LogStore, Snapshot, Vote
+from leadhollow.state.log_contents import Entry, Snapshot
+from leadhollow.state.log_store import LogStore, Vote
 from leadhollow.state.machine import StateMachine
 from leadhollow.state.replica_state import (
     AppliedCommand,
--- a/src/leadhollow/state/replica_state.py
+++ b/src/leadhollow/state/replica_state.py
@@ -14,7 +14,8 @@
 from leadhollow.settings.model import StateSettings
 from leadhollow.state.commands import AnyAnswer
 from leadhollow.state.disk_thread import DiskThread
-from leadhollow.state.log_store import Entry, LogStore, Snapshot, Vote
+from leadhollow.state.log_contents import Entry, Snapshot
+from leadhollow.state.log_store import LogStore, Vote
 from leadhollow.state.machine import StateMachine
 from leadhollow.state.transition_queue import TransitionQueue
 from leadhollow.state.voters import Voter, VoterHistory, decode_voters
--- a/src/leadhollow/state/voters.py
+++ b/src/leadhollow/state/voters.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from leadhollow.state.log_store import Entry
+from leadhollow.state.log_contents import Entry
 
 VOTERS_TAG = "change-voters"
 _TAG_WINDOW = 48  # the tag is the first field of an encoded command
--- a/tests/config_path/site.py
+++ b/tests/config_path/site.py
@@ -17,6 +17,7 @@
 from leadhollow.control.api import GetRouteTable
 from leadhollow.control.confirmation import ConfirmationMonitor
 from leadhollow.control.control_listener import ControlListener
+from leadhollow.control.departures import Departures
 from leadhollow.control.evacuation_orders import EvacuationOrders
 from leadhollow.control.registry import Registry
 from leadhollow.control.replica_service import ReplicaService
@@ -147,15 +148,23 @@
             naming_times(process).record("m", 1)  # its age is checked after suspensions
         if settings.role is NodeRole.CONTROL:
             service = process.kernel.get("replica", ReplicaService)
+            registry = process.kernel.get("registry", Registry)
             self._listeners[host] = ControlListener(
                 address=Address.parse(settings.operators or "").unwrap(),
                 dialect=process.dialects.control,
                 replica=service.replica,
                 gateway=service.gateway,
-                registry=process.kernel.get("registry", Registry),
+                registry=registry,
                 evacuations=EvacuationOrders(
                     replica=service.replica, gateway=service.gateway, domains=DOMAINS
                 ),
+                departures=Departures(
+                    table=registry.table,
+                    describe=registry.describe,
+                    others=registry.other_replicas,
+                    peers=process.peers,
+                    tolerated_losses=settings.tolerated_losses,
+                ),
             )
         return True
 
--- a/tests/control/test_departures.py
+++ b/tests/control/test_departures.py
@@ -5,6 +5,7 @@
 import asyncio
 from types import SimpleNamespace
 
+from leadhollow.control.departures import Departures
 from leadhollow.control.registry import Registry
 from leadhollow.control.replica_directory import ReplicaDirectory
 from leadhollow.membership.instances import InstanceState
@@ -43,10 +44,20 @@
                 heartbeat_s=1.0,
                 naming_times=NamingTimes(clock=clock),
                 accepts_service=lambda name: name == "s",
+            )
+            departures = Departures(
+                table=registry.table,
+                describe=registry.describe,
+                others=registry.other_replicas,
+                peers=peers,
                 tolerated_losses=1,
             )
             assert (await server.start()).is_ok()
-            self.parts.append(SimpleNamespace(registry=registry, peers=peers, server=server))
+            self.parts.append(
+                SimpleNamespace(
+                    registry=registry, departures=departures, peers=peers, server=server
+                )
+            )
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -73,7 +84,7 @@
             replicas.announce()
             first = replicas.parts[0].registry
             first.deregister("i-1")
-            assert await first.confirm_departure("i-1")
+            assert await replicas.parts[0].departures.confirm("i-1")
             assert replicas.known().count(False) >= 2
 
     # Guards against the same for a server that says that it drains.
@@ -81,7 +92,7 @@
         async with Replicas() as replicas:
             replicas.announce()
             replicas.announce(state=InstanceState.DRAINING, sequence=2)
-            assert await replicas.parts[0].registry.confirm_departure("i-1")
+            assert await replicas.parts[0].departures.confirm("i-1")
             assert replicas.known().count(False) >= 2
 
     # Guards against a deregistration at a replica that has just started and knows no sequence.
@@ -91,7 +102,7 @@
             first = replicas.parts[0].registry
             first.table.forget("i-1")
             first.deregister("i-1")
-            assert await first.confirm_departure("i-1")
+            assert await replicas.parts[0].departures.confirm("i-1")
             assert replicas.known().count(False) >= 2
 
     async def test_is_refused_while_no_other_replica_confirms_it(self):
@@ -101,7 +112,7 @@
                 await part.server.stop()
             first = replicas.parts[0].registry
             first.deregister("i-1")
-            assert not await first.confirm_departure("i-1")
+            assert not await replicas.parts[0].departures.confirm("i-1")
 
     async def test_is_confirmed_while_one_other_replica_is_away(self):
         async with Replicas() as replicas:
@@ -109,7 +120,7 @@
             await replicas.parts[2].server.stop()
             first = replicas.parts[0].registry
             first.deregister("i-1")
-            assert await first.confirm_departure("i-1")
+            assert await replicas.parts[0].departures.confirm("i-1")
             assert replicas.known()[:2] == [False, False]
 
     async def test_of_a_ready_server_asks_nobody(self):
@@ -117,4 +128,4 @@
             replicas.announce()
             for part in replicas.parts[1:]:
                 await part.server.stop()
-            assert await replicas.parts[0].registry.confirm_departure("i-1")
+            assert await replicas.parts[0].departures.confirm("i-1")
--- a/tests/forward/test_exchange.py
+++ b/tests/forward/test_exchange.py
@@ -12,13 +12,10 @@
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_backoff import ServerBackoff
 from leadhollow.decide.server_load import OwnCall
-from leadhollow.forward.body_retention import BodyRetention
 from leadhollow.forward.dialect import DispatchMetadata
 from leadhollow.forward.exchange import AttemptEnd, BackendClient
-from leadhollow.forward.request_body import RequestBody
 from leadhollow.forward.self_reports import SelfReports
 from leadhollow.forward.server_directory import ServerDirectory
-from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.client_connection import open_connection
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
@@ -26,6 +23,7 @@
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.platform.callers import PlatformCalls
 from leadhollow.settings.address import Address
+from tests.forward.bodies import empty_body
 
 ATTEMPT_ID = "a-1"
 
@@ -118,10 +116,8 @@
         return found
 
     async def send(self):
-        empty = IncomingBody(pause=lambda: None, resume=lambda: None)
         head = RequestHead(method=b"GET", target=b"/", headers=Headers())
-        body = RequestBody(head=head, incoming=empty, limit_bytes=1, retention=BodyRetention())
-        body.complete = True
+        body = await empty_body(head)
         return await self.client.send(
             server=self.server,
             own_call=OwnCall(prompt_tokens=0, output_tokens=0, placed_s=0.0, predicted_ms=0.0),
--- a/tests/forward/test_silent_connections.py
+++ b/tests/forward/test_silent_connections.py
@@ -8,16 +8,14 @@
 
 from leadhollow.decide.server import Server
 from leadhollow.decide.server_load import OwnCall
-from leadhollow.forward.body_retention import BodyRetention
 from leadhollow.forward.dialect import DispatchMetadata, ResponseMetadata
 from leadhollow.forward.exchange import SILENT_CONNECTION_S, BackendClient
 from leadhollow.forward.pool import ConnectionPool
-from leadhollow.forward.request_body import RequestBody
-from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
+from tests.forward.bodies import empty_body
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 CONNECTIONS = 3
@@ -75,10 +73,8 @@
         self.backend_client = BackendClient(dialect=PlainDialect(), pool=self.pool, listeners=())
 
     async def send(self) -> bytes:
-        empty = IncomingBody(pause=lambda: None, resume=lambda: None)
         head = RequestHead(method=b"GET", target=b"/", headers=Headers())
-        body = RequestBody(head=head, incoming=empty, limit_bytes=1, retention=BodyRetention())
-        body.complete = True
+        body = await empty_body(head)
         sent = await self.backend_client.send(
             server=make_server(self.address),
             own_call=OwnCall(prompt_tokens=0, output_tokens=0, placed_s=0.0, predicted_ms=0.0),
--- a/tests/node/early_answers.py
+++ b/tests/node/early_answers.py
@@ -94,10 +94,14 @@
             return
         body = await read_body(reader, fields)
         await self.run(attempt, body)
-        failed = bool(self.fails_each) and len(self.ran) % self.fails_each == 0
+        failed = await self.fails(attempt)
         self.failures += failed
         self._answer(writer, 500 if failed else 200, attempt)
 
+    async def fails(self, attempt: str) -> bool:
+        """Return whether a request is answered with 500."""
+        return bool(self.fails_each) and len(self.ran) % self.fails_each == 0
+
     async def run(self, attempt: str, body: bytes) -> None:
         """Run a request."""
         self.ran[attempt] = digest(body)
--- a/tests/node/test_long_bodies.py
+++ b/tests/node/test_long_bodies.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import ClassVar
 
 import pytest
 
@@ -23,10 +24,15 @@
 
 
 def run_on_site(
-    folder: Path, work: Work, *, kind: str = "non_idempotent", attempts: int = 1
+    folder: Path,
+    work: Work,
+    *,
+    kind: str = "non_idempotent",
+    attempts: int = 1,
+    server_type: type[EarlyServer] = EarlyServer,
 ) -> None:
     """Run a test with plain servers of one service and a route to it."""
-    servers = [EarlyServer(instance=f"s-{number}", service="service") for number in range(SERVERS)]
+    servers = [server_type(instance=f"s-{number}", service="service") for number in range(SERVERS)]
 
     async def run() -> None:
         async with Site(folder=folder, servers=servers) as site:
@@ -202,6 +208,31 @@
         run_on_site(tmp_path, work, kind="idempotent", attempts=2)
 
 
+class SlowToFail(EarlyServer):
+    """Fails late where it is the first to see an attempt, so that the request is hedged."""
+
+    seen: ClassVar[set[str]] = set()
+
+    async def fails(self, attempt: str) -> bool:
+        first = attempt not in self.seen
+        self.seen.add(attempt)
+        await asyncio.sleep(0.7 if first else 0.3)  # a hedge begins after 0.6 s
+        return first
+
+
+class TestHedgedConnections:
+    # Guards against a connection that is neither closed nor used again after a hedge has won.
+    def test_of_the_failed_response_is_used_again(self, tmp_path):
+        async def work(site: Site, servers: list[EarlyServer]) -> None:
+            failures = sum(server.failures for server in servers)
+            for _ in range(6):
+                assert await site.post("/ask/", b"short") == 200
+            assert sum(server.failures for server in servers) == failures + 6
+            assert sum(len(server.open_connections) for server in servers) <= 5
+
+        run_on_site(tmp_path, work, kind="idempotent", attempts=2, server_type=SlowToFail)
+
+
 class TestMemory:
     # Guards against memory of the entry that is never given back.
     def test_is_free_after_all_requests(self, tmp_path, monkeypatch):
--- a/tests/state/test_backup.py
+++ b/tests/state/test_backup.py
@@ -7,7 +7,8 @@
 from leadhollow.codes import Code
 from leadhollow.state.backup import backup_state, restore_state, verify_state
 from leadhollow.state.commands import encode
-from leadhollow.state.log_store import LOG_FILE, Entry, LogStore, Vote
+from leadhollow.state.log_contents import Entry
+from leadhollow.state.log_store import LOG_FILE, LogStore, Vote
 from tests.support import edit
 
 
--- a/tests/state/test_large_log.py
+++ b/tests/state/test_large_log.py
@@ -9,9 +9,9 @@
 from leadhollow.routing.model import RouteTable
 from leadhollow.state.commands import ReplaceRouteTable
 from leadhollow.state.replica import LOG_BYTES
-from leadhollow.state.request_parts import PART_BYTES
+from leadhollow.state.request_parts import PART_BYTES, PartedRequest
 from leadhollow.state.route_tables import replacement_command
-from leadhollow.wire.generated.ttypes import AppendRequest, RequestPart
+from leadhollow.wire.generated.ttypes import AppendRequest, RequestPart, SnapshotRequest
 from tests.support import ReplicaGroup, eventually
 
 TABLE_BYTES = 1024 * 1024
@@ -80,6 +80,19 @@
         await group.stop_all()
 
 
+class TestAbandonedTransfer:
+    # Guards against memory that a follower keeps for a request whose leader went on without it.
+    async def test_is_dropped_at_the_next_whole_request(self, replica_group):
+        leader = await replica_group.wait_leader()
+        follower = next(node for node in replica_group.nodes.values() if node is not leader)
+        parts = follower.replica._following._parts
+        request = SnapshotRequest(leader.replica.term, leader.vm, 10**9, 1, bytes(3 * PART_BYTES))
+        part = PartedRequest(request=request, transfer=10**9, replica=follower.vm).next_part()
+        assert parts.add(part).unwrap() is None
+        assert parts.received_bytes == PART_BYTES
+        await eventually(lambda: parts.received_bytes == 0, "the part to be dropped")
+
+
 class TestDisk:
     # Guards against a log whose size grows with the number of changes times the size of a table.
     async def test_log_of_large_tables_stays_bounded(self, tmp_path):
--- a/tests/state/test_log_store.py
+++ b/tests/state/test_log_store.py
@@ -18,7 +18,8 @@
     read_file,
     replace_file,
 )
-from leadhollow.state.log_store import LOG_FILE, Entry, LogStore, Snapshot, Vote
+from leadhollow.state.log_contents import Entry, Snapshot
+from leadhollow.state.log_store import LOG_FILE, LogStore, Vote
 
 
 def entries(first: int, last: int, term: int = 1) -> list[Entry]:
--- a/tests/state/test_voters.py
+++ b/tests/state/test_voters.py
@@ -5,7 +5,7 @@
 import pytest
 
 from leadhollow.state.commands import TermStart, encode
-from leadhollow.state.log_store import Entry
+from leadhollow.state.log_contents import Entry
 from leadhollow.state.voter_rules import ReplicaHealth, choose_voters
 from leadhollow.state.voters import (
     ChangeVoters,
--- a/tests/wire/test_peers.py
+++ b/tests/wire/test_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from typing import Any
 
 from result import Err
 
@@ -12,6 +13,7 @@
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
 from leadhollow.wire import peers
+from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import UseReport
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.liveness import KEEPALIVE_IDLE_S, UNACKNOWLEDGED_LIMIT_MS
@@ -95,20 +97,23 @@
     def test_without_an_answer_in_time_closes_the_connection(self, monkeypatch):
         async def work() -> None:
             monkeypatch.setattr(peers, "DIAL_TIMEOUT_MS", 50)
-            closed = asyncio.Event()
+            made: list[Connection] = []
+
+            def make(**parts: Any) -> Connection:
+                made.append(Connection(**parts))  # kept, so that no garbage collection closes it
+                return made[-1]
 
             async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
                 await reader.read()
-                closed.set()
                 writer.close()
 
+            monkeypatch.setattr(peers, "Connection", make)
             server = await asyncio.start_server(accept, "127.0.0.1", 0)
             host, port = server.sockets[0].getsockname()
             pool = PeerPool(vm="v", failure_domain="d", token=TOKEN, handlers=HandlerTable())
             dialled = await pool.connection(f"{host}:{port}")
             assert dialled.unwrap_err().code is Code.PEER_LOST
-            async with asyncio.timeout(5):
-                await closed.wait()
+            assert [connection.closed.is_set() for connection in made] == [True]
             await pool.stop()
             server.close()
 
