--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -122,7 +122,7 @@
         self._bounds = {**BOUNDS, **(bounds or {})}
         self._network = random.randrange(60, 250)
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.base = free_ports([self.host(zone, place) for zone in self.zones for place in (1, 5, 20)])
+        self.base = free_ports([self.host(zone, place) for zone in self.zones for place in (1, 5, 6, 20, 21)])
         self.programs = []
         self.cores = [self._core(zone) for zone in self.zones]
         self.entries = []
