Log on which connection an answer came, and what was left behind it

Callers got a success where their server had answered a failure. Nothing in an entry's log told the hypotheses apart: whether the connection had carried other requests, what the answer named, how it was framed, and whether bytes of another response were left when the connection went back to the pool.

'response received' and 'stream complete' now have the connection's number, the number of its exchange, the id that the answer named and its framing; the dropped responses and the bytes without a request have the first two; 'received bytes behind a complete response' is new. No logic changes.

--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -85,6 +85,15 @@
         """Status of the response."""
         return self.response.head.status
 
+    def log_fields(self) -> dict[str, object]:
+        """Return log fields that tell on which connection the response came and what it named."""
+        return {
+            "connection": self._connection.serial,
+            "exchange": self._connection.exchange_count,
+            "named": self.metadata.attempt_id,
+            "framing": self.response.head.framing.value,
+        }
+
     async def read(self) -> Result[bytes, Failure]:
         """Return the next bytes of the response's body; ``b""`` at its end."""
         return await self.response.body.read()
@@ -272,7 +281,14 @@
             if own:
                 return Ok((response, metadata))
             self.stray_responses += 1
-            log.warning("dropped the response to another request", named=named, expected=attempt_id)
+            log.warning(
+                "dropped the response to another request",
+                connection=connection.serial,
+                exchange=connection.exchange_count,
+                status=response.head.status,
+                named=named,
+                expected=attempt_id,
+            )
             if response.head.framing is Framing.UNTIL_CLOSE:
                 break
             skipped = await _skip(response)
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -318,8 +318,8 @@
             fingerprint=short_fingerprint(call.fingerprint),
             instance=server.instance.instance,
             status=exchange.status,
-            framing=exchange.response.head.framing.value,
             size_bytes=len(response.data),
+            **exchange.log_fields(),
             after_ms=round((asyncio.get_running_loop().time() - call.received_s) * 1000),
         )
         return Ok(response)
--- a/src/leadhollow/forward/stream_relay.py
+++ b/src/leadhollow/forward/stream_relay.py
@@ -150,7 +150,7 @@
         self._begin_reply(exchange)
         self._call.reply.finish()
         exchange.finish()
-        self._log_complete(placement, exchange.response.head.framing)
+        self._log_complete(placement, exchange)
 
     def _begin_reply(self, exchange: Exchange) -> None:
         if self.started:
@@ -177,7 +177,7 @@
             predicted_ms=round(placement.call.predicted_ms),
         )
 
-    def _log_complete(self, placement: Placement, framing: Framing) -> None:
+    def _log_complete(self, placement: Placement, exchange: Exchange) -> None:
         now_s = asyncio.get_running_loop().time()
         log.info(
             "stream complete",
@@ -188,8 +188,8 @@
             first_ms=round((self._first_event_s - self._call.received_s) * 1000),
             longest_pause_ms=round(self._longest_pause_s * 1000),
             last_event_id=self.last_event_id,
-            framing=framing.value,
             attempts=self._call.attempts,
+            **exchange.log_fields(),
         )
 
 
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import socket
 import struct
@@ -36,6 +37,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on, with 0 s: closing sends a reset
 
 log = get_logger("http")
+_serials = itertools.count(1)
 
 
 class IncomingResponse:
@@ -53,6 +55,8 @@
 
     Attributes
     ----------
+    serial
+        Number of the connection within this process, for log lines.
     usable
         Whether another request may be sent: the connection is open and keep-alive, and there are
         no unexpected bytes.
@@ -67,6 +71,7 @@
     __slots__ = (
         "_failure",
         "_headers",
+        "_in_message",
         "_method",
         "_outstanding",
         "_parser",
@@ -79,10 +84,12 @@
         "exchange_count",
         "idle_since_s",
         "keep_alive_s",
+        "serial",
         "usable",
     )
 
     def __init__(self) -> None:
+        self.serial = next(_serials)
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._responses: deque[IncomingResponse] = deque()
@@ -93,6 +100,7 @@
         self._reason = b""
         self._method = b"GET"
         self._outstanding = False
+        self._in_message = False  # whether a part of a response was parsed and its end was not
         self._writable = asyncio.Event()
         self._writable.set()
         self.usable = True
@@ -113,7 +121,12 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if no request is outstanding."""
         if not self._outstanding:
-            log.warning("received bytes without an outstanding request", count=len(data))
+            log.warning(
+                "received bytes without an outstanding request",
+                connection=self.serial,
+                exchange=self.exchange_count,
+                count=len(data),
+            )
             self.close()
             return
         try:
@@ -158,6 +171,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response."""
+        self._in_message = True
         self._headers = Headers()
         self._reason = b""
 
@@ -197,6 +211,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the response."""
+        self._in_message = False
         if self._response is None:
             return
         if not self._parser.should_keep_alive():
@@ -245,6 +260,14 @@
         """
         self._outstanding = False
         self.idle_since_s = clocks.elapsed_s()
+        if self._in_message or self._responses:
+            log.warning(
+                "received bytes behind a complete response",
+                connection=self.serial,
+                exchange=self.exchange_count,
+                complete_responses=len(self._responses),
+                begun=self._in_message,
+            )
         if self._responses or self._response is not None:
             self.close()
 
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -76,6 +76,9 @@
     def write(self, data: bytes | None) -> None:
         self._parts.put_nowait(data)
 
+    def log_fields(self) -> dict[str, object]:
+        return {}
+
     async def read(self) -> Any:
         data = await self._parts.get()
         return Err(BROKEN) if data is None else Ok(data)
