Show that two response heads become one (known red)

Callers got a success where the server had answered a failure. A server sends the beginning of a second answer, cut within its head, and the connection stays open. The status line of the next answer then becomes the rest of a reason phrase or of a field's value. What the client parses has the status of the first head and the id, signature and body of the request's own answer.

The test cuts the head of a second answer at each byte, with and without an id, together with the answer before it and after the next request was sent; the next answer is a 500.

--- /dev/null
+++ b/tests/forward/odd_server.py
@@ -0,0 +1,159 @@
+"""A backend server that answers in odd ways, and the entry's backend client with its pool."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Sequence
+
+from leadhollow.decide.server import Server
+from leadhollow.decide.server_load import OwnCall
+from leadhollow.forward.buffered_response import buffer_response
+from leadhollow.forward.dialect import DispatchMetadata
+from leadhollow.forward.exchange import BackendClient
+from leadhollow.forward.pool import ConnectionPool
+from leadhollow.forward.server_directory import ServerDirectory
+from leadhollow.http1.headers import Headers
+from leadhollow.http1.messages import RequestHead
+from leadhollow.membership.instance_table import InstanceTable
+from leadhollow.membership.instances import Instance, InstanceState
+from leadhollow.platform.callers import PlatformCalls
+from tests.forward.bodies import empty_body
+
+PATIENCE_S = 0.3
+
+Send = Callable[[bytes], Awaitable[None]]
+Script = Callable[[str, Send], Awaitable[None]]
+"""Answers the request with an id by sending bytes."""
+
+
+def answer(
+    attempt_id: str,
+    *fields: str,
+    status: str = "200 OK",
+    size: int = 20,
+    named: bool = True,
+    framing: str = "length",
+) -> bytes:
+    """Return the answer of a server to a request; its signature and body hold the request's id."""
+    body = body_of(attempt_id, size)
+    lines = [f"HTTP/1.1 {status}", f"X-Response-Signature: {attempt_id}", *fields]
+    if named:
+        lines.append(f"X-Attempt-Id: {attempt_id}")
+    if framing == "length":
+        lines.append(f"Content-Length: {len(body)}")
+    elif framing == "chunked":
+        lines.append("Transfer-Encoding: chunked")
+        body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def body_of(attempt_id: str, size: int = 20) -> bytes:
+    """Return the body of the answer to a request."""
+    return (attempt_id.encode() + b".") * size
+
+
+class OddServer:
+    """One server whose answers a script writes, and a client that keeps its connections."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.connections = 0
+        self.closed_by_client = False
+        self.arrived: list[str] = []
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> OddServer:
+        self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._listener.sockets[0].getsockname()
+        table = InstanceTable(forget_after_s=60.0)
+        directory = ServerDirectory(table=table, clock=asyncio.get_running_loop().time)
+        table.merge(
+            Instance(
+                instance="i-1",
+                service="s",
+                address=f"{host}:{port}",
+                failure_domain="d",
+                sequence=1,
+                state=InstanceState.READY,
+                slots=1,
+                served=(),
+                heard_s=asyncio.get_running_loop().time(),
+            )
+        )
+        found = directory.server("i-1")
+        assert found is not None
+        self._server: Server = found
+        self.pool = ConnectionPool()
+        self.client = BackendClient(dialect=PlatformCalls(), pool=self.pool, listeners=())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.pool.stop()
+        for writer in self._writers:
+            writer.close()
+        self._listener.close()
+
+    async def request(self, attempt_id: str) -> tuple[int, str, bytes] | None:
+        """Send a request; return status, signature and body of its answer, None if it failed."""
+        head = RequestHead(
+            method=b"GET",
+            target=b"/",
+            headers=Headers(items=[(b"X-Attempt-Id", attempt_id.encode())]),
+        )
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                sent = await self.client.send(
+                    server=self._server,
+                    own_call=OwnCall(
+                        prompt_tokens=0, output_tokens=0, placed_s=0.0, predicted_ms=0.0
+                    ),
+                    head=head,
+                    body=await empty_body(head),
+                    attempt_id=attempt_id,
+                    dispatch=DispatchMetadata(deadline_ms=1.0, instance="i-1", organisation=None),
+                    fresh=False,
+                )
+                if sent.is_err():
+                    return None
+                exchange = sent.unwrap()
+                read = await buffer_response(exchange)
+        except TimeoutError:
+            return None
+        if read.is_err():
+            exchange.abort()
+            return None
+        exchange.finish()
+        found = exchange.response.head.headers.text(b"x-response-signature")
+        return exchange.status, found, read.unwrap().data
+
+    async def requests(self, attempt_ids: Sequence[str]) -> list[tuple[int, str, bytes] | None]:
+        """Send requests one after another."""
+        return [await self.request(attempt_id) for attempt_id in attempt_ids]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        self._writers.append(writer)
+
+        async def send(data: bytes) -> None:
+            if data:
+                writer.write(data)
+                await writer.drain()
+
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                attempt_id = head.split(b"X-Attempt-Id: ", 1)[1].split(b"\r\n", 1)[0].decode()
+                self.arrived.append(attempt_id)
+                await self.script(attempt_id, send)
+        except (OSError, asyncio.IncompleteReadError):
+            self.closed_by_client = True
+            writer.close()
+        except EndConnection:
+            writer.close()
+
+
+class EndConnection(Exception):
+    """Raised by a script to end its connection in order."""
+
+
+__all__ = ["EndConnection", "OddServer", "Script", "Send", "answer", "body_of"]
--- /dev/null
+++ b/tests/forward/test_odd_answers.py
@@ -0,0 +1,56 @@
+"""Answers that are cut, joined or sent twice; a caller gets its own answer or a failure."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.forward.odd_server import OddServer, Send, answer, body_of
+
+EARLIER, REQUEST = "aa", "bb"
+FAILED = "500 Internal Server Error"
+FIELDS = ("Date: Sat, 05 Dec", "Content-Type: text/plain")
+
+
+def heads_of_a_copy() -> list[bytes]:
+    """Return the head of a second answer to the earlier request, cut at each byte."""
+    found = []
+    for named in (True, False):
+        whole = answer(EARLIER, *FIELDS, named=named)
+        end = whole.index(b"\r\n\r\n") + len(b"\r\n\r\n")
+        found += [whole[:cut] for cut in range(1, end)]
+    return found
+
+
+async def wrong_answers(extras: list[bytes], *, late: bool, status: str) -> list[bytes]:
+    """Return the extra bytes for which the second request of a connection got a wrong answer."""
+    wrong = []
+    for extra in extras:
+
+        async def script(attempt_id: str, send: Send, extra: bytes = extra) -> None:
+            if attempt_id == EARLIER:
+                await send(answer(EARLIER) + (b"" if late else extra))
+                return
+            if late:
+                await send(extra)
+                await asyncio.sleep(0.001)
+            await send(answer(REQUEST, status=status))
+
+        async with OddServer(script) as server:
+            first, second = await server.requests([EARLIER, REQUEST])
+            assert first == (200, EARLIER, body_of(EARLIER))
+            if second not in (None, (int(status[:3]), REQUEST, body_of(REQUEST))):
+                wrong.append(extra)
+    return wrong
+
+
+class TestBeginningOfASecondAnswer:
+    # Guards against: the beginning of another answer's head becomes that of a failure, which
+    # looks like a success with the request's own id, signature and body.
+    @pytest.mark.parametrize("late", [False, True])
+    async def test_is_not_joined_with_the_head_of_the_next_answer(self, late):
+        assert await wrong_answers(heads_of_a_copy(), late=late, status=FAILED) == []
+
+
+__all__: list[str] = []
