--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -13,17 +13,13 @@
 import socket
 import struct
 from collections import deque
-from http import HTTPStatus
 from typing import cast
 
-import httptools
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.http1.body import IncomingBody
-from leadhollow.http1.headers import Headers
-from leadhollow.http1.messages import Framing, ResponseHead, response_framing
+from leadhollow.http1.response_parser import IncomingResponse, ResponseParser
 from leadhollow.http1.wakeup import Wakeup
 from leadhollow.kernel import clocks
 from leadhollow.kernel.active_time import active_timeout
@@ -40,16 +36,6 @@
 _serials = itertools.count(1)
 
 
-class IncomingResponse:
-    """A response whose head was received; its body may still arrive."""
-
-    __slots__ = ("body", "head")
-
-    def __init__(self, *, head: ResponseHead, body: IncomingBody) -> None:
-        self.head = head
-        self.body = body
-
-
 class ClientConnection(asyncio.Protocol):
     """Connection to a backend server.
 
@@ -57,56 +43,51 @@
     ----------
     serial
         Number of the connection within this process, for log lines.
-    usable
-        Whether another request may be sent: the connection is open and keep-alive, and there are
-        no unexpected bytes.
     exchange_count
         Number of requests that were sent.
     idle_since_s
         Time of `clocks.elapsed_s` at which the last exchange ended.
-    keep_alive_s
-        How long the server keeps an idle connection open; None if it did not say.
     """
 
     __slots__ = (
         "_failure",
-        "_headers",
-        "_in_message",
-        "_method",
+        "_open",
         "_outstanding",
         "_parser",
-        "_reason",
-        "_response",
         "_responses",
         "_transport",
         "_wakeup",
         "_writable",
         "exchange_count",
         "idle_since_s",
-        "keep_alive_s",
         "serial",
-        "usable",
     )
 
     def __init__(self) -> None:
         self.serial = next(_serials)
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser = ResponseParser(
+            on_response=self._on_response, pause=self._pause_reading, resume=self._resume_reading
+        )
         self._transport: asyncio.Transport | None = None
         self._responses: deque[IncomingResponse] = deque()
-        self._response: IncomingResponse | None = None
         self._wakeup = Wakeup()
         self._failure: Failure | None = None
-        self._headers = Headers()
-        self._reason = b""
-        self._method = b"GET"
         self._outstanding = False
-        self._in_message = False  # whether a part of a response was parsed and its end was not
         self._writable = asyncio.Event()
         self._writable.set()
-        self.usable = True
+        self._open = True
         self.exchange_count = 0
         self.idle_since_s = 0.0
-        self.keep_alive_s: float | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be sent: the connection is open and keep-alive."""
+        return self._open and self._parser.keep_alive
+
+    @property
+    def keep_alive_s(self) -> float | None:
+        """How long the server keeps an idle connection open; None if it did not say."""
+        return self._parser.keep_alive_s
 
     # asyncio callbacks
 
@@ -129,10 +110,15 @@
             )
             self.close()
             return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._fail(Failure(code=Code.ENGINE_FAILED, detail=f"no HTTP answer: {error}"))
+        refused = self._parser.feed(data)
+        if refused is not None:
+            log.warning(
+                "response refused",
+                connection=self.serial,
+                exchange=self.exchange_count,
+                failure=str(refused),
+            )
+            self._fail(refused)
             self.close()
 
     def eof_received(self) -> bool:
@@ -140,22 +126,19 @@
 
         A reset may be reported as an end of stream, with the error left on the socket.
         """
-        self.usable = False
+        self._open = False
         error = self._socket_error()
         if error:
             detail = f"the connection broke: {os.strerror(error)}"
             self._fail(Failure(code=Code.BACKEND_LOST, detail=detail))
             return False
-        response = self._response
-        if response is not None and response.head.framing is Framing.UNTIL_CLOSE:
-            response.body.finish()
-            self._response = None
+        self._parser.end_stream()
         self._fail(Failure(code=Code.BACKEND_LOST, detail="the connection was closed"))
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the response in progress, after a reset or the end of the stream."""
-        self.usable = False
+        self._open = False
         detail = "the connection was closed" if exc is None else f"the connection broke: {exc}"
         self._fail(Failure(code=Code.BACKEND_LOST, detail=detail))
 
@@ -167,65 +150,13 @@
         """Unblock writers."""
         self._writable.set()
 
-    # parser callbacks
-
-    def on_message_begin(self) -> None:
-        """Start a response."""
-        self._in_message = True
-        self._headers = Headers()
-        self._reason = b""
-
-    def on_status(self, reason: bytes) -> None:
-        """Append a part of the reason phrase."""
-        self._reason += reason
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
-        self._headers.add(name, value)
-
-    def on_headers_complete(self) -> None:
-        """Queue the response for `read_response`; interim (1xx) responses are skipped."""
-        status = self._parser.get_status_code()
-        if status < HTTPStatus.OK:
-            return
-        framing = response_framing(status=status, method=self._method, headers=self._headers)
-        head = ResponseHead(
-            status=status, reason=self._reason, headers=self._headers, framing=framing
-        )
-        body = IncomingBody(pause=self._pause_reading, resume=self._resume_reading)
-        self._response = IncomingResponse(head=head, body=body)
-        self.keep_alive_s = _keep_alive_s(self._headers)
-        if self._method == b"HEAD":  # the parser expects a body, which a HEAD response lacks
-            self.usable = False
-            body.finish()
-            self._response = None
-            self._responses.append(IncomingResponse(head=head, body=body))
-        else:
-            self._responses.append(self._response)
-        self._wakeup.wake()
-
-    def on_body(self, data: bytes) -> None:
-        """Append a part of the body."""
-        if self._response is not None:
-            self._response.body.feed(data)
-
-    def on_message_complete(self) -> None:
-        """Complete the response."""
-        self._in_message = False
-        if self._response is None:
-            return
-        if not self._parser.should_keep_alive():
-            self.usable = False
-        self._response.body.finish()
-        self._response = None
-
     # interface for callers
 
     def begin_request(self, head: bytes, *, method: bytes) -> None:
         """Send the head of a request."""
         assert self._transport is not None
         self._outstanding = True
-        self._method = method
+        self._parser.begin_request(method)
         self.exchange_count += 1
         self._transport.write(head)
 
@@ -245,7 +176,7 @@
         BACKEND_LOST
             The connection ended first.
         ENGINE_FAILED
-            The received bytes are not HTTP.
+            The received bytes are not an acceptable response.
         """
         while not self._responses:
             if self._failure is not None:
@@ -260,15 +191,16 @@
         """
         self._outstanding = False
         self.idle_since_s = clocks.elapsed_s()
-        if self._in_message or self._responses:
+        begun = self._parser.in_message
+        if self._responses or begun:
             log.warning(
                 "received bytes behind a complete response",
                 connection=self.serial,
                 exchange=self.exchange_count,
                 complete_responses=len(self._responses),
-                begun=self._in_message,
+                begun=begun,
             )
-        if self._responses or self._response is not None:
+        if self._responses or self._parser.response_begun:
             self.close()
 
     def close(self) -> None:
@@ -277,7 +209,7 @@
         If a request is outstanding, the connection is reset. The peer then drops request bytes in
         transit instead of processing them later.
         """
-        self.usable = False
+        self._open = False
         if self._transport is None:
             return
         sock = self._transport.get_extra_info("socket")
@@ -285,6 +217,10 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
+    def _on_response(self, response: IncomingResponse) -> None:
+        self._responses.append(response)
+        self._wakeup.wake()
+
     def _socket_error(self) -> int:
         if self._transport is None:
             return 0
@@ -296,9 +232,7 @@
     def _fail(self, failure: Failure) -> None:
         if self._failure is None:
             self._failure = failure
-        if self._response is not None:
-            self._response.body.fail(failure)
-            self._response = None
+        self._parser.fail(failure)
         self._writable.set()
         self._wakeup.wake()
 
@@ -340,13 +274,4 @@
     return Ok(connection)
 
 
-def _keep_alive_s(headers: Headers) -> float | None:
-    """Return how long the server keeps an idle connection open (``Keep-Alive: timeout=5``)."""
-    for token in headers.tokens(b"keep-alive"):
-        name, _, value = token.partition(b"=")
-        if name.strip() == b"timeout" and value.strip().isdigit():
-            return float(value)
-    return None
-
-
 __all__ = ["ClientConnection", "IncomingResponse", "open_connection"]
--- /dev/null
+++ b/src/leadhollow/http1/response_parser.py
@@ -0,0 +1,183 @@
+"""Parses the responses that a server sends on one connection."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import httptools
+
+from leadhollow.codes import Code
+from leadhollow.failure import Failure
+from leadhollow.http1.body import IncomingBody
+from leadhollow.http1.headers import Headers
+from leadhollow.http1.messages import Framing, ResponseHead, response_framing
+
+
+class IncomingResponse:
+    """A response whose head was received; its body may still arrive."""
+
+    __slots__ = ("body", "head")
+
+    def __init__(self, *, head: ResponseHead, body: IncomingBody) -> None:
+        self.head = head
+        self.body = body
+
+
+class ResponseParser:
+    """Parser of one connection's responses.
+
+    Parameters
+    ----------
+    on_response
+        Called with each final response when its head is complete.
+    pause, resume
+        Pause and resume reading from the socket.
+
+    Attributes
+    ----------
+    in_message
+        Whether a part of a response was parsed and its end was not.
+    keep_alive
+        Whether the responses allow another request.
+    keep_alive_s
+        How long the server keeps an idle connection open; None if it did not say.
+    """
+
+    __slots__ = (
+        "_headers",
+        "_method",
+        "_on_response",
+        "_parser",
+        "_pause",
+        "_reason",
+        "_response",
+        "_resume",
+        "in_message",
+        "keep_alive",
+        "keep_alive_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        on_response: Callable[[IncomingResponse], None],
+        pause: Callable[[], None],
+        resume: Callable[[], None],
+    ) -> None:
+        self._on_response = on_response
+        self._pause = pause
+        self._resume = resume
+        self._parser = httptools.HttpResponseParser(self)
+        self._method = b"GET"
+        self._headers = Headers()
+        self._reason = b""
+        self._response: IncomingResponse | None = None
+        self.in_message = False
+        self.keep_alive = True
+        self.keep_alive_s: float | None = None
+
+    # interface for the connection
+
+    def begin_request(self, method: bytes) -> None:
+        """Expect the response to a request."""
+        self._method = method
+
+    def feed(self, data: bytes) -> Failure | None:
+        """Parse received bytes; return why they are not acceptable.
+
+        Errors
+        ------
+        ENGINE_FAILED
+            The bytes are not HTTP.
+        """
+        refused = self._parse(data)
+        return None if refused is None else Failure(code=Code.ENGINE_FAILED, detail=refused)
+
+    @property
+    def response_begun(self) -> bool:
+        """Whether the head of a response was parsed and its body was not."""
+        return self._response is not None
+
+    def end_stream(self) -> None:
+        """Complete a response that is delimited by the end of the connection."""
+        response = self._response
+        if response is not None and response.head.framing is Framing.UNTIL_CLOSE:
+            response.body.finish()
+            self._response = None
+
+    def fail(self, failure: Failure) -> None:
+        """Fail the response in progress."""
+        if self._response is not None:
+            self._response.body.fail(failure)
+            self._response = None
+
+    # parser callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a response."""
+        self.in_message = True
+        self._headers = Headers()
+        self._reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        """Append a part of the reason phrase."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header field."""
+        self._headers.add(name, value)
+
+    def on_headers_complete(self) -> None:
+        """Pass the response on; interim (1xx) responses are skipped."""
+        status = self._parser.get_status_code()
+        if status < HTTPStatus.OK:
+            return
+        framing = response_framing(status=status, method=self._method, headers=self._headers)
+        head = ResponseHead(
+            status=status, reason=self._reason, headers=self._headers, framing=framing
+        )
+        body = IncomingBody(pause=self._pause, resume=self._resume)
+        response = IncomingResponse(head=head, body=body)
+        self.keep_alive_s = _keep_alive_s(self._headers)
+        if self._method == b"HEAD":  # the parser expects a body, which a HEAD response lacks
+            self.keep_alive = self.in_message = False
+            body.finish()
+        else:
+            self._response = response
+        self._on_response(response)
+
+    def on_body(self, data: bytes) -> None:
+        """Append a part of the body."""
+        if self._response is not None:
+            self._response.body.feed(data)
+
+    def on_message_complete(self) -> None:
+        """Complete the response."""
+        self.in_message = False
+        if self._response is None:
+            return
+        if not self._parser.should_keep_alive():
+            self.keep_alive = False
+        self._response.body.finish()
+        self._response = None
+
+    def _parse(self, data: bytes) -> str | None:
+        """Parse received bytes; return a reason to refuse them."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            return f"no HTTP: {error}"
+        return None
+
+
+def _keep_alive_s(headers: Headers) -> float | None:
+    """Return how long the server keeps an idle connection open (``Keep-Alive: timeout=5``)."""
+    for token in headers.tokens(b"keep-alive"):
+        name, _, value = token.partition(b"=")
+        if name.strip() == b"timeout" and value.strip().isdigit():
+            return float(value)
+    return None
+
+
+__all__ = ["IncomingResponse", "ResponseParser"]
--- a/tests/forward/odd_server.py
+++ b/tests/forward/odd_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import Awaitable, Callable, Sequence
 
 from leadhollow.decide.server import Server
@@ -61,6 +62,7 @@
         self.closed_by_client = False
         self.arrived: list[str] = []
         self._writers: list[asyncio.StreamWriter] = []
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> OddServer:
         self._listener = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -89,9 +91,17 @@
 
     async def __aexit__(self, *_: object) -> None:
         await self.pool.stop()
+        self._listener.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for writer in self._writers:
             writer.close()
-        self._listener.close()
+
+    def send_unasked(self, data: bytes) -> None:
+        """Send bytes on all connections, at once and without a turn of the event loop."""
+        for writer in self._writers:
+            os.write(writer.get_extra_info("socket").fileno(), data)
 
     async def request(self, attempt_id: str) -> tuple[int, str, bytes] | None:
         """Send a request; return status, signature and body of its answer, None if it failed."""
@@ -133,6 +143,9 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self._writers.append(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.append(task)
 
         async def send(data: bytes) -> None:
             if data:
