Refuse a response whose head holds another response's status line

Callers got a success where the server that ran their request had answered a failure, with the right signature and body. Cause: a server stops within the head of a second answer. The parser takes the status line of the next answer for the rest of a reason phrase or of a field's value, and the result has the first head's status. Where the next answer is a success nobody can tell; where it is a failure it is the reported form.

A connection that holds the beginning of a response at the end of an exchange is closed instead of reused. A head with a status line within its reason phrase or a value is refused, which also covers a beginning that comes after the next request was sent. Trailers no longer join the fields of the head.

Evidence: TestBeginningOfASecondAnswer cuts the head of a second answer at each byte. It works because every such join contains the whole status line of the second head, which no reason phrase and no field of a proper head does.

--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -191,16 +191,14 @@
         """
         self._outstanding = False
         self.idle_since_s = clocks.elapsed_s()
-        begun = self._parser.in_message
-        if self._responses or begun:
+        if self._responses or self._parser.in_message:
             log.warning(
                 "received bytes behind a complete response",
                 connection=self.serial,
                 exchange=self.exchange_count,
                 complete_responses=len(self._responses),
-                begun=begun,
+                begun=self._parser.in_message,
             )
-        if self._responses or self._parser.response_begun:
             self.close()
 
     def close(self) -> None:
--- a/src/leadhollow/http1/response_parser.py
+++ b/src/leadhollow/http1/response_parser.py
@@ -12,6 +12,10 @@
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import Framing, ResponseHead, response_framing
+from leadhollow.http1.response_checks import (
+    UnacceptableResponse,
+    check_head,
+)
 
 
 class IncomingResponse:
@@ -46,6 +50,7 @@
 
     __slots__ = (
         "_headers",
+        "_in_head",
         "_method",
         "_on_response",
         "_parser",
@@ -72,6 +77,7 @@
         self._method = b"GET"
         self._headers = Headers()
         self._reason = b""
+        self._in_head = False
         self._response: IncomingResponse | None = None
         self.in_message = False
         self.keep_alive = True
@@ -89,16 +95,11 @@
         Errors
         ------
         ENGINE_FAILED
-            The bytes are not HTTP.
+            The bytes are not HTTP, or hold joined responses.
         """
         refused = self._parse(data)
         return None if refused is None else Failure(code=Code.ENGINE_FAILED, detail=refused)
 
-    @property
-    def response_begun(self) -> bool:
-        """Whether the head of a response was parsed and its body was not."""
-        return self._response is not None
-
     def end_stream(self) -> None:
         """Complete a response that is delimited by the end of the connection."""
         response = self._response
@@ -116,7 +117,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response."""
-        self.in_message = True
+        self.in_message = self._in_head = True
         self._headers = Headers()
         self._reason = b""
 
@@ -125,11 +126,14 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
-        self._headers.add(name, value)
+        """Add a header field; trailers are dropped."""
+        if self._in_head:
+            self._headers.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Pass the response on; interim (1xx) responses are skipped."""
+        self._in_head = False
+        check_head(self._reason, self._headers)
         status = self._parser.get_status_code()
         if status < HTTPStatus.OK:
             return
@@ -167,7 +171,8 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            return f"no HTTP: {error}"
+            cause = error.__context__
+            return str(cause) if isinstance(cause, UnacceptableResponse) else f"no HTTP: {error}"
         return None
 
 
