Do not complete a body within which another response began

The end of a body is decided when the received bytes are parsed. If bytes are left behind it and the body holds a status line or ends with the beginning of one, it is incomplete; a body without length is incomplete if it holds a whole head. Bytes behind a proper body still belong to no request, and its answer is passed on.

Evidence: TestAnswerCutOnAnOpenConnection cuts an answer at each byte, with a length and in chunks, and lets a second one follow, with and without an id: all six cases failed before, all pass now. Left: a second answer that ends exactly where the first one should.

--- a/src/leadhollow/http1/response_parser.py
+++ b/src/leadhollow/http1/response_parser.py
@@ -13,19 +13,46 @@
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import Framing, ResponseHead, response_framing
 from leadhollow.http1.response_checks import (
+    JoinedResponseDetector,
     UnacceptableResponse,
     check_head,
 )
 
 
 class IncomingResponse:
-    """A response whose head was received; its body may still arrive."""
+    """A response whose head was received; its body may still arrive.
 
-    __slots__ = ("body", "head")
+    Attributes
+    ----------
+    joined
+        Looks for the head of another response within the body.
+    """
+
+    __slots__ = ("body", "head", "joined")
 
     def __init__(self, *, head: ResponseHead, body: IncomingBody) -> None:
         self.head = head
         self.body = body
+        self.joined = JoinedResponseDetector()
+
+    def feed(self, data: bytes) -> None:
+        """Append a part of the body."""
+        self.joined.feed(data)
+        self.body.feed(data)
+
+    def end(self, *, bytes_follow: bool) -> None:
+        """End the body, as incomplete if another response seems to have begun within it."""
+        if self._is_joined(bytes_follow=bytes_follow):
+            detail = "another response began within the body"
+            self.body.discard()  # a relay must not get as many bytes as were declared
+            self.body.fail(Failure(code=Code.ENGINE_FAILED, detail=detail))
+        else:
+            self.body.finish()
+
+    def _is_joined(self, *, bytes_follow: bool) -> bool:
+        if self.head.framing is Framing.UNTIL_CLOSE:
+            return self.joined.embeds_head
+        return bytes_follow and self.joined.may_be_joined
 
 
 class ResponseParser:
@@ -49,6 +76,7 @@
     """
 
     __slots__ = (
+        "_ended",
         "_headers",
         "_in_head",
         "_method",
@@ -79,6 +107,7 @@
         self._reason = b""
         self._in_head = False
         self._response: IncomingResponse | None = None
+        self._ended: IncomingResponse | None = None  # its last byte was parsed just now
         self.in_message = False
         self.keep_alive = True
         self.keep_alive_s: float | None = None
@@ -98,13 +127,14 @@
             The bytes are not HTTP, or hold joined responses.
         """
         refused = self._parse(data)
+        self._end_response(bytes_follow=refused is not None)
         return None if refused is None else Failure(code=Code.ENGINE_FAILED, detail=refused)
 
     def end_stream(self) -> None:
         """Complete a response that is delimited by the end of the connection."""
         response = self._response
         if response is not None and response.head.framing is Framing.UNTIL_CLOSE:
-            response.body.finish()
+            response.end(bytes_follow=False)
             self._response = None
 
     def fail(self, failure: Failure) -> None:
@@ -117,6 +147,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response."""
+        self._end_response(bytes_follow=True)
         self.in_message = self._in_head = True
         self._headers = Headers()
         self._reason = b""
@@ -154,17 +185,16 @@
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         if self._response is not None:
-            self._response.body.feed(data)
+            self._response.feed(data)
 
     def on_message_complete(self) -> None:
-        """Complete the response."""
+        """Complete the response, unless the bytes behind it say otherwise."""
         self.in_message = False
         if self._response is None:
             return
         if not self._parser.should_keep_alive():
             self.keep_alive = False
-        self._response.body.finish()
-        self._response = None
+        self._ended, self._response = self._response, None
 
     def _parse(self, data: bytes) -> str | None:
         """Parse received bytes; return a reason to refuse them."""
@@ -175,6 +205,12 @@
             return str(cause) if isinstance(cause, UnacceptableResponse) else f"no HTTP: {error}"
         return None
 
+    def _end_response(self, *, bytes_follow: bool) -> None:
+        """End the response whose last byte was parsed, once it is known if bytes follow."""
+        response, self._ended = self._ended, None
+        if response is not None:
+            response.end(bytes_follow=bytes_follow)
+
 
 def _keep_alive_s(headers: Headers) -> float | None:
     """Return how long the server keeps an idle connection open (``Keep-Alive: timeout=5``)."""
--- a/tests/forward/test_odd_answers.py
+++ b/tests/forward/test_odd_answers.py
@@ -6,11 +6,12 @@
 
 import pytest
 
-from tests.forward.odd_server import OddServer, Send, answer, body_of
+from tests.forward.odd_server import EndConnection, OddServer, Send, answer, body_of
 
 EARLIER, REQUEST = "aa", "bb"
 FAILED = "500 Internal Server Error"
 FIELDS = ("Date: Sat, 05 Dec", "Content-Type: text/plain")
+OWN_SUCCESS = (200, REQUEST, body_of(REQUEST))
 
 
 def heads_of_a_copy() -> list[bytes]:
@@ -53,4 +54,37 @@
         assert await wrong_answers(heads_of_a_copy(), late=late, status=FAILED) == []
 
 
+class TestAnswerCutOnAnOpenConnection:
+    # Guards against: the bytes of a second answer fill up the body of one that was cut.
+    @pytest.mark.parametrize("named", [False, True])
+    @pytest.mark.parametrize("framing", ["length", "chunked"])
+    async def test_is_not_filled_up_by_a_second_answer(self, named, framing):
+        own = answer(REQUEST, framing=framing)
+        second = answer(EARLIER, named=named, framing=framing)
+        wrong = []
+        for cut in range(1, len(own)):
+
+            async def script(_: str, send: Send, cut: int = cut) -> None:
+                await send(own[:cut])
+                await asyncio.sleep(0.001)
+                await send(second)
+
+            async with OddServer(script) as server:
+                if await server.request(REQUEST) not in (None, OWN_SUCCESS):
+                    wrong.append(cut)
+        assert wrong == []
+
+    # Guards against: an answer that ends with its connection swallows a second one.
+    @pytest.mark.parametrize("named", [False, True])
+    async def test_without_length_does_not_hold_a_second_answer(self, named):
+        async def script(_: str, send: Send) -> None:
+            await send(answer(REQUEST, framing="none"))
+            await asyncio.sleep(0.001)
+            await send(answer(EARLIER, named=named))
+            raise EndConnection
+
+        async with OddServer(script) as server:
+            assert await server.request(REQUEST) is None
+
+
 __all__: list[str] = []
