Take an answer only with proof that it belongs to the request

An answer that names no request can only belong to the first request of its connection. On a used connection it fails the attempt, which may go elsewhere as only repeatable requests use such a connection. After an unnamed or a stray answer a connection carries no further request. Several different ids name no request.

Evidence: TestCopyWithoutId, TestCopyWithTwoIds and TestUsedConnection; those that are about a fault failed before. It works because a connection is reused only after its server has named each request on it, so that a missing name is the server's fault. tests/forward/test_silent_connections.py had a server that names no request and reuses its connection; it names it now, and what it checks is the same.

--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -23,6 +23,7 @@
 from leadhollow.observe.logs import get_logger
 
 MAX_STRAY_RESPONSES = 4
+MAX_STRAY_BYTES = 256 * 1024  # of the body of a response to another request
 SILENT_CONNECTION_S = 0.3
 """After this time without a response on a reused connection, all idle connections to the server are
 closed: they may all be dead, for example after a NAT device dropped their state."""
@@ -191,7 +192,9 @@
         """
         start_s = asyncio.get_running_loop().time()
         address = server.instance.address
-        acquired = await self._pool.acquire(address, fresh=fresh, timeout_s=connect_timeout_s)
+        acquired = await self._pool.acquire(
+            address, fresh=fresh or not attempt_id, timeout_s=connect_timeout_s
+        )
         dispatch.connect_s = asyncio.get_running_loop().time() - start_s
         if acquired.is_err():
             failure = acquired.unwrap_err()
@@ -264,7 +267,9 @@
     ) -> Result[tuple[IncomingResponse, ResponseMetadata], Failure]:
         """Read responses until the one to this request, skipping those to earlier requests.
 
-        The listeners get the metadata of skipped responses too.
+        A response that names no request can only belong to the first one of its connection. The
+        connection then carries no other, and neither does one on which a stray response came. The
+        listeners get the metadata of skipped responses too.
         """
         for _ in range(MAX_STRAY_RESPONSES):
             read = await connection.read_response()
@@ -273,13 +278,17 @@
             response = read.unwrap()
             metadata = self._dialect.parse_response(response.head)
             named = metadata.attempt_id
-            own = named is None or named == attempt_id or not attempt_id
-            if own:
+            unnamed = named is None or not attempt_id
+            if named != attempt_id or unnamed:
+                connection.retire()
+            if unnamed and connection.exchange_count > 1:
+                connection.close()
+                detail = "a response on a used connection names no request"
+                return Err(Failure(code=Code.ENGINE_FAILED, detail=detail))
+            if unnamed or named == attempt_id:
                 self._notify(server, response, metadata, sent_s=sent_s, call=call)
-            else:
-                self._notify(server, response, metadata, sent_s=None, call=None)
-            if own:
                 return Ok((response, metadata))
+            self._notify(server, response, metadata, sent_s=None, call=None)
             self.stray_responses += 1
             log.warning(
                 "dropped the response to another request",
@@ -325,12 +334,17 @@
 
 
 async def _skip(response: IncomingResponse) -> Result[None, Failure]:
-    while True:
+    size = 0
+    while size <= MAX_STRAY_BYTES:
         read = await response.body.read()
         if read.is_err():
             return Err(read.unwrap_err())
-        if not read.unwrap():
+        data = read.unwrap()
+        if not data:
             return Ok(None)
+        size += len(data)
+    detail = "the response to another request is too long"
+    return Err(Failure(code=Code.ENGINE_FAILED, detail=detail))
 
 
 __all__ = ["AttemptEnd", "AttemptFailure", "BackendClient", "Exchange", "ResponseListener"]
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -201,6 +201,10 @@
             )
             self.close()
 
+    def retire(self) -> None:
+        """Carry no further request, because bytes of another response may come."""
+        self._open = False
+
     def close(self) -> None:
         """Abort the connection.
 
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -121,7 +121,7 @@
     def parse_response(self, head: ResponseHead) -> ResponseMetadata:
         """Decode the header fields of a backend server's response."""
         headers = head.headers
-        attempt_id = headers.get(ATTEMPT_ID)
+        attempt_ids = headers.get_all(ATTEMPT_ID)
         instance = headers.text(INSTANCE_ID)
         has_unusual = self._unknown.check_headers(headers, sender=instance)
         limits = headers.get_all(SERVER_LIMIT) if has_unusual else []
@@ -132,7 +132,7 @@
         backoffs = headers.get_all(RETRY_AFTER) if unavailable else []
         backoff_s = parse_decimal(backoffs)
         return ResponseMetadata(
-            attempt_id=None if attempt_id is None else attempt_id.decode("latin-1"),
+            attempt_id=b", ".join(dict.fromkeys(attempt_ids)).decode("latin-1") or None,
             limit_per_s=limit_per_s,
             limit_malformed=bool(limits) and limit_per_s is None,
             cold_remaining_ms=cold_ms if cold_ms is None else min(cold_ms, MAX_COLD_MS),
--- a/tests/forward/test_odd_answers.py
+++ b/tests/forward/test_odd_answers.py
@@ -54,6 +54,28 @@
         assert await wrong_answers(heads_of_a_copy(), late=late, status=FAILED) == []
 
 
+class TestCopyWithoutId:
+    # Guards against: a late second answer that names no request is taken for the next one's.
+    @pytest.mark.parametrize("late", [False, True])
+    @pytest.mark.parametrize("status", ["200 OK", FAILED])
+    async def test_is_not_the_answer_to_the_next_request(self, late, status):
+        copies = [answer(EARLIER, named=False, framing=each) for each in ("length", "chunked")]
+        assert await wrong_answers(copies, late=late, status=status) == []
+
+
+class TestCopyWithTwoIds:
+    # Guards against: an answer that names two requests is taken for that of the one named first.
+    async def test_is_not_the_answer_to_either_request(self):
+        async def script(attempt_id: str, send: Send) -> None:
+            if attempt_id == REQUEST:
+                await send(answer(EARLIER, f"X-Attempt-Id: {REQUEST}", named=True))
+                await asyncio.sleep(0.001)
+            await send(answer(attempt_id))
+
+        async with OddServer(script) as server:
+            assert (await server.requests([EARLIER, REQUEST]))[1] in (None, OWN_SUCCESS)
+
+
 class TestAnswerCutOnAnOpenConnection:
     # Guards against: the bytes of a second answer fill up the body of one that was cut.
     @pytest.mark.parametrize("named", [False, True])
@@ -87,4 +109,28 @@
             assert await server.request(REQUEST) is None
 
 
+class TestUsedConnection:
+    # Guards against: a connection is opened for each request to a server that answers in order.
+    async def test_serves_further_requests_of_a_server_that_names_them(self):
+        async def script(attempt_id: str, send: Send) -> None:
+            await send(answer(attempt_id))
+
+        async with OddServer(script) as server:
+            ids = [f"r{number}" for number in range(20)]
+            assert [found[1] for found in await server.requests(ids)] == ids
+            assert server.connections == 1
+
+    # Guards against: a connection serves on although its answers prove nothing.
+    async def test_is_not_used_again_if_the_server_names_no_request(self):
+        async def script(attempt_id: str, send: Send) -> None:
+            await send(answer(attempt_id, named=False))
+
+        async with OddServer(script) as server:
+            assert await server.requests([EARLIER, REQUEST]) == [
+                (200, EARLIER, body_of(EARLIER)),
+                OWN_SUCCESS,
+            ]
+            assert server.connections == 2
+
+
 __all__: list[str] = []
--- a/tests/forward/test_silent_connections.py
+++ b/tests/forward/test_silent_connections.py
@@ -21,14 +21,17 @@
 CONNECTIONS = 3
 
 
+ATTEMPT_ID = "a-1"
+
+
 class PlainDialect:
-    """Dialect without header fields of its own."""
+    """Dialect without header fields of its own; each response names the request."""
 
     def dispatch_headers(self, head, dispatch):
         return Headers()
 
     def parse_response(self, head):
-        return ResponseMetadata(attempt_id=None, signed=True, not_executed=False)
+        return ResponseMetadata(attempt_id=ATTEMPT_ID, signed=True, not_executed=False)
 
 
 class SilentServer:
@@ -80,7 +83,7 @@
             own_call=OwnCall(prompt_tokens=0, output_tokens=0, placed_s=0.0, predicted_ms=0.0),
             head=head,
             body=body,
-            attempt_id="",
+            attempt_id=ATTEMPT_ID,
             dispatch=DispatchMetadata(deadline_ms=1.0, instance="i", organisation=None),
             fresh=False,
         )
