Do not reuse a connection with bytes that were not read yet

A process that stood still wrote its next request to a connection whose socket already held a late second answer; the bytes were read after the request was written and counted for it. The socket is polled now before a connection is reused, by the pool and by the fetcher. A connection that the server has closed meanwhile is not used either.

Evidence: TestBytesThatWaitInTheSocket failed before: the copy was taken for the answer.

--- a/src/leadhollow/forward/pool.py
+++ b/src/leadhollow/forward/pool.py
@@ -103,7 +103,7 @@
         idle = self._idle.get(address, [])
         while idle:
             connection = idle.pop()
-            if self._reusable(connection):
+            if self._reusable(connection) and not connection.has_unread_input():
                 return connection
             connection.close()
         return None
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import itertools
 import os
+import select
 import socket
 import struct
 from collections import deque
@@ -205,6 +206,16 @@
         """Carry no further request, because bytes of another response may come."""
         self._open = False
 
+    def has_unread_input(self) -> bool:
+        """Whether the socket has bytes, or its end, that the event loop has not read yet."""
+        sock = None if self._transport is None else self._transport.get_extra_info("socket")
+        descriptor = -1 if sock is None else sock.fileno()
+        if descriptor < 0:
+            return True
+        poller = select.poll()
+        poller.register(descriptor, select.POLLIN)
+        return bool(poller.poll(0))
+
     def close(self) -> None:
         """Abort the connection.
 
--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -153,7 +153,8 @@
         now_s = clocks.elapsed_s()
         while idle:
             connection = idle.pop()
-            if connection.usable and now_s - connection.idle_since_s < IDLE_REUSE_S:
+            recent = now_s - connection.idle_since_s < IDLE_REUSE_S
+            if connection.usable and recent and not connection.has_unread_input():
                 return Ok(connection)
             connection.close()
         return await open_connection(address, timeout_s=self._connect_timeout_s)
--- a/tests/forward/test_odd_answers.py
+++ b/tests/forward/test_odd_answers.py
@@ -109,6 +109,20 @@
             assert await server.request(REQUEST) is None
 
 
+class TestBytesThatWaitInTheSocket:
+    # Guards against: after a process stood still, bytes that came meanwhile count for the request
+    # that it sends next.
+    async def test_end_the_connection_before_a_request_is_sent(self):
+        async def script(attempt_id: str, send: Send) -> None:
+            await send(answer(attempt_id))
+
+        async with OddServer(script) as server:
+            await server.request(EARLIER)
+            server.send_unasked(answer(EARLIER, named=False))
+            assert await server.request(REQUEST) == OWN_SUCCESS
+            assert server.connections == 2
+
+
 class TestUsedConnection:
     # Guards against: a connection is opened for each request to a server that answers in order.
     async def test_serves_further_requests_of_a_server_that_names_them(self):
