Bound what a server sends beside the body of its answer

A head without end made entries grow from 21 to 553 MB in 12 s, interim responses without end kept them from answering at all, and the body of an answer to another request was read without end (real processes, code before).

Fields are counted, interim responses are counted, and so are bytes that bring no part of a body: 256, 16 and 64 KiB. Beyond that the connection is closed and the attempt fails, which counts against the server's health.

Evidence: five cases of TestBoundsOfAnAnswer failed before and pass now; answers with 60 fields and three interim responses pass as before.

--- a/src/leadhollow/http1/response_checks.py
+++ b/src/leadhollow/http1/response_checks.py
@@ -1,4 +1,4 @@
-"""Signs in a server's bytes that two responses were joined.
+"""Checks of a server's bytes: bounds of a response, and signs that two responses were joined.
 
 A server may stop within a response and send another one on the same connection. A parser then
 takes the second status line for a part of the first response.
@@ -10,6 +10,12 @@
 
 from leadhollow.http1.headers import Headers
 
+MAX_OVERHEAD_BYTES = 64 * 1024
+"""Bytes that a server may send without a part of a body: heads, interim responses, trailers."""
+
+MAX_FIELDS = 256  # in one head, or in the trailers of a body
+MAX_INTERIM_RESPONSES = 16
+
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
 STATUS_LINE_START = b"HTTP/1."
 EMBEDDED_HEAD = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,200}\r?\n[!-9;-~]{1,100}:")
@@ -17,7 +23,55 @@
 
 
 class UnacceptableResponse(Exception):  # noqa: N818 - raised through the parser's callbacks
-    """A response holds another one."""
+    """A response exceeds a bound, or holds another one."""
+
+
+class ResponseBounds:
+    """Counts what a server sends for one request beside the body of its response.
+
+    Raises
+    ------
+    UnacceptableResponse
+        A bound is exceeded. The methods raise it.
+    """
+
+    __slots__ = ("_fields", "_interim_responses", "_overhead_bytes")
+
+    def __init__(self) -> None:
+        self._fields = 0
+        self._interim_responses = 0
+        self._overhead_bytes = 0
+
+    def begin_request(self) -> None:
+        """Start to count anew."""
+        self._interim_responses = 0
+        self._overhead_bytes = 0
+
+    def begin_message(self) -> None:
+        """Start to count the fields of a response."""
+        self._fields = 0
+
+    def add_field(self) -> None:
+        """Count a header or trailer field."""
+        self._fields += 1
+        if self._fields > MAX_FIELDS:
+            raise UnacceptableResponse(f"more than {MAX_FIELDS} fields")
+
+    def add_interim(self) -> None:
+        """Count an interim response."""
+        self._interim_responses += 1
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            raise UnacceptableResponse(f"more than {MAX_INTERIM_RESPONSES} interim responses")
+
+    def add_overhead(self, count: int) -> None:
+        """Count bytes that brought no part of a body."""
+        self._overhead_bytes += count
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            raise UnacceptableResponse(f"more than {MAX_OVERHEAD_BYTES} bytes without a body")
+
+    def reset_overhead(self) -> None:
+        """Record that a part of a body has arrived."""
+        self._overhead_bytes = 0
 
 
 class JoinedResponseDetector:
@@ -71,7 +125,11 @@
 
 
 __all__ = [
+    "MAX_FIELDS",
+    "MAX_INTERIM_RESPONSES",
+    "MAX_OVERHEAD_BYTES",
     "JoinedResponseDetector",
+    "ResponseBounds",
     "UnacceptableResponse",
     "check_head",
 ]
--- a/src/leadhollow/http1/response_parser.py
+++ b/src/leadhollow/http1/response_parser.py
@@ -14,6 +14,7 @@
 from leadhollow.http1.messages import Framing, ResponseHead, response_framing
 from leadhollow.http1.response_checks import (
     JoinedResponseDetector,
+    ResponseBounds,
     UnacceptableResponse,
     check_head,
 )
@@ -76,6 +77,7 @@
     """
 
     __slots__ = (
+        "_bounds",
         "_ended",
         "_headers",
         "_in_head",
@@ -83,6 +85,7 @@
         "_on_response",
         "_parser",
         "_pause",
+        "_progressed",
         "_reason",
         "_response",
         "_resume",
@@ -102,10 +105,12 @@
         self._pause = pause
         self._resume = resume
         self._parser = httptools.HttpResponseParser(self)
+        self._bounds = ResponseBounds()
         self._method = b"GET"
         self._headers = Headers()
         self._reason = b""
         self._in_head = False
+        self._progressed = False  # whether the parsed bytes brought a part of a final response
         self._response: IncomingResponse | None = None
         self._ended: IncomingResponse | None = None  # its last byte was parsed just now
         self.in_message = False
@@ -117,6 +122,7 @@
     def begin_request(self, method: bytes) -> None:
         """Expect the response to a request."""
         self._method = method
+        self._bounds.begin_request()
 
     def feed(self, data: bytes) -> Failure | None:
         """Parse received bytes; return why they are not acceptable.
@@ -124,7 +130,7 @@
         Errors
         ------
         ENGINE_FAILED
-            The bytes are not HTTP, or hold joined responses.
+            The bytes are not HTTP, exceed a bound, or hold joined responses.
         """
         refused = self._parse(data)
         self._end_response(bytes_follow=refused is not None)
@@ -149,6 +155,7 @@
         """Start a response."""
         self._end_response(bytes_follow=True)
         self.in_message = self._in_head = True
+        self._bounds.begin_message()
         self._headers = Headers()
         self._reason = b""
 
@@ -158,6 +165,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; trailers are dropped."""
+        self._bounds.add_field()
         if self._in_head:
             self._headers.add(name, value)
 
@@ -167,7 +175,9 @@
         check_head(self._reason, self._headers)
         status = self._parser.get_status_code()
         if status < HTTPStatus.OK:
+            self._bounds.add_interim()
             return
+        self._progressed = True
         framing = response_framing(status=status, method=self._method, headers=self._headers)
         head = ResponseHead(
             status=status, reason=self._reason, headers=self._headers, framing=framing
@@ -184,6 +194,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
+        self._progressed = True
         if self._response is not None:
             self._response.feed(data)
 
@@ -198,8 +209,15 @@
 
     def _parse(self, data: bytes) -> str | None:
         """Parse received bytes; return a reason to refuse them."""
+        self._progressed = False
         try:
             self._parser.feed_data(data)
+            if self._progressed:
+                self._bounds.reset_overhead()
+            else:
+                self._bounds.add_overhead(len(data))
+        except UnacceptableResponse as error:
+            return str(error)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             cause = error.__context__
             return str(cause) if isinstance(cause, UnacceptableResponse) else f"no HTTP: {error}"
--- a/tests/forward/test_odd_answers.py
+++ b/tests/forward/test_odd_answers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.forward.odd_server import EndConnection, OddServer, Send, answer, body_of
+from tests.support import eventually
 
 EARLIER, REQUEST = "aa", "bb"
 FAILED = "500 Internal Server Error"
@@ -123,6 +124,56 @@
             assert server.connections == 2
 
 
+class TestBoundsOfAnAnswer:
+    # Guards against: an answer's head without end fills the memory of an entry.
+    @pytest.mark.parametrize(
+        "piece", [b"x" * 1000, b"A: b\r\n" * 100, b"A: " + b"x" * 1000 + b"\r\n"]
+    )
+    async def test_end_a_head_without_end(self, piece):
+        sent = 0
+
+        async def script(_: str, send: Send) -> None:
+            nonlocal sent
+            await send(b"HTTP/1.1 200 OK\r\nX-Long: ")
+            while True:
+                await send(piece)
+                sent += len(piece)
+
+        async with OddServer(script) as server:
+            assert await server.request(REQUEST) is None
+            await eventually(lambda: server.closed_by_client)
+
+    # Guards against: interim responses without end keep an entry from all other work.
+    async def test_end_interim_responses_without_end(self):
+        async def script(_: str, send: Send) -> None:
+            while True:
+                await send(b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" * 100)
+
+        async with OddServer(script) as server:
+            assert await server.request(REQUEST) is None
+            await eventually(lambda: server.closed_by_client)
+
+    # Guards against: the body of an answer to another request is read without end.
+    async def test_end_the_body_of_a_dropped_answer(self):
+        async def script(_: str, send: Send) -> None:
+            await send(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: zz\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                await send(b"1000\r\n" + b"x" * 0x1000 + b"\r\n")
+
+        async with OddServer(script) as server:
+            assert await server.request(REQUEST) is None
+            await eventually(lambda: server.closed_by_client)
+
+    # Guards against: some fields and interim responses, as proper servers send them, are refused.
+    async def test_let_common_answers_through(self):
+        async def script(attempt_id: str, send: Send) -> None:
+            await send(b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" * 3)
+            await send(answer(attempt_id, *(f"X-Field-{n}: {'v' * 100}" for n in range(60))))
+
+        async with OddServer(script) as server:
+            assert await server.request(REQUEST) == OWN_SUCCESS
+
+
 class TestUsedConnection:
     # Guards against: a connection is opened for each request to a server that answers in order.
     async def test_serves_further_requests_of_a_server_that_names_them(self):
