Soak replicas that are killed as they acknowledge a departure

The review showed by a script that an acknowledged departure was lost with the replica that acknowledged it; the suite had no real processes for that.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
+from tests.soak.departures import soak_departures
 from tests.soak.repeats import soak_repeats
 from tests.soak.run import Verdict, soak
 from tests.soak.stream_play import soak_streams
@@ -30,6 +31,8 @@
 
 
 def _soak(seed: int, folder: Path, options: argparse.Namespace) -> Coroutine[None, None, Verdict]:
+    if options.departures:
+        return soak_departures(seed=seed, folder=folder)
     if options.repeats_s:
         return soak_repeats(seed=seed, folder=folder, seconds=options.repeats_s)
     if options.streams_s:
@@ -83,6 +86,11 @@
         dest="evacuates",
         help="evacuate and restore failure domains besides",
     )
+    parser.add_argument(
+        "--departures",
+        action="store_true",
+        help="kill replicas as they acknowledge that an engine leaves instead",
+    )
     options = parser.parse_args()
     seeds = range(options.first, options.first + options.seeds)
     failed = 0
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -155,6 +155,11 @@
         if self.model:
             self.version = 0
 
+    def stop_beating(self) -> None:
+        """Send no heartbeats any more; it goes on serving."""
+        if self._beating is not None:
+            self._beating.cancel()
+
     async def bring_back(self) -> None:
         """Let it serve undisturbed, whatever state it is in."""
         self.mute = False
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.soak.departures import soak_departures
 from tests.soak.repeats import soak_repeats
 from tests.soak.run import soak
 from tests.soak.stream_play import soak_streams
@@ -50,3 +51,11 @@
         verdict = asyncio.run(soak_repeats(seed=1, folder=tmp_path, seconds=REPEATS_S))
         assert verdict.violations == []
         assert verdict.columns["repeats"] > 0
+
+
+class TestSoakOfDepartures:
+    # Guards against: a departure is lost with the replica that is killed as it acknowledges it.
+    def test_sends_nothing_to_servers_that_left(self, tmp_path):
+        verdict = asyncio.run(soak_departures(seed=1, folder=tmp_path))
+        assert verdict.violations == []
+        assert verdict.served > 0
