Add a bench of replicas that lose their disks after many changes

What a lost replica costs at 7,240 routes and 1,000 changes was not measured. The bench runs three replicas over sockets and files, changes one route at a time, lets two lose their disks in turn, and gives the time until each is whole, the time of a change meanwhile, and the size of the data folder. The full size was not run with this commit.

--- a/src/leadhollow/bench/table_costs.py
+++ b/src/leadhollow/bench/table_costs.py
@@ -85,12 +85,13 @@
     catalog = Catalog()
     index = RouteIndex(catalog=catalog)
     machine = StateMachine()
-    machine.apply(1, replacement_command(_table(1, {n: _route(n) for n in range(size)}), b"{}"))
+    machine.apply(1, replacement_command(route_table(1, {n: route(n) for n in range(size)}), b"{}"))
     catalog.apply(machine.catalog.items_after(0), revision=1)
     return index
 
 
-def _route(number: int, *, timeout_ms: int = 1_000) -> Route:
+def route(number: int, *, timeout_ms: int = 1_000) -> Route:
+    """Make a route."""
     return Route(
         name=f"r-{number}",
         host=f"host{number % HOSTS}.example",
@@ -102,7 +103,8 @@
     )
 
 
-def _table(number: int, routes: dict[int, Route]) -> RouteTable:
+def route_table(number: int, routes: dict[int, Route]) -> RouteTable:
+    """Make a table of some routes."""
     return RouteTable(
         number=number, routes=tuple(routes.values()), services=(ServiceRecord(name="s"),)
     )
@@ -112,14 +114,14 @@
     machine = StateMachine()
     follower = Catalog()
     index = RouteIndex(catalog=follower)
-    routes = {number: _route(number) for number in range(size)}
-    machine.apply(1, replacement_command(_table(1, routes), b"{}"))
+    routes = {number: route(number) for number in range(size)}
+    machine.apply(1, replacement_command(route_table(1, routes), b"{}"))
     follower.apply(machine.catalog.items_after(0), revision=1)
     times: dict[str, list[float]] = {name: [] for name in ("replica", "gather", "entry")}
     change_bytes = 0
     for turn in range(2, ROUNDS + 2):
-        routes[turn] = _route(turn, timeout_ms=1_000 + turn)
-        command = replacement_command(_table(turn, routes), b"{}")
+        routes[turn] = route(turn, timeout_ms=1_000 + turn)
+        command = replacement_command(route_table(turn, routes), b"{}")
         _, took_us = timed(partial(machine.apply, turn, command))
         times["replica"].append(took_us)
         items, took_us = timed(partial(machine.catalog.items_after, turn - 1))
@@ -151,11 +153,11 @@
 
 def _history(size: int) -> TableHistory:
     machine = StateMachine()
-    routes = {number: _route(number) for number in range(size)}
+    routes = {number: route(number) for number in range(size)}
     for turn in range(1, CHANGES + 1):
         del routes[turn - 1]
-        routes[size + turn - 1] = _route(size + turn - 1)
-        machine.apply(turn, replacement_command(_table(turn, routes), b"{}"))
+        routes[size + turn - 1] = route(size + turn - 1)
+        machine.apply(turn, replacement_command(route_table(turn, routes), b"{}"))
     return TableHistory(
         changes=CHANGES,
         routes=len(routes),
@@ -180,7 +182,9 @@
     "TableCost",
     "TableHistory",
     "TableReport",
+    "route",
     "route_index",
+    "route_table",
     "run_table_costs",
     "timed",
 ]
--- a/src/leadhollow/cli/application.py
+++ b/src/leadhollow/cli/application.py
@@ -6,6 +6,7 @@
 from cleo.exceptions import CleoError
 
 from leadhollow.cli.bench_command import (
+    BenchCatchUpCommand,
     BenchControlCommand,
     BenchDistributionCommand,
     BenchFairnessCommand,
@@ -90,6 +91,7 @@
     BenchRecoveryCommand,
     BenchRequestsCommand,
     BenchPathCommand,
+    BenchCatchUpCommand,
     BenchTableCommand,
 )
 
--- a/src/leadhollow/cli/bench_command.py
+++ b/src/leadhollow/cli/bench_command.py
@@ -212,6 +212,24 @@
         return run_table_costs()
 
 
+class BenchCatchUpCommand(BenchCommand):
+    """Measures how replicas that lose their disks catch up."""
+
+    name = "bench catch-up"
+    description = "Change a large route table often, and let two replicas lose their disks in turn."
+    options = [  # noqa: RUF012
+        number_option("routes", "Routes of the table.", 7_240),
+        number_option("changes", "Changes before the first loss.", 1_000),
+        json_option(),
+    ]
+
+    def measure(self) -> Coroutine[Any, Any, Result[Any, Failure]]:
+        """Return the coroutine that measures."""
+        from leadhollow.bench.catch_up import run_catch_up
+
+        return run_catch_up(routes=self.number("routes"), changes=self.number("changes"))
+
+
 class BenchPathCommand(BenchCommand):
     """Measures the cost of one request at an entry."""
 
@@ -226,6 +244,7 @@
 
 
 __all__ = [
+    "BenchCatchUpCommand",
     "BenchCommand",
     "BenchControlCommand",
     "BenchDistributionCommand",
