--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -11,7 +11,7 @@
 
 ROOT = Path(__file__).parent.parent
 COMMAND = re.compile(
-    r"`leadhollow ((?:table|model|bench|state|experiment|quarantine|domain) [a-z]+|[a-z]+)"
+    r"`leadhollow ((?:table|model|bench|state|experiment|quarantine|domain) [a-z-]+|[a-z-]+)"
 )
 LINK = re.compile(r"\[[^\]]*\]\(([^)#]+)(?:#[^)]*)?\)")
 FRAGMENT = re.compile(r"[a-z0-9-]+\.(feature|bugfix|doc|misc)\.md")
