Send each load order on a connection of its own

A late second answer to a report, a write or an earlier order was taken for the answer to an order: the stager went on as if the engine had taken an order that it refused. Requests to an engine name no id, so only the first response of a connection is sure to belong to its request. Orders are rare; a connection each costs little, and reports go on sharing theirs.

--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -64,11 +64,15 @@
         body: bytes = b"",
         content_type: str = "application/json",
         may_send: Callable[[], bool] | None = None,
+        own_connection: bool = False,
     ) -> Result[HttpResponse, Failure]:
         """Send a request and read the whole response.
 
         Parameters
         ----------
+        own_connection
+            Whether the request has a connection for itself. Only the first response on a connection
+            is sure to belong to its request.
         may_send
             Called when the connection is open, immediately before the request is written; if it
             returns False, nothing is sent.
@@ -91,7 +95,13 @@
         try:
             async with active_timeout(timeout_s):
                 return await self._exchange(
-                    method, address, target, body, content_type, may_send=may_send
+                    method,
+                    address,
+                    target,
+                    body,
+                    content_type,
+                    may_send=may_send,
+                    own_connection=own_connection,
                 )
         except TimeoutError:
             return Err(Failure(code=Code.PEER_TIMEOUT, detail=f"{address}{target}"))
@@ -116,8 +126,9 @@
         content_type: str,
         *,
         may_send: Callable[[], bool] | None,
+        own_connection: bool,
     ) -> Result[HttpResponse, Failure]:
-        connected = await self._connection(address)
+        connected = await self._connection(address, own=own_connection)
         if connected.is_err():
             return Err(connected.unwrap_err())
         connection = connected.unwrap()
@@ -143,13 +154,18 @@
             done = True
             return Ok(HttpResponse(head=response.head, body=content.unwrap()))
         finally:
-            if done:
+            if done and own_connection:
+                connection.end_exchange()
+                connection.close()
+            elif done:
                 self._keep(address, connection)
             else:
                 connection.close()
 
-    async def _connection(self, address: Address) -> Result[ClientConnection, Failure]:
-        idle = self._idle.get(str(address), [])
+    async def _connection(
+        self, address: Address, *, own: bool
+    ) -> Result[ClientConnection, Failure]:
+        idle = [] if own else self._idle.get(str(address), [])
         now_s = clocks.elapsed_s()
         while idle:
             connection = idle.pop()
--- a/src/leadhollow/staging/engine_client.py
+++ b/src/leadhollow/staging/engine_client.py
@@ -62,7 +62,7 @@
     async def order_load(
         self, order: LoadOrder, may_send: Callable[[], bool]
     ) -> Result[None, Failure]:
-        """Order the engine to load.
+        """Order the engine to load, on a connection that carries nothing else.
 
         Parameters
         ----------
@@ -84,6 +84,7 @@
             ORDER_TIMEOUT_S,
             body=self._dialect.encode_order(order),
             may_send=may_send,
+            own_connection=True,
         )
         return Ok(None) if result.is_ok() else Err(result.unwrap_err())
 
@@ -103,9 +104,16 @@
         *,
         body: bytes = b"",
         may_send: Callable[[], bool] | None = None,
+        own_connection: bool = False,
     ) -> Result[HttpResponse, Failure]:
         result = await self._http.fetch(
-            method, self._address, target, timeout_s=timeout_s, body=body, may_send=may_send
+            method,
+            self._address,
+            target,
+            timeout_s=timeout_s,
+            body=body,
+            may_send=may_send,
+            own_connection=own_connection,
         )
         if result.is_err():
             return result
