Let a connection of the fetcher carry each request once, and requests of one kind only

Requests to the origin and to engines carry no id, so a late second answer to one was taken for the answer to the next, whatever that was. A copy of a corrupted manifest counted as the second read that confirms it, and was committed. A damaged piece of the stage passed its check by the copy of an earlier one. A list of staged pieces was decoded as a report.

Idle connections are kept per address, method and path, and carry each target once. What a late answer can then be taken for has another index or version, which the digest or the content shows. A second read of a manifest and a second check of the stage open new connections. Reports, which repeat, still share one. Connections that were idle for too long are closed at the next request: they count at their servers.

--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 
 from result import Err, Ok, Result
 
@@ -36,10 +37,21 @@
         return self.head.status
 
 
+class Reuse(Enum):
+    """Which connections may carry a request."""
+
+    NEVER = "a new one that carries no other request"
+    OTHER_TARGETS = "one that carried requests of this kind with other targets"
+    ANY = "one that carried the same request before"
+
+
 class HttpFetcher:
-    """Sends requests and reuses idle connections, for each address.
+    """Sends requests and reuses idle connections, for each kind of request to each address.
 
-    No request is sent to an address during a back-off that it asked for.
+    These requests carry no id, so a late second response to one looks like the response to the
+    next. A connection carries only requests that differ in their query, and each of them once;
+    the content then tells a response to another request. No request is sent to an address during a
+    back-off that it asked for.
 
     Parameters
     ----------
@@ -51,7 +63,7 @@
 
     def __init__(self, *, connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S) -> None:
         self._connect_timeout_s = connect_timeout_s
-        self._idle: dict[str, list[ClientConnection]] = {}
+        self._idle: dict[tuple[str, str, str], list[_Connection]] = {}
         self._backoffs = PeerBackoffs()
 
     async def fetch(
@@ -64,18 +76,17 @@
         body: bytes = b"",
         content_type: str = "application/json",
         may_send: Callable[[], bool] | None = None,
-        own_connection: bool = False,
+        reuse: Reuse = Reuse.OTHER_TARGETS,
     ) -> Result[HttpResponse, Failure]:
         """Send a request and read the whole response.
 
         Parameters
         ----------
-        own_connection
-            Whether the request has a connection for itself. Only the first response on a connection
-            is sure to belong to its request.
         may_send
             Called when the connection is open, immediately before the request is written; if it
             returns False, nothing is sent.
+        reuse
+            Which connections may carry the request.
 
         Errors
         ------
@@ -92,19 +103,20 @@
         if remaining_s > 0:
             detail = f"{address} wants rest for {remaining_s:.1f} s more"
             return Err(Failure(code=Code.SERVER_RESTS, detail=detail))
+        request = _Request(
+            method=method,
+            address=address,
+            target=target,
+            body=body,
+            content_type=content_type,
+            may_send=may_send,
+            reuse=reuse,
+        )
         try:
             async with active_timeout(timeout_s):
-                return await self._exchange(
-                    method,
-                    address,
-                    target,
-                    body,
-                    content_type,
-                    may_send=may_send,
-                    own_connection=own_connection,
-                )
+                return await self._exchange(request)
         except TimeoutError:
-            return Err(Failure(code=Code.PEER_TIMEOUT, detail=f"{address}{target}"))
+            return Err(Failure(code=Code.PEER_TIMEOUT, detail=request.name))
 
     def clear_backoff(self, address: Address) -> None:
         """Forget the back-off of an address, because another process has the address now."""
@@ -114,77 +126,137 @@
         """Close idle connections."""
         for connections in self._idle.values():
             for connection in connections:
-                connection.close()
+                connection.http.close()
         self._idle.clear()
 
-    async def _exchange(
-        self,
-        method: str,
-        address: Address,
-        target: str,
-        body: bytes,
-        content_type: str,
-        *,
-        may_send: Callable[[], bool] | None,
-        own_connection: bool,
-    ) -> Result[HttpResponse, Failure]:
-        connected = await self._connection(address, own=own_connection)
+    async def _exchange(self, request: _Request) -> Result[HttpResponse, Failure]:
+        connected = await self._connection(request)
         if connected.is_err():
             return Err(connected.unwrap_err())
         connection = connected.unwrap()
-        headers = Headers(items=[(b"Host", str(address).encode())])
-        if body or method in ("POST", "PUT"):
-            headers.add(b"Content-Type", content_type.encode())
-            headers.add(b"Content-Length", b"%d" % len(body))
-        head = RequestHead(method=method.encode(), target=target.encode(), headers=headers)
-        if may_send is not None and not may_send():
-            self._keep(address, connection)
-            return Err(Failure(code=Code.NOT_SENT, detail=f"{method} {address}{target}"))
+        if request.may_send is not None and not request.may_send():
+            self._keep(request, connection)
+            return Err(Failure(code=Code.NOT_SENT, detail=f"{request.method} {request.name}"))
         done = False
+        http = connection.http
         try:
-            connection.begin_request(head.encode() + body, method=head.method)
-            received = await connection.read_response()
+            connection.targets.add(request.target)
+            http.begin_request(request.encode(), method=request.method.encode())
+            received = await http.read_response()
             if received.is_err():
-                return Err(_peer_lost(address, target, received.unwrap_err()))
+                return Err(_peer_lost(request, received.unwrap_err()))
             response = received.unwrap()
-            self._backoffs.record_response(address, response.head)
+            self._backoffs.record_response(request.address, response.head)
             content = await response.body.read_all(MAX_RESPONSE_BYTES)
             if content.is_err():
-                return Err(_peer_lost(address, target, content.unwrap_err()))
+                return Err(_peer_lost(request, content.unwrap_err()))
             done = True
             return Ok(HttpResponse(head=response.head, body=content.unwrap()))
         finally:
-            if done and own_connection:
-                connection.end_exchange()
-                connection.close()
-            elif done:
-                self._keep(address, connection)
+            if done:
+                self._keep(request, connection)
             else:
-                connection.close()
+                http.close()
 
-    async def _connection(
-        self, address: Address, *, own: bool
-    ) -> Result[ClientConnection, Failure]:
-        idle = [] if own else self._idle.get(str(address), [])
-        now_s = clocks.elapsed_s()
+    async def _connection(self, request: _Request) -> Result[_Connection, Failure]:
+        self._close_outdated()
+        idle = self._idle.get(request.kind, [])
         while idle:
             connection = idle.pop()
-            recent = now_s - connection.idle_since_s < IDLE_REUSE_S
-            if connection.usable and recent and not connection.has_unread_input():
+            if connection.may_carry(request):
                 return Ok(connection)
-            connection.close()
-        return await open_connection(address, timeout_s=self._connect_timeout_s)
+            connection.http.close()
+        opened = await open_connection(request.address, timeout_s=self._connect_timeout_s)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        return Ok(_Connection(http=opened.unwrap()))
 
-    def _keep(self, address: Address, connection: ClientConnection) -> None:
-        connection.end_exchange()
-        if connection.usable:
-            self._idle.setdefault(str(address), []).append(connection)
+    def _close_outdated(self) -> None:
+        """Close connections that were idle for too long, which count at their servers."""
+        oldest_s = clocks.elapsed_s() - IDLE_REUSE_S
+        for kind, idle in list(self._idle.items()):
+            recent = [connection for connection in idle if connection.http.idle_since_s > oldest_s]
+            for connection in idle:
+                if connection not in recent:
+                    connection.http.close()
+            if recent:
+                self._idle[kind] = recent
+            else:
+                del self._idle[kind]
+
+    def _keep(self, request: _Request, connection: _Connection) -> None:
+        connection.http.end_exchange()
+        if connection.http.usable and request.reuse is not Reuse.NEVER:
+            self._idle.setdefault(request.kind, []).append(connection)
         else:
-            connection.close()
+            connection.http.close()
+
+
+class _Request:
+    """A request and what may be done with it."""
+
+    __slots__ = ("address", "body", "content_type", "may_send", "method", "reuse", "target")
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        address: Address,
+        target: str,
+        body: bytes,
+        content_type: str,
+        may_send: Callable[[], bool] | None,
+        reuse: Reuse,
+    ) -> None:
+        self.method = method
+        self.address = address
+        self.target = target
+        self.body = body
+        self.content_type = content_type
+        self.may_send = may_send
+        self.reuse = reuse
+
+    @property
+    def name(self) -> str:
+        """Address and target."""
+        return f"{self.address}{self.target}"
+
+    @property
+    def kind(self) -> tuple[str, str, str]:
+        """Address, method and path; only requests that have them in common share connections."""
+        return str(self.address), self.method, self.target.partition("?")[0]
+
+    def encode(self) -> bytes:
+        """Return head and body."""
+        headers = Headers(items=[(b"Host", str(self.address).encode())])
+        if self.body or self.method in ("POST", "PUT"):
+            headers.add(b"Content-Type", self.content_type.encode())
+            headers.add(b"Content-Length", b"%d" % len(self.body))
+        head = RequestHead(
+            method=self.method.encode(), target=self.target.encode(), headers=headers
+        )
+        return head.encode() + self.body
+
+
+class _Connection:
+    """A connection and the targets of the requests that it carried."""
+
+    __slots__ = ("http", "targets")
+
+    def __init__(self, *, http: ClientConnection) -> None:
+        self.http = http
+        self.targets: set[str] = set()
+
+    def may_carry(self, request: _Request) -> bool:
+        """Return whether a request may be sent on it."""
+        repeated = request.target in self.targets
+        if request.reuse is Reuse.NEVER or (repeated and request.reuse is not Reuse.ANY):
+            return False
+        return self.http.usable and not self.http.has_unread_input()
 
 
-def _peer_lost(address: Address, target: str, failure: Failure) -> Failure:
-    return Failure(code=Code.PEER_LOST, detail=f"{address}{target}: {failure.detail}")
+def _peer_lost(request: _Request, failure: Failure) -> Failure:
+    return Failure(code=Code.PEER_LOST, detail=f"{request.name}: {failure.detail}")
 
 
-__all__ = ["HttpFetcher", "HttpResponse"]
+__all__ = ["HttpFetcher", "HttpResponse", "Reuse"]
--- a/src/leadhollow/staging/engine_client.py
+++ b/src/leadhollow/staging/engine_client.py
@@ -8,7 +8,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.http1.fetch import HttpFetcher, HttpResponse
+from leadhollow.http1.fetch import HttpFetcher, HttpResponse, Reuse
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.address import Address
 from leadhollow.staging.engine_dialect import EngineDialect, EngineReport, LoadOrder
@@ -34,7 +34,8 @@
 
     async def report(self) -> Result[EngineReport, Failure]:
         """Request the engine's report."""
-        result = await self._fetch("GET", self._dialect.report_target(), REPORT_TIMEOUT_S)
+        target = self._dialect.report_target()
+        result = await self._fetch("GET", target, REPORT_TIMEOUT_S, reuse=Reuse.ANY)
         if result.is_err():
             return Err(result.unwrap_err())
         response = result.unwrap()
@@ -84,7 +85,7 @@
             ORDER_TIMEOUT_S,
             body=self._dialect.encode_order(order),
             may_send=may_send,
-            own_connection=True,
+            reuse=Reuse.NEVER,
         )
         return Ok(None) if result.is_ok() else Err(result.unwrap_err())
 
@@ -104,7 +105,7 @@
         *,
         body: bytes = b"",
         may_send: Callable[[], bool] | None = None,
-        own_connection: bool = False,
+        reuse: Reuse = Reuse.OTHER_TARGETS,
     ) -> Result[HttpResponse, Failure]:
         result = await self._http.fetch(
             method,
@@ -113,7 +114,7 @@
             timeout_s=timeout_s,
             body=body,
             may_send=may_send,
-            own_connection=own_connection,
+            reuse=reuse,
         )
         if result.is_err():
             return result
--- a/tests/staging/test_engine_client.py
+++ b/tests/staging/test_engine_client.py
@@ -59,3 +59,57 @@
             ordered = await engine.client.order_load(ORDER, lambda: True)
             assert ordered.unwrap_err().code is Code.LOAD_REFUSED
             assert [connection for _, connection in engine.arrived] == [1, 2]
+
+
+class TestReport:
+    # Guards against: each poll of a calm engine costs a connection.
+    async def test_is_polled_on_one_connection(self):
+        async def script(request: str, place: int, send: Send) -> None:
+            await send(report(3))
+
+        async with OddEngine(script) as engine:
+            for _ in range(20):
+                assert (await engine.client.report()).unwrap().sequence == 3
+            assert engine.connections == 1
+
+    # Guards against: the answer to a piece of the stage is decoded as a report.
+    async def test_is_not_the_answer_to_another_kind_of_request(self):
+        async def script(request: str, place: int, send: Send) -> None:
+            if "report" in request and place > 1:
+                await send(answer(b'{"held": [1]}'))
+                await asyncio.sleep(LATE_S)
+            await send(report(3) if "report" in request else answer(b'{"held": [1]}'))
+
+        async with OddEngine(script) as engine:
+            assert (await engine.client.list_staged("m")).unwrap() == [1]
+            assert (await engine.client.report()).unwrap().sequence == 3
+
+    # Guards against: an engine that started again, and counts from 0, is not believed.
+    async def test_of_a_new_life_is_taken(self):
+        async def script(request: str, place: int, send: Send) -> None:
+            await send(report(4) if engine.connections == 1 else report(0, born=0))
+            raise ConnectionError
+
+        async with OddEngine(script) as engine:
+            assert (await engine.client.report()).unwrap().sequence == 4
+            await asyncio.sleep(LATE_S)
+            assert (await engine.client.report()).unwrap().sequence == 0
+
+
+class TestStagedPiece:
+    # Guards against: a damaged piece passes by a late copy of its answer in an earlier check.
+    async def test_is_read_again_on_another_connection(self):
+        async def script(request: str, place: int, send: Send) -> None:
+            index = int(request.rsplit("=", 1)[1])
+            if place > 2:
+                await send(answer(b"good %d" % index))
+                await asyncio.sleep(LATE_S)
+            await send(answer(b"%b %d" % (b"good" if engine.connections == 1 else b"bad", index)))
+
+        async with OddEngine(script) as engine:
+            client = engine.client
+            first = [(await client.read_staged_piece("m", index)).unwrap() for index in range(2)]
+            second = [(await client.read_staged_piece("m", index)).unwrap() for index in range(2)]
+            assert first == [b"good 0", b"good 1"]
+            assert second == [b"bad 0", b"bad 1"]
+            assert engine.connections == 2
