Do not take an older report of an engine, nor an answer with bytes behind it

A late second answer to an earlier poll was taken as the engine's report, although the engine had begun a load since; if the copy and the own answer came together, the first of the two was taken. The stager counted another life of the engine, or cleared its doubt about loaded weights.

A report of an earlier start, or with fewer orders begun, is now dropped on a connection that carried other requests, and so is any answer there behind which bytes came; a GET is repeated on a new connection, whose first answer is its own. A write is not repeated, as it may still be carried out. A back-off counts only from an answer that is taken.

--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -90,6 +90,12 @@
         """How long the server keeps an idle connection open; None if it did not say."""
         return self._parser.keep_alive_s
 
+    @property
+    def received_more(self) -> bool:
+        """Whether bytes came behind the response that was read."""
+        refused = self._failure is not None and self._failure.code is Code.ENGINE_FAILED
+        return refused or self._parser.in_message or bool(self._responses)
+
     # asyncio callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -15,12 +15,15 @@
 from leadhollow.http1.peer_backoffs import PeerBackoffs
 from leadhollow.kernel import clocks
 from leadhollow.kernel.active_time import active_timeout
+from leadhollow.observe.logs import get_logger
 from leadhollow.settings.address import Address
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 IDLE_REUSE_S = 1.0  # well below the shortest idle timeout of a server
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 
+log = get_logger("http")
+
 
 class HttpResponse:
     """A response that was read completely."""
@@ -77,9 +80,14 @@
         content_type: str = "application/json",
         may_send: Callable[[], bool] | None = None,
         reuse: Reuse = Reuse.OTHER_TARGETS,
+        may_be_own: Callable[[HttpResponse], bool] = lambda response: True,
     ) -> Result[HttpResponse, Failure]:
         """Send a request and read the whole response.
 
+        On a connection that carried other requests, a response that cannot be this one's is
+        dropped, and so is one behind which more bytes came. A GET is then repeated on a new
+        connection.
+
         Parameters
         ----------
         may_send
@@ -87,11 +95,14 @@
             returns False, nothing is sent.
         reuse
             Which connections may carry the request.
+        may_be_own
+            Returns whether a response may belong to this request. The first response on a
+            connection does.
 
         Errors
         ------
         PEER_LOST
-            The connection could not be opened, or it was lost.
+            The connection could not be opened, it was lost, or a response was dropped.
         PEER_TIMEOUT
             The response was not complete in time. Only active time counts.
         SERVER_RESTS
@@ -111,6 +122,7 @@
             content_type=content_type,
             may_send=may_send,
             reuse=reuse,
+            may_be_own=may_be_own,
         )
         try:
             async with active_timeout(timeout_s):
@@ -130,46 +142,46 @@
         self._idle.clear()
 
     async def _exchange(self, request: _Request) -> Result[HttpResponse, Failure]:
-        connected = await self._connection(request)
-        if connected.is_err():
-            return Err(connected.unwrap_err())
-        connection = connected.unwrap()
+        used = self._take_idle(request)
+        if used is not None:
+            found = await self._exchange_on(used, request)
+            if not used.dropped_response or request.method != "GET":
+                return found
+        opened = await open_connection(request.address, timeout_s=self._connect_timeout_s)
+        if opened.is_err():
+            return Err(opened.unwrap_err())
+        return await self._exchange_on(_Connection(http=opened.unwrap()), request)
+
+    async def _exchange_on(
+        self, connection: _Connection, request: _Request
+    ) -> Result[HttpResponse, Failure]:
         if request.may_send is not None and not request.may_send():
             self._keep(request, connection)
             return Err(Failure(code=Code.NOT_SENT, detail=f"{request.method} {request.name}"))
         done = False
-        http = connection.http
         try:
-            connection.targets.add(request.target)
-            http.begin_request(request.encode(), method=request.method.encode())
-            received = await http.read_response()
-            if received.is_err():
-                return Err(_peer_lost(request, received.unwrap_err()))
-            response = received.unwrap()
-            self._backoffs.record_response(request.address, response.head)
-            content = await response.body.read_all(MAX_RESPONSE_BYTES)
-            if content.is_err():
-                return Err(_peer_lost(request, content.unwrap_err()))
-            done = True
-            return Ok(HttpResponse(head=response.head, body=content.unwrap()))
+            found = await connection.exchange(request)
+            done = found.is_ok()
         finally:
             if done:
                 self._keep(request, connection)
             else:
-                http.close()
+                connection.http.close()
+        if found.is_ok():
+            self._backoffs.record_response(request.address, found.unwrap().head)
+        elif connection.dropped_response:
+            log.warning("dropped the response to another request", failure=str(found.unwrap_err()))
+        return found
 
-    async def _connection(self, request: _Request) -> Result[_Connection, Failure]:
+    def _take_idle(self, request: _Request) -> _Connection | None:
         self._close_outdated()
         idle = self._idle.get(request.kind, [])
         while idle:
             connection = idle.pop()
             if connection.may_carry(request):
-                return Ok(connection)
+                return connection
             connection.http.close()
-        opened = await open_connection(request.address, timeout_s=self._connect_timeout_s)
-        if opened.is_err():
-            return Err(opened.unwrap_err())
-        return Ok(_Connection(http=opened.unwrap()))
+        return None
 
     def _close_outdated(self) -> None:
         """Close connections that were idle for too long, which count at their servers."""
@@ -195,7 +207,16 @@
 class _Request:
     """A request and what may be done with it."""
 
-    __slots__ = ("address", "body", "content_type", "may_send", "method", "reuse", "target")
+    __slots__ = (
+        "address",
+        "body",
+        "content_type",
+        "may_be_own",
+        "may_send",
+        "method",
+        "reuse",
+        "target",
+    )
 
     def __init__(
         self,
@@ -207,6 +228,7 @@
         content_type: str,
         may_send: Callable[[], bool] | None,
         reuse: Reuse,
+        may_be_own: Callable[[HttpResponse], bool],
     ) -> None:
         self.method = method
         self.address = address
@@ -215,6 +237,7 @@
         self.content_type = content_type
         self.may_send = may_send
         self.reuse = reuse
+        self.may_be_own = may_be_own
 
     @property
     def name(self) -> str:
@@ -239,21 +262,51 @@
 
 
 class _Connection:
-    """A connection and the targets of the requests that it carried."""
+    """A connection and the targets of the requests that it carried.
 
-    __slots__ = ("http", "targets")
+    Attributes
+    ----------
+    dropped_response
+        Whether a response was dropped because it may belong to another request.
+    """
+
+    __slots__ = ("_targets", "dropped_response", "http")
 
     def __init__(self, *, http: ClientConnection) -> None:
         self.http = http
-        self.targets: set[str] = set()
+        self.dropped_response = False
+        self._targets: set[str] = set()
 
     def may_carry(self, request: _Request) -> bool:
         """Return whether a request may be sent on it."""
-        repeated = request.target in self.targets
+        repeated = request.target in self._targets
         if request.reuse is Reuse.NEVER or (repeated and request.reuse is not Reuse.ANY):
             return False
         return self.http.usable and not self.http.has_unread_input()
 
+    async def exchange(self, request: _Request) -> Result[HttpResponse, Failure]:
+        """Send a request and read the whole response."""
+        used = self.http.exchange_count > 0
+        self._targets.add(request.target)
+        self.http.begin_request(request.encode(), method=request.method.encode())
+        found = await self._read(request)
+        foreign = found.is_ok() and not request.may_be_own(found.unwrap())
+        if not used or not (foreign or self.http.received_more):
+            return found
+        self.dropped_response = True
+        detail = f"{request.name}: the response may belong to another request"
+        return Err(Failure(code=Code.PEER_LOST, detail=detail))
+
+    async def _read(self, request: _Request) -> Result[HttpResponse, Failure]:
+        received = await self.http.read_response()
+        if received.is_err():
+            return Err(_peer_lost(request, received.unwrap_err()))
+        response = received.unwrap()
+        content = await response.body.read_all(MAX_RESPONSE_BYTES)
+        if content.is_err():
+            return Err(_peer_lost(request, content.unwrap_err()))
+        return Ok(HttpResponse(head=response.head, body=content.unwrap()))
+
 
 def _peer_lost(request: _Request, failure: Failure) -> Failure:
     return Failure(code=Code.PEER_LOST, detail=f"{request.name}: {failure.detail}")
--- a/src/leadhollow/staging/engine_client.py
+++ b/src/leadhollow/staging/engine_client.py
@@ -25,21 +25,30 @@
 class LocalEngine:
     """The engine beside this process."""
 
-    __slots__ = ("_address", "_dialect", "_http")
+    __slots__ = ("_address", "_dialect", "_http", "_newest_report")
 
     def __init__(self, *, address: Address, dialect: EngineDialect) -> None:
         self._address = address
         self._dialect = dialect
         self._http = HttpFetcher(connect_timeout_s=REPORT_TIMEOUT_S)
+        self._newest_report = (0, 0)
 
     async def report(self) -> Result[EngineReport, Failure]:
-        """Request the engine's report."""
+        """Request the engine's report.
+
+        A report that is older than a known one is that of an earlier request, unless it is the
+        first on its connection. Then the engine has started again.
+        """
         target = self._dialect.report_target()
-        result = await self._fetch("GET", target, REPORT_TIMEOUT_S, reuse=Reuse.ANY)
+        result = await self._fetch(
+            "GET", target, REPORT_TIMEOUT_S, reuse=Reuse.ANY, may_be_own=self._is_no_older
+        )
         if result.is_err():
             return Err(result.unwrap_err())
-        response = result.unwrap()
-        return self._dialect.parse_report(response.head, response.body)
+        parsed = self._parse_report(result.unwrap())
+        if parsed.is_ok():
+            self._newest_report = _age(parsed.unwrap())
+        return parsed
 
     async def stage_piece(self, model: str, index: int, data: bytes) -> Result[None, Failure]:
         """Write a piece to the stage."""
@@ -97,6 +106,16 @@
         """Close idle connections."""
         self._http.close()
 
+    def _is_no_older(self, response: HttpResponse) -> bool:
+        """Return whether a response is a failure, or a report that is no older than known ones."""
+        if response.status not in ACCEPTED_STATUSES:
+            return True
+        parsed = self._parse_report(response)
+        return parsed.is_ok() and _age(parsed.unwrap()) >= self._newest_report
+
+    def _parse_report(self, response: HttpResponse) -> Result[EngineReport, Failure]:
+        return self._dialect.parse_report(response.head, response.body)
+
     async def _fetch(
         self,
         method: str,
@@ -106,6 +125,7 @@
         body: bytes = b"",
         may_send: Callable[[], bool] | None = None,
         reuse: Reuse = Reuse.OTHER_TARGETS,
+        may_be_own: Callable[[HttpResponse], bool] = lambda response: True,
     ) -> Result[HttpResponse, Failure]:
         result = await self._http.fetch(
             method,
@@ -115,6 +135,7 @@
             body=body,
             may_send=may_send,
             reuse=reuse,
+            may_be_own=may_be_own,
         )
         if result.is_err():
             return result
@@ -128,4 +149,9 @@
         return Ok(response)
 
 
+def _age(report: EngineReport) -> tuple[int, int]:
+    """Return when the engine started, and how many orders it has begun since."""
+    return report.born_ms, report.sequence
+
+
 __all__ = ["LocalEngine"]
--- a/tests/staging/test_engine_client.py
+++ b/tests/staging/test_engine_client.py
@@ -72,6 +72,29 @@
                 assert (await engine.client.report()).unwrap().sequence == 3
             assert engine.connections == 1
 
+    # Guards against: a late copy of an older report hides that the engine took an order.
+    async def test_that_is_older_than_a_known_one_is_requested_again(self):
+        async def script(request: str, place: int, send: Send) -> None:
+            if place == 3:
+                await send(report(3))
+                await asyncio.sleep(LATE_S)
+            await send(report(3 if place == 1 and engine.connections == 1 else 4))
+
+        async with OddEngine(script) as engine:
+            found = [(await engine.client.report()).unwrap().sequence for _ in range(4)]
+            assert found == [3, 4, 4, 4]
+            assert engine.connections == 2
+
+    # Guards against: a report behind which another one came is taken for the newer of the two.
+    async def test_behind_which_bytes_came_is_requested_again(self):
+        async def script(request: str, place: int, send: Send) -> None:
+            await send(report(place, born=5) + (report(7, born=6) if place == 2 else b""))
+
+        async with OddEngine(script) as engine:
+            first = (await engine.client.report()).unwrap()
+            second = (await engine.client.report()).unwrap()
+            assert (first.sequence, second.sequence, engine.connections) == (1, 1, 2)
+
     # Guards against: the answer to a piece of the stage is decoded as a report.
     async def test_is_not_the_answer_to_another_kind_of_request(self):
         async def script(request: str, place: int, send: Send) -> None:
