Bound reports and other short answers of an engine at 256 KiB

All answers to a stager had the bound of a piece, 16 MiB, so that an answer without end took some 20 MB of reads at each poll until then.

--- a/src/leadhollow/http1/fetch.py
+++ b/src/leadhollow/http1/fetch.py
@@ -81,6 +81,7 @@
         may_send: Callable[[], bool] | None = None,
         reuse: Reuse = Reuse.OTHER_TARGETS,
         may_be_own: Callable[[HttpResponse], bool] = lambda response: True,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> Result[HttpResponse, Failure]:
         """Send a request and read the whole response.
 
@@ -98,6 +99,8 @@
         may_be_own
             Returns whether a response may belong to this request. The first response on a
             connection does.
+        max_response_bytes
+            Longest acceptable body.
 
         Errors
         ------
@@ -123,6 +126,7 @@
             may_send=may_send,
             reuse=reuse,
             may_be_own=may_be_own,
+            max_response_bytes=max_response_bytes,
         )
         try:
             async with active_timeout(timeout_s):
@@ -211,6 +215,7 @@
         "address",
         "body",
         "content_type",
+        "max_response_bytes",
         "may_be_own",
         "may_send",
         "method",
@@ -229,6 +234,7 @@
         may_send: Callable[[], bool] | None,
         reuse: Reuse,
         may_be_own: Callable[[HttpResponse], bool],
+        max_response_bytes: int,
     ) -> None:
         self.method = method
         self.address = address
@@ -238,6 +244,7 @@
         self.may_send = may_send
         self.reuse = reuse
         self.may_be_own = may_be_own
+        self.max_response_bytes = max_response_bytes
 
     @property
     def name(self) -> str:
@@ -302,7 +309,7 @@
         if received.is_err():
             return Err(_peer_lost(request, received.unwrap_err()))
         response = received.unwrap()
-        content = await response.body.read_all(MAX_RESPONSE_BYTES)
+        content = await response.body.read_all(request.max_response_bytes)
         if content.is_err():
             return Err(_peer_lost(request, content.unwrap_err()))
         return Ok(HttpResponse(head=response.head, body=content.unwrap()))
--- a/src/leadhollow/staging/engine_client.py
+++ b/src/leadhollow/staging/engine_client.py
@@ -16,6 +16,8 @@
 REPORT_TIMEOUT_S = 0.5
 STAGE_TIMEOUT_S = 2.0
 ORDER_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 256 * 1024  # of a report, a list, or what is said of an order or a write
+MAX_PIECE_BYTES = 16 * 1024 * 1024
 ACCEPTED_STATUSES = (200, 202)
 FAILED_STATUSES = (500, 502, 504)  # do not tell whether the engine acted on the request
 
@@ -59,7 +61,9 @@
     async def read_staged_piece(self, model: str, index: int) -> Result[bytes, Failure]:
         """Read a staged piece back."""
         target = self._dialect.staged_piece_target(model, index)
-        result = await self._fetch("GET", target, STAGE_TIMEOUT_S)
+        result = await self._fetch(
+            "GET", target, STAGE_TIMEOUT_S, max_response_bytes=MAX_PIECE_BYTES
+        )
         return Ok(result.unwrap().body) if result.is_ok() else Err(result.unwrap_err())
 
     async def list_staged(self, model: str) -> Result[list[int], Failure]:
@@ -126,6 +130,7 @@
         may_send: Callable[[], bool] | None = None,
         reuse: Reuse = Reuse.OTHER_TARGETS,
         may_be_own: Callable[[HttpResponse], bool] = lambda response: True,
+        max_response_bytes: int = MAX_ANSWER_BYTES,
     ) -> Result[HttpResponse, Failure]:
         result = await self._http.fetch(
             method,
@@ -136,6 +141,7 @@
             may_send=may_send,
             reuse=reuse,
             may_be_own=may_be_own,
+            max_response_bytes=max_response_bytes,
         )
         if result.is_err():
             return result
--- a/tests/staging/test_engine_client.py
+++ b/tests/staging/test_engine_client.py
@@ -118,6 +118,21 @@
             await asyncio.sleep(LATE_S)
             assert (await engine.client.report()).unwrap().sequence == 0
 
+    # Guards against: a report without end fills the stager's memory.
+    async def test_has_a_bound(self):
+        sent = 0
+
+        async def script(request: str, place: int, send: Send) -> None:
+            nonlocal sent
+            await send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                await send(b"1000\r\n" + b"x" * 0x1000 + b"\r\n")
+                sent += 0x1000
+
+        async with OddEngine(script) as engine:
+            assert (await engine.client.report()).is_err()
+            assert sent < 8 * 1024 * 1024  # what sockets buffer beside the bound
+
 
 class TestStagedPiece:
     # Guards against: a damaged piece passes by a late copy of its answer in an earlier check.
