Fail a stream that holds what is no event

A stream that its engine cut on an open connection went on with the next answer on it: that answer's head was relayed as an event, and its events behind it. A line of an event is a field (id, event, data, retry, and what the dialect names: the version of weights) or a comment. A status line or a header field is neither, so the stream fails like one that was broken off, and is resumed elsewhere after the last event that its caller got.

--- a/src/leadhollow/forward/dialect.py
+++ b/src/leadhollow/forward/dialect.py
@@ -157,12 +157,15 @@
         Whether the back-off cannot be parsed, so that the previous one stays in force.
     internal_fields
         Names of header fields that are meant for this VM and not for the caller.
+    event_fields
+        Names of fields that the events of a stream may have beside the usual ones.
     """
 
     __slots__ = (
         "attempt_id",
         "cold_malformed",
         "cold_remaining_ms",
+        "event_fields",
         "instance",
         "internal_fields",
         "leaving",
@@ -189,7 +192,9 @@
         rest_s: float | None = None,
         rest_malformed: bool = False,
         ours: frozenset[bytes] = frozenset(),
+        event_fields: frozenset[bytes] = frozenset(),
     ) -> None:
+        self.event_fields = event_fields
         self.internal_fields = ours
         self.attempt_id = attempt_id
         self.instance = instance
--- a/src/leadhollow/forward/event_source.py
+++ b/src/leadhollow/forward/event_source.py
@@ -42,7 +42,7 @@
         BACKEND_LOST
             The engine closed the connection early, or ended the response within an event.
         ENGINE_FAILED
-            An event is too large.
+            An event is too large, or is no event.
         """
         if self._unread is not None:
             unread, self._unread = self._unread, None
@@ -56,6 +56,10 @@
                 return self._check_end()
             self.last_received_s = self._clock.active_s()
             events = self._splitter.feed(data)
+            other_fields = self.exchange.metadata.event_fields
+            if not all(event.is_proper(other_fields) for event in events):
+                detail = "the stream holds what is no event, as of another response"
+                return Err(Failure(code=Code.ENGINE_FAILED, detail=detail))
             if events:
                 return Ok(events)
             if self._splitter.buffered_bytes > MAX_EVENT_BYTES:
--- a/src/leadhollow/forward/events.py
+++ b/src/leadhollow/forward/events.py
@@ -5,6 +5,8 @@
 EVENT_END = b"\n\n"
 CRLF_EVENT_END = b"\r\n\r\n"
 MAX_EVENT_BYTES = 1024 * 1024
+FIELDS = frozenset({b"data", b"event", b"id", b"retry"})
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"  # may begin a stream
 
 
 class Event:
@@ -24,6 +26,22 @@
         self.data = data
         self.event_id = event_id
 
+    def is_proper(self, other_fields: frozenset[bytes]) -> bool:
+        """Return whether all lines are fields of an event or comments.
+
+        Another response that begins within a stream is neither.
+
+        Parameters
+        ----------
+        other_fields
+            Names of fields that an event may have beside the usual ones.
+        """
+        for line in self.data.removeprefix(BYTE_ORDER_MARK).splitlines():
+            name = line.partition(b":")[0]
+            if name and name not in FIELDS and name not in other_fields:
+                return False
+        return True
+
 
 class EventSplitter:
     """Splits a byte stream into complete events and buffers the incomplete rest."""
--- a/src/leadhollow/platform/callers.py
+++ b/src/leadhollow/platform/callers.py
@@ -42,6 +42,7 @@
 COLD_MS = b"x-cold-ms"  # time for which a server stays cold
 SERVER_LIMIT = b"server-limit"  # requests per second that a server accepts from all entries
 
+EVENT_FIELDS = frozenset({b"x-weight-versions"})  # in an event at which the version changes
 BACKOFF_FIELDS = frozenset({RETRY_AFTER})
 NO_FIELDS: frozenset[bytes] = frozenset()
 
@@ -141,6 +142,7 @@
             rest_s=backoff_s,
             rest_malformed=bool(backoffs) and backoff_s is None,
             ours=BACKOFF_FIELDS if backoffs else NO_FIELDS,
+            event_fields=EVENT_FIELDS,
             signed=headers.get(SIGNATURE) is not None,
             not_executed=headers.get(NOT_EXECUTED) is not None,
             instance=instance or None,
--- a/tests/forward/odd_server.py
+++ b/tests/forward/odd_server.py
@@ -10,7 +10,8 @@
 from leadhollow.decide.server_load import OwnCall
 from leadhollow.forward.buffered_response import buffer_response
 from leadhollow.forward.dialect import DispatchMetadata
-from leadhollow.forward.exchange import BackendClient
+from leadhollow.forward.event_source import EventSource
+from leadhollow.forward.exchange import BackendClient, Exchange
 from leadhollow.forward.pool import ConnectionPool
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.http1.headers import Headers
@@ -105,27 +106,11 @@
 
     async def request(self, attempt_id: str) -> tuple[int, str, bytes] | None:
         """Send a request; return status, signature and body of its answer, None if it failed."""
-        head = RequestHead(
-            method=b"GET",
-            target=b"/",
-            headers=Headers(items=[(b"X-Attempt-Id", attempt_id.encode())]),
-        )
         try:
             async with asyncio.timeout(PATIENCE_S):
-                sent = await self.client.send(
-                    server=self._server,
-                    own_call=OwnCall(
-                        prompt_tokens=0, output_tokens=0, placed_s=0.0, predicted_ms=0.0
-                    ),
-                    head=head,
-                    body=await empty_body(head),
-                    attempt_id=attempt_id,
-                    dispatch=DispatchMetadata(deadline_ms=1.0, instance="i-1", organisation=None),
-                    fresh=False,
-                )
-                if sent.is_err():
+                exchange = await self._send(attempt_id)
+                if exchange is None:
                     return None
-                exchange = sent.unwrap()
                 read = await buffer_response(exchange)
         except TimeoutError:
             return None
@@ -136,10 +121,48 @@
         found = exchange.response.head.headers.text(b"x-response-signature")
         return exchange.status, found, read.unwrap().data
 
+    async def stream(self, attempt_id: str) -> tuple[bytes, bool]:
+        """Send a request; return the events of its answer, and whether the stream was complete."""
+        events = b""
+        exchange = None
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                exchange = await self._send(attempt_id)
+                if exchange is None:
+                    return events, False
+                source = EventSource(exchange=exchange)
+                while (read := await source.read()).is_ok():
+                    if not read.unwrap():
+                        exchange.finish()
+                        return events, True
+                    events += b"".join(event.data for event in read.unwrap())
+        except TimeoutError:
+            pass
+        if exchange is not None:
+            exchange.abort()
+        return events, False
+
     async def requests(self, attempt_ids: Sequence[str]) -> list[tuple[int, str, bytes] | None]:
         """Send requests one after another."""
         return [await self.request(attempt_id) for attempt_id in attempt_ids]
 
+    async def _send(self, attempt_id: str) -> Exchange | None:
+        head = RequestHead(
+            method=b"GET",
+            target=b"/",
+            headers=Headers(items=[(b"X-Attempt-Id", attempt_id.encode())]),
+        )
+        sent = await self.client.send(
+            server=self._server,
+            own_call=OwnCall(prompt_tokens=0, output_tokens=0, placed_s=0.0, predicted_ms=0.0),
+            head=head,
+            body=await empty_body(head),
+            attempt_id=attempt_id,
+            dispatch=DispatchMetadata(deadline_ms=1.0, instance="i-1", organisation=None),
+            fresh=False,
+        )
+        return sent.unwrap() if sent.is_ok() else None
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
         self._writers.append(writer)
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -61,7 +61,11 @@
         self.status = status
         self.closed = False
         self.metadata = SimpleNamespace(
-            not_executed=False, signed=True, instance=None, internal_fields=frozenset()
+            not_executed=False,
+            signed=True,
+            instance=None,
+            internal_fields=frozenset(),
+            event_fields=frozenset(),
         )
         head = SimpleNamespace(
             status=status,
--- a/tests/forward/test_stream_forwarder.py
+++ b/tests/forward/test_stream_forwarder.py
@@ -301,6 +301,20 @@
 
         play(work)
 
+    # Guards against: another response within a stream is relayed instead of resuming elsewhere.
+    def test_behind_another_head_are_requested_again(self, play):
+        async def work() -> None:
+            world = StreamWorld()
+            await start_stream(world)
+            head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+            world.responses["A"].write(head + event(1))
+            await eventually(lambda: "B" in world.responses, "another engine")
+            assert world.resumed_after == [None, 0]
+            assert world.reply.data == event(0)
+            world.task.cancel()
+
+        play(work)
+
     def test_without_an_end_are_abandoned(self, play):
         async def work() -> None:
             world = StreamWorld()
