Let a stream without a length hold text about HTTP

A status line in the data of an event, with another line of data behind it, looked like the head of another response (`data:` passed for a field of it), and a stream that ends with its connection failed at its end. A line that begins with the name of an event's field is no field of a head.

Evidence: TestProperStream failed for this framing, with both line ends; the cut streams and the odd answers fail as before.

--- a/src/leadhollow/http1/response_checks.py
+++ b/src/leadhollow/http1/response_checks.py
@@ -18,7 +18,11 @@
 
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
 STATUS_LINE_START = b"HTTP/1."
-EMBEDDED_HEAD = re.compile(rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,200}\r?\n[!-9;-~]{1,100}:")
+EMBEDDED_HEAD = re.compile(
+    rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,200}\r?\n"
+    rb"(?!(?:data|event|id|retry):)"  # the next line of an event whose text is about HTTP
+    rb"[!-9;-~]{1,100}:"
+)
 LONGEST_EMBEDDED_BYTES = 320  # of a status line and the name of its first field
 
 
--- a/tests/forward/test_odd_streams.py
+++ b/tests/forward/test_odd_streams.py
@@ -64,7 +64,7 @@
         own = [
             b": comment\nid: 0\nevent: e\ndata\n\n",
             b"x-weight-versions: 3\nid: 1\nretry: 9\ndata: HTTP/1.1 200 OK\n\n",
-            b"id: 2\ndata: X-Attempt-Id: aa\ndata:\n\n",
+            b"id: 2\ndata: HTTP/1.1 200 OK\ndata: X-Attempt-Id: aa\ndata:\n\n",
             b":\n\n",
         ]
         own = [part.replace(b"\n", line_end) for part in own]
