Let a gate open a connection for each request to its engine

A gate kept connections to its engine for a minute. A late second answer on one was taken for the answer to the next request, whatever it was, and acknowledged a load order that the engine refused. Nothing in a request to a gate's engine is named in its answer, so there is no other proof than the first place on a connection. The same client reads the origin and sends operators' requests.

--- a/src/leadhollow/http_client.py
+++ b/src/leadhollow/http_client.py
@@ -27,7 +27,10 @@
 
 
 class HttpClient:
-    """HTTP client with one connection pool.
+    """HTTP client that opens a connection for each request.
+
+    Requests carry no id that their responses name, so only the first response of a connection is
+    sure to belong to its request.
 
     aiohttp is imported on first use, since it doubles the memory of a role that never needs it.
     """
@@ -38,12 +41,12 @@
         self._session: aiohttp.ClientSession | None = None
 
     def session(self) -> aiohttp.ClientSession:
-        """Return the session with the connection pool, opened on first use."""
+        """Return the session, opened on first use."""
         import aiohttp  # imported late to save memory
 
         if self._session is None or self._session.closed:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=60),
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=5),
                 auto_decompress=False,
             )
@@ -101,7 +104,7 @@
             return Err(Failure(code=Code.PEER_LOST, detail=f"{url}: {error}"))
 
     async def close(self) -> None:
-        """Close the connection pool."""
+        """Close the connections."""
         if self._session is not None:
             await self._session.close()
 
