Fail a gate's stream that holds what is no event

A stream without a length that its engine cut went on with the next answer: the gate passed its head and its events on. Lines of events are checked as in an entry's own streams.

--- a/src/leadhollow/backend/dispatch_service.py
+++ b/src/leadhollow/backend/dispatch_service.py
@@ -13,6 +13,7 @@
 from leadhollow.backend.gate import AttemptKey, Gate, attempt_key
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.forward.events import Event
 from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
@@ -23,6 +24,7 @@
 EVENT_SEPARATOR = b"\n\n"
 LAST_EVENT_PREFIX = b"data: [DONE]"
 ERROR_EVENT_PREFIX = b'data: {"error"'
+NO_FIELDS: frozenset[bytes] = frozenset()
 EVENT_STREAM = "text/event-stream"
 FORWARDED_HEADERS = ("Content-Type", "Content-Language", "ETag", "Location", "Cache-Control")
 
@@ -98,6 +100,9 @@
             message = "the engine reported an error within the stream"
             raise ValueError(message)
         events = complete.split(EVENT_SEPARATOR)
+        if not all(Event(data=event, event_id=None).is_proper(NO_FIELDS) for event in events):
+            message = "the stream holds what is no event, as of another response"
+            raise ValueError(message)
         if events[-1].startswith(LAST_EVENT_PREFIX):
             self.ended = True
             events.pop()
--- a/tests/backend/test_odd_answers.py
+++ b/tests/backend/test_odd_answers.py
@@ -96,6 +96,26 @@
             assert (await engine.client.load(order)).unwrap_err().code is Code.FENCE_OLD
 
 
+class TestJoinedAnswer:
+    # Guards against: the head and the events of another answer are passed on as a stream's own.
+    async def test_does_not_go_on_with_another_stream(self):
+        own = b"data: own 0\n\ndata: own 1\n\ndata: [DONE]\n\n"
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        foreign = head + b"\r\ndata: foreign\n\ndata: [DONE]\n\n"
+        wrong = []
+        for cut in range(len(own)):
+
+            async def script(request: str, place: int, send: Send, cut: int = cut) -> None:
+                await send(head + b"Connection: close\r\n\r\n" + own[:cut] + foreign)
+                raise ConnectionError
+
+            async with OddEngine(script) as engine:
+                ran = await engine.run("/")
+                if ran.is_ok() or not own.startswith(engine.relayed):
+                    wrong.append((cut, engine.relayed))
+        assert wrong == []
+
+
 class TestBounds:
     # Guards against: a head without end fills a gate's memory.
     @pytest.mark.parametrize(
