Bound what a gate reads of an answer as a whole

An engine's report of its model was read without a bound: 627 and 674 MB in the two seconds that it may take, in a test. It has 256 KiB now, as the answer to a load order, and all else that this client reads whole has 64 MiB.

Evidence: test_end_a_body_without_end failed before.

--- a/src/leadhollow/backend/engine_client.py
+++ b/src/leadhollow/backend/engine_client.py
@@ -27,6 +27,7 @@
 CONNECT_ATTEMPTS = 2
 CONNECT_RETRY_DELAY_S = 0.015  # an engine at its connection limit may refuse one connection
 HTTP_PORT = 80
+MAX_REPLY_BYTES = 256 * 1024  # of what an engine says of its model
 READ_BYTES = 64 * 1024
 
 log = get_logger("engine")
@@ -94,7 +95,7 @@
     async def running_model(self) -> Result[RunningModel, Failure]:
         """Request the version that the engine runs."""
         fetched = await self._http.fetch(
-            "GET", f"{self._url}/admin/model", timeout_s=STATUS_TIMEOUT_S
+            "GET", f"{self._url}/admin/model", timeout_s=STATUS_TIMEOUT_S, max_bytes=MAX_REPLY_BYTES
         )
         if fetched.is_err():
             return Err(fetched.unwrap_err())
@@ -116,6 +117,7 @@
             body=msgspec.json.encode(order),
             headers={"Content-Type": "application/json"},
             timeout_s=LOAD_TIMEOUT_S,
+            max_bytes=MAX_REPLY_BYTES,
         )
         if fetched.is_err():
             return Err(Failure(code=Code.LOAD_REFUSED, detail=fetched.unwrap_err().detail))
--- a/src/leadhollow/http_client.py
+++ b/src/leadhollow/http_client.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     import aiohttp
 
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+
 
 class HttpReply:
     """A complete HTTP response."""
@@ -61,6 +63,7 @@
         body: bytes | Path | None = None,
         json: Any = None,
         timeout_s: float,
+        max_bytes: int = MAX_REPLY_BYTES,
     ) -> Result[HttpReply, Failure]:
         """Send a request and read the whole response.
 
@@ -70,6 +73,8 @@
             Bytes to send, or the path of a file whose content is sent.
         timeout_s
             Time limit of the whole exchange.
+        max_bytes
+            Longest acceptable body of the response.
 
         Errors
         ------
@@ -79,6 +84,8 @@
             The connection broke; the request may have been carried out.
         PEER_TIMEOUT
             The response was not complete in time.
+        BODY_TOO_LARGE
+            The body is too long; the rest was not read.
         """
         import aiohttp
 
@@ -92,9 +99,16 @@
                 json=json,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                received = await response.read()
+                received = bytearray()
+                async for part in response.content.iter_any():
+                    received += part
+                    if len(received) > max_bytes:
+                        detail = f"{url}: more than {max_bytes} bytes"
+                        return Err(Failure(code=Code.BODY_TOO_LARGE, detail=detail))
                 return Ok(
-                    HttpReply(status=response.status, headers=response.headers, body=received)
+                    HttpReply(
+                        status=response.status, headers=response.headers, body=bytes(received)
+                    )
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Err(Failure(code=Code.PEER_ABSENT, detail=f"{url}: {error}"))
--- a/tests/backend/test_odd_answers.py
+++ b/tests/backend/test_odd_answers.py
@@ -153,5 +153,20 @@
             grown_kib = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before_kib
             assert grown_kib < 32 * 1024
 
+    # Guards against: what an engine says of its model is read without end.
+    async def test_end_a_body_without_end(self):
+        sent = 0
+
+        async def script(request: str, place: int, send: Send) -> None:
+            nonlocal sent
+            await send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                await send(b"1000\r\n" + b"x" * 0x1000 + b"\r\n")
+                sent += 0x1000
+
+        async with OddEngine(script) as engine:
+            assert (await engine.client.running_model()).is_err()
+            assert sent < 16 * 1024 * 1024
+
 
 __all__: list[str] = []
