--- a/tests/backend/test_odd_answers.py
+++ b/tests/backend/test_odd_answers.py
@@ -115,6 +115,21 @@
                     wrong.append((cut, engine.relayed))
         assert wrong == []
 
+    # Guards against: two answers of no length are passed on as one body.
+    async def test_is_no_body_of_no_length(self):
+        wrong = []
+        for cut in range(1, 20):
+
+            async def script(request: str, place: int, send: Send, cut: int = cut) -> None:
+                await send(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"x" * cut)
+                await send(answer(b"foreign"))
+                raise ConnectionError
+
+            async with OddEngine(script) as engine:
+                if (await engine.run("/")).is_ok():
+                    wrong.append(cut)
+        assert wrong == []
+
 
 class TestBounds:
     # Guards against: a head without end fills a gate's memory.
