Cut streams at each byte on an open connection, by framing

The odd server sends bodies of several parts and reads streams as well as plain answers; test_odd_streams uses the same reader.

--- a/tests/forward/odd_server.py
+++ b/tests/forward/odd_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -15,7 +16,7 @@
 from leadhollow.forward.pool import ConnectionPool
 from leadhollow.forward.server_directory import ServerDirectory
 from leadhollow.http1.headers import Headers
-from leadhollow.http1.messages import RequestHead
+from leadhollow.http1.messages import LAST_CHUNK, RequestHead, encode_chunk
 from leadhollow.membership.instance_table import InstanceTable
 from leadhollow.membership.instances import Instance, InstanceState
 from leadhollow.platform.callers import PlatformCalls
@@ -35,9 +36,14 @@
     size: int = 20,
     named: bool = True,
     framing: str = "length",
+    parts: Sequence[bytes] | None = None,
 ) -> bytes:
-    """Return the answer of a server to a request; its signature and body hold the request's id."""
-    body = body_of(attempt_id, size)
+    """Return the answer of a server to a request; its signature and body hold the request's id.
+
+    A body of several parts, if given, has a chunk for each.
+    """
+    parts = [body_of(attempt_id, size)] if parts is None else parts
+    body = b"".join(parts)
     lines = [f"HTTP/1.1 {status}", f"X-Response-Signature: {attempt_id}", *fields]
     if named:
         lines.append(f"X-Attempt-Id: {attempt_id}")
@@ -45,7 +51,7 @@
         lines.append(f"Content-Length: {len(body)}")
     elif framing == "chunked":
         lines.append("Transfer-Encoding: chunked")
-        body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        body = b"".join(encode_chunk(part) for part in parts if part) + LAST_CHUNK
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
@@ -57,8 +63,9 @@
 class OddServer:
     """One server whose answers a script writes, and a client that keeps its connections."""
 
-    def __init__(self, script: Script) -> None:
+    def __init__(self, script: Script, *, patience_s: float = PATIENCE_S) -> None:
         self.script = script
+        self.patience_s = patience_s
         self.connections = 0
         self.closed_by_client = False
         self.arrived: list[str] = []
@@ -104,54 +111,10 @@
         for writer in self._writers:
             os.write(writer.get_extra_info("socket").fileno(), data)
 
-    async def request(self, attempt_id: str) -> tuple[int, str, bytes] | None:
-        """Send a request; return status, signature and body of its answer, None if it failed."""
-        try:
-            async with asyncio.timeout(PATIENCE_S):
-                exchange = await self._send(attempt_id)
-                if exchange is None:
-                    return None
-                read = await buffer_response(exchange)
-        except TimeoutError:
-            return None
-        if read.is_err():
-            exchange.abort()
-            return None
-        exchange.finish()
-        found = exchange.response.head.headers.text(b"x-response-signature")
-        return exchange.status, found, read.unwrap().data
-
-    async def stream(self, attempt_id: str) -> tuple[bytes, bool]:
-        """Send a request; return the events of its answer, and whether the stream was complete."""
-        events = b""
-        exchange = None
-        try:
-            async with asyncio.timeout(PATIENCE_S):
-                exchange = await self._send(attempt_id)
-                if exchange is None:
-                    return events, False
-                source = EventSource(exchange=exchange)
-                while (read := await source.read()).is_ok():
-                    if not read.unwrap():
-                        exchange.finish()
-                        return events, True
-                    events += b"".join(event.data for event in read.unwrap())
-        except TimeoutError:
-            pass
-        if exchange is not None:
-            exchange.abort()
-        return events, False
-
-    async def requests(self, attempt_ids: Sequence[str]) -> list[tuple[int, str, bytes] | None]:
-        """Send requests one after another."""
-        return [await self.request(attempt_id) for attempt_id in attempt_ids]
-
-    async def _send(self, attempt_id: str) -> Exchange | None:
-        head = RequestHead(
-            method=b"GET",
-            target=b"/",
-            headers=Headers(items=[(b"X-Attempt-Id", attempt_id.encode())]),
-        )
+    async def exchange(self, attempt_id: str) -> Exchange | None:
+        """Send a request and wait for the head of its answer; None if it failed."""
+        fields = [(b"X-Attempt-Id", attempt_id.encode())]
+        head = RequestHead(method=b"GET", target=b"/", headers=Headers(items=fields))
         sent = await self.client.send(
             server=self._server,
             own_call=OwnCall(prompt_tokens=0, output_tokens=0, placed_s=0.0, predicted_ms=0.0),
@@ -161,7 +124,40 @@
             dispatch=DispatchMetadata(deadline_ms=1.0, instance="i-1", organisation=None),
             fresh=False,
         )
-        return sent.unwrap() if sent.is_ok() else None
+        return None if sent.is_err() else sent.unwrap()
+
+    async def request(self, attempt_id: str) -> tuple[int, str, bytes] | None:
+        """Send a request; return status, signature and body of its answer, None if it failed."""
+        exchange, found = None, None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.patience_s):
+                exchange = await self.exchange(attempt_id)
+                if exchange is not None:
+                    read = await buffer_response(exchange)
+                    if read.is_ok():
+                        signature = exchange.response.head.headers.text(b"x-response-signature")
+                        found = exchange.status, signature, read.unwrap().data
+        _end(exchange, whole=found is not None)
+        return found
+
+    async def events(self, attempt_id: str) -> tuple[list[bytes], bool]:
+        """Send a request; return the events of its answer and whether they are complete."""
+        events: list[bytes] = []
+        exchange, whole = None, False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.patience_s):
+                exchange = await self.exchange(attempt_id)
+                if exchange is not None:
+                    source = EventSource(exchange=exchange)
+                    while not whole and (read := await source.read()).is_ok():
+                        events += [event.data for event in read.unwrap()]
+                        whole = not read.unwrap()
+        _end(exchange, whole=whole)
+        return events, whole
+
+    async def requests(self, attempt_ids: Sequence[str]) -> list[tuple[int, str, bytes] | None]:
+        """Send requests one after another."""
+        return [await self.request(attempt_id) for attempt_id in attempt_ids]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
@@ -188,6 +184,13 @@
             writer.close()
 
 
+def _end(exchange: Exchange | None, *, whole: bool) -> None:
+    if exchange is not None and whole:
+        exchange.finish()
+    elif exchange is not None:
+        exchange.abort()
+
+
 class EndConnection(Exception):
     """Raised by a script to end its connection in order."""
 
--- a/tests/forward/test_odd_answers.py
+++ b/tests/forward/test_odd_answers.py
@@ -110,6 +110,29 @@
             assert await server.request(REQUEST) is None
 
 
+class TestStreamCutOnAnOpenConnection:
+    # Guards against: the head of a second answer reaches a caller as an event.
+    @pytest.mark.parametrize("named", [False, True])
+    @pytest.mark.parametrize("framing", ["length", "chunked", "none"])
+    async def test_does_not_hold_the_head_of_a_second_answer(self, named, framing):
+        parts = [b"id: %d\ndata: x\n\n" % number for number in range(30)]
+        own = answer(REQUEST, framing=framing, parts=[b"".join(parts)])
+        second = answer(EARLIER, named=named, framing=framing, parts=parts[:1])
+        body = own.index(parts[0])
+        wrong = []
+        for cut in range(body, body + len(parts[0] + parts[1])):
+
+            async def script(_: str, send: Send, cut: int = cut) -> None:
+                await send(own[:cut] + second)
+                raise EndConnection
+
+            async with OddServer(script) as server:
+                events, whole = await server.events(REQUEST)
+                if events != parts[: len(events)] or (whole and events != parts):
+                    wrong.append(cut)
+        assert wrong == []
+
+
 class TestBytesThatWaitInTheSocket:
     # Guards against: after a process stood still, bytes that came meanwhile count for the request
     # that it sends next.
--- a/tests/forward/test_odd_streams.py
+++ b/tests/forward/test_odd_streams.py
@@ -50,7 +50,8 @@
                 raise EndConnection
 
             async with OddServer(script) as server:
-                relayed, complete = await server.stream("bb")
+                parts, complete = await server.events("bb")
+            relayed = b"".join(parts)
             if not _is_prefix(relayed, own) or (complete and relayed != b"".join(own)):
                 wrong.append((cut - body_at, relayed, complete))
         assert wrong == []
@@ -74,7 +75,7 @@
             raise EndConnection
 
         async with OddServer(script) as server:
-            assert await server.stream("bb") == (b"".join(own), True)
+            assert await server.events("bb") == (own, True)
 
 
 def _is_prefix(relayed: bytes, own: list[bytes]) -> bool:
--- a/tests/forward/test_parts.py
+++ b/tests/forward/test_parts.py
@@ -138,6 +138,14 @@
         (event,) = EventSplitter().feed(b"id: 7\r\ndata: a\r\n\r\n")
         assert event.event_id == 7
 
+    # Guards against: an event whose text speaks of HTTP counts as damaged.
+    @pytest.mark.parametrize(
+        "event", [b"data: HTTP/1.1 200 OK\ndata: a\n\n", b"id: 1\ndata: HTTP/1.1 200 OK\n\n"]
+    )
+    def test_may_speak_of_status_lines(self, event):
+        (found,) = EventSplitter().feed(event)
+        assert not found.holds_response_head
+
     def test_without_an_id_have_none(self):
         (event,) = EventSplitter().feed(b"data: a\n\n")
         assert event.event_id is None
