Play seeded odd answers through an entry, on plain, keyed and streamed routes

Retries, hedges, resumed streams and the caller's connection lie between a server and its caller; the model's exchanges ended at the backend client.

The model also knows the bytes behind an answer that count for the next request: it blamed an entry for a request that failed on them.

--- a/tests/forward/answer_model.py
+++ b/tests/forward/answer_model.py
@@ -45,23 +45,49 @@
         Bytes that are sent at once, and the pause in s behind them.
     late
         Pieces that are sent after the request's own answer, at a time of their own.
+    own_end
+        Bytes that are sent up to the end of the request's own answer.
+    received
+        Bytes behind the answer to the request before, which may count for this one.
     ends
         Whether the server ends the connection in order behind them.
     kinds
         Names of the odd things that it does.
     """
 
-    __slots__ = ("ends", "first", "kinds", "late", "own", "pieces", "received")
+    __slots__ = (
+        "ends",
+        "first",
+        "kinds",
+        "late",
+        "own",
+        "own_end",
+        "pieces",
+        "received",
+        "request_id",
+    )
 
-    def __init__(self, *, own: Result) -> None:
+    def __init__(self, *, request_id: str, own: Result) -> None:
+        self.request_id = request_id
         self.own = own
         self.pieces: list[tuple[bytes, float]] = []
         self.late: list[tuple[bytes, float]] = []
+        self.own_end = 0
         self.ends = False
         self.first = True  # whether it is the first request of its connection
-        self.received: list[bytes] = []  # late bytes of the request before, which may count for it
+        self.received: list[bytes] = []
         self.kinds: list[str] = []
 
+    @property
+    def behind(self) -> list[bytes]:
+        """Pieces that are sent behind the request's own answer."""
+        found, position = [], 0
+        for data, _ in (*self.pieces, *self.late):
+            if position + len(data) > self.own_end:
+                found.append(data[max(0, self.own_end - position) :])
+            position += len(data)
+        return found
+
 
 class AnswerPlanner:
     """Plans the answers of one server from a seed.
@@ -72,29 +98,50 @@
         Share of the requests that are answered in an odd way.
     parts_of
         Gives the parts of the body of an answer to a request, by the request's id and a size.
+    name
+        Name of the server in the signatures of its answers, if it has one.
+    statuses
+        Those of its answers, each as likely as the others.
     """
 
-    __slots__ = ("_odd_share", "_parts_of", "_random")
+    __slots__ = ("_name", "_odd_share", "_parts_of", "_random", "_statuses")
 
     def __init__(
-        self, *, seed: int, odd_share: float = 0.6, parts_of: PartsOf | None = None
+        self,
+        *,
+        seed: int,
+        odd_share: float = 0.6,
+        parts_of: PartsOf | None = None,
+        name: str = "",
+        statuses: Sequence[str] = STATUSES,
     ) -> None:
         self._random = random.Random(seed)
         self._odd_share = odd_share
+        self._name = name
+        self._statuses = statuses
         self._parts_of = parts_of or (lambda request_id, size: [body_of(request_id, size)])
 
     def plan(self, request_id: str, earlier: Sequence[str]) -> Plan:
         """Plan the answer to a request; the connection has served the earlier ones."""
         source = self._random
-        status, size = source.choice(STATUSES), source.choice(SIZES)
+        status, size = source.choice(self._statuses), source.choice(SIZES)
         framing = source.choices(("length", "chunked", "none"), (5, 4, 1))[0]
         parts = self._parts_of(request_id, size)
-        plan = Plan(own=(int(status[:3]), request_id, b"".join(parts)))
+        plan = Plan(
+            request_id=request_id, own=(int(status[:3]), self._sign(request_id), b"".join(parts))
+        )
         plan.first = not earlier
         named = source.random() < 0.97
         if not named:
             plan.kinds.append("no id")
-        own = answer(request_id, status=status, framing=framing, named=named, parts=parts)
+        own = answer(
+            request_id,
+            status=status,
+            framing=framing,
+            named=named,
+            parts=parts,
+            signature=self._sign(request_id),
+        )
         plan.ends = framing == "none"
         before = after = b""
         if source.random() < self._odd_share:
@@ -104,6 +151,7 @@
                 own = self._cut(plan, own, request_id, earlier)
             elif source.random() < 0.6:
                 after = self._behind(plan, request_id, earlier)
+        plan.own_end = len(before + own)
         plan.pieces = self._split(before + own)
         if plan.ends or source.random() < 0.4:  # in the segment of the answer, or right behind it
             plan.pieces = self._split(before + own + after)
@@ -169,14 +217,24 @@
         fields = (f"X-Attempt-Id: {request_id}x",) if kind == "two" else ()
         if kind == "two" and of != request_id:
             fields = (f"X-Attempt-Id: {request_id}",)
-        status = source.choice(STATUSES)
+        status = source.choice(self._statuses)
         parts = self._parts_of(of, source.choice(SIZES))
         if of == request_id:  # a second answer to the request itself says the same
-            status = next(each for each in STATUSES if each.startswith(str(plan.own[0])))
+            status = next(each for each in self._statuses if each.startswith(str(plan.own[0])))
             parts = [plan.own[2]]
         framing = source.choice(("length", "length", "chunked", "none"))
-        named = kind != "none"
-        return answer(of, *fields, status=status, named=named, framing=framing, parts=parts)
+        return answer(
+            of,
+            *fields,
+            status=status,
+            named=kind != "none",
+            framing=framing,
+            parts=parts,
+            signature=self._sign(of),
+        )
+
+    def _sign(self, request_id: str) -> str:
+        return f"{request_id}/{self._name}" if self._name else request_id
 
     def _split(self, data: bytes) -> list[tuple[bytes, float]]:
         """Split bytes at random places into pieces that are sent one after another."""
@@ -197,7 +255,7 @@
     for data in sent:
         total += len(data)
         ends.add(total)
-    stream, position, own_id = b"".join(sent), 0, plan.own[1]
+    stream, position, own_id = b"".join(sent), 0, plan.request_id
     first = plan.first
     while (head := _read_head(stream, position)) is not None:
         status, fields, position = head
--- a/tests/forward/odd_server.py
+++ b/tests/forward/odd_server.py
@@ -37,6 +37,7 @@
     named: bool = True,
     framing: str = "length",
     parts: Sequence[bytes] | None = None,
+    signature: str | None = None,
 ) -> bytes:
     """Return the answer of a server to a request; its signature and body hold the request's id.
 
@@ -44,7 +45,7 @@
     """
     parts = [body_of(attempt_id, size)] if parts is None else parts
     body = b"".join(parts)
-    lines = [f"HTTP/1.1 {status}", f"X-Response-Signature: {attempt_id}", *fields]
+    lines = [f"HTTP/1.1 {status}", f"X-Response-Signature: {signature or attempt_id}", *fields]
     if named:
         lines.append(f"X-Attempt-Id: {attempt_id}")
     if framing == "length":
--- a/tests/forward/planned_server.py
+++ b/tests/forward/planned_server.py
@@ -9,6 +9,7 @@
 import asyncio
 import sys
 from collections import Counter
+from collections.abc import Callable, Sequence
 
 from tests.forward.answer_model import ANY_STATUS_LINE, AnswerPlanner, Plan, Result, own_readings
 from tests.forward.odd_server import OddServer
@@ -38,29 +39,12 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.append(task)
-        earlier: list[str] = []
-        late: asyncio.Task[None] | None = None
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                attempt_id = head.split(b"X-Attempt-Id: ", 1)[1].split(b"\r\n", 1)[0].decode()
-                plan = self._planner.plan(attempt_id, earlier)
-                if late is not None:
-                    await late
-                    plan.received = [data for data, _ in self.plans[earlier[-1]].late]
-                self.plans[attempt_id] = plan
-                await _send(writer, plan.pieces)
-                earlier.append(attempt_id)
-                late = asyncio.create_task(_send(writer, plan.late))
-                if plan.ends:
-                    await late
-                    break
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            if late is not None:
-                late.cancel()
-            writer.close()
+        await serve_planned(reader, writer, self._plan)
+
+    def _plan(self, head: bytes, earlier: Sequence[str]) -> Plan:
+        plan = self._planner.plan(field_of(head, "X-Attempt-Id"), earlier)
+        self.plans[plan.request_id] = plan
+        return plan
 
 
 class Judgement:
@@ -92,25 +76,50 @@
         else:
             self._blame("not the own answer", plan, result)
 
+    def judge_any(self, plans: Sequence[Plan], result: Result | None) -> None:
+        """Judge the whole answer of any of the servers that a request was sent to."""
+        if result is None:
+            self.counts["failed"] += 1
+        elif any(result == plan.own for plan in plans):
+            self.counts["own"] += 1
+        elif any(result in own_readings(plan) for plan in plans):
+            self.counts["not to be told apart"] += 1
+        elif not plans:
+            self.wrong.append(f"an answer without a request: {result}")
+        else:
+            for plan in plans:
+                self._blame("not the own answer", plan, result)
+
     def judge_events(
-        self, plan: Plan | None, events: list[bytes], own: list[bytes], *, whole: bool
+        self, plans: Sequence[Plan], events: list[bytes], own: list[bytes], *, whole: bool
     ) -> None:
-        """Judge the events of a success that a caller got, and whether their end was proper."""
-        if plan is None:
+        """Judge the events of a success that a caller got, and whether their end was proper.
+
+        Parameters
+        ----------
+        plans
+            Of each server that the request was sent to; later ones may go on after earlier ones.
+        """
+        data = b"".join(events)
+        if not plans:
             if events or whole:
                 self.wrong.append(f"events without a request: {events}")
-            return
-        foreign = [event for event in events if event not in own]
-        if events == own[: len(events)] and (not whole or len(events) == len(own)):
+        elif events == own[: len(events)] and (not whole or len(events) == len(own)):
             self.counts["own" if whole else "failed"] += 1
-        elif any(ANY_STATUS_LINE.search(event) for event in foreign):
-            self._blame("an event holds the head of another answer", plan, events)
+        elif any(ANY_STATUS_LINE.search(event) for event in events if event not in own):
+            self._blame("an event holds the head of another answer", plans[-1], events)
         elif not whole:
             self.counts["not to be told apart, then failed"] += 1
-        elif any(body == b"".join(events) for _, _, body in own_readings(plan)):
+        elif any(
+            data == b"".join(own[:first]) + body
+            for plan in plans
+            for _, _, body in own_readings(plan)
+            for first in range(len(own) + 1)
+        ):
             self.counts["not to be told apart"] += 1
         else:
-            self._blame("foreign events", plan, events)
+            for plan in plans:
+                self._blame("foreign events", plan, events)
 
     def _blame(self, fault: str, plan: Plan, result: object) -> None:
         sent = [data for data, _ in (*plan.pieces, *plan.late)]
@@ -120,6 +129,47 @@
         )
 
 
+async def serve_planned(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    plan_of: Callable[[bytes, Sequence[str]], Plan],
+) -> None:
+    """Serve a connection; the plan of a request comes of its head and of the ids before it."""
+    earlier: list[str] = []
+    late: asyncio.Task[None] | None = None
+    behind: list[bytes] = []
+    try:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(int(field_of(head, "Content-Length") or 0))
+            plan = plan_of(head, earlier)
+            plan.received = behind
+            if late is not None:
+                await late
+            await _send(writer, plan.pieces)
+            earlier.append(plan.request_id)
+            late = asyncio.create_task(_send(writer, plan.late))
+            behind = plan.behind
+            if plan.ends:
+                await late
+                break
+    except (OSError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        if late is not None:
+            late.cancel()
+        writer.close()
+
+
+def field_of(head: bytes, name: str) -> str:
+    """Return the value of a field of a request's head, empty if it has none."""
+    for line in head.decode("latin-1").split("\r\n"):
+        found, _, value = line.partition(":")
+        if found.lower() == name.lower():
+            return value.strip()
+    return ""
+
+
 async def _no_script(*_: object) -> None:
     return
 
@@ -160,7 +210,8 @@
             events, whole = await server.events(attempt_id)
             plan = server.plans.get(attempt_id)
             own = [] if plan is None else events_of(attempt_id, plan.own[2].count(b"id:"))
-            judgement.judge_events(plan, events, own, whole=whole)
+            plans = [] if plan is None else [plan]
+            judgement.judge_events(plans, events, own, whole=whole)
 
 
 async def play(kind: str, seed: int, *, servers: int = SERVERS) -> Judgement:
@@ -188,4 +239,12 @@
     asyncio.run(_run_by_hand(sys.argv[1], *map(int, sys.argv[2:5])))
 
 
-__all__ = ["REQUESTS", "SERVERS", "Judgement", "PlannedServer", "play"]
+__all__ = [
+    "REQUESTS",
+    "SERVERS",
+    "Judgement",
+    "PlannedServer",
+    "field_of",
+    "play",
+    "serve_planned",
+]
--- a/tests/forward/test_answer_model.py
+++ b/tests/forward/test_answer_model.py
@@ -21,7 +21,7 @@
 class TestModel:
     # Guards against: a model that lets answers of other requests pass.
     def test_takes_own_answers_only(self):
-        plan = Plan(own=(200, "bb", b"bb."))
+        plan = Plan(request_id="bb", own=(200, "bb", b"bb."))
         plan.first = False
         plan.pieces = [(answer("aa", size=1) + answer("bb", size=1), 0.0)]
         assert own_readings(plan) == [plan.own]
@@ -30,7 +30,7 @@
 
     # Guards against: a model that lets pass what a second answer has filled up.
     def test_takes_no_body_with_a_second_answer(self):
-        plan = Plan(own=(200, "bb", b"bb." * 20))
+        plan = Plan(request_id="bb", own=(200, "bb", b"bb." * 20))
         plan.pieces = [(answer("bb")[:-20] + answer("aa"), 0.0)]
         assert own_readings(plan) == []
 
