Refuse joined heads of any form, and transfer codings that are not understood

A second head whose status line has another form (HTTP/2, lower case, a tab, a status of 600) still passed for a part of the first one: a success where the server answered a failure. Answers with another transfer coding than chunked were passed on as they came, without the field that names the coding, and a reason phrase with control characters was relayed. On the other hand a proper 'Via: HTTP/1.1 192.168.0.7:3128' was refused, as its address looked like a status.

The pattern takes any version and any blank, and wants a blank or the end behind the three digits.

TestBytesBehindAResponse covers parts of the fix that no test covered: the beginning of a response ends the connection, trailers are no fields of the head, and a joined body gives out nothing.

--- a/src/leadhollow/http1/response_checks.py
+++ b/src/leadhollow/http1/response_checks.py
@@ -16,7 +16,7 @@
 MAX_FIELDS = 256  # in one head, or in the trailers of a body
 MAX_INTERIM_RESPONSES = 16
 
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d")
+STATUS_LINE = re.compile(rb"HTTP/\d(?:\.\d)?[ \t]+\d{3}(?![^ \t])", re.IGNORECASE)
 STATUS_LINE_START = b"HTTP/1."
 EMBEDDED_HEAD = re.compile(
     rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,200}\r?\n"
@@ -24,6 +24,7 @@
     rb"[!-9;-~]{1,100}:"
 )
 LONGEST_EMBEDDED_BYTES = 320  # of a status line and the name of its first field
+CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 class UnacceptableResponse(Exception):  # noqa: N818 - raised through the parser's callbacks
@@ -115,17 +116,24 @@
 
 
 def check_head(reason: bytes, headers: Headers) -> None:
-    """Check that a head holds no status line of another response.
+    """Check that a head holds no status line of another response, and its body is not encoded.
 
     Raises
     ------
     UnacceptableResponse
-        It does: the response before it was cut within its head.
+        The response before it was cut within its head, or its framing is not known.
     """
-    if STATUS_LINE.search(reason) or any(
-        STATUS_LINE_START in value and STATUS_LINE.search(value) for _, value in headers
-    ):
+    if CONTROL_CHARACTERS.search(reason):
+        raise UnacceptableResponse("the reason phrase holds control characters")
+    if any(_holds_status_line(value) for value in (reason, *(value for _, value in headers))):
         raise UnacceptableResponse("the head holds another response's status line")
+    codings = b",".join(headers.get_all(b"transfer-encoding")).strip()
+    if codings and codings.lower() != b"chunked":
+        raise UnacceptableResponse("the transfer coding is not chunked")
+
+
+def _holds_status_line(value: bytes) -> bool:
+    return b"/" in value and STATUS_LINE.search(value) is not None
 
 
 __all__ = [
--- a/tests/forward/test_parts.py
+++ b/tests/forward/test_parts.py
@@ -144,7 +144,7 @@
     )
     def test_may_speak_of_status_lines(self, event):
         (found,) = EventSplitter().feed(event)
-        assert not found.holds_response_head
+        assert found.is_proper(frozenset())
 
     def test_without_an_id_have_none(self):
         (event,) = EventSplitter().feed(b"data: a\n\n")
--- a/tests/http1/test_client_connection.py
+++ b/tests/http1/test_client_connection.py
@@ -200,3 +200,87 @@
             address = Address(host="127.0.0.1", port=taken.getsockname()[1])
             failed = await open_connection(address, timeout_s=5)
         assert failed.unwrap_err().code is Code.PEER_ABSENT
+
+
+class TestUnacceptableResponses:
+    # Guards against: a server fills the memory, or holds up the loop, with what has no end.
+    @pytest.mark.parametrize(
+        "sent",
+        [
+            b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 200_000,
+            b"HTTP/1.1 200 " + b"x" * 200_000,
+            b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 1_000,
+            b"HTTP/1.1 200 OK\r\n" + b"x" * 200_000,
+            b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" * 100,
+            b"\r\n" * 100_000,
+        ],
+    )
+    async def test_without_end_are_refused(self, sent):
+        async with scripted_server(sent, end="wait") as server, asyncio.timeout(20):
+            status, failure = await send_request(await connect(server))
+            assert status is None
+            assert failure.code is Code.ENGINE_FAILED
+
+    # Guards against: what follows the last chunk has no end.
+    @pytest.mark.parametrize("trailer", [b"A: b\r\n" * 1_000, b"A: " + b"x" * 200_000])
+    async def test_with_trailers_without_end_are_refused(self, trailer):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        sent = head + b"2\r\nok\r\n", b"0\r\n" + trailer
+        async with scripted_server(*sent, end="wait") as server, asyncio.timeout(20):
+            status, failure = await send_request(await connect(server))
+            assert status == 200
+            assert failure.code is Code.ENGINE_FAILED
+
+    # Guards against: a second head of another form passes for a part of the first one.
+    @pytest.mark.parametrize("line", [b"HTTP/2 500 E", b"http/1.1 500 e", b"HTTP/1.1\t600 E"])
+    async def test_that_hold_another_status_line_are_refused(self, line):
+        sent = b"HTTP/1.1 200 OK\r\nX-A: b" + line + b"\r\nContent-Length: 2\r\n\r\nok"
+        async with scripted_server(sent, end="wait") as server, asyncio.timeout(20):
+            assert (await send_request(await connect(server)))[0] is None
+
+    # Guards against: a body whose coding is not understood is passed on as it is.
+    @pytest.mark.parametrize("coding", [b"gzip", b"xchunked", b"chunked;q=1", b"gzip, chunked"])
+    async def test_with_another_transfer_coding_are_refused(self, coding):
+        sent = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + b"\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+        async with scripted_server(sent) as server, asyncio.timeout(20):
+            assert (await send_request(await connect(server)))[0] is None
+
+    # Guards against: a field that names an address of a proxy counts as a status line.
+    async def test_are_told_from_proper_fields(self):
+        fields = b"Via: HTTP/1.1 192.168.0.7:3128\r\nServer: a/1.1 500\r\n"
+        sent = b"HTTP/1.1 200 OK\r\n" + fields + b"Content-Length: 2\r\n\r\nok"
+        async with scripted_server(sent, end="wait") as server, asyncio.timeout(20):
+            assert await send_request(await connect(server)) == (200, b"ok")
+
+
+class TestBytesBehindAResponse:
+    # Guards against: a connection is reused although another response has begun on it.
+    @pytest.mark.parametrize(
+        "behind", [b"H", b"HTTP/1.1 200 O", b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n"]
+    )
+    async def test_end_the_connection(self, behind):
+        sent = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + behind
+        async with scripted_server(sent, end="wait") as server:
+            connection = await connect(server)
+            assert await send_request(connection) == (200, b"ok")
+            connection.end_exchange()
+            assert not connection.usable
+
+    # Guards against: a trailer counts as a field of the head, such as the id of another request.
+    async def test_as_trailers_are_no_fields_of_the_head(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        async with scripted_server(head + b"0\r\nA: b\r\n\r\n", end="wait") as server:
+            connection = await connect(server)
+            connection.begin_request(REQUEST, method=b"GET")
+            response = (await connection.read_response()).unwrap()
+            assert (await response.body.read()).unwrap() == b""
+            assert response.head.headers.get(b"a") is None
+
+    # Guards against: a relay sends as many bytes as were declared, some of another response.
+    async def test_within_its_body_are_dropped(self):
+        sent = b"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\nok" + b"HTTP/1.1 500 E\r\n" * 3
+        async with scripted_server(sent, end="wait") as server:
+            connection = await connect(server)
+            connection.begin_request(REQUEST, method=b"GET")
+            response = (await connection.read_response()).unwrap()
+            assert (await response.body.read()).unwrap_err().code is Code.ENGINE_FAILED
