Do not end a body within the head of another response

Callers still got bodies that were not whole: a second answer that came in two parts, the first of which ended the body by its length, left nothing behind at that moment (each of the tested places to split); a body without length ended within the head of a second answer when the connection was closed there.

A body that ends within what looks like another head waits 50 ms for further bytes: if they come it is incomplete, else whole. A body without length that ends so is incomplete at once. Only CRLF line ends count, as heads have them, so that texts about HTTP pass.

What remains: fewer than five bytes of a second answer look like any other bytes, and so does a second part that comes later than 50 ms.

--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -31,6 +31,10 @@
 """TCP_USER_TIMEOUT: a connection ends if sent bytes stay unacknowledged for longer. Without it, a
 connection over a cut link hangs."""
 
+JOINED_WAIT_S = 0.05
+"""A body that ends within what looks like another response's head counts as whole after this time
+without a further byte."""
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER on, with 0 s: closing sends a reset
 
 log = get_logger("http")
@@ -127,6 +131,8 @@
             )
             self._fail(refused)
             self.close()
+        elif self._parser.awaits_more:
+            asyncio.get_running_loop().call_later(JOINED_WAIT_S, self._parser.end_response)
 
     def eof_received(self) -> bool:
         """End the response, as complete only if the connection was closed in order.
--- a/src/leadhollow/http1/response_checks.py
+++ b/src/leadhollow/http1/response_checks.py
@@ -16,13 +16,23 @@
 MAX_FIELDS = 256  # in one head, or in the trailers of a body
 MAX_INTERIM_RESPONSES = 16
 
+STATUS_LINE_START = b"HTTP/"
 STATUS_LINE = re.compile(rb"HTTP/\d(?:\.\d)?[ \t]+\d{3}(?![^ \t])", re.IGNORECASE)
-STATUS_LINE_START = b"HTTP/1."
 EMBEDDED_HEAD = re.compile(
-    rb"HTTP/1\.[01] [1-5]\d\d[^\r\n]{0,200}\r?\n"
+    rb"HTTP/\d(?:\.\d)?[ \t]+\d{3}(?:[ \t][^\r\n]{0,200})?\r\n"
     rb"(?!(?:data|event|id|retry):)"  # the next line of an event whose text is about HTTP
-    rb"[!-9;-~]{1,100}:"
+    rb"[!-9;-~]{1,100}:",
+    re.IGNORECASE,
 )
+"""A status line and the first field behind it."""
+
+CUT_HEAD = re.compile(
+    rb"HTTP/(?:\d(?:\.\d?)?(?:[ \t]+\d{0,3})?)?\Z"
+    rb"|HTTP/\d(?:\.\d)?[ \t]+\d{3}(?:[ \t][^\r\n]{0,200})?(?:\r(?:\n[!-9;-~]{0,100})?)?\Z",
+    re.IGNORECASE,
+)
+"""The beginning of a head at the end of the searched bytes."""
+
 LONGEST_EMBEDDED_BYTES = 320  # of a status line and the name of its first field
 CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
@@ -98,13 +108,18 @@
     def feed(self, data: bytes) -> None:
         """Search the next bytes of the body."""
         joined = self._tail + data
-        if STATUS_LINE_START in joined:
+        if STATUS_LINE_START in joined.upper():
             self._status_line_began = True
             self.embeds_head = self.embeds_head or EMBEDDED_HEAD.search(joined) is not None
-            self._tail = joined[-LONGEST_EMBEDDED_BYTES:]
-        else:
-            kept = LONGEST_EMBEDDED_BYTES if self._status_line_began else len(STATUS_LINE_START)
-            self._tail = joined[-kept:]
+        kept = LONGEST_EMBEDDED_BYTES if self._status_line_began else len(STATUS_LINE_START)
+        self._tail = joined[-kept:]
+
+    @property
+    def ends_within_head(self) -> bool:
+        """Whether the body ends within the head of another response, or behind one."""
+        return self.embeds_head or (
+            self._status_line_began and CUT_HEAD.search(self._tail) is not None
+        )
 
     @property
     def may_be_joined(self) -> bool:
@@ -112,7 +127,7 @@
         if self._status_line_began:
             return True
         lengths = range(1, len(STATUS_LINE_START))
-        return any(self._tail.endswith(STATUS_LINE_START[:length]) for length in lengths)
+        return any(self._tail.upper().endswith(STATUS_LINE_START[:length]) for length in lengths)
 
 
 def check_head(reason: bytes, headers: Headers) -> None:
--- a/src/leadhollow/http1/response_parser.py
+++ b/src/leadhollow/http1/response_parser.py
@@ -52,7 +52,7 @@
 
     def _is_joined(self, *, bytes_follow: bool) -> bool:
         if self.head.framing is Framing.UNTIL_CLOSE:
-            return self.joined.embeds_head
+            return self.joined.ends_within_head
         return bytes_follow and self.joined.may_be_joined
 
 
@@ -133,18 +133,32 @@
             The bytes are not HTTP, exceed a bound, or hold joined responses.
         """
         refused = self._parse(data)
-        self._end_response(bytes_follow=refused is not None)
+        if refused is not None:
+            self._end_response(bytes_follow=True)
+        elif self._ended is not None and not self._ended.joined.ends_within_head:
+            self.end_response()
         return None if refused is None else Failure(code=Code.ENGINE_FAILED, detail=refused)
 
+    @property
+    def awaits_more(self) -> bool:
+        """Whether a response is held back, because another one may have begun within its body."""
+        return self._ended is not None
+
+    def end_response(self) -> None:
+        """Complete the response that is held back."""
+        self._end_response(bytes_follow=False)
+
     def end_stream(self) -> None:
         """Complete a response that is delimited by the end of the connection."""
+        self.end_response()
         response = self._response
         if response is not None and response.head.framing is Framing.UNTIL_CLOSE:
             response.end(bytes_follow=False)
             self._response = None
 
     def fail(self, failure: Failure) -> None:
-        """Fail the response in progress."""
+        """Fail the response in progress; one that is held back has all its bytes."""
+        self.end_response()
         if self._response is not None:
             self._response.body.fail(failure)
             self._response = None
