Refuse a request whose head holds another one's request line

A sender that stops within a head and goes on with the next request on the connection made one request of the two: the target of the first, the id, key and deadline of the second. A field's value that ends with a request line is refused with 400, and so is a second Host field. A cut within the request line was refused before.

Values that only mention a version of HTTP pass.

--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -17,6 +17,7 @@
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
 from leadhollow.http1.reply import ReplyWriter
+from leadhollow.http1.request_checks import is_joined
 from leadhollow.kernel import active_time
 from leadhollow.kernel.active_time import ActiveClock, ActiveTimer
 from leadhollow.observe.logs import get_logger
@@ -231,6 +232,9 @@
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
         self._head_bytes = 0
+        if is_joined(self._headers):
+            self._reject(HTTPStatus.BAD_REQUEST)
+            return
         head = RequestHead(
             method=self._parser.get_method(),
             target=self._target,
