Apply the limit of heads to pipelined requests

A head that came in the same read as the end of another request was not counted, so that it could be as long as a read, 256 KiB, at a limit of 1 KiB or 16.

Evidence: test_have_the_limit_of_heads failed before.

--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -114,6 +114,7 @@
         "_is_closing",
         "_limits",
         "_parser",
+        "_received_bytes",
         "_requests",
         "_target",
         "_task",
@@ -144,6 +145,7 @@
         self._target = b""
         self._headers = Headers()
         self._head_bytes = 0
+        self._received_bytes = 0
         self._in_head = False
         self._header_timer: ActiveTimer | None = None
         self._clock: ActiveClock = active_time.clock()
@@ -171,6 +173,7 @@
             return
         if self._in_head or self._current is None:
             self._head_bytes += len(data)
+        self._received_bytes = len(data)  # may hold whole heads behind the end of a request
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -226,9 +229,9 @@
         """Queue the request for the task of the connection."""
         self._in_head = False
         self._stop_header_timer()
-        if self._head_bytes > self._limits().header_bytes and self._encoded_head_bytes() > (
-            self._limits().header_bytes
-        ):
+        limit_bytes = self._limits().header_bytes
+        may_exceed = self._head_bytes + self._received_bytes > limit_bytes
+        if may_exceed and self._encoded_head_bytes() > limit_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
         self._head_bytes = 0
--- a/tests/http1/test_odd_requests.py
+++ b/tests/http1/test_odd_requests.py
@@ -101,4 +101,14 @@
         assert (await status_and_rest(caller))[0] == b"200"
 
 
+class TestPipelinedRequests:
+    # Guards against: a head behind another request passes the limit of heads.
+    async def test_have_the_limit_of_heads(self, caller, handler):
+        long = b"GET /2 HTTP/1.1\r\nHost: x\r\nX-Long: " + b"a" * 20_000 + b"\r\n\r\n"
+        await caller.send(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n" + long)
+        response = await caller.read_to_end()
+        assert handler.targets == [b"/1"]
+        assert b"HTTP/1.1 431 " in response
+
+
 __all__: list[str] = []
