Keep at most 65 requests that wait behind another on a connection

A caller that goes on sending requests behind one that waits filled the memory of its entry, or of a control process: each was parsed and kept. The 66th is answered with 429, in its turn and after the answers to those before it, and the connection ends.

--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -17,7 +17,7 @@
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import RequestHead
 from leadhollow.http1.reply import ReplyWriter
-from leadhollow.http1.request_checks import is_joined
+from leadhollow.http1.request_checks import MAX_PIPELINED_REQUESTS, is_joined
 from leadhollow.kernel import active_time
 from leadhollow.kernel.active_time import ActiveClock, ActiveTimer
 from leadhollow.observe.logs import get_logger
@@ -229,6 +229,11 @@
         """Queue the request for the task of the connection."""
         self._in_head = False
         self._stop_header_timer()
+        if self._error_status is not None:
+            return
+        if len(self._requests) > MAX_PIPELINED_REQUESTS:
+            self._reject(HTTPStatus.TOO_MANY_REQUESTS)
+            return
         limit_bytes = self._limits().header_bytes
         may_exceed = self._head_bytes + self._received_bytes > limit_bytes
         if may_exceed and self._encoded_head_bytes() > limit_bytes:
--- a/tests/http1/test_odd_requests.py
+++ b/tests/http1/test_odd_requests.py
@@ -102,6 +102,16 @@
 
 
 class TestPipelinedRequests:
+    # Guards against: requests behind one that waits fill an entry's memory.
+    async def test_have_a_bound(self, caller, handler):
+        handler.gate.clear()
+        await caller.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 500)
+        handler.gate.set()
+        response = await caller.read_to_end()
+        assert response.count(b"HTTP/1.1 200 ") == len(handler.targets) < 100
+        assert response.count(b"HTTP/1.1 429 ") == 1
+        assert response.rindex(b"HTTP/1.1 429 ") == response.rindex(b"HTTP/1.1 ")
+
     # Guards against: a head behind another request passes the limit of heads.
     async def test_have_the_limit_of_heads(self, caller, handler):
         long = b"GET /2 HTTP/1.1\r\nHost: x\r\nX-Long: " + b"a" * 20_000 + b"\r\n\r\n"
