Drop the trailers of a request

Trailers of a chunked body were added to the header fields of their request. They were forwarded to a server, as those of the head are, whenever the body was complete before the request was sent.

Evidence: test_adds_no_header_fields failed before (X-Tenant and a second Host).

--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -222,8 +222,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field."""
-        self._headers.add(name, value)
+        """Add a header field; trailers are dropped."""
+        if self._in_head:
+            self._headers.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Queue the request for the task of the connection."""
--- a/tests/http1/test_odd_requests.py
+++ b/tests/http1/test_odd_requests.py
@@ -121,4 +121,12 @@
         assert b"HTTP/1.1 431 " in response
 
 
+class TestRestOfABody:
+    # Guards against: trailers get to the backend as header fields, past all checks of a head.
+    async def test_adds_no_header_fields(self, caller, handler):
+        await caller.send(CHUNKED + b"1\r\na\r\n0\r\nX-Tenant: other\r\nHost: y\r\n\r\n")
+        await caller.read_until(b"0\r\n\r\n")
+        assert handler.fields == [[b"Host", b"Transfer-Encoding"]]
+
+
 __all__: list[str] = []
