Bound the trailers and the chunk extensions of a request

What a caller sends behind the parts of a body without another part was read on and on: 40 MB in a test, at a limit of 1 KiB for heads, until the request's deadline. It has the limit of a head now; beyond it the request fails, and the connection ends.

Evidence: the four cases of test_has_a_bound failed before.

--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -114,8 +114,10 @@
         "_is_closing",
         "_limits",
         "_parser",
+        "_progressed",
         "_received_bytes",
         "_requests",
+        "_rest_bytes",
         "_target",
         "_task",
         "_transport",
@@ -146,6 +148,8 @@
         self._headers = Headers()
         self._head_bytes = 0
         self._received_bytes = 0
+        self._progressed = False  # whether the received bytes brought a head or a part of a body
+        self._rest_bytes = 0  # since the last part of a body
         self._in_head = False
         self._header_timer: ActiveTimer | None = None
         self._clock: ActiveClock = active_time.clock()
@@ -174,6 +178,7 @@
         if self._in_head or self._current is None:
             self._head_bytes += len(data)
         self._received_bytes = len(data)  # may hold whole heads behind the end of a request
+        self._progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -183,11 +188,21 @@
             self._reject(HTTPStatus.BAD_REQUEST)
         if self._in_head and self._head_bytes > self._limits().header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        self._check_rest(len(data))
         if self._in_head and self._header_timer is None:
             self._header_timer = ActiveTimer(
                 delay_s=self._limits().header_timeout_ms / 1000, callback=self._on_header_timeout
             )
 
+    def _check_rest(self, count: int) -> None:
+        """Refuse trailers and extensions of chunks that exceed the limit of a head."""
+        if self._in_head or self._current is None or self._progressed:
+            self._rest_bytes = 0
+        else:
+            self._rest_bytes += count
+            if self._rest_bytes > self._limits().header_bytes:
+                self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+
     def eof_received(self) -> bool:
         """Close the connection: a caller that half-closes it counts as disconnected."""
         return False
@@ -241,6 +256,7 @@
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
         self._head_bytes = 0
+        self._progressed = True
         if is_joined(self._headers):
             self._reject(HTTPStatus.BAD_REQUEST)
             return
@@ -263,6 +279,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
+        self._progressed = True
         if self._current is not None:
             self._current.body.feed(data)
 
--- a/tests/http1/test_odd_requests.py
+++ b/tests/http1/test_odd_requests.py
@@ -128,5 +128,19 @@
         await caller.read_until(b"0\r\n\r\n")
         assert handler.fields == [[b"Host", b"Transfer-Encoding"]]
 
+    # Guards against: trailers or extensions of chunks without end are read on and on.
+    @pytest.mark.parametrize(
+        ("start", "piece"),
+        [
+            (b"1\r\na\r\n0\r\n", b"X-Trailer: a\r\n" * 100),
+            (b"1\r\na\r\n0\r\nX-Long: ", b"a" * 1_000),
+            (b"1\r\na\r\n1;", b"a" * 1_000),
+            (b"1\r\na\r\n1;a=", b"b" * 1_000),
+        ],
+    )
+    async def test_has_a_bound(self, caller, handler, start, piece):
+        await caller.send(CHUNKED + start)
+        assert await send_without_end(caller, piece) < ENOUGH_BYTES
+
 
 __all__: list[str] = []
