Write nothing of a response after its end

A writer that still held the reply of an ended request could write into the next response on the connection. No such writer is known: one task serves the requests of a connection in turn, and handlers end with their replies. The reply now drops what comes after its end.

--- a/src/leadhollow/http1/reply.py
+++ b/src/leadhollow/http1/reply.py
@@ -21,6 +21,8 @@
 class ReplyWriter:
     """Writes one response on a connection: start, any number of writes, finish or abort.
 
+    Nothing is written after its end.
+
     Parameters
     ----------
     request
@@ -84,6 +86,8 @@
         content_length
             Length of the body in bytes; None if it is not known in advance.
         """
+        if self.finished:  # the connection may be that of the next response by now
+            return
         self.started = True
         self.status = status
         phrase = _phrase(status) if reason is None else reason
@@ -106,7 +110,7 @@
 
     async def write(self, data: bytes) -> None:
         """Write a part of the body; waits while the write buffer is full."""
-        if not data or self._remaining_bytes == 0:
+        if not data or self._remaining_bytes == 0 or self.finished:
             return
         if self._remaining_bytes is not None:
             data = data[: self._remaining_bytes]
--- a/tests/http1/test_odd_requests.py
+++ b/tests/http1/test_odd_requests.py
@@ -143,4 +143,20 @@
         assert await send_without_end(caller, piece) < ENOUGH_BYTES
 
 
+class TestLateAnswer:
+    # Guards against: an answer that is written after its request has ended becomes a part of the
+    # answer to the next request.
+    async def test_is_not_written(self, caller, handler):
+        await caller.send(b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        await caller.read_until(b"0\r\n\r\n")
+        late = handler.replies[0]
+        await late.write(b"late")
+        late.start(200, Headers(), content_length=0)
+        await late.send(504, Headers())
+        await caller.send(b"GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        response = await caller.read_to_end()
+        assert response.count(b"HTTP/1.1") == 1
+        assert response.endswith(b"\r\n\r\n2\r\n/2\r\n0\r\n\r\n")
+
+
 __all__: list[str] = []
