Take only slices of the size that was requested

Longer slices were put together to a piece that its digest refused.

A slice of another size is dropped now, and its source is avoided for a while.

--- a/src/leadhollow/staging/piece_fetch.py
+++ b/src/leadhollow/staging/piece_fetch.py
@@ -399,10 +399,15 @@
             self._record_failed_slice(source, index, result.unwrap_err(), now_s)
             return False
         reply: SliceReply = result.unwrap()
+        data = reply.data or b""
+        if len(data) != min(SLICE_BYTES, version.manifest.chunk_bytes - offset):
+            log.warning("slice spoilt", piece=index, source=source.stager.address, size=len(data))
+            source.avoid(now_s)
+            return False
         self._window.record_slice(now_s - sent_s - (reply.waited_ms or 0) / 1000)
         source.record_slice(now_s - sent_s, now_s)
         self._last_slice_s = now_s
-        self._slices.setdefault(index, []).append(reply.data or b"")
+        self._slices.setdefault(index, []).append(data)
         return True
 
     def _record_failed_slice(
--- a/tests/staging/test_piece_exchange.py
+++ b/tests/staging/test_piece_exchange.py
@@ -6,6 +6,9 @@
 import hashlib
 from collections.abc import Awaitable, Callable
 
+import pytest
+from result import Ok
+
 from leadhollow.codes import Code
 from leadhollow.settings.address import Address
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
@@ -15,7 +18,8 @@
 from leadhollow.staging.piece_window import PieceWindow
 from leadhollow.staging.pieces import PieceStore, StagedVersion
 from leadhollow.weights.named_versions import NamedVersion, PieceManifest
-from leadhollow.wire.generated.ttypes import SliceRequest
+from leadhollow.wire.connection import Connection
+from leadhollow.wire.generated.ttypes import SliceReply, SliceRequest
 from leadhollow.wire.handlers import HandlerTable
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.server import WireServer
@@ -181,6 +185,29 @@
 
         run_with_nodes(work, count=2)
 
+    # Guards against: a slice that is not the requested one is a part of a piece, or is requested
+    # again and again.
+    @pytest.mark.parametrize("size", [0, 1, SLICE_BYTES + 1, 2 * PIECE_BYTES])
+    def test_takes_only_slices_of_the_requested_size(self, size):
+        async def work(odd: Node, good: Node, receiver: Node) -> None:
+            requests = 0
+
+            async def on_slice(request: SliceRequest, _: Connection):
+                nonlocal requests
+                requests += 1
+                if not good.staged().held.held_count:
+                    good.add_pieces(7)
+                return Ok(SliceReply(PIECES[7][:1] * size, 0))
+
+            odd.handlers.on_call(SliceRequest, on_slice)
+            odd.add_pieces(7)
+            receiver.add_pieces(*range(7))
+            await receiver.fetch(odd, good).run()
+            assert receiver.staged().piece(7) == PIECES[7]
+            assert requests < 5
+
+        run_with_nodes(work, count=3)
+
     def test_continues_a_piece_at_another_source_after_the_first_is_lost(self):
         async def work(first: Node, second: Node, receiver: Node) -> None:
             first.add_pieces(*range(8))
