Show that a call between processes takes no other call's response

Late responses, second ones and such that come before their call are dropped by the number of the call, on the same connection and after a reconnect. No fault was found; the test passed at once.

--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -12,7 +12,7 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.settings.address import Address
-from leadhollow.wire.codec import MAX_FRAME_BYTES
+from leadhollow.wire.codec import MAX_FRAME_BYTES, Frame
 from leadhollow.wire.generated.ttypes import (
     Done,
     StateProbe,
@@ -21,6 +21,7 @@
     ViewWatch,
 )
 from leadhollow.wire.handlers import HandlerTable
+from leadhollow.wire.messages import FrameKind
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.server import WireServer
 from tests.support import TOKEN, eventually
@@ -110,6 +111,35 @@
         )
         assert response.unwrap_err().code is Code.PEER_TIMEOUT
 
+    # Guards against: the late response to a call that timed out, or a second response to one, is
+    # taken for the response to a later call, on this connection or on the next one.
+    @pytest.mark.parametrize("reconnect", [False, True])
+    async def test_get_no_response_to_another_call(self, server_and_pool, reconnect):
+        made = server_and_pool
+        connections = []
+
+        async def answer(request, connection):
+            connections.append(connection)
+            if request.vm == "late":
+                await asyncio.sleep(0.1)
+            for call_id in range(6):  # second and premature responses
+                second = StateProbeReply(True, 5, "second", 0)
+                if call_id != len(connections):
+                    connection.write(Frame(kind=FrameKind.RESPONSE, call_id=call_id, body=second))
+            return Ok(StateProbeReply(True, 5, request.vm, 0))
+
+        made.handlers.on_call(StateProbe, answer)
+        late = await made.peers.call(made.address, StateProbe("late"), timeout_ms=30)
+        assert late.unwrap_err().code is Code.PEER_TIMEOUT
+        if reconnect:
+            connections[0].close()
+            await asyncio.sleep(0.05)
+            connections.clear()
+        for name in ("a", "b", "c"):
+            found = await made.peers.call(made.address, StateProbe(name), timeout_ms=5_000)
+            assert found.unwrap().leader == name
+            await asyncio.sleep(0.05)
+
     async def test_type_without_handler_returns_failure(self, server_and_pool):
         response = await server_and_pool.peers.call(
             server_and_pool.address, Done(), timeout_ms=5_000
