--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -201,6 +201,7 @@
         else:
             self._rest_bytes += count
             if self._rest_bytes > self._limits().header_bytes:
+                log.warning("request refused", reason="trailers or chunk extensions too long")
                 self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def eof_received(self) -> bool:
@@ -248,6 +249,7 @@
         if self._error_status is not None:
             return
         if len(self._requests) > MAX_PIPELINED_REQUESTS:
+            log.warning("request refused", reason="too many wait on its connection")
             self._reject(HTTPStatus.TOO_MANY_REQUESTS)
             return
         limit_bytes = self._limits().header_bytes
@@ -258,6 +260,7 @@
         self._head_bytes = 0
         self._progressed = True
         if is_joined(self._headers):
+            log.warning("request refused", reason="its head holds another one")
             self._reject(HTTPStatus.BAD_REQUEST)
             return
         head = RequestHead(
