Soak servers that send odd answers

The stand-ins of the soak answered properly but for streams that break off. Their proxies now turn a fifth of the answers into failures and add odd bytes: second answers with an id, none or two, beginnings of answers, answers that are cut and followed by others, interim responses and bytes that are no HTTP, within a segment or late. The judge checks that no success came of a server that answered the request with a failure.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from tests.soak.departures import soak_departures
+from tests.soak.odd_play import soak_odd
 from tests.soak.repeats import soak_repeats
 from tests.soak.run import Verdict, soak
 from tests.soak.stream_play import soak_streams
@@ -35,6 +36,8 @@
         return soak_departures(seed=seed, folder=folder)
     if options.repeats_s:
         return soak_repeats(seed=seed, folder=folder, seconds=options.repeats_s)
+    if options.odd_s:
+        return soak_odd(seed=seed, folder=folder, seconds=options.odd_s)
     if options.streams_s:
         return soak_streams(
             seed=seed, folder=folder, seconds=options.streams_s, parts=options.parts
@@ -72,6 +75,14 @@
         dest="repeats_s",
         help="let engines refuse and entries restart instead, for so many seconds a seed",
     )
+    parser.add_argument(
+        "--odd",
+        type=float,
+        default=0,
+        metavar="S",
+        dest="odd_s",
+        help="let servers send odd answers instead, for so many seconds a seed",
+    )
     parser.add_argument(
         "--stages", action="store_true", help="damage staged pieces and delay load orders besides"
     )
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -9,6 +9,7 @@
 import time
 from enum import Enum
 
+from tests.soak.odd_bytes import OddBytes
 from tests.soak.spans import Spans
 
 CHUNK_BYTES = 16 * 1024
@@ -33,6 +34,8 @@
         When it was not open.
     reset_s
         When its connections were reset.
+    odd
+        Changes what comes from the other address; None to pass it on as it is.
     """
 
     def __init__(self, *, host: str, port: int, target_port: int) -> None:
@@ -41,6 +44,7 @@
         self.target_port = target_port
         self.harmed = Spans()
         self.reset_s: list[float] = []
+        self.odd: OddBytes | None = None
         self._path = Path.OPEN
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -93,7 +97,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._copy(reader, inner_writer))
-                group.create_task(self._copy(inner_reader, writer))
+                group.create_task(self._copy(inner_reader, writer, self.odd))
         except* OSError:
             pass
         finally:
@@ -101,11 +105,21 @@
             for each in both:
                 each.transport.abort()
 
-    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        odd: OddBytes | None = None,
+    ) -> None:
+        async def write(data: bytes) -> None:
+            if data:
+                writer.write(data)
+                await writer.drain()
+
+        feed = write if odd is None else odd.connection(write).feed
         while data := await reader.read(CHUNK_BYTES):
             await self._held()
-            writer.write(data)
-            await writer.drain()
+            await feed(data)
         writer.close()
 
     async def _held(self) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tests.soak.departures import soak_departures
+from tests.soak.odd_play import soak_odd
 from tests.soak.repeats import soak_repeats
 from tests.soak.run import soak
 from tests.soak.stream_play import soak_streams
@@ -22,6 +23,7 @@
 
 STREAMS_S = 3.0
 REPEATS_S = 9.0
+ODD_S = 4.0
 
 
 class TestSoak:
@@ -45,6 +47,14 @@
         assert verdict.served > 0
 
 
+class TestSoakOfOddAnswers:
+    # Guards against: a caller of a real entry gets an answer that is not its own.
+    def test_passes_on_own_answers_only(self, tmp_path):
+        verdict = asyncio.run(soak_odd(seed=1, folder=tmp_path, seconds=ODD_S))
+        assert verdict.violations == []
+        assert verdict.served > 0
+
+
 class TestSoakOfRepeats:
     # Guards against: real entries that are killed in series send more repeats than all may.
     def test_stays_within_the_limit(self, tmp_path):
