Measure servers without an end in a process of their own

The stand-ins that send without end shared a process with the callers, so that their work counted as the entry's: served rates were too low. They are a process of their own now, and the processor time of the entry is printed.

--- a/tests/soak/endless.py
+++ b/tests/soak/endless.py
@@ -2,7 +2,8 @@
 
 ``python -m tests.soak.endless --kind head --seconds 12`` starts a control and an entry process, 6
 proper servers of one service and 20 servers of another one that answer as the kind says: ``none``
-(properly), ``head`` (a head without end) or ``interim`` (interim responses without end). It prints
+(properly), ``head`` (fields without end), ``value`` (a field without end) or ``interim`` (interim
+responses without end). These 20 are a process of their own. It prints
 the entry's memory, what was served of the proper service, and the connections to its servers.
 """
 
@@ -13,10 +14,12 @@
 import contextlib
 import itertools
 import json
+import multiprocessing
 import os
 import statistics
 import tempfile
 import time
+from multiprocessing.connection import Connection
 from pathlib import Path
 
 import aiohttp
@@ -30,9 +33,11 @@
 WARM_UP_S = 3.0
 BAD_CALLERS = 10
 TIMEOUT_MS = 1_000
+BAD_SERVERS = 20
 PIECES = {
-    "head": b"X-Field: " + b"x" * 1_000 + b"\r\n",
-    "interim": b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" * 30,
+    "head": (b"X-Field: " + b"x" * 1_000 + b"\r\n") * 60,
+    "value": b"x" * 60_000,
+    "interim": b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" * 1_500,
 }
 _numbers = itertools.count(1)
 
@@ -78,13 +83,30 @@
         writer.close()
 
     async def _answer_without_end(self, writer: asyncio.StreamWriter) -> None:
-        if self.kind == "head":
-            writer.write(b"HTTP/1.1 200 OK\r\n")
+        if self.kind != "interim":
+            writer.write(b"HTTP/1.1 200 OK\r\nX-Long: ")
         while True:
             writer.write(PIECES[self.kind])
             await writer.drain()
 
 
+def serve_bad(kind: str, told: Connection) -> None:
+    """Serve the other service until the connection to the measurement ends."""
+
+    async def run() -> None:
+        servers = [_bad_server(number, kind) for number in range(BAD_SERVERS)]
+        for server in servers:
+            await server.start()
+        told.send([server.address for server in servers])
+        await asyncio.to_thread(told.poll, None)
+
+    asyncio.run(run())
+
+
+def _bad_server(number: int, kind: str) -> RawPlainServer:
+    return RawPlainServer(instance=f"b{number}", service="bad", kind=kind)
+
+
 class Measurement:
     """What callers got of the proper service, and what the others got."""
 
@@ -99,7 +121,13 @@
 async def measure(kind: str, seconds: float, callers: int, pause_s: float) -> dict[str, object]:
     """Run the processes and return the figures."""
     proper = [RawPlainServer(instance=f"p{n}", service="proper", kind="none") for n in range(6)]
-    bad = [RawPlainServer(instance=f"b{n}", service="bad", kind=kind) for n in range(20)]
+    bad = [_bad_server(number, kind) for number in range(BAD_SERVERS)]
+    context = multiprocessing.get_context("spawn")
+    told, telling = context.Pipe()
+    beside = context.Process(target=serve_bad, args=(kind, telling), daemon=True)
+    beside.start()
+    for server, server_address in zip(bad, await asyncio.to_thread(told.recv), strict=True):
+        server.address = server_address
     control_host, entry_host = "127.0.91.1", "127.0.92.1"
     first = free_ports((control_host, entry_host), count=5)
     operators = f"{control_host}:{first + 2}"
@@ -143,7 +171,7 @@
         ) as http:
             control.start()
             entry.start()
-            for server in (*proper, *bad):
+            for server in proper:
                 await server.start()
             announcing = asyncio.create_task(_announce(http, operators, [*proper, *bad]))
             try:
@@ -155,8 +183,9 @@
                 announcing.cancel()
                 for program in (entry, control):
                     await program.end()
-                for server in (*proper, *bad):
+                for server in proper:
                     await server.stop()
+                beside.terminate()
 
 
 async def _measure(
@@ -201,11 +230,11 @@
     found.after_ms.clear()
     opened = sum(server.connections for server in proper)
     tasks += [asyncio.create_task(ask_bad()) for _ in range(BAD_CALLERS)]
-    peak_mb, began_s = before_mb, time.monotonic()
+    peak_mb, began_s, used_s = before_mb, time.monotonic(), _cpu_s(entry)
     while time.monotonic() - began_s < seconds:
         await asyncio.sleep(0.1)
         peak_mb = max(peak_mb, _memory_mb(entry))
-    took_s = time.monotonic() - began_s
+    took_s, used_s = time.monotonic() - began_s, _cpu_s(entry) - used_s
     served, failed = found.served, found.failed
     opened = sum(server.connections for server in proper) - opened
     for task in tasks:
@@ -215,6 +244,7 @@
         "kind": kind,
         "memory_before_mb": round(before_mb, 1),
         "memory_growth_mb": round(peak_mb - before_mb, 1),
+        "entry_cpu_share": round(used_s / took_s, 2),
         "served_per_s": round(served / took_s, 1),
         "failed": failed,
         "median_ms": round(statistics.median(found.after_ms), 1) if found.after_ms else None,
@@ -264,6 +294,11 @@
     await eventually(acknowledged, "an acknowledged table")
 
 
+def _cpu_s(program: Program) -> float:
+    fields = Path(f"/proc/{program.process_id}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 def _memory_mb(program: Program) -> float:
     for line in Path(f"/proc/{program.process_id}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
