Answer the next request when a body ends unread

Callers saw no answer to the next request on a kept connection after an answer that was sent before a body of 260 to 800 KiB had been read.

Cause: a body pauses reading above 256 KiB of unread bytes, and only a read of that body resumes it. A body that ended while paused counted as complete, so nothing drained it, and the socket stayed paused. A pooled connection to a server had the same fault, when a response was not read to its end (a hedge that lost with a long answer).

Whoever ends an exchange now discards its body, which resumes reading and drops what follows. A later read fails, so that the rest is not taken for the end of the body.

--- a/src/leadhollow/http1/body.py
+++ b/src/leadhollow/http1/body.py
@@ -130,12 +130,19 @@
                 return Err(Failure(code=Code.BODY_TOO_LARGE, detail=detail))
 
     def discard(self) -> None:
-        """Drop the buffered bytes and resume reading from the socket."""
+        """Drop the unread bytes and all that follow, and resume reading from the socket.
+
+        Whoever ends an exchange calls this, since its reader may be gone. If bytes are missing
+        then, a later read fails, so that no reader takes what it got for the whole body.
+        """
+        if self._pieces or not self.complete:
+            self._failure = self._failure or Failure(code=Code.INTERNAL, detail="body discarded")
         self._pieces.clear()
         self.buffered_bytes = 0
         if self._paused:
             self._paused = False
             self._resume()
+        self._wakeup.wake()
 
 
 __all__ = ["IncomingBody"]
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -59,6 +59,7 @@
         "_open",
         "_outstanding",
         "_parser",
+        "_response",
         "_responses",
         "_transport",
         "_wakeup",
@@ -75,6 +76,7 @@
         )
         self._transport: asyncio.Transport | None = None
         self._responses: deque[IncomingResponse] = deque()
+        self._response: IncomingResponse | None = None  # the one read last
         self._wakeup = Wakeup()
         self._failure: Failure | None = None
         self._outstanding = False
@@ -195,15 +197,20 @@
             if self._failure is not None:
                 return Err(self._failure)
             await self._wakeup.wait()
-        return Ok(self._responses.popleft())
+        self._response = self._responses.popleft()
+        return Ok(self._response)
 
     def end_exchange(self) -> None:
-        """Finish the request after its response was read; the connection may then be reused.
+        """Finish the request after its response arrived; the connection may then be reused.
 
-        If there are bytes of another response, the connection is closed.
+        What was not read of the response is dropped, as it could keep reading paused. If there are
+        bytes of another response, the connection is closed.
         """
         self._outstanding = False
         self.idle_since_s = clocks.elapsed_s()
+        if self._response is not None:
+            self._response.body.discard()
+            self._response = None
         if self._responses or self._parser.in_message:
             log.warning(
                 "received bytes behind a complete response",
--- a/src/leadhollow/http1/response_parser.py
+++ b/src/leadhollow/http1/response_parser.py
@@ -45,8 +45,8 @@
         """End the body, as incomplete if another response seems to have begun within it."""
         if self._is_joined(bytes_follow=bytes_follow):
             detail = "another response began within the body"
-            self.body.discard()  # a relay must not get as many bytes as were declared
             self.body.fail(Failure(code=Code.ENGINE_FAILED, detail=detail))
+            self.body.discard()  # a relay must not get as many bytes as were declared
         else:
             self.body.finish()
 
--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -321,6 +321,7 @@
                 self.busy = False
                 if closed:
                     break
+                request.body.discard()  # else an unread rest keeps reading paused for good
             if self._error_status is not None:
                 await self._send_error(transport, self._error_status)
         except asyncio.CancelledError:
--- a/tests/http1/test_client_connection.py
+++ b/tests/http1/test_client_connection.py
@@ -171,6 +171,40 @@
             assert connection.usable
             assert connection.keep_alive_s == 7.0
 
+    # Guards against: a response that nobody read to its end leaves reading paused, so that the next
+    # response on its connection is never read.
+    @pytest.mark.parametrize("rest_kib", [57, 100, 200])
+    async def test_after_an_unread_body_reads_the_next_response(self, rest_kib):
+        beginning, rest = bytes(200 * 1024), bytes(rest_kib * 1024)
+        beginning_received = asyncio.Event()
+
+        async def script(caller: RawCaller) -> None:
+            await caller.read_until(b"\r\n\r\n")
+            size = len(beginning) + len(rest)
+            await caller.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            await caller.send(beginning)
+            await beginning_received.wait()
+            await caller.send(rest)
+            await caller.read_until(b"\r\n\r\n")
+            await caller.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+            await caller.read_to_end()
+
+        async with RawServer(script) as server:
+            connection = await connect(server)
+            connection.begin_request(REQUEST, method=b"GET")
+            body = (await connection.read_response()).unwrap().body
+            await eventually(lambda: body.buffered_bytes == len(beginning))
+            beginning_received.set()
+            await eventually(lambda: body.complete or body.buffered_bytes > 256 * 1024)
+            if not body.complete:
+                (await body.read()).unwrap()
+            await eventually(lambda: body.complete)
+            connection.end_exchange()
+            assert connection.usable
+            async with asyncio.timeout(10):
+                assert await send_request(connection) == (204, b"")
+            connection.close()
+
 
 class TestClosing:
     async def test_with_outstanding_request_sends_reset(self):
