Let the request that probes a server own the probe

An entry left a server out after its ejection until another answer of it ended, when the request that was placed as its probe was cancelled or got no permission to be sent.

Cause: the probe was a flag that each way of ending had to clear: a repeat that the budget refused, and a cancelled attempt for a plain service, did not. The end of any other request cleared it as well.

A request now claims the probe where it is counted at the server, and releases it where it is uncounted, which every way of ending passes. The back-off of a server works in the same way.

--- a/src/leadhollow/decide/engine_queue.py
+++ b/src/leadhollow/decide/engine_queue.py
@@ -323,7 +323,6 @@
         )
         option.server.add_call(call)
         self._chooser.invalidate()
-        option.server.health.record_start(now_s)
         report = option.server.fresh_report(now_s)
         send_limiter = option.server.send_limiter
         limit = {} if send_limiter is None else {"limit_per_s": send_limiter.per_s}
--- a/src/leadhollow/decide/health.py
+++ b/src/leadhollow/decide/health.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
+
 FAILURES_TO_EJECT = 3
 MIN_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
@@ -26,7 +28,7 @@
         "_ejection_s",
         "_failures",
         "_last_failure_s",
-        "_probing",
+        "_probe",
         "unreachable",
     )
 
@@ -35,23 +37,28 @@
         self._ejected_until_s = 0.0
         self._ejection_s = MIN_EJECTION_S
         self._last_failure_s = 0.0
-        self._probing = False
+        self._probe: Hashable | None = None  # request that probes the server after an ejection
         self.unreachable = False
 
     def usable(self, now_s: float) -> bool:
         """Tell whether requests may be sent there."""
         if now_s < self._ejected_until_s:
             return False
-        return not (self._ejected_until_s and self._probing)
+        return not (self._ejected_until_s and self._probe is not None)
 
     def ejected(self, now_s: float) -> bool:
         """Tell whether the server is ejected, or being probed after an ejection."""
         return self._ejected_until_s > 0.0
 
-    def record_start(self, now_s: float) -> None:
-        """Record that a request is sent there."""
-        if self._ejected_until_s and now_s >= self._ejected_until_s:
-            self._probing = True
+    def claim_probe(self, request: Hashable, now_s: float) -> None:
+        """Make a request the probe if its server was ejected and no other request is the probe."""
+        if self._ejected_until_s and now_s >= self._ejected_until_s and self._probe is None:
+            self._probe = request
+
+    def release_probe(self, request: Hashable) -> None:
+        """Record that a request has ended, so that another one may become the probe."""
+        if self._probe is request:
+            self._probe = None
 
     def record_first_event(self) -> None:
         """Record that a response has begun, so that further requests may be sent.
@@ -59,14 +66,14 @@
         Without this, a server that has come back would get one request from each entry until the
         whole response had ended. Earlier failures still count.
         """
-        self._probing = False
+        self._probe = None
 
     def record_success(self) -> None:
         """Record a successful response."""
         self._failures = 0
         self._ejected_until_s = 0.0
         self._ejection_s = MIN_EJECTION_S
-        self._probing = False
+        self._probe = None
         self.unreachable = False
 
     def record_unreachable(self, now_s: float) -> None:
@@ -96,16 +103,12 @@
             self._ejection_s = MIN_EJECTION_S
         self._last_failure_s = now_s
         self._failures += weight
-        self._probing = False
+        self._probe = None
         if self._failures < FAILURES_TO_EJECT and not self._ejected_until_s:
             return False
         self._ejected_until_s = now_s + self._ejection_s
         self._ejection_s = min(2 * self._ejection_s, MAX_EJECTION_S)
         return True
 
-    def record_inconclusive(self) -> None:
-        """Record the end of a request that says nothing about the server, e.g. its caller left."""
-        self._probing = False
-
 
 __all__ = ["Health"]
--- a/src/leadhollow/decide/server.py
+++ b/src/leadhollow/decide/server.py
@@ -159,13 +159,15 @@
             self.backoff.claim_probe(call)
         if self.send_limiter is not None and self.send_limiter.try_acquire():
             call.send_limiter = self.send_limiter
+        self.health.claim_probe(call, call.placed_s)
         self.calls.add(call)
         self._unread_tokens += call.prompt_tokens
         self._own_counts.record(len(self.calls), call.placed_s)
         self._on_use(self.instance.address)
 
     def remove_call(self, call: OwnCall, now_s: float) -> None:
-        """Record that a request ended."""
+        """Record that a request ended, was cancelled or will not be sent."""
+        self.health.release_probe(call)
         if self.backoff is not None:
             self.backoff.release_probe(call)
         if call.send_limiter is not None and not call.sent:
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -255,7 +255,6 @@
             regions=call.regions,
         )
         server.add_call(own_call)
-        server.health.record_start(loop.time())
         call.sends += 1
         call.record_dispatch(server.instance.instance)
         try:
@@ -329,7 +328,6 @@
     ) -> AttemptFailure:
         call.attempts -= 1
         instance = server.instance.instance
-        server.health.record_inconclusive()
         if exchange.metadata.instance not in (None, instance):
             self._directory.record_instance_mismatch(instance)
         log.info(
@@ -350,7 +348,6 @@
             call.sends -= 1
             if call.sends:
                 self._budget.refund(call.service)
-            server.health.record_inconclusive()
             log.info(
                 "request not sent to the server",
                 request=call.request_id,
@@ -359,9 +356,7 @@
             return
         if error.end is AttemptEnd.NOT_SENT:
             server.health.record_unreachable(now_s)
-        elif call.body.failure is not None:
-            server.health.record_inconclusive()
-        else:
+        elif call.body.failure is None:
             server.health.record_failure(now_s)
             self._suspects.record_interruption(server, call)
         log.warning(
--- a/src/leadhollow/forward/stream_attempt.py
+++ b/src/leadhollow/forward/stream_attempt.py
@@ -100,7 +100,6 @@
         "_excluded",
         "_failure_recorded",
         "_first_event_s",
-        "_health_updated",
         "_parts_survived",
         "failed_response",
         "placement",
@@ -119,7 +118,6 @@
         self._context = context
         self._call = call
         self._excluded = excluded
-        self._health_updated = False  # whether the engine's health was updated
         self._failure_recorded = False
         self._first_event_s: float | None = None
         self._event_count = 0
@@ -188,8 +186,6 @@
         """Release the placement, and cancel the request if the engine still runs it."""
         if self.source is not None:
             self.source.exchange.abort()
-        if not self._health_updated:
-            self.placement.server.health.record_inconclusive()
         self._context.queue.release(self.placement)
 
     def last_received_s(self) -> float:
@@ -213,7 +209,6 @@
     def record_complete(self) -> None:
         """Record that the stream was complete."""
         assert self.source is not None
-        self._health_updated = True
         self.placement.server.health.record_success()
         framing = self.source.exchange.response.head.framing
         self._context.suspects.record_complete(self.placement.server, self._call, framing)
@@ -255,7 +250,7 @@
         """Count one failure of the engine, even if it shows both as silence and a broken stream."""
         if self._failure_recorded:
             return
-        self._failure_recorded = self._health_updated = True
+        self._failure_recorded = True
         server, now_s = self.placement.server, asyncio.get_running_loop().time()
         server.record_interruption(now_s)
         if self.placement.call.in_prefill:
@@ -277,7 +272,6 @@
         }
 
     def _record_failed_response(self, exchange: Exchange) -> Failure:
-        self._health_updated = True
         self.placement.server.health.record_failure(asyncio.get_running_loop().time())
         self._excluded.instances.add(self.instance)
         self.failed_response = exchange
@@ -306,7 +300,6 @@
             return error.failure
         self._call.attempts -= 1
         if error.end is AttemptEnd.NOT_SENT:
-            self._health_updated = True
             self.placement.server.health.record_unreachable(asyncio.get_running_loop().time())
         log.warning(
             "attempt not sent",
--- a/tests/decide/test_engine_queue.py
+++ b/tests/decide/test_engine_queue.py
@@ -13,6 +13,7 @@
 from leadhollow.decide.eligibility import DomainRules
 from leadhollow.decide.engine_queue import MAX_HELD, EngineQueue
 from leadhollow.decide.engine_request import EngineRequest, Placement, QueuePriority
+from leadhollow.decide.health import FAILURES_TO_EJECT, MAX_EJECTION_S
 from leadhollow.decide.pressure import Pressure
 from leadhollow.decide.server import NO_DOMAIN_RULES, Server
 from leadhollow.decide.server_backoff import ServerBackoff
@@ -779,3 +780,34 @@
             assert (await placed(pool)).server is avoided
 
         run_in_loop(work)
+
+
+class TestProbeOfAnEjectedEngine:
+    # Guards against: a request that was placed as the probe and not sent keeps the engine unused
+    # until another answer of it ends.
+    def test_that_is_released_leaves_the_engine_usable(self):
+        async def work() -> None:
+            pool = EnginePool()
+            engine = pool.engine("e", active=0, queued=0)
+            now_s = asyncio.get_running_loop().time()
+            engine.health.record_failure(now_s - MAX_EJECTION_S, weight=FAILURES_TO_EJECT)
+            probe = await placed(pool)
+            assert not engine.health.usable(now_s + 60.0)
+            pool.queue.release(probe)
+            assert (await placed(pool)).server is engine
+
+        run_in_loop(work)
+
+    # Guards against: the end of a request that was sent before the ejection allows a second probe.
+    def test_is_not_ended_by_another_request(self):
+        async def work() -> None:
+            pool = EnginePool()
+            engine = pool.engine("e", active=0, queued=0)
+            earlier = await placed(pool)
+            now_s = asyncio.get_running_loop().time()
+            engine.health.record_failure(now_s - MAX_EJECTION_S, weight=FAILURES_TO_EJECT)
+            await placed(pool)
+            pool.queue.release(earlier)
+            assert not engine.health.usable(now_s + 60.0)
+
+        run_in_loop(work)
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -200,12 +200,13 @@
             self._placed.add(name)
             self.on_placed(name)
             loop = asyncio.get_running_loop()
-            self.servers[name].health.record_start(loop.time())
+            call = OwnCall(
+                prompt_tokens=10, output_tokens=10, placed_s=loop.time(), predicted_ms=50.0
+            )
+            self.servers[name].health.claim_probe(call, loop.time())
             placement = Placement(
                 server=self.servers[name],  # type: ignore[arg-type]
-                call=OwnCall(
-                    prompt_tokens=10, output_tokens=10, placed_s=loop.time(), predicted_ms=50.0
-                ),
+                call=call,
                 version=1,
                 expected_version=None,
                 begin_by_s=self.begin_by_s.get(name, math.inf),
@@ -213,6 +214,7 @@
         return SimpleNamespace(ended=True, placement=placement, out_of_reach=None, until_s=0.0)
 
     def release(self, placement: Placement) -> None:
+        placement.server.health.release_probe(placement.call)
         self.released.append(placement.server.instance.instance)
 
     def withdraw(self, _: Any) -> None:
--- a/tests/forward/test_parts.py
+++ b/tests/forward/test_parts.py
@@ -17,6 +17,8 @@
 from leadhollow.forward.events import EventSplitter
 from leadhollow.routing.model import EngineSpec
 
+PROBE = object()  # request that probes a server
+
 
 class TestHealth:
     def test_a_single_failure_does_not_eject(self):
@@ -44,7 +46,7 @@
         health.record_failure(1.0, weight=FAILURES_TO_EJECT)
         later = 1.0 + MIN_EJECTION_S
         assert health.usable(later)
-        health.record_start(later)
+        health.claim_probe(PROBE, later)
         assert not health.usable(later)
         health.record_success()
         assert health.usable(later)
@@ -53,7 +55,7 @@
         health = Health()
         health.record_failure(0.0, weight=FAILURES_TO_EJECT)
         now_s = MIN_EJECTION_S
-        health.record_start(now_s)
+        health.claim_probe(PROBE, now_s)
         health.record_failure(now_s)
         assert not health.usable(now_s + MIN_EJECTION_S)
         assert health.usable(now_s + 2 * MIN_EJECTION_S)
@@ -61,8 +63,8 @@
     def test_a_neutral_result_allows_another_probe(self):
         health = Health()
         health.record_failure(0.0, weight=FAILURES_TO_EJECT)
-        health.record_start(1.0)
-        health.record_inconclusive()
+        health.claim_probe(PROBE, 1.0)
+        health.release_probe(PROBE)
         assert health.usable(1.0)
 
     def test_a_server_that_began_to_respond_gets_more_than_one_request(self):
@@ -70,7 +72,7 @@
         for _ in range(FAILURES_TO_EJECT):
             health.record_failure(1.0)
         back_s = 1.0 + MIN_EJECTION_S
-        health.record_start(back_s)
+        health.claim_probe(PROBE, back_s)
         assert not health.usable(back_s)
         health.record_first_event()
         assert health.usable(back_s)
@@ -80,7 +82,7 @@
         for _ in range(FAILURES_TO_EJECT):
             health.record_failure(1.0)
         back_s = 1.0 + MIN_EJECTION_S
-        health.record_start(back_s)
+        health.claim_probe(PROBE, back_s)
         health.record_first_event()
         health.record_failure(back_s)
         assert not health.usable(back_s + MIN_EJECTION_S)
@@ -100,7 +102,7 @@
             health.record_unreachable(1.0)
         health.record_reachable(1.5)
         assert health.usable(1.5)
-        health.record_start(1.5)
+        health.claim_probe(PROBE, 1.5)
         assert not health.usable(1.5)
         health.record_success()
         assert health.usable(1.5)
--- a/tests/forward/test_stream_forwarder.py
+++ b/tests/forward/test_stream_forwarder.py
@@ -82,6 +82,23 @@
 
         play(work)
 
+    # Guards against: a repeat that the budget forbids stays the probe of the engine that was found
+    # for it.
+    def test_that_gets_no_permission_leaves_a_probed_engine_usable(self, play):
+        async def work() -> None:
+            world = StreamWorld()
+            world.failing.add("A")
+            world.run._context.budget.try_acquire = lambda *_, **__: False
+            health, now_s = world.servers["B"].health, asyncio.get_running_loop().time()
+            for _ in range(3):
+                health.record_failure(now_s - 1.0)
+            await world.start()
+            assert world.sent == ["A"]
+            assert world.leaks == []
+            assert health.usable(now_s + 10.0)
+
+        play(work)
+
     # Guards against: a hanging hedge keeps the stream from an engine that could resume it.
     def test_that_hangs_is_replaced_by_a_third_engine(self, play):
         async def work() -> None:
