Read an engine's answers behind gates with the same checks as at entries

Callers behind gates got bodies that were not whole: a second answer filled up the body of one that is cut on an open connection, as aiohttp cannot know that what it counts as the body is another response. Heads without end, interim responses without end and joined heads had the bounds of aiohttp alone.

The engine client of gates sends requests with the client connection that entries use: joined and unbounded answers fail the attempt. The gate's own detector for bodies without length goes, as the connection has it; its check of events stays.

--- a/src/leadhollow/backend/dispatch_service.py
+++ b/src/leadhollow/backend/dispatch_service.py
@@ -14,7 +14,6 @@
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
 from leadhollow.forward.events import Event
-from leadhollow.http1.response_checks import JoinedResponseDetector
 from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 from leadhollow.wire.connection import Connection
@@ -27,7 +26,6 @@
 ERROR_EVENT_PREFIX = b'data: {"error"'
 NO_FIELDS: frozenset[bytes] = frozenset()
 EVENT_STREAM = "text/event-stream"
-FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
 FORWARDED_HEADERS = ("Content-Type", "Content-Language", "ETag", "Location", "Cache-Control")
 
 log = get_logger("dispatch")
@@ -47,7 +45,6 @@
         "_headers",
         "_held_back",
         "_is_events",
-        "_joined",
         "_sent_s",
         "_sequence",
         "_sink",
@@ -63,9 +60,6 @@
         self._sequence = 0
         self._held_back = b""
         self._is_events = False
-        self._joined: JoinedResponseDetector | None = (
-            None  # of a body that ends with its connection
-        )
         self._status = 0
         self._headers: dict[str, str] | None = None
         self.ended = False
@@ -77,11 +71,9 @@
             self._attempt, head.status, head.values(RETRY_AFTER_HEADER)
         )
         self._status = head.status
-        self._is_events = head.headers.get("Content-Type", "").startswith(EVENT_STREAM)
-        if not any(name in head.headers for name in FRAMING_HEADERS):
-            self._joined = JoinedResponseDetector()
+        self._is_events = any(kind.startswith(EVENT_STREAM) for kind in head.values("Content-Type"))
         self._headers = {
-            name: head.headers[name] for name in FORWARDED_HEADERS if name in head.headers
+            name: values[0] for name in FORWARDED_HEADERS if (values := head.values(name))
         }
 
     async def on_data(self, data: bytes) -> None:
@@ -89,11 +81,6 @@
         if self._is_events:
             await self._send_events(data)
             return
-        if self._joined is not None:
-            self._joined.feed(data)
-            if self._joined.embeds_head:
-                message = "another response began within the body"
-                raise ValueError(message)
         if self._held_back:
             await self._sink.send(self._output(self._held_back))
         self._held_back = data
--- a/src/leadhollow/backend/engine_client.py
+++ b/src/leadhollow/backend/engine_client.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 from urllib.parse import urlsplit
 
 import msgspec
@@ -12,23 +11,24 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.http1.client_connection import open_connection
+from leadhollow.http1.client_connection import ClientConnection, open_connection
+from leadhollow.http1.headers import CONNECTION_FIELDS, Headers
+from leadhollow.http1.messages import RequestHead
 from leadhollow.http_client import HttpClient
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.address import Address
 from leadhollow.wire.generated.ttypes import Dispatch
 
-if TYPE_CHECKING:
-    import aiohttp
-
 LOAD_TIMEOUT_S = 300.0
 STATUS_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.3
 CONNECT_ATTEMPTS = 2
 CONNECT_RETRY_DELAY_S = 0.015  # an engine at its connection limit may refuse one connection
+RUN_CONNECT_TIMEOUT_S = 2.0
 HTTP_PORT = 80
 MAX_REPLY_BYTES = 256 * 1024  # of what an engine says of its model
-READ_BYTES = 64 * 1024
+OWN_FIELDS = CONNECTION_FIELDS | {b"host", b"content-length"}
+BODYLESS_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "DELETE"})
 
 log = get_logger("engine")
 
@@ -56,13 +56,14 @@
 
     __slots__ = ("headers", "status")
 
-    def __init__(self, *, status: int, headers: Mapping[str, str]) -> None:
+    def __init__(self, *, status: int, headers: Headers) -> None:
         self.status = status
         self.headers = headers
 
     def values(self, name: str) -> list[str]:
         """Return all values of a header."""
-        return [value for found, value in self.headers.items() if found.lower() == name.lower()]
+        found = self.headers.get_all(name.lower().encode())
+        return [value.decode("utf-8", "surrogateescape") for value in found]
 
 
 class ResponseSink(Protocol):
@@ -86,11 +87,14 @@
         Base URL of the engine or service.
     """
 
-    __slots__ = ("_http", "_url")
+    __slots__ = ("_address", "_http", "_path", "_url")
 
     def __init__(self, *, http: HttpClient, url: str) -> None:
         self._http = http
         self._url = url.rstrip("/")
+        parsed = urlsplit(self._url)
+        self._address = Address(host=parsed.hostname or "", port=parsed.port or HTTP_PORT)
+        self._path = parsed.path
 
     async def running_model(self) -> Result[RunningModel, Failure]:
         """Request the version that the engine runs."""
@@ -139,46 +143,74 @@
         BACKEND_REFUSED
             The connection could not be made; the request was not run.
         ENGINE_FAILED
-            The connection broke or the response ended early.
+            The connection broke, the response ended early, or its bytes are not those of one
+            response.
         DEADLINE_PASSED
             The deadline of the caller passed while the request ran. This is no sign of a fault of
             the engine.
         """
-        import aiohttp  # imported late, see HttpClient
-
-        timeout = aiohttp.ClientTimeout(total=max(dispatch.deadline_ms, 1) / 1000, sock_connect=2.0)
         try:
-            async with self._http.session().request(
-                dispatch.method,
-                f"{self._url}{dispatch.path}",
-                headers=dispatch.headers,
-                data=dispatch.body or None,
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
-                head = EngineResponseHead(status=response.status, headers=response.headers)
-                await sink.on_head(head)
-                async for data in _body_parts(response):
-                    await sink.on_data(data)
-        except aiohttp.ClientConnectorError as error:
-            return Err(Failure(code=Code.BACKEND_REFUSED, detail=str(error)))
+            async with asyncio.timeout(max(dispatch.deadline_ms, 1) / 1000):
+                opened = await open_connection(self._address, timeout_s=RUN_CONNECT_TIMEOUT_S)
+                if opened.is_err():
+                    detail = opened.unwrap_err().detail
+                    return Err(Failure(code=Code.BACKEND_REFUSED, detail=detail))
+                connection = opened.unwrap()
+                try:
+                    return await self._exchange(connection, dispatch, sink)
+                finally:
+                    connection.close()
         except TimeoutError:
             return Err(Failure(code=Code.DEADLINE_PASSED, detail="it passed while it ran"))
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except (OSError, ValueError) as error:
             return Err(Failure(code=Code.ENGINE_FAILED, detail=f"{type(error).__name__}: {error}"))
-        return Ok(None)
+
+    async def _exchange(
+        self, connection: ClientConnection, dispatch: Dispatch, sink: ResponseSink
+    ) -> Result[None, Failure]:
+        head = self._request_head(dispatch)
+        connection.begin_request(head.encode(), method=head.method)
+        await connection.write(dispatch.body or b"")
+        read = await connection.read_response()
+        if read.is_err():
+            return Err(_engine_failure(read.unwrap_err()))
+        response = read.unwrap()
+        await sink.on_head(
+            EngineResponseHead(status=response.head.status, headers=response.head.headers)
+        )
+        while True:
+            part = await response.body.read()
+            if part.is_err():
+                return Err(_engine_failure(part.unwrap_err()))
+            data = part.unwrap()
+            if not data:
+                connection.end_exchange()
+                return Ok(None)
+            await sink.on_data(data)
+
+    def _request_head(self, dispatch: Dispatch) -> RequestHead:
+        fields = [
+            (name.encode(), value.encode("utf-8", "surrogateescape"))
+            for name, value in (dispatch.headers or {}).items()
+        ]
+        headers = Headers(items=fields).without(OWN_FIELDS)
+        headers.add(b"Host", str(self._address).encode())
+        headers.add(b"Connection", b"close")  # no other request may get what comes behind
+        body = dispatch.body or b""
+        if body or dispatch.method not in BODYLESS_METHODS:
+            headers.add(b"Content-Length", b"%d" % len(body))
+        target = f"{self._path}{dispatch.path}".encode()
+        return RequestHead(method=dispatch.method.encode(), target=target, headers=headers)
 
     async def is_gone(self) -> bool:
         """Return whether nothing listens at the address of the engine.
 
         The engine runs on this machine, so a refused connection is no matter of the network.
         """
-        parsed = urlsplit(self._url)
-        address = Address(host=parsed.hostname or "", port=parsed.port or HTTP_PORT)
         for attempt in range(CONNECT_ATTEMPTS):
             if attempt:
                 await asyncio.sleep(CONNECT_RETRY_DELAY_S)
-            opened = await open_connection(address, timeout_s=CONNECT_TIMEOUT_S)
+            opened = await open_connection(self._address, timeout_s=CONNECT_TIMEOUT_S)
             if opened.is_ok():
                 opened.unwrap().close()
                 return False
@@ -188,9 +220,8 @@
         return True
 
 
-async def _body_parts(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
-    async for data in response.content.iter_any():
-        yield data
+def _engine_failure(failure: Failure) -> Failure:
+    return Failure(code=Code.ENGINE_FAILED, detail=failure.detail)
 
 
 def _decode_model(body: bytes) -> Result[RunningModel, Failure]:
