Forget removed routes once nobody needs them

Fix: the catalog keeps as many removed items as there are items in force, at least 1,024 and those of the newest two revisions with removals, and a floor: the revision up to which it may have forgotten removals. What is forgotten depends on the applied log alone.

Subscribers of earlier releases get a whole view only at their start, where they have nothing, and are refused below the floor.

--- a/src/leadhollow/control/catalog_delta.py
+++ b/src/leadhollow/control/catalog_delta.py
@@ -16,6 +16,8 @@
 class CatalogDeltaEncoder:
     """Encodes the catalog items that a role needs and that are newer than a revision.
 
+    For a revision below the catalog's floor these are all items in force, as a whole view.
+
     Parameters
     ----------
     wants
@@ -46,11 +48,13 @@
         """
         if revision >= self._catalog.revision:
             return [], None
-        key = role, revision, self._catalog.revision
+        whole = self._catalog.needs_whole_view(revision)
+        key = role, 0 if whole else revision, self._catalog.revision
         packed = self._packed.get(key) if takes_packed else None
         if packed is not None:
             return [], packed
-        newer = [each for each in self._catalog.items_after(revision) if self._wants(role, each)]
+        found = self._catalog.whole_view() if whole else self._catalog.items_after(revision)
+        newer = [each for each in found if self._wants(role, each)]
         if not takes_packed or len(newer) < MIN_PACKED_ITEMS:
             return [encode_item(item) for item in newer], None
         packed = self._packed[key] = pack_items(newer)
--- a/src/leadhollow/control/feed_server.py
+++ b/src/leadhollow/control/feed_server.py
@@ -28,6 +28,7 @@
 from leadhollow.settings.node import NodeRole
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem
+from leadhollow.state.watch import too_old
 from leadhollow.wire.connection import Connection
 from leadhollow.wire.generated.ttypes import (
     FeedProbe,
@@ -141,7 +142,10 @@
             role=role,
             sent_revision=int(request.from_revision or 0),
             takes_packed=bool(request.takes_packed),
+            takes_whole_catalog=bool(request.takes_whole_catalog),
         )
+        if self._is_too_old(subscriber):
+            return Err(self._refuse(subscriber))
         self._naming_times.merge(request.named or ())
         self._subscribers.add(subscriber)
         log.info("subscriber connected", vm=request.vm, role=request.role)
@@ -150,6 +154,8 @@
             await sink.send(self._full_update(subscriber))
             while True:
                 await subscriber.wait(HEARTBEAT_S[role])
+                if self._is_too_old(subscriber):
+                    return Err(self._refuse(subscriber))
                 await sink.send(self._delta(subscriber))
         finally:
             self._subscribers.discard(subscriber)
@@ -157,6 +163,18 @@
             self._update_entry_count()
             log.info("subscriber disconnected", vm=request.vm, role=request.role)
 
+    def _is_too_old(self, subscriber: Subscriber) -> bool:
+        """Return whether a subscriber needs a whole view that its release does not support."""
+        sent = subscriber.sent_revision
+        if subscriber.takes_whole_catalog or sent == 0:
+            return False
+        return self._catalog.needs_whole_view(sent)
+
+    def _refuse(self, subscriber: Subscriber) -> Failure:
+        failure = too_old(subscriber.sent_revision, floor=self._catalog.floor)
+        log.warning("subscriber refused", vm=subscriber.vm, failure=str(failure))
+        return failure
+
     def _full_update(self, subscriber: Subscriber) -> FeedUpdate:
         table = self._registry.table
         known = [*table.instances(), *table.deregistered()]
@@ -171,6 +189,7 @@
     def _delta(self, subscriber: Subscriber) -> FeedUpdate:
         subscriber.mark_sent()
         now_s = asyncio.get_running_loop().time()
+        whole_catalog = self._catalog.needs_whole_view(subscriber.sent_revision)
         items, packed_items = self._catalog_deltas.encode_after(
             subscriber.sent_revision, subscriber.role, takes_packed=subscriber.takes_packed
         )
@@ -200,6 +219,7 @@
             whole=False,
             named=named,
             silent=silent or None,
+            whole_catalog=whole_catalog,
         )
         if subscriber.role is NodeRole.ENTRY:
             self._entry_updates.fill(update, subscriber, now_s)
--- a/src/leadhollow/control/subscriber.py
+++ b/src/leadhollow/control/subscriber.py
@@ -26,6 +26,8 @@
         Catalog revision that the subscriber has.
     takes_packed
         Whether the subscriber supports packed items.
+    takes_whole_catalog
+        Whether the subscriber supports whole views of the catalog that remove items.
     """
 
     __slots__ = (
@@ -47,17 +49,26 @@
         "suspects",
         "suspects_checksum",
         "takes_packed",
+        "takes_whole_catalog",
         "uses",
         "vm",
     )
 
     def __init__(
-        self, *, vm: str, domain: str, role: NodeRole, sent_revision: int, takes_packed: bool
+        self,
+        *,
+        vm: str,
+        domain: str,
+        role: NodeRole,
+        sent_revision: int,
+        takes_packed: bool,
+        takes_whole_catalog: bool,
     ) -> None:
         self.vm = vm
         self.domain = domain
         self.role = role
         self.takes_packed = takes_packed
+        self.takes_whole_catalog = takes_whole_catalog
         self.uses = UseUpdateQueue()
         self._due_s = math.inf  # when changes other than uses are due
         self.decisions_s = 0.0  # when decisions were last sent
--- a/src/leadhollow/membership/catalog_feed.py
+++ b/src/leadhollow/membership/catalog_feed.py
@@ -11,6 +11,7 @@
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.model import PeerSettings, Role, Settings
 from leadhollow.state.catalog import Catalog, decode_item
+from leadhollow.state.records import CatalogItem
 from leadhollow.wire.generated.ttypes import AppliedReport, CatalogUpdate, CatalogWatch
 from leadhollow.wire.peers import PeerPool
 from leadhollow.wire.streams import CallStream
@@ -32,7 +33,7 @@
         The catalog as of the last update.
     """
 
-    __slots__ = ("_peers", "_report", "_settings", "_sources", "catalog")
+    __slots__ = ("_peers", "_report", "_settings", "_sources", "_view", "catalog")
 
     def __init__(self, *, settings: Settings, peers: PeerPool) -> None:
         self._settings = settings
@@ -40,6 +41,7 @@
         self._sources = catalog_sources(settings)
         super().__init__()
         self._report: Callable[[int], None] | None = None
+        self._view: list[CatalogItem] = []  # parts of a whole view that is not complete yet
         self.catalog = Catalog()
 
     async def _work(self) -> None:
@@ -48,11 +50,12 @@
                 connected = await self._peers.connection(source.address)
                 if connected.is_err():
                     continue
-                stream = connected.unwrap().stream(CatalogWatch(self.catalog.revision))
+                stream = connected.unwrap().stream(CatalogWatch(self.catalog.revision, True))
                 await self._receive_updates(source, stream)
             await asyncio.sleep(RECONNECT_DELAY_S)
 
     async def _receive_updates(self, source: PeerSettings, stream: CallStream) -> None:
+        self._view = []
         while True:
             received = await stream.next()
             if received.is_err():
@@ -72,7 +75,14 @@
         except msgspec.MsgspecError as error:
             log.error("catalog update not understood", error=str(error))
             return False
-        self.catalog.apply(items, revision=update.revision or 0)
+        revision = update.revision or 0
+        if not update.whole:
+            self.catalog.apply(items, revision=revision)
+            return True
+        self._view += items
+        if revision:
+            view, self._view = self._view, []
+            self.catalog.replace(view, revision=revision, floor=revision)
         return True
 
     async def _report_applied(self) -> None:
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -236,6 +236,7 @@
             self.catalog.revision,
             True,
             self.naming_times.ages(),
+            True,
         )
         stream = connected.unwrap().stream(watch)
         self._source = address
@@ -285,7 +286,11 @@
             log.error("catalog update not understood", failure=str(decoded.unwrap_err()))
             return False
         self.naming_times.merge(update.named or ())
-        self.catalog.apply(decoded.unwrap(), revision=update.revision or 0)
+        revision = update.revision or 0
+        if update.whole_catalog:
+            self.catalog.replace(decoded.unwrap(), revision=revision, floor=revision)
+        else:
+            self.catalog.apply(decoded.unwrap(), revision=revision)
         self._merge_instances(update, now_s)
         for load in update.loads or ():
             for listener in self._load_listeners:
--- a/src/leadhollow/state/catalog.py
+++ b/src/leadhollow/state/catalog.py
@@ -21,6 +21,7 @@
     row_key,
     version_key,
 )
+from leadhollow.state.removed_items import RemovedItems
 
 Value = TypeVar("Value")
 Listener = Callable[[list[CatalogItem]], None]
@@ -33,7 +34,9 @@
     """Items by key; an item is only ever replaced by one of a higher revision.
 
     Items are kept in the order of their revisions. New ones are found at the end, at a cost that
-    does not depend on the size of the catalog.
+    does not depend on the size of the catalog. Removed items are forgotten after a while, see
+    :class:`RemovedItems`; changes after a revision below :attr:`floor` are then told by a whole
+    view, which :meth:`replace` takes.
 
     Attributes
     ----------
@@ -41,7 +44,15 @@
         Log index up to which the catalog is complete.
     """
 
-    __slots__ = ("_changed", "_items", "_listeners", "_newest", "_rows_by_key_hash", "revision")
+    __slots__ = (
+        "_changed",
+        "_items",
+        "_listeners",
+        "_newest",
+        "_removed",
+        "_rows_by_key_hash",
+        "revision",
+    )
 
     def __init__(self) -> None:
         self._items: dict[str, CatalogItem] = {}
@@ -49,34 +60,80 @@
         self._changed = asyncio.Event()
         self._listeners: list[Listener] = []
         self._newest = 0  # revision of the last item
+        self._removed = RemovedItems()
         self.revision = 0
 
+    @property
+    def floor(self) -> int:
+        """Lowest revision after which all changes are known; earlier removals may be forgotten."""
+        return self._removed.floor
+
+    @property
+    def removed_items(self) -> int:
+        """Number of removed items that are still kept and will be forgotten."""
+        return len(self._removed)
+
     def apply(self, items: Iterable[CatalogItem], *, revision: int) -> list[CatalogItem]:
         """Add items and the revision up to which the catalog is then complete.
 
         Returns
         -------
         list of CatalogItem
-            The items that were newer than the existing ones; others are ignored.
+            The items that were newer than the existing ones; others are ignored, and so are unknown
+            ones up to the floor, which may have been removed since.
         """
         newer_items = []
         for item in items:
-            existing = self._items.get(item.key)
-            if existing is None or item.revision > existing.revision:
-                self._items.pop(item.key, None)  # re-inserted at the end
-                self._items[item.key] = item
+            if self._is_newer(item):
+                self._put(item)
                 newer_items.append(item)
         self.revision = max(self.revision, revision)
-        if newer_items:
-            self._keep_order(newer_items)
-            if any(item.key.startswith(ROW_PREFIX) for item in newer_items):
-                self._index_keys()
-            for listener in self._listeners:
-                listener(newer_items)
-            self._changed.set()
-            self._changed = asyncio.Event()
+        self._keep_order(newer_items)
+        self._forget_removed()
+        self._notify(newer_items)
         return newer_items
 
+    def replace(
+        self, items: Iterable[CatalogItem], *, revision: int, floor: int
+    ) -> list[CatalogItem]:
+        """Take a whole view; items that are not in it are removed. An older view changes nothing.
+
+        Parameters
+        ----------
+        revision
+            Revision of the view.
+        floor
+            Revision after which the view has all removed items.
+
+        Returns
+        -------
+        list of CatalogItem
+            The items that changed; those that are gone have no value.
+        """
+        if revision < self.revision:
+            return []
+        newest: dict[str, CatalogItem] = {}
+        changed = []
+        for item in items:
+            existing = self._items.get(item.key)
+            if existing is None or item.revision > existing.revision:
+                changed.append(item)
+            newest[item.key] = item if existing is None else max(existing, item, key=_revision)
+        for existing in self._items.values():
+            if existing.key in newest:
+                continue
+            if existing.revision > revision:
+                newest[existing.key] = existing
+            elif existing.value is not None:
+                changed.append(CatalogItem(key=existing.key, revision=revision, value=None))
+        self._items = dict(sorted(newest.items(), key=lambda pair: pair[1].revision))
+        self._newest = max((item.revision for item in newest.values()), default=0)
+        self.revision = revision
+        self._removed.reset(newest.values(), floor=floor)
+        self._forget_removed()
+        self._notify(changed)
+        return changed
+
     def on_change(self, listener: Listener) -> None:
         """Call a function with the new items after each change."""
         self._listeners.append(listener)
@@ -86,7 +143,7 @@
         await self._changed.wait()
 
     def items_after(self, revision: int) -> list[CatalogItem]:
-        """Return all items newer than a revision, oldest first."""
+        """Return all known items newer than a revision, oldest first."""
         newer = []
         for item in reversed(self._items.values()):
             if item.revision <= revision:
@@ -95,8 +152,16 @@
         newer.reverse()
         return newer
 
+    def needs_whole_view(self, revision: int) -> bool:
+        """Return whether changes after a revision can only be told by a whole view."""
+        return revision < self.floor
+
+    def whole_view(self) -> list[CatalogItem]:
+        """Return all items in force, oldest first."""
+        return [item for item in self._items.values() if item.value is not None]
+
     def items(self) -> dict[str, CatalogItem]:
-        """Return all items by key, including removed ones."""
+        """Return all items by key, including removed ones that are not forgotten."""
         return self._items
 
     def values(self, value_type: type[Value]) -> list[Value]:
@@ -111,7 +176,7 @@
         return item.value
 
     def item(self, key: str) -> CatalogItem | None:
-        """Return an item, including one whose value was removed."""
+        """Return an item, including one whose value was removed and that is not forgotten."""
         return self._items.get(key)
 
     def row(self, group: str) -> StoredRow | None:
@@ -149,6 +214,20 @@
         group = self._rows_by_key_hash.get(key_sha256)
         return None if group is None else self.row(group)
 
+    def _is_newer(self, item: CatalogItem) -> bool:
+        existing = self._items.get(item.key)
+        if existing is None:
+            return item.revision > self.floor
+        return item.revision > existing.revision
+
+    def _put(self, item: CatalogItem) -> None:
+        existing = self._items.pop(item.key, None)  # re-inserted at the end
+        if existing is not None and existing.value is None:
+            self._removed.discard(existing)
+        self._items[item.key] = item
+        if item.value is None:
+            self._removed.add(item)
+
     def _keep_order(self, newer_items: list[CatalogItem]) -> None:
         """Sort the items if the new ones are out of order, which those of one log never are."""
         in_order = True
@@ -158,12 +237,30 @@
         if not in_order:
             self._items = dict(sorted(self._items.items(), key=lambda pair: pair[1].revision))
 
+    def _forget_removed(self) -> None:
+        for key in self._removed.forget(live_items=len(self._items) - len(self._removed)):
+            del self._items[key]
+
+    def _notify(self, changed: list[CatalogItem]) -> None:
+        if not changed:
+            return
+        if any(item.key.startswith(ROW_PREFIX) for item in changed):
+            self._index_keys()
+        for listener in self._listeners:
+            listener(changed)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _index_keys(self) -> None:
         self._rows_by_key_hash = {
             key: stored.row.group for stored in self.rows() for key in stored.row.key_sha256s
         }
 
 
+def _revision(item: CatalogItem) -> int:
+    return item.revision
+
+
 def encode_item(item: CatalogItem) -> bytes:
     """Encode one item for the wire or a snapshot."""
     return _encoder.encode(item)
--- a/src/leadhollow/state/machine.py
+++ b/src/leadhollow/state/machine.py
@@ -76,6 +76,7 @@
     history: list[HistoryEntry]
     claims: dict[str, ClaimRecord]
     route_table_source: bytes = b""
+    floor: int = 0  # absent from snapshots of releases that kept all removed items
 
 
 class StateMachine:
@@ -154,6 +155,7 @@
             history=self._history,
             claims=self._claims,
             route_table_source=self.route_tables.source,
+            floor=self.catalog.floor,
         )
         return msgspec.msgpack.encode(body)
 
@@ -170,7 +172,7 @@
         self._history = body.history
         self._claims = body.claims
         self.route_tables.source = body.route_table_source
-        self.catalog.apply(body.items, revision=body.revision)
+        self.catalog.replace(body.items, revision=body.revision, floor=body.floor)
 
     def _apply_operation(
         self,
--- a/src/leadhollow/wire/leadhollow.thrift
+++ b/src/leadhollow/wire/leadhollow.thrift
@@ -28,8 +28,9 @@
 struct ProposeReply { 1: i32 code; 2: string detail; 3: binary answer; 4: i64 index; 5: string leader }
 
 // Catalog: table rows, versions, leases, drains.
-struct CatalogWatch { 1: i64 from_revision }
-struct CatalogUpdate { 1: i64 revision; 2: list<binary> items }
+struct CatalogWatch { 1: i64 from_revision; 2: bool takes_whole }
+// Items of a whole view replace the catalog: what is not among them is removed. One in parts has its revision in the last.
+struct CatalogUpdate { 1: i64 revision; 2: list<binary> items; 3: bool whole }
 struct AppliedReport { 1: string vm; 2: string failure_domain; 3: i64 revision; 4: string role }
 
 // Membership.
@@ -94,9 +95,10 @@
 // How long ago a version of weights was named, by steady clocks only: the time of day may jump.
 struct VersionAge { 1: string model; 2: i64 version; 3: i64 age_ms }
 // `named` is what the subscriber knows: a replica that has just started may know nothing.
-struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision; 5: bool takes_packed; 6: optional list<VersionAge> named }
-// Field 10 is not sent any more; packed_uses says the same in three bytes an engine.
-struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses; 15: SuspectNews suspects; 16: binary packed_items; 17: LimitNews limits; 18: LimitLease limit_lease; 19: list<ServerWord> rests }
+struct FeedWatch { 1: string vm; 2: string role; 3: string failure_domain; 4: i64 from_revision; 5: bool takes_packed; 6: optional list<VersionAge> named; 7: bool takes_whole_catalog }
+// Field 10 is not sent any more; packed_uses says the same in three bytes an engine. With whole_catalog the items replace
+// the catalog: what is not among them is removed.
+struct FeedUpdate { 1: i64 revision; 2: list<binary> items; 3: i32 confirmed_age_ms; 4: list<InstanceRecord> instances; 5: list<LoadRecord> loads; 6: list<string> replicas; 7: i32 entries; 8: bool whole; 9: list<string> engines; 10: list<EngineUse> uses; 11: list<VersionAge> named; 12: list<ServiceDecisions> decisions; 13: list<string> silent; 14: binary packed_uses; 15: SuspectNews suspects; 16: binary packed_items; 17: LimitNews limits; 18: LimitLease limit_lease; 19: list<ServerWord> rests; 20: bool whole_catalog }
 struct FeedProbe { 1: string vm }
 struct FeedProbeReply { 1: i32 confirmed_age_ms; 2: i64 revision; 3: list<string> replicas }
 struct RegistryPush { 1: string address; 2: list<InstanceRecord> instances; 3: list<LoadRecord> loads; 4: i32 entries; 5: bool whole; 6: list<VersionAge> named; 7: list<string> heard }
