--- a/src/leadhollow/state/following.py
+++ b/src/leadhollow/state/following.py
@@ -160,11 +160,13 @@
             saved = await state.disk.run(lambda: state.store.save_snapshot(snapshot))
             if saved.is_err():
                 return Err(state.fail(saved.unwrap_err()))
-            state.machine.restore(request.data)
             state.restore_voters(snapshot)
             state.apply_voter_changes(state.store.entries)
             state.commit_index = max(state.commit_index, request.last_index)
-            state.applied_index = request.last_index
+            if request.last_index > state.applied_index:  # entries were applied during the write
+                state.machine.restore(request.data)
+                state.applied_index = request.last_index
+            state.wake_apply.set()  # for entries after the snapshot that are committed
         return Ok(AppendReply(state.term, True, request.last_index))
 
     async def _on_part(
