Let other tasks run while a replica applies a long log

What callers saw: a control machine that caught up answered no heartbeat, vote or read for as long as it applied entries, for seconds with large tables.

Cause: committed entries were applied in one go.

Evidence: the new test of tests/state/test_applying.py: 40 tables were applied in one turn of the event loop before.

Fix: after each 16 KiB of entries the event loop runs other tasks. The slices depend on the entries, not on a clock, so seeded runs stay the same.

--- a/src/leadhollow/state/replica.py
+++ b/src/leadhollow/state/replica.py
@@ -18,7 +18,7 @@
 from leadhollow.state.election import Election
 from leadhollow.state.following import FollowerHandlers
 from leadhollow.state.leadership import Leadership
-from leadhollow.state.log_contents import Entry, Snapshot
+from leadhollow.state.log_contents import Entry, Snapshot, entry_bytes
 from leadhollow.state.log_store import LogStore, Vote
 from leadhollow.state.machine import StateMachine
 from leadhollow.state.replica_state import (
@@ -38,6 +38,12 @@
 """A snapshot is taken once the entries since the last one reach this size, or its size if that is
 larger. It bounds the disk space and the time in which a replica that lost its disk catches up."""
 
+APPLY_SLICE_BYTES = 16 * 1024
+"""Entries are applied until they have this size together; then the event loop runs other tasks, so
+that a replica that catches up answers heartbeats, votes and reads meanwhile."""
+
+MIN_SLICE_BYTES = 256  # what the smallest entry counts
+
 log = get_logger("state")
 
 
@@ -217,11 +223,16 @@
         while True:
             await state.wake_apply.wait()
             state.wake_apply.clear()
+            slice_bytes = 0
             while state.applied_index < state.commit_index:
                 entry = state.store.entry(state.applied_index + 1)
                 if entry is None:
                     break  # covered by a snapshot meanwhile
                 self._apply(entry)
+                slice_bytes += max(MIN_SLICE_BYTES, entry_bytes(entry))
+                if slice_bytes >= APPLY_SLICE_BYTES:
+                    slice_bytes = 0
+                    await asyncio.sleep(0)
             if self._snapshot_due() and not state.failed:
                 await state.transitions.run(self._take_snapshot)
 
