--- a/src/leadhollow/routing/catalog_items.py
+++ b/src/leadhollow/routing/catalog_items.py
@@ -50,12 +50,12 @@
     changed = [
         CatalogItem(key=key, revision=revision, value=value)
         for key, value in values.items()
-        if key not in current or current[key].value != value
+        if (existing := current.get(key)) is None or existing.value != value
     ]
     removed = [
         CatalogItem(key=key, revision=revision, value=None)
         for key, item in current.items()
-        if key.startswith(_PREFIXES) and key not in values and item.value is not None
+        if item.value is not None and key not in values and key.startswith(_PREFIXES)
     ]
     return changed + removed
 
--- a/src/leadhollow/routing/model.py
+++ b/src/leadhollow/routing/model.py
@@ -21,14 +21,14 @@
     STREAM = "stream"
 
 
-class Target(msgspec.Struct, frozen=True, kw_only=True):
+class Target(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """Service that a route sends requests to, with the weight of its share."""
 
     service: str
     weight: float
 
 
-class Route(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True, tag="route"):
+class Route(msgspec.Struct, frozen=True, kw_only=True, gc=False, omit_defaults=True, tag="route"):
     """Rule that sends the requests of one host and path prefix to services.
 
     Parameters
--- a/src/leadhollow/state/catalog.py
+++ b/src/leadhollow/state/catalog.py
@@ -83,10 +83,19 @@
             ones up to the floor, which may have been removed since.
         """
         newer_items = []
+        floor = self.floor
         for item in items:
-            if self._is_newer(item):
-                self._put(item)
-                newer_items.append(item)
+            existing = self._items.get(item.key)
+            if item.revision <= (floor if existing is None else existing.revision):
+                continue
+            if existing is not None:
+                del self._items[item.key]  # re-inserted at the end
+                if existing.value is None:
+                    self._removed.discard(existing)
+            self._items[item.key] = item
+            if item.value is None:
+                self._removed.add(item)
+            newer_items.append(item)
         self.revision = max(self.revision, revision)
         self._keep_order(newer_items)
         self._forget_removed()
@@ -214,20 +223,6 @@
         group = self._rows_by_key_hash.get(key_sha256)
         return None if group is None else self.row(group)
 
-    def _is_newer(self, item: CatalogItem) -> bool:
-        existing = self._items.get(item.key)
-        if existing is None:
-            return item.revision > self.floor
-        return item.revision > existing.revision
-
-    def _put(self, item: CatalogItem) -> None:
-        existing = self._items.pop(item.key, None)  # re-inserted at the end
-        if existing is not None and existing.value is None:
-            self._removed.discard(existing)
-        self._items[item.key] = item
-        if item.value is None:
-            self._removed.add(item)
-
     def _keep_order(self, newer_items: list[CatalogItem]) -> None:
         """Sort the items if the new ones are out of order, which those of one log never are."""
         in_order = True
--- a/src/leadhollow/state/records.py
+++ b/src/leadhollow/state/records.py
@@ -123,7 +123,7 @@
 )
 
 
-class CatalogItem(msgspec.Struct, frozen=True, kw_only=True):
+class CatalogItem(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """One item of the catalog; a removed item keeps its key and has no value."""
 
     key: str
