--- a/tests/config_path/mutants.py
+++ b/tests/config_path/mutants.py
@@ -255,6 +255,39 @@
     return mock.patch.object(EvacuationFollower, "_on_change", lambda self, items: None)
 
 
+def whole_view_removes_nothing() -> AbstractContextManager[object]:
+    def added(self, items, *, revision, floor):
+        return self.apply(items, revision=revision)
+
+    return mock.patch.object(Catalog, "replace", added)
+
+
+def whole_view_sent_as_a_delta() -> AbstractContextManager[object]:
+    delta = FeedServer._delta
+
+    def unmarked(self, subscriber):
+        update = delta(self, subscriber)
+        update.whole_catalog = False
+        return update
+
+    return mock.patch.object(FeedServer, "_delta", unmarked)
+
+
+def floor_that_promises_too_much() -> AbstractContextManager[object]:
+    return mock.patch.object(Catalog, "needs_whole_view", lambda self, revision: False)
+
+
+FLOOR_MUTANTS: dict[str, Patch] = {
+    made.__name__.replace("_", " "): made
+    for made in (
+        whole_view_removes_nothing,
+        whole_view_sent_as_a_delta,
+        floor_that_promises_too_much,
+    )
+}
+"""Faults that only runs in which removed items are forgotten can find."""
+
+
 EVACUATION_MUTANTS: dict[str, Patch] = {
     made.__name__.replace("_", " "): made
     for made in (
@@ -272,4 +305,10 @@
 HELD_BACK_MUTANTS = {"late order accepted"}
 """Those of them that only runs with suspended hosts can find."""
 
-__all__ = ["CLOCK_MUTANTS", "EVACUATION_MUTANTS", "HELD_BACK_MUTANTS", "MUTANTS"]
+__all__ = [
+    "CLOCK_MUTANTS",
+    "EVACUATION_MUTANTS",
+    "FLOOR_MUTANTS",
+    "HELD_BACK_MUTANTS",
+    "MUTANTS",
+]
--- a/tests/config_path/test_config_path.py
+++ b/tests/config_path/test_config_path.py
@@ -18,13 +18,15 @@
 from absl import logging as absl_logging
 from hypothesis import HealthCheck, given, settings
 
-from tests.config_path.mutants import CLOCK_MUTANTS
+from tests.config_path.early_floor import early_floor
+from tests.config_path.mutants import CLOCK_MUTANTS, FLOOR_MUTANTS
 from tests.config_path.scenario import Step, draw_run, play, runs
 from tests.config_path.small_requests import small_requests
 
 EXAMPLES = 60
 SUSPENDED_RUNS = range(24)  # run 9 found a process that never ended
 SMALL_REQUEST_RUNS = range(16)
+EARLY_FLOOR_RUNS = range(16)
 MOST_TO_FIND = 12
 
 REGRESSIONS: list[tuple[int, list[Step]]] = [
@@ -72,6 +74,22 @@
         with small_requests():
             assert play(*draw_run(number)) == []
 
+    # Guards against: removed routes that stay in force where their removal was forgotten
+    @pytest.mark.parametrize("number", EARLY_FLOOR_RUNS)
+    def test_keeps_its_promises_while_removed_routes_are_forgotten(self, number):
+        with early_floor():
+            assert play(*draw_run(number)) == []
+
+    @pytest.mark.parametrize("name", sorted(FLOOR_MUTANTS))
+    def test_finds_a_route_whose_removal_was_forgotten(self, name):
+        found = []
+        for number in range(MOST_TO_FIND):
+            with FLOOR_MUTANTS[name](), early_floor():
+                found = play(*draw_run(number))
+            if found:
+                break
+        assert found
+
     @pytest.mark.parametrize("name", sorted(CLOCK_MUTANTS))
     def test_finds_a_clock_that_stands_still(self, name):
         found = []
