Show how many items the catalog holds, and its floor

Gauges of each state replica and a line of leadhollow status, so that a catalog that grows with each change shows before it costs. Test: tests/state/test_status.py, TestCatalogGauges.

--- a/src/leadhollow/cli/status_commands.py
+++ b/src/leadhollow/cli/status_commands.py
@@ -29,6 +29,10 @@
             return 0
         leader = status.leader or "none"
         print_text(f"leader {leader}, term {status.term}, revision {status.revision}")
+        print_text(
+            f"items {status.items}, removed items kept {status.removed_items}, "
+            f"removals forgotten up to revision {status.floor}"
+        )
         print_table(
             ("FAILURE DOMAIN", "CONNECTED", "REVISION", "DAEMONS", "BEHIND", "LEASE", "SERVING"),
             [_domain_row(domain) for domain in status.domains],
--- a/src/leadhollow/state/catalog.py
+++ b/src/leadhollow/state/catalog.py
@@ -68,6 +68,11 @@
         """Lowest revision after which all changes are known; earlier removals may be forgotten."""
         return self._removed.floor
 
+    @property
+    def live_items(self) -> int:
+        """Number of items that are never forgotten: all but :attr:`removed_items`."""
+        return len(self._items) - len(self._removed)
+
     @property
     def removed_items(self) -> int:
         """Number of removed items that are still kept and will be forgotten."""
@@ -233,7 +238,7 @@
             self._items = dict(sorted(self._items.items(), key=lambda pair: pair[1].revision))
 
     def _forget_removed(self) -> None:
-        for key in self._removed.forget(live_items=len(self._items) - len(self._removed)):
+        for key in self._removed.forget(self.live_items):
             del self._items[key]
 
     def _notify(self, changed: list[CatalogItem]) -> None:
--- a/src/leadhollow/state/follower_metrics.py
+++ b/src/leadhollow/state/follower_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of how far the logs of the other replicas are behind the leader's."""
+"""Metrics of a replica: its catalog, and how far the other replicas are behind the leader."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class FollowerMetrics(TaskService):
-    """Sends gauges of each follower while this replica leads."""
+    """Sends gauges of the catalog, and of each follower while this replica leads."""
 
     __slots__ = ("_metrics", "_replica")
 
@@ -25,6 +25,10 @@
     async def _work(self) -> None:
         while True:
             await asyncio.sleep(INTERVAL_S)
+            catalog = self._replica.machine.catalog
+            self._metrics.gauge("state.catalog.items", catalog.live_items)
+            self._metrics.gauge("state.catalog.removed_items", catalog.removed_items)
+            self._metrics.gauge("state.catalog.floor", catalog.floor)
             for follower in follower_statuses(self._replica):
                 prefix = f"state.follower.{follower.replica}"
                 self._metrics.gauge(f"{prefix}.entries_behind", follower.entries_behind)
--- a/src/leadhollow/state/operator_replies.py
+++ b/src/leadhollow/state/operator_replies.py
@@ -92,6 +92,10 @@
     ----------
     followers
         The other replicas; empty unless this one leads.
+    items, removed_items
+        Items of the catalog that are in force, and removed ones that are still kept.
+    floor
+        Revision up to which removed items may be forgotten.
     """
 
     vm: str
@@ -102,6 +106,9 @@
     revision: int
     domains: tuple[DomainStatus, ...]
     followers: tuple[FollowerStatus, ...] = ()
+    items: int = 0
+    removed_items: int = 0
+    floor: int = 0
 
 
 __all__ = [
--- a/src/leadhollow/state/status.py
+++ b/src/leadhollow/state/status.py
@@ -61,6 +61,9 @@
         revision=catalog.revision,
         domains=tuple(domains),
         followers=tuple(follower_statuses(replica)),
+        items=catalog.live_items,
+        removed_items=catalog.removed_items,
+        floor=catalog.floor,
     )
 
 
--- a/tests/state/test_status.py
+++ b/tests/state/test_status.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from leadhollow.state import follower_metrics
+from leadhollow.state.follower_metrics import FollowerMetrics
+from leadhollow.state.records import CatalogItem
 from leadhollow.state.status import follower_statuses
 from tests.support import eventually
 
@@ -36,6 +39,37 @@
         return statuses[vm].silent_ms
 
 
+class Gauges:
+    """Keeps the newest value of each gauge."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, float] = {}
+
+    def gauge(self, name: str, value: float) -> None:
+        self.values[name] = value
+
+
+class TestCatalogGauges:
+    # Guards against: a catalog that grows with each change and shows nowhere
+    async def test_tell_items_and_floor(self, replica_group, monkeypatch):
+        monkeypatch.setattr(follower_metrics, "INTERVAL_S", 0.01)
+        leader = await replica_group.wait_leader()
+        replica = leader.replica
+        gauges = Gauges()
+        metrics = FollowerMetrics(metrics=gauges, replica=replica)
+        await metrics.start()
+        items = [
+            CatalogItem(key=f"route/{revision}-{number}", revision=revision, value=None)
+            for revision in range(1_000, 1_010)
+            for number in range(600)
+        ]
+        replica.machine.catalog.apply(items, revision=1_010)
+        await eventually(lambda: gauges.values.get("state.catalog.floor") == 1_007, "the floor")
+        await metrics.stop()
+        assert gauges.values["state.catalog.removed_items"] == 1_200
+        assert gauges.values["state.catalog.items"] == len(replica.machine.catalog.whole_view())
+
+
 class TestDistanceLog:
     # Guards against a replica that stays behind without a line in the log.
     async def test_follower_that_stays_behind_is_logged_until_it_has_caught_up(
