--- a/tests/control/test_catalog_delta.py
+++ b/tests/control/test_catalog_delta.py
@@ -10,6 +10,7 @@
 from leadhollow.codes import Code
 from leadhollow.control.catalog_delta import MAX_CACHED_DELTAS, CatalogDeltaEncoder
 from leadhollow.failure import Failure
+from leadhollow.membership import packed_items
 from leadhollow.membership.packed_items import unpack_items
 from leadhollow.settings.deployment import Listener, LoopbackAddresses
 from leadhollow.settings.node import NodeRole
@@ -88,6 +89,14 @@
         delta = encoder.encode_after(catalog.floor, NodeRole.ENTRY, takes_packed=True)[1]
         assert any(item.value is None for item in unpack_items(delta).unwrap())
 
+    # Guards against: an entry that starts after many changes and can't take what it is sent
+    def test_view_after_many_changes_is_not_larger_than_its_items(self, monkeypatch):
+        catalog = make_compacted_catalog()
+        in_force = len(msgspec.msgpack.encode(catalog.whole_view()))
+        monkeypatch.setattr(packed_items, "LARGEST_BYTES", in_force)
+        packed = make_encoder(catalog).encode_after(0, NodeRole.ENTRY, takes_packed=True)[1]
+        assert unpack_items(packed).unwrap() == catalog.whole_view()
+
     def test_cache_is_bounded(self):
         catalog = Catalog()
         encoder = make_encoder(catalog)
