Lease a limit anew when its holders need much less of it than one of them

When all requests for limited servers came to one of three entries, that entry was leased 5 to 33 in 100 of their limits and refused most requests, while the other entries held the rest and did not need it.

Cause: a plan counted as suitable whenever every asking entry held a share in it, whatever their demands were, and entries ask as long as any limit is in force, also without requests. A plan is now made anew when some holders need at least half of the limit and others hold as much in vain. Leases in force still bound what is leased, so the sum stays below the limit.

--- a/src/leadhollow/decide/share_allocator.py
+++ b/src/leadhollow/decide/share_allocator.py
@@ -27,7 +27,10 @@
 """Number of entries that share one limit if their demand allows it. Each holder may have saved up a
 token."""
 
-REPLAN_DEMAND_SHARE = 0.5  # share of a limit; if its holders need less, a new plan is made
+REPLAN_DEMAND_SHARE = 0.5
+"""Share of a limit. A new plan is made if its holders need less, or if some of them need so much of
+it that others hold in vain."""
+
 REPLAN_LIMIT_FACTOR = 2.0  # change of a limit from which a new plan is made
 REPLAN_ENTRIES_FACTOR = 1.5
 """Growth in the number of asking entries from which a new plan is made. The first entries to ask
@@ -196,11 +199,21 @@
                 server.max_holders, MAX_HOLDERS, len(self._asking(server))
             )
         if self._demands.keys() <= plan.shares.keys():
-            return True
+            return not self._is_misplaced(plan, server)
         own = sum(plan.shares.values()) * plan.per_s
         needed = own + sum(self._unplanned_per_s(vm, server) for vm in plan.shares)
         return min(own, needed) >= REPLAN_DEMAND_SHARE * LEASED_SHARE * server.per_s
 
+    def _is_misplaced(self, plan: SharePlan, server: LimitedServer) -> bool:
+        """Tell whether some holders need much of a limit that others hold and do not need."""
+        unused_per_s = missing_per_s = 0.0
+        for vm, share in plan.shares.items():
+            unplanned_per_s = self._unplanned_per_s(vm, server)
+            missing_per_s += max(0.0, unplanned_per_s)
+            unused_per_s += min(share * plan.per_s, max(0.0, -unplanned_per_s))
+        limit_per_s = LEASED_SHARE * server.per_s
+        return min(unused_per_s, missing_per_s) >= REPLAN_DEMAND_SHARE * limit_per_s
+
     def _plan(self, server: LimitedServer) -> SharePlan:
         """Choose the fewest holders whose demand covers the limit, local ones first.
 
--- a/tests/decide/test_share_allocator.py
+++ b/tests/decide/test_share_allocator.py
@@ -114,6 +114,24 @@
             }
         assert set(shares_of(leased)) == {"b"}
 
+    # Guards against: entries that all hold a share keep it for good, though only one of them still
+    # has requests, and most of the limit is unused.
+    @pytest.mark.parametrize("servers", [1, 4])
+    def test_are_chosen_anew_when_only_one_of_them_has_requests(self, servers):
+        leader = Leader()
+        limits = [limited(5.0, life=f"i-{number}") for number in range(servers)]
+        leader.settle({"a": 0.2, "b": 0.2, "c": 0.2}, *limits)
+        leased = leader.settle({"a": 60.0, "b": 0.1, "c": 0.1}, *limits)
+        for limit in limits:
+            assert shares_of(leased, limit.life)["a"] >= 0.9 * LEASED_SHARE
+
+    # Guards against: the same while they change places, so that nobody gets the limit for long.
+    def test_stay_the_same_while_their_demands_differ_a_little(self):
+        leader = Leader()
+        limits = [limited(5.0, life=f"i-{number}") for number in range(4)]
+        before = leader.settle({"a": 9.0, "b": 8.0, "c": 7.0}, *limits)
+        assert leader.settle({"a": 7.0, "b": 9.0, "c": 8.0}, *limits) == before
+
     def test_stay_the_same_while_they_keep_asking(self):
         leader = Leader()
         demands = {f"entry-{number}": 12.0 for number in range(10)}
