Do not promise that a request has not run on a status alone

A server of a non_idempotent route runs a request, fails and answers a signed 503 (or 408, 429) without the field that states that nothing was run. The entry passed that on, and callers take these statuses as the promise that the request has not run, and send it again.

Cause: only the field and 421 were looked at before a retry; what was relayed kept its status. Where a request may run once only, the entry now answers 502 without the server's signature, as a failure with the signature must bear the server's status.

--- a/src/leadhollow/forward/failure_response.py
+++ b/src/leadhollow/forward/failure_response.py
@@ -13,9 +13,20 @@
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.dialect import CallDialect
 from leadhollow.forward.end_reason import EndReason
+from leadhollow.forward.exchange import Exchange
 from leadhollow.observe.logs import get_logger
 
 NOT_RUN_STATUS = HTTPStatus.SERVICE_UNAVAILABLE  # guarantees that the request has not run
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        NOT_RUN_STATUS,
+    }
+)
+"""Statuses that callers take for that guarantee, whoever sends them."""
+
 UNKNOWN_STATUS = HTTPStatus.BAD_GATEWAY  # the request may have run
 TIMEOUT_STATUS = HTTPStatus.GATEWAY_TIMEOUT  # the request may have run
 QUARANTINE_RETRY_AFTER_S = 600.0  # an operator has to release the request first
@@ -66,6 +77,21 @@
             invalid = call.body.failure
             await self._send(call, invalid.code.http_status, invalid, None)
 
+    def may_relay(self, call: ForwardedCall, exchange: Exchange) -> bool:
+        """Tell whether a response may be relayed, or if its status promises what is not known.
+
+        Callers send a request again that must run once only where a status guarantees that it has
+        not run. A server's status guarantees that only if the server states it explicitly.
+        """
+        if call.route.repeatable or exchange.metadata.not_executed:
+            return True
+        return exchange.status not in NOT_RUN_STATUSES
+
+    async def unproven(self, call: ForwardedCall, exchange: Exchange) -> None:
+        """Respond in place of a response that must not be relayed."""
+        detail = f"status {exchange.status} does not say that nothing was run"
+        await self.unknown(call, Failure(code=Code.ENGINE_FAILED, detail=detail))
+
     def broken_off(self, call: ForwardedCall, failure: Failure) -> None:
         """Abort a response that its backend server did not complete."""
         self._log_end(call, EndReason.ENGINE_ENDED, failure)
@@ -156,4 +182,10 @@
     return EndReason.ENGINE_ENDED if call.attempts else EndReason.NOT_TAKEN
 
 
-__all__ = ["NOT_RUN_STATUS", "TIMEOUT_STATUS", "UNKNOWN_STATUS", "FailureResponder"]
+__all__ = [
+    "NOT_RUN_STATUS",
+    "NOT_RUN_STATUSES",
+    "TIMEOUT_STATUS",
+    "UNKNOWN_STATUS",
+    "FailureResponder",
+]
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -116,6 +116,10 @@
             await self._responder.not_run(call, failure, retry_after_s=self._retry_after_s(call))
 
     async def _relay(self, call: ForwardedCall, response: BufferedResponse) -> None:
+        if not self._responder.may_relay(call, response.exchange):
+            response.exchange.finish()
+            await self._responder.unproven(call, response.exchange)
+            return
         passed = await relay_response(
             call, response.exchange, buffered=response.data, complete=response.complete
         )
--- a/src/leadhollow/forward/stream_forwarder.py
+++ b/src/leadhollow/forward/stream_forwarder.py
@@ -237,6 +237,9 @@
             return False
         if not exchange.metadata.signed and exchange.status < HTTPStatus.BAD_REQUEST:
             return False
+        if not self._responder.may_relay(self._call, exchange):
+            await self._responder.unproven(self._call, exchange)
+            return True
         passed = await relay_response(self._call, exchange)
         if passed.is_err():
             self._responder.broken_off(self._call, passed.unwrap_err())
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -171,7 +171,8 @@
         self.run = _StreamCall(
             context=context,
             responder=SimpleNamespace(  # type: ignore[arg-type]
-                **{name: self._record_ending(name) for name in ("unknown", "timed_out", "not_run")}
+                may_relay=lambda *_: True,
+                **{name: self._record_ending(name) for name in ("unknown", "timed_out", "not_run")},
             ),
             call=self.call,
             service=service,  # type: ignore[arg-type]
