--- a/src/leadhollow/control/manifests.py
+++ b/src/leadhollow/control/manifests.py
@@ -1,14 +1,15 @@
 """Reads the manifests of versions from the origin and commits them to the replicated state.
 
 Only the leader reads. A response of the origin may be corrupted in transit, so a manifest is
-committed only after two reads of it match.
+committed only after two reads of it match. Each has a connection of its own: a second response to
+the first read would match it, too.
 """
 
 from __future__ import annotations
 
 import asyncio
 
-from leadhollow.http1.fetch import HttpFetcher
+from leadhollow.http1.fetch import HttpFetcher, Reuse
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.observe.logs import get_logger
 from leadhollow.routing.model import ServiceRecord
@@ -93,7 +94,9 @@
 
     async def _read(self, origin: Address, missing: MissingManifest) -> DescribedVersion | None:
         target = self._dialect.manifest_target(missing.model, missing.number)
-        fetched = await self._http.fetch("GET", origin, target, timeout_s=READ_TIMEOUT_S)
+        fetched = await self._http.fetch(
+            "GET", origin, target, timeout_s=READ_TIMEOUT_S, reuse=Reuse.NEVER
+        )
         if fetched.is_err():
             log.warning("manifest not read", failure=str(fetched.unwrap_err()))
             return None
