Serve only a table that a majority has confirmed

Cause: an entry asked only whether it had a table.

An entry now checks requests against a table only once a replica showed it a view that a majority had confirmed since that replica's start; until then it responds 503. The catalog never goes back, so a table that was confirmed once is never followed by an older one: an entry that keeps running goes on with its table while all replicas start again. The age of the confirmation does not matter for this, so that an entry that starts in a failure domain that is cut off serves what the replica there had confirmed before the cut.

--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from http import HTTPStatus
 
 from result import Err, Ok, Result
@@ -44,6 +45,8 @@
 
     Parameters
     ----------
+    has_table
+        Returns whether requests may be checked against the route table.
     stop_grace_s
         Time from the stop signal until the process is killed.
     seed
@@ -55,6 +58,7 @@
         "_closed",
         "_closing_connections",
         "_dialect",
+        "_has_table",
         "_plain",
         "_random",
         "_responder",
@@ -73,6 +77,7 @@
         address: Address,
         dialect: CallDialect,
         routes: RouteIndex,
+        has_table: Callable[[], bool],
         chooser: TargetChooser,
         plain: PlainForwarder,
         streams: StreamForwarder,
@@ -83,6 +88,7 @@
     ) -> None:
         self._dialect = dialect
         self._routes = routes
+        self._has_table = has_table
         self._chooser = chooser
         self._plain = plain
         self._streams = streams
@@ -168,8 +174,9 @@
         if read.is_err():
             return Err(read.unwrap_err())
         metadata = read.unwrap()
-        if not self._routes.has_table:
-            return Err(Failure(code=Code.STOPPING, detail="no route table is known here yet"))
+        if not self._has_table():
+            detail = "no route table that a majority confirmed is known here yet"
+            return Err(Failure(code=Code.STOPPING, detail=detail))
         host = request.head.headers.text(b"host").partition(":")[0]
         route = self._routes.route(host, request.head.path)
         if route is None:
--- a/src/leadhollow/membership/control_feed.py
+++ b/src/leadhollow/membership/control_feed.py
@@ -20,7 +20,7 @@
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.membership.packed_items import unpack_items
 from leadhollow.membership.packed_uses import unpack_uses
-from leadhollow.membership.replica_selector import ReplicaSelector, is_confirmed
+from leadhollow.membership.replica_selector import ReplicaSelector, is_confirmed, was_confirmed
 from leadhollow.membership.unlisted_instances import UnlistedInstances
 from leadhollow.membership.uses import Use, decode_decisions
 from leadhollow.observe.logs import get_logger
@@ -86,6 +86,9 @@
     confirmed_s
         Elapsed time (:func:`leadhollow.kernel.clocks.elapsed_s`) of the last confirmation by a
         majority, None before the first.
+    view_confirmed
+        Whether the catalog holds all that a majority had confirmed at some time, however long ago.
+        A replica that has just started shows what its disk holds, which may be much older.
     """
 
     __slots__ = (
@@ -110,6 +113,7 @@
         "naming_times",
         "ready",
         "table",
+        "view_confirmed",
     )
 
     def __init__(self, *, settings: NodeSettings, peers: PeerPool, table: InstanceTable) -> None:
@@ -135,6 +139,7 @@
         self._replicas = ReplicaSelector(settings=settings, peers=peers, had_view=self.ready.is_set)
         self._entries = EntryCount(clock=clocks.elapsed_s)
         self.confirmed_s: float | None = None
+        self.view_confirmed = False
         super().__init__()
 
     @property
@@ -307,6 +312,11 @@
             full_update_listener()
         self._replicas.update_replicas(update.replicas)
         self._entries.record(int(update.entries or 0), confirmed=is_confirmed(update))
+        if was_confirmed(update) and not self.view_confirmed:
+            log.info(
+                "view confirmed", revision=self.catalog.revision, age_ms=update.confirmed_age_ms
+            )
+            self.view_confirmed = True
         if is_confirmed(update):
             self.confirmed_s = clocks.elapsed_s() - update.confirmed_age_ms / 1000
             if not self.ready.is_set():
--- a/src/leadhollow/membership/replica_selector.py
+++ b/src/leadhollow/membership/replica_selector.py
@@ -142,4 +142,9 @@
     return message is not None and 0 <= int(message.confirmed_age_ms) < MAX_CONFIRMATION_AGE_MS
 
 
-__all__ = ["ReplicaSelector", "is_confirmed"]
+def was_confirmed(update: FeedUpdate) -> bool:
+    """Return whether a majority has confirmed a replica since its start, however long ago."""
+    return int(update.confirmed_age_ms) >= 0
+
+
+__all__ = ["ReplicaSelector", "is_confirmed", "was_confirmed"]
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -55,6 +55,7 @@
     """
 
     __slots__ = (
+        "_feed",
         "_request_queued",
         "budget",
         "chooser",
@@ -75,6 +76,7 @@
         settings = process.settings
         clock = asyncio.get_running_loop().time
         dialect = process.dialects.calls
+        self._feed = feed
         self.routes = RouteIndex(catalog=feed.catalog)
         self.domains = FailureDomains(regions=settings.region_by_domain)
         # notified of announcements before the directory, which offers new servers to requests
@@ -164,6 +166,13 @@
         )
         super().__init__()
 
+    def has_confirmed_table(self) -> bool:
+        """Return whether requests may be checked against the route table.
+
+        Before a majority has confirmed it, the table may allow what a newer one took away.
+        """
+        return self._feed.view_confirmed and self.routes.has_table
+
     async def _work(self) -> None:
         loop = asyncio.get_running_loop()
         prune_at_s = loop.time() + TIDY_INTERVAL_S
@@ -257,6 +266,7 @@
             address=Address.parse(settings.callers or "").unwrap(),
             dialect=process.dialects.calls,
             routes=dispatcher.routes,
+            has_table=dispatcher.has_confirmed_table,
             chooser=dispatcher.chooser,
             plain=dispatcher.plain_forwarder,
             streams=dispatcher.stream_forwarder,
