Play the start of all with a replica that is behind in the model

The model sampled an entry's table whether or not the entry serves it, and had no check that a started entry's first table holds what had been acknowledged before all replicas were down. It has now: two regression runs start one replica that has missed changes on its own, with entries that start as well or keep running. Two planted faults (entries serve a table that was not confirmed; a replica claims a confirmation at once) are shown by these runs.

--- a/tests/config_path/mutants.py
+++ b/tests/config_path/mutants.py
@@ -15,6 +15,7 @@
 from leadhollow.control.feed_server import FeedServer
 from leadhollow.membership.evacuation_follower import EvacuationFollower
 from leadhollow.membership.naming_times import NamingTimes
+from leadhollow.node.entry_role import EntryDispatcher
 from leadhollow.platform import control as platform_control
 from leadhollow.routing import catalog_items
 from leadhollow.routing.index import RouteIndex
@@ -115,6 +116,16 @@
     return mock.patch.object(LeaderGateway, "confirm", at_once)
 
 
+def unconfirmed_table_served() -> AbstractContextManager[object]:
+    return mock.patch.object(
+        EntryDispatcher, "has_confirmed_table", lambda self: self.routes.has_table
+    )
+
+
+def starting_replica_confirmed() -> AbstractContextManager[object]:
+    return mock.patch.object(confirmation.ConfirmationMonitor, "age_ms", lambda self: 0)
+
+
 def vote_not_written() -> AbstractContextManager[object]:
     def kept(self, vote):
         self.vote = vote
@@ -194,6 +205,8 @@
         tombstone_lost_in_a_snapshot,
         document_lost_in_a_snapshot,
         read_without_confirmation,
+        unconfirmed_table_served,
+        starting_replica_confirmed,
         vote_not_written,
         wiped_disk_keeps_its_vote,
         vote_for_an_old_log,
--- a/tests/config_path/record.py
+++ b/tests/config_path/record.py
@@ -92,6 +92,7 @@
         self._acknowledged_s: dict[int, float] = {}  # time of the first acknowledgement
         self._contents: dict[int, dict[str, int]] = {}  # as first in force or read
         self._in_force: dict[str, int] = {}  # by entry, since its process started
+        self._newest_at_stop = -1  # acknowledged when no replica ran
         self.refusals_of_valid: list[int] = []
 
     def report_violation(self, what: str) -> None:
@@ -140,12 +141,17 @@
     def note_entry_start(self, host: str) -> None:
         self._in_force.pop(host, None)
 
+    def note_no_replica(self) -> None:
+        """Record that no replica runs, so that all later confirmations cover what is known now."""
+        self._newest_at_stop = self.newest_acknowledged()
+
     def note_in_force(self, host: str, routes: RouteIndex) -> None:
         """Record the table that an entry has in force now."""
-        if not routes.has_table:
-            return
         number = routes.number
         before = self._in_force.get(host)
+        if before is None and number < self._newest_at_stop:
+            newest = self._newest_at_stop
+            self.report_violation(f"{host} starts with {number}, {newest} was acknowledged before")
         if before == number:
             return
         if before is not None and number < before:
--- a/tests/config_path/scenario.py
+++ b/tests/config_path/scenario.py
@@ -177,6 +177,32 @@
         for host in HOSTS:
             self.start_host(host)
 
+    def do_restart_behind(self, host: str, entries_run: bool) -> None:
+        """Kill all hosts and start one replica first that has missed changes, on its own.
+
+        Parameters
+        ----------
+        entries_run
+            Whether entries keep running, so that they are ahead of the replica.
+        """
+        self.do_storm(SNAPSHOT_ENTRIES + 2)
+        self.site.wait(1.0)
+        if not self.site.replicas_current():
+            return
+        self.site.run(self.site.kill(host))
+        self.site.wait(1.5)
+        self.do_storm(SNAPSHOT_ENTRIES // 2)
+        self.site.wait(1.5)
+        for other in CONTROLS if entries_run else HOSTS:
+            self.site.run(self.site.kill(other))
+        self.start_host(host)
+        for entry in ENTRIES:
+            self.start_host(entry)
+        self.site.wait(2.0)
+        for other in CONTROLS:
+            self.start_host(other)
+        self.site.wait(1.0)
+
     def do_wipe(self, host: str) -> None:
         """Lose a disk, but no second one before the first replica has recovered."""
         if not self.site.replicas_current():
--- a/tests/config_path/site.py
+++ b/tests/config_path/site.py
@@ -180,6 +180,8 @@
         self.network.reset(host)
         if power and host in CONTROLS:
             self.disks.lose_power(host)
+        if host in CONTROLS and not any(control in self.processes for control in CONTROLS):
+            self.history.note_no_replica()
 
     # suspensions
 
@@ -334,10 +336,11 @@
         """Record the table that each entry has in force."""
         for host in ENTRIES:
             process = self.processes.get(host)
-            if process is not None:
-                self.history.note_in_force(
-                    host, process.kernel.get("dispatching", EntryDispatcher).routes
-                )
+            if process is None:
+                continue
+            dispatcher = process.kernel.get("dispatching", EntryDispatcher)
+            if dispatcher.has_confirmed_table():
+                self.history.note_in_force(host, dispatcher.routes)
 
     def settle(self) -> None:
         """End all faults and wait until all processes run."""
--- a/tests/config_path/test_config_path.py
+++ b/tests/config_path/test_config_path.py
@@ -6,7 +6,8 @@
 faults end. These are violations: an entry goes back to an older table; a number has content that
 nobody sent, or two contents; an invalid table is acknowledged or in force; a valid one is refused;
 a read returns an older table than was acknowledged before; an acknowledged table is lost; a table
-is not in force after the faults have ended.
+is not in force after the faults have ended; an entry that starts after all replicas were down
+serves an older table than was acknowledged before.
 
 `python -m tests.config_path --examples 10000` runs more; `--mutants` shows which planted faults are
 found.
@@ -19,7 +20,7 @@
 from hypothesis import HealthCheck, given, settings
 
 from tests.config_path.early_floor import early_floor
-from tests.config_path.mutants import CLOCK_MUTANTS, FLOOR_MUTANTS
+from tests.config_path.mutants import CLOCK_MUTANTS, FLOOR_MUTANTS, MUTANTS
 from tests.config_path.scenario import Step, draw_run, play, runs
 from tests.config_path.small_requests import small_requests
 
@@ -34,6 +35,8 @@
     (2, [("storm", 6), ("restart all", True), ("race",), ("wipe", "10.0.0.2")]),
     (4, [("behind", True), ("after acknowledgement", "wipe"), ("split leader",)]),
     (5, [("behind", False), ("split leader",), ("after acknowledgement", "cut"), ("heal",)]),
+    (6, [("restart behind", "10.0.0.1", False), ("restart behind", "10.0.0.2", True)]),
+    (7, [("restart behind", "10.0.0.3", True), ("restart behind", "10.0.0.3", False)]),
     (3, [("cut", "10.0.0.1", "", False), ("storm", 5), ("read", "10.0.0.1"), ("heal",)]),
 ]
 """Runs with rare combinations. Runs that found a fault are added here."""
@@ -100,6 +103,11 @@
                 break
         assert found
 
+    @pytest.mark.parametrize("name", ["unconfirmed table served", "starting replica confirmed"])
+    def test_finds_a_table_of_a_replica_that_is_behind(self, name):
+        with MUTANTS[name]():
+            assert play(6, [("restart behind", "10.0.0.1", False)])
+
     @pytest.mark.parametrize(("seed", "run_steps"), REGRESSIONS)
     def test_keeps_them_in_runs_that_reach_far(self, seed, run_steps):
         assert play(seed, run_steps) == []
