Stream no catalog from a state replica that is behind

A replica now knows whether it has caught up: it leads and has applied an entry of its term, or it has applied an entry of the current term and all that the first leader it heard since its start called committed. Until then a watcher of the catalog gets nothing, after a second an error, and tries another replica. A replica stays caught up when it loses the others, so that a failure domain that is cut off keeps its catalog.

tests/state/test_caught_up.py: TestWatch:: test_a_replica_that_is_behind_sends_no_catalog fails without the change in state/service.py (it gets the old catalog).

--- a/src/leadhollow/state/following.py
+++ b/src/leadhollow/state/following.py
@@ -134,6 +134,8 @@
         if not await self._store_entries(offered):
             return Err(Failure(code=Code.DISK_FAILED))
         matched = request.previous_index + len(offered)
+        if state.heard_commit_index is None:
+            state.heard_commit_index = int(request.commit_index)
         state.advance_commit(min(request.commit_index, matched))
         await self._restore_voting(request.commit_index, matched)
         return Ok(AppendReply(state.term, True, matched))
--- a/src/leadhollow/state/replica.py
+++ b/src/leadhollow/state/replica.py
@@ -68,7 +68,7 @@
         Seed of the random part of the election timeout.
     """
 
-    __slots__ = ("_election", "_following", "_leadership", "_state", "_tasks")
+    __slots__ = ("_caught_up", "_election", "_following", "_leadership", "_state", "_tasks")
 
     def __init__(
         self,
@@ -98,6 +98,7 @@
         self._following = FollowerHandlers(state=state, leadership=self._leadership)
         self._election = Election(state=state, leadership=self._leadership, seed=seed)
         self._tasks: list[asyncio.Task[None]] = []
+        self._caught_up = False
 
     @property
     def vm(self) -> str:
@@ -214,6 +215,22 @@
         applied_term = state.store.term_at(state.applied_index)
         return self._leadership.lease_valid() and applied_term == state.term
 
+    def caught_up(self) -> bool:
+        """Return whether all that was committed before the start of this replica is applied.
+
+        A replica that has just started shows the table of its last snapshot until then. One that
+        loses its leader later stays caught up.
+        """
+        if not self._caught_up:
+            state = self._state
+            heard = state.heard_commit_index
+            applied = state.applied_index
+            follows = heard is not None and applied >= heard
+            # an entry of the current term: a new leader may know of fewer commits at first
+            newest_term = state.store.term_at(applied) == state.term
+            self._caught_up = self.ready() or (follows and newest_term)
+        return self._caught_up
+
     async def propose(self, command: Command) -> Result[AppliedCommand, Failure]:
         """Append a command to the log and wait until it is applied; see :class:`Leadership`."""
         return await self._leadership.propose(command)
@@ -233,6 +250,7 @@
                 if slice_bytes >= APPLY_SLICE_BYTES:
                     slice_bytes = 0
                     await asyncio.sleep(0)
+            self.caught_up()  # remembered, as it may not show once the leader is lost
             if self._snapshot_due() and not state.failed:
                 await state.transitions.run(self._take_snapshot)
 
--- a/src/leadhollow/state/replica_state.py
+++ b/src/leadhollow/state/replica_state.py
@@ -67,6 +67,8 @@
         granted, or a campaign of this replica failed.
     leader_heard_s
         Time at which a leader was last heard, see :func:`now_s`. Leader leases rely on it.
+    heard_commit_index
+        Commit index that the first leader heard since the start named, None before.
     """
 
     __slots__ = (
@@ -78,6 +80,7 @@
         "election_timer_reset_s",
         "failed",
         "fixed_voters",
+        "heard_commit_index",
         "leader_heard_s",
         "leader_vm",
         "machine",
@@ -118,6 +121,7 @@
         self.failed = False
         self.election_timer_reset_s = 0.0
         self.leader_heard_s = 0.0
+        self.heard_commit_index: int | None = None
         self.pending: dict[int, asyncio.Future[Result[AppliedCommand, Failure]]] = {}
         self.wake_apply = asyncio.Event()
         self._step_down: Callable[[], None] = _do_nothing
--- a/src/leadhollow/state/service.py
+++ b/src/leadhollow/state/service.py
@@ -10,7 +10,7 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.kernel.active_time import active_timeout
+from leadhollow.kernel.active_time import active_s, active_timeout
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.model import Settings
 from leadhollow.state.commands import ExpireClaims, TermStart, decode_command, encode
@@ -33,6 +33,8 @@
 from leadhollow.wire.streams import StreamSink
 
 COMMIT_TIMEOUT_S = 1.4
+CATCH_UP_TIMEOUT_S = 1.0  # then a watcher of the catalog tries another replica
+CATCH_UP_POLL_S = 0.01
 STATE_FOLDER = "state"
 
 log = get_logger("state")
@@ -120,6 +122,12 @@
         self.domain_revisions.record(report)
 
     async def _on_watch(self, request: CatalogWatch, sink: StreamSink) -> Result[None, Failure]:
+        """Stream the catalog once it holds all that was committed before this replica started."""
+        deadline_s = active_s() + CATCH_UP_TIMEOUT_S
+        while not self.replica.caught_up():
+            if active_s() >= deadline_s:
+                return Err(Failure(code=Code.READ_UNCONFIRMED))
+            await asyncio.sleep(CATCH_UP_POLL_S)
         return await serve_catalog(self.replica.machine.catalog, request, sink)
 
     async def _expire_claims(self) -> None:
