Move requests and limits out of the server connection

What a connection passes on (IncomingRequest, Handler) and the limits that it enforces move to http1/incoming_request.py. No logic changes; tests/http1 pass.

--- a/src/leadhollow/control/control_listener.py
+++ b/src/leadhollow/control/control_listener.py
@@ -22,9 +22,9 @@
 from leadhollow.control.evacuation_orders import EvacuationOrders
 from leadhollow.control.registry import Registry
 from leadhollow.failure import Failure
+from leadhollow.http1.incoming_request import HttpLimits, IncomingRequest
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.server import HttpServer
-from leadhollow.http1.server_connection import HttpLimits, IncomingRequest
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.address import Address
 from leadhollow.state.commands import Command, NameVersion
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -23,9 +23,9 @@
 from leadhollow.forward.stream_forwarder import StreamForwarder
 from leadhollow.forward.suspect_sync import SuspectSync
 from leadhollow.forward.targets import TargetChooser
+from leadhollow.http1.incoming_request import HttpLimits, IncomingRequest
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.server import HttpServer
-from leadhollow.http1.server_connection import HttpLimits, IncomingRequest
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.observe.logs import get_logger
 from leadhollow.routing.index import RouteIndex
--- a/src/leadhollow/forward/readiness.py
+++ b/src/leadhollow/forward/readiness.py
@@ -9,9 +9,9 @@
 
 from leadhollow.failure import Failure
 from leadhollow.http1.headers import Headers
+from leadhollow.http1.incoming_request import IncomingRequest
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.server import HttpServer
-from leadhollow.http1.server_connection import IncomingRequest
 from leadhollow.observe.logs import get_logger
 from leadhollow.settings.address import Address
 
--- a/src/leadhollow/http1/server.py
+++ b/src/leadhollow/http1/server.py
@@ -9,7 +9,8 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
-from leadhollow.http1.server_connection import Handler, HttpLimits, ServerConnection
+from leadhollow.http1.incoming_request import Handler, HttpLimits
+from leadhollow.http1.server_connection import ServerConnection
 from leadhollow.settings.address import Address
 
 BACKLOG = 1_024  # listen queue; if it overflows, callers retry their SYN after seconds
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -8,9 +8,9 @@
 import pytest
 
 from leadhollow.http1.headers import Headers
+from leadhollow.http1.incoming_request import HttpLimits, IncomingRequest
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.server import HttpServer
-from leadhollow.http1.server_connection import HttpLimits, IncomingRequest
 from leadhollow.settings.address import Address
 from tests.raw_http import RawCaller
 from tests.support import eventually
--- a/tests/http1/test_stalled_server.py
+++ b/tests/http1/test_stalled_server.py
@@ -9,9 +9,9 @@
 import pytest
 
 from leadhollow.http1.headers import Headers
+from leadhollow.http1.incoming_request import HttpLimits, IncomingRequest
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.server import HttpServer
-from leadhollow.http1.server_connection import HttpLimits, IncomingRequest
 from leadhollow.kernel import active_time
 from leadhollow.settings.address import Address
 from tests.other_loop import LOOPS, run_on
