Pace the callers of the measurement by a schedule

Callers that wait for an answer before the next pause send fewer requests when the machine is busy, and the served rate fell with the latency alone.

--- a/tests/soak/endless.py
+++ b/tests/soak/endless.py
@@ -16,6 +16,7 @@
 import json
 import multiprocessing
 import os
+import random
 import statistics
 import tempfile
 import time
@@ -207,13 +208,15 @@
     url = "/proper/"
 
     async def ask_on(pause_s: float) -> None:
+        due_s = time.monotonic() + random.uniform(0, pause_s)
         while True:
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            due_s += pause_s
             began_s = time.monotonic()
             status = await _ask(http, address, url)
             found.served += status == 200
             found.failed += status != 200
             found.after_ms.append(1000 * (time.monotonic() - began_s))
-            await asyncio.sleep(pause_s)
 
     async def ask_bad() -> None:
         while True:
@@ -312,7 +315,9 @@
     parser.add_argument("--kind", choices=["none", *PIECES], default="none")
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--callers", type=int, default=12, help="of the proper service")
-    parser.add_argument("--pause", type=float, default=0.1, help="between a caller's requests")
+    parser.add_argument(
+        "--pause", type=float, default=0.1, help="between the beginnings of a caller's requests"
+    )
     parser.add_argument("--source", default="", help="source of the processes, if not this one")
     options = parser.parse_args()
     if options.source:
