Let the demo's stand-ins send odd answers

The engines and the service of the demo answered properly, so that its check of each answer saw none of the bytes that servers may send besides. Until the version changes, a fifth of the answers come with an interim response before them, or with a second answer, the beginning of one or no HTTP behind them; answers to requests that may be repeated are also cut, with another one behind. The change of version is timed, and left as it was.

--- a/src/leadhollow/demo/demo_run.py
+++ b/src/leadhollow/demo/demo_run.py
@@ -43,6 +43,7 @@
 LATE_GROUP = "late-group"
 LONG_ORDER = "clear N8 " + "and salt it " * 25_000  # longer than one read of a socket
 EDIT_TIMEOUT_S = 5.0
+ODD_SHARE = 0.2  # of answers, with bytes of no request around them or cut
 
 ProgressCallback = Callable[[str], None]
 
@@ -139,10 +140,12 @@
         weight_bytes = self._site.origin.weight_bytes_sent(MODEL, "v1")
         origin_copies = weight_bytes / self._first_model_file().stat().st_size
         self._on_progress(f"v1 runs on all 9 engines after {time_to_all_s:.2f} s.")
+        self._set_odd_share(ODD_SHARE)
         await self._send_group_requests()
         edit_in_force_s = await self._measure_edit_delay()
         self._on_progress(f"An edit is in force at all 7 entries after {edit_in_force_s:.3f} s.")
         resend_same_answer = await self._resend_orders()
+        self._set_odd_share(0.0)  # the next step measures how long a change takes
         change_to_all_s = await self._change_version()
         self._on_progress(f"v2 replaced v1 under load after {change_to_all_s:.2f} s.")
         await self._stop_backend_server()
@@ -254,6 +257,12 @@
             return INSTALL_TIMEOUT_S
         return waited.unwrap()
 
+    def _set_odd_share(self, share: float) -> None:
+        for engine in self._site.engines.values():
+            engine.faults.odd_share = share
+        for service in self._site.services.values():
+            service.faults.odd_share = share
+
     async def _send_group_requests(self) -> None:
         """Send requests of all groups together with a burst of one group."""
         await asyncio.sleep(0.3)
--- a/src/leadhollow/standin/engine.py
+++ b/src/leadhollow/standin/engine.py
@@ -27,6 +27,7 @@
     token_text,
 )
 from leadhollow.standin.http_server import StandinServer
+from leadhollow.standin.odd_answers import OddAnswers
 
 CACHE_ENTRIES = 64
 PREFIX_CHARACTERS = 512
@@ -94,6 +95,7 @@
         "generations",
         "loads",
         "model",
+        "odd",
         "server",
         "version",
     )
@@ -128,6 +130,7 @@
         self.loads: list[Load] = []
         self.model = ""
         self.version = ""
+        self.odd = OddAnswers(share=lambda: self.faults.odd_share, cuts=True)
         self.server = StandinServer(application=self._application())
 
     @property
@@ -150,7 +153,9 @@
         await self.server.stop()
 
     def _application(self) -> web.Application:
-        application = web.Application(client_max_size=64 * 1024 * 1024)
+        application = web.Application(
+            client_max_size=64 * 1024 * 1024, middlewares=[self.odd.middleware()]
+        )
         router = application.router
         router.add_get("/admin/model", self._get_model)
         router.add_post("/admin/load", self._load_version)
--- a/src/leadhollow/standin/engine_records.py
+++ b/src/leadhollow/standin/engine_records.py
@@ -29,6 +29,8 @@
     crash_text
         The engine ends when it begins to answer a prompt that has this text in a message other than
         the last one, and listens again after ``restart_s``, with its version; empty for none.
+    odd_share
+        Share of the answers to requests that are sent with bytes of no request, or cut.
     """
 
     slow_factor: float = 1.0
@@ -37,6 +39,7 @@
     dead: bool = False
     crash_text: str = ""
     restart_s: float = 0.25
+    odd_share: float = 0.0
 
 
 class Load(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/leadhollow/standin/plain_service.py
+++ b/src/leadhollow/standin/plain_service.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from leadhollow.standin.http_server import StandinServer
+from leadhollow.standin.odd_answers import OddAnswers
 
 
 class ServiceFaults(msgspec.Struct, kw_only=True):
@@ -19,10 +20,13 @@
         Number of coming requests that are executed and whose connection is then aborted.
     delay_ms
         Duration of each request, in milliseconds.
+    odd_share
+        Share of the answers that are sent with bytes of no request.
     """
 
     cut_after_run: int = 0
     delay_ms: int = 5
+    odd_share: float = 0.0
 
 
 class Execution(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,12 +41,15 @@
 class ServiceStandin:
     """Service that answers any path with a serial number and the body of the request."""
 
-    __slots__ = ("executions", "faults", "server")
+    __slots__ = ("executions", "faults", "odd", "server")
 
     def __init__(self) -> None:
         self.executions: list[Execution] = []
         self.faults = ServiceFaults()
-        application = web.Application(client_max_size=64 * 1024 * 1024)
+        self.odd = OddAnswers(share=lambda: self.faults.odd_share, cuts=False)
+        application = web.Application(
+            client_max_size=64 * 1024 * 1024, middlewares=[self.odd.middleware()]
+        )
         application.router.add_post("/admin/faults", self._set_faults)
         application.router.add_get("/admin/ledger", self._get_ledger)
         application.router.add_route("*", "/{path:.*}", self._run)
