Lease a limit anew also when a quarter of it is held in vain

The first form of this check asked for half of a limit, and only where every asking entry holds a share.

The check now comes before the others and asks for a quarter.

--- a/src/leadhollow/decide/share_allocator.py
+++ b/src/leadhollow/decide/share_allocator.py
@@ -27,9 +27,9 @@
 """Number of entries that share one limit if their demand allows it. Each holder may have saved up a
 token."""
 
-REPLAN_DEMAND_SHARE = 0.5
-"""Share of a limit. A new plan is made if its holders need less, or if some of them need so much of
-it that others hold in vain."""
+REPLAN_DEMAND_SHARE = 0.5  # share of a limit; if its holders need less, a new plan is made
+REPLAN_MISPLACED_SHARE = 0.25
+"""Share of a limit. A new plan is made if some holders need this much that others hold in vain."""
 
 REPLAN_LIMIT_FACTOR = 2.0  # change of a limit from which a new plan is made
 REPLAN_ENTRIES_FACTOR = 1.5
@@ -198,8 +198,10 @@
             return len(plan.shares) >= min(
                 server.max_holders, MAX_HOLDERS, len(self._asking(server))
             )
+        if self._is_misplaced(plan, server):
+            return False
         if self._demands.keys() <= plan.shares.keys():
-            return not self._is_misplaced(plan, server)
+            return True
         own = sum(plan.shares.values()) * plan.per_s
         needed = own + sum(self._unplanned_per_s(vm, server) for vm in plan.shares)
         return min(own, needed) >= REPLAN_DEMAND_SHARE * LEASED_SHARE * server.per_s
@@ -212,7 +214,7 @@
             missing_per_s += max(0.0, unplanned_per_s)
             unused_per_s += min(share * plan.per_s, max(0.0, -unplanned_per_s))
         limit_per_s = LEASED_SHARE * server.per_s
-        return min(unused_per_s, missing_per_s) >= REPLAN_DEMAND_SHARE * limit_per_s
+        return min(unused_per_s, missing_per_s) >= REPLAN_MISPLACED_SHARE * limit_per_s
 
     def _plan(self, server: LimitedServer) -> SharePlan:
         """Choose the fewest holders whose demand covers the limit, local ones first.
