Wait for a confirmed view before a stager reads its stage

Cause: a replica that starts shows its table while it applies its log, so a stager was told of version 1 first, read its stage for that version (a stager's log: 64 pieces listed, 0 held), and fetched all pieces of version 2 again over the link, though they were in the stage. Before, the log was applied in one go and the older version was never seen.

A stager reads its stage, and fetches, once its view has been confirmed by a majority at some time, as entries serve their table; after 2 s without that it goes on with what it knows, so that a failure domain that is cut off gets weights. Both new tests failed before.

--- a/src/leadhollow/node/stager_role.py
+++ b/src/leadhollow/node/stager_role.py
@@ -151,6 +151,7 @@
 
         return Installer(
             catalog=feed().catalog,
+            view_confirmed=lambda: feed().view_confirmed,
             engine=engine,
             monitor=kernel.get("engine-watch", EngineMonitor),
             store=store,
--- a/src/leadhollow/staging/installer.py
+++ b/src/leadhollow/staging/installer.py
@@ -36,6 +36,10 @@
 
 SWITCH_NOTICE_S = 0.15  # entries learn of the switch before the order is sent
 FIRST_START_WAIT_S = 4.0  # an engine needs a second or two to answer after its start
+CONFIRMATION_WAIT_S = 2.0
+"""A stager that starts waits this long for a view that a majority confirmed. A replica that has
+just started may tell of an older version first, whose pieces differ from those in the stage."""
+
 RESTART_WAIT_S = 0.25  # a running engine answers or refuses at once, if it can be reached
 FORCED_SWITCH_S = 0.6  # so long before the deadline all engines switch, whatever the others do
 DRAIN_TIMEOUT_S = 3.0
@@ -48,6 +52,8 @@
 
     Parameters
     ----------
+    view_confirmed
+        Returns whether a majority has confirmed what the catalog shows, at some time.
     models
         Returns the models that the engine may run.
     start_fetch
@@ -87,6 +93,7 @@
         "_started_s",
         "_store",
         "_version_s",
+        "_view_confirmed",
         "_wake",
         "_window",
     )
@@ -95,6 +102,7 @@
         self,
         *,
         catalog: Catalog,
+        view_confirmed: Callable[[], bool],
         engine: LocalEngine,
         monitor: EngineMonitor,
         store: PieceStore,
@@ -108,6 +116,7 @@
         window: PieceWindow,
     ) -> None:
         self._catalog = catalog
+        self._view_confirmed = view_confirmed
         self._engine = engine
         self._monitor = monitor
         self._store = store
@@ -162,6 +171,9 @@
         self._idle = self._idle and bool(known) and report is not None
         if not known or (report is None and self._may_hold_stage()):
             return
+        if self._may_be_outdated():
+            self._idle = False
+            return
         if report is not None and not self._stage_recovered:
             await self._recover_stage(known)
         progress = [self._progress_of(version) for version in known]
@@ -277,6 +289,12 @@
         age_s = active_s() - self._started_s
         return not self._stage_recovered and age_s < self._stage_wait_s
 
+    def _may_be_outdated(self) -> bool:
+        """Return whether the known versions may be older than those before the start."""
+        if self._stage_recovered or self._view_confirmed():
+            return False
+        return active_s() - self._started_s < CONFIRMATION_WAIT_S
+
     async def _install(self, staged: StagedVersion, deadline_s: float) -> None:
         await self._stage.stage_pieces(staged)
         if not await self._stage.verify(staged):
--- a/tests/staging/engine_model.py
+++ b/tests/staging/engine_model.py
@@ -335,10 +335,12 @@
         self.monitor = MonitorModel(self.engine)
         self.wrong_weights_used: list[Load] = []
         self.fetches_started = 0
+        self.view_confirmed = True
         self.catalog = Catalog()
         self.naming_times = NamingTimes(clock=asyncio.get_running_loop().time)
         self.installer = Installer(
             catalog=self.catalog,
+            view_confirmed=lambda: self.view_confirmed,
             engine=self.engine,
             monitor=self.monitor,
             store=PieceStore(),
--- a/tests/staging/test_installer.py
+++ b/tests/staging/test_installer.py
@@ -12,6 +12,7 @@
 from leadhollow.membership.naming_times import NamingTimes
 from leadhollow.staging.engine_dialect import EngineReport, LoadOrder
 from leadhollow.staging.installer import (
+    CONFIRMATION_WAIT_S,
     DRAIN_TIMEOUT_S,
     RESTART_WAIT_S,
     SWITCH_NOTICE_S,
@@ -22,7 +23,7 @@
 from leadhollow.state.catalog import Catalog
 from leadhollow.state.records import CatalogItem
 from leadhollow.weights.named_versions import NamedVersion, weights_key
-from tests.staging.engine_model import InstallerSite, play
+from tests.staging.engine_model import InstallerSite, pieces_of, play
 from tests.staging.test_staging_units import PIECES, manifest
 from tests.support import eventually
 
@@ -161,6 +162,7 @@
         self.fetched: list[StagedVersion] = []
         self.installer = Installer(
             catalog=self.catalog,
+            view_confirmed=lambda: True,
             engine=self.engine,
             monitor=self.monitor,
             store=PieceStore(),
@@ -254,6 +256,37 @@
 
         play(work)
 
+    # Guards against: a replica that has just started tells of an older version first, so that the
+    # staged pieces of the newest one are fetched again over the link.
+    def test_pieces_are_kept_if_an_older_version_is_told_first(self):
+        async def work() -> None:
+            site = InstallerSite(fetch_s=0.2)
+            site.view_confirmed = False
+            site.engine.stage = dict(enumerate(pieces_of(2)))
+            site.name(1)
+            running = asyncio.create_task(site.run(1.0))
+            await asyncio.sleep(0.5)
+            site.name(2)
+            site.view_confirmed = True
+            await running
+            assert site.fetches_started == 0
+
+        play(work)
+
+    # Guards against: an engine gets no weights where no majority can confirm anything.
+    def test_pieces_are_fetched_after_a_wait_if_nobody_confirms_the_version(self):
+        async def work() -> None:
+            site = InstallerSite(fetch_s=0.2)
+            site.view_confirmed = False
+            site.name(1)
+            running = asyncio.create_task(site.run(CONFIRMATION_WAIT_S + 0.5))
+            await asyncio.sleep(CONFIRMATION_WAIT_S - 0.5)
+            assert site.fetches_started == 0
+            await running
+            assert site.fetches_started == 1
+
+        play(work)
+
 
 class TestSwitchNotice:
     def test_is_skipped_for_an_engine_that_serves_nothing(self):
