--- a/tests/node/odd_site.py
+++ b/tests/node/odd_site.py
@@ -15,11 +15,13 @@
 
 import aiohttp
 
+from leadhollow.node.entry_role import EntryDispatcher
 from tests.forward.answer_model import AnswerPlanner, Plan, Result
 from tests.forward.odd_server import body_of
 from tests.forward.planned_server import Judgement, field_of, serve_planned
 from tests.node.site import HOST, PlainServer, Site, route
 from tests.node.streaming import FIELDS, streaming_route
+from tests.support import eventually
 
 CALLERS = 24
 TIMEOUT_MS = 900
@@ -152,6 +154,8 @@
                 organisations=ORGANISATIONS,
             )
             await site.pause()
+            dispatcher = site.entry.kernel.get("dispatching", EntryDispatcher)
+            await eventually(dispatcher.has_confirmed_table, "a confirmed table")
             self._left = requests
             async with asyncio.TaskGroup() as group:
                 for _ in range(CALLERS):
