Add the memory and the descriptors of a process to its settings

Cause: no process knows what memory and descriptors its VM gives it, so nothing can be bounded by them. Change: settings memory_mb and max_descriptors, filled in by the template from the platform's limits; less than 64 of either is refused with the field's name. Nothing reads them yet, so no process behaves otherwise. Conclusion: the tests of crowds can name the memory of a VM before the product changes.

--- a/src/leadhollow/settings/node.py
+++ b/src/leadhollow/settings/node.py
@@ -17,6 +17,8 @@
 WIRE_PORT_OFFSET = 0  # added to the first port of the range
 METRICS_PORT_OFFSET = 1
 PORTS_NEEDED = 2
+MIN_MEMORY_MB = 64
+MIN_DESCRIPTORS = 64
 
 
 class NodeRole(Enum):
@@ -95,6 +97,11 @@
         Listeners of an entry and of a control process.
     link_mbit_per_s
         Speed of this VM's link.
+    memory_mb
+        Memory that this process may use, in 2**20 bytes; by default that of the VM.
+    max_descriptors
+        File descriptors that this process may have open; by default, and at most, the limit that
+        the operating system sets for it.
     statsd
         Address that metrics are sent to; none are sent without it.
     regions
@@ -117,6 +124,8 @@
     engine: EngineSettings | None = None
     heartbeat_ms: float = 1_200
     link_mbit_per_s: float = 1_000.0
+    memory_mb: int | None = None
+    max_descriptors: int | None = None
     regions: dict[str, str] = {}
     token: str = "leadhollow"
     bounds: Bounds = Bounds()
@@ -208,6 +217,14 @@
         return Failure(
             code=Code.SETTINGS_FIELD, detail="expected 0 or more", field="tolerated_losses"
         )
+    minimums = {
+        "memory_mb": (settings.memory_mb, MIN_MEMORY_MB),
+        "max_descriptors": (settings.max_descriptors, MIN_DESCRIPTORS),
+    }
+    for field, (value, least) in minimums.items():
+        if value is not None and value < least:
+            detail = f"expected {least} or more, found {value}"
+            return Failure(code=Code.SETTINGS_FIELD, detail=detail, field=field)
     return _check_role(settings)
 
 
--- a/tests/platform/test_template.py
+++ b/tests/platform/test_template.py
@@ -26,7 +26,7 @@
     "internalPorts": [7700, 7715],
     "seeds": ["10.1.0.43:8000", "10.2.0.39:8000"],
     "bootstrap": True,
-    "limits": {"linkMbps": 3.65},
+    "limits": {"linkMbps": 3.65, "memoryMb": 300, "maxFds": 4100},
     "dataDir": None,
     "heartbeatMs": 1200,
     "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
@@ -125,6 +125,7 @@
         assert settings.role is NodeRole.STAGER
         assert settings.engine.address == "10.1.0.44:8001"
         assert settings.link_mbit_per_s == 3.65
+        assert (settings.memory_mb, settings.max_descriptors) == (300, 4100)
 
 
 class TestDeployFile:
--- a/tests/settings/test_node.py
+++ b/tests/settings/test_node.py
@@ -47,6 +47,8 @@
             ({"role": "stager"}, Code.SETTINGS_COMBINATION, "engine"),
             ({"tolerated_losses": -1}, Code.SETTINGS_FIELD, "tolerated_losses"),
             ({"readiness": "10.0.0.1:99999"}, Code.SETTINGS_FIELD, "readiness"),
+            ({"memory_mb": 63}, Code.SETTINGS_FIELD, "memory_mb"),
+            ({"max_descriptors": 63}, Code.SETTINGS_FIELD, "max_descriptors"),
         ],
     )
     def test_failure_names_the_field(self, changes, code, field):
