End the exchange of a long response whose caller leaves

Callers saw nothing at first; servers saw connections that stayed open with unread bytes, for ever, and more of them than their maxConnections. Any caller that left within a long response caused one, without ill will; so did a deadline that passed while a slow caller read. Cause: the task that relays a response is cancelled when its caller leaves, and nobody owned the exchange then: the attempt had handed it over, and relay_response ended it on its own paths only. The same window lay in the hedged send: it waited for the loser while it held the winner, so a caller that left then lost the winner. Change: relay_response owns the exchange and ends it on each path out; losers are released by a callback, so that nothing is awaited while a response is held. Streams end theirs in a finally block already. Conclusion: whoever holds an exchange must end it without waiting for anything else.

--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -203,7 +203,7 @@
             return chosen
         finally:
             for task in tasks:
-                await _discard(task, chosen)
+                _discard(task, chosen)
 
     def _may_hedge(self, call: ForwardedCall) -> bool:
         repeatable = call.route.repeatable and call.body.complete
@@ -374,18 +374,26 @@
         )
 
 
-async def _discard(
+def _discard(
     task: asyncio.Task[Result[BufferedResponse, AttemptFailure]],
     chosen: Result[BufferedResponse, AttemptFailure] | None,
 ) -> None:
-    """Cancel an attempt that is no longer needed, and release the connection of its response."""
-    if not task.done():
+    """Cancel an attempt that is no longer needed, and release the connection of its response.
+
+    This does not wait, since the caller may leave meanwhile and the chosen response would be lost.
+    """
+
+    def release(ended: asyncio.Task[Result[BufferedResponse, AttemptFailure]]) -> None:
+        if ended.cancelled() or ended.exception() is not None or ended.result() is chosen:
+            return
+        if ended.result().is_ok():
+            ended.result().unwrap().exchange.finish()
+
+    if task.done():
+        release(task)
+    else:
         task.cancel()
-        await asyncio.wait([task])
-    if task.cancelled() or task.exception() is not None or task.result() is chosen:
-        return
-    if task.result().is_ok():
-        task.result().unwrap().exchange.finish()
+        task.add_done_callback(release)
 
 
 __all__ = ["PlainForwarder"]
--- a/src/leadhollow/forward/response_relay.py
+++ b/src/leadhollow/forward/response_relay.py
@@ -36,6 +36,15 @@
     BACKEND_LOST
         The response ended early; what the caller got must not look complete.
     """
+    try:
+        return await _relay(call, exchange, buffered=buffered, complete=complete)
+    finally:
+        exchange.abort()  # unless it has finished: the caller left, or its time is over
+
+
+async def _relay(
+    call: ForwardedCall, exchange: Exchange, *, buffered: bytes, complete: bool
+) -> Result[None, Failure]:
     head = exchange.response.head
     fields = relayed_headers(exchange)
     length = len(buffered) if complete else head.content_length
@@ -44,7 +53,6 @@
     while not complete:
         read = await exchange.read()
         if read.is_err():
-            exchange.abort()
             return Err(read.unwrap_err())
         call.last_contact_s = clocks.steady_s()
         data = read.unwrap()
