Bound what a peer may send before its handshake

Operators saw a control process grow without bound: its port for peers took a frame of 20 MiB from anybody. Cause: the bound of a frame held for the first one too, which comes before the peer has proved who it is, and any number of connections could wait 5 s for their handshake. Change: the frame of a handshake has 64 KiB at most. WireServer takes a bound on connections without one; the oldest is closed for a new one, since a real peer greets within milliseconds. Conclusion: only a proven peer may send large frames.

--- a/src/leadhollow/wire/connection.py
+++ b/src/leadhollow/wire/connection.py
@@ -20,6 +20,7 @@
 from leadhollow.wire.streams import CallStream, StreamSink
 
 READ_BYTES = 256 * 1024
+MAX_HANDSHAKE_BYTES = 64 * 1024  # of a frame from a peer that has not proved who it is
 _FINAL_KINDS = (FrameKind.RESPONSE, FrameKind.END, FrameKind.ERROR)
 _SERVED_KINDS = (FrameKind.RESPONSE, FrameKind.ITEM, FrameKind.END)  # sent by handlers
 
@@ -252,7 +253,7 @@
         """Read the single frame of a handshake; None if the connection ended."""
         try:
             (size,) = LENGTH.unpack(await self._reader.readexactly(LENGTH.size))
-            if size > MAX_FRAME_BYTES:
+            if size > MAX_HANDSHAKE_BYTES:
                 return Err(Failure(code=Code.FRAME_TOO_LARGE, detail=f"{size} bytes"))
             data = await self._reader.readexactly(size)
         except (OSError, asyncio.IncompleteReadError):
--- a/src/leadhollow/wire/server.py
+++ b/src/leadhollow/wire/server.py
@@ -11,6 +11,7 @@
 from leadhollow.failure import Failure
 from leadhollow.kernel.active_time import active_timeout
 from leadhollow.observe.logs import get_logger
+from leadhollow.observe.repeated_line import RepeatedLine
 from leadhollow.settings.address import Address
 from leadhollow.wire.codec import Frame
 from leadhollow.wire.connection import Connection
@@ -25,12 +26,42 @@
 
 
 class WireServer:
-    """Accepts connections, checks the handshake and serves calls."""
-
-    __slots__ = ("_connections", "_handlers", "_server", "_stopped", "_tasks", "_token", "address")
-
-    def __init__(self, *, address: Address, token: str, handlers: HandlerTable) -> None:
+    """Accepts connections, checks the handshake and serves calls.
+
+    Parameters
+    ----------
+    max_unproven
+        Largest number of connections whose peer has not proved who it is; a further one ends the
+        oldest of them. None without a bound.
+    """
+
+    __slots__ = (
+        "_connections",
+        "_ended_unproven",
+        "_handlers",
+        "_max_unproven",
+        "_server",
+        "_stopped",
+        "_tasks",
+        "_token",
+        "_unproven",
+        "address",
+    )
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        token: str,
+        handlers: HandlerTable,
+        max_unproven: int | None = None,
+    ) -> None:
         self.address = address
+        self._max_unproven = max_unproven
+        self._unproven: dict[Connection, None] = {}  # in the order of their start
+        self._ended_unproven = RepeatedLine(
+            log=log, message="connections closed: too many without a handshake"
+        )
         self._token = token
         self._handlers = handlers
         self._server: asyncio.Server | None = None
@@ -77,7 +108,7 @@
             return
         self._connections.add(connection)
         try:
-            accepted = await self._handshake(connection)
+            accepted = await self._handshake_in_turn(connection)
             if accepted.is_err():
                 failure = accepted.unwrap_err()
                 log.warning("handshake rejected", peer=connection.peer_name, failure=str(failure))
@@ -87,6 +118,18 @@
         finally:
             self._connections.discard(connection)
 
+    async def _handshake_in_turn(self, connection: Connection) -> Result[None, Failure]:
+        if self._max_unproven is not None and len(self._unproven) >= self._max_unproven:
+            oldest = next(iter(self._unproven))
+            del self._unproven[oldest]
+            oldest.close()
+            self._ended_unproven.log(limit=self._max_unproven)
+        self._unproven[connection] = None
+        try:
+            return await self._handshake(connection)
+        finally:
+            self._unproven.pop(connection, None)
+
     async def _handshake(self, connection: Connection) -> Result[None, Failure]:
         try:
             async with active_timeout(HANDSHAKE_TIMEOUT_S):
