Join small pieces of bodies

Callers saw an ordinary request take seconds, and in a trial an entry without memory: a body in chunks of two bytes cost some fifty bytes a byte. Bounds counted payload, not memory. Cause: each chunk became a bytes object in a deque, and again in the list of what was collected. Change: Pieces joins pieces under 4 KiB; bodies, the collected beginning and the kept beginning of a response use it, so that a bound in bytes is one in memory. Each can say what it holds (held_bytes), and an exchange that is given up drops what it received at once instead of at the next collection of garbage. Conclusion: memory is bounded by bytes only where a byte costs a byte.

--- a/src/leadhollow/forward/buffered_response.py
+++ b/src/leadhollow/forward/buffered_response.py
@@ -48,18 +48,16 @@
     PEER_LOST
         The connection broke before the end of the body.
     """
-    parts: list[bytes] = []
-    size = 0
-    while size <= MAX_BUFFERED_BYTES:
+    pieces = exchange.kept
+    while pieces.size_bytes <= MAX_BUFFERED_BYTES:
         read = await exchange.read()
         if read.is_err():
             return Err(read.unwrap_err())
-        data = read.unwrap()
-        if not data:
-            return Ok(BufferedResponse(exchange=exchange, data=b"".join(parts), complete=True))
-        parts.append(data)
-        size += len(data)
-    return Ok(BufferedResponse(exchange=exchange, data=b"".join(parts), complete=False))
+        piece = read.unwrap()
+        if not piece:
+            return Ok(BufferedResponse(exchange=exchange, data=pieces.merge(), complete=True))
+        pieces.append(piece)
+    return Ok(BufferedResponse(exchange=exchange, data=pieces.merge(), complete=False))
 
 
 async def first_successful(
--- a/src/leadhollow/forward/exchange.py
+++ b/src/leadhollow/forward/exchange.py
@@ -19,6 +19,7 @@
 from leadhollow.forward.request_body import RequestBody
 from leadhollow.http1.client_connection import ClientConnection, IncomingResponse
 from leadhollow.http1.messages import Framing, RequestHead
+from leadhollow.http1.pieces import Pieces
 from leadhollow.kernel import active_time, clocks
 from leadhollow.observe.logs import get_logger
 
@@ -99,6 +100,11 @@
         """Return the next bytes of the response's body; ``b""`` at its end."""
         return await self.response.body.read()
 
+    @property
+    def kept(self) -> Pieces:
+        """Beginning of the response that is kept before any of it is relayed."""
+        return self._connection.kept
+
     def finish(self) -> None:
         """Return the connection to the pool if request and response are complete, else close it."""
         if self.closed:
@@ -119,7 +125,7 @@
     def _stop(self) -> None:
         if self._sender is not None:
             self._sender.cancel()
-        self._connection.close()
+        self._connection.abandon()
 
 
 class ResponseListener(Protocol):
@@ -218,6 +224,7 @@
                 headers.add(name, value)
             sent_head = RequestHead(method=head.method, target=head.target, headers=headers)
             connection.begin_request(sent_head.encode(), method=head.method)
+            body.add_connection(connection)
             if body.complete:
                 await outgoing.send(connection)
             else:
@@ -243,7 +250,8 @@
                 if sender is not None:
                     sender.cancel()
                 self._check_silence(address, connection, sent_s)
-                connection.close()
+                connection.abandon()
+                body.remove_connection(connection)
 
     def _check_silence(self, address: str, connection: ClientConnection, sent_s: float) -> None:
         """Close the idle connections to a server if it was silent on a reused connection."""
--- a/src/leadhollow/forward/request_body.py
+++ b/src/leadhollow/forward/request_body.py
@@ -14,9 +14,11 @@
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.client_connection import ClientConnection
 from leadhollow.http1.messages import LAST_CHUNK, Framing, RequestHead, encode_chunk
+from leadhollow.http1.pieces import Pieces
 from leadhollow.kernel.active_time import active_timeout, deadline_at
 
 MAX_BUFFERED_BYTES = 256 * 1024  # a longer body is sent while it arrives
+PIECE_BYTES = 64  # memory of a kept piece beside its bytes
 
 
 class RequestBody:
@@ -40,6 +42,8 @@
 
     __slots__ = (
         "_beginning",
+        "_collected",
+        "_connections",
         "_current",
         "_ended",
         "_framing",
@@ -69,6 +73,8 @@
         declared = head.headers.get(b"content-length")
         self._length = int(declared) if declared is not None and declared.isdigit() else None
         self._beginning = b""
+        self._collected = Pieces()  # of the beginning, until it is complete
+        self._connections: list[ClientConnection] = []
         self._rest: list[bytes] = []
         self._reserved_bytes = 0
         self._received = 0
@@ -87,6 +93,30 @@
         """Buffered beginning of the body; all of it if it is short."""
         return self._beginning
 
+    def held_bytes(self) -> int:
+        """Return the memory that the body takes here and on its connections to servers."""
+        sending = sum(connection.held_bytes() for connection in self._connections)
+        beginning = len(self._beginning) + self._collected.size_bytes
+        return beginning + self._reserved_bytes + sending
+
+    def free(self) -> None:
+        """Drop what is held and close the connections to servers."""
+        for connection in self._connections:
+            connection.abandon()
+        self.release()
+        self._beginning = b""
+        self._collected.clear()
+        self.replayable = False
+
+    def add_connection(self, connection: ClientConnection) -> None:
+        """Count what a connection holds on which the request is sent."""
+        self._connections.append(connection)
+
+    def remove_connection(self, connection: ClientConnection) -> None:
+        """Stop counting a connection that no longer serves this request."""
+        if connection in self._connections:
+            self._connections.remove(connection)
+
     @property
     def length(self) -> int | None:
         """Length in bytes; None if it is not known before the end."""
@@ -123,7 +153,6 @@
             return Err(Failure(code=Code.BODY_TIMEOUT, detail=detail))
 
     async def _collect(self, idle_s: float) -> Result[None, Failure]:
-        parts = []
         while self._received <= MAX_BUFFERED_BYTES:
             if self._incoming.readable:
                 read = await self._next()
@@ -135,8 +164,9 @@
             data = read.unwrap()
             if not data:
                 break
-            parts.append(data)
-        self._beginning = b"".join(parts)
+            self._collected.append(data)
+        self._beginning = self._collected.merge()
+        self._collected.clear()
         return Ok(None)
 
     def outgoing(self) -> OutgoingBody:
@@ -183,13 +213,15 @@
         self._retention.release(self._reserved_bytes)
         self._reserved_bytes = 0
         self._rest = []
+        self._connections = []
         self._current = None
 
     def _keep(self, data: bytes) -> None:
         if self._current is None:
             return  # released
-        if self.replayable and self._retention.try_reserve(len(data)):
-            self._reserved_bytes += len(data)
+        size_bytes = len(data) + PIECE_BYTES
+        if self.replayable and self._retention.try_reserve(size_bytes):
+            self._reserved_bytes += size_bytes
             self._rest.append(data)
             return
         self.replayable = False
--- a/src/leadhollow/http1/body.py
+++ b/src/leadhollow/http1/body.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.http1.pieces import Pieces
 from leadhollow.http1.wakeup import Wakeup
 
 PAUSE_ABOVE_BYTES = 256 * 1024  # reading from the socket pauses above this many unread bytes
@@ -27,42 +27,48 @@
     ----------
     complete
         Whether the whole body was received.
-    buffered_bytes
-        Bytes that were received and not read yet.
     """
 
     __slots__ = (
+        "_collected",
         "_failure",
         "_pause",
         "_paused",
         "_pieces",
         "_resume",
         "_wakeup",
-        "buffered_bytes",
         "complete",
     )
 
     def __init__(self, *, pause: Callable[[], None], resume: Callable[[], None]) -> None:
-        self._pieces: deque[bytes] = deque()
+        self._pieces = Pieces()
+        self._collected = Pieces()  # of a body that is being read as a whole
         self._pause = pause
         self._resume = resume
         self._paused = False
         self._failure: Failure | None = None
         self._wakeup = Wakeup()
         self.complete = False
-        self.buffered_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Append bytes that the connection received."""
         if self.complete or self._failure is not None:
             return
         self._pieces.append(data)
-        self.buffered_bytes += len(data)
         if self.buffered_bytes > PAUSE_ABOVE_BYTES and not self._paused:
             self._paused = True
             self._pause()
         self._wakeup.wake()
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes that were received and not read yet."""
+        return self._pieces.size_bytes
+
+    def held_bytes(self) -> int:
+        """Return the memory that received bytes take until their reader is done with them."""
+        return self._pieces.size_bytes + self._collected.size_bytes
+
     def finish(self) -> None:
         """Mark the body as complete."""
         if self._failure is None:
@@ -99,8 +105,7 @@
             if self.complete:
                 return Ok(b"")
             await self._wakeup.wait()
-        data = self._pieces.popleft()
-        self.buffered_bytes -= len(data)
+        data = self._pieces.pop()
         if self._paused and self.buffered_bytes < RESUME_BELOW_BYTES:
             self._paused = False
             self._resume()
@@ -114,31 +119,38 @@
         BODY_TOO_LARGE
             The body is larger than the limit.
         """
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            read = await self.read()
-            if read.is_err():
-                return read
-            data = read.unwrap()
-            if not data:
-                return Ok(b"".join(parts))
-            parts.append(data)
-            size += len(data)
-            if size > limit_bytes:
-                detail = f"more than {limit_bytes} bytes"
-                return Err(Failure(code=Code.BODY_TOO_LARGE, detail=detail))
-
-    def discard(self) -> None:
+        collected = self._collected
+        try:
+            while True:
+                read = await self.read()
+                if read.is_err():
+                    return read
+                data = read.unwrap()
+                if not data:
+                    return Ok(collected.merge())
+                collected.append(data)
+                if collected.size_bytes > limit_bytes:
+                    detail = f"more than {limit_bytes} bytes"
+                    return Err(Failure(code=Code.BODY_TOO_LARGE, detail=detail))
+        finally:
+            collected.clear()
+
+    def discard(self, failure: Failure | None = None) -> None:
         """Drop the unread bytes and all that follow, and resume reading from the socket.
 
         Whoever ends an exchange calls this, since its reader may be gone. If bytes are missing
         then, a later read fails, so that no reader takes what it got for the whole body.
+
+        Parameters
+        ----------
+        failure
+            What a later read returns if bytes are missing.
         """
         if self._pieces or not self.complete:
-            self._failure = self._failure or Failure(code=Code.INTERNAL, detail="body discarded")
+            discarded = failure or Failure(code=Code.INTERNAL, detail="body discarded")
+            self._failure = self._failure or discarded
         self._pieces.clear()
-        self.buffered_bytes = 0
+        self._collected.clear()
         if self._paused:
             self._paused = False
             self._resume()
--- a/src/leadhollow/http1/client_connection.py
+++ b/src/leadhollow/http1/client_connection.py
@@ -14,12 +14,13 @@
 import socket
 import struct
 from collections import deque
-from typing import cast
+from typing import Protocol, cast
 
 from result import Err, Ok, Result
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.http1.pieces import Pieces
 from leadhollow.http1.response_parser import IncomingResponse, ResponseParser
 from leadhollow.http1.wakeup import Wakeup
 from leadhollow.kernel import clocks
@@ -41,9 +42,30 @@
 _serials = itertools.count(1)
 
 
+class ConnectionListener(Protocol):
+    """Is told what a connection does."""
+
+    def record_open(self) -> None:
+        """Record that a connection was made."""
+        ...
+
+    def record_received(self, size_bytes: int) -> None:
+        """Record that bytes were received."""
+        ...
+
+    def record_end(self) -> None:
+        """Record that a connection has ended."""
+        ...
+
+
 class ClientConnection(asyncio.Protocol):
     """Connection to a backend server.
 
+    Parameters
+    ----------
+    listener
+        Is told of the connection's begin and end, and of what it receives.
+
     Attributes
     ----------
     serial
@@ -52,10 +74,13 @@
         Number of requests that were sent.
     idle_since_s
         Time of `clocks.elapsed_s` at which the last exchange ended.
+    kept
+        Beginning of the response that its reader keeps before it relays any of it.
     """
 
     __slots__ = (
         "_failure",
+        "_listener",
         "_open",
         "_outstanding",
         "_parser",
@@ -66,10 +91,13 @@
         "_writable",
         "exchange_count",
         "idle_since_s",
+        "kept",
         "serial",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, *, listener: ConnectionListener | None = None) -> None:
+        self._listener = listener
+        self.kept = Pieces()
         self.serial = next(_serials)
         self._parser = ResponseParser(
             on_response=self._on_response, pause=self._pause_reading, resume=self._resume_reading
@@ -108,6 +136,8 @@
         """Store the transport and set the TCP user timeout, which detects a dead peer."""
         socket_transport = cast("asyncio.Transport", transport)  # uvloop's does not subclass it
         self._transport = socket_transport
+        if self._listener is not None:
+            self._listener.record_open()
         sock = socket_transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS)
@@ -124,6 +154,8 @@
             self.close()
             return
         refused = self._parser.feed(data)
+        if self._listener is not None:
+            self._listener.record_received(len(data))
         if refused is not None:
             log.warning(
                 "response refused",
@@ -154,6 +186,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the response in progress, after a reset or the end of the stream."""
         self._open = False
+        if self._listener is not None:
+            self._listener.record_end()
         detail = "the connection was closed" if exc is None else f"the connection broke: {exc}"
         self._fail(Failure(code=Code.BACKEND_LOST, detail=detail))
 
@@ -207,6 +241,7 @@
         bytes of another response, the connection is closed.
         """
         self._outstanding = False
+        self.kept.clear()
         self.idle_since_s = clocks.elapsed_s()
         if self._response is not None:
             self._response.body.discard()
@@ -221,6 +256,15 @@
             )
             self.close()
 
+    def held_bytes(self) -> int:
+        """Return the memory that request and response take on this connection."""
+        held = self.kept.size_bytes
+        if self._transport is not None:
+            held += self._transport.get_write_buffer_size()
+        if self._response is not None:
+            held += self._response.body.held_bytes()
+        return held + sum(response.body.held_bytes() for response in self._responses)
+
     def retire(self) -> None:
         """Carry no further request, because bytes of another response may come."""
         self._open = False
@@ -249,6 +293,15 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self._transport.abort()
 
+    def abandon(self) -> None:
+        """Close the connection and drop what was received and not read."""
+        self.close()
+        self.kept.clear()
+        self._responses.clear()
+        if self._response is not None:
+            self._response.body.discard()
+            self._response = None
+
     def _on_response(self, response: IncomingResponse) -> None:
         self._responses.append(response)
         self._wakeup.wake()
@@ -278,10 +331,15 @@
 
 
 async def open_connection(
-    address: Address, *, timeout_s: float
+    address: Address, *, timeout_s: float, listener: ConnectionListener | None = None
 ) -> Result[ClientConnection, Failure]:
     """Connect to a backend server.
 
+    Parameters
+    ----------
+    listener
+        Is told what the connection does.
+
     Errors
     ------
     PEER_ABSENT
@@ -295,7 +353,7 @@
     try:
         async with active_timeout(timeout_s):
             _, connection = await loop.create_connection(
-                ClientConnection, address.host, address.port
+                lambda: ClientConnection(listener=listener), address.host, address.port
             )
     except TimeoutError:
         return Err(Failure(code=Code.PEER_TIMEOUT, detail=f"{address}: no connection in time"))
@@ -306,4 +364,4 @@
     return Ok(connection)
 
 
-__all__ = ["ClientConnection", "IncomingResponse", "open_connection"]
+__all__ = ["ClientConnection", "ConnectionListener", "IncomingResponse", "open_connection"]
--- a/tests/forward/stream_world.py
+++ b/tests/forward/stream_world.py
@@ -22,6 +22,7 @@
 from leadhollow.forward.stream_forwarder import _StreamCall
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import Framing
+from leadhollow.http1.pieces import Pieces
 
 BROKEN = Failure(code=Code.BACKEND_LOST)
 
@@ -75,6 +76,7 @@
             headers=Headers(),
         )
         self.response = SimpleNamespace(head=head)
+        self.kept = Pieces()
         self._parts: asyncio.Queue[bytes | None] = asyncio.Queue()
 
     def write(self, data: bytes | None) -> None:
