Bound a head while it is parsed, and empty lines before it

Callers saw an ordinary request take 3 s beside callers that sent empty lines without end; a head without end in short fields made an entry hold several MB a connection. Cause: the bound of a head was checked after a whole read of up to 256 KiB had been parsed into fields, each of which costs far more than its bytes; empty lines before a request are no head, so nothing bounded them. Change: no more is parsed at a time than a head may have, a refused head is dropped at once, and bytes without a head count like those of one. The lines for refusals are at most one a second with their count. Conclusion: a bound has to be checked before the cost arises.

--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -22,11 +22,14 @@
 from leadhollow.kernel import active_time
 from leadhollow.kernel.active_time import ActiveClock, ActiveTimer
 from leadhollow.observe.logs import get_logger
+from leadhollow.observe.repeated_line import RepeatedLine
 
 LINGER_S = 1.0  # time to read an early response; closing with unread input resets the connection
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 log = get_logger("http")
+_malformed = RepeatedLine(log=log, message="malformed request")
+_refused = RepeatedLine(log=log, message="request refused")
 
 
 class ServerConnection(asyncio.Protocol):
@@ -121,7 +124,22 @@
         self._schedule_idle_check(self._idle_s())
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes and enforce the limits of the head."""
+        """Parse received bytes, no more at a time than a head may have, and enforce the limits."""
+        head_bytes = self._limits().header_bytes + 1
+        if len(data) <= head_bytes:
+            self._parse(data)
+        else:
+            rest = memoryview(data)
+            while rest:
+                step_bytes = head_bytes if self._current is None else len(rest)
+                self._parse(rest[:step_bytes])
+                rest = rest[step_bytes:]
+        if self._in_head and self._header_timer is None:
+            self._header_timer = ActiveTimer(
+                delay_s=self._limits().header_timeout_ms / 1000, callback=self._on_header_timeout
+            )
+
+    def _parse(self, data: bytes | memoryview) -> None:
         if self._error_status is not None:
             return
         if self._in_head or self._current is None:
@@ -133,15 +151,12 @@
         except httptools.HttpParserUpgrade:
             self._reject(HTTPStatus.BAD_REQUEST)  # upgrades are not supported
         except httptools.HttpParserError as error:
-            log.warning("malformed request", error=str(error))
+            _malformed.log(error=str(error))
             self._reject(HTTPStatus.BAD_REQUEST)
-        if self._in_head and self._head_bytes > self._limits().header_bytes:
+        awaits_head = self._in_head or (self._current is None and not self._progressed)
+        if awaits_head and self._head_bytes > self._limits().header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         self._check_rest(len(data))
-        if self._in_head and self._header_timer is None:
-            self._header_timer = ActiveTimer(
-                delay_s=self._limits().header_timeout_ms / 1000, callback=self._on_header_timeout
-            )
 
     def _check_rest(self, count: int) -> None:
         """Refuse trailers and extensions of chunks that exceed the limit of a head."""
@@ -150,7 +165,7 @@
         else:
             self._rest_bytes += count
             if self._rest_bytes > self._limits().header_bytes:
-                log.warning("request refused", reason="trailers or chunk extensions too long")
+                _refused.log(reason="trailers or chunk extensions too long")
                 self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def eof_received(self) -> bool:
@@ -198,7 +213,7 @@
         if self._error_status is not None:
             return
         if len(self._requests) > MAX_PIPELINED_REQUESTS:
-            log.warning("request refused", reason="too many wait on its connection")
+            _refused.log(reason="too many wait on its connection")
             self._reject(HTTPStatus.TOO_MANY_REQUESTS)
             return
         limit_bytes = self._limits().header_bytes
@@ -209,7 +224,7 @@
         self._head_bytes = 0
         self._progressed = True
         if is_joined(self._headers):
-            log.warning("request refused", reason="its head holds another one")
+            _refused.log(reason="its head holds another one")
             self._reject(HTTPStatus.BAD_REQUEST)
             return
         head = RequestHead(
@@ -225,6 +240,7 @@
         request.keep_alive = self._parser.should_keep_alive()
         self._current = request
         self._requests.append(request)
+        self._headers = Headers()
         if b"100-continue" in head.headers.tokens(b"expect") and self._transport is not None:
             self._transport.write(CONTINUE)
         self._wake.set()
@@ -350,6 +366,7 @@
             self._error_status = status
         if self._current is not None:
             self._current.body.fail(Failure(code=Code.REQUEST_MALFORMED))
+        self._headers = Headers()
         self._wake.set()
 
     def _on_header_timeout(self) -> None:
--- a/tests/http1/test_odd_requests.py
+++ b/tests/http1/test_odd_requests.py
@@ -101,6 +101,18 @@
         assert (await status_and_rest(caller))[0] == b"200"
 
 
+class TestEmptyLines:
+    # Guards against: empty lines without end keep an entry busy for ever.
+    async def test_without_end_are_refused(self, caller, handler):
+        sent = await send_without_end(caller, b"\r\n" * 2_000)
+        assert sent < ENOUGH_BYTES
+        assert handler.targets == []
+
+    async def test_before_a_request_are_skipped(self, caller):
+        await caller.send(b"\r\n" * 20 + b"GET /1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        assert (await status_and_rest(caller))[0] == b"200"
+
+
 class TestPipelinedRequests:
     # Guards against: requests behind one that waits fill an entry's memory.
     async def test_have_a_bound(self, caller, handler):
