Read no more of a refused body than a body may have

Callers saw an entry busy with bodies far over the limit: of one that was refused with 413, announced as 1 TB, the rest was read and dropped for the idle time (15 s), however much came. Cause: drain_body had a bound in time only. Change: one in bytes too, the limit of bodies; then the connection closes. No caller within the limits meets it, since what is left of a legal body is less. Conclusion: dropping costs as much time as serving, so it needs the same bound.

--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -350,7 +350,11 @@
             return reply.close_after
         linger_s = LINGER_S if reply.close_after else self._idle_s()
         drained = await drain_body(
-            request.body, limit_s=linger_s, stop_limit_s=LINGER_S, is_stopping=self._is_closing
+            request.body,
+            limit_s=linger_s,
+            stop_limit_s=LINGER_S,
+            limit_bytes=self._limits().body_bytes,
+            is_stopping=self._is_closing,
         )
         return reply.close_after or not drained
 
