Account for the memory that callers make a process hold, and bound it

Callers saw resets and, in a trial, an entry that ended for want of memory: bodies that stop just short of their end, heads in many fields, requests behind one another, responses that are asked for and not read. Cause: each buffer had a bound of its own, and nothing bounded their sum over all connections. Change: one account a process (overload/memory.py), a fifth of the VM's memory. It asks each connection what it holds after each sixteenth of the bound that was received, so there is nothing to reserve, release or forget. Over the bound, decide/shedding.py chooses by memory times the time for which it has not moved: a body that is still received is refused with 503 (code 415), true since nothing was sent on; all else is closed, which promises nothing. A request that was sent on and whose body is then refused gets 502. What is given up is freed at once, not with its task: tracebacks and parsers kept it until a collection of garbage. Listeners of callers, operators and readiness share the account. Conclusion: one sum, asked for instead of kept, and one place that decides.

--- a/src/leadhollow/codes.py
+++ b/src/leadhollow/codes.py
@@ -105,6 +105,11 @@
     IDEMPOTENCY_KEY_INVALID = (409, 400, "The idempotency key is empty or too long.")
     DEADLINE_INVALID = (410, 400, "The deadline header is not a positive number.")
 
+    CALLERS_OVERLOAD = (
+        415,
+        503,
+        "Callers together hold too much memory at this VM; the request was not run.",
+    )
     BODY_TIMEOUT = (414, 408, "The request body did not arrive in time; nothing was run.")
 
     FINGERPRINT_UNKNOWN = (412, 404, "No request of this fingerprint is in quarantine.")
--- a/src/leadhollow/control/control_listener.py
+++ b/src/leadhollow/control/control_listener.py
@@ -26,6 +26,7 @@
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.server import HttpServer
 from leadhollow.observe.logs import get_logger
+from leadhollow.overload.memory import CallerMemory
 from leadhollow.settings.address import Address
 from leadhollow.state.commands import Command, NameVersion
 from leadhollow.state.gateway import LeaderGateway
@@ -63,6 +64,8 @@
         registry: Registry,
         evacuations: EvacuationOrders,
         departures: Departures,
+        memory: CallerMemory | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self._departures = departures
         self._evacuations = evacuations
@@ -71,7 +74,13 @@
         self._gateway = gateway
         self._registry = registry
         limits = HttpLimits(body_bytes=MAX_BODY_BYTES, header_timeout_ms=10_000)
-        self._server = HttpServer(address=address, handler=self._handle, limits=lambda: limits)
+        self._server = HttpServer(
+            address=address,
+            handler=self._handle,
+            limits=lambda: limits,
+            memory=memory,
+            max_connections=max_connections,
+        )
 
     async def start(self) -> Result[None, Failure]:
         """Open the listener."""
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -28,6 +28,7 @@
 from leadhollow.http1.server import HttpServer
 from leadhollow.kernel.task_service import TaskService
 from leadhollow.observe.logs import get_logger
+from leadhollow.overload.memory import CallerMemory
 from leadhollow.routing.index import RouteIndex
 from leadhollow.routing.model import Organisation, Route
 from leadhollow.settings.address import Address
@@ -47,6 +48,10 @@
     ----------
     has_table
         Returns whether requests may be checked against the route table.
+    memory
+        Account of what callers make the process hold.
+    max_connections
+        Largest number of connections of callers.
     stop_grace_s
         Time from the stop signal until the process is killed.
     seed
@@ -83,6 +88,8 @@
         streams: StreamForwarder,
         suspects: SuspectSync,
         responder: FailureResponder,
+        memory: CallerMemory | None = None,
+        max_connections: int | None = None,
         stop_grace_s: float,
         seed: int,
     ) -> None:
@@ -97,7 +104,13 @@
         self._stop_grace_s = stop_grace_s
         self._retention = BodyRetention()
         self._random = random.Random(seed)
-        self._server = HttpServer(address=address, handler=self._handle, limits=self._limits)
+        self._server = HttpServer(
+            address=address,
+            handler=self._handle,
+            limits=self._limits,
+            memory=memory,
+            max_connections=max_connections,
+        )
         self.stopping = False
         self._closed = False
         self._closing_connections = False
@@ -199,6 +212,7 @@
             limit_bytes=self._routes.limits.body_bytes,
             retention=self._retention,
         )
+        request.uses.append(body)
         collected = await body.collect(
             deadline_s=call_deadline_s(route, metadata, request.received_s),
             idle_s=self._routes.limits.idle_timeout_ms / 1000,
@@ -248,13 +262,19 @@
         )
         retry_after_s: float | None = None
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
-            refusal = RefusalReason.STOPPING if self._closed else RefusalReason.NOT_READY
-            retry_after_s = refusal.retry_after_s(self._random)
-        if failure.code is Code.BODY_TIMEOUT:
+            retry_after_s = self._refusal_reason(failure).retry_after_s(self._random)
+        if failure.code in (Code.BODY_TIMEOUT, Code.CALLERS_OVERLOAD):
             reply.close_after = True  # nobody knows whether the rest will ever come
         headers = self._dialect.error_headers(failure, retry_after_s)
         body = f"{int(failure.code)} {failure.code.title}\n".encode()
         await reply.send(status, headers, body)
 
+    def _refusal_reason(self, failure: Failure) -> RefusalReason:
+        if self._closed:
+            return RefusalReason.STOPPING
+        if failure.code is Code.CALLERS_OVERLOAD:
+            return RefusalReason.OVERLOADED
+        return RefusalReason.NOT_READY
+
 
 __all__ = ["CallerListener"]
--- a/src/leadhollow/forward/failure_response.py
+++ b/src/leadhollow/forward/failure_response.py
@@ -71,11 +71,11 @@
 
         Where the caller's own body was the reason, the response says so.
         """
-        if call.body.failure is None:
-            await self._send(call, UNKNOWN_STATUS, failure, None)
-        else:
-            invalid = call.body.failure
-            await self._send(call, invalid.code.http_status, invalid, None)
+        failure = call.body.failure or failure
+        status = failure.code.http_status if call.body.failure else UNKNOWN_STATUS
+        if status in NOT_RUN_STATUSES:
+            status = UNKNOWN_STATUS
+        await self._send(call, status, failure, None)
 
     def may_relay(self, call: ForwardedCall, exchange: Exchange) -> bool:
         """Tell whether a response may be relayed, or if its status promises what is not known.
--- a/src/leadhollow/forward/pool.py
+++ b/src/leadhollow/forward/pool.py
@@ -10,6 +10,7 @@
 from leadhollow.http1.client_connection import ClientConnection, open_connection
 from leadhollow.kernel import clocks
 from leadhollow.kernel.task_service import TaskService
+from leadhollow.overload.memory import CallerMemory
 from leadhollow.settings.address import Address
 
 CONNECT_TIMEOUT_S = 0.3  # ten times the highest latency between failure domains
@@ -20,11 +21,29 @@
 
 
 class ConnectionPool(TaskService):
-    """Idle connections by address; only those that are usable and recently used are reused."""
-
-    __slots__ = ("_idle", "opened", "reused")
-
-    def __init__(self) -> None:
+    """Idle connections by address; only those that are usable and recently used are reused.
+
+    Parameters
+    ----------
+    memory
+        Account to which received bytes are reported; by default one of this pool alone.
+    max_connections
+        Number of open connections above which none is kept idle; None without a bound.
+
+    Attributes
+    ----------
+    open_count
+        Number of open connections, idle or in use.
+    """
+
+    __slots__ = ("_idle", "_max_connections", "_memory", "open_count", "opened", "reused")
+
+    def __init__(
+        self, *, memory: CallerMemory | None = None, max_connections: int | None = None
+    ) -> None:
+        self._memory = memory or CallerMemory()
+        self._max_connections = max_connections
+        self.open_count = 0
         self._idle: dict[str, list[ClientConnection]] = {}
         self.opened = 0
         self.reused = 0
@@ -57,7 +76,9 @@
         if parsed.is_err():
             return Err(parsed.unwrap_err())
         self.opened += 1
-        return await open_connection(parsed.unwrap(), timeout_s=timeout_s)
+        if self._is_full():
+            self._close_oldest_idle()
+        return await open_connection(parsed.unwrap(), timeout_s=timeout_s, listener=self)
 
     async def preconnect(self, address: str, *, timeout_s: float = CONNECT_TIMEOUT_S) -> bool:
         """Open a connection for the next request; return whether that succeeded."""
@@ -70,7 +91,7 @@
         """Return a connection to the pool after a complete exchange."""
         connection.end_exchange()
         idle = self._idle.setdefault(address, [])
-        if connection.usable and len(idle) < MAX_IDLE_CONNECTIONS:
+        if connection.usable and len(idle) < MAX_IDLE_CONNECTIONS and not self._is_full():
             idle.append(connection)
         else:
             connection.close()
@@ -99,6 +120,32 @@
                 else:
                     del self._idle[address]
 
+    def record_open(self) -> None:
+        """Count a connection that was made."""
+        self.open_count += 1
+
+    def record_received(self, size_bytes: int) -> None:
+        """Report bytes that a server sent."""
+        self._memory.record_received(size_bytes)
+
+    def record_end(self) -> None:
+        """Stop counting a connection that has ended."""
+        self.open_count -= 1
+
+    def _is_full(self) -> bool:
+        return self._max_connections is not None and self.open_count >= self._max_connections
+
+    def _close_oldest_idle(self) -> None:
+        """Close the connection that has been idle for longest, if there is one."""
+        idle = [idle[0] for idle in self._idle.values() if idle]
+        if not idle:
+            return
+        oldest = min(idle, key=lambda connection: connection.idle_since_s)
+        for connections in self._idle.values():
+            if connections and connections[0] is oldest:
+                del connections[0]
+        oldest.close()
+
     def _take_idle(self, address: str) -> ClientConnection | None:
         idle = self._idle.get(address, [])
         while idle:
--- a/src/leadhollow/forward/readiness.py
+++ b/src/leadhollow/forward/readiness.py
@@ -13,6 +13,7 @@
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.server import HttpServer
 from leadhollow.observe.logs import get_logger
+from leadhollow.overload.memory import CallerMemory
 from leadhollow.settings.address import Address
 
 log = get_logger("readiness")
@@ -25,14 +26,30 @@
     ----------
     reason
         Returns why the entry is not ready; empty while it is ready.
+    memory
+        Account of what callers make the process hold.
+    max_connections
+        Largest number of connections.
     """
 
     __slots__ = ("_last", "_reason", "_server")
 
-    def __init__(self, *, address: Address, reason: Callable[[], str]) -> None:
+    def __init__(
+        self,
+        *,
+        address: Address,
+        reason: Callable[[], str],
+        memory: CallerMemory | None = None,
+        max_connections: int | None = None,
+    ) -> None:
         self._reason = reason
         self._last: str | None = None
-        self._server = HttpServer(address=address, handler=self._handle)
+        self._server = HttpServer(
+            address=address,
+            handler=self._handle,
+            memory=memory,
+            max_connections=max_connections,
+        )
 
     async def start(self) -> Result[None, Failure]:
         """Open the listener."""
--- a/src/leadhollow/http1/incoming_request.py
+++ b/src/leadhollow/http1/incoming_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.messages import RequestHead
@@ -40,6 +41,18 @@
         self.idle_timeout_ms = idle_timeout_ms
 
 
+class MemoryUse(Protocol):
+    """Something that takes memory on behalf of a request."""
+
+    def held_bytes(self) -> int:
+        """Return the memory that it takes."""
+        ...
+
+    def free(self) -> None:
+        """Drop what it holds at once; the request has been given up."""
+        ...
+
+
 class IncomingRequest:
     """A request whose head was received; its body may still arrive.
 
@@ -47,17 +60,39 @@
     ----------
     received_s
         Loop time at which the head was complete.
+    head_bytes
+        Memory that the head takes.
+
+    Attributes
+    ----------
+    uses
+        What else takes memory until the request ends; its handler adds them.
     """
 
-    __slots__ = ("body", "head", "keep_alive", "received_s")
+    __slots__ = ("_head_bytes", "body", "head", "keep_alive", "received_s", "uses")
 
-    def __init__(self, *, head: RequestHead, body: IncomingBody, received_s: float) -> None:
+    def __init__(
+        self, *, head: RequestHead, body: IncomingBody, received_s: float, head_bytes: int = 0
+    ) -> None:
         self.head = head
         self.body = body
         self.received_s = received_s
         self.keep_alive = True
+        self._head_bytes = head_bytes
+        self.uses: list[MemoryUse] = []
+
+    def held_bytes(self) -> int:
+        """Return the memory that the request and its handling take."""
+        used = sum(use.held_bytes() for use in self.uses)
+        return self._head_bytes + self.body.held_bytes() + used
+
+    def free(self) -> None:
+        """Drop what the request holds at once; it has been given up."""
+        self.body.discard()
+        for use in self.uses:
+            use.free()
 
 
 Handler = Callable[[IncomingRequest, ReplyWriter], Awaitable[None]]
 
-__all__ = ["Handler", "HttpLimits", "IncomingRequest"]
+__all__ = ["Handler", "HttpLimits", "IncomingRequest", "MemoryUse"]
--- a/src/leadhollow/http1/server.py
+++ b/src/leadhollow/http1/server.py
@@ -9,8 +9,10 @@
 
 from leadhollow.codes import Code
 from leadhollow.failure import Failure
+from leadhollow.http1.connection_set import ConnectionSet
 from leadhollow.http1.incoming_request import Handler, HttpLimits
 from leadhollow.http1.server_connection import ServerConnection
+from leadhollow.overload.memory import CallerMemory
 from leadhollow.settings.address import Address
 
 BACKLOG = 1_024  # listen queue; if it overflows, callers retry their SYN after seconds
@@ -28,6 +30,10 @@
         Handles each request.
     limits
         Returns the limits that apply now.
+    memory
+        Account of what callers make the process hold; by default one of this server alone.
+    max_connections
+        Largest number of connections; None without a bound.
     """
 
     __slots__ = ("_closing", "_connections", "_handler", "_limits", "_server", "address")
@@ -38,12 +44,16 @@
         address: Address,
         handler: Handler,
         limits: Callable[[], HttpLimits] = HttpLimits,
+        memory: CallerMemory | None = None,
+        max_connections: int | None = None,
     ) -> None:
         self.address = address
         self._handler = handler
         self._limits = limits
         self._server: asyncio.Server | None = None
-        self._connections: set[ServerConnection] = set()
+        self._connections = ConnectionSet[ServerConnection](
+            memory=memory or CallerMemory(), max_count=max_connections
+        )
         self._closing = False
 
     @property
@@ -80,7 +90,7 @@
         """Close the listener and all idle connections."""
         if self._server is not None:
             self._server.close()
-        for connection in list(self._connections):
+        for connection in self._connections:
             connection.close_if_idle()
 
     async def wait_idle(self, deadline_s: float) -> bool:
@@ -102,7 +112,7 @@
         """Close the listener and all connections."""
         self.stop_accepting()
         await asyncio.sleep(0)
-        for connection in list(self._connections):
+        for connection in self._connections:
             connection.abort()
 
     def _make_connection(self) -> ServerConnection:
--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -11,9 +11,11 @@
 import httptools
 
 from leadhollow.codes import Code
+from leadhollow.decide.shedding import Phase
 from leadhollow.failure import Failure
 from leadhollow.http1.body import IncomingBody
 from leadhollow.http1.body_drain import drain_body
+from leadhollow.http1.connection_set import ConnectionSet
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.incoming_request import Handler, HttpLimits, IncomingRequest
 from leadhollow.http1.messages import RequestHead
@@ -27,6 +29,10 @@
 LINGER_S = 1.0  # time to read an early response; closing with unread input resets the connection
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+CONNECTION_BYTES = 8 * 1024  # memory of an open connection, without what it received
+FIELD_BYTES = 160  # memory of a header field beside its name and value
+PROGRESS_BYTES = 16 * 1024  # a connection that moves less than this makes no progress
+
 log = get_logger("http")
 _malformed = RepeatedLine(log=log, message="malformed request")
 _refused = RepeatedLine(log=log, message="request refused")
@@ -47,7 +53,7 @@
     is_closing
         Returns whether the server is about to stop; responses then end the connection.
     connections
-        Set of open connections, to which this one adds itself.
+        Open connections of the server, to which this one adds itself.
     """
 
     __slots__ = (
@@ -55,6 +61,7 @@
         "_connections",
         "_current",
         "_error_status",
+        "_field_count",
         "_handler",
         "_head_bytes",
         "_header_timer",
@@ -65,11 +72,18 @@
         "_in_head",
         "_is_closing",
         "_limits",
+        "_moved_bytes",
         "_parser",
+        "_phase_since_s",
+        "_progress_s",
         "_progressed",
         "_received_bytes",
+        "_reply",
         "_requests",
         "_rest_bytes",
+        "_served_count",
+        "_serving",
+        "_shed",
         "_target",
         "_task",
         "_transport",
@@ -84,7 +98,7 @@
         handler: Handler,
         limits: Callable[[], HttpLimits],
         is_closing: Callable[[], bool],
-        connections: set[ServerConnection],
+        connections: ConnectionSet[ServerConnection],
     ) -> None:
         self._handler = handler
         self._limits = limits
@@ -94,17 +108,24 @@
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task[None] | None = None
         self._requests: deque[IncomingRequest] = deque()
-        self._current: IncomingRequest | None = None
+        self._current: IncomingRequest | None = None  # whose body is being received
+        self._serving: IncomingRequest | None = None
+        self._reply: ReplyWriter | None = None
+        self._served_count = 0
+        self._shed = False
         self._error_status: HTTPStatus | None = None
         self._target = b""
         self._headers = Headers()
+        self._field_count = 0  # of all heads so far
         self._head_bytes = 0
         self._received_bytes = 0
+        self._moved_bytes = 0  # since the last progress
         self._progressed = False  # whether the received bytes brought a head or a part of a body
         self._rest_bytes = 0  # since the last part of a body
         self._in_head = False
         self._header_timer: ActiveTimer | None = None
         self._clock: ActiveClock = active_time.clock()
+        self._progress_s = self._phase_since_s = self._clock.active_s()
         self._idle_since_s: float | None = None  # set while no request is in progress
         self._idle_timer: ActiveTimer | None = None
         self._idle_expired = False
@@ -116,15 +137,18 @@
     # asyncio callbacks
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the task of the connection."""
+        """Start the task of the connection, unless there are too many."""
         socket_transport = cast("asyncio.Transport", transport)  # uvloop's does not subclass it
         self._transport = socket_transport
-        self._connections.add(self)
+        if not self._connections.add(self):
+            socket_transport.abort()
+            return
         self._task = asyncio.get_running_loop().create_task(self._run(socket_transport))
         self._schedule_idle_check(self._idle_s())
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, no more at a time than a head may have, and enforce the limits."""
+        fields_before = self._field_count
         head_bytes = self._limits().header_bytes + 1
         if len(data) <= head_bytes:
             self._parse(data)
@@ -138,6 +162,11 @@
             self._header_timer = ActiveTimer(
                 delay_s=self._limits().header_timeout_ms / 1000, callback=self._on_header_timeout
             )
+        self._moved_bytes += len(data)
+        if self._moved_bytes >= PROGRESS_BYTES:
+            self._record_progress()
+        field_bytes = FIELD_BYTES * (self._field_count - fields_before)
+        self._connections.memory.record_received(len(data) + field_bytes)
 
     def _parse(self, data: bytes | memoryview) -> None:
         if self._error_status is not None:
@@ -175,11 +204,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, whose response cannot be delivered."""
         self._connections.discard(self)
+        self._drop_input()
+        del self._parser  # it and this connection refer to each other
         self._stop_header_timer()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
-        if self._task is not None:
-            self._task.cancel()
+        self._cancel_task()
 
     def pause_writing(self) -> None:
         """Block writers while the write buffer is full."""
@@ -188,6 +218,7 @@
     def resume_writing(self) -> None:
         """Unblock writers."""
         self._writable.set()
+        self._record_progress()
 
     # parser callbacks
 
@@ -204,6 +235,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header field; trailers are dropped."""
         if self._in_head:
+            self._field_count += 1
             self._headers.add(name, value)
 
     def on_headers_complete(self) -> None:
@@ -217,6 +249,7 @@
             self._reject(HTTPStatus.TOO_MANY_REQUESTS)
             return
         limit_bytes = self._limits().header_bytes
+        received_bytes = max(self._head_bytes, self._received_bytes)
         may_exceed = self._head_bytes + self._received_bytes > limit_bytes
         if may_exceed and self._encoded_head_bytes() > limit_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
@@ -235,7 +268,10 @@
         )
         body = IncomingBody(pause=self._pause_reading, resume=self._resume_reading)
         request = IncomingRequest(
-            head=head, body=body, received_s=asyncio.get_running_loop().time()
+            head=head,
+            body=body,
+            received_s=asyncio.get_running_loop().time(),
+            head_bytes=min(received_bytes, limit_bytes) + FIELD_BYTES * len(self._headers),
         )
         request.keep_alive = self._parser.should_keep_alive()
         self._current = request
@@ -257,6 +293,7 @@
             self._current.keep_alive = self._parser.should_keep_alive()
             self._current.body.finish()
             self._current = None
+            self._phase_since_s = self._clock.active_s()
 
     # interface for the server
 
@@ -265,6 +302,69 @@
         if not self.busy and not self._requests and not self._in_head and self._transport:
             self._transport.close()
 
+    @property
+    def phase(self) -> tuple[Phase, float]:
+        """What the connection is doing, and since which active time."""
+        if self._current is not None:
+            return Phase.UNFINISHED, self._phase_since_s
+        if self.busy or self._requests:
+            return Phase.SERVED, self._phase_since_s
+        if self._in_head or not self._served_count or self._error_status is not None:
+            return Phase.UNUSED, self._phase_since_s
+        return Phase.IDLE, self._phase_since_s
+
+    def held_bytes(self) -> int:
+        """Return the memory that the connection and its requests take."""
+        held = CONNECTION_BYTES + sum(request.held_bytes() for request in self._requests)
+        if self._in_head:
+            held += self._head_bytes + FIELD_BYTES * len(self._headers)
+        if self._serving is not None:
+            held += self._serving.held_bytes()
+        if self._transport is not None:
+            held += self._transport.get_write_buffer_size()
+        return held
+
+    def stalled_s(self) -> float:
+        """Return the active time since a notable part of what is held moved."""
+        return self._clock.active_s() - self._progress_s
+
+    def shed(self) -> None:
+        """Free what the connection holds: refuse a request that is still received, else close it.
+
+        The handler knows whether the request was sent on, and says no more than it knows.
+        """
+        serving = self._serving
+        received = serving is not None and not serving.body.complete
+        begun = self._reply is not None and self._reply.started
+        self._requests.clear()
+        if serving is None or not received or begun or self._shed:
+            self._connections.discard(self)
+            self._drop_input()
+            self._cancel_task()
+            self.abort()
+            if serving is not None:
+                serving.free()
+            return
+        self._shed = True
+        self._error_status = HTTPStatus.SERVICE_UNAVAILABLE  # later bytes are not parsed
+        serving.body.discard(Failure(code=Code.CALLERS_OVERLOAD))
+
+    def _cancel_task(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None  # its traceback refers to this connection and all that it handles
+
+    def _drop_input(self) -> None:
+        """Drop what was received and is not being handled."""
+        self._headers = Headers()
+        self._target = b""
+        self._requests.clear()
+        self._current = None
+
+    def _record_progress(self) -> None:
+        self._moved_bytes = 0
+        self._progress_s = self._clock.active_s()
+
     @property
     def has_unsent_bytes(self) -> bool:
         """Whether the write buffer holds bytes of a response."""
@@ -280,14 +380,18 @@
     async def _run(self, transport: asyncio.Transport) -> None:
         try:
             while await self._wait_request():
-                request = self._requests.popleft()
+                request = self._serving = self._requests.popleft()
                 self.busy = True
+                self._record_progress()
                 closed = await self._serve(transport, request)
                 self.busy = False
-                if closed:
+                self._serving = self._reply = None
+                self._served_count += 1
+                self._phase_since_s = self._clock.active_s()
+                if closed or self._shed:
                     break
                 request.body.discard()  # else an unread rest keeps reading paused for good
-            if self._error_status is not None:
+            if self._error_status is not None and not self._shed:
                 await self._send_error(transport, self._error_status)
         except asyncio.CancelledError:
             if not transport.is_closing():
@@ -337,6 +441,7 @@
             writable=self._writable,
             close_after=not request.keep_alive or self._is_closing(),
         )
+        self._reply = reply
         try:
             await self._handler(request, reply)
         except Exception:
--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -175,6 +175,7 @@
                 peers=process.peers,
                 tolerated_losses=settings.tolerated_losses,
             ),
+            memory=process.caller_memory,
         )
 
     kernel.register("replica", make_replica, needs=("wire",))
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -230,6 +230,11 @@
         process.seed_listeners.append(feed.use_seeds)
         return feed
 
+    def make_pool() -> Service:
+        return ConnectionPool(
+            memory=process.caller_memory
+        )
+
     def make_dispatcher() -> Service:
         return EntryDispatcher(
             process=process,
@@ -272,6 +277,7 @@
             streams=dispatcher.stream_forwarder,
             suspects=dispatcher.suspects,
             responder=dispatcher.responder,
+            memory=process.caller_memory,
             stop_grace_s=settings.bounds.stop_grace_s,
             seed=process.seed,
         )
@@ -301,10 +307,14 @@
             return ""
 
         address = Address.parse(settings.readiness or "").unwrap()
-        return ReadinessListener(address=address, reason=not_ready_reason)
+        return ReadinessListener(
+            address=address,
+            reason=not_ready_reason,
+            memory=process.caller_memory,
+        )
 
     kernel.register("feed", make_feed, needs=("wire",))
-    kernel.register("pool", ConnectionPool, needs=("wire",))
+    kernel.register("pool", make_pool, needs=("wire",))
     kernel.register("dispatching", make_dispatcher, needs=("feed", "pool"))
     kernel.register("path-prober", make_prober, needs=("dispatching",))
     kernel.register("use-reporter", make_reporter, needs=("dispatching",))
--- a/src/leadhollow/node/process.py
+++ b/src/leadhollow/node/process.py
@@ -11,6 +11,9 @@
 from leadhollow.kernel import active_time
 from leadhollow.kernel.kernel import Kernel
 from leadhollow.node.dialects import Dialects
+from leadhollow.observe.logs import get_logger
+from leadhollow.overload.limits import ProcessLimits
+from leadhollow.overload.memory import CallerMemory
 from leadhollow.settings.address import Address
 from leadhollow.settings.node import NodeRole, NodeSettings
 from leadhollow.wire.handlers import HandlerTable
@@ -33,17 +36,40 @@
 for a while."""
 
 
+log = get_logger("process")
+
+
 class NodeProcess:
     """Kernel and shared objects of one process.
 
     Only the modules of the configured role are imported, to save memory on small VMs.
+
+    Attributes
+    ----------
+    caller_memory
+        Account of what all callers make the process hold.
+    limits
+        Parts of its memory and descriptors that callers, servers and peers may take.
     """
 
-    __slots__ = ("dialects", "handlers", "kernel", "peers", "seed_listeners", "settings")
+    __slots__ = (
+        "caller_memory",
+        "dialects",
+        "handlers",
+        "kernel",
+        "limits",
+        "peers",
+        "seed_listeners",
+        "settings",
+    )
 
     def __init__(self, *, settings: NodeSettings, dialects: Dialects) -> None:
         self.settings = settings
         self.dialects = dialects
+        self.limits = ProcessLimits(
+            memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
+        )
+        self.caller_memory = CallerMemory(limit_bytes=self.limits.callers_memory_bytes)
         self.handlers = HandlerTable()
         self.peers = PeerPool(
             vm=settings.vm,
@@ -78,6 +104,7 @@
     async def start(self) -> Result[None, Failure]:
         """Start all services."""
         active_time.clock()  # so that stalls are recorded from the start
+        log.info("limits of this process", **self.limits.log_fields())
         return await self.kernel.start()
 
     async def stop(self) -> bool:
@@ -92,7 +119,11 @@
 
     def _make_wire(self) -> Service:
         listen = Address.parse(self.settings.wire_address).unwrap()
-        server = WireServer(address=listen, token=self.settings.token, handlers=self.handlers)
+        server = WireServer(
+            address=listen,
+            token=self.settings.token,
+            handlers=self.handlers,
+        )
         return WireService(server=server, peers=self.peers)
 
 
--- a/tests/forward/test_failure_response.py
+++ b/tests/forward/test_failure_response.py
@@ -60,3 +60,20 @@
         call.attempts, call.reply.started = 1, True
         await FailureResponder(dialect=Dialect()).timed_out(call)
         assert lines.fields[0]["reason"] == EndReason.CALLER_DEADLINE.value
+
+
+class TestStatus:
+    # Guards against: a request that was sent on, and then refused for want of memory, is said not
+    # to have run.
+    async def test_promises_nothing_for_a_request_that_was_sent(self):
+        call = StreamWorld().call
+        call.attempts = 1
+        call.body.failure = Failure(code=Code.CALLERS_OVERLOAD)
+        sent = []
+
+        async def send(status, *_):
+            sent.append(status)
+
+        call.reply.send = send
+        await FailureResponder(dialect=Dialect()).unknown(call, Failure(code=Code.BACKEND_LOST))
+        assert sent == [502]
