Share the descriptors of a process among callers, servers and peers

Callers were reset while 400 connections that sent nothing stood at an entry with 250 descriptors. Cause: nothing bounded connections by the descriptors of the process, so callers took those that control and servers need, and accept failed for everybody.

--- a/src/leadhollow/node/control_role.py
+++ b/src/leadhollow/node/control_role.py
@@ -176,6 +176,7 @@
                 tolerated_losses=settings.tolerated_losses,
             ),
             memory=process.caller_memory,
+            max_connections=process.limits.max_callers,
         )
 
     kernel.register("replica", make_replica, needs=("wire",))
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -232,7 +232,7 @@
 
     def make_pool() -> Service:
         return ConnectionPool(
-            memory=process.caller_memory
+            memory=process.caller_memory, max_connections=process.limits.max_server_connections
         )
 
     def make_dispatcher() -> Service:
@@ -278,6 +278,7 @@
             suspects=dispatcher.suspects,
             responder=dispatcher.responder,
             memory=process.caller_memory,
+            max_connections=process.limits.max_callers,
             stop_grace_s=settings.bounds.stop_grace_s,
             seed=process.seed,
         )
@@ -311,6 +312,7 @@
             address=address,
             reason=not_ready_reason,
             memory=process.caller_memory,
+            max_connections=process.limits.max_peers,
         )
 
     kernel.register("feed", make_feed, needs=("wire",))
--- a/src/leadhollow/node/process.py
+++ b/src/leadhollow/node/process.py
@@ -123,6 +123,7 @@
             address=listen,
             token=self.settings.token,
             handlers=self.handlers,
+            max_unproven=self.limits.max_peers,
         )
         return WireService(server=server, peers=self.peers)
 
