Read up to twice the largest body of a refused request

Callers whose refused body was a fifth above the limit got a reset instead of a connection in use: the bound of what is read of a refused body, added in, was the limit of bodies itself. Conclusion: a body a little too long is no attack.

--- a/src/leadhollow/http1/body_drain.py
+++ b/src/leadhollow/http1/body_drain.py
@@ -37,7 +37,7 @@
     stop_limit_s
         The same from the moment on at which the server is about to stop.
     limit_bytes
-        Largest rest to read; a larger one belongs to a body that exceeds the limit of bodies.
+        Largest rest to read.
     is_stopping
         Returns whether the server is about to stop.
 
--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -29,6 +29,7 @@
 LINGER_S = 1.0  # time to read an early response; closing with unread input resets the connection
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
+DRAIN_FACTOR = 2  # rest of a refused body that is read, in largest bodies
 CONNECTION_BYTES = 8 * 1024  # memory of an open connection, without what it received
 FIELD_BYTES = 160  # memory of a header field beside its name and value
 PROGRESS_BYTES = 16 * 1024  # a connection that moves less than this makes no progress
@@ -458,7 +459,7 @@
             request.body,
             limit_s=linger_s,
             stop_limit_s=LINGER_S,
-            limit_bytes=self._limits().body_bytes,
+            limit_bytes=DRAIN_FACTOR * self._limits().body_bytes,
             is_stopping=self._is_closing,
         )
         return reply.close_after or not drained
