--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -48,6 +48,7 @@
         faults=options.faults,
         stages=options.stages,
         evacuates=options.evacuates,
+        crowds=options.crowds,
     )
 
 
@@ -97,6 +98,9 @@
         dest="evacuates",
         help="evacuate and restore failure domains besides",
     )
+    parser.add_argument(
+        "--crowds", action="store_true", help="let callers that do not behave come besides"
+    )
     parser.add_argument(
         "--departures",
         action="store_true",
--- a/tests/soak/backend.py
+++ b/tests/soak/backend.py
@@ -303,6 +303,18 @@
         self.version = version
         self._busy = False
 
+    async def _serve_crowd(self, request: web.Request) -> web.StreamResponse:
+        """Answer a request of which the ledger knows nothing."""
+        with contextlib.suppress(ConnectionResetError):
+            async for _ in request.content.iter_chunked(65_536):
+                pass
+        headers = {
+            "X-Attempt-Id": request.headers.get("X-Attempt-Id", ""),
+            "X-Instance-Id": self.instance,
+            "X-Response-Signature": "crowd",
+        }
+        return web.Response(headers=headers)
+
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         attempt = request.headers.get("X-Attempt-Id", "")
         refused = {"X-Not-Executed": "1", "X-Instance-Id": self.instance, "X-Attempt-Id": attempt}
@@ -316,6 +328,8 @@
         if self.limit is not None:
             self.limit.arrivals_s.append(self._ledger.now_s())
         refused.update(self._own_fields())
+        if attempt not in self._ledger.senders:
+            return await self._serve_crowd(request)
         sender, now_s = self._ledger.senders[attempt], self._ledger.now_s()
         self._report_of_self.note_arrival(attempt, sender, now_s)
         if self.rest_s is not None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 import random
 from pathlib import Path
 
+from tests.soak.crowds import Crowds
 from tests.soak.engine_stage import disturb_stages
 from tests.soak.evacuations import Evacuations
 from tests.soak.faults import FAULTS, Fault
@@ -46,7 +47,13 @@
 
 
 async def soak(
-    *, seed: int, folder: Path, faults: int, stages: bool = False, evacuates: bool = False
+    *,
+    seed: int,
+    folder: Path,
+    faults: int,
+    stages: bool = False,
+    evacuates: bool = False,
+    crowds: bool = False,
 ) -> Verdict:
     """Play one seed.
 
@@ -56,9 +63,12 @@
         Whether pieces turn bad, load orders come late and stagers stand still besides.
     evacuates
         Whether failure domains are evacuated and restored besides.
+    crowds
+        Whether callers that do not behave come in crowds besides.
     """
     world = World(seed=seed, folder=folder)
     operator = Operator(world=world)
+    hostile = Crowds(world=world) if crowds else None
     evacuations = Evacuations(world=world, operator=operator) if evacuates else None
     callers = Callers(world=world)
     chosen: list[Fault] = [world.random.choice(FAULTS) for _ in range(faults)]
@@ -68,7 +78,15 @@
         if not await operator.change() or not await world.ready():
             ledger.break_rule("START the deployment did not become ready")
         else:
-            await _play(world, operator, callers, chosen, stages=stages, evacuations=evacuations)
+            await _play(
+                world,
+                operator,
+                callers,
+                chosen,
+                stages=stages,
+                evacuations=evacuations,
+                crowds=hostile,
+            )
     finally:
         await world.stop()
     served = sum(told.status == 200 for told in ledger.told)
@@ -77,7 +95,9 @@
         faults=[fault.__name__ for fault in chosen],
         asked=len(ledger.told),
         served=served,
-        violations=ledger.judge() + (evacuations.judge() if evacuations else []),
+        violations=ledger.judge()
+        + (evacuations.judge() if evacuations else [])
+        + (hostile.judge() if hostile else []),
         columns=ledger.columns(),
     )
 
@@ -90,6 +110,7 @@
     *,
     stages: bool,
     evacuations: Evacuations | None,
+    crowds: Crowds | None,
 ) -> None:
     ledger = world.ledger
     disturbances = [asyncio.create_task(_report_of_themselves(world))]
@@ -97,6 +118,8 @@
         disturbances.append(asyncio.create_task(disturb_stages(world, operator)))
     if evacuations is not None:
         disturbances.append(asyncio.create_task(evacuations.run()))
+    if crowds is not None:
+        disturbances.append(asyncio.create_task(crowds.run()))
     background = [
         *disturbances,
         asyncio.create_task(callers.run()),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
 """Control replicas killed and wiped; edits in quick succession, an engine and a stager that die."""
 
 EVACUATION_SEED = 3
+CROWD_SEED = 1
 
 STREAM_SEEDS = (1, 46)
 """Entries held up, engines that crash and paths that break, readers of logs that stand still; the
@@ -33,6 +34,12 @@
         assert verdict.violations == []
         assert verdict.served > 0
 
+    # Guards against: an entry ends, or lies, beside callers that do not behave.
+    def test_holds_every_promise_beside_crowds(self, tmp_path):
+        verdict = asyncio.run(soak(seed=CROWD_SEED, folder=tmp_path, faults=2, crowds=True))
+        assert verdict.violations == []
+        assert verdict.served > 0
+
     def test_sends_nothing_to_evacuated_domains(self, tmp_path):
         verdict = asyncio.run(soak(seed=EVACUATION_SEED, folder=tmp_path, faults=2, evacuates=True))
         assert verdict.violations == []
--- a/tests/soak/traffic.py
+++ b/tests/soak/traffic.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from tests.node.site import route
 from tests.soak.backend import event
 from tests.soak.bodies import body_of, data_of, digest
 from tests.soak.cold import COLD_PER_S, COLD_START_S
@@ -72,6 +73,11 @@
         }
         for name, resumable in STREAMS.items()
     ]
+    once = {"type": "non_idempotent", "maxAttempts": 1}
+    routes += [  # those that crowds ask for
+        route("/plain/", lookup_service),
+        {**route("/once/", lookup_service), **once},
+    ]
     engine = {
         "slots": 8,
         "models": [{"name": MODEL, "warmS": 0.2}],
