Free what a task returned when its timeouts have ended

What callers saw: an entry whose callers do not read their responses grew far beyond its account of memory; 200 such callers took it to 68 to 110 MB (VM of 96 MB) where the account said 14 MB.

Cause: the scope of a timeout and its timer refer to each other, and asyncio's Timeout refers to its task. So each task that had opened a connection under a limit stayed, with the response it had returned, until a collection of garbage; with few objects and many bytes that is late.

Evidence: a list of all objects with more than 30 KB in an entry at its peak: 41 MB, of which 16 MB were left after a collection of garbage. Of the rest BufferedResponse had 28 MB, referred to by finished tasks of _attempt, those by Timeout, active_timeout, its timer's callback. Ruled out: what all sockets bring in one turn (5 to 14 MB, all of it in the account), write buffers of closed connections (under 3 MB), holes in the heap (with pieces mapped one by one the peaks were 64 to 81 MB all the same).

Change: a scope drops its timer and its timeout when it ends.

Test: both cases of TestScopeThatHasEnded fail on the code before and pass after.

--- a/src/leadhollow/kernel/active_time.py
+++ b/src/leadhollow/kernel/active_time.py
@@ -187,8 +187,12 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        timeout = self._timeout
         self._timer.cancel()
-        await self._timeout.__aexit__(kind, error, trace)
+        # Timer and scope refer to each other, and the timeout to its task: what the task returned
+        # would stay until a collection of garbage.
+        del self._timer, self._timeout
+        await timeout.__aexit__(kind, error, trace)
 
     def _start_timer(self, callback: Callable[[], None]) -> DeadlineTimer | ActiveTimer:
         raise NotImplementedError
--- a/tests/kernel/test_active_time.py
+++ b/tests/kernel/test_active_time.py
@@ -3,17 +3,28 @@
 import asyncio
 import socket
 import time
+import weakref
 
 import pytest
 import uvloop
 
 from leadhollow.kernel import active_time
 from leadhollow.kernel.active_time import ActiveTimer, active_timeout, active_wait, deadline_at
+from tests.support import collections_paused
 
 STALLS_S = (0.5, 1.0)
 LOOPS = (asyncio.new_event_loop, uvloop.new_event_loop)
 
 
+class LargeResult:
+    """Stands for a response that takes much memory."""
+
+
+def deadline_after(delay_s: float) -> deadline_at:
+    """Return a scope that ends at a deadline."""
+    return deadline_at(asyncio.get_running_loop().time() + delay_s)
+
+
 async def start_clock() -> None:
     """Start the clock of the loop before the first stall."""
     active_time.clock()
@@ -171,6 +182,23 @@
                 await asyncio.sleep(5.0)
 
 
+class TestScopeThatHasEnded:
+    # Guards against: what each task under a limit returned stays until a collection of garbage.
+    @pytest.mark.parametrize("scope", [active_timeout, deadline_after])
+    async def test_keeps_nothing_that_its_task_returned(self, scope):
+        async def work() -> LargeResult:
+            async with scope(5.0):
+                await asyncio.sleep(0)
+            return LargeResult()
+
+        with collections_paused():
+            task = asyncio.create_task(work())
+            returned = weakref.ref(await task)
+            del task
+            await asyncio.sleep(0)
+            assert returned() is None
+
+
 class TestActiveTimer:
     async def test_calls_back_unless_cancelled(self):
         called: list[str] = []
--- a/tests/support.py
+++ b/tests/support.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import hashlib
 import random
 import shutil
 import socket
 import threading
 import time
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 
 from result import Err
@@ -46,6 +48,17 @@
     raise AssertionError(message)
 
 
+@contextmanager
+def collections_paused() -> Iterator[None]:
+    """Let no collection of garbage free what is no longer needed."""
+    gc.collect()
+    gc.disable()
+    try:
+        yield
+    finally:
+        gc.enable()
+
+
 class BlockingWork:
     """Simulates work that blocks its thread until the event loop has run.
 
