Free what a request held when its caller leaves

Cause: the task of the connection ended with CancelledError. The task keeps that error, the error its traceback, that its frames, and a frame of the forwarder the timeout, which refers to the task. And a connection that had ended still referred to its request and its idle timer, which refers back.

Change: the task, which nobody awaits, returns when it is cancelled; connection and request part.

Test: TestCallerThatLeaves fails on the code before (30 s without the end of what was held).

--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -210,6 +210,7 @@
         self._stop_header_timer()
         if self._idle_timer is not None:
             self._idle_timer.cancel()
+            self._idle_timer = None
         self._cancel_task()
 
     def pause_writing(self) -> None:
@@ -384,9 +385,11 @@
                 request = self._serving = self._requests.popleft()
                 self.busy = True
                 self._record_progress()
-                closed = await self._serve(transport, request)
-                self.busy = False
-                self._serving = self._reply = None
+                try:
+                    closed = await self._serve(transport, request)
+                finally:
+                    self.busy = False
+                    self._serving = self._reply = None
                 self._served_count += 1
                 self._phase_since_s = self._clock.active_s()
                 if closed or self._shed:
@@ -395,9 +398,10 @@
             if self._error_status is not None and not self._shed:
                 await self._send_error(transport, self._error_status)
         except asyncio.CancelledError:
+            # Nobody awaits this task. If it ended with the error, the error's traceback would keep
+            # all that the request held until a collection of garbage.
             if not transport.is_closing():
                 transport.abort()
-            raise
         except Exception:
             log.exception("connection failed")
             transport.abort()
--- a/tests/http1/test_bounded_server.py
+++ b/tests/http1/test_bounded_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import weakref
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 
@@ -10,10 +11,11 @@
 from leadhollow.http1.incoming_request import HttpLimits, IncomingRequest
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.server import HttpServer
+from leadhollow.kernel.active_time import deadline_at
 from leadhollow.overload.memory import CallerMemory
 from leadhollow.settings.address import Address
 from tests.raw_http import RawCaller
-from tests.support import eventually
+from tests.support import collections_paused, eventually
 
 HOST = b"Host: x\r\n"
 LIMITS = HttpLimits(body_bytes=1_000_000, idle_timeout_ms=30_000)
@@ -107,6 +109,44 @@
             assert sent < 100_000_000
 
 
+class Held:
+    """What a handler holds for a request."""
+
+    def held_bytes(self) -> int:
+        return LONG_BYTES
+
+    def free(self) -> None:
+        pass
+
+
+class TestCallerThatLeaves:
+    # Guards against: the error of a cancelled task, or the connection that has ended, keeps what
+    # its request held until a collection of garbage.
+    async def test_leaves_nothing_of_its_request(self):
+        held: list[weakref.ref[Held]] = []
+
+        async def hold(request: IncomingRequest, reply: ReplyWriter) -> None:
+            local, used = Held(), Held()
+            held.extend((weakref.ref(local), weakref.ref(used)))
+            request.uses.append(used)
+            async with deadline_at(asyncio.get_running_loop().time() + 60) as limit:
+                await asyncio.Event().wait()
+            assert limit.expired()
+
+        def all_freed() -> bool:
+            return bool(held) and all(each() is None for each in held)
+
+        server = HttpServer(address=Address(host="127.0.0.1", port=0), handler=hold)
+        assert (await server.start()).is_ok()
+        with collections_paused():
+            caller = await RawCaller.connect(server.address)
+            await caller.send(b"GET /a HTTP/1.1\r\n" + HOST + b"\r\n")
+            await eventually(lambda: len(held) == 2, "a request in progress")
+            caller.reset()
+            await eventually(all_freed, "the end of all that the request held")
+        await server.stop()
+
+
 class TestBoundInNumber:
     # Guards against: connections that send nothing keep others out.
     async def test_closes_the_connection_that_was_silent_for_longest(self):
