Drop the beginning of a long response as its caller gets it

What callers saw: a caller that reads a long response slowly counted with up to 480 KiB that it had got long ago, for the whole response, and was the first to be closed when memory ran short.

Cause: the first 256 to 512 KiB, which are read before anything is relayed so that a failure can be retried, were merged into one piece (a copy), and both the connection and three frames of the relay referred to it until the end.

Change: the relay writes piece by piece out of the queue that the account counts; nothing is copied.

Test: TestLongResponse fails on the code before (300,000 bytes kept, 0 after).

--- a/src/leadhollow/forward/buffered_response.py
+++ b/src/leadhollow/forward/buffered_response.py
@@ -10,20 +10,34 @@
 from leadhollow.failure import Failure
 from leadhollow.forward.exchange import AttemptFailure, Exchange
 from leadhollow.http1.messages import ResponseHead
+from leadhollow.http1.pieces import Pieces
 
 MAX_BUFFERED_BYTES = 256 * 1024
 
 
 class BufferedResponse:
-    """A response with its complete body, or with the beginning of a long body."""
+    """A response with its complete body, or with the beginning of a long body.
+
+    Parameters
+    ----------
+    body
+        What was read of the body.
+    complete
+        Whether that is all of it.
+    """
 
-    __slots__ = ("complete", "data", "exchange")
+    __slots__ = ("body", "complete", "exchange")
 
-    def __init__(self, *, exchange: Exchange, data: bytes, complete: bool) -> None:
+    def __init__(self, *, exchange: Exchange, body: Pieces, complete: bool) -> None:
         self.exchange = exchange
-        self.data = data
+        self.body = body
         self.complete = complete
 
+    def release_connection(self) -> None:
+        """Return the connection to the pool and keep the body."""
+        self.body = self.body.take()
+        self.exchange.finish()
+
     @property
     def head(self) -> ResponseHead:
         """Head of the response."""
@@ -55,9 +69,9 @@
             return Err(read.unwrap_err())
         piece = read.unwrap()
         if not piece:
-            return Ok(BufferedResponse(exchange=exchange, data=pieces.merge(), complete=True))
+            return Ok(BufferedResponse(exchange=exchange, body=pieces, complete=True))
         pieces.append(piece)
-    return Ok(BufferedResponse(exchange=exchange, data=pieces.merge(), complete=False))
+    return Ok(BufferedResponse(exchange=exchange, body=pieces, complete=False))
 
 
 async def first_successful(
--- a/src/leadhollow/forward/plain_forwarder.py
+++ b/src/leadhollow/forward/plain_forwarder.py
@@ -103,7 +103,7 @@
             if response.successful or not (failed and self._may_send(call)):
                 await self._relay(call, response)
                 return
-            response.exchange.finish()
+            response.release_connection()
             fallback = response
             failure = Failure(code=Code.ENGINE_FAILED, detail=f"status {response.exchange.status}")
         if fallback is not None and fallback.exchange.metadata.signed:
@@ -121,7 +121,7 @@
             await self._responder.unproven(call, response.exchange)
             return
         passed = await relay_response(
-            call, response.exchange, buffered=response.data, complete=response.complete
+            call, response.exchange, buffered=response.body, complete=response.complete
         )
         if passed.is_err():
             self._responder.broken_off(call, passed.unwrap_err())
@@ -321,7 +321,7 @@
             fingerprint=short_fingerprint(call.fingerprint),
             instance=server.instance.instance,
             status=exchange.status,
-            size_bytes=len(response.data),
+            size_bytes=response.body.size_bytes,
             **exchange.log_fields(),
             after_ms=round((asyncio.get_running_loop().time() - call.received_s) * 1000),
         )
--- a/src/leadhollow/forward/response_relay.py
+++ b/src/leadhollow/forward/response_relay.py
@@ -8,6 +8,7 @@
 from leadhollow.forward.call import ForwardedCall
 from leadhollow.forward.exchange import Exchange
 from leadhollow.http1.headers import Headers
+from leadhollow.http1.pieces import Pieces
 from leadhollow.kernel import clocks
 
 FRAMING_FIELDS = frozenset({b"content-length"})
@@ -20,14 +21,18 @@
 
 
 async def relay_response(
-    call: ForwardedCall, exchange: Exchange, *, buffered: bytes = b"", complete: bool = False
+    call: ForwardedCall,
+    exchange: Exchange,
+    *,
+    buffered: Pieces | None = None,
+    complete: bool = False,
 ) -> Result[None, Failure]:
     """Relay a response as it arrives.
 
     Parameters
     ----------
     buffered
-        Part of the body that has been read already.
+        Part of the body that has been read already; it is emptied as the caller reads it.
     complete
         Whether ``buffered`` is the complete body.
 
@@ -37,19 +42,20 @@
         The response ended early; what the caller got must not look complete.
     """
     try:
-        return await _relay(call, exchange, buffered=buffered, complete=complete)
+        return await _relay(call, exchange, buffered=buffered or Pieces(), complete=complete)
     finally:
         exchange.abort()  # unless it has finished: the caller left, or its time is over
 
 
 async def _relay(
-    call: ForwardedCall, exchange: Exchange, *, buffered: bytes, complete: bool
+    call: ForwardedCall, exchange: Exchange, *, buffered: Pieces, complete: bool
 ) -> Result[None, Failure]:
     head = exchange.response.head
     fields = relayed_headers(exchange)
-    length = len(buffered) if complete else head.content_length
+    length = buffered.size_bytes if complete else head.content_length
     call.reply.start(head.status, fields, reason=head.reason, content_length=length)
-    await call.reply.write(buffered)
+    while buffered:
+        await call.reply.write(buffered.pop())
     while not complete:
         read = await exchange.read()
         if read.is_err():
--- a/src/leadhollow/http1/pieces.py
+++ b/src/leadhollow/http1/pieces.py
@@ -51,6 +51,13 @@
         self._pieces = [merged]
         return merged
 
+    def take(self) -> Pieces:
+        """Return a queue with all pieces, which leave this one."""
+        taken = Pieces()
+        taken._pieces, self._pieces = self._pieces, []
+        taken.size_bytes, self.size_bytes = self.size_bytes, 0
+        return taken
+
     def clear(self) -> None:
         """Remove all pieces."""
         self._pieces.clear()
--- a/tests/forward/odd_server.py
+++ b/tests/forward/odd_server.py
@@ -138,7 +138,7 @@
                     read = await buffer_response(exchange)
                     if read.is_ok():
                         signature = exchange.response.head.headers.text(b"x-response-signature")
-                        found = exchange.status, signature, read.unwrap().data
+                        found = exchange.status, signature, read.unwrap().body.merge()
         _end(exchange, whole=found is not None)
         return found
 
--- a/tests/forward/test_response_relay.py
+++ b/tests/forward/test_response_relay.py
@@ -1,13 +1,20 @@
-"""Header fields of a response that are relayed to the caller."""
+"""Responses that are relayed to the caller: their header fields, and what is kept of them."""
 
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
+from typing import Any, cast
 
-from leadhollow.forward.response_relay import relayed_headers
+from leadhollow.forward.buffered_response import buffer_response
+from leadhollow.forward.response_relay import relay_response, relayed_headers
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.messages import Framing, ResponseHead
 from leadhollow.platform.callers import PlatformCalls
+from tests.forward.stream_world import FakeExchange, FakeReply
+from tests.support import eventually
+
+PIECE_BYTES = 100_000
 
 
 def relayed(status: int, *fields: tuple[bytes, bytes]) -> list[bytes]:
@@ -29,3 +36,24 @@
     def test_are_relayed_except_those_that_frame_the_body(self):
         fields = [(b"Retry-After", b"600"), (b"Content-Length", b"3"), (b"Connection", b"close")]
         assert relayed(429, *fields) == [b"Retry-After"]
+
+
+class TestLongResponse:
+    # Guards against: what its caller has got already counts as held until the end of the response.
+    async def test_keeps_nothing_that_was_written(self):
+        exchange, reply = FakeExchange(), FakeReply()
+        for _ in range(4):
+            exchange.write(bytes(PIECE_BYTES))
+        buffered = (await buffer_response(cast("Any", exchange))).unwrap()
+        assert exchange.kept.size_bytes == 3 * PIECE_BYTES
+        call = cast("Any", SimpleNamespace(reply=reply))
+        relaying = asyncio.create_task(
+            relay_response(
+                call, cast("Any", exchange), buffered=buffered.body, complete=buffered.complete
+            )
+        )
+        await eventually(lambda: len(reply.data) == 4 * PIECE_BYTES, "the parts so far")
+        assert exchange.kept.size_bytes == 0
+        exchange.write(b"")
+        assert (await relaying).is_ok()
+        assert reply.finished
