Send what callers hold to statsd, and how many were shed, closed or refused

What operators saw: a crowd showed in log lines only; nothing told how near callers are to the bound. Cause: the account had its figures, and nobody sent them. Change: gauges of the account once a second, where a sink is set; the counts of connections that were closed or refused moved into the account, and the sink is opened in one place for all roles.

--- a/src/leadhollow/http1/connection_set.py
+++ b/src/leadhollow/http1/connection_set.py
@@ -63,21 +63,12 @@
     def __len__(self) -> int:
         return len(self._connections)
 
-    @property
-    def closed_count(self) -> int:
-        """Number of connections that were closed to make room."""
-        return self._closed.total
-
-    @property
-    def refused_count(self) -> int:
-        """Number of connections for which there was no room."""
-        return self._refused.total
-
     def add(self, connection: ConnectionT) -> bool:
         """Add a connection; return False if there is no room for it."""
         if self._max_count is not None and len(self._connections) >= self._max_count:
             self._make_room(self._max_count)
             if len(self._connections) >= self._max_count:
+                self.memory.refused_count += 1
                 self._refused.log(limit=self._max_count)
                 return False
         self._connections[connection] = None
@@ -97,6 +88,7 @@
             self.discard(connection)
             connection.abort()
         if closings:
+            self.memory.closed_count += len(closings)
             self._closed.log(len(closings), limit=max_count)
 
 
--- a/src/leadhollow/node/entry_role.py
+++ b/src/leadhollow/node/entry_role.py
@@ -43,7 +43,7 @@
     from leadhollow.codes import Code
     from leadhollow.kernel.service import Service
     from leadhollow.node.process import NodeProcess
-    from leadhollow.settings.node import NodeSettings
+    from leadhollow.observe.metrics import Metrics
 
 TIDY_INTERVAL_S = 1.0  # between two checks for backend servers to forget
 
@@ -115,7 +115,9 @@
         self._request_queued = asyncio.Event()
         self.queue.on_waiting(self._request_queued.set)
         feed.on_decisions(self.queue.update_peer_decisions)
-        self.responder = FailureResponder(dialect=dialect, on_refusal=_refusal_counter(settings))
+        self.responder = FailureResponder(
+            dialect=dialect, on_refusal=_refusal_counter(process.metrics)
+        )
         self.suspects = SuspectSync(
             directory=self.directory,
             feed=feed,
@@ -198,14 +200,10 @@
             return
 
 
-def _refusal_counter(settings: NodeSettings) -> Callable[[Code], None]:
+def _refusal_counter(metrics: Metrics | None) -> Callable[[Code], None]:
     """Return the function that counts a refused request by its code."""
-    if settings.statsd is None:
+    if metrics is None:
         return lambda _: None
-    from leadhollow.observe.metrics import Metrics  # the client takes memory that few VMs need
-
-    sink = Address.parse(settings.statsd).unwrap()
-    metrics = Metrics(sink=sink, prefix=f"leadhollow.{settings.vm}")
     return lambda code: metrics.count(f"refused.{code.name.lower()}")
 
 
--- a/src/leadhollow/node/process.py
+++ b/src/leadhollow/node/process.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from leadhollow.kernel.service import Service
+    from leadhollow.observe.metrics import Metrics
 
 STOP_MARGIN_MS = 500  # part of the stop grace period, for closing after the drain
 FORGET_AFTER_S = 15.0
@@ -48,6 +49,8 @@
     ----------
     caller_memory
         Account of what all callers make the process hold.
+    metrics
+        Sends counters and gauges; None without a sink for them.
     limits
         Parts of its memory and descriptors that callers, servers and peers may take.
     """
@@ -58,6 +61,7 @@
         "handlers",
         "kernel",
         "limits",
+        "metrics",
         "peers",
         "seed_listeners",
         "settings",
@@ -70,6 +74,7 @@
             memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
         )
         self.caller_memory = CallerMemory(limit_bytes=self.limits.callers_memory_bytes)
+        self.metrics = _open_metrics(settings)
         self.handlers = HandlerTable()
         self.peers = PeerPool(
             vm=settings.vm,
@@ -82,6 +87,8 @@
             drain_deadline_ms=int(1000 * settings.bounds.stop_grace_s) - STOP_MARGIN_MS
         )
         self.kernel.register("wire", self._make_wire)
+        if self.metrics is not None:
+            self.kernel.register("overload-metrics", self._make_overload_metrics)
         match settings.role:
             case NodeRole.CONTROL:
                 from leadhollow.node.control_role import register_control
@@ -127,6 +134,21 @@
         )
         return WireService(server=server, peers=self.peers)
 
+    def _make_overload_metrics(self) -> Service:
+        from leadhollow.overload.metrics import OverloadMetrics
+
+        assert self.metrics is not None
+        return OverloadMetrics(metrics=self.metrics, memory=self.caller_memory)
+
+
+def _open_metrics(settings: NodeSettings) -> Metrics | None:
+    if settings.statsd is None:
+        return None
+    from leadhollow.observe.metrics import Metrics  # the client takes memory that few VMs need
+
+    sink = Address.parse(settings.statsd).unwrap()
+    return Metrics(sink=sink, prefix=f"leadhollow.{settings.vm}")
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/leadhollow/overload/memory.py
+++ b/src/leadhollow/overload/memory.py
@@ -49,26 +49,39 @@
         Memory that callers took at the last check.
     shed_count
         Number of connections that lost what they held.
+    closed_count
+        Number of connections that were closed to make room for others.
+    refused_count
+        Number of connections for which there was no room.
     """
 
     __slots__ = (
         "_check_bytes",
         "_holders",
-        "_limit_bytes",
         "_line",
         "_unchecked_bytes",
+        "closed_count",
         "held_bytes",
+        "limit_bytes",
+        "refused_count",
         "shed_count",
     )
 
     def __init__(self, *, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
-        self._limit_bytes = limit_bytes
+        self.limit_bytes = limit_bytes
         self._check_bytes = limit_bytes // CHECKS_PER_LIMIT
         self._unchecked_bytes = 0
         self._holders: set[MemoryHolder] = set()
         self._line = RepeatedLine(log=log, message="callers hold too much memory")
         self.held_bytes = 0
         self.shed_count = 0
+        self.closed_count = 0
+        self.refused_count = 0
+
+    @property
+    def connection_count(self) -> int:
+        """Number of open connections of callers."""
+        return len(self._holders)
 
     def add(self, holder: MemoryHolder) -> None:
         """Include a connection."""
@@ -89,13 +102,13 @@
         self._unchecked_bytes = 0
         held = [(holder, holder.held_bytes()) for holder in self._holders]
         self.held_bytes = sum(size_bytes for _, size_bytes in held)
-        if self.held_bytes <= self._limit_bytes:
+        if self.held_bytes <= self.limit_bytes:
             return
         holdings = [
             Holding(holder=holder, held_bytes=size_bytes, stalled_s=holder.stalled_s())
             for holder, size_bytes in held
         ]
-        excess_bytes = self.held_bytes - int(SHED_TO * self._limit_bytes)
+        excess_bytes = self.held_bytes - int(SHED_TO * self.limit_bytes)
         chosen = choose_holders(holdings, excess_bytes=excess_bytes)
         for holding in chosen:
             holding.holder.shed()
@@ -103,7 +116,7 @@
         self._line.log(
             len(chosen),
             held_bytes=self.held_bytes,
-            limit_bytes=self._limit_bytes,
+            limit_bytes=self.limit_bytes,
             connections=len(held),
             largest_bytes=chosen[0].held_bytes,
             longest_stall_s=round(max(holding.stalled_s for holding in chosen), 3),
