Give input that is costly to parse a share of the processor's time

What callers saw: beside 200 callers that send chunks of two bytes without end, an entry answered no ordinary request: 0 of 2 in 10 s (5 s each), in CLIENTS 8.5 s for one.

Cause: such bodies cost some hundred times as much to parse as the same bytes in one piece, each read brings up to 36,000 parts, and nothing bounds what the parser takes of the time.

Change: where one read brings more than 256 parts of a body, what parsing it took is charged to a budget that all connections of a listener share, a quarter of the time; until its turn a connection is not read, and what was read waits in the account of memory. Other input is not measured. The pausing of reads moved from the connection to http1/input_throttle.py.

--- a/src/leadhollow/http1/connection_set.py
+++ b/src/leadhollow/http1/connection_set.py
@@ -9,6 +9,7 @@
 from leadhollow.observe.logs import get_logger
 from leadhollow.observe.repeated_line import RepeatedLine
 from leadhollow.overload.memory import CallerMemory, MemoryHolder
+from leadhollow.overload.parsing import ParsingBudget
 
 CLOSED_SHARE = 0.05  # share of the connections that is closed at once, so that it is rare
 
@@ -48,10 +49,12 @@
         "_max_count",
         "_refused",
         "memory",
+        "parsing",
     )
 
     def __init__(self, *, memory: CallerMemory, max_count: int | None) -> None:
         self.memory = memory
+        self.parsing = ParsingBudget()
         self._max_count = max_count
         self._connections: dict[ConnectionT, None] = {}  # in the order of their start
         self._closed = RepeatedLine(log=log, message="connections closed to make room for others")
--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -18,6 +18,7 @@
 from leadhollow.http1.connection_set import ConnectionSet
 from leadhollow.http1.headers import Headers
 from leadhollow.http1.incoming_request import Handler, HttpLimits, IncomingRequest
+from leadhollow.http1.input_throttle import InputThrottle
 from leadhollow.http1.messages import RequestHead
 from leadhollow.http1.reply import ReplyWriter
 from leadhollow.http1.request_checks import MAX_PIPELINED_REQUESTS, is_joined
@@ -71,6 +72,7 @@
         "_idle_since_s",
         "_idle_timer",
         "_in_head",
+        "_input",
         "_is_closing",
         "_limits",
         "_moved_bytes",
@@ -91,6 +93,7 @@
         "_wake",
         "_writable",
         "busy",
+        "part_count",
     )
 
     def __init__(
@@ -133,7 +136,9 @@
         self._wake = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
+        self._input = InputThrottle(parser=self, budget=connections.parsing)
         self.busy = False
+        self.part_count = 0
 
     # asyncio callbacks
 
@@ -141,6 +146,7 @@
         """Start the task of the connection, unless there are too many."""
         socket_transport = cast("asyncio.Transport", transport)  # uvloop's does not subclass it
         self._transport = socket_transport
+        self._input.connect(socket_transport)
         if not self._connections.add(self):
             socket_transport.abort()
             return
@@ -148,28 +154,17 @@
         self._schedule_idle_check(self._idle_s())
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, no more at a time than a head may have, and enforce the limits."""
-        fields_before = self._field_count
-        head_bytes = self._limits().header_bytes + 1
-        if len(data) <= head_bytes:
-            self._parse(data)
-        else:
-            rest = memoryview(data)
-            while rest:
-                step_bytes = head_bytes if self._current is None else len(rest)
-                self._parse(rest[:step_bytes])
-                rest = rest[step_bytes:]
-        if self._in_head and self._header_timer is None:
-            self._header_timer = ActiveTimer(
-                delay_s=self._limits().header_timeout_ms / 1000, callback=self._on_header_timeout
-            )
+        """Parse received bytes and enforce the limits."""
         self._moved_bytes += len(data)
         if self._moved_bytes >= PROGRESS_BYTES:
             self._record_progress()
+        fields_before = self._field_count
+        self._input.feed(data)
         field_bytes = FIELD_BYTES * (self._field_count - fields_before)
         self._connections.memory.record_received(len(data) + field_bytes)
 
-    def _parse(self, data: bytes | memoryview) -> None:
+    def parse(self, data: bytes | memoryview) -> None:
+        """Parse some bytes: as many as a head may have, or the rest of a body."""
         if self._error_status is not None:
             return
         if self._in_head or self._current is None:
@@ -187,6 +182,20 @@
         if awaits_head and self._head_bytes > self._limits().header_bytes:
             self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         self._check_rest(len(data))
+        if self._in_head and self._header_timer is None:
+            self._header_timer = ActiveTimer(
+                delay_s=self._limits().header_timeout_ms / 1000, callback=self._on_header_timeout
+            )
+
+    @property
+    def step_bytes(self) -> int:
+        """Largest step in which to parse a head, or costly input."""
+        return self._limits().header_bytes + 1
+
+    @property
+    def in_body(self) -> bool:
+        """Whether the next byte belongs to a body."""
+        return self._current is not None
 
     def _check_rest(self, count: int) -> None:
         """Refuse trailers and extensions of chunks that exceed the limit of a head."""
@@ -206,6 +215,7 @@
         """Cancel the request in progress, whose response cannot be delivered."""
         self._connections.discard(self)
         self._drop_input()
+        self._input.close()
         del self._parser  # it and this connection refer to each other
         self._stop_header_timer()
         if self._idle_timer is not None:
@@ -268,7 +278,7 @@
             headers=self._headers,
             http_1_0=self._parser.get_http_version() == "1.0",
         )
-        body = IncomingBody(pause=self._pause_reading, resume=self._resume_reading)
+        body = IncomingBody(pause=self._input.pause, resume=self._input.resume)
         request = IncomingRequest(
             head=head,
             body=body,
@@ -286,6 +296,7 @@
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         self._progressed = True
+        self.part_count += 1
         if self._current is not None:
             self._current.body.feed(data)
 
@@ -317,7 +328,8 @@
 
     def held_bytes(self) -> int:
         """Return the memory that the connection and its requests take."""
-        held = CONNECTION_BYTES + sum(request.held_bytes() for request in self._requests)
+        held = CONNECTION_BYTES + self._input.held_bytes()
+        held += sum(request.held_bytes() for request in self._requests)
         if self._in_head:
             held += self._head_bytes + FIELD_BYTES * len(self._headers)
         if self._serving is not None:
@@ -349,6 +361,7 @@
             return
         self._shed = True
         self._error_status = HTTPStatus.SERVICE_UNAVAILABLE  # later bytes are not parsed
+        self._input.drop()
         serving.body.discard(Failure(code=Code.CALLERS_OVERLOAD))
 
     def _cancel_task(self) -> None:
@@ -358,6 +371,7 @@
 
     def _drop_input(self) -> None:
         """Drop what was received and is not being handled."""
+        self._input.drop()
         self._headers = Headers()
         self._target = b""
         self._requests.clear()
@@ -480,6 +494,7 @@
             self._error_status = status
         if self._current is not None:
             self._current.body.fail(Failure(code=Code.REQUEST_MALFORMED))
+        self._input.drop()
         self._headers = Headers()
         self._wake.set()
 
@@ -496,13 +511,5 @@
             self._header_timer.cancel()
             self._header_timer = None
 
-    def _pause_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-
 
 __all__ = ["ServerConnection"]
--- a/tests/hostile/crowds.py
+++ b/tests/hostile/crowds.py
@@ -115,6 +115,12 @@
     await stay(reader)
 
 
+async def endless_small_chunks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Chunks of two bytes without end."""
+    writer.write(head("/plain/a", "Transfer-Encoding: chunked"))
+    await write_without_end(writer, b"2\r\nxx\r\n" * 9_000)
+
+
 async def empty_lines(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Empty lines without end before a request."""
     await write_without_end(writer, b"\r\n" * 32_768)
@@ -211,4 +217,13 @@
             writer.transport.abort()
 
 
-__all__ = ["ENTRY_CROWDS", "Behaviour", "Crowd", "head", "silent", "stay", "unread_responses"]
+__all__ = [
+    "ENTRY_CROWDS",
+    "Behaviour",
+    "Crowd",
+    "endless_small_chunks",
+    "head",
+    "silent",
+    "stay",
+    "unread_responses",
+]
--- a/tests/hostile/test_entry.py
+++ b/tests/hostile/test_entry.py
@@ -8,7 +8,14 @@
 
 import pytest
 
-from tests.hostile.crowds import ENTRY_CROWDS, Behaviour, Crowd, silent, unread_responses
+from tests.hostile.crowds import (
+    ENTRY_CROWDS,
+    Behaviour,
+    Crowd,
+    endless_small_chunks,
+    silent,
+    unread_responses,
+)
 from tests.hostile.deployment import BODY_LIMIT_BYTES, MEMORY_MB, Deployment, Watch
 from tests.support import eventually
 
@@ -52,6 +59,20 @@
         assert watch.peak_mb < MEMORY_MB
 
 
+class TestProcessorTimeOfAnEntry:
+    # Guards against: an entry does nothing but parse what a crowd sends.
+    async def test_serves_beside_small_chunks(self, tmp_path):
+        async with Deployment(folder=tmp_path) as deployment:
+            behaviours = [endless_small_chunks] * CROWD
+            crowd = Crowd(address=deployment.callers, behaviours=behaviours)
+            crowd.come()
+            await asyncio.sleep(2.0)
+            await eventually(deployment.is_served, "an answer beside the crowd")
+            await crowd.leave()
+            await eventually(deployment.is_served, "an answer after the crowd")
+            assert deployment.entry.running
+
+
 class TestDescriptorsOfAnEntry:
     # Guards against: callers take all descriptors, so that nobody else can connect.
     async def test_serves_beside_silent_connections(self, tmp_path):
