Keep copies of long bodies in a third of what callers may hold

What callers saw: ten ordinary callers that sent bodies of 2 MB at once to an entry on a VM of 96 MB: one to four were closed without an answer, though nobody misbehaved.

Cause: up to 16 MiB of bodies over 256 KiB are kept for a second attempt, whatever the VM. The account counts them, and where callers may hold 14 MB they alone fill it. Found while the processor's time of an entry was measured with such bodies.

Change: the bound of these copies is 16 MiB or a third of what callers may hold, whichever is less (300 MB: 15 MB, 160 MB: 8 MB); beyond it a body is sent on and not kept, as before.

--- a/src/leadhollow/forward/body_retention.py
+++ b/src/leadhollow/forward/body_retention.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
-RETAINED_BYTES = 16 * 1024 * 1024  # a tenth of the smallest entry VM's memory
+from leadhollow.overload.memory import DEFAULT_LIMIT_BYTES
+
+RETAINED_BYTES = 16 * 1024 * 1024
+CALLERS_SHARE = 1 / 3  # of the memory that callers may hold, which the bodies are a part of
 
 
 class BodyRetention:
     """Bounds the bytes that all long bodies of an entry keep together.
 
+    Parameters
+    ----------
+    callers_bytes
+        Memory that all callers may hold together.
+
     Attributes
     ----------
     used_bytes
@@ -16,8 +24,8 @@
 
     __slots__ = ("_limit_bytes", "used_bytes")
 
-    def __init__(self, *, limit_bytes: int = RETAINED_BYTES) -> None:
-        self._limit_bytes = limit_bytes
+    def __init__(self, *, callers_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
+        self._limit_bytes = min(RETAINED_BYTES, int(CALLERS_SHARE * callers_bytes))
         self.used_bytes = 0
 
     def try_reserve(self, size_bytes: int) -> bool:
--- a/src/leadhollow/forward/caller_listener.py
+++ b/src/leadhollow/forward/caller_listener.py
@@ -102,13 +102,14 @@
         self._suspects = suspects
         self._responder = responder
         self._stop_grace_s = stop_grace_s
-        self._retention = BodyRetention()
+        callers_memory = memory or CallerMemory()
+        self._retention = BodyRetention(callers_bytes=callers_memory.limit_bytes)
         self._random = random.Random(seed)
         self._server = HttpServer(
             address=address,
             handler=self._handle,
             limits=self._limits,
-            memory=memory,
+            memory=callers_memory,
             max_connections=max_connections,
         )
         self.stopping = False
--- a/tests/hostile/test_entry.py
+++ b/tests/hostile/test_entry.py
@@ -25,6 +25,9 @@
 SILENT_CROWD = 400
 LEAVING_CALLERS = 20
 MIXED_SEED = 79
+CALLERS_AT_ONCE = 10
+LONG_BODY_BYTES = 2_000_000
+ROUNDS = 10
 
 
 async def face(deployment: Deployment, behaviours: list[Behaviour]) -> Watch:
@@ -59,6 +62,16 @@
         assert watch.peak_mb < MEMORY_MB
 
 
+class TestOrdinaryCallers:
+    # Guards against: what is kept of bodies for a second attempt costs their callers the first one.
+    async def test_with_long_bodies_are_served_at_once(self, tmp_path):
+        body = bytes(LONG_BODY_BYTES)
+        async with Deployment(folder=tmp_path) as deployment:
+            for _ in range(ROUNDS):
+                sends = [deployment.is_served(body) for _ in range(CALLERS_AT_ONCE)]
+                assert all(await asyncio.gather(*sends))
+
+
 class TestProcessorTimeOfAnEntry:
     # Guards against: an entry does nothing but parse what a crowd sends.
     async def test_serves_beside_small_chunks(self, tmp_path):
--- a/tests/node/test_long_bodies.py
+++ b/tests/node/test_long_bodies.py
@@ -239,7 +239,7 @@
         made: list[body_retention.BodyRetention] = []
         monkeypatch.setattr(
             "leadhollow.forward.caller_listener.BodyRetention",
-            lambda: made.append(body_retention.BodyRetention()) or made[-1],
+            lambda **bounds: made.append(body_retention.BodyRetention(**bounds)) or made[-1],
         )
 
         async def work(site: Site, servers: list[EarlyServer]) -> None:
