Read the time of costly input in the module of clocks

Cause: read the monotonic clock where it is used; all clocks belong into kernel/clocks.py, where a reader finds which of them count suspensions. Change: clocks.processing_s, with its reason: the event loop's time stands still within a turn.

--- a/src/leadhollow/kernel/clocks.py
+++ b/src/leadhollow/kernel/clocks.py
@@ -17,6 +17,11 @@
     return asyncio.get_running_loop().time()
 
 
+def processing_s() -> float:
+    """Return a time that also advances within one turn of the event loop, to measure a callback."""
+    return time.monotonic()
+
+
 def suspended_s() -> float:
     """Return the total time in seconds for which this machine was suspended since it booted.
 
@@ -44,4 +49,4 @@
     return time.time_ns()
 
 
-__all__ = ["boot_s", "elapsed_s", "steady_s", "suspended_s", "wall_ns"]
+__all__ = ["boot_s", "elapsed_s", "processing_s", "steady_s", "suspended_s", "wall_ns"]
--- a/src/leadhollow/overload/parsing.py
+++ b/src/leadhollow/overload/parsing.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
+from leadhollow.kernel import clocks
 from leadhollow.observe.logs import get_logger
 from leadhollow.observe.repeated_line import RepeatedLine
 
@@ -28,7 +28,7 @@
 
     __slots__ = ("_free_s", "_line", "clock")
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, *, clock: Callable[[], float] = clocks.processing_s) -> None:
         self.clock = clock
         self._free_s = 0.0  # time at which costly input may be parsed again
         self._line = RepeatedLine(log=log, message="callers send bodies in many small parts")
