Count input as costly by the size of its parts

Cause: input counted as costly from 256 parts in a read, and a read may hold 256 KiB.

Change: more than 256 parts of less than 64 bytes on average. Larger parts cost a few times what one piece costs, which a flood of whole bodies costs as well.

Tests: the budget's test has a long read of usual parts, and fails on the code before.

--- a/src/leadhollow/http1/input_throttle.py
+++ b/src/leadhollow/http1/input_throttle.py
@@ -103,11 +103,12 @@
         parser, budget = self._parser, self._budget
         while rest:
             whole = parser.in_body and not self._costly
-            step_bytes = len(rest) if whole else parser.step_bytes
+            step = rest if whole else rest[: parser.step_bytes]
             parts_before, began_s = parser.part_count, budget.clock()
-            parser.parse(rest[:step_bytes])
-            rest = rest[step_bytes:]
-            wait_s = budget.record(parts=parser.part_count - parts_before, began_s=began_s)
+            parser.parse(step)
+            rest = rest[len(step) :]
+            parts = parser.part_count - parts_before
+            wait_s = budget.record(parts=parts, size_bytes=len(step), began_s=began_s)
             self._costly = wait_s > 0
             if self._costly:
                 self._rest = rest or None
--- a/tests/overload/test_parsing.py
+++ b/tests/overload/test_parsing.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
-from leadhollow.overload.parsing import COSTLY_PARTS, COSTLY_SHARE, ParsingBudget
+from leadhollow.overload.parsing import (
+    COSTLY_PART_BYTES,
+    COSTLY_PARTS,
+    COSTLY_SHARE,
+    ParsingBudget,
+)
 
 COST_S = 0.004
 CONNECTIONS = 50
@@ -16,19 +21,21 @@
         return self.now_s
 
 
-def spend(budget: ParsingBudget, clock: FakeClock, *, parts: int) -> float:
+def spend(budget: ParsingBudget, clock: FakeClock, *, parts: int, part_bytes: int = 7) -> float:
     """Parse for ``COST_S`` and return the time to wait."""
     began_s = clock()
     clock.now_s += COST_S
-    return budget.record(parts=parts, began_s=began_s)
+    return budget.record(parts=parts, size_bytes=parts * part_bytes, began_s=began_s)
 
 
 class TestParsingBudget:
     async def test_never_delays_input_of_usual_parts(self):
         clock = FakeClock()
         budget = ParsingBudget(clock=clock)
-        spend(budget, clock, parts=10 * COSTLY_PARTS)
+        assert spend(budget, clock, parts=10 * COSTLY_PARTS) > 0.0
         assert spend(budget, clock, parts=COSTLY_PARTS) == 0.0
+        many = 10 * COSTLY_PARTS  # a long read of an ordinary caller
+        assert spend(budget, clock, parts=many, part_bytes=COSTLY_PART_BYTES) == 0.0
 
     # Guards against: each connection keeps to a share, and all together take all of the time.
     async def test_gives_costly_input_of_all_connections_one_share(self):
