--- a/tests/hostile/deployment.py
+++ b/tests/hostile/deployment.py
@@ -17,7 +17,7 @@
 from tests.support import eventually, free_ports
 
 MEMORY_MB = 96
-"""Memory of the VM of each process, of which it uses some 20 MB at rest."""
+"""Default memory of the VM of each process, of which it uses some 20 MB at rest."""
 
 SERVERS = 6
 LONG_RESPONSE_BYTES = 3_000_000
@@ -85,11 +85,15 @@
 
     Parameters
     ----------
+    memory_mb
+        Memory of the VM of each process.
     max_descriptors
         Descriptors that the entry may open; None for the limit of this process.
     """
 
-    def __init__(self, *, folder: Path, max_descriptors: int | None = None) -> None:
+    def __init__(
+        self, *, folder: Path, memory_mb: int = MEMORY_MB, max_descriptors: int | None = None
+    ) -> None:
         number = next(_deployment_numbers)
         control_host, entry_host = f"127.0.90.{number}", f"127.0.91.{number}"
         port = free_ports((control_host, entry_host), count=5)
@@ -106,7 +110,7 @@
             "first_start": True,
             "tolerated_losses": 0,
             "heartbeat_ms": HEARTBEAT_S * 1000,
-            "memory_mb": MEMORY_MB,
+            "memory_mb": memory_mb,
         }
         disk = folder / "disk"
         disk.mkdir()
