Count refused connections once, and shed nobody for a metric

Change: the account owns the three lines (shed, closed, refused) and derives its counts from them; the gauges measure what is held and change nothing. The two lines of closings and refusals now come from component "overload" instead of "http"; their texts and keys are the same. Test: test_shed_nobody fails with the check in place of the measurement.

--- a/src/leadhollow/http1/connection_set.py
+++ b/src/leadhollow/http1/connection_set.py
@@ -6,15 +6,11 @@
 from typing import Generic, Protocol, TypeVar
 
 from leadhollow.decide.shedding import Phase, choose_closings
-from leadhollow.observe.logs import get_logger
-from leadhollow.observe.repeated_line import RepeatedLine
 from leadhollow.overload.memory import CallerMemory, MemoryHolder
 from leadhollow.overload.parsing import ParsingBudget
 
 CLOSED_SHARE = 0.05  # share of the connections that is closed at once, so that it is rare
 
-log = get_logger("http")
-
 
 class BoundedConnection(MemoryHolder, Protocol):
     """Connection that may have to make room for others."""
@@ -44,10 +40,8 @@
     """
 
     __slots__ = (
-        "_closed",
         "_connections",
         "_max_count",
-        "_refused",
         "memory",
         "parsing",
     )
@@ -57,8 +51,6 @@
         self.parsing = ParsingBudget()
         self._max_count = max_count
         self._connections: dict[ConnectionT, None] = {}  # in the order of their start
-        self._closed = RepeatedLine(log=log, message="connections closed to make room for others")
-        self._refused = RepeatedLine(log=log, message="connection refused: too many are served")
 
     def __iter__(self) -> Iterator[ConnectionT]:
         return iter(list(self._connections))
@@ -71,8 +63,7 @@
         if self._max_count is not None and len(self._connections) >= self._max_count:
             self._make_room(self._max_count)
             if len(self._connections) >= self._max_count:
-                self.memory.refused_count += 1
-                self._refused.log(limit=self._max_count)
+                self.memory.record_refused(max_connections=self._max_count)
                 return False
         self._connections[connection] = None
         self.memory.add(connection)
@@ -91,8 +82,7 @@
             self.discard(connection)
             connection.abort()
         if closings:
-            self.memory.closed_count += len(closings)
-            self._closed.log(len(closings), limit=max_count)
+            self.memory.record_closed(len(closings), max_connections=max_count)
 
 
 __all__ = ["BoundedConnection", "ConnectionSet"]
--- a/src/leadhollow/overload/memory.py
+++ b/src/leadhollow/overload/memory.py
@@ -46,25 +46,18 @@
     Attributes
     ----------
     held_bytes
-        Memory that callers took at the last check.
-    shed_count
-        Number of connections that lost what they held.
-    closed_count
-        Number of connections that were closed to make room for others.
-    refused_count
-        Number of connections for which there was no room.
+        Memory that callers took when it was last measured.
     """
 
     __slots__ = (
         "_check_bytes",
+        "_closed",
         "_holders",
-        "_line",
+        "_refused",
+        "_shed",
         "_unchecked_bytes",
-        "closed_count",
         "held_bytes",
         "limit_bytes",
-        "refused_count",
-        "shed_count",
     )
 
     def __init__(self, *, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
@@ -72,17 +65,31 @@
         self._check_bytes = limit_bytes // CHECKS_PER_LIMIT
         self._unchecked_bytes = 0
         self._holders: set[MemoryHolder] = set()
-        self._line = RepeatedLine(log=log, message="callers hold too much memory")
+        self._shed = RepeatedLine(log=log, message="callers hold too much memory")
+        self._closed = RepeatedLine(log=log, message="connections closed to make room for others")
+        self._refused = RepeatedLine(log=log, message="connection refused: too many are served")
         self.held_bytes = 0
-        self.shed_count = 0
-        self.closed_count = 0
-        self.refused_count = 0
 
     @property
     def connection_count(self) -> int:
         """Number of open connections of callers."""
         return len(self._holders)
 
+    @property
+    def shed_count(self) -> int:
+        """Number of connections that lost what they held."""
+        return self._shed.total
+
+    @property
+    def closed_count(self) -> int:
+        """Number of connections that were closed to make room for others."""
+        return self._closed.total
+
+    @property
+    def refused_count(self) -> int:
+        """Number of connections for which there was no room."""
+        return self._refused.total
+
     def add(self, holder: MemoryHolder) -> None:
         """Include a connection."""
         self._holders.add(holder)
@@ -91,17 +98,30 @@
         """Forget a connection that has ended."""
         self._holders.discard(holder)
 
+    def record_closed(self, count: int, *, max_connections: int) -> None:
+        """Record connections that were closed to make room for others."""
+        self._closed.log(count, limit=max_connections)
+
+    def record_refused(self, *, max_connections: int) -> None:
+        """Record a connection for which there was no room."""
+        self._refused.log(limit=max_connections)
+
     def record_received(self, size_bytes: int) -> None:
         """Record memory that was taken, and check what is held if that is due."""
         self._unchecked_bytes += size_bytes
         if self._unchecked_bytes >= self._check_bytes:
             self.check()
 
-    def check(self) -> None:
-        """Sum up what is held, and shed connections if it exceeds the limit."""
-        self._unchecked_bytes = 0
+    def measure(self) -> list[tuple[MemoryHolder, int]]:
+        """Sum up what is held; return what each connection holds."""
         held = [(holder, holder.held_bytes()) for holder in self._holders]
         self.held_bytes = sum(size_bytes for _, size_bytes in held)
+        return held
+
+    def check(self) -> None:
+        """Shed connections if what is held exceeds the limit."""
+        self._unchecked_bytes = 0
+        held = self.measure()
         if self.held_bytes <= self.limit_bytes:
             return
         holdings = [
@@ -112,8 +132,7 @@
         chosen = choose_holders(holdings, excess_bytes=excess_bytes)
         for holding in chosen:
             holding.holder.shed()
-        self.shed_count += len(chosen)
-        self._line.log(
+        self._shed.log(
             len(chosen),
             held_bytes=self.held_bytes,
             limit_bytes=self.limit_bytes,
--- a/src/leadhollow/overload/metrics.py
+++ b/src/leadhollow/overload/metrics.py
@@ -33,7 +33,7 @@
     def send(self) -> None:
         """Send all gauges once."""
         memory = self._memory
-        memory.check()
+        memory.measure()
         self._metrics.gauge("callers.held_bytes", memory.held_bytes)
         self._metrics.gauge("callers.limit_bytes", memory.limit_bytes)
         self._metrics.gauge("callers.connections", memory.connection_count)
