--- a/src/leadhollow/http1/server_connection.py
+++ b/src/leadhollow/http1/server_connection.py
@@ -17,6 +17,7 @@
 from leadhollow.http1.body_drain import drain_body
 from leadhollow.http1.connection_set import ConnectionSet
 from leadhollow.http1.headers import Headers
+from leadhollow.http1.idle_timeout import IdleTimeout
 from leadhollow.http1.incoming_request import Handler, HttpLimits, IncomingRequest
 from leadhollow.http1.input_throttle import InputThrottle
 from leadhollow.http1.messages import RequestHead
@@ -68,9 +69,7 @@
         "_head_bytes",
         "_header_timer",
         "_headers",
-        "_idle_expired",
-        "_idle_since_s",
-        "_idle_timer",
+        "_idle",
         "_in_head",
         "_input",
         "_is_closing",
@@ -130,12 +129,12 @@
         self._header_timer: ActiveTimer | None = None
         self._clock: ActiveClock = active_time.clock()
         self._progress_s = self._phase_since_s = self._clock.active_s()
-        self._idle_since_s: float | None = None  # set while no request is in progress
-        self._idle_timer: ActiveTimer | None = None
-        self._idle_expired = False
         self._wake = asyncio.Event()
         self._writable = asyncio.Event()
         self._writable.set()
+        self._idle = IdleTimeout(
+            limit_s=self._idle_s, is_receiving=lambda: self._in_head, on_expired=self._wake.set
+        )
         self._input = InputThrottle(parser=self, budget=connections.parsing)
         self.busy = False
         self.part_count = 0
@@ -151,7 +150,7 @@
             socket_transport.abort()
             return
         self._task = asyncio.get_running_loop().create_task(self._run(socket_transport))
-        self._schedule_idle_check(self._idle_s())
+        self._idle.start()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and enforce the limits."""
@@ -218,9 +217,7 @@
         self._input.close()
         del self._parser  # it and this connection refer to each other
         self._stop_header_timer()
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
-            self._idle_timer = None
+        self._idle.stop()
         self._cancel_task()
 
     def pause_writing(self) -> None:
@@ -425,33 +422,18 @@
     async def _wait_request(self) -> bool:
         """Wait for the next request; return False if the connection is to end without one."""
         while not self._requests:
-            if self._error_status is not None or (self._idle_expired and not self._in_head):
+            if self._error_status is not None or (self._idle.expired and not self._in_head):
                 return False
-            self._idle_expired = False
             self._wake.clear()
-            self._idle_since_s = self._clock.active_s()
+            self._idle.begin_wait()
             await self._wake.wait()
-            self._idle_since_s = None
-        self._idle_expired = False
+            self._idle.end_wait()
+        self._idle.expired = False  # a request may have come just when the wait expired
         return True
 
     def _idle_s(self) -> float:
         return self._limits().idle_timeout_ms / 1000
 
-    def _schedule_idle_check(self, delay_s: float) -> None:
-        """Schedule an idle check; one repeating timer saves setting a timer per request."""
-        self._idle_timer = ActiveTimer(delay_s=delay_s, callback=self._check_idle)
-
-    def _check_idle(self) -> None:
-        if self._idle_since_s is None or self._in_head:
-            self._schedule_idle_check(self._idle_s())
-            return
-        remaining_s = self._idle_s() - (self._clock.active_s() - self._idle_since_s)
-        if remaining_s <= 0:
-            self._idle_expired = True
-            self._wake.set()
-        self._schedule_idle_check(remaining_s if remaining_s > 0 else self._idle_s())
-
     async def _serve(self, transport: asyncio.Transport, request: IncomingRequest) -> bool:
         """Handle one request; return True if the connection must end."""
         reply = ReplyWriter(
